--- /dev/null
+++ b/_scripts/generate.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Generates Go types from schema/*.json.
+# With --check it fails, and changes nothing, when they are out of date.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+check=${1:-}
+
+# generate PACKAGE OUTPUT TAGS SCHEMA...
+generate() {
+  local package=$1 out=$2 tags=$3 target=$2
+  shift 3
+  [ "$check" = --check ] && target=$(mktemp --suffix=.go)
+  go tool -modfile=tools/go.mod go-jsonschema --only-models --disable-omitempty --disable-omitzero \
+    --disable-custom-types-for-maps --struct-name-from-title --tags "$tags" --package "$package" \
+    --capitalization ID,VM,VMs,TLS,URL,CA --output "$target" "$@"
+  gofmt -w "$target"
+  if [ "$target" != "$out" ]; then
+    diff -u "$out" "$target" || { echo "$out is out of date: run _scripts/generate.sh" >&2; exit 1; }
+    rm -f "$target"
+  fi
+}
+
+generate schema pkg/schema/types.go json,msgpack schema/table.json schema/settings.json schema/messages.json
+generate api service/api/types.go json schema/api.json
--- /dev/null
+++ b/cmd/gannetbench/cmds/cmds.go
@@ -0,0 +1,40 @@
+// Package cmds holds the sub-commands of gannetbench.
+package cmds
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/gannetwell/gannetwell/pkg/cli"
+)
+
+// New returns the program.
+func New(stdout, stderr io.Writer) *cli.Program {
+	return &cli.Program{
+		Name: "gannetbench", Summary: "Stand-ins for the platform and backend servers, a demo, and experiments.",
+		Stdout: stdout, Stderr: stderr,
+		Add: func(p *flags.Parser) error {
+			commands := []struct {
+				name, short, long string
+				command           flags.Commander
+			}{
+				{"demo", "Run whole deployments in one process", "Runs both users' deployments, or those of --deployment, under load with edits, a maintenance wave, the stop of an entry and the replacement of another. Exits with 1 when a counter of harm is not zero.\n\nExamples:\n  gannetbench demo\n  gannetbench demo --deployment _fixtures/aula-pampa.jsonc --for 10s --json", &demoCommand{stdout: stdout, stderr: stderr}},
+			}
+			for _, c := range commands {
+				if _, err := p.AddCommand(c.name, c.short, c.long, c.command); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// printJSON prints one indented object.
+func printJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/pkg/bench/backend/backend.go
@@ -0,0 +1,287 @@
+// Package backend is a stand-in for the users' backend servers: one HTTP server
+// for each VM, over loopback TCP, that can be told to leave, lose its power and
+// come back, and that shows what it ran to a checker.
+//
+// A request names itself and the work that it asks for in headers. The answer
+// begins with the request's name and ends with a checksum, so that its caller
+// can tell a whole answer to its own request from anything else.
+package backend
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The headers of a request to a stand-in.
+const (
+	HeaderID      = "Bench-Id"
+	HeaderWorkUs  = "Bench-Work-Us" // microseconds
+	HeaderBytes   = "Bench-Bytes"   // of the answer's filling
+	HeaderService = "Bench-Service"
+	// Protocol is what an upgrade asks for; the server echoes lines on it.
+	Protocol = "lesson"
+)
+
+const (
+	healthPath = "/healthz"
+	maxBytes   = 8 << 20
+)
+
+// Watcher is told what the servers do.
+type Watcher interface {
+	Began(vm, service, id string, at time.Time)
+	Ended(vm, service string)
+	Power(vm string, on bool)
+	Leaving(vm string, leaving bool, at time.Time)
+}
+
+// Server is the backend server of one VM.
+type Server struct {
+	vm      string
+	address string
+	farm    *Farm
+
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	slowdown atomic.Int64 // nanoseconds added to each request
+
+	mu       sync.Mutex
+	http     *http.Server
+	upgraded map[net.Conn]struct{} // connections that http no longer knows
+}
+
+// Farm is the backend servers of all VMs; it implements fake.Machine.
+type Farm struct {
+	watcher Watcher
+
+	mu      sync.Mutex
+	servers map[string]*Server
+}
+
+// NewFarm returns a farm without servers.
+func NewFarm(w Watcher) *Farm { return &Farm{watcher: w, servers: map[string]*Server{}} }
+
+// Add starts the server of a VM and returns its address.
+func (f *Farm) Add(vm string) (address string, err error) {
+	s := &Server{vm: vm, address: "127.0.0.1:0", farm: f}
+	if err := s.start(); err != nil {
+		return "", err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[vm] = s
+	return s.address, nil
+}
+
+func (f *Farm) get(vm string) *Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[vm]
+}
+
+// Close stops all servers.
+func (f *Farm) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		s.stop()
+	}
+}
+
+// Leaving implements fake.Machine.
+func (f *Farm) Leaving(vm string, leaving bool) {
+	if s := f.get(vm); s != nil {
+		s.leaving.Store(leaving)
+		f.watcher.Leaving(vm, leaving, time.Now())
+	}
+}
+
+// Power implements fake.Machine.
+func (f *Farm) Power(vm string, on bool) {
+	s := f.get(vm)
+	if s == nil {
+		return
+	}
+	f.watcher.Power(vm, on)
+	if !on {
+		s.stop()
+		return
+	}
+	s.leaving.Store(false)
+	f.watcher.Leaving(vm, false, time.Now())
+	if err := s.start(); err != nil {
+		panic(fmt.Sprintf("backend server of %s does not come back: %v", vm, err))
+	}
+}
+
+// InFlight implements fake.Machine.
+func (f *Farm) InFlight(vm string) int {
+	if s := f.get(vm); s != nil {
+		return int(s.inFlight.Load())
+	}
+	return 0
+}
+
+// SlowDown adds a delay to each request of a VM's server.
+func (f *Farm) SlowDown(vm string, d time.Duration) {
+	if s := f.get(vm); s != nil {
+		s.slowdown.Store(int64(d))
+	}
+}
+
+const (
+	startTries = 50
+	startWait  = 10 * time.Millisecond
+)
+
+// start listens at the server's address, the same one again after a stop.
+func (s *Server) start() (err error) {
+	var ln net.Listener
+	for range startTries {
+		if ln, err = net.Listen("tcp", s.address); err == nil {
+			break
+		}
+		time.Sleep(startWait)
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address = ln.Addr().String()
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	go func(h *http.Server) { _ = h.Serve(ln) }(s.http)
+	return nil
+}
+
+// stop cuts everything off.
+func (s *Server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.http.Close()
+	for conn := range s.upgraded {
+		_ = conn.Close()
+	}
+}
+
+// track keeps an upgraded connection, so that a stop cuts it too.
+func (s *Server) track(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.upgraded == nil {
+		s.upgraded = map[net.Conn]struct{}{}
+	}
+	s.upgraded[conn] = struct{}{}
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.upgraded, conn)
+	_ = conn.Close()
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		if s.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id, service := r.Header.Get(HeaderID), r.Header.Get(HeaderService)
+	s.inFlight.Add(1)
+	s.farm.watcher.Began(s.vm, service, id, time.Now())
+	defer func() {
+		s.farm.watcher.Ended(s.vm, service)
+		s.inFlight.Add(-1)
+	}()
+	switch {
+	case r.Header.Get("Upgrade") == Protocol:
+		s.upgrade(w)
+	case r.Header.Get(HeaderBytes) == "":
+		s.stream(w, r)
+	default:
+		s.answer(w, r, id)
+	}
+}
+
+// answer works for the time asked for and gives a whole answer.
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, id string) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	us, _ := strconv.Atoi(r.Header.Get(HeaderWorkUs))
+	n, _ := strconv.Atoi(r.Header.Get(HeaderBytes))
+	if d := time.Duration(us)*time.Microsecond + time.Duration(s.slowdown.Load()); d > 0 {
+		time.Sleep(d)
+	}
+	body := Answer(id, min(n, maxBytes))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+// Answer returns the whole answer to a request: its name, filling, and a checksum of both.
+func Answer(id string, filling int) []byte {
+	body := make([]byte, 0, len(id)+filling+18)
+	body = append(body, id...)
+	body = append(body, '\n')
+	for i := range filling {
+		body = append(body, 'a'+byte(i%26))
+	}
+	return fmt.Appendf(body, "%016x", xxhash.Sum64(body))
+}
+
+// stream echoes the body line by line as it comes.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	_ = rc.EnableFullDuplex()
+	w.WriteHeader(http.StatusOK)
+	_ = rc.Flush()
+	lines := bufio.NewReader(r.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		if line != "" {
+			if _, err := io.WriteString(w, line); err != nil {
+				return
+			}
+			_ = rc.Flush()
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
+	}
+}
+
+// upgrade changes the protocol and echoes lines until the caller closes.
+func (s *Server) upgrade(w http.ResponseWriter) {
+	w.Header().Set("Connection", "Upgrade")
+	w.Header().Set("Upgrade", Protocol)
+	w.WriteHeader(http.StatusSwitchingProtocols)
+	conn, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	s.track(conn)
+	defer s.untrack(conn)
+	for {
+		line, err := rw.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, line); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/bench/demo/demo.go
@@ -0,0 +1,253 @@
+// Package demo runs whole deployments in one process over loopback TCP: the
+// stand-ins, six entry daemons each, callers of every class and operators that
+// edit the table, while a maintenance wave takes every VM, one entry stops and
+// one is replaced. An independent checker counts what came of it.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/checker"
+	"github.com/gannetwell/gannetwell/pkg/bench/load"
+	"github.com/gannetwell/gannetwell/pkg/bench/standin"
+)
+
+// Options are what a demo is told.
+type Options struct {
+	Deployments []string      // table files
+	For         time.Duration // of the load; a wave under way is waited for
+	Seed        uint64
+	Scale       float64 // of the load
+	Progress    io.Writer
+	Log         zerolog.Logger
+}
+
+// DefaultOptions run both users' deployments.
+func DefaultOptions(root string) Options {
+	return Options{
+		Deployments: []string{
+			filepath.Join(root, "_fixtures", "test-platform.jsonc"),
+			filepath.Join(root, "_fixtures", "aula-pampa.jsonc"),
+		},
+		For: 20 * time.Second, Seed: 1, Scale: 1, Progress: io.Discard, Log: zerolog.Nop(),
+	}
+}
+
+// Summary is the result of a demo: the sums and maxima over its deployments, and each one's own.
+type Summary struct {
+	checker.Report
+	Deployments map[string]checker.Report `json:"deployments"`
+	Details     []string                  `json:"details"`
+}
+
+const (
+	entriesPerDeployment = 6
+	startTimeout         = 20 * time.Second
+	waveTimeout          = 90 * time.Second
+	progressInterval     = 2 * time.Second
+)
+
+// Run runs the deployments at once.
+func Run(ctx context.Context, o Options) (sum Summary, err error) {
+	defer func() { err = errors.Wrap(err, "demo") }()
+	sum.Deployments = map[string]checker.Report{}
+	var mu sync.Mutex
+	g, ctx := errgroup.WithContext(ctx)
+	for i, file := range o.Deployments {
+		g.Go(func() error {
+			so := standin.DefaultOptions()
+			so.Seed = o.Seed + uint64(i)
+			s, err := standin.Start(file, so)
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			d := newDeployment(s, o, o.Seed+uint64(i))
+			err = d.run(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			sum.Deployments[s.Name] = s.Checker.Report()
+			sum.Details = append(sum.Details, s.Checker.Details()...)
+			return errors.Wrap(err, s.Name)
+		})
+	}
+	err = g.Wait()
+	sum.Report = total(sum.Deployments)
+	return sum, err
+}
+
+// total sums counters and takes the worst of the times.
+func total(reports map[string]checker.Report) (t checker.Report) {
+	t.WaveDone = len(reports) > 0
+	for _, r := range reports {
+		t.Requests += r.Requests
+		t.Answered += r.Answered
+		t.NotRun += r.NotRun
+		t.WrongAnswers += r.WrongAnswers
+		t.Truncated += r.Truncated
+		t.OnceRequests += r.OnceRequests
+		t.OnceRanTwice += r.OnceRanTwice
+		t.NotRunButRan += r.NotRunButRan
+		t.CutOff += r.CutOff
+		t.BudgetViolations += r.BudgetViolations
+		t.VMsInTwoPools += r.VMsInTwoPools
+		t.ConfigReverts += r.ConfigReverts
+		t.Edits += r.Edits
+		t.Moves += r.Moves
+		t.BufferVMs += r.BufferVMs
+		t.WaveDone = t.WaveDone && r.WaveDone
+		t.NewWorkAfterLeavingMs = max(t.NewWorkAfterLeavingMs, r.NewWorkAfterLeavingMs)
+		t.ConfigInForceMs = max(t.ConfigInForceMs, r.ConfigInForceMs)
+		t.WaveSeconds = max(t.WaveSeconds, r.WaveSeconds)
+		t.P50Ms = max(t.P50Ms, r.P50Ms)
+		t.P99Ms = max(t.P99Ms, r.P99Ms)
+		t.P999Ms = max(t.P999Ms, r.P999Ms)
+	}
+	return t
+}
+
+// deployment is one deployment under way.
+type deployment struct {
+	*standin.Standin
+	o        Options
+	seed     uint64
+	balancer *load.Balancer
+	entries  *entries
+	operator *operator
+}
+
+func newDeployment(s *standin.Standin, o Options, seed uint64) *deployment {
+	b := load.NewBalancer()
+	return &deployment{
+		Standin: s, o: o, seed: seed, balancer: b,
+		entries: newEntries(s, b, o.Log), operator: &operator{checker: s.Checker},
+	}
+}
+
+func (d *deployment) progress(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.o.Progress, "%-14s %s\n", d.Name, fmt.Sprintf(format, args...))
+}
+
+// run goes through the demo's acts.
+func (d *deployment) run(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var background sync.WaitGroup
+	defer background.Wait()
+	defer cancel()
+	defer d.entries.closeAll()
+	background.Go(func() { d.balancer.Run(ctx) })
+	for i := range entriesPerDeployment {
+		if err := d.entries.start(ctx, fmt.Sprintf("entry-%d", i+1), i); err != nil {
+			return err
+		}
+	}
+	d.operator.entries = d.entries
+	if err := d.prepare(ctx); err != nil {
+		return err
+	}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	generator := load.NewGenerator(d.balancer, d.Checker, d.Name, d.seed)
+	loaded := make(chan struct{})
+	background.Go(func() {
+		defer close(loaded)
+		generator.Run(loadCtx, load.StreamsOf(d.Routes(), d.o.Scale))
+	})
+	background.Go(func() { d.report(loadCtx) })
+	background.Go(func() { d.operator.editNowAndThen(loadCtx) })
+	err = d.acts(ctx)
+	stopLoad()
+	<-loaded
+	return err
+}
+
+// prepare applies the table and waits until the pools are full.
+func (d *deployment) prepare(ctx context.Context) error {
+	if err := d.await(ctx, startTimeout, "entries to be ready", func() bool { return d.balancer.Ready() == entriesPerDeployment }); err != nil {
+		return err
+	}
+	if err := d.operator.apply(ctx, d.Table.Stored(), "the deployment's table"); err != nil {
+		return err
+	}
+	want := 0
+	for _, p := range d.Table.Pools {
+		want += p.Value.Size
+	}
+	d.progress("table applied, %d VMs, %d routes; pools fill up", len(d.Table.VMs), len(d.Table.Routes))
+	return d.await(ctx, startTimeout, "pools to be full", func() bool {
+		return d.Checker.Report().BufferVMs == len(d.Table.VMs)-want
+	})
+}
+
+// await waits for a condition.
+func (d *deployment) await(ctx context.Context, limit time.Duration, what string, f func() bool) error {
+	deadline := time.Now().Add(limit)
+	for !f() {
+		if time.Now().After(deadline) {
+			return errors.Errorf("waited %s for %s", limit, what)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// acts takes the deployment through a wave, the stop of an entry and the replacement of another.
+func (d *deployment) acts(ctx context.Context) error {
+	end := time.Now().Add(d.o.For)
+	const act = 5 // parts of the time
+	wait(ctx, d.o.For/act)
+	if err := d.operator.startWave(ctx, "demo-wave"); err != nil {
+		return err
+	}
+	d.progress("maintenance wave over all VMs begins")
+	wait(ctx, d.o.For/act)
+	d.progress("planned stop of entry-6")
+	if err := d.entries.stop("entry-6"); err != nil {
+		return err
+	}
+	d.progress("entry-5 is replaced")
+	if err := d.entries.start(ctx, "entry-5b", entriesPerDeployment); err != nil {
+		return err
+	}
+	if err := d.entries.stop("entry-5"); err != nil {
+		return err
+	}
+	if err := d.await(ctx, waveTimeout, "the wave to end", func() bool { return d.Checker.Report().WaveDone }); err != nil {
+		return err
+	}
+	d.progress("wave done in %.1f s", d.Checker.Report().WaveSeconds)
+	wait(ctx, time.Until(end))
+	return ctx.Err()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// report prints a line of progress now and then.
+func (d *deployment) report(ctx context.Context) {
+	for {
+		wait(ctx, progressInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		r := d.Checker.Report()
+		d.progress("requests %d  answered %d  not-run %d  edits %d  p99 %.1f ms  harm %v", r.Requests, r.Answered, r.NotRun, r.Edits, r.P99Ms, r.Harm())
+	}
+}
--- /dev/null
+++ b/pkg/bench/demo/operator.go
@@ -0,0 +1,93 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/checker"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+	"github.com/gannetwell/gannetwell/service/api"
+	"github.com/gannetwell/gannetwell/service/client"
+)
+
+const (
+	editGap   = 700 * time.Millisecond
+	editTries = 20
+	tryGap    = 50 * time.Millisecond
+)
+
+// operator edits the table through some entry, as a person would.
+type operator struct {
+	checker *checker.Checker
+	entries *entries
+	next    int
+}
+
+// edit makes an edit and tells the checker when it is accepted; the same edit
+// is sent again when its outcome is unknown.
+func (o *operator) edit(ctx context.Context, reason string, changes []api.RowChange) (err error) {
+	o.next++
+	q := api.EditRequest{ID: fmt.Sprintf("demo-%d-%d", time.Now().UnixNano(), o.next), Reason: reason, Changes: changes}
+	for range editTries {
+		var result api.EditResult
+		result, err = o.entries.any().Edit(ctx, q)
+		if err == nil {
+			o.checker.Accepted(result.Revision, time.Now())
+			return nil
+		}
+		var failure client.ErrAPI
+		if errors.As(err, &failure) && failure.Body.Code != api.ErrorCodeNotDone && failure.Body.Code != api.ErrorCodeUnknown {
+			return err
+		}
+		wait(ctx, tryGap)
+	}
+	return err
+}
+
+// apply writes rows as new ones.
+func (o *operator) apply(ctx context.Context, rows []table.StoredRow, reason string) error {
+	var changes []api.RowChange
+	for _, r := range rows {
+		changes = append(changes, api.RowChange{Kind: string(r.Key.Kind), Name: r.Key.Name, Value: r.Value})
+	}
+	return o.edit(ctx, reason, changes)
+}
+
+// startWave creates a running wave over all pools.
+func (o *operator) startWave(ctx context.Context, name string) error {
+	return o.edit(ctx, "the demo's maintenance", []api.RowChange{{
+		Kind: string(schema.KindWave), Name: name,
+		Value: table.MustValue(schema.Wave{State: schema.WaveStateRunning, Pools: []string{}}),
+	}})
+}
+
+// editNowAndThen changes the weights until ctx ends.
+func (o *operator) editNowAndThen(ctx context.Context) {
+	for n := 1; ; n++ {
+		wait(ctx, editGap)
+		if ctx.Err() != nil {
+			return
+		}
+		_ = o.changeWeights(ctx, n) // a refused edit is not counted as accepted
+	}
+}
+
+func (o *operator) changeWeights(ctx context.Context, n int) error {
+	rows, err := o.entries.any().Rows(ctx, string(schema.KindWeights), table.FleetWeights)
+	if err != nil || len(rows.Rows) != 1 {
+		return err
+	}
+	var w schema.Weights
+	if err := json.Unmarshal(rows.Rows[0].Value, &w); err != nil {
+		return err
+	}
+	w.BufferCost = 1 + float64(n%10)/10
+	return o.edit(ctx, "the demo's change of weights", []api.RowChange{{
+		Kind: string(schema.KindWeights), Name: table.FleetWeights, Seen: rows.Rows[0].Version, Value: table.MustValue(w),
+	}})
+}
--- /dev/null
+++ b/pkg/bench/load/balancer.go
@@ -0,0 +1,105 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/entry"
+)
+
+const (
+	readyInterval = 100 * time.Millisecond
+	readyTimeout  = 500 * time.Millisecond
+)
+
+// Balancer stands for the platform's balancer: it gives requests to entries that say that they are ready.
+type Balancer struct {
+	client *http.Client
+
+	mu    sync.Mutex
+	known []string
+	ready []string
+}
+
+// NewBalancer returns a balancer that knows no entries.
+func NewBalancer() *Balancer {
+	return &Balancer{client: &http.Client{Timeout: readyTimeout}}
+}
+
+// Set tells the balancer which entries there are, by the address for callers.
+func (b *Balancer) Set(addresses ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.known = slices.Clone(addresses)
+}
+
+// Run asks the entries whether they are ready until ctx ends.
+func (b *Balancer) Run(ctx context.Context) {
+	t := time.NewTicker(readyInterval)
+	defer t.Stop()
+	defer b.client.CloseIdleConnections()
+	for {
+		b.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (b *Balancer) poll(ctx context.Context) {
+	b.mu.Lock()
+	known := slices.Clone(b.known)
+	b.mu.Unlock()
+	var mu sync.Mutex
+	var ready []string
+	var wg sync.WaitGroup
+	for _, addr := range known {
+		wg.Go(func() {
+			if b.isReady(ctx, addr) {
+				mu.Lock()
+				defer mu.Unlock()
+				ready = append(ready, addr)
+			}
+		})
+	}
+	wg.Wait()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *Balancer) isReady(ctx context.Context, addr string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+entry.ReadyPath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Ready returns how many entries are ready.
+func (b *Balancer) Ready() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.ready)
+}
+
+// Pick returns a ready entry; ok is false when there is none.
+func (b *Balancer) Pick() (addr string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return "", false
+	}
+	return b.ready[rand.IntN(len(b.ready))], true
+}
--- /dev/null
+++ b/pkg/bench/load/exchange.go
@@ -0,0 +1,214 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/backend"
+	"github.com/gannetwell/gannetwell/pkg/bench/checker"
+	"github.com/gannetwell/gannetwell/pkg/gateway"
+)
+
+// methodOf returns the method of a route's requests.
+func methodOf(s Stream) string {
+	if s.Row.Method == "" {
+		return http.MethodPost
+	}
+	return s.Row.Method
+}
+
+// newRequest makes a request whose body net/http cannot send twice.
+func newRequest(s Stream, r *checker.Request, body io.Reader) (req *http.Request, err error) {
+	req, err = http.NewRequest(methodOf(s), "http://"+r.Entry+s.Row.PathPrefix+"/"+r.ID, io.NopCloser(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(gateway.HeaderRequestID, r.ID)
+	req.Header.Set(backend.HeaderID, r.ID)
+	req.Header.Set(backend.HeaderService, s.Row.Service)
+	return req, nil
+}
+
+// exchange sends a request and judges its answer.
+func (g *Generator) exchange(s Stream, r *checker.Request) {
+	size := 0
+	if methodOf(s) != http.MethodGet {
+		size = s.BodyBytes
+	}
+	req, err := newRequest(s, r, bytes.NewReader(bytes.Repeat([]byte("x"), size)))
+	if err != nil {
+		cut(r, err.Error())
+		return
+	}
+	req.ContentLength = int64(size)
+	req.Header.Set(backend.HeaderWorkUs, strconv.Itoa(s.WorkUs))
+	req.Header.Set(backend.HeaderBytes, strconv.Itoa(s.Bytes))
+	resp, err := g.client.Do(req)
+	if err != nil {
+		cut(r, err.Error())
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	note(r, resp)
+	switch {
+	case err != nil:
+		cut(r, "the answer broke off: "+err.Error())
+	case failed(r, resp):
+	default:
+		judge(r, body, backend.Answer(r.ID, s.Bytes))
+	}
+}
+
+func cut(r *checker.Request, detail string) { r.Result, r.Detail = checker.ResultCut, detail }
+
+// note takes the revision from an answer.
+func note(r *checker.Request, resp *http.Response) {
+	r.Revision, _ = strconv.Atoi(resp.Header.Get(gateway.HeaderRevision))
+}
+
+// failed sorts answers of the entry itself.
+func failed(r *checker.Request, resp *http.Response) bool {
+	outcome := gateway.Outcome(resp.Header.Get(gateway.HeaderOutcome))
+	detail := resp.Header.Get(gateway.HeaderReason)
+	switch outcome {
+	case gateway.OutcomeNotRun:
+		r.Result, r.Detail = checker.ResultNotRun, detail
+	case gateway.OutcomeRan:
+		if resp.StatusCode/100 == 2 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return false
+		}
+		r.Result, r.Detail = checker.ResultRefused, resp.Status
+	default:
+		cut(r, "outcome "+string(outcome)+" "+detail)
+	}
+	return true
+}
+
+// judge compares an answer with the whole answer to the request.
+func judge(r *checker.Request, got, want []byte) {
+	switch {
+	case bytes.Equal(got, want):
+		r.Result = checker.ResultWhole
+	case len(got) < len(want) && bytes.HasPrefix(want, got):
+		r.Result, r.Detail = checker.ResultTruncated, fmt.Sprintf("%d of %d bytes", len(got), len(want))
+	default:
+		r.Result, r.Detail = checker.ResultWrong, fmt.Sprintf("%d bytes that are not this request's answer", len(got))
+	}
+}
+
+const (
+	lineGap    = 50 * time.Millisecond
+	lineWait   = 5 * time.Second
+	connectIn  = 2 * time.Second
+	headerWait = 5 * time.Second
+)
+
+// lesson runs a live exchange: by a streamed body, or by an upgrade for every other request.
+func (g *Generator) lesson(s Stream, r *checker.Request) {
+	if g.next.Add(1)%2 == 0 {
+		upgraded(s, r)
+		return
+	}
+	g.streamed(s, r)
+}
+
+// streamed sends lines in a body and expects each back while it goes on.
+func (g *Generator) streamed(s Stream, r *checker.Request) {
+	pr, pw := io.Pipe()
+	defer func() { _ = pw.Close() }()
+	req, err := newRequest(s, r, pr)
+	if err != nil {
+		cut(r, err.Error())
+		return
+	}
+	req.ContentLength = -1
+	resp, err := (&http.Client{Transport: g.client.Transport}).Do(req)
+	if err != nil {
+		cut(r, err.Error())
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	note(r, resp)
+	if failed(r, resp) {
+		return
+	}
+	back := bufio.NewReader(resp.Body)
+	if !converse(s, r, pw, back) {
+		return
+	}
+	_ = pw.Close()
+	if rest, err := io.ReadAll(back); err != nil || len(rest) > 0 {
+		cut(r, fmt.Sprintf("the lesson did not end cleanly: %d bytes more, error %v", len(rest), err))
+	}
+}
+
+// converse sends lines for the length of a lesson and expects each one back.
+func converse(s Stream, r *checker.Request, w io.Writer, back *bufio.Reader) bool {
+	end := time.Now().Add(s.Lesson)
+	for n := 0; time.Now().Before(end); n++ {
+		line := fmt.Sprintf("%s line %d\n", r.ID, n)
+		if _, err := io.WriteString(w, line); err != nil {
+			cut(r, "cannot send: "+err.Error())
+			return false
+		}
+		got, err := back.ReadString('\n')
+		if err != nil {
+			cut(r, fmt.Sprintf("cut off at line %d: %v", n, err))
+			return false
+		}
+		if got != line {
+			r.Result, r.Detail = checker.ResultWrong, "another line came back: "+strings.TrimSpace(got)
+			return false
+		}
+		time.Sleep(lineGap)
+	}
+	r.Result = checker.ResultWhole
+	return true
+}
+
+// upgraded changes the protocol on a connection of its own and talks on it.
+func upgraded(s Stream, r *checker.Request) {
+	conn, err := net.DialTimeout("tcp", r.Entry, connectIn)
+	if err != nil {
+		cut(r, err.Error())
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	req, err := newRequest(s, r, strings.NewReader(""))
+	if err != nil {
+		cut(r, err.Error())
+		return
+	}
+	req.Method, req.Body = http.MethodGet, nil
+	req.Header.Set("Connection", "Upgrade")
+	req.Header.Set("Upgrade", backend.Protocol)
+	_ = conn.SetDeadline(time.Now().Add(headerWait))
+	if err := req.Write(conn); err != nil {
+		cut(r, err.Error())
+		return
+	}
+	back := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(back, req)
+	if err != nil {
+		cut(r, err.Error())
+		return
+	}
+	note(r, resp)
+	if failed(r, resp) {
+		return
+	}
+	if resp.StatusCode != http.StatusSwitchingProtocols {
+		cut(r, "no upgrade: "+resp.Status)
+		return
+	}
+	_ = conn.SetDeadline(time.Now().Add(s.Lesson + lineWait))
+	converse(s, r, conn, back)
+}
--- /dev/null
+++ b/pkg/bench/load/load.go
@@ -0,0 +1,125 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/checker"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// Stream is the load of one route.
+type Stream struct {
+	Route     string
+	Row       schema.Route
+	PerSecond float64
+	WorkUs    int           // of a backend server for one request, in microseconds
+	Bytes     int           // of an answer
+	BodyBytes int           // of a request
+	Lesson    time.Duration // length of a live exchange
+}
+
+// The load of one route by its class, before scaling.
+var byClass = map[schema.Class]Stream{
+	schema.ClassLive:        {PerSecond: 2, Lesson: 3 * time.Second},
+	schema.ClassInteractive: {PerSecond: 60, WorkUs: 1500, Bytes: 600, BodyBytes: 300},
+	schema.ClassClerk:       {PerSecond: 25, WorkUs: 4000, Bytes: 4000, BodyBytes: 800},
+	schema.ClassBatch:       {PerSecond: 4, WorkUs: 40000, Bytes: 200000, BodyBytes: 100000},
+}
+
+// StreamsOf returns the load of a deployment's routes, scaled.
+func StreamsOf(routes map[string]schema.Route, scale float64) (streams []Stream) {
+	for name, row := range routes {
+		s := byClass[row.Class]
+		s.Route, s.Row = name, row
+		s.PerSecond *= scale
+		streams = append(streams, s)
+	}
+	return streams
+}
+
+// Generator sends load and reports each result.
+type Generator struct {
+	balancer *Balancer
+	sink     Sink
+	rng      *rand.Rand
+	prefix   string
+	next     atomic.Int64
+	client   *http.Client
+	wg       sync.WaitGroup
+}
+
+// Sink takes results; a checker is one.
+type Sink interface {
+	Revision(entry string) int
+	Finished(r checker.Request, seen int)
+}
+
+const (
+	maxIdle     = 256
+	callTimeout = time.Minute
+)
+
+// NewGenerator returns a generator whose requests are named after prefix.
+func NewGenerator(b *Balancer, sink Sink, prefix string, seed uint64) *Generator {
+	return &Generator{
+		balancer: b, sink: sink, prefix: prefix, rng: rand.New(rand.NewPCG(seed, 1)),
+		client: &http.Client{
+			Timeout:   callTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true},
+		},
+	}
+}
+
+// Run sends the streams until ctx ends and waits for what is in flight.
+func (g *Generator) Run(ctx context.Context, streams []Stream) {
+	var senders sync.WaitGroup
+	for _, s := range streams {
+		seed := g.rng.Uint64()
+		senders.Go(func() { g.send(ctx, s, rand.New(rand.NewPCG(seed, 2))) })
+	}
+	senders.Wait()
+	g.wg.Wait()
+	g.client.CloseIdleConnections()
+}
+
+// send starts one stream's requests at random times with its mean rate.
+func (g *Generator) send(ctx context.Context, s Stream, rng *rand.Rand) {
+	for {
+		gap := time.Duration(rng.ExpFloat64() / s.PerSecond * float64(time.Second))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(gap):
+		}
+		g.wg.Go(func() { g.one(s) })
+	}
+}
+
+// one sends one request to a ready entry; with none ready it counts as not run by the balancer's word.
+func (g *Generator) one(s Stream) {
+	id := fmt.Sprintf("%s-%s-%d", g.prefix, s.Route, g.next.Add(1))
+	r := checker.Request{ID: id, Once: s.Row.Repeat == schema.RepeatOnce, Class: s.Row.Class}
+	addr, ok := g.balancer.Pick()
+	if !ok {
+		now := time.Now()
+		r.Sent, r.Done, r.Result, r.Detail = now, now, checker.ResultNotRun, "no entry is ready"
+		g.sink.Finished(r, 0)
+		return
+	}
+	r.Entry = addr
+	seen := g.sink.Revision(addr)
+	r.Sent = time.Now()
+	if s.Row.Class == schema.ClassLive {
+		g.lesson(s, &r)
+	} else {
+		g.exchange(s, &r)
+	}
+	r.Done = time.Now()
+	g.sink.Finished(r, seen)
+}
--- /dev/null
+++ b/pkg/bench/standin/standin.go
@@ -0,0 +1,169 @@
+// Package standin runs everything around the entries of one deployment: the
+// platform's stand-in over HTTP and a backend server for each VM.
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/backend"
+	"github.com/gannetwell/gannetwell/pkg/bench/checker"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+	"github.com/gannetwell/gannetwell/pkg/platform/rest"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+// Standin is the surroundings of one deployment.
+type Standin struct {
+	Name     string
+	Checker  *checker.Checker
+	Platform *fake.Platform
+	Farm     *backend.Farm
+	Table    *table.Snapshot // the deployment's rows, with the addresses of the backend servers that run here
+	server   *http.Server
+	address  string
+}
+
+// Options are how a stand-in behaves.
+type Options struct {
+	Listen     string        // of the platform, host:port
+	Seed       uint64        // of chances
+	Latency    time.Duration // of each call of the platform
+	ListLag    time.Duration // of the VM list
+	RebootTime time.Duration // of a VM
+}
+
+// DefaultOptions are for the demo.
+func DefaultOptions() Options {
+	return Options{
+		Listen: "127.0.0.1:0", Seed: 1, Latency: time.Millisecond,
+		ListLag: time.Second, RebootTime: 300 * time.Millisecond,
+	}
+}
+
+// Start reads a deployment file and starts its surroundings.
+func Start(file string, o Options) (s *Standin, err error) {
+	defer func() { err = errors.Wrapf(err, "start the stand-ins of %s", file) }()
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	rows, err := table.ParseDocument(file, src)
+	if err != nil {
+		return nil, err
+	}
+	name := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
+	s = &Standin{Name: name, Checker: checker.New()}
+	s.Farm = backend.NewFarm(s.Checker)
+	s.Platform = fake.New(fake.WithSeed(o.Seed), fake.WithLatency(o.Latency), fake.WithListLag(o.ListLag),
+		fake.WithRebootTime(o.RebootTime), fake.WithMachine(s.Farm), fake.WithObserver(s.Checker))
+	if err := s.startBackends(rows); err != nil {
+		s.Close()
+		return nil, err
+	}
+	if err := s.listen(o.Listen); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// startBackends starts a backend server for each VM row and puts its address into the row.
+func (s *Standin) startBackends(rows []table.StoredRow) error {
+	snap, err := table.Load(0, rows)
+	if err != nil {
+		return err
+	}
+	for _, name := range snap.VMs.Names() {
+		row := snap.VMs[name]
+		if row.Value.Address, err = s.Farm.Add(name); err != nil {
+			return err
+		}
+		snap.VMs[name] = row
+		s.Platform.AddVM(platform.ListedVM{
+			Name: name, Zone: snap.ZoneOf(name), Role: platform.RoleWorker, Address: row.Value.Address,
+		})
+	}
+	s.Table = snap
+	return nil
+}
+
+// The paths of the stand-in beside the platform's.
+const (
+	pathZones  = "/zones/"
+	pathFaults = "/faults"
+)
+
+func (s *Standin) listen(address string) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.address = ln.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathZones, s.serveZone)
+	mux.HandleFunc("POST "+pathFaults, s.serveFaults)
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.server.Serve(ln) }()
+	return nil
+}
+
+// serveZone serves the platform as the zone in the path sees it.
+func (s *Standin) serveZone(w http.ResponseWriter, r *http.Request) {
+	zone, rest1, ok := strings.Cut(strings.TrimPrefix(r.URL.Path, pathZones), "/")
+	if !ok || zone == "" {
+		http.NotFound(w, r)
+		return
+	}
+	r2 := r.Clone(r.Context())
+	r2.URL.Path = "/" + rest1
+	rest.Handler(s.Platform.View(zone)).ServeHTTP(w, r2)
+}
+
+// serveFaults puts the rules in the body in force in place of the earlier ones.
+func (s *Standin) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var rules []fake.Rule
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&rules); err != nil {
+		http.Error(w, "expected a JSON array of rules: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Platform.SetRules(rules...)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// URL returns the platform's base for entries in a zone.
+func (s *Standin) URL(zone string) string { return "http://" + s.address + pathZones + zone }
+
+// Zones returns the deployment's zones in order.
+func (s *Standin) Zones() []string { return s.Table.Zones.Names() }
+
+// Routes returns the deployment's routes.
+func (s *Standin) Routes() map[string]schema.Route {
+	out := map[string]schema.Route{}
+	for name, row := range s.Table.Routes {
+		out[name] = row.Value
+	}
+	return out
+}
+
+// Document returns the table file with the addresses of the backend servers that run here.
+func (s *Standin) Document() ([]byte, error) { return table.FormatDocument(s.Table.Stored()) }
+
+// Close stops everything.
+func (s *Standin) Close() {
+	if s.server != nil {
+		_ = s.server.Close()
+	}
+	s.Farm.Close()
+}
--- /dev/null
+++ b/pkg/certs/certs.go
@@ -0,0 +1,150 @@
+// Package certs serves TLS certificates from files that may be replaced while
+// they are in use, so that keys are rotated without a connection cut.
+package certs
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// checkInterval is how old what is known of the files may be.
+const checkInterval = time.Second
+
+// Reloader holds the certificate of a listener and, for peers, their authorities.
+type Reloader struct {
+	files schema.TLS
+
+	mu      sync.Mutex
+	checked time.Time
+	stamp   time.Time // newest modification of the files that are loaded
+	cert    *tls.Certificate
+	roots   *x509.CertPool
+}
+
+// New loads the files.
+func New(files schema.TLS) (r *Reloader, err error) {
+	r = &Reloader{files: files}
+	if err := r.load(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Reloader) load() (err error) {
+	defer func() { err = errors.Wrap(err, "load certificate") }()
+	stamp, err := r.newest()
+	if err != nil {
+		return err
+	}
+	cert, err := tls.LoadX509KeyPair(r.files.CertFile, r.files.KeyFile)
+	if err != nil {
+		return err
+	}
+	var roots *x509.CertPool
+	if r.files.CAFile != "" {
+		pem, err := os.ReadFile(r.files.CAFile)
+		if err != nil {
+			return err
+		}
+		roots = x509.NewCertPool()
+		if !roots.AppendCertsFromPEM(pem) {
+			return errors.Errorf("%s holds no certificate", r.files.CAFile)
+		}
+	}
+	r.cert, r.roots, r.stamp, r.checked = &cert, roots, stamp, time.Now()
+	return nil
+}
+
+// newest returns the newest modification time of the files.
+func (r *Reloader) newest() (t time.Time, err error) {
+	for _, f := range []string{r.files.CertFile, r.files.KeyFile, r.files.CAFile} {
+		if f == "" {
+			continue
+		}
+		info, err := os.Stat(f)
+		if err != nil {
+			return t, err
+		}
+		if info.ModTime().After(t) {
+			t = info.ModTime()
+		}
+	}
+	return t, nil
+}
+
+// current returns what is loaded, after a look whether the files changed.
+//
+// Files that cannot be loaded, such as a certificate whose key is not there
+// yet, leave what was loaded before in use.
+func (r *Reloader) current() (*tls.Certificate, *x509.CertPool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.checked) >= checkInterval {
+		r.checked = time.Now()
+		if stamp, err := r.newest(); err == nil && !stamp.Equal(r.stamp) {
+			_ = r.load() // tried again at the next check
+		}
+	}
+	return r.cert, r.roots
+}
+
+// Server returns the configuration of a listener for callers or operators.
+func (r *Reloader) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			cert, _ := r.current()
+			return cert, nil
+		},
+	}
+}
+
+// PeerServer returns the configuration of the peer listener, which demands certificates of the authorities.
+func (r *Reloader) PeerServer() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, roots := r.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{*cert},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    roots,
+			}, nil
+		},
+	}
+}
+
+// PeerClient returns the configuration for dialling a peer.
+//
+// Peers are reached by address, which changes when a VM is replaced, so the
+// other side is checked against the authorities and not against a name.
+func (r *Reloader) PeerClient() *tls.Config {
+	cert, roots := r.current()
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{*cert},
+		InsecureSkipVerify: true, // VerifyConnection below verifies the chain
+		VerifyConnection: func(cs tls.ConnectionState) error {
+			if len(cs.PeerCertificates) == 0 {
+				return errors.New("the peer shows no certificate")
+			}
+			inter := x509.NewCertPool()
+			for _, c := range cs.PeerCertificates[1:] {
+				inter.AddCert(c)
+			}
+			_, err := cs.PeerCertificates[0].Verify(x509.VerifyOptions{
+				Roots: roots, Intermediates: inter,
+				KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+			})
+			return errors.Wrap(err, "verify the peer's certificate")
+		},
+	}
+}
--- /dev/null
+++ b/pkg/cli/cli.go
@@ -0,0 +1,114 @@
+// Package cli holds what the three programs share: their exit codes, how a
+// command line is parsed and how a failure is told.
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/version"
+)
+
+// The exit codes of the programs.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // the command did not succeed
+	ExitUsage    = 2 // the command line is wrong
+	ExitInvalid  = 3 // a file or an edit is not valid
+	ExitConflict = 4 // rows changed after they were seen
+	ExitUnknown  = 5 // it is not known whether the edit was accepted
+)
+
+// ErrExit is a failure with its exit code.
+type ErrExit struct {
+	Code  int
+	Cause error
+}
+
+// Error gives the cause.
+func (e ErrExit) Error() string { return e.Cause.Error() }
+
+// Exit gives a failure an exit code.
+func Exit(code int, cause error) error {
+	if cause == nil {
+		return nil
+	}
+	return ErrExit{Code: code, Cause: cause}
+}
+
+// Program is one program with its sub-commands.
+type Program struct {
+	Name    string
+	Summary string
+	Global  any // options of all commands, may be nil
+	Stdout  io.Writer
+	Stderr  io.Writer
+	Add     func(p *flags.Parser) error // adds the sub-commands
+}
+
+// versionOption is the option that every program has.
+type versionOption struct {
+	Version bool `long:"version" description:"Print the version and exit"`
+}
+
+// Parser returns the program's parser with all sub-commands.
+func (p *Program) Parser() (parser *flags.Parser, err error) {
+	defer func() { err = errors.Wrap(err, "set up the command line") }()
+	parser = flags.NewNamedParser(p.Name, flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = p.Summary
+	parser.LongDescription = p.Summary
+	parser.SubcommandsOptional = true
+	if _, err := parser.AddGroup("Program Options", "", &versionOption{}); err != nil {
+		return nil, err
+	}
+	if p.Global != nil {
+		if _, err := parser.AddGroup("Connection Options", "", p.Global); err != nil {
+			return nil, err
+		}
+	}
+	return parser, p.Add(parser)
+}
+
+// Run parses the arguments, runs the command and returns the exit code.
+func (p *Program) Run(args []string) (code int) {
+	if len(args) == 1 && args[0] == "--version" {
+		_, _ = fmt.Fprintln(p.Stdout, p.Name, version.Version)
+		return ExitOK
+	}
+	parser, err := p.Parser()
+	if err != nil {
+		return p.fail(err)
+	}
+	_, err = parser.ParseArgs(args)
+	var flagErr *flags.Error
+	switch {
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(p.Stdout, flagErr.Message)
+		return ExitOK
+	case errors.As(err, &flagErr):
+		_, _ = fmt.Fprintln(p.Stderr, p.Name+":", flagErr.Message)
+		return ExitUsage
+	case err != nil:
+		return p.fail(err)
+	case parser.Active == nil:
+		parser.WriteHelp(p.Stderr)
+		return ExitUsage
+	}
+	return ExitOK
+}
+
+func (p *Program) fail(err error) int {
+	_, _ = fmt.Fprintln(p.Stderr, p.Name+":", err)
+	var exit ErrExit
+	if errors.As(err, &exit) {
+		return exit.Code
+	}
+	return ExitFailed
+}
+
+// Main runs the program with the process's arguments and ends the process.
+func (p *Program) Main() { os.Exit(p.Run(os.Args[1:])) }
--- /dev/null
+++ b/pkg/config/errors.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"github.com/tailscale/hujson"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Problem is one fault of a text.
+type Problem struct {
+	Line   int    // from 1
+	Column int    // from 1, in bytes
+	Field  string // dotted path, empty for the whole text
+	Want   string // what was expected
+}
+
+// ErrInvalid reports every fault found in a text.
+type ErrInvalid struct {
+	File     string
+	Problems []Problem
+}
+
+// Error gives one line per problem in the form file:line:column: field: what was expected.
+func (e ErrInvalid) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		field := ""
+		if p.Field != "" {
+			field = p.Field + ": "
+		}
+		lines = append(lines, fmt.Sprintf("%s:%d:%d: %s%s", e.File, p.Line, p.Column, field, p.Want))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// positions maps the dotted path of each value to its place.
+type positions struct {
+	offsets  map[string]int
+	src      []byte
+	repeated []Problem
+}
+
+// locate walks the tree and records where each value begins.
+func locate(src []byte, v *hujson.Value) *positions {
+	p := &positions{offsets: map[string]int{}, src: src}
+	p.walk("", v)
+	return p
+}
+
+func (p *positions) walk(path string, v *hujson.Value) {
+	p.offsets[path] = v.StartOffset
+	switch t := v.Value.(type) {
+	case *hujson.Object:
+		for i := range t.Members {
+			m := &t.Members[i]
+			name := m.Name.Value.(hujson.Literal).String()
+			sub := join(path, name)
+			if _, ok := p.offsets[sub]; ok {
+				p.repeated = append(p.repeated, p.problem(m.Name.StartOffset, sub, "expected each name once, this one is given again"))
+			}
+			p.walk(sub, &m.Value)
+			p.offsets[sub] = m.Name.StartOffset
+		}
+	case *hujson.Array:
+		for i := range t.Elements {
+			p.walk(join(path, strconv.Itoa(i)), &t.Elements[i])
+		}
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (p *positions) problem(offset int, field, want string) Problem {
+	line, column := lineColumn(p.src, offset)
+	return Problem{Line: line, Column: column, Field: field, Want: want}
+}
+
+// lineColumn turns a byte offset into a line and a column from 1.
+func lineColumn(src []byte, offset int) (line, column int) {
+	before := string(src[:min(offset, len(src))])
+	line = 1 + strings.Count(before, "\n")
+	column = len(before) - strings.LastIndex(before, "\n")
+	return line, column
+}
+
+var syntaxPlace = regexp.MustCompile(`line (\d+), column (\d+): (.*)$`)
+
+// syntaxError turns the parser's error into an ErrInvalid.
+func syntaxError(file string, src []byte, err error) error {
+	m := syntaxPlace.FindStringSubmatch(err.Error())
+	if m == nil {
+		line, column := lineColumn(src, len(src))
+		return ErrInvalid{File: file, Problems: []Problem{{Line: line, Column: column, Want: "expected JSON with comments: " + err.Error()}}}
+	}
+	line, _ := strconv.Atoi(m[1])
+	column, _ := strconv.Atoi(m[2])
+	return ErrInvalid{File: file, Problems: []Problem{{Line: line, Column: column, Want: "expected JSON with comments: " + m[3]}}}
+}
+
+// schemaError turns the validator's tree of errors into a flat ErrInvalid.
+func schemaError(file string, at *positions, err error) error {
+	var ve *jsonschema.ValidationError
+	if !errors.As(err, &ve) {
+		return errors.Wrapf(err, "check %s", file)
+	}
+	out := ErrInvalid{File: file}
+	collect(ve, at, &out.Problems)
+	return out
+}
+
+func collect(ve *jsonschema.ValidationError, at *positions, out *[]Problem) {
+	if len(ve.Causes) > 0 {
+		for _, c := range ve.Causes {
+			collect(c, at, out)
+		}
+		return
+	}
+	path := strings.Join(ve.InstanceLocation, ".")
+	if extra, ok := ve.ErrorKind.(*kind.AdditionalProperties); ok {
+		for _, name := range extra.Properties {
+			field := join(path, name)
+			*out = append(*out, at.problem(at.offsets[field], field, "unknown field, expected one that the settings reference names"))
+		}
+		return
+	}
+	want := ve.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	*out = append(*out, at.problem(at.offsets[path], path, "expected: "+want))
+}
--- /dev/null
+++ b/pkg/control/lease.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+const leaseKey = "lease/control"
+
+// leaseItem is the lease as the table service holds it.
+type leaseItem struct {
+	Holder  string `json:"holder"`
+	UntilMs int64  `json:"until_ms"` // Unix milliseconds by the holder's clock
+}
+
+// lease is one entry's side of the lease.
+type lease struct {
+	store    platform.Table
+	holder   string
+	duration time.Duration
+	held     time.Time // end of what this entry holds
+}
+
+// hold takes, keeps or fails to take the lease; it tells whether it is held.
+//
+// It writes only when a third of the time is left, or to take over.
+func (l *lease) hold(ctx context.Context, now time.Time) (held bool, err error) {
+	if l.held.Sub(now) > l.duration/3 {
+		return true, nil
+	}
+	item, err := l.store.Get(ctx, leaseKey)
+	if err != nil {
+		return now.Before(l.held), errors.Wrap(err, "read lease")
+	}
+	var current leaseItem
+	if item.Version != 0 {
+		if err := json.Unmarshal(item.Value, &current); err != nil {
+			return false, errors.Wrap(err, "decode lease")
+		}
+	}
+	if current.Holder != l.holder && now.UnixMilli() < current.UntilMs {
+		l.held = time.Time{}
+		return false, nil
+	}
+	return l.write(ctx, item.Version, now)
+}
+
+func (l *lease) write(ctx context.Context, version int64, now time.Time) (held bool, err error) {
+	until := now.Add(l.duration)
+	value, err := json.Marshal(leaseItem{Holder: l.holder, UntilMs: until.UnixMilli()})
+	if err != nil {
+		return false, err
+	}
+	err = l.store.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: leaseKey, Version: version}},
+		Writes:     []platform.Write{{Key: leaseKey, Value: value}},
+	})
+	switch {
+	case err == nil:
+		l.held = until
+		return true, nil
+	case platform.IsConflict(err):
+		l.held = time.Time{}
+		return false, nil
+	}
+	return now.Before(l.held), errors.Wrap(err, "write lease")
+}
+
+// release gives the lease up, so that another entry takes over at once.
+func (l *lease) release(ctx context.Context, now time.Time) error {
+	if !now.Before(l.held) {
+		return nil
+	}
+	item, err := l.store.Get(ctx, leaseKey)
+	if err != nil {
+		return errors.Wrap(err, "read lease")
+	}
+	var current leaseItem
+	if err := json.Unmarshal(item.Value, &current); err != nil || current.Holder != l.holder {
+		return nil
+	}
+	l.held = time.Time{}
+	return l.store.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: leaseKey, Version: item.Version}},
+		Writes:     []platform.Write{{Key: leaseKey, Remove: true}},
+	})
+}
--- /dev/null
+++ b/pkg/control/observe.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gannetwell/gannetwell/pkg/fleet"
+	"github.com/gannetwell/gannetwell/pkg/membership"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+// statusWorkers bounds the VMs that are asked at one time.
+const statusWorkers = 16
+
+// Prober tells what probes say of backend servers.
+type Prober interface {
+	Health(vm string) (h membership.Health, at time.Time)
+	List() platform.VMList
+}
+
+// Entries asks every entry about its requests in flight.
+type Entries interface {
+	InFlight(ctx context.Context, vms []string) []membership.EntryInFlight
+}
+
+// Observer gathers what decisions rest on.
+type Observer struct {
+	VMs     platform.VMs
+	Prober  Prober
+	Entries Entries
+	Own     func(vm string) int // requests in flight at this entry
+
+	mu    sync.Mutex
+	since map[string]healthSince
+}
+
+// healthSince is a state of health and when it was first seen.
+type healthSince struct {
+	health fleet.Health
+	since  time.Time
+}
+
+// Observe looks at the VMs of a snapshot; those out of service are asked themselves.
+func (o *Observer) Observe(ctx context.Context, snap *table.Snapshot) map[string]fleet.Observation {
+	seen := make(map[string]fleet.Observation, len(snap.VMs))
+	listed := map[string]platform.VMState{}
+	for _, vm := range o.Prober.List().VMs {
+		listed[vm.Name] = vm.State
+	}
+	var draining, ask []string
+	for name, row := range snap.VMs {
+		h, at := o.Prober.Health(name)
+		obs := fleet.Observation{InFlight: o.Own(name), Listed: listed[name]}
+		obs.Health, obs.Since = o.track(name, h, at, row.Value)
+		seen[name] = obs
+		if row.Value.Phase == schema.PhaseDraining {
+			draining = append(draining, name)
+		}
+		if row.Value.Phase != schema.PhaseActive || h == membership.HealthLeaving {
+			ask = append(ask, name)
+		}
+	}
+	statuses := o.statuses(ctx, ask)
+	var entries []membership.EntryInFlight
+	if len(draining) > 0 {
+		entries = o.Entries.InFlight(ctx, draining)
+	}
+	for _, name := range ask {
+		obs := seen[name]
+		obs.Status = statuses[name]
+		if snap.VMs[name].Value.Phase == schema.PhaseDraining {
+			obs.Entries = countsOf(name, entries)
+		}
+		seen[name] = obs
+	}
+	return seen
+}
+
+// track turns probes into health with the time since when it holds.
+//
+// For a VM that is being checked only the newest probe counts, so that an
+// answer from before the reboot is not taken for one after it.
+func (o *Observer) track(name string, h membership.Health, at time.Time, vm schema.VM) (fleet.Health, time.Time) {
+	health := fleet.HealthUnknown
+	switch h {
+	case membership.HealthGood:
+		health = fleet.HealthGood
+	case membership.HealthBad:
+		health = fleet.HealthBad
+	}
+	if vm.Phase == schema.PhaseChecking {
+		return health, at
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.since == nil {
+		o.since = map[string]healthSince{}
+	}
+	if o.since[name].health != health || o.since[name].since.IsZero() {
+		o.since[name] = healthSince{health: health, since: at}
+	}
+	return health, o.since[name].since
+}
+
+func (o *Observer) statuses(ctx context.Context, names []string) map[string]*platform.VMStatus {
+	var mu sync.Mutex
+	out := make(map[string]*platform.VMStatus, len(names))
+	var g errgroup.Group
+	g.SetLimit(statusWorkers)
+	for _, name := range names {
+		g.Go(func() error {
+			status, err := o.VMs.VMStatus(ctx, name)
+			if err != nil {
+				return nil // no status is an observation too
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[name] = &status
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return out
+}
+
+func countsOf(vm string, entries []membership.EntryInFlight) (counts []fleet.EntryCount) {
+	for _, e := range entries {
+		counts = append(counts, fleet.EntryCount{Entry: e.Entry, Reached: e.Reached, Revision: e.Revision, Count: e.Counts[vm]})
+	}
+	return counts
+}
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/certs"
+	"github.com/gannetwell/gannetwell/pkg/control"
+	"github.com/gannetwell/gannetwell/pkg/fleet"
+	"github.com/gannetwell/gannetwell/pkg/gateway"
+	"github.com/gannetwell/gannetwell/pkg/membership"
+	"github.com/gannetwell/gannetwell/pkg/peer"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/platform/rest"
+	"github.com/gannetwell/gannetwell/pkg/replica"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// Entry is one entry daemon.
+type Entry struct {
+	settings schema.Settings
+	log      zerolog.Logger
+	limits   fleet.Limits
+	platform platform.Platform
+	traffic  *traffic
+	registry *prometheus.Registry
+
+	callers, operators, peerListener net.Listener
+	peerTLS                          *certs.Reloader
+
+	gateway  *gateway.Gateway
+	replica  *replica.Replica
+	peers    *membership.Peers
+	servers  *membership.Servers
+	follower *replica.Follower
+	loop     *control.Loop
+	observer *control.Observer
+
+	stopOnce sync.Once
+	stop     chan struct{}
+}
+
+// Option changes how an Entry is made.
+type Option func(*Entry)
+
+// WithLogger sets the log.
+func WithLogger(l zerolog.Logger) Option { return func(e *Entry) { e.log = l } }
+
+// WithPlatform sets the platform in place of the one that the settings name.
+func WithPlatform(p platform.Platform) Option { return func(e *Entry) { e.platform = p } }
+
+// WithLimits bounds fleet decisions.
+func WithLimits(l fleet.Limits) Option { return func(e *Entry) { e.limits = l } }
+
+// New makes an entry and binds its listeners; Run must follow.
+func New(settings schema.Settings, opts ...Option) (e *Entry, err error) {
+	defer func() { err = errors.Wrapf(err, "make entry %s", settings.Name) }()
+	e = &Entry{
+		settings: settings, log: zerolog.Nop(), limits: fleet.DefaultLimits(),
+		traffic: newTraffic(), registry: prometheus.NewRegistry(), stop: make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(e)
+	}
+	e.log = e.log.With().Str("entry", settings.Name).Logger()
+	if e.platform == nil {
+		e.platform = rest.New(settings.Platform.URL,
+			rest.WithTimeout(ms(settings.Platform.TimeoutMs)), rest.WithBytes(e.traffic.store))
+	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.assemble()
+	return e, e.register()
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// assemble connects the parts.
+func (e *Entry) assemble() {
+	s := e.settings
+	e.gateway = gateway.New(s.Name, s.Zone, s.Gateway, gateway.WithLogger(e.log))
+	e.replica = replica.New(e.platform, replica.WithNotify(e.newTable))
+	self := schema.PeerState{
+		Name: s.Name, Incarnation: int(time.Now().UnixMilli()), Zone: s.Zone, Address: e.PeerAddress(),
+	}
+	e.peers = membership.NewPeers(self, s.Peers.Secret, e.replica,
+		membership.WithInFlight(e.gateway.InFlight),
+		membership.WithStopping(e.stopping),
+		membership.WithInterval(ms(s.Control.SyncIntervalMs)),
+		membership.WithPeerTLS(e.dialTLS),
+		membership.WithPeerBytes(e.traffic.peers),
+		membership.WithPeerLogger(e.log))
+	e.peers.SetAddresses(s.Peers.Seeds)
+	e.servers = membership.NewServers(s.Zone, e.replica, e.platform, marker{e.gateway},
+		membership.WithProbeInterval(ms(s.Gateway.ProbeIntervalMs)),
+		membership.WithOnList(e.newList),
+		membership.WithServersLogger(e.log))
+	e.follower = replica.NewFollower(e.replica, ms(s.Control.HeadIntervalMs), e.isReader, e.log)
+	e.observer = &control.Observer{VMs: e.platform, Prober: e.servers, Entries: e.entries(), Own: e.gateway.InFlight}
+	e.loop = control.New(s.Name, e.replica, e.platform, e.observer,
+		control.WithStep(ms(s.Control.StepIntervalMs)),
+		control.WithLease(ms(s.Control.LeaseMs)),
+		control.WithLimits(e.limits),
+		control.WithPaused(func() bool { return e.stopping() || !e.gateway.Ready() }),
+		control.WithLogger(e.log))
+}
+
+func (e *Entry) dialTLS() *tls.Config {
+	if e.peerTLS == nil {
+		return nil
+	}
+	return e.peerTLS.PeerClient()
+}
+
+// register collects the metrics.
+func (e *Entry) register() error {
+	if err := e.gateway.Register(e.registry); err != nil {
+		return err
+	}
+	for _, c := range append(e.traffic.collectors(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})) {
+		if err := e.registry.Register(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Run runs the entry until Stop has done its work or ctx ends.
+func (e *Entry) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "run entry %s", e.settings.Name) }()
+	var g run.Group
+	callerServer := e.callerServer()
+	operatorServer := e.operatorServer()
+	e.addServer(&g, callerServer, e.callers)
+	e.addServer(&g, operatorServer, e.operators)
+	peerServer := peer.NewServer(e.peerListener, e.settings.Peers.Secret, e.peers.Handle,
+		peer.WithLogger(e.log), peer.WithServerBytes(e.traffic.peers))
+	e.addActor(&g, ctx, peerServer.Serve)
+	e.addActor(&g, ctx, e.peers.Run)
+	e.addActor(&g, ctx, e.servers.Run)
+	e.addActor(&g, ctx, e.follow)
+	e.addActor(&g, ctx, e.loop.Run)
+	e.addActor(&g, ctx, func(ctx context.Context) error { return e.awaitStop(ctx, callerServer) })
+	e.log.Info().Str("event", "entry_started").Str("zone", e.settings.Zone).
+		Str("callers", e.CallerAddress()).Str("operators", e.OperatorAddress()).Str("peers", e.PeerAddress()).Send()
+	err = g.Run()
+	e.gateway.Close()
+	e.log.Info().Str("event", "entry_ended").Err(err).Send()
+	return err
+}
+
+// addActor adds a part that runs until its context ends.
+func (e *Entry) addActor(g *run.Group, ctx context.Context, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// addServer adds an HTTP server.
+func (e *Entry) addServer(g *run.Group, s *http.Server, ln net.Listener) {
+	done := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-done // a planned stop closes the server first and ends the group later
+		return nil
+	}, func(error) {
+		close(done)
+		_ = s.Close()
+	})
+}
+
+// follow brings the table here, reports ready when it is as new as any that is known, and keeps it so.
+func (e *Entry) follow(ctx context.Context) error {
+	const retry = 100 * time.Millisecond
+	for !e.caughtUp(ctx) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(retry):
+		}
+	}
+	e.gateway.SetReady(true)
+	e.log.Info().Str("event", "entry_ready").Int("revision", e.replica.Revision()).Send()
+	return e.follower.Run(ctx)
+}
+
+// caughtUp tells that somebody who knows was reached and that nobody reached knows more.
+func (e *Entry) caughtUp(ctx context.Context) bool {
+	e.servers.ReadList(ctx) // names the peers
+	stored, err := e.follower.CatchUp(ctx)
+	highest, reached := e.peers.SyncAll(ctx)
+	if err != nil && reached == 0 {
+		return false
+	}
+	return e.replica.Revision() >= max(stored, highest)
+}
+
+// Stop begins a planned stop.
+func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
+
+func (e *Entry) stopping() bool {
+	select {
+	case <-e.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitStop carries out a planned stop: notice, no new connections, what is in flight to its end.
+func (e *Entry) awaitStop(ctx context.Context, callers *http.Server) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-e.stop:
+	}
+	e.gateway.Stop()
+	e.log.Info().Str("event", "entry_stopping").Int("active", e.gateway.Active()).Send()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(ms(e.settings.Gateway.StopNoticeMs)):
+	}
+	if err := callers.Shutdown(ctx); err != nil {
+		return nil // cut short by the context
+	}
+	_ = e.gateway.WaitIdle(ctx) // upgraded connections, which the server no longer counts
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/listen.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/gannetwell/gannetwell/pkg/certs"
+	"github.com/gannetwell/gannetwell/pkg/explain"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/service/server"
+)
+
+// ReadyPath tells the balancer, on the callers' port, whether to send requests here.
+const ReadyPath = "/.gannetwell/ready"
+
+const operatorHeaderTimeout = 5 * time.Second
+
+// listen binds the three listeners.
+func (e *Entry) listen() (err error) {
+	if e.callers, err = listenHTTP(e.settings.Callers.Address, e.settings.Callers.TLS); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if e.operators, err = listenHTTP(e.settings.Operators.Address, e.settings.Operators.TLS); err != nil {
+		e.closeListeners()
+		return errors.Wrap(err, "listen for operators")
+	}
+	if err = e.listenPeers(); err != nil {
+		e.closeListeners()
+		return errors.Wrap(err, "listen for peers")
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, ln := range []net.Listener{e.callers, e.operators, e.peerListener} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+func listenHTTP(address string, files *schema.TLS) (ln net.Listener, err error) {
+	var cfg *tls.Config
+	if files != nil {
+		r, err := certs.New(*files)
+		if err != nil {
+			return nil, err
+		}
+		cfg = r.Server()
+	}
+	ln, err = net.Listen("tcp", address)
+	if err != nil || cfg == nil {
+		return ln, err
+	}
+	return tls.NewListener(ln, cfg), nil
+}
+
+func (e *Entry) listenPeers() (err error) {
+	if files := e.settings.Peers.TLS; files != nil {
+		if files.CAFile == "" {
+			return errors.New("peers.tls.ca_file: expected the authorities that peers' certificates come from")
+		}
+		if e.peerTLS, err = certs.New(*files); err != nil {
+			return err
+		}
+	}
+	e.peerListener, err = net.Listen("tcp", e.settings.Peers.Address)
+	if err == nil && e.peerTLS != nil {
+		e.peerListener = tls.NewListener(e.peerListener, e.peerTLS.PeerServer())
+	}
+	return err
+}
+
+// CallerAddress returns the host:port that takes callers' requests.
+func (e *Entry) CallerAddress() string { return e.callers.Addr().String() }
+
+// OperatorAddress returns the host:port of the operators' interface.
+func (e *Entry) OperatorAddress() string { return e.operators.Addr().String() }
+
+// PeerAddress returns the host:port at which other entries reach this one.
+func (e *Entry) PeerAddress() string {
+	if a := e.settings.Peers.Advertise; a != "" {
+		return a
+	}
+	return e.peerListener.Addr().String()
+}
+
+// callerServer serves requests, and readiness under a path that no route can take.
+func (e *Entry) callerServer() *http.Server {
+	g := e.settings.Gateway
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, ReadyPath) {
+				e.serveReady(w)
+				return
+			}
+			e.gateway.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: ms(g.HeaderTimeoutMs),
+		IdleTimeout:       ms(g.IdleTimeoutMs),
+		MaxHeaderBytes:    g.MaxHeaderBytes,
+		ErrorLog:          quietLog(e.log),
+	}
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter) {
+	if !e.gateway.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// operatorServer serves the operators' interface.
+func (e *Entry) operatorServer() *http.Server {
+	h := server.New(e.replica, explain.New(e.replica, e.observer),
+		server.WithAccounts(e.settings.Operators.Accounts),
+		server.WithStatus(e.status),
+		server.WithReady(e.gateway.Ready),
+		server.WithMetrics(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})),
+		server.WithLogger(e.log))
+	return &http.Server{Handler: h, ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: time.Minute, ErrorLog: quietLog(e.log)}
+}
--- /dev/null
+++ b/pkg/entry/parts.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"slices"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/control"
+	"github.com/gannetwell/gannetwell/pkg/gateway"
+	"github.com/gannetwell/gannetwell/pkg/membership"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+	"github.com/gannetwell/gannetwell/service/api"
+)
+
+// readersPerZone is how many entries of a zone read the store's head for the others.
+const readersPerZone = 2
+
+// newTable puts a snapshot in force at the request path.
+func (e *Entry) newTable(snap *table.Snapshot, entries []schema.Entry) {
+	e.gateway.SetTable(snap)
+	ev := e.log.Info().Str("event", "table_in_force").Int("revision", snap.Revision)
+	if n := len(entries); n > 0 {
+		ev = ev.Str("actor", entries[n-1].Actor).Str("edit_id", entries[n-1].EditID)
+	}
+	ev.Send()
+}
+
+// newList takes the peers' addresses from the platform's list, beside the seeds.
+func (e *Entry) newList(list platform.VMList) {
+	addresses := slices.Clone(e.settings.Peers.Seeds)
+	for _, vm := range list.VMs {
+		if vm.Role == platform.RoleEntry && vm.State != platform.VMGone && vm.Address != "" {
+			addresses = append(addresses, vm.Address)
+		}
+	}
+	slices.Sort(addresses)
+	e.peers.SetAddresses(slices.Compact(addresses))
+}
+
+// isReader tells whether this entry reads the store's head for its zone: it is
+// one of the first by name among those that were heard of late.
+func (e *Entry) isReader() bool {
+	const recent = 10 * time.Second
+	before := 0
+	for _, k := range e.peers.Known() {
+		s := k.State
+		if s.Zone == e.settings.Zone && !s.Stopping && s.Name < e.settings.Name && time.Since(k.Heard) < recent {
+			before++
+		}
+	}
+	return before < readersPerZone
+}
+
+// marker closes servers at the request path.
+type marker struct{ g *gateway.Gateway }
+
+// MarkList implements membership.Marker.
+func (m marker) MarkList(vm string, closed bool) { m.g.Mark(vm, gateway.SourceList, closed) }
+
+// MarkLeaving implements membership.Marker.
+func (m marker) MarkLeaving(vm string, closed bool) { m.g.Mark(vm, gateway.SourceProbe, closed) }
+
+// MarkHealth implements membership.Marker.
+func (m marker) MarkHealth(vm string, closed bool) { m.g.Mark(vm, gateway.SourceHealth, closed) }
+
+// listedEntries asks the entries that may still be there.
+type listedEntries struct {
+	peers *membership.Peers
+	list  func() platform.VMList
+}
+
+func (e *Entry) entries() control.Entries {
+	return listedEntries{peers: e.peers, list: func() platform.VMList { return e.servers.List() }}
+}
+
+// InFlight implements control.Entries. An entry that does not answer is left
+// out only if the platform's list, which lags but does not invent, says that
+// its VM is gone, and says so of a later time than it was heard.
+func (l listedEntries) InFlight(ctx context.Context, vms []string) []membership.EntryInFlight {
+	answers := l.peers.InFlight(ctx, vms)
+	list := l.list()
+	if list.AsOfMs == 0 {
+		return answers
+	}
+	return slices.DeleteFunc(answers, func(a membership.EntryInFlight) bool {
+		return !a.Reached && a.Heard.UnixMilli() < list.AsOfMs && !slices.ContainsFunc(list.VMs, func(vm platform.ListedVM) bool {
+			return vm.State != platform.VMGone && (vm.Address == a.Address || vm.Name == a.Entry)
+		})
+	})
+}
+
+// status describes this entry and its peers.
+func (e *Entry) status() api.Status {
+	self := e.peers.Self()
+	out := api.Status{
+		Ready: e.gateway.Ready(), Active: e.gateway.Active(), VMListAgeMs: -1,
+		Entries: []api.EntryStatus{entryStatus(self, true, 0)},
+	}
+	if err := e.follower.Err(); err != nil {
+		out.StoreError = err.Error()
+	}
+	if list := e.servers.List(); list.AsOfMs > 0 {
+		out.VMListAgeMs = int(time.Now().UnixMilli() - list.AsOfMs)
+	}
+	for _, k := range e.peers.Known() {
+		heard := -1
+		if !k.Heard.IsZero() {
+			heard = int(time.Since(k.Heard).Milliseconds())
+		}
+		state := k.State
+		state.Address = k.Address
+		out.Entries = append(out.Entries, entryStatus(state, k.Err == nil && heard >= 0, heard))
+	}
+	return out
+}
+
+func entryStatus(s schema.PeerState, reached bool, heardMsAgo int) api.EntryStatus {
+	return api.EntryStatus{
+		Name: s.Name, Zone: s.Zone, Address: s.Address, Incarnation: s.Incarnation,
+		Revision: s.Revision, Stopping: s.Stopping, Reached: reached, HeardMsAgo: heardMsAgo,
+	}
+}
+
+// traffic counts the bytes that control costs.
+type traffic struct{ bytes *prometheus.CounterVec }
+
+func newTraffic() *traffic {
+	return &traffic{bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "gannetwell_control_bytes_total",
+		Help: "Payload bytes exchanged for control, by the other side and direction.",
+	}, []string{"with", "direction"})}
+}
+
+func (t *traffic) add(with string, sent, received int) {
+	t.bytes.WithLabelValues(with, "sent").Add(float64(sent))
+	t.bytes.WithLabelValues(with, "received").Add(float64(received))
+}
+
+func (t *traffic) store(sent, received int) { t.add("platform", sent, received) }
+func (t *traffic) peers(sent, received int) { t.add("peers", sent, received) }
+
+func (t *traffic) collectors() []prometheus.Collector { return []prometheus.Collector{t.bytes} }
+
+// quietLog brings what net/http logs into the log, as debug lines.
+func quietLog(log zerolog.Logger) *stdlog.Logger {
+	return stdlog.New(logWriter{log}, "", 0)
+}
+
+type logWriter struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (w logWriter) Write(p []byte) (n int, err error) {
+	w.log.Debug().Str("event", "http_server").Str("detail", string(p)).Send()
+	return len(p), nil
+}
+
+var _ io.Writer = logWriter{}
--- /dev/null
+++ b/pkg/explain/explain.go
@@ -0,0 +1,175 @@
+// Package explain tells in sentences why a VM, a pool, a job or a wave is where
+// it is and what it waits for, from the table and from a fresh look at the VMs
+// concerned.
+package explain
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/fleet"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+// Observer looks at the VMs of a snapshot.
+type Observer interface {
+	Observe(ctx context.Context, snap *table.Snapshot) map[string]fleet.Observation
+}
+
+// Log finds the entries of the table's log.
+type Log interface {
+	Snapshot() *table.Snapshot
+	History(ctx context.Context, from, limit int) ([]schema.Entry, error)
+}
+
+// Explainer explains rows.
+type Explainer struct {
+	log      Log
+	observer Observer
+	now      func() time.Time
+}
+
+// New returns an explainer.
+func New(log Log, o Observer) *Explainer {
+	return &Explainer{log: log, observer: o, now: time.Now}
+}
+
+// Explain returns sentences about a row; ok is false when there is none.
+func (e *Explainer) Explain(ctx context.Context, kind schema.Kind, name string) (sentences []string, ok bool) {
+	snap := e.log.Snapshot()
+	key := table.Key{Kind: kind, Name: name}
+	if snap.Version(key) == 0 {
+		return nil, false
+	}
+	x := &explanation{snap: snap, now: e.now()}
+	switch kind {
+	case schema.KindVM:
+		x.vm(name, e.observe(ctx, snap, name)[name])
+	case schema.KindPool:
+		x.pool(name, e.observer.Observe(ctx, snap))
+	case schema.KindJob:
+		x.job(name)
+	case schema.KindWave:
+		x.wave(name)
+	default:
+		x.say("%s is at version %d.", key, snap.Version(key))
+	}
+	x.lastChange(ctx, e.log, key)
+	return x.sentences, true
+}
+
+// observe looks at one VM only.
+func (e *Explainer) observe(ctx context.Context, snap *table.Snapshot, vm string) map[string]fleet.Observation {
+	one := *snap
+	one.VMs = table.Rows[schema.VM]{vm: snap.VMs[vm]}
+	return e.observer.Observe(ctx, &one)
+}
+
+type explanation struct {
+	snap      *table.Snapshot
+	now       time.Time
+	sentences []string
+}
+
+func (x *explanation) say(format string, args ...any) {
+	x.sentences = append(x.sentences, fmt.Sprintf(format, args...))
+}
+
+func (x *explanation) ago(ms int) string {
+	return x.now.Sub(time.UnixMilli(int64(ms))).Round(time.Second).String()
+}
+
+func (x *explanation) vm(name string, o fleet.Observation) {
+	row := x.snap.VMs[name]
+	vm := row.Value
+	if vm.Pool == "" {
+		x.say("VM %s is in the shared buffer, in rack %s of zone %s.", name, vm.Rack, x.snap.ZoneOf(name))
+	} else {
+		x.say("VM %s is in pool %s, which serves %s, in rack %s of zone %s.", name, vm.Pool, x.snap.Pools[vm.Pool].Value.Service, vm.Rack, x.snap.ZoneOf(name))
+	}
+	switch vm.Phase {
+	case schema.PhaseActive:
+		x.say("It is active: entries give it work. Its health by probes is %q and this entry has %d requests in flight to it.", o.Health, o.InFlight)
+	case schema.PhaseDraining:
+		x.say("It has been draining for %s%s.", x.ago(vm.PhaseSinceMs), inWave(vm))
+		if blocker := fleet.Blocker(row.Version, o); blocker != "" {
+			x.say("It waits: %s.", blocker)
+		} else {
+			x.say("Nothing is in flight any more; it is about to reboot.")
+		}
+	case schema.PhaseRebooting:
+		x.say("It has been rebooting for %s%s, by operation %s.", x.ago(vm.PhaseSinceMs), inWave(vm), vm.Operation)
+	case schema.PhaseChecking:
+		x.say("It came back from its reboot %s ago%s and waits for its backend server to answer probes.", x.ago(vm.PhaseSinceMs), inWave(vm))
+	case schema.PhaseDown:
+		x.say("It has been down for %s.", x.ago(vm.PhaseSinceMs))
+	}
+	if vm.MaintainedBy != "" {
+		x.say("It was last maintained by wave %s, %s ago.", vm.MaintainedBy, x.ago(vm.MaintainedAtMs))
+	}
+}
+
+func inWave(vm schema.VM) string {
+	if vm.Wave == "" {
+		return ""
+	}
+	return " in wave " + vm.Wave
+}
+
+func (x *explanation) pool(name string, seen map[string]fleet.Observation) {
+	p := x.snap.Pools[name].Value
+	members, out := 0, 0
+	for _, vmName := range x.snap.VMs.Names() {
+		vm := x.snap.VMs[vmName].Value
+		if vm.Pool != name {
+			continue
+		}
+		members++
+		if vm.Phase != schema.PhaseActive {
+			out++
+			x.say("%s is %s%s for %s.", vmName, vm.Phase, inWave(vm), x.ago(vm.PhaseSinceMs))
+		} else if seen[vmName].Health != fleet.HealthGood {
+			out++
+			x.say("%s is active but its health is %q.", vmName, seen[vmName].Health)
+		}
+	}
+	x.say("Pool %s serves %s with %d of %d VMs; %d are out of service and its budget is %d.", name, p.Service, members, p.Size, out, p.MaxUnavailable)
+	if members < p.Size {
+		x.say("It waits for %d free VMs; the buffer has none that are healthy.", p.Size-members)
+	}
+}
+
+func (x *explanation) job(name string) {
+	j := x.snap.Jobs[name].Value
+	x.say("Job %s of team %s wants %d tasks of %g processors and %d MB on pool %s, class %s.", name, j.Team, j.Count, j.Cpus, j.MemoryMb, j.Pool, j.Class)
+	x.say("It waits: this version keeps jobs in the table but does not start tasks yet.")
+}
+
+func (x *explanation) wave(name string) {
+	w := x.snap.Waves[name].Value
+	p := fleet.ProgressOf(x.snap, name)
+	x.say("Wave %s is %s: %d of %d VMs are maintained, %d are under way, %d are left, %d are down.", name, w.State, p.Done, p.Total, p.Current, p.Left(), p.Down)
+	for _, vmName := range x.snap.VMs.Names() {
+		vm := x.snap.VMs[vmName].Value
+		if vm.Wave == name {
+			x.say("%s has been %s for %s.", vmName, vm.Phase, x.ago(vm.PhaseSinceMs))
+		}
+	}
+}
+
+// lastChange tells who changed the row last and why.
+func (x *explanation) lastChange(ctx context.Context, log Log, key table.Key) {
+	version := x.snap.Version(key)
+	entries, err := log.History(ctx, version, 1)
+	if err != nil || len(entries) == 0 {
+		x.say("Its last change was revision %d; the audit trail cannot be read now.", version)
+		return
+	}
+	e := entries[0]
+	x.say("Its last change was revision %d by %s, %s ago: %s.", e.Revision, e.Actor, x.ago(e.AtMs), e.Reason)
+	if e.Evidence != "" {
+		x.say("The evidence was: %s.", e.Evidence)
+	}
+}
--- /dev/null
+++ b/pkg/fleet/wave.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+// Progress is how far a wave is.
+type Progress struct {
+	Total   int // VMs in its scope
+	Done    int // maintained by it
+	Current int // out of service for it now
+	Down    int // failed, which the wave does not wait for
+}
+
+// Left is the number of VMs that the wave has not begun.
+func (p Progress) Left() int { return p.Total - p.Done - p.Current - p.Down }
+
+// InScope tells whether a wave maintains the VMs of a pool; the buffer has the empty name.
+func InScope(w schema.Wave, pool string) bool {
+	return len(w.Pools) == 0 || slices.Contains(w.Pools, pool)
+}
+
+// ProgressOf counts the VMs of a wave.
+func ProgressOf(s *table.Snapshot, name string) (p Progress) {
+	wave := s.Waves[name].Value
+	for _, row := range s.VMs {
+		vm := row.Value
+		if !InScope(wave, vm.Pool) {
+			continue
+		}
+		p.Total++
+		switch {
+		case vm.MaintainedBy == name:
+			p.Done++
+		case vm.Wave == name:
+			p.Current++
+		case vm.Phase == schema.PhaseDown:
+			p.Down++
+		}
+	}
+	return p
+}
+
+// waves grants maintenance to VMs of running waves and ends waves that are through.
+func (d *decider) waves() {
+	for _, name := range d.Table.Waves.Names() {
+		wave := d.Table.Waves[name].Value
+		if wave.State != schema.WaveStateRunning {
+			continue
+		}
+		progress := ProgressOf(d.Table, name)
+		switch {
+		case wave.StartedAtMs == 0:
+			wave.StartedAtMs = int(d.Now.UnixMilli())
+			d.editWave(name, wave, fmt.Sprintf("the wave begins: %d VMs", progress.Total), "its state is running")
+		case progress.Left() == 0 && progress.Current == 0:
+			wave.State = schema.WaveStateDone
+			wave.FinishedAtMs = int(d.Now.UnixMilli())
+			d.editWave(name, wave, "every VM has returned", fmt.Sprintf("%d maintained, %d down", progress.Done, progress.Down))
+		default:
+			d.grant(name, wave, progress)
+		}
+	}
+}
+
+func (d *decider) editWave(name string, wave schema.Wave, reason, evidence string) {
+	if d.full() {
+		return
+	}
+	d.actions = append(d.actions, Action{
+		Kind: ActionWave, Reason: reason, Evidence: evidence,
+		Changes: []table.Change{change(d.Table, table.Key{Kind: schema.KindWave, Name: name}, wave)},
+	})
+}
+
+// grant takes VMs out of service as far as budgets and the wave's own limit allow.
+func (d *decider) grant(name string, wave schema.Wave, progress Progress) {
+	current := progress.Current
+	for _, vmName := range d.candidates(func(vm schema.VM) bool {
+		return InScope(wave, vm.Pool) && vm.MaintainedBy != name
+	}) {
+		if wave.MaxParallel > 0 && current >= wave.MaxParallel || d.full() {
+			return
+		}
+		vm := d.vm(vmName)
+		budget := d.Table.Pools[vm.Pool].Value.MaxUnavailable
+		if vm.Pool != "" && d.unavailable[vm.Pool] >= budget {
+			continue
+		}
+		evidence := "the VM is in the buffer"
+		if vm.Pool != "" {
+			evidence = fmt.Sprintf("pool %q has %d VMs out of service, its budget is %d", vm.Pool, d.unavailable[vm.Pool], budget)
+			d.unavailable[vm.Pool]++
+		}
+		vm.Phase, vm.Wave = schema.PhaseDraining, name
+		d.edit(ActionGrant, vmName, vm, "its turn in wave "+name, evidence)
+		current++
+	}
+}
--- /dev/null
+++ b/pkg/gateway/conn.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The transport to one backend server.
+const (
+	dialTimeout     = 500 * time.Millisecond
+	idleConnTimeout = 30 * time.Second
+	maxIdlePerHost  = 64
+	maxAnswerHeader = 64 << 10
+	keepAlivePeriod = 15 * time.Second
+)
+
+var errSealed = errors.New("the exchange was given up")
+
+// sealedConn counts the bytes written and can be sealed, after which none follow.
+type sealedConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	written int64
+	sealed  bool
+}
+
+// Write implements net.Conn.
+func (c *sealedConn) Write(p []byte) (n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return 0, errSealed
+	}
+	n, err = c.Conn.Write(p)
+	if err != nil && n == 0 && len(p) > 0 {
+		n = 1 // what the kernel took of a failed write is not known: never claim that it was nothing
+	}
+	c.written += int64(n)
+	return min(n, len(p)), err
+}
+
+// count returns the bytes written so far.
+func (c *sealedConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// seal closes the connection for good and returns the bytes written.
+func (c *sealedConn) seal() int64 {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // frees a writer that holds the lock
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	_ = c.Close()
+	return c.written
+}
+
+// newServer returns a server with a transport of its own, so that closing it drops only its connections.
+func (g *Gateway) newServer(name, zone, address string) *Server {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return &Server{
+		Name: name, Zone: zone, Address: address,
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				return &sealedConn{Conn: conn}, nil
+			},
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    maxIdlePerHost,
+			IdleConnTimeout:        idleConnTimeout,
+			MaxResponseHeaderBytes: maxAnswerHeader,
+			Protocols:              onlyHTTP1(),
+		},
+	}
+}
+
+func onlyHTTP1() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	return p
+}
--- /dev/null
+++ b/pkg/gateway/server.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"math"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Source is one of the places that tell whether a server takes work; each may close it by itself.
+type Source uint32
+
+// The sources.
+const (
+	SourceTable   Source = 1 << iota // the VM's phase in the table
+	SourceList                       // the platform's VM list
+	SourceProbe                      // the server's own word that it is leaving
+	SourceHealth                     // probes that fail
+	SourcePassive                    // exchanges that fail
+)
+
+// soft are the sources that may be wrong about a whole service at once: when
+// they close every server of it, they are not believed.
+const soft = SourceHealth | SourcePassive
+
+// The latency estimate.
+const (
+	latencyDecay = 10 * time.Second       // time in which a past peak loses 1-1/e of its weight
+	latencyFloor = 100 * time.Microsecond // assumed of a server that has not answered yet
+)
+
+// Server is one backend server as one entry sees it.
+type Server struct {
+	Name    string // of its VM
+	Zone    string
+	Address string // host:port
+
+	closed    atomic.Uint32 // sources that close it
+	inFlight  atomic.Int64
+	limit     atomic.Int64
+	latency   atomic.Uint64 // peak-sensitive average in nanoseconds, as float bits
+	sampled   atomic.Int64  // time of the last sample, Unix nanoseconds
+	failures  atomic.Int64  // exchanges that failed in a row
+	reopenAt  atomic.Int64  // end of a passive closing, Unix nanoseconds
+	transport *http.Transport
+}
+
+// Usable implements balance.Target: no source closes the server and it has room.
+func (s *Server) Usable() bool { return s.usable(false) }
+
+// usable tells whether the server takes work; lenient leaves soft sources out.
+func (s *Server) usable(lenient bool) bool {
+	return s.open(lenient) && s.inFlight.Load() < s.limit.Load()
+}
+
+// open tells that no source closes the server.
+func (s *Server) open(lenient bool) bool {
+	closed := Source(s.closed.Load())
+	if lenient {
+		closed &^= soft
+	}
+	if closed&SourcePassive != 0 && time.Now().UnixNano() >= s.reopenAt.Load() {
+		closed &^= SourcePassive
+	}
+	return closed == 0
+}
+
+// Cost implements balance.Target: expected wait, as latency times the queue that a new request would join.
+func (s *Server) Cost() float64 {
+	latency := math.Float64frombits(s.latency.Load())
+	return max(latency, float64(latencyFloor)) * float64(s.inFlight.Load()+1)
+}
+
+// claim counts a request in flight, unless the server has been closed or is full.
+//
+// The count comes first and the look at the sources second; see the package comment.
+func (s *Server) claim(lenient bool) bool {
+	n := s.inFlight.Add(1)
+	if s.open(lenient) && n <= s.limit.Load() {
+		return true
+	}
+	s.release()
+	return false
+}
+
+func (s *Server) release() { s.inFlight.Add(-1) }
+
+// mark sets or clears a source; idle connections of a server that closes are dropped.
+func (s *Server) mark(src Source, closed bool) {
+	if !closed {
+		s.closed.And(^uint32(src))
+		return
+	}
+	if before := s.closed.Or(uint32(src)); before&uint32(src) == 0 {
+		s.transport.CloseIdleConnections()
+	}
+}
+
+// setTable closes or opens the server by its row. A server that returns starts
+// afresh: what other sources said before is older than the row.
+func (s *Server) setTable(closed bool) {
+	if Source(s.closed.Load())&SourceTable != 0 && !closed {
+		s.failures.Store(0)
+		s.closed.Store(0)
+		return
+	}
+	s.mark(SourceTable, closed)
+}
+
+// observe takes a sample into the latency estimate: a rise counts at once, a fall slowly.
+func (s *Server) observe(d time.Duration) {
+	now := time.Now().UnixNano()
+	last := s.sampled.Swap(now)
+	old := math.Float64frombits(s.latency.Load())
+	sample := float64(d)
+	if sample < old {
+		w := math.Exp(-float64(now-last) / float64(latencyDecay))
+		sample = old*w + sample*(1-w)
+	}
+	s.latency.Store(math.Float64bits(sample))
+}
+
+// Passive closing: a server is left alone for a while after failures in a row.
+const (
+	failuresToClose = 3
+	passiveClosing  = 2 * time.Second
+)
+
+// succeed notes an exchange that was answered.
+func (s *Server) succeed() {
+	if s.failures.Swap(0) != 0 {
+		s.mark(SourcePassive, false)
+	}
+}
+
+// fail notes an exchange that broke.
+func (s *Server) fail() {
+	if s.failures.Add(1) < failuresToClose {
+		return
+	}
+	s.reopenAt.Store(time.Now().Add(passiveClosing).UnixNano())
+	s.mark(SourcePassive, true)
+}
--- /dev/null
+++ b/pkg/membership/peers.go
@@ -0,0 +1,308 @@
+package membership
+
+import (
+	"context"
+	"crypto/tls"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gannetwell/gannetwell/pkg/peer"
+	"github.com/gannetwell/gannetwell/pkg/replica"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+const (
+	// entriesPerMessage bounds the log entries in one message.
+	entriesPerMessage = 64
+	// pushWorkers bounds the peers that are told of a change at one time.
+	pushWorkers = 16
+)
+
+// Known is what an entry knows of a peer.
+type Known struct {
+	Address string
+	State   schema.PeerState // zero until the peer was heard
+	Heard   time.Time        // when it was last heard, zero for never
+	Err     error            // of the last exchange, nil when it succeeded
+}
+
+// Peers are the other entries.
+type Peers struct {
+	self     schema.PeerState // revision and stopping are filled in at each use
+	replica  *replica.Replica
+	inFlight func(vm string) int
+	stopping func() bool
+	interval time.Duration
+	secret   string
+	tls      func() *tls.Config
+	log      zerolog.Logger
+	onBytes  func(sent, received int)
+
+	mu    sync.Mutex
+	links map[string]*link // by address
+	turn  int
+}
+
+type link struct {
+	client *peer.Client
+	known  Known
+}
+
+// PeersOption changes how Peers are made.
+type PeersOption func(*Peers)
+
+// WithInFlight answers peers that ask how many requests are in flight to a VM.
+func WithInFlight(f func(vm string) int) PeersOption { return func(p *Peers) { p.inFlight = f } }
+
+// WithStopping tells peers whether this entry is in a planned stop.
+func WithStopping(f func() bool) PeersOption { return func(p *Peers) { p.stopping = f } }
+
+// WithInterval sets the time between two exchanges.
+func WithInterval(d time.Duration) PeersOption { return func(p *Peers) { p.interval = d } }
+
+// WithPeerTLS dials peers by TLS.
+func WithPeerTLS(f func() *tls.Config) PeersOption { return func(p *Peers) { p.tls = f } }
+
+// WithPeerLogger logs peers that come and go.
+func WithPeerLogger(l zerolog.Logger) PeersOption { return func(p *Peers) { p.log = l } }
+
+// WithPeerBytes reports the bytes of each exchange.
+func WithPeerBytes(f func(sent, received int)) PeersOption { return func(p *Peers) { p.onBytes = f } }
+
+const defaultInterval = 250 * time.Millisecond
+
+// NewPeers returns the peers of an entry that describes itself by self.
+func NewPeers(self schema.PeerState, secret string, r *replica.Replica, opts ...PeersOption) *Peers {
+	p := &Peers{
+		self: self, replica: r, secret: secret, interval: defaultInterval,
+		inFlight: func(string) int { return 0 },
+		stopping: func() bool { return false },
+		tls:      func() *tls.Config { return nil },
+		log:      zerolog.Nop(),
+		onBytes:  func(int, int) {},
+		links:    map[string]*link{},
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// Self returns the entry's own state.
+func (p *Peers) Self() schema.PeerState {
+	s := p.self
+	s.Revision = p.replica.Revision()
+	s.Stopping = p.stopping()
+	return s
+}
+
+// SetAddresses brings the links to a set of addresses; the entry's own is passed over.
+func (p *Peers) SetAddresses(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, l := range p.links {
+		if !slices.Contains(addresses, addr) {
+			go l.client.Close() // may wait for an exchange
+			delete(p.links, addr)
+			p.log.Info().Str("event", "peer_removed").Str("peer", addr).Send()
+		}
+	}
+	for _, addr := range addresses {
+		if _, ok := p.links[addr]; ok || addr == p.self.Address {
+			continue
+		}
+		client := peer.NewClient(addr, p.secret, peer.WithTLS(p.tls), peer.WithBytes(p.onBytes))
+		p.links[addr] = &link{client: client, known: Known{Address: addr}}
+		p.log.Info().Str("event", "peer_added").Str("peer", addr).Send()
+	}
+}
+
+// Known returns what is known of each peer, by address.
+func (p *Peers) Known() []Known {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make([]Known, 0, len(p.links))
+	for _, l := range p.links {
+		known = append(known, l.known)
+	}
+	slices.SortFunc(known, func(a, b Known) int { return strings.Compare(a.Address, b.Address) })
+	return known
+}
+
+// Run exchanges state with the peers until ctx ends.
+func (p *Peers) Run(ctx context.Context) error {
+	tick := time.NewTicker(p.interval)
+	defer tick.Stop()
+	changed := p.replica.Changed()
+	for {
+		select {
+		case <-ctx.Done():
+			p.SetAddresses(nil)
+			return nil
+		case <-changed:
+			changed = p.replica.Changed()
+			p.SyncAll(ctx)
+		case <-tick.C:
+			if addr, ok := p.next(); ok {
+				_ = p.sync(ctx, addr) // noted at the link
+			}
+		}
+	}
+}
+
+// next returns the address whose turn it is.
+func (p *Peers) next() (addr string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.links) == 0 {
+		return "", false
+	}
+	addrs := make([]string, 0, len(p.links))
+	for a := range p.links {
+		addrs = append(addrs, a)
+	}
+	slices.Sort(addrs)
+	p.turn++
+	return addrs[p.turn%len(addrs)], true
+}
+
+// SyncAll exchanges state with every peer that may lack a revision; it returns the highest revision heard.
+func (p *Peers) SyncAll(ctx context.Context) (highest, reached int) {
+	var g errgroup.Group
+	g.SetLimit(pushWorkers)
+	var mu sync.Mutex
+	for _, k := range p.Known() {
+		g.Go(func() error {
+			reply, err := p.ask(ctx, k.Address, nil)
+			if err != nil {
+				return nil // noted at the link; the others go on
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reached++
+			highest = max(highest, reply.From.Revision)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return highest, reached
+}
+
+func (p *Peers) sync(ctx context.Context, addr string) error {
+	_, err := p.ask(ctx, addr, nil)
+	return err
+}
+
+// ask exchanges state with a peer and takes over what it sends.
+func (p *Peers) ask(ctx context.Context, addr string, drains []string) (reply *schema.PeerReply, err error) {
+	p.mu.Lock()
+	l, ok := p.links[addr]
+	var theirs int
+	if ok {
+		theirs = l.known.State.Revision
+	}
+	p.mu.Unlock()
+	if !ok {
+		return nil, errors.Errorf("peer %s is gone", addr)
+	}
+	q := &schema.PeerRequest{From: p.Self(), Drains: drains}
+	if theirs > 0 {
+		q.Entries, _ = p.replica.Since(theirs, entriesPerMessage)
+	}
+	reply, err = l.client.Ask(ctx, q)
+	p.note(l, reply, err)
+	if err != nil {
+		return nil, err
+	}
+	p.take(reply)
+	return reply, nil
+}
+
+// note keeps the result of an exchange; the process that answers at an address is the current one.
+func (p *Peers) note(l *link, reply *schema.PeerReply, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if (err == nil) != (l.known.Err == nil) || l.known.Heard.IsZero() && err == nil {
+		p.log.Info().Str("event", "peer_reached").Bool("reached", err == nil).Str("peer", l.known.Address).Err(err).Send()
+	}
+	l.known.Err = err
+	if err == nil {
+		l.known.State = reply.From
+		l.known.Heard = time.Now()
+	}
+}
+
+// take applies the entries or the snapshot of a reply.
+func (p *Peers) take(reply *schema.PeerReply) {
+	if reply.Snapshot != nil {
+		p.adopt(reply.Snapshot)
+	}
+	if err := p.replica.Offer(reply.Entries); err != nil {
+		p.log.Warn().Str("event", "entries_refused").Str("peer", reply.From.Name).Err(err).Send()
+	}
+}
+
+func (p *Peers) adopt(s *schema.PeerSnapshot) {
+	rows := make([]table.StoredRow, 0, len(s.Rows))
+	for _, r := range s.Rows {
+		rows = append(rows, table.StoredRow{Key: table.Key{Kind: r.Kind, Name: r.Name}, Version: r.Version, Value: r.Value})
+	}
+	snap, err := table.Load(s.Revision, rows)
+	if err != nil {
+		p.log.Warn().Str("event", "snapshot_refused").Err(err).Send()
+		return
+	}
+	p.replica.Adopt(snap)
+}
+
+// Handle answers a peer; it is a peer.Handler.
+func (p *Peers) Handle(_ context.Context, q *schema.PeerRequest) *schema.PeerReply {
+	p.heard(q.From)
+	if err := p.replica.Offer(q.Entries); err != nil && !errors.As(err, new(table.ErrGap)) {
+		p.log.Warn().Str("event", "entries_refused").Str("peer", q.From.Name).Err(err).Send()
+	}
+	// The state is taken before the counts: a count of zero then holds for its revision.
+	reply := &schema.PeerReply{From: p.Self(), Entries: []schema.Entry{}, InFlight: []schema.VMInFlight{}}
+	for _, vm := range q.Drains {
+		reply.InFlight = append(reply.InFlight, schema.VMInFlight{VM: vm, Count: p.inFlight(vm)})
+	}
+	entries, ok := p.replica.Since(q.From.Revision, entriesPerMessage)
+	if !ok {
+		reply.Snapshot = snapshotOf(p.replica.Snapshot())
+	}
+	reply.Entries = append(reply.Entries, entries...)
+	return reply
+}
+
+// heard keeps a peer's own word, unless it is older than what is known.
+func (p *Peers) heard(s schema.PeerState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.links[s.Address]
+	if !ok {
+		return
+	}
+	old := l.known.State
+	stale := s.Incarnation < old.Incarnation ||
+		s.Incarnation == old.Incarnation && s.Revision < old.Revision
+	if stale {
+		return
+	}
+	l.known.State = s
+	l.known.Heard = time.Now()
+}
+
+func snapshotOf(s *table.Snapshot) *schema.PeerSnapshot {
+	out := &schema.PeerSnapshot{Revision: s.Revision, Rows: []schema.PeerRow{}}
+	for _, r := range s.Stored() {
+		out.Rows = append(out.Rows, schema.PeerRow{Kind: r.Key.Kind, Name: r.Key.Name, Version: r.Version, Value: r.Value})
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/peer/frame.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxFrame is the largest payload of a frame in bytes.
+const MaxFrame = 16 << 20
+
+const (
+	frameHeader = 4
+	// readChunk bounds what a length alone makes the reader allocate.
+	readChunk = 64 << 10
+)
+
+// ErrFrameTooLarge reports a frame above MaxFrame.
+type ErrFrameTooLarge struct {
+	Size uint64
+}
+
+// Error gives the size and the limit.
+func (e ErrFrameTooLarge) Error() string {
+	return fmt.Sprintf("frame of %d bytes is larger than the limit of %d", e.Size, MaxFrame)
+}
+
+// WriteFrame writes one value as a frame; n is the number of bytes written.
+func WriteFrame(w io.Writer, v any) (n int, err error) {
+	defer func() { err = errors.Wrap(err, "write frame") }()
+	payload, err := msgpack.Marshal(v)
+	if err != nil {
+		return 0, err
+	}
+	if len(payload) > MaxFrame {
+		return 0, ErrFrameTooLarge{Size: uint64(len(payload))}
+	}
+	buf := make([]byte, frameHeader, frameHeader+len(payload))
+	binary.BigEndian.PutUint32(buf, uint32(len(payload)))
+	return w.Write(append(buf, payload...))
+}
+
+// ReadFrame reads one frame into v; n is the number of bytes read.
+//
+// A stream that ends before a frame begins gives io.EOF, inside a frame io.ErrUnexpectedEOF.
+func ReadFrame(r io.Reader, v any) (n int, err error) {
+	defer func() { err = errors.Wrap(err, "read frame") }()
+	var header [frameHeader]byte
+	if n, err = io.ReadFull(r, header[:]); err != nil {
+		return n, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxFrame {
+		return n, ErrFrameTooLarge{Size: uint64(size)}
+	}
+	payload, err := readPayload(r, int(size))
+	n += len(payload)
+	if err != nil {
+		return n, err
+	}
+	return n, msgpack.Unmarshal(payload, v)
+}
+
+// readPayload grows its buffer with what has arrived, so that a false length costs no memory.
+func readPayload(r io.Reader, size int) (payload []byte, err error) {
+	payload = make([]byte, 0, min(size, readChunk))
+	for len(payload) < size {
+		step := min(size-len(payload), readChunk)
+		start := len(payload)
+		payload = append(payload, make([]byte, step)...)
+		got, err := io.ReadFull(r, payload[start:])
+		if err != nil {
+			return payload[:start+got], unexpected(err)
+		}
+	}
+	return payload, nil
+}
+
+// unexpected turns the end of a stream inside a frame into the error that says so.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/peer/handshake.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// protocolVersion is the version of the peer protocol that this code speaks.
+const protocolVersion = 1
+
+const nonceBytes = 16
+
+// The labels keep a proof of one side from serving as the other's.
+const (
+	labelDialer   = "dialer"
+	labelListener = "listener"
+)
+
+// ErrNotPeer reports the other side of a link that did not prove the shared secret.
+type ErrNotPeer struct {
+	Reason string
+}
+
+// Error gives the reason.
+func (e ErrNotPeer) Error() string { return fmt.Sprintf("the other side is no peer: %s", e.Reason) }
+
+func newNonce() string {
+	raw := make([]byte, nonceBytes)
+	_, _ = rand.Read(raw) // never fails, it ends the process instead
+	return hex.EncodeToString(raw)
+}
+
+func proof(secret, label, mine, theirs string) string {
+	m := hmac.New(sha256.New, []byte(secret))
+	_, _ = fmt.Fprintf(m, "%s %s %s", label, mine, theirs)
+	return hex.EncodeToString(m.Sum(nil))
+}
+
+func checkHello(h *schema.PeerHello) error {
+	if h.Protocol != protocolVersion {
+		return ErrNotPeer{Reason: fmt.Sprintf("protocol %d, expected %d", h.Protocol, protocolVersion)}
+	}
+	if len(h.Nonce) != 2*nonceBytes {
+		return ErrNotPeer{Reason: "malformed nonce"}
+	}
+	return nil
+}
+
+func checkProof(secret, label, nonce, other, got string) error {
+	if !hmac.Equal([]byte(got), []byte(proof(secret, label, nonce, other))) {
+		return ErrNotPeer{Reason: "wrong proof of the shared secret"}
+	}
+	return nil
+}
+
+// greet is the dialling side of the handshake.
+func greet(rw io.ReadWriter, secret string) (err error) {
+	defer func() { err = errors.Wrap(err, "handshake") }()
+	var hello schema.PeerHello
+	if _, err := ReadFrame(rw, &hello); err != nil {
+		return err
+	}
+	if err := checkHello(&hello); err != nil {
+		return err
+	}
+	nonce := newNonce()
+	answer := schema.PeerHello{Protocol: protocolVersion, Nonce: nonce, Proof: proof(secret, labelDialer, nonce, hello.Nonce)}
+	if _, err := WriteFrame(rw, &answer); err != nil {
+		return err
+	}
+	var last schema.PeerHello
+	if _, err := ReadFrame(rw, &last); err != nil {
+		return err
+	}
+	return checkProof(secret, labelListener, hello.Nonce, nonce, last.Proof)
+}
+
+// receive is the listening side of the handshake.
+func receive(rw io.ReadWriter, secret string) (err error) {
+	defer func() { err = errors.Wrap(err, "handshake") }()
+	nonce := newNonce()
+	if _, err := WriteFrame(rw, &schema.PeerHello{Protocol: protocolVersion, Nonce: nonce}); err != nil {
+		return err
+	}
+	var hello schema.PeerHello
+	if _, err := ReadFrame(rw, &hello); err != nil {
+		return err
+	}
+	if err := checkHello(&hello); err != nil {
+		return err
+	}
+	if err := checkProof(secret, labelDialer, hello.Nonce, nonce, hello.Proof); err != nil {
+		return err
+	}
+	last := schema.PeerHello{Protocol: protocolVersion, Nonce: nonce, Proof: proof(secret, labelListener, nonce, hello.Nonce)}
+	_, err = WriteFrame(rw, &last)
+	return err
+}
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+const (
+	handshakeTimeout = 2 * time.Second
+	idleTimeout      = 2 * time.Minute
+	writeTimeout     = 5 * time.Second
+	maxLinks         = 1024
+)
+
+// Handler answers a peer's question.
+type Handler func(ctx context.Context, q *schema.PeerRequest) *schema.PeerReply
+
+// Server takes links from peers.
+type Server struct {
+	ln      net.Listener
+	secret  string
+	handler Handler
+	log     zerolog.Logger
+	onBytes func(sent, received int)
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// ServerOption changes how a Server is made.
+type ServerOption func(*Server)
+
+// WithLogger logs links that are refused or break.
+func WithLogger(l zerolog.Logger) ServerOption { return func(s *Server) { s.log = l } }
+
+// WithServerBytes reports the bytes of each exchange.
+func WithServerBytes(f func(sent, received int)) ServerOption {
+	return func(s *Server) { s.onBytes = f }
+}
+
+// NewServer returns a server of links at ln, which may be a TLS listener.
+func NewServer(ln net.Listener, secret string, h Handler, opts ...ServerOption) *Server {
+	s := &Server{
+		ln: ln, secret: secret, handler: h,
+		log: zerolog.Nop(), onBytes: func(int, int) {},
+		conns: map[net.Conn]struct{}{},
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
+}
+
+// Serve takes links until ctx ends; then it closes them all and waits for their goroutines.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.closeAll)
+	defer stop()
+	defer s.wg.Wait()
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			s.closeAll()
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		if !s.track(ctx, conn) {
+			_ = conn.Close()
+			continue
+		}
+		s.wg.Go(func() {
+			defer s.untrack(conn)
+			s.serveLink(ctx, conn)
+		})
+	}
+}
+
+func (s *Server) track(ctx context.Context, conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil || len(s.conns) >= maxLinks {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	_ = conn.Close()
+}
+
+func (s *Server) closeAll() {
+	_ = s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) serveLink(ctx context.Context, conn net.Conn) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	if err := receive(conn, s.secret); err != nil {
+		s.log.Warn().Str("event", "peer_refused").Str("remote", conn.RemoteAddr().String()).Err(err).Send()
+		return
+	}
+	for ctx.Err() == nil {
+		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
+		var q schema.PeerRequest
+		received, err := ReadFrame(conn, &q)
+		if err != nil {
+			s.log.Debug().Str("event", "peer_link_ended").Str("remote", conn.RemoteAddr().String()).Err(err).Send()
+			return
+		}
+		reply := s.handler(ctx, &q)
+		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		sent, err := WriteFrame(conn, reply)
+		s.onBytes(sent, received)
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/platform/fake/fake.go
@@ -0,0 +1,118 @@
+package fake
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/platform/rest"
+)
+
+// The limits that the users' platform has.
+const (
+	DefaultWritesPerSecond = 100
+	DefaultReadsPerSecond  = 2000
+	limitBurst             = 0.25 // of a second
+)
+
+// Platform is the stand-in's state, shared by all views.
+type Platform struct {
+	latency time.Duration
+	faults  *injector
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	table   store
+	objects objects
+	fleet   fleet
+	tasks   tasks
+}
+
+// Option changes how a Platform is made.
+type Option func(*Platform)
+
+// WithSeed fixes the chances of rules.
+func WithSeed(seed uint64) Option { return func(p *Platform) { p.faults = newInjector(seed) } }
+
+// WithLatency delays every call.
+func WithLatency(d time.Duration) Option { return func(p *Platform) { p.latency = d } }
+
+// WithLimits sets writes and reads a second of the table; calls above are not done.
+func WithLimits(writes, reads int) Option {
+	return func(p *Platform) {
+		p.writes = limiter(writes)
+		p.reads = limiter(reads)
+	}
+}
+
+// WithListLag delays what the VM list shows.
+func WithListLag(d time.Duration) Option { return func(p *Platform) { p.fleet.lag = d } }
+
+// WithReportLag sets how old a worker's report of its tasks may be.
+func WithReportLag(d time.Duration) Option { return func(p *Platform) { p.tasks.lag = d } }
+
+// WithRebootTime sets how long a reboot takes.
+func WithRebootTime(d time.Duration) Option { return func(p *Platform) { p.fleet.rebootTime = d } }
+
+// WithMachine connects the VMs to the backend servers that run on them.
+func WithMachine(m Machine) Option { return func(p *Platform) { p.fleet.machine = m } }
+
+// WithObserver tells o of every write that takes effect.
+func WithObserver(o Observer) Option { return func(p *Platform) { p.table.observer = o } }
+
+func limiter(perSecond int) *rate.Limiter {
+	burst := max(1, int(float64(perSecond)*limitBurst))
+	return rate.NewLimiter(rate.Limit(perSecond), burst)
+}
+
+// New returns an empty platform.
+func New(opts ...Option) *Platform {
+	p := &Platform{
+		faults: newInjector(1),
+		writes: limiter(DefaultWritesPerSecond),
+		reads:  limiter(DefaultReadsPerSecond),
+	}
+	p.table.init()
+	p.objects.init()
+	p.fleet.init()
+	p.tasks.init()
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// SetRules puts rules in force in place of the earlier ones.
+func (p *Platform) SetRules(rules ...Rule) { p.faults.set(rules) }
+
+// Calls returns how often an operation was called.
+func (p *Platform) Calls(op rest.Operation) int {
+	p.faults.mu.Lock()
+	defer p.faults.mu.Unlock()
+	return p.faults.calls[op]
+}
+
+// limit refuses table calls above the rate.
+func (p *Platform) limit(op rest.Operation) error {
+	l := p.reads
+	switch op {
+	case rest.OpCommit:
+		l = p.writes
+	case rest.OpGet, rest.OpScan:
+	default:
+		return nil
+	}
+	if !l.Allow() {
+		return platform.ErrNotDone{Op: string(op), Cause: "the table's rate limit is reached", RetryAfter: time.Second}
+	}
+	return nil
+}
+
+// view is the platform as one availability zone sees it.
+type view struct {
+	p    *Platform
+	zone string
+}
+
+// View returns the platform as a zone sees it.
+func (p *Platform) View(zone string) platform.Platform { return &view{p: p, zone: zone} }
--- /dev/null
+++ b/pkg/platform/rest/client.go
@@ -0,0 +1,269 @@
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+const (
+	maxAnswerBytes = 64 << 20
+	defaultTimeout = 2 * time.Second
+	maxIdleConns   = 8
+)
+
+// Client calls a platform over HTTP.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+	onBytes func(sent, received int)
+}
+
+var _ platform.Platform = (*Client)(nil)
+
+// Option changes how a Client is made.
+type Option func(*Client)
+
+// WithTimeout bounds each call; the caller's context may be shorter.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// WithBytes reports the body bytes of each call, to account for them.
+func WithBytes(f func(sent, received int)) Option { return func(c *Client) { c.onBytes = f } }
+
+// New returns a client of the platform at base, such as http://platform:7000/zones/hall-1.
+func New(base string, opts ...Option) *Client {
+	c := &Client{
+		base:    strings.TrimSuffix(base, "/"),
+		timeout: defaultTimeout,
+		onBytes: func(int, int) {},
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	c.http = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     time.Minute,
+	}}
+	return c
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call carries out one operation and sorts its errors.
+func (c *Client) call(ctx context.Context, op Operation, args *Call) (ans *Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	body, err := json.Marshal(args)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode %s", op)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/"+string(op), io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, errors.Wrapf(err, "make request of %s", op)
+	}
+	// No GetBody: net/http must not send a transaction a second time by itself.
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, lost(op, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	c.onBytes(len(body), len(raw))
+	if err != nil {
+		return nil, lost(op, err)
+	}
+	return sortAnswer(op, resp, raw)
+}
+
+// lost turns a transport error into the right type: what was never sent, or only read, had no effect.
+func lost(op Operation, err error) error {
+	var opErr *net.OpError
+	dialed := !errors.As(err, &opErr) || opErr.Op != "dial"
+	if op.Writes() && dialed {
+		return platform.ErrUnknown{Op: string(op), Cause: causeOf(err)}
+	}
+	return platform.ErrNotDone{Op: string(op), Cause: causeOf(err)}
+}
+
+// causeOf leaves out the URL that net/http puts before each error.
+func causeOf(err error) string {
+	var ue *url.Error
+	if errors.As(err, &ue) {
+		return ue.Err.Error()
+	}
+	return err.Error()
+}
+
+func sortAnswer(op Operation, resp *http.Response, raw []byte) (ans *Answer, err error) {
+	ans = &Answer{}
+	parseErr := json.Unmarshal(raw, ans)
+	switch {
+	case resp.StatusCode/100 == 2 && parseErr == nil:
+		return ans, nil
+	case resp.StatusCode == http.StatusConflict:
+		return nil, platform.ErrRefused{Op: string(op), Reason: ans.Error, Conflict: true}
+	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode == http.StatusServiceUnavailable:
+		return nil, platform.ErrNotDone{Op: string(op), Cause: ans.Error, RetryAfter: retryAfter(resp)}
+	case resp.StatusCode/100 == 4:
+		return nil, platform.ErrRefused{Op: string(op), Reason: ans.Error}
+	case op.Writes():
+		return nil, platform.ErrUnknown{Op: string(op), Cause: "status " + resp.Status}
+	}
+	return nil, platform.ErrNotDone{Op: string(op), Cause: "status " + resp.Status}
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
+
+// do is call for operations without a result.
+func (c *Client) do(ctx context.Context, op Operation, args *Call) error {
+	_, err := c.call(ctx, op, args)
+	return err
+}
+
+// missing reports an answer without the field that the operation promises.
+func missing(op Operation) error {
+	return platform.ErrNotDone{Op: string(op), Cause: "the answer lacks its result"}
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, key string) (platform.Item, error) {
+	ans, err := c.call(ctx, OpGet, &Call{Key: key})
+	if err != nil {
+		return platform.Item{}, err
+	}
+	if ans.Item == nil {
+		return platform.Item{}, missing(OpGet)
+	}
+	return *ans.Item, nil
+}
+
+// Scan implements platform.Table.
+func (c *Client) Scan(ctx context.Context, from, to string, limit int) ([]platform.Item, error) {
+	ans, err := c.call(ctx, OpScan, &Call{From: from, To: to, Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	return ans.Items, nil
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, txn platform.Txn) error {
+	return c.do(ctx, OpCommit, &Call{Txn: &txn})
+}
+
+// PutObject implements platform.Objects.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	return c.do(ctx, OpPutObject, &Call{Key: name, Data: data})
+}
+
+// GetObject implements platform.Objects.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	ans, err := c.call(ctx, OpGetObject, &Call{Key: name})
+	if err != nil {
+		return nil, err
+	}
+	return ans.Data, nil
+}
+
+// ListObjects implements platform.Objects.
+func (c *Client) ListObjects(ctx context.Context, prefix string) ([]string, error) {
+	ans, err := c.call(ctx, OpListObjects, &Call{Key: prefix})
+	if err != nil {
+		return nil, err
+	}
+	return ans.Names, nil
+}
+
+// ListVMs implements platform.Lister.
+func (c *Client) ListVMs(ctx context.Context, zone string) (platform.VMList, error) {
+	ans, err := c.call(ctx, OpListVMs, &Call{Zone: zone})
+	if err != nil {
+		return platform.VMList{}, err
+	}
+	if ans.VMs == nil {
+		return platform.VMList{}, missing(OpListVMs)
+	}
+	return *ans.VMs, nil
+}
+
+// Drain implements platform.VMs.
+func (c *Client) Drain(ctx context.Context, vm string, boot int) error {
+	return c.do(ctx, OpDrain, &Call{VM: vm, Boot: boot})
+}
+
+// Undrain implements platform.VMs.
+func (c *Client) Undrain(ctx context.Context, vm string) error {
+	return c.do(ctx, OpUndrain, &Call{VM: vm})
+}
+
+// Reboot implements platform.VMs.
+func (c *Client) Reboot(ctx context.Context, vm, operation string, boot int) error {
+	return c.do(ctx, OpReboot, &Call{VM: vm, Operation: operation, Boot: boot})
+}
+
+// VMStatus implements platform.VMs.
+func (c *Client) VMStatus(ctx context.Context, vm string) (platform.VMStatus, error) {
+	ans, err := c.call(ctx, OpVMStatus, &Call{VM: vm})
+	if err != nil {
+		return platform.VMStatus{}, err
+	}
+	if ans.Status == nil {
+		return platform.VMStatus{}, missing(OpVMStatus)
+	}
+	return *ans.Status, nil
+}
+
+// StartTask implements platform.Tasks.
+func (c *Client) StartTask(ctx context.Context, spec platform.TaskSpec) error {
+	return c.do(ctx, OpStartTask, &Call{Task: &spec})
+}
+
+// RenewTask implements platform.Tasks.
+func (c *Client) RenewTask(ctx context.Context, id string, leaseMs int) error {
+	return c.do(ctx, OpRenewTask, &Call{ID: id, LeaseMs: leaseMs})
+}
+
+// CheckpointTask implements platform.Tasks.
+func (c *Client) CheckpointTask(ctx context.Context, id, object string) error {
+	return c.do(ctx, OpCheckpointTask, &Call{ID: id, Key: object})
+}
+
+// ThrottleTask implements platform.Tasks.
+func (c *Client) ThrottleTask(ctx context.Context, id string, cpus float64) error {
+	return c.do(ctx, OpThrottleTask, &Call{ID: id, Cpus: cpus})
+}
+
+// StopTask implements platform.Tasks.
+func (c *Client) StopTask(ctx context.Context, id string) error {
+	return c.do(ctx, OpStopTask, &Call{ID: id})
+}
+
+// ReportTasks implements platform.Tasks.
+func (c *Client) ReportTasks(ctx context.Context, vm string) ([]platform.TaskReport, error) {
+	ans, err := c.call(ctx, OpReportTasks, &Call{VM: vm})
+	if err != nil {
+		return nil, err
+	}
+	return ans.Reports, nil
+}
--- /dev/null
+++ b/pkg/replica/commit.go
@@ -0,0 +1,141 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+// The wait before another try grows from the first to the longest.
+const (
+	firstWait   = 20 * time.Millisecond
+	longestWait = time.Second
+)
+
+// ErrUnsettled reports an edit whose outcome is not known yet; the edit's ID settles it later.
+type ErrUnsettled struct {
+	EditID string
+	Cause  error
+}
+
+// Error names the edit.
+func (e ErrUnsettled) Error() string {
+	return fmt.Sprintf("it is not known whether edit %s was accepted: %v", e.EditID, e.Cause)
+}
+
+// Commit makes an edit and returns its entry, which is in force here on return.
+//
+// It tries again, until ctx ends, while the edit certainly was not made or its
+// answer was lost; the edit's ID keeps it from being made twice. Errors are
+// those of table.Snapshot.Prepare, platform.ErrRefused, platform.ErrNotDone
+// (nothing was written) and [ErrUnsettled].
+func (r *Replica) Commit(ctx context.Context, edit *table.Edit) (entry *schema.Entry, err error) {
+	defer func() { err = errors.Wrapf(err, "commit edit %s", edit.ID) }()
+	r.commitMu.Lock()
+	defer r.commitMu.Unlock()
+	var lost error // the last answer that was lost
+	for wait := firstWait; ; wait = min(2*wait, longestWait) {
+		entry, err = r.try(ctx, edit, lost != nil)
+		if platform.IsUnknown(err) {
+			lost = err
+		}
+		if err == nil || !again(err) {
+			return entry, err
+		}
+		if sleepErr := pause(ctx, wait); sleepErr != nil {
+			break
+		}
+	}
+	if lost != nil {
+		return nil, ErrUnsettled{EditID: edit.ID, Cause: lost}
+	}
+	return nil, err
+}
+
+// again tells whether a try may be followed by another.
+func again(err error) bool {
+	return platform.IsNotDone(err) || platform.IsUnknown(err) || platform.IsConflict(err)
+}
+
+// pause waits for about d, spread so that processes do not meet again.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// try makes one attempt; settle demands to look first whether an earlier one took effect.
+func (r *Replica) try(ctx context.Context, edit *table.Edit, settle bool) (entry *schema.Entry, err error) {
+	revision, headVersion, err := r.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.reach(ctx, revision); err != nil {
+		return nil, err
+	}
+	if settle || r.Revision() != revision {
+		if entry, err := r.settled(ctx, edit.ID); entry != nil || err != nil {
+			return entry, err
+		}
+	}
+	entry, _, err = r.Snapshot().Prepare(edit, int(time.Now().UnixMilli()))
+	if err != nil {
+		return r.orSettled(ctx, edit.ID, err)
+	}
+	if entry.Revision != revision+1 {
+		return nil, platform.ErrNotDone{Op: "commit", Cause: "the table moved on while the edit was checked"}
+	}
+	if err := r.store.Commit(ctx, txnOf(entry, headVersion)); err != nil {
+		return nil, err
+	}
+	return entry, r.Offer([]schema.Entry{*entry})
+}
+
+// orSettled returns the entry when the edit was made before, else err: a
+// repeated edit finds its own rows changed, by itself.
+func (r *Replica) orSettled(ctx context.Context, id string, err error) (*schema.Entry, error) {
+	entry, settleErr := r.settled(ctx, id)
+	if settleErr != nil {
+		return nil, settleErr
+	}
+	if entry != nil {
+		return entry, nil
+	}
+	return nil, err
+}
+
+// settled returns the entry that an edit became, nil when it has not become one.
+func (r *Replica) settled(ctx context.Context, id string) (entry *schema.Entry, err error) {
+	item, err := r.store.Get(ctx, editKey(id))
+	if err != nil || item.Version == 0 {
+		return nil, errors.Wrap(err, "settle")
+	}
+	var h head
+	if err := json.Unmarshal(item.Value, &h); err != nil {
+		return nil, errors.Wrapf(err, "decode item %q", item.Key)
+	}
+	if err := r.reach(ctx, h.Revision); err != nil {
+		return nil, err
+	}
+	entries, err := r.History(ctx, h.Revision, 1)
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) == 0 || entries[0].EditID != id {
+		return nil, errors.Errorf("the log lacks revision %d", h.Revision)
+	}
+	return &entries[0], nil
+}
--- /dev/null
+++ b/pkg/replica/store.go
@@ -0,0 +1,206 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+// The items in the table service.
+const (
+	keyHead    = "head"
+	prefixLog  = "log/"
+	prefixEdit = "edit/"
+	prefixRow  = "row/"
+
+	// scanLimit is how many items one read of the log or of rows asks for.
+	scanLimit = 500
+)
+
+// prefixEnd is after every key with a prefix: no key has a byte that high.
+const prefixEnd = "\xff"
+
+// head is the item that names the highest revision.
+type head struct {
+	Revision int `json:"revision"`
+}
+
+// rowItem is a row as the table service holds it.
+type rowItem struct {
+	Version int             `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+func logKey(revision int) string { return fmt.Sprintf("%s%016d", prefixLog, revision) }
+func editKey(id string) string   { return prefixEdit + id }
+func rowKey(k table.Key) string  { return prefixRow + k.String() }
+func mustJSON(v any) []byte      { return must(json.Marshal(v)) }
+func must(raw []byte, e error) []byte {
+	if e != nil {
+		panic(e) // only types of this package and generated ones come here, and they encode
+	}
+	return raw
+}
+
+// ParseRowKey returns the key of the row that an item of the table service holds.
+func ParseRowKey(item string) (k table.Key, ok bool) {
+	rest, ok := strings.CutPrefix(item, prefixRow)
+	if !ok {
+		return table.Key{}, false
+	}
+	kind, name, ok := strings.Cut(rest, "/")
+	return table.Key{Kind: schema.Kind(kind), Name: name}, ok
+}
+
+// ParseRow returns the row that an item of the table service holds.
+func ParseRow(item string, value []byte) (row table.StoredRow, err error) {
+	key, ok := ParseRowKey(item)
+	if !ok {
+		return row, errors.Errorf("item %q is no row", item)
+	}
+	var it rowItem
+	if err := json.Unmarshal(value, &it); err != nil {
+		return row, errors.Wrapf(err, "decode item %q", item)
+	}
+	return table.StoredRow{Key: key, Version: it.Version, Value: it.Value}, nil
+}
+
+// readHead returns the highest revision and the version of its item.
+func (r *Replica) readHead(ctx context.Context) (revision int, version int64, err error) {
+	item, err := r.store.Get(ctx, keyHead)
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "read head")
+	}
+	if item.Version == 0 {
+		return 0, 0, nil
+	}
+	var h head
+	if err := json.Unmarshal(item.Value, &h); err != nil {
+		return 0, 0, errors.Wrap(err, "decode head")
+	}
+	return h.Revision, item.Version, nil
+}
+
+// CatchUp reads the head and every entry that the replica lacks.
+//
+// A replica at revision 0 loads the rows first. It returns the revision that the head named.
+func (r *Replica) CatchUp(ctx context.Context) (revision int, err error) {
+	defer func() { err = errors.Wrap(err, "catch up with the store") }()
+	revision, _, err = r.readHead(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return revision, r.reach(ctx, revision)
+}
+
+// reach reads what is missing up to a revision.
+func (r *Replica) reach(ctx context.Context, revision int) error {
+	if r.Revision() == 0 && revision > 0 {
+		if err := r.loadRows(ctx, revision); err != nil {
+			return err
+		}
+	}
+	for r.Revision() < revision {
+		entries, err := r.History(ctx, r.Revision()+1, scanLimit)
+		if err != nil {
+			return err
+		}
+		if len(entries) == 0 {
+			return errors.Errorf("the head names revision %d, but the log ends at %d", revision, r.Revision())
+		}
+		if err := r.Offer(entries); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// History reads entries of the log from a revision on.
+func (r *Replica) History(ctx context.Context, from, limit int) (entries []schema.Entry, err error) {
+	items, err := r.store.Scan(ctx, logKey(from), prefixLog+prefixEnd, limit)
+	if err != nil {
+		return nil, errors.Wrap(err, "read log")
+	}
+	for _, it := range items {
+		var e schema.Entry
+		if err := json.Unmarshal(it.Value, &e); err != nil {
+			return nil, errors.Wrapf(err, "decode item %q", it.Key)
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+// loadRows reads all rows and then the log entries that came in while reading.
+//
+// Rows are read page by page, not at one moment: a row may be newer than the
+// revision that the reading began at. Applying the entries after that revision
+// brings every row to one revision, since an entry holds whole rows.
+func (r *Replica) loadRows(ctx context.Context, began int) error {
+	var rows []table.StoredRow
+	from := prefixRow
+	for {
+		items, err := r.store.Scan(ctx, from, prefixRow+prefixEnd, scanLimit)
+		if err != nil {
+			return errors.Wrap(err, "read rows")
+		}
+		for _, it := range items {
+			row, err := ParseRow(it.Key, it.Value)
+			if err != nil {
+				return err
+			}
+			rows = append(rows, row)
+		}
+		if len(items) < scanLimit {
+			break
+		}
+		from = items[len(items)-1].Key + "\x00"
+	}
+	snap, err := table.Load(began, rows)
+	if err != nil {
+		return err
+	}
+	for more := true; more; {
+		entries, err := r.History(ctx, snap.Revision+1, scanLimit)
+		if err != nil {
+			return err
+		}
+		for i := range entries {
+			if snap, err = snap.Apply(&entries[i]); err != nil {
+				return err
+			}
+		}
+		more = len(entries) == scanLimit
+	}
+	r.Adopt(snap)
+	return nil
+}
+
+// txnOf is the transaction that writes an entry.
+func txnOf(e *schema.Entry, headVersion int64) (txn platform.Txn) {
+	txn.Conditions = []platform.Condition{
+		{Key: keyHead, Version: headVersion},
+		{Key: logKey(e.Revision)},
+		{Key: editKey(e.EditID)},
+	}
+	txn.Writes = []platform.Write{
+		{Key: keyHead, Value: mustJSON(head{Revision: e.Revision})},
+		{Key: logKey(e.Revision), Value: mustJSON(e)},
+		{Key: editKey(e.EditID), Value: mustJSON(head{Revision: e.Revision})},
+	}
+	for _, c := range e.Changes {
+		w := platform.Write{Key: rowKey(table.Key{Kind: c.Kind, Name: c.Name}), Remove: table.Absent(c.After)}
+		if !w.Remove {
+			w.Value = mustJSON(rowItem{Version: e.Revision, Value: c.After})
+		}
+		txn.Writes = append(txn.Writes, w)
+	}
+	return txn
+}
--- /dev/null
+++ b/pkg/table/document.go
@@ -0,0 +1,48 @@
+package table
+
+import (
+	"encoding/json"
+
+	"github.com/gannetwell/gannetwell/pkg/config"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// ParseDocument checks a table file and returns its rows, in the order of [Kinds] and of names.
+func ParseDocument(file string, src []byte) (rows []StoredRow, err error) {
+	var doc schema.Document
+	if err := config.Decode(file, src, config.TargetDocument, &doc); err != nil {
+		return nil, err
+	}
+	s := Empty()
+	fill(&s.Zones, doc.Zones)
+	fill(&s.Racks, doc.Racks)
+	fill(&s.VMs, doc.VMs)
+	fill(&s.Services, doc.Services)
+	fill(&s.Pools, doc.Pools)
+	fill(&s.Routes, doc.Routes)
+	fill(&s.Teams, doc.Teams)
+	fill(&s.Jobs, doc.Jobs)
+	fill(&s.Weights, doc.Weights)
+	fill(&s.Waves, doc.Waves)
+	return s.Stored(), nil
+}
+
+func fill[T any](rows *Rows[T], values map[string]T) {
+	*rows = make(Rows[T], len(values))
+	for name, v := range values {
+		(*rows)[name] = Row[T]{Value: v}
+	}
+}
+
+// FormatDocument writes rows as a table file.
+func FormatDocument(rows []StoredRow) (src []byte, err error) {
+	doc := map[string]map[string]json.RawMessage{}
+	for _, r := range rows {
+		plural := kinds[r.Key.Kind].plural
+		if doc[plural] == nil {
+			doc[plural] = map[string]json.RawMessage{}
+		}
+		doc[plural][r.Key.Name] = r.Value
+	}
+	return json.MarshalIndent(doc, "", "  ")
+}
--- /dev/null
+++ b/pkg/table/kinds.go
@@ -0,0 +1,85 @@
+package table
+
+import (
+	"encoding/json"
+	"maps"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// kindOps reaches the rows of one kind in a snapshot without knowing their type.
+type kindOps struct {
+	definition string // the schema's name for the row
+	plural     string // the field of a document that holds the rows
+	version    func(s *Snapshot, name string) int
+	value      func(s *Snapshot, name string) json.RawMessage
+	names      func(s *Snapshot) []string
+	clone      func(s *Snapshot)
+	remove     func(s *Snapshot, name string)
+	put        func(s *Snapshot, name string, v json.RawMessage) error
+}
+
+// opsOf builds the operations of a kind from the field that holds its rows.
+func opsOf[T any](definition, plural string, field func(*Snapshot) *Rows[T]) kindOps {
+	return kindOps{
+		definition: definition,
+		plural:     plural,
+		version:    func(s *Snapshot, name string) int { return (*field(s))[name].Version },
+		value: func(s *Snapshot, name string) json.RawMessage {
+			row, ok := (*field(s))[name]
+			if !ok {
+				return nil
+			}
+			raw, err := json.Marshal(row.Value)
+			if err != nil {
+				panic(err) // a generated row type always encodes
+			}
+			return raw
+		},
+		names: func(s *Snapshot) []string { return field(s).Names() },
+		clone: func(s *Snapshot) {
+			rows := maps.Clone(*field(s))
+			if rows == nil {
+				rows = Rows[T]{}
+			}
+			*field(s) = rows
+		},
+		remove: func(s *Snapshot, name string) { delete(*field(s), name) },
+		put: func(s *Snapshot, name string, v json.RawMessage) error {
+			row := Row[T]{Version: s.Revision}
+			if err := json.Unmarshal(v, &row.Value); err != nil {
+				return err
+			}
+			(*field(s))[name] = row
+			return nil
+		},
+	}
+}
+
+// kindOrder is the order of kinds in listings: each kind refers only to earlier ones.
+var kindOrder = []schema.Kind{
+	schema.KindZone, schema.KindRack, schema.KindService, schema.KindPool, schema.KindVM,
+	schema.KindRoute, schema.KindTeam, schema.KindJob, schema.KindWeights, schema.KindWave,
+}
+
+var kinds = map[schema.Kind]kindOps{
+	schema.KindZone:    opsOf("Zone", "zones", func(s *Snapshot) *Rows[schema.Zone] { return &s.Zones }),
+	schema.KindRack:    opsOf("Rack", "racks", func(s *Snapshot) *Rows[schema.Rack] { return &s.Racks }),
+	schema.KindVM:      opsOf("VM", "vms", func(s *Snapshot) *Rows[schema.VM] { return &s.VMs }),
+	schema.KindService: opsOf("Service", "services", func(s *Snapshot) *Rows[schema.Service] { return &s.Services }),
+	schema.KindPool:    opsOf("Pool", "pools", func(s *Snapshot) *Rows[schema.Pool] { return &s.Pools }),
+	schema.KindRoute:   opsOf("Route", "routes", func(s *Snapshot) *Rows[schema.Route] { return &s.Routes }),
+	schema.KindTeam:    opsOf("Team", "teams", func(s *Snapshot) *Rows[schema.Team] { return &s.Teams }),
+	schema.KindJob:     opsOf("Job", "jobs", func(s *Snapshot) *Rows[schema.Job] { return &s.Jobs }),
+	schema.KindWeights: opsOf("Weights", "weights", func(s *Snapshot) *Rows[schema.Weights] { return &s.Weights }),
+	schema.KindWave:    opsOf("Wave", "waves", func(s *Snapshot) *Rows[schema.Wave] { return &s.Waves }),
+}
+
+// Kinds returns every kind of row, each after the kinds that it refers to.
+func Kinds() []schema.Kind { return append([]schema.Kind(nil), kindOrder...) }
+
+// KnownKind tells whether there are rows of the kind.
+func KnownKind(k schema.Kind) bool {
+	_, ok := kinds[k]
+	return ok
+}
--- /dev/null
+++ b/service/server/auth.go
@@ -0,0 +1,63 @@
+package server
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/service/api"
+)
+
+const accountKey = "account"
+
+// HashToken returns what settings keep of a token.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// authenticate finds the account of a request's token.
+func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		token, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+		account := s.account(token)
+		if !ok || account == nil {
+			c.Response().Header().Set(echo.HeaderWWWAuthenticate, "Bearer")
+			return fail(http.StatusUnauthorized, api.ErrorCodeUnauthorized, "a known bearer token is needed")
+		}
+		c.Set(accountKey, account)
+		return next(c)
+	}
+}
+
+// account returns the account of a token; all are compared, so that time tells nothing.
+func (s *Server) account(token string) (found *schema.Account) {
+	hash := []byte(HashToken(token))
+	for i := range s.accounts {
+		if subtle.ConstantTimeCompare(hash, []byte(s.accounts[i].TokenSha256)) == 1 {
+			found = &s.accounts[i]
+		}
+	}
+	return found
+}
+
+// mayEdit refuses accounts that only view.
+func mayEdit(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if actor(c).Role != schema.RoleEdit {
+			return fail(http.StatusForbidden, api.ErrorCodeForbidden, "the account may view but not edit")
+		}
+		return next(c)
+	}
+}
+
+// actor returns the account that authenticate found.
+func actor(c echo.Context) *schema.Account {
+	account, _ := c.Get(accountKey).(*schema.Account)
+	return account
+}
--- /dev/null
+++ b/service/server/server.go
@@ -0,0 +1,218 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/replica"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+	"github.com/gannetwell/gannetwell/service/api"
+)
+
+const (
+	editTimeout   = 10 * time.Second
+	maxEditIDLen  = 128
+	defaultLimit  = 100
+	maxAuditLimit = 10000
+)
+
+// Table is the entry's copy of the table.
+type Table interface {
+	Snapshot() *table.Snapshot
+	Commit(ctx context.Context, e *table.Edit) (*schema.Entry, error)
+	History(ctx context.Context, from, limit int) ([]schema.Entry, error)
+	Since(revision, limit int) ([]schema.Entry, bool)
+}
+
+// Explainer tells in sentences why a thing is where it is.
+type Explainer interface {
+	Explain(ctx context.Context, kind schema.Kind, name string) (sentences []string, ok bool)
+}
+
+// Server serves the interface.
+type Server struct {
+	echo     *echo.Echo
+	accounts []schema.Account
+	table    Table
+	explain  Explainer
+	status   func() api.Status
+	ready    func() bool
+	metrics  http.Handler
+	log      zerolog.Logger
+}
+
+// Option changes how a Server is made.
+type Option func(*Server)
+
+// WithAccounts sets who may use the interface.
+func WithAccounts(accounts []schema.Account) Option {
+	return func(s *Server) { s.accounts = accounts }
+}
+
+// WithMetrics serves metrics.
+func WithMetrics(h http.Handler) Option { return func(s *Server) { s.metrics = h } }
+
+// WithReady tells the balancer whether the entry takes requests.
+func WithReady(f func() bool) Option { return func(s *Server) { s.ready = f } }
+
+// WithStatus gives the answer to a request for the status.
+func WithStatus(f func() api.Status) Option { return func(s *Server) { s.status = f } }
+
+// WithLogger logs edits and refused requests.
+func WithLogger(l zerolog.Logger) Option { return func(s *Server) { s.log = l } }
+
+// New returns a server; it is an http.Handler.
+func New(t Table, e Explainer, opts ...Option) *Server {
+	s := &Server{
+		table: t, explain: e, log: zerolog.Nop(),
+		status:  func() api.Status { return api.Status{} },
+		ready:   func() bool { return true },
+		metrics: http.NotFoundHandler(),
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	s.echo = s.routes()
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
+
+func (s *Server) routes() *echo.Echo {
+	e := echo.New()
+	e.HTTPErrorHandler = s.answerError
+	e.Use(limitBody)
+	e.GET(api.PathHealth, func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET(api.PathReady, s.getReady)
+	g := e.Group("", s.authenticate)
+	g.GET(api.PathMetrics, echo.WrapHandler(s.metrics))
+	g.GET(api.PathRows, s.getRows)
+	g.POST(api.PathEdits, s.postEdit, mayEdit)
+	g.GET(api.PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, s.status()) })
+	g.GET(api.PathAudit, s.getAudit)
+	g.GET(api.PathExplain+":kind/:name", s.getExplain)
+	return e
+}
+
+func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+		return next(c)
+	}
+}
+
+const maxBodyBytes = 16 << 20
+
+func (s *Server) getReady(c echo.Context) error {
+	if !s.ready() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// getRows answers with the rows of ?kind= and ?name=, all of them without.
+func (s *Server) getRows(c echo.Context) error {
+	kind, name := schema.Kind(c.QueryParam("kind")), c.QueryParam("name")
+	if kind != "" && !table.KnownKind(kind) {
+		return fail(http.StatusBadRequest, api.ErrorCodeMalformed, "there is no kind of row "+strconv.Quote(string(kind)))
+	}
+	snap := s.table.Snapshot()
+	var rows []table.StoredRow
+	for _, k := range snap.Keys(kind) {
+		if name == "" || name == k.Name {
+			rows = append(rows, table.StoredRow{Key: k, Version: snap.Version(k), Value: snap.Value(k)})
+		}
+	}
+	return c.JSON(http.StatusOK, api.Rows{Revision: snap.Revision, Rows: api.FromStored(rows)})
+}
+
+// postEdit commits an edit and answers once it is accepted.
+func (s *Server) postEdit(c echo.Context) error {
+	var q api.EditRequest
+	if err := decodeStrict(c.Request().Body, &q); err != nil {
+		return fail(http.StatusBadRequest, api.ErrorCodeMalformed, "the edit cannot be read: "+err.Error())
+	}
+	if q.ID == "" || len(q.ID) > maxEditIDLen {
+		return fail(http.StatusBadRequest, api.ErrorCodeMalformed, "the edit needs an id of 1 to 128 bytes")
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), editTimeout)
+	defer cancel()
+	entry, err := s.table.Commit(ctx, api.ToEdit(actor(c).Name, &q))
+	if err != nil {
+		return err
+	}
+	s.log.Info().Str("event", "edit_accepted").Str("actor", entry.Actor).Str("edit_id", entry.EditID).
+		Int("revision", entry.Revision).Int("changes", len(entry.Changes)).Str("reason", entry.Reason).Send()
+	return c.JSON(http.StatusOK, api.EditResult{Revision: entry.Revision, EditID: entry.EditID})
+}
+
+// getExplain answers with sentences about a row.
+func (s *Server) getExplain(c echo.Context) error {
+	sentences, ok := s.explain.Explain(c.Request().Context(), schema.Kind(c.Param("kind")), c.Param("name"))
+	if !ok {
+		return fail(http.StatusNotFound, api.ErrorCodeNotFound, "there is no "+c.Param("kind")+" "+strconv.Quote(c.Param("name")))
+	}
+	return c.JSON(http.StatusOK, api.Explanation{Sentences: sentences})
+}
+
+// errAnswer is an error with its answer.
+type errAnswer struct {
+	status int
+	body   api.Error
+}
+
+// Error gives the message.
+func (e errAnswer) Error() string { return e.body.Message }
+
+func fail(status int, code api.ErrorCode, message string) error {
+	return errAnswer{status: status, body: api.Error{Code: code, Message: message, Problems: []api.Problem{}, Conflicts: []api.Conflict{}}}
+}
+
+// answerError turns every error into an api.Error.
+func (s *Server) answerError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	a := answerOf(err)
+	s.log.Info().Str("event", "operator_request_failed").Str("path", c.Request().URL.Path).
+		Str("code", string(a.body.Code)).Str("detail", a.body.Message).Send()
+	_ = c.JSON(a.status, a.body) // an operator who is gone needs no answer
+}
+
+// answerOf sorts the errors of the table and of echo.
+func answerOf(err error) errAnswer {
+	var answer errAnswer
+	var conflict table.ErrConflict
+	var rejected table.ErrRejected
+	var unsettled replica.ErrUnsettled
+	var http1 *echo.HTTPError
+	switch {
+	case errors.As(err, &answer):
+	case errors.As(err, &conflict):
+		answer = fail(http.StatusConflict, api.ErrorCodeConflict, conflict.Error()).(errAnswer)
+		answer.body.Conflicts = api.FromConflicts(conflict.Conflicts)
+	case errors.As(err, &rejected):
+		answer = fail(http.StatusUnprocessableEntity, api.ErrorCodeRejected, rejected.Error()).(errAnswer)
+		answer.body.Problems = api.FromProblems(rejected.Problems)
+	case errors.As(err, new(table.ErrNoChange)):
+		answer = fail(http.StatusUnprocessableEntity, api.ErrorCodeNoChange, err.Error()).(errAnswer)
+	case errors.As(err, &unsettled):
+		answer = fail(http.StatusGatewayTimeout, api.ErrorCodeUnknown, unsettled.Error()).(errAnswer)
+	case platform.IsNotDone(err):
+		answer = fail(http.StatusServiceUnavailable, api.ErrorCodeNotDone, err.Error()).(errAnswer)
+	case errors.As(err, &http1):
+		answer = fail(http1.Code, api.ErrorCodeMalformed, http.StatusText(http1.Code)).(errAnswer)
+	default:
+		answer = fail(http.StatusInternalServerError, api.ErrorCodeUnknown, err.Error()).(errAnswer)
+	}
+	return answer
+}
