--- a/pkg/membership/drains.go
+++ b/pkg/membership/drains.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,30 +23,36 @@
 	for _, vm := range vms {
 		own.Counts[vm] = p.inFlight(vm)
 	}
-	known := p.Known()
-	answers := make([]EntryInFlight, len(known))
-	var mu sync.Mutex
+	links := p.all()
+	answers := make([]EntryInFlight, len(links))
 	var g errgroup.Group
 	g.SetLimit(pushWorkers)
-	for i, k := range known {
+	for i, l := range links {
 		g.Go(func() error {
-			answer := EntryInFlight{Entry: k.State.Name, Address: k.Address, Heard: k.Heard, Counts: map[string]int{}}
-			if answer.Entry == "" {
-				answer.Entry = k.Address
-			}
-			reply, err := p.ask(ctx, k.Address, vms)
-			if err == nil {
-				answer.Entry, answer.Reached, answer.Revision = reply.From.Name, true, reply.From.Revision
-				for _, c := range reply.InFlight {
-					answer.Counts[c.VM] = c.Count
-				}
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers[i] = answer
+			answers[i] = p.askInFlight(ctx, l, vms)
 			return nil
 		})
 	}
 	_ = g.Wait()
 	return append([]EntryInFlight{own}, answers...)
 }
+
+// askInFlight asks one peer; its answer says whether it was reached.
+func (p *Peers) askInFlight(ctx context.Context, l *link, vms []string) EntryInFlight {
+	p.mu.Lock()
+	k := l.known
+	p.mu.Unlock()
+	answer := EntryInFlight{Entry: k.State.Name, Address: k.Address, Heard: k.Heard, Counts: map[string]int{}}
+	if answer.Entry == "" {
+		answer.Entry = k.Address
+	}
+	reply, err := p.exchange(ctx, l, vms)
+	if err != nil {
+		return answer
+	}
+	answer.Entry, answer.Reached, answer.Revision = reply.From.Name, true, reply.From.Revision
+	for _, c := range reply.InFlight {
+		answer.Counts[c.VM] = c.Count
+	}
+	return answer
+}
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"slices"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,9 +51,13 @@
 	turn  int
 }
 
+// link is one peer. Each has goroutines of its own, so that a peer that does
+// not answer holds up no other.
 type link struct {
-	client *peer.Client
-	known  Known
+	client  *peer.Client
+	known   Known
+	waiting atomic.Bool // an exchange is about to begin, which will carry everything new
+	turn    sync.Mutex  // one exchange at a time
 }
 
 // PeersOption changes how Peers are made.
@@ -129,10 +134,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := make([]Known, 0, len(p.links))
-	for _, l := range p.links {
-		known = append(known, l.known)
+	for _, addr := range slices.Sorted(maps.Keys(p.links)) {
+		known = append(known, p.links[addr].known)
 	}
-	slices.SortFunc(known, func(a, b Known) int { return strings.Compare(a.Address, b.Address) })
 	return known
 }
 
@@ -140,6 +144,8 @@
 func (p *Peers) Run(ctx context.Context) error {
 	tick := time.NewTicker(p.interval)
 	defer tick.Stop()
+	var exchanges sync.WaitGroup
+	defer exchanges.Wait()
 	changed := p.replica.Changed()
 	for {
 		select {
@@ -148,39 +154,60 @@
 			return nil
 		case <-changed:
 			changed = p.replica.Changed()
-			p.SyncAll(ctx)
+			for _, l := range p.all() {
+				p.kick(ctx, &exchanges, l)
+			}
 		case <-tick.C:
-			if addr, ok := p.next(); ok {
-				_ = p.sync(ctx, addr) // noted at the link
+			if l, ok := p.next(); ok {
+				p.kick(ctx, &exchanges, l)
 			}
 		}
 	}
 }
 
-// next returns the address whose turn it is.
-func (p *Peers) next() (addr string, ok bool) {
+// kick begins an exchange with a peer, unless one is about to begin.
+func (p *Peers) kick(ctx context.Context, exchanges *sync.WaitGroup, l *link) {
+	if l.waiting.Swap(true) {
+		return
+	}
+	exchanges.Go(func() {
+		l.turn.Lock()
+		defer l.turn.Unlock()
+		l.waiting.Store(false)
+		_, _ = p.exchange(ctx, l, nil) // noted at the link
+	})
+}
+
+// all returns the links in the order of addresses.
+func (p *Peers) all() []*link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.links) == 0 {
-		return "", false
+	links := make([]*link, 0, len(p.links))
+	for _, addr := range slices.Sorted(maps.Keys(p.links)) {
+		links = append(links, p.links[addr])
 	}
-	addrs := make([]string, 0, len(p.links))
-	for a := range p.links {
-		addrs = append(addrs, a)
+	return links
+}
+
+// next returns the link whose turn it is; only Run calls it.
+func (p *Peers) next() (l *link, ok bool) {
+	links := p.all()
+	if len(links) == 0 {
+		return nil, false
 	}
-	slices.Sort(addrs)
 	p.turn++
-	return addrs[p.turn%len(addrs)], true
+	return links[p.turn%len(links)], true
 }
 
-// SyncAll exchanges state with every peer that may lack a revision; it returns the highest revision heard.
+// SyncAll exchanges state with every peer and waits for the answers; it returns
+// the highest revision heard and how many answered.
 func (p *Peers) SyncAll(ctx context.Context) (highest, reached int) {
 	var g errgroup.Group
 	g.SetLimit(pushWorkers)
 	var mu sync.Mutex
-	for _, k := range p.Known() {
+	for _, l := range p.all() {
 		g.Go(func() error {
-			reply, err := p.ask(ctx, k.Address, nil)
+			reply, err := p.exchange(ctx, l, nil)
 			if err != nil {
 				return nil // noted at the link; the others go on
 			}
@@ -195,23 +222,11 @@
 	return highest, reached
 }
 
-func (p *Peers) sync(ctx context.Context, addr string) error {
-	_, err := p.ask(ctx, addr, nil)
-	return err
-}
-
-// ask exchanges state with a peer and takes over what it sends.
-func (p *Peers) ask(ctx context.Context, addr string, drains []string) (reply *schema.PeerReply, err error) {
+// exchange tells a peer what is new here and takes over what it sends.
+func (p *Peers) exchange(ctx context.Context, l *link, drains []string) (reply *schema.PeerReply, err error) {
 	p.mu.Lock()
-	l, ok := p.links[addr]
-	var theirs int
-	if ok {
-		theirs = l.known.State.Revision
-	}
+	theirs := l.known.State.Revision
 	p.mu.Unlock()
-	if !ok {
-		return nil, errors.Errorf("peer %s is gone", addr)
-	}
 	q := &schema.PeerRequest{From: p.Self(), Drains: drains}
 	if theirs > 0 {
 		q.Entries, _ = p.replica.Since(theirs, entriesPerMessage)
