gannetctl, stand-ins as a process, overhead measurement

Cause: operators had no command line; the path could only be tried in one process; what the path adds was not known.

Change: gannetctl check, table, wave, audit, explain, token; gannetbench standin and overhead; sample settings of three entries.

Tried by hand as one stand-in, three daemons and gannetctl: apply, status, explain, audit, a rejected edit (exit 3), a sheet, a wave.

--- /dev/null
+++ b/cmd/gannetbench/cmds/overhead.go
@@ -0,0 +1,32 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/overhead"
+)
+
+type overheadCommand struct {
+	JSON   bool `long:"json" description:"Print one JSON object"`
+	Rounds int  `long:"rounds" default:"5" description:"Rounds of each way, in turn"`
+
+	stdout io.Writer
+}
+
+// Execute implements flags.Commander.
+func (c *overheadCommand) Execute([]string) error {
+	o := overhead.DefaultOptions()
+	o.Rounds = c.Rounds
+	r, err := overhead.Run(o)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(c.stdout, r)
+	}
+	_, err = fmt.Fprintf(c.stdout, "p50 direct %.0f us, bare hop %.0f us, through an entry %.0f us (added %.0f us)\np99 direct %.0f us, bare hop %.0f us, through an entry %.0f us\nthroughput direct %.0f/s, bare hop %.0f/s, through an entry %.0f/s (%.2f of the hop)\nan entry serves %.0f requests for a second of one core\n",
+		r.DirectP50Us, r.HopP50Us, r.ThroughP50Us, r.AddedP50Us, r.DirectP99Us, r.HopP99Us, r.ThroughP99Us,
+		r.DirectRPS, r.HopRPS, r.ThroughRPS, r.ThroughToHopRPS, r.RPSPerCore)
+	return err
+}
--- /dev/null
+++ b/cmd/gannetctl/cmds/cmds.go
@@ -0,0 +1,163 @@
+// Package cmds holds the sub-commands of gannetctl.
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/cli"
+	"github.com/gannetwell/gannetwell/service/api"
+	"github.com/gannetwell/gannetwell/service/client"
+)
+
+// console is where a command reads and writes, and the connection options.
+type console struct {
+	Entry string `long:"entry" env:"GANNETWELL_ENTRY" value-name:"URL" default:"http://127.0.0.1:7080" description:"Operators' address of an entry"`
+	Token string `long:"token" env:"GANNETWELL_TOKEN" value-name:"TOKEN" description:"Bearer token of the operator"`
+	CA    string `long:"ca" env:"GANNETWELL_CA" value-name:"FILE" description:"Authorities of the entry's certificate, PEM"`
+
+	stdin          io.Reader
+	stdout, stderr io.Writer
+}
+
+const (
+	callTimeout = 15 * time.Second
+	editTries   = 8
+	tryGap      = 250 * time.Millisecond
+)
+
+// New returns the program.
+func New(stdin io.Reader, stdout, stderr io.Writer) *cli.Program {
+	c := &console{stdin: stdin, stdout: stdout, stderr: stderr}
+	return &cli.Program{
+		Name: "gannetctl", Summary: "The operators' command line.",
+		Global: c, Stdout: stdout, Stderr: stderr,
+		Add: func(p *flags.Parser) error { return addAll(p, c) },
+	}
+}
+
+// sub is one sub-command and its own sub-commands.
+type sub struct {
+	name, short, long string
+	data              any
+	subs              []sub
+}
+
+// group is the data of a command that only has sub-commands.
+type group struct{}
+
+func addAll(p *flags.Parser, c *console) error { return add(p.Command, commands(c)) }
+
+func add(parent *flags.Command, subs []sub) error {
+	for _, s := range subs {
+		data := s.data
+		if data == nil {
+			data = &group{}
+		}
+		cmd, err := parent.AddCommand(s.name, s.short, s.long, data)
+		if err != nil {
+			return err
+		}
+		if err := add(cmd, s.subs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func commands(c *console) []sub {
+	return []sub{
+		{name: "check", short: "Check a table file", long: "Checks a table file by itself, without an entry; exits with 3 when it is not valid.\n\nExample:\n  gannetctl check -f _fixtures/aula-pampa.jsonc", data: &checkCommand{console: c}},
+		{name: "table", short: "Read and change the table", long: "Reads and changes the table.", subs: tableCommands(c)},
+		{name: "wave", short: "Maintenance waves", long: "Starts and steers maintenance waves.", subs: waveCommands(c)},
+		{name: "audit", short: "Search the audit trail", long: "Prints who or what changed which row, why and on which evidence, the newest first.\n\nExamples:\n  gannetctl audit --kind vm --name w07\n  gannetctl audit --actor maria --since 24h", data: &auditCommand{console: c}},
+		{name: "explain", short: "Say why something is where it is", long: "Tells in sentences where a VM, pool, job or wave is, why, and what it waits for.\n\nExamples:\n  gannetctl explain vm w07\n  gannetctl explain pool live-rooms", data: &explainCommand{console: c}},
+		{name: "token", short: "Make an operator's token", long: "Prints a fresh token and the token_sha256 that settings keep of it.\n\nExample:\n  gannetctl token", data: &tokenCommand{console: c}},
+	}
+}
+
+// client returns a client of the entry.
+func (c *console) client() (*client.Client, error) {
+	h := &http.Client{Timeout: callTimeout}
+	if c.CA != "" {
+		pem, err := os.ReadFile(c.CA)
+		if err != nil {
+			return nil, errors.Wrap(err, "read authorities")
+		}
+		roots := x509.NewCertPool()
+		if !roots.AppendCertsFromPEM(pem) {
+			return nil, errors.Errorf("%s holds no certificate", c.CA)
+		}
+		h.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+	}
+	return client.New(c.Entry, c.Token, client.WithHTTP(h)), nil
+}
+
+// printf writes to the standard output.
+func (c *console) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.stdout, format, args...)
+}
+
+func newID() string {
+	raw := make([]byte, 12)
+	_, _ = rand.Read(raw) // never fails, it ends the process instead
+	return "ctl-" + hex.EncodeToString(raw)
+}
+
+// edit makes an edit and settles an unknown outcome by sending the same edit again.
+func (c *console) edit(reason string, changes []api.RowChange) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	q := api.EditRequest{ID: newID(), Reason: reason, Changes: changes}
+	for try := 1; ; try++ {
+		result, err := cl.Edit(context.Background(), q)
+		if err == nil {
+			c.printf("accepted as revision %d, edit %s\n", result.Revision, result.EditID)
+			return nil
+		}
+		if !unsettled(err) {
+			return exitOf(err)
+		}
+		if try == editTries {
+			return cli.Exit(cli.ExitUnknown, errors.Wrapf(err, "edit %s may have been accepted, see gannetctl audit", q.ID))
+		}
+		time.Sleep(tryGap)
+	}
+}
+
+// unsettled tells that an edit may have been accepted, or may be sent again.
+func unsettled(err error) bool {
+	var failure client.ErrAPI
+	if !errors.As(err, &failure) {
+		return true // no answer came
+	}
+	return failure.Body.Code == api.ErrorCodeUnknown || failure.Body.Code == api.ErrorCodeNotDone
+}
+
+// exitOf gives an entry's refusal its exit code.
+func exitOf(err error) error {
+	var failure client.ErrAPI
+	if !errors.As(err, &failure) {
+		return err
+	}
+	switch failure.Body.Code {
+	case api.ErrorCodeConflict:
+		return cli.Exit(cli.ExitConflict, err)
+	case api.ErrorCodeRejected, api.ErrorCodeNoChange, api.ErrorCodeMalformed:
+		return cli.Exit(cli.ExitInvalid, err)
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/bench/overhead/overhead.go
@@ -0,0 +1,256 @@
+// Package overhead measures what the request path adds: the same requests to
+// the same backend server directly, through a bare net/http hop written here as
+// a baseline, and through an entry, in turn and in one run.
+package overhead
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/backend"
+	"github.com/gannetwell/gannetwell/pkg/gateway"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+// Options are what a measurement is told.
+type Options struct {
+	Rounds      int // of each way, in turn
+	Requests    int // of a round, for latency
+	Concurrency int // of the throughput rounds
+	Bytes       int // of an answer
+}
+
+// DefaultOptions take a few seconds.
+func DefaultOptions() Options {
+	return Options{Rounds: 5, Requests: 3000, Concurrency: 32, Bytes: 600}
+}
+
+// Result is the medians over the rounds.
+type Result struct {
+	DirectP50Us        float64 `json:"direct_p50_us"`
+	HopP50Us           float64 `json:"hop_p50_us"`
+	ThroughP50Us       float64 `json:"through_p50_us"`
+	DirectP99Us        float64 `json:"direct_p99_us"`
+	HopP99Us           float64 `json:"hop_p99_us"`
+	ThroughP99Us       float64 `json:"through_p99_us"`
+	AddedP50Us         float64 `json:"added_p50_us"`
+	RPSPerCore         float64 `json:"rps_per_core"` // requests for a second of processor time of the whole process, its share of caller and backend server taken off
+	DirectRPS          float64 `json:"direct_rps"`
+	HopRPS             float64 `json:"hop_rps"`
+	ThroughRPS         float64 `json:"through_rps"`
+	ThroughToHopRPS    float64 `json:"through_to_hop_rps"`
+	CPUUsDirect        float64 `json:"cpu_us_direct"`  // processor time of one request, caller and backend server
+	CPUUsThrough       float64 `json:"cpu_us_through"` // and with the entry between
+	Cores              int     `json:"cores"`
+	RequestsOfOneRound int     `json:"requests_of_one_round"`
+}
+
+// nobody watches the backend server.
+type nobody struct{}
+
+func (nobody) Began(string, string, string, time.Time) {}
+func (nobody) Ended(string, string)                    {}
+func (nobody) Power(string, bool)                      {}
+func (nobody) Leaving(string, bool, time.Time)         {}
+
+// way is one way to the backend server.
+type way struct {
+	address  string
+	p50, p99 []float64 // microseconds, by round
+	rps, cpu []float64 // requests a second, processor microseconds for a request
+}
+
+// Run measures.
+func Run(o Options) (r Result, err error) {
+	defer func() { err = errors.Wrap(err, "measure overhead") }()
+	farm := backend.NewFarm(nobody{})
+	defer farm.Close()
+	address, err := farm.Add("w1")
+	if err != nil {
+		return r, err
+	}
+	hop, stopHop, err := serve(bareHop(address))
+	if err != nil {
+		return r, err
+	}
+	defer stopHop()
+	g, err := newGateway(address)
+	if err != nil {
+		return r, err
+	}
+	defer g.Close()
+	through, stopThrough, err := serve(g)
+	if err != nil {
+		return r, err
+	}
+	defer stopThrough()
+	ways := []*way{{address: address}, {address: hop}, {address: through}}
+	for range o.Rounds {
+		for _, w := range ways {
+			if err := w.round(o); err != nil {
+				return r, err
+			}
+		}
+	}
+	return result(ways[0], ways[1], ways[2], o), nil
+}
+
+func result(direct, hop, through *way, o Options) Result {
+	r := Result{
+		DirectP50Us: median(direct.p50), HopP50Us: median(hop.p50), ThroughP50Us: median(through.p50),
+		DirectP99Us: median(direct.p99), HopP99Us: median(hop.p99), ThroughP99Us: median(through.p99),
+		DirectRPS: median(direct.rps), HopRPS: median(hop.rps), ThroughRPS: median(through.rps),
+		CPUUsDirect: median(direct.cpu), CPUUsThrough: median(through.cpu),
+		Cores: runtime.GOMAXPROCS(0), RequestsOfOneRound: o.Requests,
+	}
+	r.AddedP50Us = r.ThroughP50Us - r.DirectP50Us
+	r.ThroughToHopRPS = r.ThroughRPS / r.HopRPS
+	r.RPSPerCore = 1e6 / (r.CPUUsThrough - r.CPUUsDirect)
+	return r
+}
+
+func median(v []float64) float64 {
+	s := slices.Sorted(slices.Values(v))
+	return s[len(s)/2]
+}
+
+// serve serves a handler on loopback.
+func serve(h http.Handler) (address string, stop func(), err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(ln) }()
+	return ln.Addr().String(), func() { _ = s.Close() }, nil
+}
+
+// newGateway returns a gateway with one server and the default settings.
+func newGateway(address string) (*gateway.Gateway, error) {
+	g := gateway.New("bench", "z", schema.GatewaySettings{
+		Policy: schema.GatewaySettingsPolicyP2C, BufferBodyBytes: 64 << 10,
+	})
+	snap, err := table.Load(1, []table.StoredRow{
+		{Key: table.Key{Kind: schema.KindZone, Name: "z"}, Value: table.MustValue(schema.Zone{})},
+		{Key: table.Key{Kind: schema.KindRack, Name: "r"}, Value: table.MustValue(schema.Rack{Zone: "z"})},
+		{Key: table.Key{Kind: schema.KindService, Name: "s"}, Value: table.MustValue(schema.Service{HealthPath: "/healthz", MaxInFlight: 1024})},
+		{Key: table.Key{Kind: schema.KindPool, Name: "p"}, Value: table.MustValue(schema.Pool{Service: "s", Size: 1})},
+		{Key: table.Key{Kind: schema.KindVM, Name: "w1"}, Value: table.MustValue(schema.VM{Rack: "r", Address: address, Pool: "p", Phase: schema.PhaseActive})},
+		{Key: table.Key{Kind: schema.KindRoute, Name: "r"}, Value: table.MustValue(schema.Route{PathPrefix: "/", Service: "s", Class: schema.ClassInteractive, Repeat: schema.RepeatSafe, DeadlineMs: 5000, MaxBodyBytes: 1 << 20, MaxInFlight: 1024})},
+	})
+	if err != nil {
+		return nil, err
+	}
+	g.SetTable(snap)
+	g.SetReady(true)
+	return g, nil
+}
+
+// bareHop is the baseline: it hands each request on by net/http and copies the answer, nothing else.
+func bareHop(address string) http.Handler {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		out := r.Clone(r.Context())
+		out.URL.Scheme, out.URL.Host, out.RequestURI = "http", address, ""
+		resp, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		for name, values := range resp.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(w, resp.Body)
+	})
+}
+
+// round measures latency with one caller and throughput with many.
+func (w *way) round(o Options) error {
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	defer c.CloseIdleConnections()
+	want := backend.Answer("bench", o.Bytes)
+	times := make([]float64, 0, o.Requests)
+	for range o.Requests {
+		began := time.Now()
+		if err := call(c, w.address, o.Bytes, want); err != nil {
+			return err
+		}
+		times = append(times, float64(time.Since(began).Nanoseconds())/1000)
+	}
+	slices.Sort(times)
+	w.p50 = append(w.p50, times[len(times)/2])
+	w.p99 = append(w.p99, times[len(times)*99/100])
+	return w.throughput(c, o, want)
+}
+
+func (w *way) throughput(c *http.Client, o Options, want []byte) error {
+	var wg sync.WaitGroup
+	failed := make(chan error, o.Concurrency)
+	cpu, began := processorTime(), time.Now()
+	each := max(1, 4*o.Requests/o.Concurrency)
+	for range o.Concurrency {
+		wg.Go(func() {
+			for range each {
+				if err := call(c, w.address, o.Bytes, want); err != nil {
+					failed <- err
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	select {
+	case err := <-failed:
+		return err
+	default:
+	}
+	n := float64(each * o.Concurrency)
+	w.rps = append(w.rps, n/time.Since(began).Seconds())
+	w.cpu = append(w.cpu, float64((processorTime()-cpu).Microseconds())/n)
+	return nil
+}
+
+func call(c *http.Client, address string, size int, want []byte) error {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+address+"/x", nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(backend.HeaderID, "bench")
+	req.Header.Set(backend.HeaderBytes, strconv.Itoa(size))
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(got, want) {
+		return errors.Errorf("status %s with a wrong answer of %d bytes", resp.Status, len(got))
+	}
+	return nil
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
