--- a/pkg/config/errors.go
+++ b/pkg/config/errors.go
@@ -1,8 +1,10 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -118,6 +120,9 @@
 	}
 	out := ErrInvalid{File: file}
 	collect(ve, at, &out.Problems)
+	slices.SortFunc(out.Problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), strings.Compare(a.Field, b.Field))
+	})
 	return out
 }
 
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -69,6 +69,11 @@
 	if errors.As(err, &broken) {
 		panic(http.ErrAbortHandler) // the answer has begun: break the connection rather than end it as if whole
 	}
+	if !x.buffered && x.r.ContentLength != 0 {
+		// net/http would read the body before it sends the answer, which a slow
+		// caller could hold up; an answer that ends the connection goes at once.
+		x.w.Header().Set("Connection", "close")
+	}
 	failure.write(x.w)
 }
 
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -7,51 +7,63 @@
 	"sync"
 )
 
-// bufferAnswerBytes is the largest answer that is read whole before the caller
-// is sent any of it, so that an answer which breaks off can still be reported
-// or, where that is allowed, asked for again.
-const bufferAnswerBytes = 64 << 10
+// firstPart is how much of an answer is read before the caller is sent any of
+// it, so that one which breaks off there can still be reported or, where that
+// is allowed, asked for again. Most answers are whole by then.
+const firstPart = 64 << 10
 
-const copyChunk = 32 << 10
-
-var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyChunk); return &b }}
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, firstPart); return &b }}
 
 // relay sends an answer to the caller.
 func (x *exchange) relay(resp *http.Response, server *Server) error {
-	if n := resp.ContentLength; n >= 0 && n <= bufferAnswerBytes && !x.streams() {
-		return x.relayWhole(resp, server, int(n))
-	}
-	x.answerHeader(resp, server)
-	if err := x.copyAnswer(resp.Body); err != nil {
-		return errAnswerBroken{cause: ErrRequest{
-			Outcome: OutcomeUnknown, Reason: ReasonBroken, Detail: "the answer broke off: " + err.Error(),
-		}}
-	}
-	return nil
-}
-
-// relayWhole reads a small answer before it sends it.
-func (x *exchange) relayWhole(resp *http.Response, server *Server, n int) error {
 	bufp := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(bufp)
-	buf := *bufp
-	if n > len(buf) {
-		buf = make([]byte, n)
-	}
-	if x.r.Method == http.MethodHead {
-		n = 0
+	if x.streams() {
+		x.answerHeader(resp, server)
+		return brokenOff(x.stream(resp.Body, *bufp))
 	}
-	if _, err := io.ReadFull(resp.Body, buf[:n]); err != nil {
+	n, err := fill(resp.Body, *bufp)
+	if err != nil && !errors.Is(err, io.EOF) {
 		return ErrRequest{
 			Status: http.StatusBadGateway, Outcome: OutcomeUnknown, Reason: ReasonBadAnswer,
 			Detail: "the backend server's answer broke off: " + err.Error(),
 		}
 	}
 	x.answerHeader(resp, server)
-	_, _ = x.w.Write(buf[:n]) // a caller that is gone needs no answer
-	return nil
+	_, writeErr := x.w.Write((*bufp)[:n])
+	if err != nil || x.r.Method == http.MethodHead {
+		return nil // that was all; a caller that is gone needs no answer
+	}
+	if writeErr != nil {
+		return brokenOff(writeErr)
+	}
+	_, err = io.CopyBuffer(onlyWriter{x.w}, onlyReader{resp.Body}, *bufp)
+	return brokenOff(err)
 }
 
+// brokenOff is the error of an answer that the caller has been sent a part of.
+func brokenOff(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errAnswerBroken{cause: ErrRequest{
+		Outcome: OutcomeUnknown, Reason: ReasonBroken, Detail: "the answer broke off: " + err.Error(),
+	}}
+}
+
+// fill reads until the buffer is full; io.EOF tells that the source ended as it should.
+func fill(r io.Reader, buf []byte) (n int, err error) {
+	for n < len(buf) && err == nil {
+		var m int
+		m, err = r.Read(buf[n:])
+		n += m
+	}
+	return n, err
+}
+
+// onlyWriter hides every other method of a writer.
+type onlyWriter struct{ io.Writer }
+
 // answerHeader sends the status and the headers of an answer.
 func (x *exchange) answerHeader(resp *http.Response, server *Server) {
 	h := x.w.Header()
@@ -65,26 +77,20 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
-// copyAnswer copies a body; a stream is flushed as it comes.
-func (x *exchange) copyAnswer(body io.Reader) error {
-	bufp := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(bufp)
+// stream copies a body and flushes it as it comes.
+func (x *exchange) stream(body io.Reader, buf []byte) error {
 	rc := http.NewResponseController(x.w)
-	if x.streams() {
-		if err := rc.Flush(); err != nil {
-			return err
-		}
+	if err := rc.Flush(); err != nil {
+		return err
 	}
 	for {
-		n, readErr := body.Read(*bufp)
+		n, readErr := body.Read(buf)
 		if n > 0 {
-			if _, err := x.w.Write((*bufp)[:n]); err != nil {
+			if _, err := x.w.Write(buf[:n]); err != nil {
 				return err
 			}
-			if x.streams() {
-				if err := rc.Flush(); err != nil {
-					return err
-				}
+			if err := rc.Flush(); err != nil {
+				return err
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
