--- a/pkg/replica/commit.go
+++ b/pkg/replica/commit.go
@@ -39,8 +39,12 @@
 // (nothing was written) and [ErrUnsettled].
 func (r *Replica) Commit(ctx context.Context, edit *table.Edit) (entry *schema.Entry, err error) {
 	defer func() { err = errors.Wrapf(err, "commit edit %s", edit.ID) }()
-	r.commitMu.Lock()
-	defer r.commitMu.Unlock()
+	select {
+	case r.commit <- struct{}{}:
+		defer func() { <-r.commit }()
+	case <-ctx.Done():
+		return nil, platform.ErrNotDone{Op: "commit", Cause: "other edits were under way: " + ctx.Err().Error()}
+	}
 	var lost error // the last answer that was lost
 	for wait := firstWait; ; wait = min(2*wait, longestWait) {
 		entry, err = r.try(ctx, edit, lost != nil)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -19,7 +19,7 @@
 	store  platform.Table
 	notify func(*table.Snapshot, []schema.Entry)
 
-	commitMu sync.Mutex // one commit at a time
+	commit chan struct{} // holds one token while a commit is under way
 
 	mu      sync.Mutex // guards the move to a next revision
 	snap    atomic.Pointer[table.Snapshot]
@@ -42,6 +42,7 @@
 	r := &Replica{
 		store:   store,
 		notify:  func(*table.Snapshot, []schema.Entry) {},
+		commit:  make(chan struct{}, 1),
 		changed: make(chan struct{}),
 	}
 	r.snap.Store(table.Empty())
