Membership within its byte budget; planned stops say goodbye; capacity slopes

Cause: a daemon at rest spent 7.0 KB/s for control (2.0 with two peers, 4.9 with the platform) against 3 KB/s; a stopped entry held drains up until the VM list forgot it; a new entry was not told of edits until the list showed it; placing VMs counted failure domains anew for each candidate.

Change: the own zone's list is read each second, all zones' every tenth; one peer a second is asked, edits go out at once as before; an entry that ends says so; an entry that calls is linked before the list shows it; counts by failure domain are kept; gannetbench capacity measures slopes.

--- a/cmd/gannetbench/cmds/cmds.go
+++ b/cmd/gannetbench/cmds/cmds.go
@@ -23,6 +23,7 @@
 				{"demo", "Run whole deployments in one process", "Runs both users' deployments, or those of --deployment, under load with edits, a maintenance wave, the stop of an entry and the replacement of another. Exits with 1 when a counter of harm is not zero.\n\nExamples:\n  gannetbench demo\n  gannetbench demo --deployment _fixtures/aula-pampa.jsonc --for 10s --json", &demoCommand{stdout: stdout, stderr: stderr}},
 				{"standin", "Run the stand-ins of one deployment", "Runs the platform's stand-in over HTTP and a backend server for each VM, until SIGINT or SIGTERM. POST a JSON array of rules to /faults to bring faults about.\n\nExample:\n  gannetbench standin --deployment _fixtures/aula-pampa.jsonc --table /tmp/table.json", &standinCommand{stdout: stdout}},
 				{"overhead", "Measure what the request path adds", "Measures latency and throughput of the same requests directly, through a bare net/http hop and through an entry, in one run.\n\nExample:\n  gannetbench overhead --json", &overheadCommand{stdout: stdout}},
+				{"capacity", "Measure what each role costs by size", "Measures the costs that docs/CAPACITY.md works with and fits a line to each.\n\nExample:\n  gannetbench capacity --json", &capacityCommand{stdout: stdout}},
 			}
 			for _, c := range commands {
 				if _, err := p.AddCommand(c.name, c.short, c.long, c.command); err != nil {
--- /dev/null
+++ b/pkg/bench/capacity/measures.go
@@ -0,0 +1,232 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/fleet"
+	"github.com/gannetwell/gannetwell/pkg/gateway"
+	"github.com/gannetwell/gannetwell/pkg/gateway/balance"
+	"github.com/gannetwell/gannetwell/pkg/membership"
+	"github.com/gannetwell/gannetwell/pkg/peer"
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+	"github.com/gannetwell/gannetwell/pkg/replica"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+var (
+	workers = []int{50, 100, 425, 1700, 3400}
+	servers = []int{10, 50, 200, 800, 1700}
+	peers   = []int{2, 5, 11, 25, 50}
+)
+
+// measures lists every cost.
+func measures() []measure {
+	return []measure{
+		{"snapshot_memory", "config distribution", "workers", "KB", workers, snapshotMemory},
+		{"apply_entry", "config distribution", "workers", "us", workers, applyEntry},
+		{"check_edit", "operators' API", "workers", "us", workers, checkEdit},
+		{"view_update", "router", "workers", "us", workers, viewUpdate},
+		{"view_memory", "router", "workers", "KB", workers, viewMemory},
+		{"pick_server", "router", "servers of a service", "us", servers, pickServer},
+		{"decide_idle", "fleet control", "workers", "us", workers, decideIdle},
+		{"decide_wave", "wave", "workers", "us", workers, decideWave},
+		{"start_bytes", "config distribution", "workers", "bytes", workers, startBytes},
+		{"edit_bytes", "config distribution", "rows of an edit", "bytes", []int{1, 2, 5, 10}, editBytes},
+		{"sync_bytes", "membership", "drains asked for", "bytes", []int{0, 5, 20, 50}, syncBytes},
+		{"sync_time", "membership", "peers in a round", "us", peers, syncTime},
+	}
+}
+
+// The shape of the fleet at any size, from the size to design for.
+const (
+	workersPerPool = 18
+	workersPerRack = 4
+	workersPerZone = 100
+)
+
+// fleetOf builds a table of n workers, of which a tenth is in the buffer.
+func fleetOf(n int) *table.Snapshot {
+	s := table.Empty()
+	s.Revision = 1
+	s.Zones, s.Racks = table.Rows[schema.Zone]{}, table.Rows[schema.Rack]{}
+	s.Services, s.Pools = table.Rows[schema.Service]{}, table.Rows[schema.Pool]{}
+	s.VMs, s.Routes = table.Rows[schema.VM]{}, table.Rows[schema.Route]{}
+	s.Waves = table.Rows[schema.Wave]{}
+	for i := range n {
+		zone, rack := fmt.Sprintf("zone-%d", i/workersPerZone), fmt.Sprintf("rack-%d", i/workersPerRack)
+		pool := fmt.Sprintf("pool-%d", i%max(1, n/workersPerPool))
+		s.Zones[zone] = table.Row[schema.Zone]{Version: 1, Value: schema.Zone{Region: "r"}}
+		s.Racks[rack] = table.Row[schema.Rack]{Version: 1, Value: schema.Rack{Zone: zone}}
+		s.Services[pool] = table.Row[schema.Service]{Version: 1, Value: schema.Service{HealthPath: "/healthz", MaxInFlight: 256}}
+		s.Routes[pool] = table.Row[schema.Route]{Version: 1, Value: schema.Route{PathPrefix: "/" + pool, Service: pool, Class: schema.ClassClerk, Repeat: schema.RepeatSafe, DeadlineMs: 1000, MaxInFlight: 100}}
+		p := s.Pools[pool].Value
+		s.Pools[pool] = table.Row[schema.Pool]{Version: 1, Value: schema.Pool{Service: pool, Size: p.Size + 1, MaxUnavailable: 2}}
+		s.VMs[fmt.Sprintf("worker-%04d", i)] = table.Row[schema.VM]{Version: 1, Value: schema.VM{
+			Rack: rack, Address: fmt.Sprintf("10.%d.%d.1:8080", i/250, i%250), Pool: pool, Phase: schema.PhaseActive,
+		}}
+	}
+	return s
+}
+
+// vmEdit is an edit of one VM row, as control makes them.
+func vmEdit(s *table.Snapshot) *table.Edit {
+	name := s.VMs.Names()[0]
+	vm := s.VMs[name].Value
+	vm.Phase = schema.PhaseDraining
+	return &table.Edit{ID: "e", Actor: "control", Reason: "its turn in wave w", Evidence: "pool has 0 VMs out of service, its budget is 2", Changes: []table.Change{{
+		Key: table.Key{Kind: schema.KindVM, Name: name}, Seen: 1, Value: table.MustValue(vm),
+	}}}
+}
+
+func snapshotMemory(n int) (float64, error) {
+	return heapOf(func() *table.Snapshot { return fleetOf(n) }), nil
+}
+
+func applyEntry(n int) (float64, error) {
+	s := fleetOf(n)
+	entry, _, err := s.Prepare(vmEdit(s), 1)
+	if err != nil {
+		return 0, err
+	}
+	return timeOf(func() { _, _ = s.Apply(entry) }), nil
+}
+
+func checkEdit(n int) (float64, error) {
+	s := fleetOf(n)
+	edit := vmEdit(s)
+	return timeOf(func() { _, _, _ = s.Prepare(edit, 1) }), nil
+}
+
+func newGateway(s *table.Snapshot) *gateway.Gateway {
+	g := gateway.New("entry", "zone-0", schema.GatewaySettings{BufferBodyBytes: 1 << 16})
+	g.SetTable(s)
+	return g
+}
+
+func viewUpdate(n int) (float64, error) {
+	s := fleetOf(n)
+	g := newGateway(s)
+	return timeOf(func() { g.SetTable(s) }), nil
+}
+
+func viewMemory(n int) (float64, error) {
+	s := fleetOf(n)
+	return heapOf(func() *gateway.Gateway { return newGateway(s) }), nil
+}
+
+// target is a plain balance.Target.
+type target struct{ cost float64 }
+
+// Usable implements balance.Target.
+func (t *target) Usable() bool { return true }
+
+// Cost implements balance.Target.
+func (t *target) Cost() float64 { return t.cost }
+
+func pickServer(n int) (float64, error) {
+	targets := make([]*target, n)
+	for i := range targets {
+		targets[i] = &target{cost: float64(i)}
+	}
+	var p balance.PowerOfTwo[*target]
+	none := func(*target) bool { return false }
+	return timeOf(func() { _, _ = p.Pick(targets, none) }), nil
+}
+
+// stateOf is a fleet in good health.
+func stateOf(n int) fleet.State {
+	s := fleetOf(n)
+	now := time.Now()
+	seen := map[string]fleet.Observation{}
+	for name := range s.VMs {
+		seen[name] = fleet.Observation{Health: fleet.HealthGood, Since: now}
+	}
+	return fleet.State{Table: s, Now: now, Observed: seen}
+}
+
+func decideIdle(n int) (float64, error) {
+	state := stateOf(n)
+	return timeOf(func() { fleet.Decide(state, fleet.DefaultLimits()) }), nil
+}
+
+func decideWave(n int) (float64, error) {
+	state := stateOf(n)
+	state.Table.Waves["w"] = table.Row[schema.Wave]{Version: 1, Value: schema.Wave{State: schema.WaveStateRunning, StartedAtMs: 1}}
+	return timeOf(func() { fleet.Decide(state, fleet.DefaultLimits()) }), nil
+}
+
+// startBytes is what a starting entry reads from the table service.
+func startBytes(n int) (float64, error) {
+	raw, err := json.Marshal(fleetOf(n).Stored())
+	return float64(len(raw)), err
+}
+
+// frameBytes is the size of a message between peers.
+func frameBytes(v any) (float64, error) {
+	var buf bytes.Buffer
+	_, err := peer.WriteFrame(&buf, v)
+	return float64(buf.Len()), err
+}
+
+// editBytes is what one edit costs on one link.
+func editBytes(rows int) (float64, error) {
+	s := fleetOf(100)
+	entry, _, err := s.Prepare(vmEdit(s), 1)
+	if err != nil {
+		return 0, err
+	}
+	change := entry.Changes[0]
+	for len(entry.Changes) < rows {
+		entry.Changes = append(entry.Changes, change)
+	}
+	return frameBytes(&schema.PeerRequest{From: selfState(), Entries: []schema.Entry{*entry}})
+}
+
+func selfState() schema.PeerState {
+	return schema.PeerState{Name: "entry-01", Incarnation: int(time.Now().UnixMilli()), Zone: "zone-0", Address: "10.0.0.1:9090", Revision: 100_000}
+}
+
+// syncBytes is a question and its answer with nothing new.
+func syncBytes(drains int) (float64, error) {
+	q := &schema.PeerRequest{From: selfState()}
+	reply := &schema.PeerReply{From: selfState(), Entries: []schema.Entry{}, InFlight: []schema.VMInFlight{}}
+	for i := range drains {
+		vm := fmt.Sprintf("worker-%04d", i)
+		q.Drains = append(q.Drains, vm)
+		reply.InFlight = append(reply.InFlight, schema.VMInFlight{VM: vm, Count: 1})
+	}
+	asked, err := frameBytes(q)
+	if err != nil {
+		return 0, err
+	}
+	answered, err := frameBytes(reply)
+	return asked + answered, err
+}
+
+// syncTime is one round of exchanges with all peers over loopback.
+func syncTime(n int) (float64, error) {
+	const secret = "capacity-secret-0123"
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := replica.New(fake.New().View("z"))
+	asker := membership.NewPeers(selfState(), secret, r)
+	var addresses []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, err
+		}
+		other := membership.NewPeers(schema.PeerState{Name: "peer", Address: ln.Addr().String()}, secret, replica.New(fake.New().View("z")))
+		go func() { _ = peer.NewServer(ln, secret, other.Handle).Serve(ctx) }()
+		addresses = append(addresses, ln.Addr().String())
+	}
+	asker.SetAddresses(addresses)
+	defer asker.Close()
+	return timeOf(func() { asker.SyncAll(ctx) }), nil
+}
--- a/pkg/bench/demo/entries.go
+++ b/pkg/bench/demo/entries.go
@@ -66,7 +66,7 @@
 			"address":  "127.0.0.1:0",
 			"accounts": []schema.Account{{Name: "demo", Role: schema.RoleEdit, TokenSha256: server.HashToken(demoToken)}},
 		},
-		"peers":    map[string]any{"address": "127.0.0.1:0", "secret": demoSecret},
+		"peers":    map[string]any{"address": "127.0.0.1:0", "secret": demoSecret, "seeds": es.peerAddresses()},
 		"platform": map[string]any{"url": es.standin.URL(zone)},
 		"gateway":  map[string]any{"probe_interval_ms": probeMs, "stop_notice_ms": noticeMs},
 		"control":  map[string]any{"step_interval_ms": stepMs},
@@ -78,6 +78,17 @@
 	return s, err
 }
 
+// peerAddresses are where the entries that run already are reached.
+func (es *entries) peerAddresses() []string {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	addresses := []string{}
+	for _, r := range es.running {
+		addresses = append(addresses, r.entry.PeerAddress())
+	}
+	return addresses
+}
+
 // start runs an entry and tells the platform and the balancer of it.
 func (es *entries) start(ctx context.Context, name string, i int) (err error) {
 	settings, err := es.settings(name, i)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -236,6 +236,9 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		return nil // cut short by the context
 	}
-	_ = e.gateway.WaitIdle(ctx) // upgraded connections, which the server no longer counts
+	if err := e.gateway.WaitIdle(ctx); err != nil { // upgraded connections, which the server no longer counts
+		return nil // cut short by the context
+	}
+	e.peers.Leave(ctx)
 	return nil
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -107,13 +107,15 @@
 	return d.actions
 }
 
-// decider collects actions; plan is the table as it will be after them.
+// decider collects actions.
 type decider struct {
 	State
 	limits      Limits
 	names       []string
 	unavailable map[string]int // by pool, by the table and by observation
 	size        map[string]int // VMs by pool
+	zones       map[place]int  // VMs by pool and zone, those that this step assigns included
+	racks       map[place]int  // and by pool and rack
 	actions     []Action
 	touched     map[string]bool // VMs with an edit in this step
 }
@@ -122,6 +124,7 @@
 	d := &decider{
 		State: s, limits: l, names: s.Table.VMs.Names(),
 		unavailable: map[string]int{}, size: map[string]int{}, touched: map[string]bool{},
+		zones: map[place]int{}, racks: map[place]int{},
 	}
 	for _, name := range d.names {
 		vm := d.vm(name)
@@ -129,6 +132,7 @@
 			continue
 		}
 		d.size[vm.Pool]++
+		d.occupy(vm.Pool, name)
 		if vm.Phase != schema.PhaseActive || d.Observed[name].Health != HealthGood {
 			d.unavailable[vm.Pool]++
 		}
@@ -386,6 +390,7 @@
 				return // the step is full
 			}
 			d.size[pool]++
+			d.occupy(pool, name)
 		}
 		if d.size[pool] > row.Size && d.unavailable[pool] < row.MaxUnavailable {
 			d.release(pool)
@@ -402,7 +407,7 @@
 		if vm.Pool != "" || vm.Phase != schema.PhaseActive || d.touched[name] || d.Observed[name].Health == HealthBad {
 			continue
 		}
-		r := rank{zone: d.inZone(pool, name), rack: d.inRack(pool, vm.Rack)}
+		r := rank{zone: d.inZone(pool, name), rack: d.racks[place{pool, vm.Rack}]}
 		if !ok || r.zone < bestRank.zone || r.zone == bestRank.zone && r.rack < bestRank.rack {
 			best, bestRank, ok = name, r, true
 		}
@@ -410,33 +415,16 @@
 	return best, ok
 }
 
-// inZone counts the pool's VMs in the zone of a VM.
-func (d *decider) inZone(pool, name string) (n int) {
-	return d.count(pool, func(other string) bool { return d.Table.ZoneOf(other) == d.Table.ZoneOf(name) })
-}
-
-func (d *decider) inRack(pool, rack string) int {
-	return d.count(pool, func(other string) bool { return d.vm(other).Rack == rack })
-}
+// place is a failure domain as a pool uses it.
+type place struct{ pool, domain string }
 
-// count counts the pool's VMs that match, those that this step assigns included.
-func (d *decider) count(pool string, match func(string) bool) (n int) {
-	for _, name := range d.names {
-		if d.poolAfter(name) == pool && match(name) {
-			n++
-		}
-	}
-	return n
-}
+// inZone counts the pool's VMs in the zone of a VM.
+func (d *decider) inZone(pool, name string) int { return d.zones[place{pool, d.Table.ZoneOf(name)}] }
 
-// poolAfter is the pool of a VM after the actions so far.
-func (d *decider) poolAfter(name string) string {
-	for _, a := range d.actions {
-		if a.Kind == ActionAssign && a.VM == name {
-			return table.MustParse[schema.VM](a.Changes[0].Value).Pool
-		}
-	}
-	return d.vm(name).Pool
+// occupy counts a VM for the failure domains that it is in.
+func (d *decider) occupy(pool, name string) {
+	d.zones[place{pool, d.Table.ZoneOf(name)}]++
+	d.racks[place{pool, d.vm(name).Rack}]++
 }
 
 // release drains the idlest VM of a pool that is too large.
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -22,6 +22,8 @@
 const (
 	// entriesPerMessage bounds the log entries in one message.
 	entriesPerMessage = 64
+	// keepHeard is how long a link outlives the platform's list after the peer was heard.
+	keepHeard = 30 * time.Second
 	// pushWorkers bounds the peers that are told of a change at one time.
 	pushWorkers = 16
 )
@@ -46,8 +48,11 @@
 	log      zerolog.Logger
 	onBytes  func(sent, received int)
 
+	ended atomic.Bool
+
 	mu    sync.Mutex
-	links map[string]*link // by address
+	links map[string]*link     // by address
+	gone  map[string]time.Time // when a peer said its last word, by address
 	turn  int
 }
 
@@ -93,6 +98,7 @@
 		log:      zerolog.Nop(),
 		onBytes:  func(int, int) {},
 		links:    map[string]*link{},
+		gone:     map[string]time.Time{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -105,30 +111,58 @@
 	s := p.self
 	s.Revision = p.replica.Revision()
 	s.Stopping = p.stopping()
+	s.Ended = p.ended.Load()
 	return s
 }
 
+// Leave tells every peer that this entry has nothing in flight and takes nothing
+// more, so that none waits for it. Its table goes on; its links close with Run.
+func (p *Peers) Leave(ctx context.Context) {
+	p.ended.Store(true)
+	p.SyncAll(ctx)
+}
+
 // SetAddresses brings the links to a set of addresses; the entry's own is passed over.
 func (p *Peers) SetAddresses(addresses []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, l := range p.links {
-		if !slices.Contains(addresses, addr) {
-			go l.client.Close() // may wait for an exchange
-			delete(p.links, addr)
-			p.log.Info().Str("event", "peer_removed").Str("peer", addr).Send()
+		if !slices.Contains(addresses, addr) && time.Since(l.known.Heard) > keepHeard {
+			p.remove(addr, l)
 		}
 	}
 	for _, addr := range addresses {
-		if _, ok := p.links[addr]; ok || addr == p.self.Address {
-			continue
-		}
-		client := peer.NewClient(addr, p.secret, peer.WithTLS(p.tls), peer.WithBytes(p.onBytes))
-		p.links[addr] = &link{client: client, known: Known{Address: addr}}
-		p.log.Info().Str("event", "peer_added").Str("peer", addr).Send()
+		p.add(addr)
+	}
+}
+
+// Close closes all links.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, l := range p.links {
+		p.remove(addr, l)
 	}
 }
 
+// add makes a link; the caller holds the lock.
+func (p *Peers) add(addr string) {
+	_, known := p.links[addr]
+	if known || addr == p.self.Address || addr == "" || time.Since(p.gone[addr]) < keepHeard {
+		return
+	}
+	client := peer.NewClient(addr, p.secret, peer.WithTLS(p.tls), peer.WithBytes(p.onBytes))
+	p.links[addr] = &link{client: client, known: Known{Address: addr}}
+	p.log.Info().Str("event", "peer_added").Str("peer", addr).Send()
+}
+
+// remove drops a link; the caller holds the lock.
+func (p *Peers) remove(addr string, l *link) {
+	go l.client.Close() // may wait for an exchange
+	delete(p.links, addr)
+	p.log.Info().Str("event", "peer_removed").Str("peer", addr).Send()
+}
+
 // Known returns what is known of each peer, by address.
 func (p *Peers) Known() []Known {
 	p.mu.Lock()
@@ -150,7 +184,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.SetAddresses(nil)
+			p.Close()
 			return nil
 		case <-changed:
 			changed = p.replica.Changed()
@@ -225,10 +259,10 @@
 // exchange tells a peer what is new here and takes over what it sends.
 func (p *Peers) exchange(ctx context.Context, l *link, drains []string) (reply *schema.PeerReply, err error) {
 	p.mu.Lock()
-	theirs := l.known.State.Revision
+	theirs, heard := l.known.State.Revision, !l.known.Heard.IsZero()
 	p.mu.Unlock()
 	q := &schema.PeerRequest{From: p.Self(), Drains: drains}
-	if theirs > 0 {
+	if heard {
 		q.Entries, _ = p.replica.Since(theirs, entriesPerMessage)
 	}
 	reply, err = l.client.Ask(ctx, q)
@@ -301,6 +335,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.links[s.Address]
+	if !ok && !s.Ended {
+		delete(p.gone, s.Address) // it speaks, so it is there
+		p.add(s.Address)          // a new entry that the list does not show yet
+		l, ok = p.links[s.Address]
+	}
 	if !ok {
 		return
 	}
@@ -310,6 +349,11 @@
 	if stale {
 		return
 	}
+	if s.Ended {
+		p.remove(s.Address, l)
+		p.gone[s.Address] = time.Now() // the list may still show it
+		return
+	}
 	l.known.State = s
 	l.known.Heard = time.Now()
 }
--- a/pkg/membership/servers.go
+++ b/pkg/membership/servers.go
@@ -38,6 +38,8 @@
 	maxProbeAnswer = 4 << 10
 	// badProbes in a row close a server: one lost probe is no sign.
 	badProbes = 2
+	// allZones is how much more seldom the list of all zones is read than that of the own one.
+	allZones = 10
 	// probeWorkers bounds the probes at one time.
 	probeWorkers = 32
 )
@@ -103,7 +105,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer s.client.CloseIdleConnections()
-	wg.Go(func() { every(ctx, s.interval, s.ReadList) })
+	wg.Go(func() { every(ctx, s.interval, s.ReadZone) })
+	wg.Go(func() { every(ctx, allZones*s.interval, s.ReadList) })
 	every(ctx, s.interval, s.probeAll)
 	return nil
 }
@@ -121,23 +124,50 @@
 	}
 }
 
-// ReadList reads the platform's VM list and marks the servers by it.
+// ReadList reads the platform's VM list of all zones, which also names the peers.
 func (s *Servers) ReadList(ctx context.Context) {
-	list, err := s.lister.ListVMs(ctx, "")
+	if list, ok := s.read(ctx, ""); ok {
+		s.onList(list)
+	}
+}
+
+// ReadZone reads the list of the own zone, where most of the work goes.
+func (s *Servers) ReadZone(ctx context.Context) { s.read(ctx, s.zone) }
+
+// read reads a list, keeps it if it is newer than what is kept, and marks the servers by it.
+func (s *Servers) read(ctx context.Context, zone string) (list platform.VMList, ok bool) {
+	list, err := s.lister.ListVMs(ctx, zone)
 	if err != nil {
-		s.log.Debug().Str("event", "vm_list_failed").Err(err).Send()
-		return
+		s.log.Debug().Str("event", "vm_list_failed").Str("zone", zone).Err(err).Send()
+		return list, false
 	}
 	s.mu.Lock()
-	newer := list.AsOfMs >= s.list.AsOfMs
-	if newer {
+	ok = list.AsOfMs >= s.list.AsOfMs
+	if ok && zone == "" {
 		s.list = list
+	} else if ok {
+		s.list.VMs = replaceZone(s.list.VMs, zone, list.VMs)
 	}
 	s.mu.Unlock()
-	if !newer {
-		return
+	if ok {
+		s.markListed(list)
+	}
+	return list, ok
+}
+
+// replaceZone returns a list with the VMs of one zone replaced.
+func replaceZone(all []platform.ListedVM, zone string, of []platform.ListedVM) []platform.ListedVM {
+	out := make([]platform.ListedVM, 0, len(all)+len(of))
+	for _, vm := range all {
+		if vm.Zone != zone {
+			out = append(out, vm)
+		}
 	}
-	s.onList(list)
+	return append(out, of...)
+}
+
+// markListed marks the servers by a list; it is not believed about a VM whose row is newer.
+func (s *Servers) markListed(list platform.VMList) {
 	snap := s.replica.Snapshot()
 	for _, vm := range list.VMs {
 		row, ok := snap.VMs[vm.Name]
@@ -148,7 +178,7 @@
 	}
 }
 
-// List returns the last VM list that was read.
+// List returns the last list of all zones, with newer entries for the own one.
 func (s *Servers) List() platform.VMList {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -61,7 +61,7 @@
 	StepIntervalMs int `json:"step_interval_ms" msgpack:"step_interval_ms"`
 
 	// SyncIntervalMs is the time between two exchanges with a peer, one peer in turn,
-	// in milliseconds.
+	// in milliseconds; changes are told at once.
 	SyncIntervalMs int `json:"sync_interval_ms" msgpack:"sync_interval_ms"`
 }
 
@@ -306,6 +306,10 @@
 	// Address is the entry's peer address.
 	Address string `json:"address" msgpack:"address"`
 
+	// Ended tells that the entry has nothing in flight and takes nothing more: its
+	// last word.
+	Ended bool `json:"ended" msgpack:"ended"`
+
 	// Incarnation tells apart processes with one name; a later one is higher.
 	Incarnation int `json:"incarnation" msgpack:"incarnation"`
 
