Request path: adaptive limits, queue by class, retry budgets, hedging, ejection with a floor

Cause: one slow or failing server, or an overload, reached every caller; a request that was handed on, failed, and met a refused connection at its second server was reported as not run, which may be false.

Change: a limit for each server that adapts to latency, a queue for each service that gives free places to the highest class and within it to the newest, rates by caller and team, memory and time bounds for bodies; second attempts within 8% of the traffic and hedges within 5%; ejection of at most half of a service with growing pauses; slow start; estimates that fade; power of two draws two different servers; the outcome of a request takes all its attempts into account.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -10,69 +11,6 @@
 	"time"
 )
 
-// pick claims a server that has not been tried; the caller releases it.
-func (x *exchange) pick() (server *Server, ok bool) {
-	svc := x.route.service
-	for _, lenient := range []bool{false, true} {
-		for range maxAttempts {
-			server, ok = x.choose(svc, lenient)
-			if !ok {
-				break
-			}
-			if server.claim(lenient) {
-				return server, true
-			}
-		}
-	}
-	return nil, false
-}
-
-// crossing is the extra time of another zone, as a cost in nanoseconds.
-const crossing = float64(time.Millisecond)
-
-// choose returns the best server by the policy, of the own zone unless another one's is better by more than the crossing.
-func (x *exchange) choose(svc *service, lenient bool) (server *Server, ok bool) {
-	skip := func(s *Server) bool { return x.wasTried(s) }
-	if lenient {
-		return x.chooseLenient(svc)
-	}
-	local, okLocal := x.g.policy.Pick(svc.local, skip)
-	remote, okRemote := x.g.policy.Pick(svc.remote, skip)
-	switch {
-	case okLocal && okRemote && remote.Cost()+crossing < local.Cost():
-		return remote, true
-	case okLocal:
-		return local, true
-	}
-	return remote, okRemote
-}
-
-// chooseLenient returns any server that no hard source closes: when soft sources
-// close a whole service, they are more likely wrong than it is gone.
-func (x *exchange) chooseLenient(svc *service) (server *Server, ok bool) {
-	for _, servers := range [][]*Server{svc.local, svc.remote} {
-		start := 0
-		if len(servers) > 0 {
-			start = int(x.began.UnixNano()) % len(servers)
-		}
-		for i := range servers {
-			if s := servers[(start+i)%len(servers)]; s.usable(true) && !x.wasTried(s) {
-				return s, true
-			}
-		}
-	}
-	return nil, false
-}
-
-func (x *exchange) wasTried(s *Server) bool {
-	for _, t := range x.tried {
-		if t == s {
-			return true
-		}
-	}
-	return false
-}
-
 // trace follows which connection an attempt uses.
 type trace struct {
 	mu     sync.Mutex
@@ -99,72 +37,220 @@
 	return OutcomeUnknown
 }
 
-// attempt hands the request to one server and relays its answer.
-func (x *exchange) attempt(ctx context.Context, server *Server) error {
+// attempt is the request at one server.
+type attempt struct {
+	x      *exchange
+	server *Server
+	cancel context.CancelCauseFunc
+	trace  trace
+	resp   *http.Response
+	first  *[]byte // the first part of the answer, of n bytes
+	n      int
+	whole  bool // there is no more
+	err    error
+}
+
+// errLost ends an attempt when another one has answered.
+var errLost = errors.New("another attempt has answered")
+
+// begin makes an attempt at a claimed server; ctx outlives it.
+func (x *exchange) begin(ctx context.Context, server *Server) (a *attempt, run func()) {
+	x.attempts++
+	x.tried = append(x.tried, server)
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	t := &trace{}
-	req, err := x.outgoing(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn}), server)
+	a = &attempt{x: x, server: server, cancel: cancel}
+	req, err := x.outgoing(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.trace.gotConn}), server)
 	if err != nil {
-		return err
+		a.err = err
+		return a, func() {}
 	}
+	return a, func() { a.exchange(ctx, req) }
+}
+
+// exchange sends the request and takes the first part of the answer.
+func (a *attempt) exchange(ctx context.Context, req *http.Request) {
 	began := time.Now()
-	if x.streams() {
-		timer := time.AfterFunc(x.deadline(), func() { cancel(context.DeadlineExceeded) })
+	var timer *time.Timer
+	if a.x.streams() {
+		timer = time.AfterFunc(a.x.deadline(), func() { a.cancel(context.DeadlineExceeded) })
 		defer timer.Stop()
-		resp, err := server.transport.RoundTrip(req)
-		timer.Stop()
-		return x.answered(ctx, server, t, began, resp, err)
 	}
-	resp, err := server.transport.RoundTrip(req)
-	return x.answered(ctx, server, t, began, resp, err)
+	a.resp, a.err = a.server.transport.RoundTrip(req)
+	if a.err == nil && !a.x.streams() {
+		a.readFirst()
+	}
+	if a.err != nil {
+		a.broken(ctx)
+		return
+	}
+	a.answered(time.Since(began))
 }
 
-// answered takes the first part of an answer, or its absence.
-func (x *exchange) answered(ctx context.Context, server *Server, t *trace, began time.Time, resp *http.Response, err error) error {
-	if err != nil {
-		return x.broken(ctx, server, t, err)
+// readFirst reads the first part of the answer.
+func (a *attempt) readFirst() {
+	a.first = copyBuffers.Get().(*[]byte)
+	var err error
+	a.n, err = fill(a.resp.Body, *a.first)
+	a.whole = errors.Is(err, io.EOF)
+	if err != nil && !a.whole {
+		a.err = errBadAnswer{cause: err}
+	}
+}
+
+// errBadAnswer is an answer that broke off in its first part.
+type errBadAnswer struct{ cause error }
+
+// Error gives the cause.
+func (e errBadAnswer) Error() string { return "the answer broke off: " + e.cause.Error() }
+
+// unwell tells that the answer is the server's own word that it cannot serve now.
+func (a *attempt) unwell() bool {
+	switch a.resp.StatusCode {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+// answered takes what the answer tells of the server.
+func (a *attempt) answered(took time.Duration) {
+	if a.unwell() {
+		a.fail()
+		return
 	}
-	defer func() { _ = resp.Body.Close() }()
-	server.observe(time.Since(began))
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		server.succeed()
-		return x.relayUpgrade(resp)
+	a.server.succeed()
+	if a.x.streams() {
+		return // a lesson's length tells nothing of the server
 	}
-	err = x.relay(resp, server)
-	var failure ErrRequest
-	if errors.As(err, &failure) && failure.Reason != ReasonCallerGone {
-		server.fail()
-		return err
+	a.server.observe(took)
+	a.x.route.late.Observe(took)
+	if a.server.limit != nil {
+		now := time.Now()
+		a.server.limit.Answered(a.x.route.baseline.Observe(took, now), a.server.inFlight.Load(), now)
 	}
-	server.succeed()
-	return err
 }
 
+func (a *attempt) fail() { a.server.fail(a.x.route.service.mayEject) }
+
 // broken sorts the failure of an attempt that got no answer.
-func (x *exchange) broken(ctx context.Context, server *Server, t *trace, cause error) error {
-	outcome := t.giveUp()
+func (a *attempt) broken(ctx context.Context) {
+	cause := a.err
+	outcome := a.trace.giveUp()
 	failure := ErrRequest{Status: http.StatusBadGateway, Outcome: outcome, Reason: ReasonBroken, Detail: "the exchange with the backend server broke: " + cause.Error()}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(context.Cause(ctx), errLost):
+		a.err = failure
+		return
 	case errors.As(cause, &tooLarge):
 		failure.Status, failure.Reason = http.StatusRequestEntityTooLarge, ReasonTooLarge
 		failure.Detail = "the body is larger than the route takes"
-		return failure
+		a.err = failure
+		return
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		failure.Status, failure.Reason = http.StatusGatewayTimeout, ReasonDeadline
 		failure.Detail = "no answer within the deadline"
-	case x.r.Context().Err() != nil:
+		if a.server.limit != nil {
+			a.server.limit.Overdue(time.Now())
+		}
+	case a.x.r.Context().Err() != nil && ctx.Err() != nil:
 		failure.Reason, failure.Detail = ReasonCallerGone, "the caller went away"
-		return failure
-	case t.conn == nil:
+		a.err = failure
+		return
+	case errors.As(cause, new(errBadAnswer)):
+		failure.Reason = ReasonBadAnswer
+	case a.trace.conn == nil:
 		failure.Reason, failure.Detail = ReasonConnect, "no connection to the backend server: "+cause.Error()
 	}
-	server.fail()
+	a.fail()
 	if outcome == OutcomeNotRun {
 		failure = failure.comeBack(comeBackSoon)
 	}
-	return failure
+	a.err = failure
+}
+
+// close ends the attempt and gives its place to the next request.
+func (a *attempt) close() {
+	a.cancel(nil)
+	if a.resp != nil {
+		_ = a.resp.Body.Close()
+	}
+	if a.first != nil {
+		copyBuffers.Put(a.first)
+		a.first = nil
+	}
+	a.server.release()
+	a.x.route.service.queue.Free()
+}
+
+// race makes an attempt and, when the answer of a request that may be repeated
+// is late, another at a second server; it returns the first that is answered.
+func (x *exchange) race(ctx context.Context, server *Server) *attempt {
+	a, run := x.begin(ctx, server)
+	late, known := x.route.late.Value()
+	if !known || !x.g.settings.Hedging || !x.repeatable() {
+		run()
+		return x.settle(a)
+	}
+	done := make(chan *attempt, 2)
+	go func() { run(); done <- a }()
+	timer := time.NewTimer(late)
+	defer timer.Stop()
+	select {
+	case first := <-done:
+		return x.settle(first)
+	case <-timer.C:
+	}
+	b, ok := x.hedge(ctx, done)
+	if !ok {
+		return x.settle(<-done)
+	}
+	winner := <-done
+	loser := a
+	if winner == a {
+		loser = b
+	}
+	if winner.err != nil { // the other may still answer
+		x.settle(winner)
+		winner, loser = <-done, winner
+		loser.close()
+		return x.settle(winner)
+	}
+	loser.cancel(errLost)
+	go func() { (<-done).close() }()
+	return x.settle(winner)
+}
+
+// hedge begins a second attempt, within the budget.
+func (x *exchange) hedge(ctx context.Context, done chan<- *attempt) (b *attempt, ok bool) {
+	if x.attempts >= maxAttempts || !x.route.service.hedges.Spend() {
+		return nil, false
+	}
+	server, ok := x.pick()
+	if !ok {
+		return nil, false
+	}
+	b, run := x.begin(ctx, server)
+	go func() { run(); done <- b }()
+	return b, true
+}
+
+// settle notes what the attempt means for the outcome of the request.
+func (x *exchange) settle(a *attempt) *attempt {
+	var failure ErrRequest
+	if errors.As(a.err, &failure) && failure.Outcome != OutcomeNotRun {
+		x.handed = true
+	}
+	return a
+}
+
+// deliver sends an answer to the caller.
+func (x *exchange) deliver(a *attempt) error {
+	defer a.close()
+	if a.resp.StatusCode == http.StatusSwitchingProtocols {
+		return x.relayUpgrade(a.resp)
+	}
+	return x.relay(a)
 }
 
 // outgoing makes the request to a backend server.
--- a/pkg/gateway/balance/balance.go
+++ b/pkg/gateway/balance/balance.go
@@ -11,6 +11,7 @@
 
 // Target is something that work can be given to.
 type Target interface {
+	comparable
 	// Usable tells whether the target takes work now.
 	Usable() bool
 	// Cost estimates how long new work would take there; only comparisons count.
@@ -47,7 +48,7 @@
 	return target, false
 }
 
-// PowerOfTwo takes the cheaper of two random targets (Mitzenmacher, "The Power
+// PowerOfTwo takes the cheaper of two different random targets (Mitzenmacher, "The Power
 // of Two Choices in Randomized Load Balancing", 2001).
 type PowerOfTwo[T Target] struct{}
 
@@ -64,7 +65,7 @@
 	if !okA {
 		return target, false
 	}
-	b, okB := draw(targets, rand.IntN(n), skip)
+	b, okB := draw(targets, rand.IntN(n), func(t T) bool { return t == a || skip(t) })
 	if okB && b.Cost() < a.Cost() {
 		return b, true
 	}
--- a/pkg/gateway/conn.go
+++ b/pkg/gateway/conn.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/gateway/limit"
 )
 
 // The transport to one backend server.
@@ -63,12 +66,11 @@
 
 // newServer returns a server with a transport of its own, so that closing it drops only its connections.
 func (g *Gateway) newServer(name, zone, address string) *Server {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
-	return &Server{
+	s := &Server{
 		Name: name, Zone: zone, Address: address,
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				conn, err := dialer.DialContext(ctx, network, addr)
+				conn, err := g.dial(ctx, network, addr)
 				if err != nil {
 					return nil, err
 				}
@@ -81,6 +83,16 @@
 			Protocols:              onlyHTTP1(),
 		},
 	}
+	if g.settings.Limits {
+		s.limit = limit.NewAdaptive(math.MaxInt32)
+	}
+	return s
+}
+
+// dialPlain opens a TCP connection.
+func dialPlain(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return d.DialContext(ctx, network, addr)
 }
 
 func onlyHTTP1() *http.Protocols {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -2,19 +2,24 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/gateway/retry"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
 const (
 	// maxAttempts bounds the servers that one request is tried at.
 	maxAttempts = 3
+	// answerGrace is what a caller may take to read an answer beyond the deadline.
+	answerGrace = 10 * time.Second
 	// comeBackSoon is the advice to callers of a busy or short-handed service.
 	comeBackSoon = time.Second
 )
@@ -31,7 +36,9 @@
 
 	body     []byte // the request's body when it was read whole
 	buffered bool   // body holds all of it
+	held     int64  // bytes of the body counted against the memory of all
 	tried    []*Server
+	handed   bool // some attempt's outcome is unknown: the request can no longer be called not run
 	attempts int
 }
 
@@ -41,6 +48,7 @@
 	if err == nil {
 		err = x.run()
 	}
+	x.g.bodies.Release(x.held)
 	x.finish(err)
 }
 
@@ -104,8 +112,14 @@
 	if x.route == nil {
 		return notRun(http.StatusNotFound, ReasonNoRoute, "no route takes "+x.r.Method+" "+x.r.URL.Path)
 	}
+	if err := x.checkRates(); err != nil {
+		return err
+	}
+	rc := http.NewResponseController(x.w)
 	if x.streams() {
-		_ = http.NewResponseController(x.w).EnableFullDuplex() // without it an answer ends the reading of the body
+		_ = rc.EnableFullDuplex() // without it an answer ends the reading of the body
+	} else {
+		_ = rc.SetWriteDeadline(x.began.Add(x.deadline() + answerGrace)) // a caller that does not read holds nothing for ever
 	}
 	limit := int64(x.route.MaxBodyBytes)
 	if limit > 0 && x.r.ContentLength > limit {
@@ -115,11 +129,27 @@
 	if limit > 0 {
 		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, limit)
 	}
-	return x.readBody()
+	return x.readBody(rc)
+}
+
+// checkRates refuses what a caller's address or a team sends too fast.
+func (x *exchange) checkRates() error {
+	host, _, err := net.SplitHostPort(x.r.RemoteAddr)
+	if err != nil {
+		host = x.r.RemoteAddr
+	}
+	if !x.g.callers.Allow(host, x.g.settings.CallerRequestsPerS, x.began) {
+		return notRun(http.StatusTooManyRequests, ReasonRate, "the caller sends more requests a second than it may").comeBack(comeBackSoon)
+	}
+	team := x.r.Header.Get(HeaderTeam)
+	if team != "" && !x.g.teams.Allow(team, x.view.teams[team], x.began) {
+		return notRun(http.StatusTooManyRequests, ReasonRate, "the team sends more requests a second than it may").comeBack(comeBackSoon)
+	}
+	return nil
 }
 
 // readBody reads a small body whole, so that a slow or broken caller never reaches a backend server.
-func (x *exchange) readBody() error {
+func (x *exchange) readBody(rc *http.ResponseController) error {
 	n := x.r.ContentLength
 	if n == 0 {
 		x.buffered = true
@@ -128,9 +158,17 @@
 	if n < 0 || n > int64(x.g.settings.BufferBodyBytes) || x.streams() {
 		return nil
 	}
+	if !x.g.bodies.TryAcquire(n) {
+		return notRun(http.StatusServiceUnavailable, ReasonBusy, "the memory for request bodies is used up").comeBack(comeBackSoon)
+	}
+	x.held = n
 	x.body = make([]byte, n)
+	if t := x.g.settings.BodyTimeoutMs; t > 0 {
+		_ = rc.SetReadDeadline(x.began.Add(time.Duration(t) * time.Millisecond))
+		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	}
 	if _, err := io.ReadFull(x.r.Body, x.body); err != nil {
-		return notRun(http.StatusBadRequest, ReasonBadBody, "the request's body broke off")
+		return notRun(http.StatusBadRequest, ReasonBadBody, "the request's body broke off or came too slowly")
 	}
 	x.buffered = true
 	return nil
@@ -139,39 +177,82 @@
 // streams tells that bodies pass through as they come, both ways.
 func (x *exchange) streams() bool { return x.route.Class == schema.ClassLive }
 
-// run makes attempts until one answers or none may follow.
+// repeatable tells that the route allows more than one run and that the body can be sent again.
+func (x *exchange) repeatable() bool {
+	return x.route.Repeat == schema.RepeatSafe && x.buffered && !x.streams()
+}
+
+// run makes attempts until one is answered or none may follow.
 func (x *exchange) run() error {
+	slots := x.route.slots
 	select {
-	case x.route.slots.used <- struct{}{}:
-		defer func() { <-x.route.slots.used }()
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
 	default:
 		return notRun(http.StatusServiceUnavailable, ReasonBusy, "the route's requests in flight are at their limit").comeBack(comeBackSoon)
 	}
 	ctx, cancel := x.context()
 	defer cancel()
-	var last error
-	for x.attempts < maxAttempts {
-		server, ok := x.pick()
-		if !ok {
-			break
+	x.route.service.retries.Earn()
+	x.route.service.hedges.Earn()
+	var last error // of the attempt before
+	for {
+		server, err := x.takeServer(ctx)
+		if err != nil {
+			return x.truthful(cmp.Or(last, err))
 		}
-		x.attempts++
-		x.tried = append(x.tried, server)
-		err := x.attempt(ctx, server)
-		server.release()
-		if err == nil {
-			return nil
+		a := x.race(ctx, server)
+		if a.err == nil && !(a.unwell() && x.mayRepeat(ctx, nil)) {
+			return x.deliver(a)
 		}
-		last = err
-		if !x.mayRepeat(ctx, err) {
-			return err
+		last = a.err
+		a.close()
+		if last != nil && !x.mayRepeat(ctx, last) {
+			return x.truthful(last)
 		}
+		x.pause(ctx)
 	}
-	if last != nil {
-		return last
+}
+
+// pause waits a little before another attempt.
+func (x *exchange) pause(ctx context.Context) {
+	t := time.NewTimer(retry.Pause(x.attempts))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	return notRun(http.StatusServiceUnavailable, ReasonNoServer,
-		"no backend server of "+x.route.service.name+" takes work").comeBack(comeBackSoon)
+}
+
+// truthful takes every attempt into account: the last one may not have run where an earlier one may have.
+func (x *exchange) truthful(err error) error {
+	var failure ErrRequest
+	if x.handed && errors.As(err, &failure) && failure.Outcome == OutcomeNotRun {
+		failure.Outcome = OutcomeUnknown
+		return failure
+	}
+	return err
+}
+
+// takeServer claims a server; when all are full it waits in the queue of the service.
+func (x *exchange) takeServer(ctx context.Context) (server *Server, err error) {
+	svc := x.route.service
+	pick := func() (ok bool) {
+		server, ok = x.pick()
+		return ok
+	}
+	if x.g.settings.Limits && svc.anyOpen() && len(x.tried) == 0 {
+		if svc.queue.Take(ctx, x.route.Class, pick) != nil {
+			return nil, notRun(http.StatusServiceUnavailable, ReasonShed,
+				"all backend servers of "+svc.name+" are full").comeBack(comeBackSoon)
+		}
+		return server, nil
+	}
+	if !pick() {
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNoServer,
+			"no backend server of "+svc.name+" takes work").comeBack(comeBackSoon)
+	}
+	return server, nil
 }
 
 // context bounds the exchange. A request that must not be repeated goes on when
@@ -196,16 +277,19 @@
 	return d
 }
 
-// mayRepeat tells whether a failed attempt may be followed by another at another server.
+// mayRepeat tells whether an attempt may be followed by another at another
+// server: where that is truthful and allowed, and within the budget. A nil error
+// stands for an answer by which the server says that it is not well.
 func (x *exchange) mayRepeat(ctx context.Context, err error) bool {
-	var failure ErrRequest
-	if ctx.Err() != nil || !errors.As(err, &failure) {
-		return false // out of time, or the answer has begun
+	if ctx.Err() != nil || x.attempts >= maxAttempts {
+		return false
 	}
-	if !x.buffered && failure.Outcome != OutcomeNotRun {
-		return false // a part of the body is gone
+	var failure ErrRequest
+	neverRan := errors.As(err, &failure) && failure.Outcome == OutcomeNotRun && failure.Reason == ReasonConnect && x.buffered
+	if !neverRan && !x.repeatable() {
+		return false
 	}
-	return failure.Outcome == OutcomeNotRun || x.route.Repeat == schema.RepeatSafe
+	return x.g.settings.Retries && x.route.service.retries.Spend()
 }
 
 // requestBody returns the body of one attempt. It is never nil and cannot be
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,8 +12,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/gannetwell/gannetwell/pkg/gateway/balance"
+	"github.com/gannetwell/gannetwell/pkg/gateway/limit"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/table"
 )
@@ -25,15 +28,20 @@
 	log      zerolog.Logger
 	metrics  *metrics
 	policy   balance.Policy[*Server]
+	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
+	callers  limit.Rates
+	teams    limit.Rates
+	bodies   *semaphore.Weighted // bytes of bodies that are read whole
 
 	view     atomic.Pointer[view]
 	ready    atomic.Bool
 	stopping atomic.Bool
 	active   atomic.Int64 // requests, upgraded connections included
 
-	mu      sync.Mutex // guards what follows
-	servers map[string]*Server
-	slots   map[string]*slots
+	mu       sync.Mutex // guards what follows
+	servers  map[string]*Server
+	routes   map[string]*routeState
+	services map[string]*serviceState
 }
 
 // Option changes how a Gateway is made.
@@ -42,14 +50,21 @@
 // WithLogger logs one line for each request that fails.
 func WithLogger(l zerolog.Logger) Option { return func(g *Gateway) { g.log = l } }
 
+// WithDial opens connections to backend servers by f.
+func WithDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
+	return func(g *Gateway) { g.dial = f }
+}
+
 // New returns a gateway of the named entry that is not ready yet.
 func New(name, zone string, settings schema.GatewaySettings, opts ...Option) *Gateway {
 	g := &Gateway{
 		name: name, zone: zone, settings: settings,
 		log: zerolog.Nop(), metrics: newMetrics(),
 		policy:  policyOf(settings.Policy),
-		servers: map[string]*Server{}, slots: map[string]*slots{},
+		dial:    dialPlain,
+		servers: map[string]*Server{}, routes: map[string]*routeState{}, services: map[string]*serviceState{},
 	}
+	g.bodies = semaphore.NewWeighted(int64(max(settings.BufferTotalBytes, settings.BufferBodyBytes)))
 	g.view.Store(&view{})
 	for _, o := range opts {
 		o(g)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -54,7 +54,11 @@
 
 // start runs a gateway in front of servers and returns its address.
 func start(t *testing.T, addresses ...string) (g *gateway.Gateway, url string) {
-	g = gateway.New("entry-1", "z", schema.GatewaySettings{BufferBodyBytes: 1 << 16})
+	return startWith(t, schema.GatewaySettings{BufferBodyBytes: 1 << 16, Limits: true, Retries: true, Hedging: true}, addresses...)
+}
+
+func startWith(t *testing.T, settings schema.GatewaySettings, addresses ...string) (g *gateway.Gateway, url string) {
+	g = gateway.New("entry-1", "z", settings)
 	g.SetTable(rows(1, addresses...))
 	g.SetReady(true)
 	s := httptest.NewUnstartedServer(g)
@@ -266,6 +270,29 @@
 	c.Check(outcome, qt.Equals, gateway.OutcomeNotRun)
 }
 
+// TestTruthAfterRetry breaks the first attempt of a safe request after it was
+// handed on and refuses the others: the whole did not certainly not run.
+func TestTruthAfterRetry(t *testing.T) {
+	c := qt.New(t)
+	var received atomic.Int64
+	bad, _ := rawServer(t, func(_ int, conn net.Conn) {
+		if readRequest(bufio.NewReader(conn)) == nil {
+			received.Add(1)
+		}
+	})
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	_ = closed.Close()
+	for range 20 {
+		_, url := start(t, bad, closed.Addr().String())
+		before := received.Load()
+		_, outcome, _, err := post(t, url+"/safe", "hello")
+		c.Assert(err, qt.IsNil)
+		ran := received.Load() > before
+		c.Check(outcome == gateway.OutcomeNotRun, qt.Equals, !ran)
+	}
+}
+
 // TestClosing closes servers by each source alone while requests run: after it
 // returned, no new request begins, and the count in flight falls to zero for good.
 func TestClosing(t *testing.T) {
@@ -406,7 +433,7 @@
 		_, _ = w.Write(body)
 	}))
 	defer backend.Close()
-	_, url := start(t, strings.TrimPrefix(backend.URL, "http://"))
+	_, url := startWith(t, schema.GatewaySettings{BufferBodyBytes: 1 << 16}, strings.TrimPrefix(backend.URL, "http://"))
 	var wg sync.WaitGroup
 	for i := range 16 {
 		wg.Go(func() {
--- /dev/null
+++ b/pkg/gateway/limit/queue.go
@@ -0,0 +1,165 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// classOrder is who goes first.
+var classOrder = []schema.Class{schema.ClassLive, schema.ClassInteractive, schema.ClassClerk, schema.ClassBatch}
+
+// rankOf is the place of a class in classOrder.
+var rankOf = map[schema.Class]int{schema.ClassLive: 0, schema.ClassInteractive: 1, schema.ClassClerk: 2, schema.ClassBatch: 3}
+
+// longestWait is how long a class waits for a free server before it is shed.
+var longestWait = map[schema.Class]time.Duration{
+	schema.ClassLive: 500 * time.Millisecond, schema.ClassInteractive: 250 * time.Millisecond,
+	schema.ClassClerk: 500 * time.Millisecond, schema.ClassBatch: 2 * time.Second,
+}
+
+const (
+	// queueLength bounds the waiters of one class, and so the memory that a burst takes.
+	queueLength = 256
+	// turnOfLast gives every so manieth free place to the last class that waits, so that it is never starved.
+	turnOfLast = 16
+)
+
+// ErrShed reports a request that found no free server in its time.
+var ErrShed = errors.New("no backend server had room in time")
+
+// Queue holds requests of one service while all its servers are full. The
+// highest class goes first, and within a class the newest: under overload those
+// that waited long have the least time left and are given up first.
+type Queue struct {
+	waiting atomic.Int64
+
+	mu      sync.Mutex
+	byClass [4][]*waiter // the newest last
+	turn    int
+}
+
+type waiter struct{ wake chan struct{} }
+
+// Ahead tells whether somebody of a higher class waits.
+func (q *Queue) Ahead(class schema.Class) bool {
+	if q.waiting.Load() == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for rank := range rankOf[class] {
+		if len(q.byClass[rank]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Take calls try until it succeeds: at once, unless a higher class waits, then
+// each time that a place becomes free. It returns ErrShed when the time of the
+// class or half of the request's own is up, or when newer ones push it out.
+func (q *Queue) Take(ctx context.Context, class schema.Class, try func() bool) error {
+	if !q.Ahead(class) && try() {
+		return nil
+	}
+	wait := longestWait[class]
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		w := q.join(class)
+		if try() { // a place may have become free before the waiter was seen
+			q.leave(class, w)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			if !q.leave(class, w) {
+				q.Free() // it was woken too: the place goes to the next one
+			}
+			return ErrShed
+		case _, woken := <-w.wake:
+			if !woken {
+				return ErrShed
+			}
+			if try() {
+				return nil
+			}
+		}
+	}
+}
+
+// join adds a waiter; the oldest of its class is pushed out when there are too many.
+func (q *Queue) join(class schema.Class) *waiter {
+	w := &waiter{wake: make(chan struct{}, 1)}
+	rank := rankOf[class]
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.byClass[rank]) >= queueLength {
+		close(q.byClass[rank][0].wake)
+		q.byClass[rank] = q.byClass[rank][1:]
+		q.waiting.Add(-1)
+	}
+	q.byClass[rank] = append(q.byClass[rank], w)
+	q.waiting.Add(1)
+	return w
+}
+
+// leave removes a waiter; it returns false when the waiter is no longer there.
+func (q *Queue) leave(class schema.Class, w *waiter) bool {
+	rank := rankOf[class]
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i, other := range q.byClass[rank] {
+		if other == w {
+			q.byClass[rank] = append(q.byClass[rank][:i:i], q.byClass[rank][i+1:]...)
+			q.waiting.Add(-1)
+			return true
+		}
+	}
+	return false
+}
+
+// Free tells that a place has become free; it wakes the next waiter.
+func (q *Queue) Free() {
+	if q.waiting.Load() == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.turn++
+	if q.turn%turnOfLast == 0 {
+		for rank := len(classOrder) - 1; rank >= 0; rank-- {
+			if q.wakeOne(rank) {
+				return
+			}
+		}
+	}
+	for rank := range classOrder {
+		if q.wakeOne(rank) {
+			return
+		}
+	}
+}
+
+// wakeOne wakes the newest waiter of a class; the caller holds the lock.
+func (q *Queue) wakeOne(rank int) bool {
+	n := len(q.byClass[rank])
+	if n == 0 {
+		return false
+	}
+	q.byClass[rank][n-1].wake <- struct{}{}
+	q.byClass[rank] = q.byClass[rank][:n-1]
+	q.waiting.Add(-1)
+	return true
+}
+
+// Waiting returns the number of requests that wait.
+func (q *Queue) Waiting() int { return int(q.waiting.Load()) }
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -26,6 +26,7 @@
 	HeaderReason    = "Gannetwell-Reason"
 	HeaderDeadline  = "Gannetwell-Deadline-Ms"
 	HeaderEntry     = "Gannetwell-Entry"
+	HeaderTeam      = "Gannetwell-Team"
 )
 
 // Reason names why a request failed, for headers, logs and metrics.
@@ -39,6 +40,8 @@
 	ReasonBadBody       Reason = "bad-body"
 	ReasonBadHeader     Reason = "bad-header"
 	ReasonBusy          Reason = "too-many-in-flight"
+	ReasonRate          Reason = "rate"
+	ReasonShed          Reason = "shed"
 	ReasonNoServer      Reason = "no-server"
 	ReasonConnect       Reason = "connect-failed"
 	ReasonBroken        Reason = "exchange-broken"
--- /dev/null
+++ b/pkg/gateway/pick.go
@@ -0,0 +1,66 @@
+package gateway
+
+import "time"
+
+// pick claims a server that has not been tried; the caller releases it.
+func (x *exchange) pick() (server *Server, ok bool) {
+	svc := x.route.service
+	for _, lenient := range []bool{false, true} {
+		for range maxAttempts {
+			server, ok = x.choose(svc, lenient)
+			if !ok {
+				break
+			}
+			if server.claim(lenient) {
+				return server, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// crossing is the extra time of another zone, as a cost in nanoseconds.
+const crossing = float64(time.Millisecond)
+
+// choose returns the best server by the policy, of the own zone unless another one's is better by more than the crossing.
+func (x *exchange) choose(svc *service, lenient bool) (server *Server, ok bool) {
+	skip := func(s *Server) bool { return x.wasTried(s) }
+	if lenient {
+		return x.chooseLenient(svc)
+	}
+	local, okLocal := x.g.policy.Pick(svc.local, skip)
+	remote, okRemote := x.g.policy.Pick(svc.remote, skip)
+	switch {
+	case okLocal && okRemote && remote.Cost()+crossing < local.Cost():
+		return remote, true
+	case okLocal:
+		return local, true
+	}
+	return remote, okRemote
+}
+
+// chooseLenient returns any server that no hard source closes: when soft sources
+// close a whole service, they are more likely wrong than it is gone.
+func (x *exchange) chooseLenient(svc *service) (server *Server, ok bool) {
+	for _, servers := range [][]*Server{svc.local, svc.remote} {
+		start := 0
+		if len(servers) > 0 {
+			start = int(x.began.UnixNano()) % len(servers)
+		}
+		for i := range servers {
+			if s := servers[(start+i)%len(servers)]; s.usable(true) && !x.wasTried(s) {
+				return s, true
+			}
+		}
+	}
+	return nil, false
+}
+
+func (x *exchange) wasTried(s *Server) bool {
+	for _, t := range x.tried {
+		if t == s {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -15,29 +15,21 @@
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, firstPart); return &b }}
 
 // relay sends an answer to the caller.
-func (x *exchange) relay(resp *http.Response, server *Server) error {
-	bufp := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(bufp)
+func (x *exchange) relay(a *attempt) error {
+	x.answerHeader(a.resp, a.server)
 	if x.streams() {
-		x.answerHeader(resp, server)
-		return brokenOff(x.stream(resp.Body, *bufp))
+		bufp := copyBuffers.Get().(*[]byte)
+		defer copyBuffers.Put(bufp)
+		return brokenOff(x.stream(a.resp.Body, *bufp))
 	}
-	n, err := fill(resp.Body, *bufp)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return ErrRequest{
-			Status: http.StatusBadGateway, Outcome: OutcomeUnknown, Reason: ReasonBadAnswer,
-			Detail: "the backend server's answer broke off: " + err.Error(),
-		}
-	}
-	x.answerHeader(resp, server)
-	_, writeErr := x.w.Write((*bufp)[:n])
-	if err != nil || x.r.Method == http.MethodHead {
+	_, err := x.w.Write((*a.first)[:a.n])
+	if a.whole || x.r.Method == http.MethodHead {
 		return nil // that was all; a caller that is gone needs no answer
 	}
-	if writeErr != nil {
-		return brokenOff(writeErr)
+	if err != nil {
+		return brokenOff(err)
 	}
-	_, err = io.CopyBuffer(onlyWriter{x.w}, onlyReader{resp.Body}, *bufp)
+	_, err = io.CopyBuffer(onlyWriter{x.w}, onlyReader{a.resp.Body}, *a.first)
 	return brokenOff(err)
 }
 
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/gateway/limit"
 )
 
 // Source is one of the places that tell whether a server takes work; each may close it by itself.
@@ -37,7 +39,10 @@
 
 	closed    atomic.Uint32 // sources that close it
 	inFlight  atomic.Int64
-	limit     atomic.Int64
+	limit     *limit.Adaptive
+	highest   atomic.Int64  // requests in flight at the most, whatever the limit adapts to
+	opened    atomic.Int64  // when it was opened again, Unix nanoseconds
+	ejections atomic.Int64  // passive closings in a row
 	latency   atomic.Uint64 // peak-sensitive average in nanoseconds, as float bits
 	sampled   atomic.Int64  // time of the last sample, Unix nanoseconds
 	failures  atomic.Int64  // exchanges that failed in a row
@@ -50,7 +55,7 @@
 
 // usable tells whether the server takes work; lenient leaves soft sources out.
 func (s *Server) usable(lenient bool) bool {
-	return s.open(lenient) && s.inFlight.Load() < s.limit.Load()
+	return s.open(lenient) && s.inFlight.Load() < s.room()
 }
 
 // open tells that no source closes the server.
@@ -65,18 +70,40 @@
 	return closed == 0
 }
 
-// Cost implements balance.Target: expected wait, as latency times the queue that a new request would join.
+// room is how many requests the server may have in flight from this entry.
+func (s *Server) room() int64 {
+	if s.limit == nil {
+		return s.highest.Load()
+	}
+	return min(s.limit.Limit(), s.highest.Load())
+}
+
+// Cost implements balance.Target: expected wait, as latency times the queue that
+// a new request would join. What was seen long ago fades, so that a server which
+// was slow is tried again; a server that has just been opened is approached slowly.
 func (s *Server) Cost() float64 {
+	now := time.Now().UnixNano()
 	latency := math.Float64frombits(s.latency.Load())
-	return max(latency, float64(latencyFloor)) * float64(s.inFlight.Load()+1)
+	latency *= math.Exp(-float64(now-s.sampled.Load()) / float64(latencyDecay))
+	cost := max(latency, float64(latencyFloor)) * float64(s.inFlight.Load()+1)
+	if age := now - s.opened.Load(); age < int64(slowStart) {
+		cost *= 1 + slowStartFactor*(1-float64(age)/float64(slowStart))
+	}
+	return cost
 }
 
+// Slow start: a server that is opened costs this much more at first.
+const (
+	slowStart       = 5 * time.Second
+	slowStartFactor = 4
+)
+
 // claim counts a request in flight, unless the server has been closed or is full.
 //
 // The count comes first and the look at the sources second; see the package comment.
 func (s *Server) claim(lenient bool) bool {
 	n := s.inFlight.Add(1)
-	if s.open(lenient) && n <= s.limit.Load() {
+	if s.open(lenient) && n <= s.room() {
 		return true
 	}
 	s.release()
@@ -101,6 +128,8 @@
 func (s *Server) setTable(closed bool) {
 	if Source(s.closed.Load())&SourceTable != 0 && !closed {
 		s.failures.Store(0)
+		s.ejections.Store(0)
+		s.opened.Store(time.Now().UnixNano())
 		s.closed.Store(0)
 		return
 	}
@@ -120,24 +149,36 @@
 	s.latency.Store(math.Float64bits(sample))
 }
 
-// Passive closing: a server is left alone for a while after failures in a row.
+// Passive closing: a server is left alone for a while after failures in a row,
+// each time for longer.
 const (
 	failuresToClose = 3
-	passiveClosing  = 2 * time.Second
+	firstClosing    = time.Second
+	longestClosing  = 30 * time.Second
 )
 
 // succeed notes an exchange that was answered.
 func (s *Server) succeed() {
 	if s.failures.Swap(0) != 0 {
+		s.ejections.Store(0)
 		s.mark(SourcePassive, false)
 	}
 }
 
-// fail notes an exchange that broke.
-func (s *Server) fail() {
-	if s.failures.Add(1) < failuresToClose {
-		return
+// fail notes an exchange that broke; may tells whether the server may be closed for it.
+func (s *Server) fail(may func() bool) {
+	n := s.failures.Add(1)
+	again := s.ejections.Load()
+	if n < failuresToClose && again == 0 || !may() {
+		return // the first failure after a closing closes again
 	}
-	s.reopenAt.Store(time.Now().Add(passiveClosing).UnixNano())
+	pause := min(longestClosing, firstClosing<<min(again, 5))
+	s.ejections.Add(1)
+	s.reopenAt.Store(time.Now().Add(pause).UnixNano())
 	s.mark(SourcePassive, true)
 }
+
+// ejected tells that passive closing keeps the server from work now.
+func (s *Server) ejected() bool {
+	return Source(s.closed.Load())&SourcePassive != 0 && time.Now().UnixNano() < s.reopenAt.Load()
+}
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"github.com/gannetwell/gannetwell/pkg/gateway/limit"
+	"github.com/gannetwell/gannetwell/pkg/gateway/retry"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/table"
 )
@@ -13,7 +15,14 @@
 	schema.Route
 	name    string
 	service *service
-	slots   *slots
+	*routeState
+}
+
+// routeState is what a route learns; it outlives the views.
+type routeState struct {
+	slots    chan struct{}  // caps the requests in flight
+	baseline limit.Baseline // undisturbed latency
+	late     *retry.Quantile
 }
 
 // service is the servers of a service in the order of preference.
@@ -21,12 +30,62 @@
 	name   string
 	local  []*Server // in the entry's own zone
 	remote []*Server
+	*serviceState
+}
+
+// serviceState is what a service's requests share; it outlives the views.
+type serviceState struct {
+	queue   limit.Queue
+	retries *retry.Budget
+	hedges  *retry.Budget
+}
+
+// The shares of the traffic that may be second attempts.
+const (
+	retryShare = 0.08
+	hedgeShare = 0.05
+	lateShare  = 0.95
+)
+
+// each calls f with every server until it returns false.
+func (s *service) each(f func(*Server) bool) {
+	for _, servers := range [][]*Server{s.local, s.remote} {
+		for _, server := range servers {
+			if !f(server) {
+				return
+			}
+		}
+	}
+}
+
+// anyOpen tells whether some server takes work, now or when it has room.
+func (s *service) anyOpen() (open bool) {
+	s.each(func(server *Server) bool {
+		open = server.open(true)
+		return !open
+	})
+	return open
+}
+
+// mayEject tells whether less than half of the servers are left alone already:
+// when more seem to fail, the fault is more likely not theirs.
+func (s *service) mayEject() bool {
+	ejected, all := 0, 0
+	s.each(func(server *Server) bool {
+		all++
+		if server.ejected() {
+			ejected++
+		}
+		return true
+	})
+	return 2*(ejected+1) <= all
 }
 
 // view is what requests are served by; it is never changed once made.
 type view struct {
 	revision int
-	routes   []*route // longest path first, then those with a method
+	routes   []*route           // longest path first, then those with a method
+	teams    map[string]float64 // requests a second by team
 }
 
 // match returns the route of a request, nil when there is none.
@@ -39,16 +98,11 @@
 	return nil
 }
 
-// slots caps the requests of a route in flight; it outlives the views.
-type slots struct {
-	used chan struct{}
-}
-
 // makeView builds the view of a snapshot; servers and slots are kept from earlier ones.
 func (g *Gateway) makeView(snap *table.Snapshot) *view {
 	services := map[string]*service{}
 	for _, name := range snap.Services.Names() {
-		services[name] = &service{name: name}
+		services[name] = &service{name: name, serviceState: g.serviceStateOf(name)}
 	}
 	for _, name := range snap.VMs.Names() {
 		vm := snap.VMs[name].Value
@@ -64,11 +118,14 @@
 			svc.remote = append(svc.remote, server)
 		}
 	}
-	v := &view{revision: snap.Revision}
+	v := &view{revision: snap.Revision, teams: map[string]float64{}}
+	for name, team := range snap.Teams {
+		v.teams[name] = team.Value.RequestsPerS
+	}
 	for _, name := range snap.Routes.Names() {
 		row := snap.Routes[name].Value
 		v.routes = append(v.routes, &route{
-			Route: row, name: name, service: services[row.Service], slots: g.slotsOf(name, row.MaxInFlight),
+			Route: row, name: name, service: services[row.Service], routeState: g.routeStateOf(name, row.MaxInFlight),
 		})
 	}
 	slices.SortStableFunc(v.routes, func(a, b *route) int {
@@ -80,12 +137,21 @@
 	return v
 }
 
-// slotsOf returns the slots of a route, new ones when their number has changed.
-func (g *Gateway) slotsOf(name string, n int) *slots {
-	s, ok := g.slots[name]
-	if !ok || cap(s.used) != n {
-		s = &slots{used: make(chan struct{}, n)}
-		g.slots[name] = s
+// routeStateOf returns what a route has learnt; its slots are new when their number has changed.
+func (g *Gateway) routeStateOf(name string, n int) *routeState {
+	s, ok := g.routes[name]
+	if !ok || cap(s.slots) != n {
+		s = &routeState{slots: make(chan struct{}, n), late: retry.NewQuantile(lateShare)}
+		g.routes[name] = s
+	}
+	return s
+}
+
+func (g *Gateway) serviceStateOf(name string) *serviceState {
+	s, ok := g.services[name]
+	if !ok {
+		s = &serviceState{retries: retry.NewBudget(retryShare), hedges: retry.NewBudget(hedgeShare)}
+		g.services[name] = s
 	}
 	return s
 }
@@ -102,8 +168,7 @@
 			server = g.newServer(name, snap.ZoneOf(name), vm.Address)
 			g.servers[name] = server
 		}
-		limit := snap.Services[snap.Pools[vm.Pool].Value.Service].Value.MaxInFlight
-		server.limit.Store(int64(limit))
+		server.highest.Store(int64(snap.Services[snap.Pools[vm.Pool].Value.Service].Value.MaxInFlight))
 		server.setTable(vm.Phase != schema.PhaseActive || vm.Pool == "")
 	}
 	for name, server := range g.servers {
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -125,16 +125,38 @@
 
 // GatewaySettings are the entry's own limits towards callers and backend servers.
 type GatewaySettings struct {
+	// BodyTimeoutMs bounds the reading of a body that is read whole, in milliseconds.
+	BodyTimeoutMs int `json:"body_timeout_ms" msgpack:"body_timeout_ms"`
+
 	// BufferBodyBytes is the largest request body that is read whole before it is
 	// handed on, in bytes.
 	BufferBodyBytes int `json:"buffer_body_bytes" msgpack:"buffer_body_bytes"`
 
+	// BufferTotalBytes caps the memory of all request bodies that are read whole, in
+	// bytes; more are refused.
+	BufferTotalBytes int `json:"buffer_total_bytes" msgpack:"buffer_total_bytes"`
+
+	// CallerRequestsPerS caps the requests a second from one caller's address; 0 sets
+	// no limit.
+	CallerRequestsPerS float64 `json:"caller_requests_per_s" msgpack:"caller_requests_per_s"`
+
 	// HeaderTimeoutMs bounds the reading of a request's header in milliseconds.
 	HeaderTimeoutMs int `json:"header_timeout_ms" msgpack:"header_timeout_ms"`
 
+	// Hedging asks a second server when a safe request's answer is later than 95% of
+	// them, within a share of the traffic.
+	Hedging bool `json:"hedging" msgpack:"hedging"`
+
 	// IdleTimeoutMs closes a caller's idle connection, in milliseconds.
 	IdleTimeoutMs int `json:"idle_timeout_ms" msgpack:"idle_timeout_ms"`
 
+	// Limits adapts how much each backend server is given and queues by class when
+	// all are full; without it only max_in_flight of services holds.
+	Limits bool `json:"limits" msgpack:"limits"`
+
+	// MaxConnections caps the callers' connections; more wait to be accepted.
+	MaxConnections int `json:"max_connections" msgpack:"max_connections"`
+
 	// MaxHeaderBytes caps a request's header in bytes.
 	MaxHeaderBytes int `json:"max_header_bytes" msgpack:"max_header_bytes"`
 
@@ -145,6 +167,10 @@
 	// milliseconds.
 	ProbeIntervalMs int `json:"probe_interval_ms" msgpack:"probe_interval_ms"`
 
+	// Retries lets requests that may be repeated go to another server after a
+	// failure, within a share of the traffic.
+	Retries bool `json:"retries" msgpack:"retries"`
+
 	// StopNoticeMs is how long a stopping entry goes on taking requests, so that the
 	// balancer sees that it is not ready, in milliseconds.
 	StopNoticeMs int `json:"stop_notice_ms" msgpack:"stop_notice_ms"`
@@ -473,6 +499,10 @@
 	// QuotaMemoryMb is the memory the team may use, in MB.
 	QuotaMemoryMb int `json:"quota_memory_mb" msgpack:"quota_memory_mb"`
 
+	// RequestsPerS caps the requests a second that one entry takes from the team, by
+	// the header Gannetwell-Team; 0 sets no limit.
+	RequestsPerS float64 `json:"requests_per_s" msgpack:"requests_per_s"`
+
 	// Weight is the team's share where teams compete.
 	Weight float64 `json:"weight" msgpack:"weight"`
 }
