--- a/pkg/bench/backend/backend.go
+++ b/pkg/bench/backend/backend.go
@@ -54,6 +54,8 @@
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	slowdown atomic.Int64 // nanoseconds added to each request
+	unwell   atomic.Bool  // answers 503 to everything
+	slots    chan struct{}
 
 	mu       sync.Mutex
 	http     *http.Server
@@ -63,17 +65,32 @@
 // Farm is the backend servers of all VMs; it implements fake.Machine.
 type Farm struct {
 	watcher Watcher
+	slots   int
 
 	mu      sync.Mutex
 	servers map[string]*Server
 }
 
+// Option changes how a Farm is made.
+type Option func(*Farm)
+
+// WithSlots bounds the requests that a server works on at once; more wait at it.
+func WithSlots(n int) Option { return func(f *Farm) { f.slots = n } }
+
+const manySlots = 1 << 16
+
 // NewFarm returns a farm without servers.
-func NewFarm(w Watcher) *Farm { return &Farm{watcher: w, servers: map[string]*Server{}} }
+func NewFarm(w Watcher, opts ...Option) *Farm {
+	f := &Farm{watcher: w, slots: manySlots, servers: map[string]*Server{}}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
 
 // Add starts the server of a VM and returns its address.
 func (f *Farm) Add(vm string) (address string, err error) {
-	s := &Server{vm: vm, address: "127.0.0.1:0", farm: f}
+	s := &Server{vm: vm, address: "127.0.0.1:0", farm: f, slots: make(chan struct{}, f.slots)}
 	if err := s.start(); err != nil {
 		return "", err
 	}
@@ -144,6 +161,13 @@
 	startWait  = 10 * time.Millisecond
 )
 
+// Unwell makes a VM's server answer 503 to every request, or no longer.
+func (f *Farm) Unwell(vm string, unwell bool) {
+	if s := f.get(vm); s != nil {
+		s.unwell.Store(unwell)
+	}
+}
+
 // start listens at the server's address, the same one again after a stop.
 func (s *Server) start() (err error) {
 	var ln net.Listener
@@ -219,6 +243,12 @@
 // answer works for the time asked for and gives a whole answer.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, id string) {
 	_, _ = io.Copy(io.Discard, r.Body)
+	if s.unwell.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
 	us, _ := strconv.Atoi(r.Header.Get(HeaderWorkUs))
 	n, _ := strconv.Atoi(r.Header.Get(HeaderBytes))
 	if d := time.Duration(us)*time.Microsecond + time.Duration(s.slowdown.Load()); d > 0 {
--- a/pkg/bench/capacity/measures.go
+++ b/pkg/bench/capacity/measures.go
@@ -104,7 +104,7 @@
 }
 
 func newGateway(s *table.Snapshot) *gateway.Gateway {
-	g := gateway.New("entry", "zone-0", schema.GatewaySettings{BufferBodyBytes: 1 << 16, Limits: true, Retries: true, Hedging: true})
+	g := gateway.New("entry", "zone-0", schema.GatewaySettings{BufferBodyBytes: 1 << 16, Limits: true, Retries: schema.GatewaySettingsRetriesBudget, Hedging: true})
 	g.SetTable(s)
 	return g
 }
--- a/pkg/bench/checker/checker.go
+++ b/pkg/bench/checker/checker.go
@@ -86,6 +86,7 @@
 type Checker struct {
 	mu      sync.Mutex
 	report  Report
+	begun   int                 // requests at backend servers
 	ran     map[string]int      // runs by request
 	once    map[string]struct{} // requests that must not be repeated
 	notRun  []string            // requests that the system says did not run
@@ -186,6 +187,7 @@
 func (c *Checker) Began(vm, service, id string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.begun++
 	if len(c.ran) < ranBound {
 		c.ran[id]++
 	}
@@ -198,6 +200,13 @@
 	}
 }
 
+// Requests returns how many requests backend servers have begun.
+func (c *Checker) Requests() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
 // Ended notes that a backend server ended a request.
 func (c *Checker) Ended(vm, service string) {
 	c.mu.Lock()
--- a/pkg/bench/demo/entries.go
+++ b/pkg/bench/cluster/cluster.go
@@ -1,8 +1,11 @@
-package demo
+// Package cluster runs the entry daemons of one deployment in this process,
+// over loopback TCP, beside its stand-ins.
+package cluster
 
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,13 +24,13 @@
 	"github.com/gannetwell/gannetwell/service/server"
 )
 
-// The token and the secret of the demo's own entries, which only listen on loopback.
+// The token and the secret of these entries, which only listen on loopback.
 const (
-	demoToken  = "demo-operator-token"
-	demoSecret = "demo-peer-secret-0123456789"
+	token  = "bench-operator-token"
+	secret = "bench-peer-secret-0123456789"
 )
 
-// The pace of the demo's entries: quicker than the defaults, so that a wave takes seconds.
+// The pace of these entries: quicker than the defaults, so that a wave takes seconds.
 const (
 	stepMs   = 100
 	probeMs  = 200
@@ -41,22 +44,49 @@
 	done   chan error
 }
 
-// entries are the daemons of a deployment.
-type entries struct {
+// Entries are the daemons of a deployment.
+type Entries struct {
 	standin  *standin.Standin
 	balancer *load.Balancer
 	log      zerolog.Logger
+	gateway  map[string]any // settings of the request path beside those of pace
+	options  func(zone string) []entry.Option
 
 	mu      sync.Mutex
 	running map[string]*running
 }
 
-func newEntries(s *standin.Standin, b *load.Balancer, log zerolog.Logger) *entries {
-	return &entries{standin: s, balancer: b, log: log, running: map[string]*running{}}
+// Option changes how Entries are made.
+type Option func(*Entries)
+
+// WithLogger sets the daemons' log.
+func WithLogger(l zerolog.Logger) Option { return func(es *Entries) { es.log = l } }
+
+// WithGateway sets fields of the daemons' gateway settings.
+func WithGateway(fields map[string]any) Option {
+	return func(es *Entries) { maps.Copy(es.gateway, fields) }
+}
+
+// WithEntryOptions makes each daemon with the options for its zone.
+func WithEntryOptions(f func(zone string) []entry.Option) Option {
+	return func(es *Entries) { es.options = f }
+}
+
+// New returns a cluster without entries; the balancer is told of each that comes and goes.
+func New(s *standin.Standin, b *load.Balancer, opts ...Option) *Entries {
+	es := &Entries{
+		standin: s, balancer: b, log: zerolog.Nop(), running: map[string]*running{},
+		gateway: map[string]any{"probe_interval_ms": probeMs, "stop_notice_ms": noticeMs},
+		options: func(string) []entry.Option { return nil },
+	}
+	for _, o := range opts {
+		o(es)
+	}
+	return es
 }
 
 // settings returns the settings of an entry; zones are taken in turn.
-func (es *entries) settings(name string, i int) (s schema.Settings, err error) {
+func (es *Entries) settings(name string, i int) (s schema.Settings, err error) {
 	zones := es.standin.Zones()
 	zone := zones[i%len(zones)]
 	doc, err := json.Marshal(map[string]any{
@@ -64,11 +94,11 @@
 		"callers": map[string]any{"address": "127.0.0.1:0"},
 		"operators": map[string]any{
 			"address":  "127.0.0.1:0",
-			"accounts": []schema.Account{{Name: "demo", Role: schema.RoleEdit, TokenSha256: server.HashToken(demoToken)}},
+			"accounts": []schema.Account{{Name: "bench", Role: schema.RoleEdit, TokenSha256: server.HashToken(token)}},
 		},
-		"peers":    map[string]any{"address": "127.0.0.1:0", "secret": demoSecret, "seeds": es.peerAddresses()},
+		"peers":    map[string]any{"address": "127.0.0.1:0", "secret": secret, "seeds": es.peerAddresses()},
 		"platform": map[string]any{"url": es.standin.URL(zone)},
-		"gateway":  map[string]any{"probe_interval_ms": probeMs, "stop_notice_ms": noticeMs},
+		"gateway":  es.gateway,
 		"control":  map[string]any{"step_interval_ms": stepMs},
 	})
 	if err != nil {
@@ -79,7 +109,7 @@
 }
 
 // peerAddresses are where the entries that run already are reached.
-func (es *entries) peerAddresses() []string {
+func (es *Entries) peerAddresses() []string {
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	addresses := []string{}
@@ -89,13 +119,13 @@
 	return addresses
 }
 
-// start runs an entry and tells the platform and the balancer of it.
-func (es *entries) start(ctx context.Context, name string, i int) (err error) {
+// Start runs an entry and tells the platform and the balancer of it.
+func (es *Entries) Start(ctx context.Context, name string, i int) (err error) {
 	settings, err := es.settings(name, i)
 	if err != nil {
 		return err
 	}
-	e, err := entry.New(settings, entry.WithLogger(es.log))
+	e, err := entry.New(settings, append(es.options(settings.Zone), entry.WithLogger(es.log))...)
 	if err != nil {
 		return err
 	}
@@ -113,7 +143,7 @@
 }
 
 // tellBalancer hands over the entries; the caller holds the lock.
-func (es *entries) tellBalancer() {
+func (es *Entries) tellBalancer() {
 	var addresses []string
 	for _, r := range es.running {
 		addresses = append(addresses, r.entry.CallerAddress())
@@ -123,8 +153,8 @@
 
 const stopTimeout = 30 * time.Second
 
-// stop makes a planned stop of an entry and waits for its end.
-func (es *entries) stop(name string) error {
+// Stop makes a planned stop of an entry and waits for its end.
+func (es *Entries) Stop(name string) error {
 	es.mu.Lock()
 	r := es.running[name]
 	es.mu.Unlock()
@@ -146,8 +176,18 @@
 	return nil
 }
 
-// any returns an operators' client of some entry.
-func (es *entries) any() *client.Client {
+// Crash ends an entry at once, as a VM that is lost.
+func (es *Entries) Crash(name string) {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	r := es.running[name]
+	delete(es.running, name)
+	r.cancel()
+	es.standin.Platform.Fail(name)
+}
+
+// Any returns an operators' client of some entry.
+func (es *Entries) Any() *client.Client {
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	var ready []*running
@@ -163,11 +203,11 @@
 		}
 		return 1
 	})
-	return client.New("http://"+ready[rand.IntN(len(ready))].entry.OperatorAddress(), demoToken)
+	return client.New("http://"+ready[rand.IntN(len(ready))].entry.OperatorAddress(), token)
 }
 
-// closeAll ends what still runs.
-func (es *entries) closeAll() {
+// CloseAll ends what still runs.
+func (es *Entries) CloseAll() {
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	for _, r := range es.running {
--- a/pkg/bench/demo/demo.go
+++ b/pkg/bench/demo/demo.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/gannetwell/gannetwell/pkg/bench/checker"
+	"github.com/gannetwell/gannetwell/pkg/bench/cluster"
 	"github.com/gannetwell/gannetwell/pkg/bench/load"
 	"github.com/gannetwell/gannetwell/pkg/bench/standin"
 )
@@ -121,7 +122,7 @@
 	o        Options
 	seed     uint64
 	balancer *load.Balancer
-	entries  *entries
+	entries  *cluster.Entries
 	operator *operator
 }
 
@@ -129,7 +130,7 @@
 	b := load.NewBalancer()
 	return &deployment{
 		Standin: s, o: o, seed: seed, balancer: b,
-		entries: newEntries(s, b, o.Log), operator: &operator{checker: s.Checker},
+		entries: cluster.New(s, b, cluster.WithLogger(o.Log)), operator: &operator{checker: s.Checker},
 	}
 }
 
@@ -143,10 +144,10 @@
 	var background sync.WaitGroup
 	defer background.Wait()
 	defer cancel()
-	defer d.entries.closeAll()
+	defer d.entries.CloseAll()
 	background.Go(func() { d.balancer.Run(ctx) })
 	for i := range entriesPerDeployment {
-		if err := d.entries.start(ctx, fmt.Sprintf("entry-%d", i+1), i); err != nil {
+		if err := d.entries.Start(ctx, fmt.Sprintf("entry-%d", i+1), i); err != nil {
 			return err
 		}
 	}
@@ -215,14 +216,14 @@
 	d.progress("maintenance wave over all VMs begins")
 	wait(ctx, d.o.For/act)
 	d.progress("planned stop of entry-6")
-	if err := d.entries.stop("entry-6"); err != nil {
+	if err := d.entries.Stop("entry-6"); err != nil {
 		return err
 	}
 	d.progress("entry-5 is replaced")
-	if err := d.entries.start(ctx, "entry-5b", entriesPerDeployment); err != nil {
+	if err := d.entries.Start(ctx, "entry-5b", entriesPerDeployment); err != nil {
 		return err
 	}
-	if err := d.entries.stop("entry-5"); err != nil {
+	if err := d.entries.Stop("entry-5"); err != nil {
 		return err
 	}
 	if err := d.await(ctx, waveTimeout, "the wave to end", func() bool { return d.Checker.Report().WaveDone }); err != nil {
--- a/pkg/bench/demo/operator.go
+++ b/pkg/bench/demo/operator.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gannetwell/gannetwell/pkg/bench/checker"
+	"github.com/gannetwell/gannetwell/pkg/bench/cluster"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/table"
 	"github.com/gannetwell/gannetwell/service/api"
@@ -24,7 +25,7 @@
 // operator edits the table through some entry, as a person would.
 type operator struct {
 	checker *checker.Checker
-	entries *entries
+	entries *cluster.Entries
 	next    int
 }
 
@@ -35,7 +36,7 @@
 	q := api.EditRequest{ID: fmt.Sprintf("demo-%d-%d", time.Now().UnixNano(), o.next), Reason: reason, Changes: changes}
 	for range editTries {
 		var result api.EditResult
-		result, err = o.entries.any().Edit(ctx, q)
+		result, err = o.entries.Any().Edit(ctx, q)
 		if err == nil {
 			o.checker.Accepted(result.Revision, time.Now())
 			return nil
@@ -78,7 +79,7 @@
 }
 
 func (o *operator) changeWeights(ctx context.Context, n int) error {
-	rows, err := o.entries.any().Rows(ctx, string(schema.KindWeights), table.FleetWeights)
+	rows, err := o.entries.Any().Rows(ctx, string(schema.KindWeights), table.FleetWeights)
 	if err != nil || len(rows.Rows) != 1 {
 		return err
 	}
--- a/pkg/bench/load/load.go
+++ b/pkg/bench/load/load.go
@@ -50,6 +50,7 @@
 	rng      *rand.Rand
 	prefix   string
 	next     atomic.Int64
+	inFlight atomic.Int64
 	client   *http.Client
 	wg       sync.WaitGroup
 }
@@ -61,7 +62,9 @@
 }
 
 const (
-	maxIdle     = 256
+	maxIdle = 256
+	// maxInFlight keeps a generator within the process's open files; requests above are given up at once.
+	maxInFlight = 3000
 	callTimeout = time.Minute
 )
 
@@ -106,9 +109,10 @@
 	id := fmt.Sprintf("%s-%s-%d", g.prefix, s.Route, g.next.Add(1))
 	r := checker.Request{ID: id, Once: s.Row.Repeat == schema.RepeatOnce, Class: s.Row.Class}
 	addr, ok := g.balancer.Pick()
-	if !ok {
+	defer g.inFlight.Add(-1)
+	if g.inFlight.Add(1) > maxInFlight || !ok {
 		now := time.Now()
-		r.Sent, r.Done, r.Result, r.Detail = now, now, checker.ResultNotRun, "no entry is ready"
+		r.Sent, r.Done, r.Result, r.Detail = now, now, checker.ResultNotRun, "no entry is ready, or the callers have too many in flight"
 		g.sink.Finished(r, 0)
 		return
 	}
--- a/pkg/bench/overhead/overhead.go
+++ b/pkg/bench/overhead/overhead.go
@@ -140,7 +140,7 @@
 // newGateway returns a gateway with one server and the default settings.
 func newGateway(address string) (*gateway.Gateway, error) {
 	g := gateway.New("bench", "z", schema.GatewaySettings{
-		Policy: schema.GatewaySettingsPolicyP2C, BufferBodyBytes: 64 << 10, Limits: true, Retries: true, Hedging: true,
+		Policy: schema.GatewaySettingsPolicyP2C, BufferBodyBytes: 64 << 10, Limits: true, Retries: schema.GatewaySettingsRetriesBudget, Hedging: true,
 	})
 	snap, err := table.Load(1, []table.StoredRow{
 		{Key: table.Key{Kind: schema.KindZone, Name: "z"}, Value: table.MustValue(schema.Zone{})},
--- /dev/null
+++ b/pkg/bench/scenario/collect.go
@@ -0,0 +1,166 @@
+package scenario
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/checker"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// ClassFigures are one class's results.
+type ClassFigures struct {
+	Requests    int     `json:"requests"`
+	Good        int     `json:"good"`
+	Shed        int     `json:"shed"`
+	P50Ms       float64 `json:"p50_ms"`
+	P99Ms       float64 `json:"p99_ms"`
+	SteadyP99Ms float64 `json:"steady_p99_ms"`
+}
+
+// Point is one second of a run.
+type Point struct {
+	Second float64 `json:"second"`
+	Good   int     `json:"good"`
+	Shed   int     `json:"shed"`
+}
+
+// Bucket is one step of a latency distribution.
+type Bucket struct {
+	Ms       float64 `json:"ms"`
+	Quantile float64 `json:"quantile"`
+}
+
+const maxLatencyUs = 60 * 1000 * 1000
+
+// class collects one class in one phase.
+type class struct {
+	requests, good, shed int
+	latency              *hdrhistogram.Histogram
+}
+
+// phase collects between two times.
+type phase struct {
+	classes map[schema.Class]*class
+	all     *hdrhistogram.Histogram
+}
+
+func newPhase() *phase {
+	return &phase{classes: map[schema.Class]*class{}, all: hdrhistogram.New(1, maxLatencyUs, 3)}
+}
+
+func (p *phase) class(name schema.Class) *class {
+	c, ok := p.classes[name]
+	if !ok {
+		c = &class{latency: hdrhistogram.New(1, maxLatencyUs, 3)}
+		p.classes[name] = c
+	}
+	return c
+}
+
+func (p *phase) add(r checker.Request) {
+	c := p.class(r.Class)
+	c.requests++
+	switch r.Result {
+	case checker.ResultWhole:
+		c.good++
+		if r.Class == schema.ClassLive {
+			return // a lesson's length is its own
+		}
+		us := max(1, r.Done.Sub(r.Sent).Microseconds())
+		_ = c.latency.RecordValue(us)
+		_ = p.all.RecordValue(us)
+	case checker.ResultNotRun:
+		c.shed++
+	}
+}
+
+// collector sorts results by the time at which the request was sent; it also
+// passes them to the checker, but for those that a fault explains.
+type collector struct {
+	checker *checker.Checker
+
+	mu       sync.Mutex
+	began    time.Time // of the fault phase, zero before
+	faults   []time.Time
+	steady   *phase
+	fault    *phase
+	struck   int
+	reasons  map[string]int // of requests that did not run, in the fault phase
+	timeline map[int]*Point
+	start    time.Time
+	closed   bool
+}
+
+func newCollector(c *checker.Checker) *collector {
+	return &collector{checker: c, steady: newPhase(), fault: newPhase(), timeline: map[int]*Point{}, reasons: map[string]int{}, start: time.Now()}
+}
+
+// detection is how long a fault may go unseen.
+const detection = 2 * time.Second
+
+// strike notes that a fault begins or ends now.
+func (c *collector) strike() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = append(c.faults, time.Now())
+}
+
+// explained tells whether a fault falls into a request's time or shortly before; the caller holds the lock.
+func (c *collector) explained(r checker.Request) bool {
+	for _, f := range c.faults {
+		if r.Done.After(f) && r.Sent.Before(f.Add(detection)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Revision implements load.Sink.
+func (c *collector) Revision(entry string) int { return c.checker.Revision(entry) }
+
+// Finished implements load.Sink.
+func (c *collector) Finished(r checker.Request, seen int) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	second := int(r.Done.Sub(c.start).Seconds())
+	point, ok := c.timeline[second]
+	if !ok {
+		point = &Point{Second: float64(second)}
+		c.timeline[second] = point
+	}
+	switch r.Result {
+	case checker.ResultWhole:
+		point.Good++
+	case checker.ResultNotRun:
+		point.Shed++
+	}
+	p := c.steady
+	if !c.began.IsZero() && r.Sent.After(c.began) {
+		p = c.fault
+		if r.Result == checker.ResultNotRun {
+			c.reasons[r.Detail]++
+		}
+	}
+	p.add(r)
+	struck := r.Result == checker.ResultCut && c.explained(r)
+	if struck {
+		c.struck++
+	}
+	c.mu.Unlock()
+	if !struck {
+		c.checker.Finished(r, seen)
+	}
+}
+
+// beginFault ends the steady phase.
+func (c *collector) beginFault() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.began = time.Now()
+}
--- /dev/null
+++ b/pkg/bench/scenario/fixture.go
@@ -0,0 +1,69 @@
+package scenario
+
+import (
+	"fmt"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/table"
+)
+
+// The deployment of all scenarios: three zones, one service that takes requests
+// of every class, so that classes compete, and one for live rooms.
+const (
+	zones          = 3
+	serversPerZone = 2
+	roomsPerZone   = 1
+	slots          = 4      // requests that a server works on at once
+	workUs         = 20_000 // of one request
+	// capacity is what the servers of the service can answer in a second.
+	capacity = zones * serversPerZone * slots * 1_000_000 / workUs
+)
+
+const (
+	serviceWork  = "work"
+	serviceRooms = "rooms"
+)
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i+1) }
+
+// routes are one for each class, and one that must not be repeated.
+var routes = map[string]schema.Route{
+	"live":        {PathPrefix: "/live", Service: serviceRooms, Class: schema.ClassLive, Repeat: schema.RepeatSafe, DeadlineMs: 2000, MaxInFlight: 4096},
+	"interactive": {Method: "GET", PathPrefix: "/interactive", Service: serviceWork, Class: schema.ClassInteractive, Repeat: schema.RepeatSafe, DeadlineMs: 2000, MaxBodyBytes: 1 << 20, MaxInFlight: 4096},
+	"file":        {Method: "POST", PathPrefix: "/file", Service: serviceWork, Class: schema.ClassInteractive, Repeat: schema.RepeatOnce, DeadlineMs: 2000, MaxBodyBytes: 1 << 20, MaxInFlight: 4096},
+	"clerk":       {Method: "GET", PathPrefix: "/clerk", Service: serviceWork, Class: schema.ClassClerk, Repeat: schema.RepeatSafe, DeadlineMs: 4000, MaxBodyBytes: 1 << 20, MaxInFlight: 4096},
+	"batch":       {Method: "POST", PathPrefix: "/batch", Service: serviceWork, Class: schema.ClassBatch, Repeat: schema.RepeatSafe, DeadlineMs: 10000, MaxBodyBytes: 1 << 20, MaxInFlight: 4096},
+}
+
+// shares are the routes' parts of the load on the service.
+var shares = map[string]float64{"interactive": 0.2, "file": 0.05, "clerk": 0.25, "batch": 0.5}
+
+// rows builds the deployment's table.
+func rows() (out []table.StoredRow) {
+	add := func(kind schema.Kind, name string, v any) {
+		out = append(out, table.StoredRow{Key: table.Key{Kind: kind, Name: name}, Value: table.MustValue(v)})
+	}
+	add(schema.KindWeights, table.FleetWeights, schema.Weights{BufferCost: 1, RollOutTime: 1, Moves: 1})
+	for _, service := range []string{serviceWork, serviceRooms} {
+		perZone := serversPerZone
+		if service == serviceRooms {
+			perZone = roomsPerZone
+		}
+		add(schema.KindService, service, schema.Service{HealthPath: "/healthz", MaxInFlight: 1024})
+		add(schema.KindPool, service, schema.Pool{Service: service, Size: zones * perZone, MaxUnavailable: 1})
+		for z := range zones {
+			for i := range perZone {
+				name := fmt.Sprintf("%s-%d-%d", service, z+1, i+1)
+				add(schema.KindRack, name, schema.Rack{Zone: zoneName(z)})
+				add(schema.KindVM, name, schema.VM{Rack: name, Address: name + ":1", Pool: service, Phase: schema.PhaseActive})
+			}
+		}
+	}
+	for z := range zones {
+		add(schema.KindZone, zoneName(z), schema.Zone{Region: "r"})
+	}
+	for name, row := range routes {
+		add(schema.KindRoute, name, row)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/bench/scenario/scenario.go
@@ -0,0 +1,320 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/cluster"
+	"github.com/gannetwell/gannetwell/pkg/bench/load"
+	"github.com/gannetwell/gannetwell/pkg/bench/standin"
+	"github.com/gannetwell/gannetwell/pkg/entry"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/service/api"
+)
+
+// Variant is one set of settings that is measured.
+type Variant string
+
+// The variants.
+const (
+	VariantProduct  Variant = "product"
+	VariantBaseline Variant = "baseline"
+)
+
+// gatewayOf returns a variant's settings of the request path.
+func gatewayOf(v Variant) map[string]any {
+	if v == VariantBaseline {
+		return map[string]any{"policy": "round-robin", "limits": false, "hedging": false, "retries": "always"}
+	}
+	return map[string]any{}
+}
+
+// Figures are the results of one variant.
+type Figures struct {
+	GoodputRPS    float64                       `json:"goodput_rps"`
+	P50Ms         float64                       `json:"p50_ms"`
+	P99Ms         float64                       `json:"p99_ms"`
+	P999Ms        float64                       `json:"p999_ms"`
+	ByClass       map[schema.Class]ClassFigures `json:"by_class"`
+	ShedByClass   map[schema.Class]int          `json:"shed_by_class"`
+	RetriesRatio  float64                       `json:"retries_ratio"` // requests at backend servers for each one that callers sent
+	WrongAnswers  int                           `json:"wrong_answers"`
+	OnceRanTwice  int                           `json:"once_ran_twice"`
+	NotRunButRan  int                           `json:"not_run_but_ran"`
+	CutOff        int                           `json:"cut_off"`
+	StruckByFault int                           `json:"struck_by_fault"` // broken within the time in which a fault may go unseen
+	RSSMB         float64                       `json:"rss_mb"`          // of the whole process
+	NotRunReasons map[string]int                `json:"not_run_reasons"`
+	Distribution  []Bucket                      `json:"distribution"`
+	Timeline      []Point                       `json:"timeline"`
+	Details       []string                      `json:"details"`
+}
+
+// Result is a scenario's run.
+type Result struct {
+	Scenario    string              `json:"scenario"`
+	OfferedRPS  float64             `json:"offered_rps"`
+	CapacityRPS float64             `json:"capacity_rps"`
+	FaultS      float64             `json:"fault_s"`
+	Variants    map[Variant]Figures `json:"variants"`
+}
+
+// Options are what a run is told.
+type Options struct {
+	Steady time.Duration
+	Fault  time.Duration
+	Seed   uint64
+}
+
+// DefaultOptions take about 25 seconds for both variants.
+func DefaultOptions() Options {
+	return Options{Steady: 4 * time.Second, Fault: 8 * time.Second, Seed: 1}
+}
+
+// Run measures a scenario, the product first.
+func Run(ctx context.Context, name string, o Options) (r Result, err error) {
+	defer func() { err = errors.Wrapf(err, "scenario %s", name) }()
+	s, ok := scenarios[name]
+	if !ok {
+		return r, errors.Errorf("there is no such scenario, there are %s", strings.Join(Names(), ", "))
+	}
+	r = Result{
+		Scenario: name, CapacityRPS: capacity, OfferedRPS: capacity * steadyShare * s.factor(),
+		FaultS: o.Fault.Seconds(), Variants: map[Variant]Figures{},
+	}
+	for _, v := range []Variant{VariantProduct, VariantBaseline} {
+		f, err := runVariant(ctx, s, v, o)
+		if err != nil {
+			return r, err
+		}
+		r.Variants[v] = f
+	}
+	return r, nil
+}
+
+// steadyShare is the steady load as a share of the capacity.
+const steadyShare = 0.5
+
+// Names returns the scenarios.
+func Names() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+// stage is what a scenario acts on.
+type stage struct {
+	ctx       context.Context
+	standin   *standin.Standin
+	entries   *cluster.Entries
+	balancer  *load.Balancer
+	partition *partition
+	collector *collector
+	more      func(factor float64, d time.Duration) // adds load
+}
+
+func runVariant(ctx context.Context, s scenario, v Variant, o Options) (f Figures, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	so := standin.DefaultOptions()
+	so.Seed, so.Slots = o.Seed, slots
+	st, err := standin.New("scenario", rows(), so)
+	if err != nil {
+		return f, err
+	}
+	defer st.Close()
+	p := newPartition(st)
+	b := load.NewBalancer()
+	entries := cluster.New(st, b, cluster.WithGateway(gatewayOf(v)), cluster.WithEntryOptions(func(zone string) []entry.Option {
+		return []entry.Option{entry.WithDial(p.dial(zone))}
+	}))
+	defer entries.CloseAll()
+	var background sync.WaitGroup
+	defer background.Wait()
+	defer cancel()
+	background.Go(func() { b.Run(ctx) })
+	for i := range zones {
+		if err := entries.Start(ctx, fmt.Sprintf("entry-%d", i+1), i); err != nil {
+			return f, err
+		}
+	}
+	for b.Ready() < zones && ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err := apply(ctx, entries, st); err != nil {
+		return f, err
+	}
+	time.Sleep(time.Second) // the first probes
+	return measure(ctx, s, o, &stage{ctx: ctx, standin: st, entries: entries, balancer: b, partition: p, collector: newCollector(st.Checker)}, &background)
+}
+
+// apply writes the deployment's table.
+func apply(ctx context.Context, entries *cluster.Entries, st *standin.Standin) error {
+	q := api.EditRequest{ID: "scenario", Reason: "the scenario's table"}
+	for _, r := range st.Table.Stored() {
+		q.Changes = append(q.Changes, api.RowChange{Kind: string(r.Key.Kind), Name: r.Key.Name, Value: r.Value})
+	}
+	_, err := entries.Any().Edit(ctx, q)
+	return err
+}
+
+// streams are the load at a factor of the steady one.
+func streams(factor float64) (out []load.Stream) {
+	for _, name := range slices.Sorted(maps.Keys(routes)) {
+		s := load.Stream{
+			Route: name, Row: routes[name], WorkUs: workUs, Bytes: 600, BodyBytes: 300,
+			PerSecond: capacity * steadyShare * shares[name] * factor, Lesson: 2 * time.Second,
+		}
+		if s.Row.Class == schema.ClassLive {
+			s.PerSecond = 4
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// measure runs both phases.
+func measure(ctx context.Context, s scenario, o Options, st *stage, background *sync.WaitGroup) (f Figures, err error) {
+	c := st.collector
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var loads sync.WaitGroup
+	generate := func(ctx context.Context, name string, factor float64, seed uint64) {
+		loads.Go(func() { load.NewGenerator(st.balancer, c, name, seed).Run(ctx, streams(factor)) })
+	}
+	generate(loadCtx, "base", 1, o.Seed)
+	st.more = func(factor float64, d time.Duration) {
+		moreCtx, cancel := context.WithTimeout(loadCtx, d)
+		background.Go(func() { <-moreCtx.Done(); cancel() })
+		generate(moreCtx, fmt.Sprintf("more-%d", time.Now().UnixNano()), factor, o.Seed+1)
+	}
+	wait(ctx, o.Steady)
+	before := st.standin.Checker.Requests()
+	c.beginFault()
+	if err := s.act(st, o.Fault); err != nil {
+		return f, err
+	}
+	wait(ctx, time.Until(c.began.Add(o.Fault)))
+	stopLoad()
+	loads.Wait()
+	f = c.figures(o.Fault, st.standin.Checker.Requests()-before)
+	f.RSSMB = residentMB()
+	r := st.standin.Checker.Report()
+	f.WrongAnswers, f.OnceRanTwice, f.NotRunButRan, f.CutOff = r.WrongAnswers+r.Truncated, r.OnceRanTwice, r.NotRunButRan, r.CutOff
+	f.Details = st.standin.Checker.Details()
+	return f, ctx.Err()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// figures works out the results of the fault phase.
+func (c *collector) figures(d time.Duration, atServers int) (f Figures) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	f = Figures{
+		ByClass: map[schema.Class]ClassFigures{}, ShedByClass: map[schema.Class]int{},
+		P50Ms: quantile(c.fault, 50), P99Ms: quantile(c.fault, 99), P999Ms: quantile(c.fault, 99.9),
+		StruckByFault: c.struck, NotRunReasons: maps.Clone(c.reasons),
+	}
+	sent, good := 0, 0
+	for name, cl := range c.fault.classes {
+		f.ByClass[name] = ClassFigures{
+			Requests: cl.requests, Good: cl.good, Shed: cl.shed,
+			P50Ms: float64(cl.latency.ValueAtQuantile(50)) / 1000, P99Ms: float64(cl.latency.ValueAtQuantile(99)) / 1000,
+			SteadyP99Ms: float64(c.steady.class(name).latency.ValueAtQuantile(99)) / 1000,
+		}
+		f.ShedByClass[name] = cl.shed
+		sent += cl.requests
+		good += cl.good
+	}
+	f.GoodputRPS = float64(good) / d.Seconds()
+	if sent > 0 {
+		f.RetriesRatio = float64(atServers) / float64(sent)
+	}
+	for _, q := range []float64{1, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 100} {
+		f.Distribution = append(f.Distribution, Bucket{Ms: quantile(c.fault, q), Quantile: q})
+	}
+	for _, second := range slices.Sorted(maps.Keys(c.timeline)) {
+		f.Timeline = append(f.Timeline, *c.timeline[second])
+	}
+	return f
+}
+
+func quantile(p *phase, q float64) float64 { return float64(p.all.ValueAtQuantile(q)) / 1000 }
+
+// residentMB returns the resident memory of this process.
+func residentMB() float64 {
+	raw, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(raw))
+	pages, err := strconv.Atoi(fields[1])
+	if err != nil {
+		return 0
+	}
+	return float64(pages*os.Getpagesize()) / (1 << 20)
+}
+
+// partition cuts zones off from each other: connections between them break and cannot be opened.
+type partition struct {
+	zoneOf map[string]string // by address
+
+	mu    sync.Mutex
+	cut   string // zone that is cut off from the others
+	conns map[net.Conn]string
+}
+
+func newPartition(st *standin.Standin) *partition {
+	p := &partition{zoneOf: map[string]string{}, conns: map[net.Conn]string{}}
+	for name, vm := range st.Table.VMs {
+		p.zoneOf[vm.Value.Address] = st.Table.ZoneOf(name)
+	}
+	return p
+}
+
+// dial returns the way of opening connections from a zone.
+func (p *partition) dial(from string) entry.Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		to := p.zoneOf[addr]
+		p.mu.Lock()
+		apart := from != to && p.cut != "" && (from == p.cut || to == p.cut)
+		p.mu.Unlock()
+		if apart {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("the zone is cut off")}
+		}
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, network, addr)
+		if err == nil && from != to {
+			p.mu.Lock()
+			p.conns[conn] = from + " " + to
+			p.mu.Unlock()
+		}
+		return conn, err
+	}
+}
+
+// set cuts a zone off, or none.
+func (p *partition) set(zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = zone
+	for conn, between := range p.conns {
+		if zone != "" && strings.Contains(between, zone) {
+			_ = conn.Close()
+			delete(p.conns, conn)
+		}
+	}
+}
--- a/pkg/bench/standin/standin.go
+++ b/pkg/bench/standin/standin.go
@@ -40,6 +40,7 @@
 	Latency    time.Duration // of each call of the platform
 	ListLag    time.Duration // of the VM list
 	RebootTime time.Duration // of a VM
+	Slots      int           // requests that a backend server works on at once, 0 for no bound
 }
 
 // DefaultOptions are for the demo.
@@ -61,9 +62,17 @@
 	if err != nil {
 		return nil, err
 	}
-	name := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
+	return New(strings.TrimSuffix(filepath.Base(file), filepath.Ext(file)), rows, o)
+}
+
+// New starts the surroundings of the rows of a deployment.
+func New(name string, rows []table.StoredRow, o Options) (s *Standin, err error) {
 	s = &Standin{Name: name, Checker: checker.New()}
-	s.Farm = backend.NewFarm(s.Checker)
+	var farm []backend.Option
+	if o.Slots > 0 {
+		farm = append(farm, backend.WithSlots(o.Slots))
+	}
+	s.Farm = backend.NewFarm(s.Checker, farm...)
 	s.Platform = fake.New(fake.WithSeed(o.Seed), fake.WithLatency(o.Latency), fake.WithListLag(o.ListLag),
 		fake.WithRebootTime(o.RebootTime), fake.WithMachine(s.Farm), fake.WithObserver(s.Checker))
 	if err := s.startBackends(rows); err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -32,6 +32,7 @@
 	log      zerolog.Logger
 	limits   fleet.Limits
 	platform platform.Platform
+	dial     Dial // nil for the usual one
 	traffic  *traffic
 	registry *prometheus.Registry
 
@@ -59,6 +60,12 @@
 // WithPlatform sets the platform in place of the one that the settings name.
 func WithPlatform(p platform.Platform) Option { return func(e *Entry) { e.platform = p } }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// WithDial opens connections to backend servers, for requests and probes, by d.
+func WithDial(d Dial) Option { return func(e *Entry) { e.dial = d } }
+
 // WithLimits bounds fleet decisions.
 func WithLimits(l fleet.Limits) Option { return func(e *Entry) { e.limits = l } }
 
@@ -89,7 +96,17 @@
 // assemble connects the parts.
 func (e *Entry) assemble() {
 	s := e.settings
-	e.gateway = gateway.New(s.Name, s.Zone, s.Gateway, gateway.WithLogger(e.log))
+	path := []gateway.Option{gateway.WithLogger(e.log)}
+	probes := []membership.ServersOption{
+		membership.WithProbeInterval(ms(s.Gateway.ProbeIntervalMs)),
+		membership.WithOnList(e.newList),
+		membership.WithServersLogger(e.log),
+	}
+	if e.dial != nil {
+		path = append(path, gateway.WithDial(e.dial))
+		probes = append(probes, membership.WithProbeDial(e.dial))
+	}
+	e.gateway = gateway.New(s.Name, s.Zone, s.Gateway, path...)
 	e.replica = replica.New(e.platform, replica.WithNotify(e.newTable))
 	self := schema.PeerState{
 		Name: s.Name, Incarnation: int(time.Now().UnixMilli()), Zone: s.Zone, Address: e.PeerAddress(),
@@ -102,10 +119,7 @@
 		membership.WithPeerBytes(e.traffic.peers),
 		membership.WithPeerLogger(e.log))
 	e.peers.SetAddresses(s.Peers.Seeds)
-	e.servers = membership.NewServers(s.Zone, e.replica, e.platform, marker{e.gateway},
-		membership.WithProbeInterval(ms(s.Gateway.ProbeIntervalMs)),
-		membership.WithOnList(e.newList),
-		membership.WithServersLogger(e.log))
+	e.servers = membership.NewServers(s.Zone, e.replica, e.platform, marker{e.gateway}, probes...)
 	e.follower = replica.NewFollower(e.replica, ms(s.Control.HeadIntervalMs), e.isReader, e.log)
 	e.observer = &control.Observer{VMs: e.platform, Prober: e.servers, Entries: e.entries(), Own: e.gateway.InFlight}
 	e.loop = control.New(s.Name, e.replica, e.platform, e.observer,
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -130,7 +130,12 @@
 	}
 }
 
-func (a *attempt) fail() { a.server.fail(a.x.route.service.mayEject) }
+// fail notes that the server failed; without limits, as in the baseline, nothing follows.
+func (a *attempt) fail() {
+	if a.x.g.settings.Limits {
+		a.server.fail(a.x.route.service.mayEject)
+	}
+}
 
 // broken sorts the failure of an attempt that got no answer.
 func (a *attempt) broken(ctx context.Context) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -289,7 +289,13 @@
 	if !neverRan && !x.repeatable() {
 		return false
 	}
-	return x.g.settings.Retries && x.route.service.retries.Spend()
+	switch x.g.settings.Retries {
+	case schema.GatewaySettingsRetriesAlways:
+		return true
+	case schema.GatewaySettingsRetriesBudget:
+		return x.route.service.retries.Spend()
+	}
+	return false
 }
 
 // requestBody returns the body of one attempt. It is never nil and cannot be
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -54,7 +54,7 @@
 
 // start runs a gateway in front of servers and returns its address.
 func start(t *testing.T, addresses ...string) (g *gateway.Gateway, url string) {
-	return startWith(t, schema.GatewaySettings{BufferBodyBytes: 1 << 16, Limits: true, Retries: true, Hedging: true}, addresses...)
+	return startWith(t, schema.GatewaySettings{BufferBodyBytes: 1 << 16, Limits: true, Retries: schema.GatewaySettingsRetriesBudget, Hedging: true}, addresses...)
 }
 
 func startWith(t *testing.T, settings schema.GatewaySettings, addresses ...string) (g *gateway.Gateway, url string) {
--- a/pkg/gateway/pick.go
+++ b/pkg/gateway/pick.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
 
 // pick claims a server that has not been tried; the caller releases it.
 func (x *exchange) pick() (server *Server, ok bool) {
@@ -11,7 +15,7 @@
 			if !ok {
 				break
 			}
-			if server.claim(lenient) {
+			if server.claim(x.route.Class, lenient) {
 				return server, true
 			}
 		}
@@ -24,10 +28,13 @@
 
 // choose returns the best server by the policy, of the own zone unless another one's is better by more than the crossing.
 func (x *exchange) choose(svc *service, lenient bool) (server *Server, ok bool) {
-	skip := func(s *Server) bool { return x.wasTried(s) }
+	skip := func(s *Server) bool { return x.wasTried(s) || !s.roomFor(x.route.Class) }
 	if lenient {
 		return x.chooseLenient(svc)
 	}
+	if x.g.settings.Policy == schema.GatewaySettingsPolicyRoundRobin {
+		return x.g.policy.Pick(svc.all, skip) // the baseline knows neither zones nor costs
+	}
 	local, okLocal := x.g.policy.Pick(svc.local, skip)
 	remote, okRemote := x.g.policy.Pick(svc.remote, skip)
 	switch {
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/gateway/limit"
+	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
 // Source is one of the places that tell whether a server takes work; each may close it by itself.
@@ -58,6 +59,11 @@
 	return s.open(lenient) && s.inFlight.Load() < s.room()
 }
 
+// roomFor tells whether a request of a class may join those in flight.
+func (s *Server) roomFor(class schema.Class) bool {
+	return s.limit == nil || s.inFlight.Load() < limit.Room(s.room(), class)
+}
+
 // open tells that no source closes the server.
 func (s *Server) open(lenient bool) bool {
 	closed := Source(s.closed.Load())
@@ -101,9 +107,13 @@
 // claim counts a request in flight, unless the server has been closed or is full.
 //
 // The count comes first and the look at the sources second; see the package comment.
-func (s *Server) claim(lenient bool) bool {
+func (s *Server) claim(class schema.Class, lenient bool) bool {
 	n := s.inFlight.Add(1)
-	if s.open(lenient) && n <= s.room() {
+	room := s.room()
+	if s.limit != nil {
+		room = limit.Room(room, class)
+	}
+	if s.open(lenient) && n <= room {
 		return true
 	}
 	s.release()
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -30,6 +30,7 @@
 	name   string
 	local  []*Server // in the entry's own zone
 	remote []*Server
+	all    []*Server
 	*serviceState
 }
 
@@ -49,11 +50,9 @@
 
 // each calls f with every server until it returns false.
 func (s *service) each(f func(*Server) bool) {
-	for _, servers := range [][]*Server{s.local, s.remote} {
-		for _, server := range servers {
-			if !f(server) {
-				return
-			}
+	for _, server := range s.all {
+		if !f(server) {
+			return
 		}
 	}
 }
@@ -112,6 +111,7 @@
 		}
 		svc := services[pool.Value.Service]
 		server := g.servers[name]
+		svc.all = append(svc.all, server)
 		if server.Zone == g.zone {
 			svc.local = append(svc.local, server)
 		} else {
--- a/pkg/membership/servers.go
+++ b/pkg/membership/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -76,6 +77,13 @@
 // WithServersLogger logs servers whose health changes.
 func WithServersLogger(l zerolog.Logger) ServersOption { return func(s *Servers) { s.log = l } }
 
+// WithProbeDial opens the probes' connections by f.
+func WithProbeDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) ServersOption {
+	return func(s *Servers) {
+		s.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DialContext: f}
+	}
+}
+
 // WithOnList is told of each VM list that is read.
 func WithOnList(f func(platform.VMList)) ServersOption { return func(s *Servers) { s.onList = f } }
 
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -168,8 +168,8 @@
 	ProbeIntervalMs int `json:"probe_interval_ms" msgpack:"probe_interval_ms"`
 
 	// Retries lets requests that may be repeated go to another server after a
-	// failure, within a share of the traffic.
-	Retries bool `json:"retries" msgpack:"retries"`
+	// failure: within a share of the traffic, always, or never.
+	Retries GatewaySettingsRetries `json:"retries" msgpack:"retries"`
 
 	// StopNoticeMs is how long a stopping entry goes on taking requests, so that the
 	// balancer sees that it is not ready, in milliseconds.
@@ -181,6 +181,12 @@
 const GatewaySettingsPolicyP2C GatewaySettingsPolicy = "p2c"
 const GatewaySettingsPolicyRoundRobin GatewaySettingsPolicy = "round-robin"
 
+type GatewaySettingsRetries string
+
+const GatewaySettingsRetriesAlways GatewaySettingsRetries = "always"
+const GatewaySettingsRetriesBudget GatewaySettingsRetries = "budget"
+const GatewaySettingsRetriesNever GatewaySettingsRetries = "never"
+
 // Job is work that a pool runs on its workers.
 type Job struct {
 	// Accelerators is the number of accelerators for one task.
