A refusal that a server answered is never reported as not run; partitions cut peers too

Change: the next server is claimed before an answer is dropped, and an answered attempt counts for the outcome; the scenario's partition cuts peer links; a refused connection is tried elsewhere outside the budget and closes the server at once; a VM that is down in the table is rebooted only when it is idle.

TestTruthAfterRetry now answers 503 as well.

--- a/pkg/bench/cluster/cluster.go
+++ b/pkg/bench/cluster/cluster.go
@@ -51,6 +51,7 @@
 	log      zerolog.Logger
 	gateway  map[string]any // settings of the request path beside those of pace
 	options  func(zone string) []entry.Option
+	onStart  func(zone, peerAddress string)
 
 	mu      sync.Mutex
 	running map[string]*running
@@ -72,12 +73,18 @@
 	return func(es *Entries) { es.options = f }
 }
 
+// WithOnStart tells f of each entry that starts.
+func WithOnStart(f func(zone, peerAddress string)) Option {
+	return func(es *Entries) { es.onStart = f }
+}
+
 // New returns a cluster without entries; the balancer is told of each that comes and goes.
 func New(s *standin.Standin, b *load.Balancer, opts ...Option) *Entries {
 	es := &Entries{
 		standin: s, balancer: b, log: zerolog.Nop(), running: map[string]*running{},
 		gateway: map[string]any{"probe_interval_ms": probeMs, "stop_notice_ms": noticeMs},
 		options: func(string) []entry.Option { return nil },
+		onStart: func(string, string) {},
 	}
 	for _, o := range opts {
 		o(es)
@@ -135,6 +142,7 @@
 	es.standin.Platform.AddVM(platform.ListedVM{
 		Name: name, Zone: settings.Zone, Role: platform.RoleEntry, Address: e.PeerAddress(),
 	})
+	es.onStart(settings.Zone, e.PeerAddress())
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	es.running[name] = r
--- a/pkg/bench/scenario/scenario.go
+++ b/pkg/bench/scenario/scenario.go
@@ -133,7 +133,7 @@
 	b := load.NewBalancer()
 	entries := cluster.New(st, b, cluster.WithGateway(gatewayOf(v)), cluster.WithEntryOptions(func(zone string) []entry.Option {
 		return []entry.Option{entry.WithDial(p.dial(zone))}
-	}))
+	}), cluster.WithOnStart(p.add))
 	defer entries.CloseAll()
 	var background sync.WaitGroup
 	defer background.Wait()
@@ -285,11 +285,18 @@
 	return p
 }
 
+// add tells where an entry is.
+func (p *partition) add(zone, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.zoneOf[address] = zone
+}
+
 // dial returns the way of opening connections from a zone.
 func (p *partition) dial(from string) entry.Dial {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		to := p.zoneOf[addr]
 		p.mu.Lock()
+		to := p.zoneOf[addr]
 		apart := from != to && p.cut != "" && (from == p.cut || to == p.cut)
 		p.mu.Unlock()
 		if apart {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -63,7 +63,7 @@
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// WithDial opens connections to backend servers, for requests and probes, by d.
+// WithDial opens connections to backend servers and peers by d.
 func WithDial(d Dial) Option { return func(e *Entry) { e.dial = d } }
 
 // WithLimits bounds fleet decisions.
@@ -111,13 +111,18 @@
 	self := schema.PeerState{
 		Name: s.Name, Incarnation: int(time.Now().UnixMilli()), Zone: s.Zone, Address: e.PeerAddress(),
 	}
-	e.peers = membership.NewPeers(self, s.Peers.Secret, e.replica,
+	links := []membership.PeersOption{
 		membership.WithInFlight(e.gateway.InFlight),
 		membership.WithStopping(e.stopping),
 		membership.WithInterval(ms(s.Control.SyncIntervalMs)),
 		membership.WithPeerTLS(e.dialTLS),
 		membership.WithPeerBytes(e.traffic.peers),
-		membership.WithPeerLogger(e.log))
+		membership.WithPeerLogger(e.log),
+	}
+	if e.dial != nil {
+		links = append(links, membership.WithPeerDial(e.dial))
+	}
+	e.peers = membership.NewPeers(self, s.Peers.Secret, e.replica, links...)
 	e.peers.SetAddresses(s.Peers.Seeds)
 	e.servers = membership.NewServers(s.Zone, e.replica, e.platform, marker{e.gateway}, probes...)
 	e.follower = replica.NewFollower(e.replica, ms(s.Control.HeadIntervalMs), e.isReader, e.log)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -222,7 +222,9 @@
 		pool := vm.Pool
 		vm.Pool = ""
 		d.edit(ActionReplace, name, vm, fmt.Sprintf("down for %s: pool %q gets another VM", age.Round(time.Second), pool), statusEvidence(o))
-	case live && age >= d.limits.RepairAfter:
+	case live && age >= d.limits.RepairAfter && o.Status.InFlight == 0:
+		// Somebody who does not know that the VM is down may still reach it: what
+		// it works on runs out first.
 		vm.Phase = schema.PhaseRebooting
 		vm.Operation = operationID(name, "repair", d.Table.VMs[name].Version)
 		vm.OperationBoot = o.Status.Boot
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -166,6 +166,7 @@
 		failure.Reason = ReasonBadAnswer
 	case a.trace.conn == nil:
 		failure.Reason, failure.Detail = ReasonConnect, "no connection to the backend server: "+cause.Error()
+		a.server.failures.Add(failuresToClose) // no second sign is needed
 	}
 	a.fail()
 	if outcome == OutcomeNotRun {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -195,25 +194,40 @@
 	defer cancel()
 	x.route.service.retries.Earn()
 	x.route.service.hedges.Earn()
-	var last error // of the attempt before
+	server, err := x.takeServer(ctx)
+	if err != nil {
+		return err
+	}
 	for {
-		server, err := x.takeServer(ctx)
-		if err != nil {
-			return x.truthful(cmp.Or(last, err))
-		}
 		a := x.race(ctx, server)
-		if a.err == nil && !(a.unwell() && x.mayRepeat(ctx, nil)) {
+		if a.err == nil && !a.unwell() {
 			return x.deliver(a)
 		}
-		last = a.err
+		next, ok := x.another(ctx, a.err)
+		if !ok && a.err == nil {
+			return x.deliver(a) // the server's own refusal is the answer
+		}
 		a.close()
-		if last != nil && !x.mayRepeat(ctx, last) {
-			return x.truthful(last)
+		if !ok {
+			return x.truthful(a.err)
 		}
+		server = next
 		x.pause(ctx)
 	}
 }
 
+// another claims the server of the next attempt, if one may follow and there is
+// one. A nil error stands for an answer by which the server says that it is not well.
+func (x *exchange) another(ctx context.Context, err error) (server *Server, ok bool) {
+	if err == nil {
+		x.handed = true
+	}
+	if !x.mayRepeat(ctx, err) {
+		return nil, false
+	}
+	return x.pick()
+}
+
 // pause waits a little before another attempt.
 func (x *exchange) pause(ctx context.Context) {
 	t := time.NewTimer(retry.Pause(x.attempts))
@@ -241,7 +255,7 @@
 		server, ok = x.pick()
 		return ok
 	}
-	if x.g.settings.Limits && svc.anyOpen() && len(x.tried) == 0 {
+	if x.g.settings.Limits && svc.anyOpen() {
 		if svc.queue.Take(ctx, x.route.Class, pick) != nil {
 			return nil, notRun(http.StatusServiceUnavailable, ReasonShed,
 				"all backend servers of "+svc.name+" are full").comeBack(comeBackSoon)
@@ -289,6 +303,9 @@
 	if !neverRan && !x.repeatable() {
 		return false
 	}
+	if neverRan && x.g.settings.Retries != schema.GatewaySettingsRetriesNever {
+		return true // a refused connection adds no work anywhere
+	}
 	switch x.g.settings.Retries {
 	case schema.GatewaySettingsRetriesAlways:
 		return true
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -275,9 +275,13 @@
 func TestTruthAfterRetry(t *testing.T) {
 	c := qt.New(t)
 	var received atomic.Int64
-	bad, _ := rawServer(t, func(_ int, conn net.Conn) {
-		if readRequest(bufio.NewReader(conn)) == nil {
-			received.Add(1)
+	bad, _ := rawServer(t, func(n int, conn net.Conn) {
+		if readRequest(bufio.NewReader(conn)) != nil {
+			return
+		}
+		received.Add(1)
+		if n%2 == 0 { // every other time it answers that it is not well
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -54,7 +55,8 @@
 	log      zerolog.Logger
 	onBytes  func(sent, received int)
 
-	ended atomic.Bool
+	clients []peer.ClientOption
+	ended   atomic.Bool
 
 	mu    sync.Mutex
 	links map[string]*link     // by address
@@ -71,6 +73,11 @@
 	turn    sync.Mutex  // one exchange at a time
 }
 
+// WithPeerDial opens links by f.
+func WithPeerDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) PeersOption {
+	return func(p *Peers) { p.clients = append(p.clients, peer.WithDial(f)) }
+}
+
 // PeersOption changes how Peers are made.
 type PeersOption func(*Peers)
 
@@ -157,7 +164,7 @@
 	if known || addr == p.self.Address || addr == "" || time.Since(p.gone[addr]) < keepHeard {
 		return
 	}
-	client := peer.NewClient(addr, p.secret, peer.WithTLS(p.tls), peer.WithBytes(p.onBytes))
+	client := peer.NewClient(addr, p.secret, append(p.clients, peer.WithTLS(p.tls), peer.WithBytes(p.onBytes))...)
 	p.links[addr] = &link{client: client, known: Known{Address: addr}}
 	p.log.Info().Str("event", "peer_added").Str("peer", addr).Send()
 }
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -20,6 +20,7 @@
 	secret  string
 	tls     func() *tls.Config
 	onBytes func(sent, received int)
+	open    func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu   sync.Mutex // one question at a time
 	conn net.Conn
@@ -34,12 +35,18 @@
 // WithBytes reports the bytes of each exchange.
 func WithBytes(f func(sent, received int)) ClientOption { return func(c *Client) { c.onBytes = f } }
 
+// WithDial opens connections by f.
+func WithDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) ClientOption {
+	return func(c *Client) { c.open = f }
+}
+
 // NewClient returns a client of the peer at a host:port.
 func NewClient(address, secret string, opts ...ClientOption) *Client {
 	c := &Client{
 		address: address, secret: secret,
 		tls:     func() *tls.Config { return nil },
 		onBytes: func(int, int) {},
+		open:    (&net.Dialer{}).DialContext,
 	}
 	for _, o := range opts {
 		o(c)
@@ -88,8 +95,7 @@
 }
 
 func (c *Client) dial(ctx context.Context) (conn net.Conn, err error) {
-	var d net.Dialer
-	conn, err = d.DialContext(ctx, "tcp", c.address)
+	conn, err = c.open(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, err
 	}
