At most once by claims of keys, grouped into transactions

Cause: a once-request that its caller repeats, at another entry or after a lost answer, ran again.

Change: pkg/gateway/once claims a caller's key in the table before the request is handed on, at most 10 transactions a second an entry; the first answer is given again by the entry that holds it, other entries refuse truthfully, another body is refused, an outage of the store refuses as not run; claims end after 24 h.

On the way: a claim made while the entry ended waited for ever; it is refused now.

Keys issued by an entry, which need no store, are left.

--- a/internal/prop/prop.go
+++ b/internal/prop/prop.go
@@ -43,6 +43,8 @@
 // that are broken on purpose, to show that the property can fail.
 func Finds(t *testing.T, property func(*rapid.T)) bool {
 	t.Helper()
+	setChecks(findChecks)
+	defer setChecks(checks)
 	r := &recorder{}
 	done := make(chan struct{})
 	go func() {
@@ -53,6 +55,19 @@
 	return r.failed
 }
 
+// The cases of a proof, and those that a search for a planted fault may take:
+// it ends at the first, so that it may be long.
+const (
+	checks     = "100"
+	findChecks = "3000"
+)
+
+func setChecks(n string) {
+	if err := flag.Set("rapid.checks", n); err != nil {
+		panic(err)
+	}
+}
+
 // recorder is a rapid.TB that only notes whether the check failed.
 type recorder struct{ failed bool }
 
--- /dev/null
+++ b/pkg/bench/claims/claims.go
@@ -0,0 +1,105 @@
+// Package claims compares ways of claiming keys in the table service, at its
+// real rate limit: claims grouped into one transaction, and one transaction for
+// each claim.
+package claims
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/gateway/once"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+	"github.com/gannetwell/gannetwell/pkg/platform/rest"
+)
+
+// Result is one way at one offered rate.
+type Result struct {
+	Way         string  `json:"way"`
+	Offered     int     `json:"offered_per_s"`
+	Claimed     float64 `json:"claimed_per_s"`
+	Refused     float64 `json:"refused_per_s"`
+	WritesPerS  float64 `json:"table_writes_per_s"`
+	AddedP50Ms  float64 `json:"added_p50_ms"`
+	AddedP99Ms  float64 `json:"added_p99_ms"`
+	EntriesUsed int     `json:"entries"`
+}
+
+const (
+	entries      = 6
+	storeLatency = 5 * time.Millisecond
+)
+
+// claimer claims one key.
+type claimer func(ctx context.Context, key string) error
+
+// Run offers each rate for a time to both ways.
+func Run(rates []int, d time.Duration) (results []Result) {
+	for _, rate := range rates {
+		results = append(results, measure("grouped", rate, d, grouped), measure("one by one", rate, d, oneByOne))
+	}
+	return results
+}
+
+func grouped(ctx context.Context, store platform.Table, wg *sync.WaitGroup, i int) claimer {
+	b := once.New(store, fmt.Sprintf("entry-%d", i))
+	wg.Go(func() { _ = b.Run(ctx) })
+	return func(ctx context.Context, key string) error {
+		t, _, err := b.Claim(ctx, once.NewKey("r", "c", key), "d")
+		if err == nil {
+			b.Finish(t, nil)
+		}
+		return err
+	}
+}
+
+func oneByOne(_ context.Context, store platform.Table, _ *sync.WaitGroup, _ int) claimer {
+	return func(ctx context.Context, key string) error {
+		return store.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: key}}, Writes: []platform.Write{{Key: key, Value: []byte("d")}},
+		})
+	}
+}
+
+func measure(way string, rate int, d time.Duration, make func(context.Context, platform.Table, *sync.WaitGroup, int) claimer) Result {
+	store := fake.New(fake.WithLatency(storeLatency))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running, sent sync.WaitGroup
+	var claimers []claimer
+	for i := range entries {
+		claimers = append(claimers, make(ctx, store.View("z"), &running, i))
+	}
+	var mu sync.Mutex
+	var took []float64
+	refused := 0
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	began := time.Now()
+	for n := 0; time.Since(began) < d; n++ {
+		<-tick.C
+		sent.Go(func() {
+			at := time.Now()
+			err := claimers[n%entries](ctx, fmt.Sprint("key-", n))
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				refused++
+				return
+			}
+			took = append(took, float64(time.Since(at).Microseconds())/1000)
+		})
+	}
+	sent.Wait()
+	elapsed := time.Since(began).Seconds()
+	cancel()
+	running.Wait()
+	slices.Sort(took)
+	r := Result{Way: way, Offered: rate, EntriesUsed: entries, Claimed: float64(len(took)) / elapsed, Refused: float64(refused) / elapsed, WritesPerS: float64(store.Calls(rest.OpCommit)) / elapsed}
+	if len(took) > 0 {
+		r.AddedP50Ms, r.AddedP99Ms = took[len(took)/2], took[len(took)*99/100]
+	}
+	return r
+}
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,8 +40,12 @@
 	log      zerolog.Logger
 	paused   func() bool
 	decide   func(fleet.State, fleet.Limits) []fleet.Action
+	holds    atomic.Bool
 }
 
+// Holds tells whether this entry did the control work at its last step.
+func (l *Loop) Holds() bool { return l.holds.Load() }
+
 // Option changes how a Loop is made.
 type Option func(*Loop)
 
@@ -111,6 +116,7 @@
 	if err != nil {
 		l.log.Debug().Str("event", "lease_failed").Err(err).Send()
 	}
+	l.holds.Store(held)
 	if !held {
 		return
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/gannetwell/gannetwell/pkg/control"
 	"github.com/gannetwell/gannetwell/pkg/fleet"
 	"github.com/gannetwell/gannetwell/pkg/gateway"
+	"github.com/gannetwell/gannetwell/pkg/gateway/once"
 	"github.com/gannetwell/gannetwell/pkg/membership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -45,6 +46,7 @@
 	servers  *membership.Servers
 	follower *replica.Follower
 	loop     *control.Loop
+	book     *once.Book
 	observer *control.Observer
 
 	stopOnce sync.Once
@@ -96,7 +98,8 @@
 // assemble connects the parts.
 func (e *Entry) assemble() {
 	s := e.settings
-	path := []gateway.Option{gateway.WithLogger(e.log)}
+	e.book = once.New(e.platform, s.Name)
+	path := []gateway.Option{gateway.WithLogger(e.log), gateway.WithBook(e.book)}
 	probes := []membership.ServersOption{
 		membership.WithProbeInterval(ms(s.Gateway.ProbeIntervalMs)),
 		membership.WithOnList(e.newList),
@@ -170,6 +173,8 @@
 	e.addActor(&g, ctx, e.servers.Run)
 	e.addActor(&g, ctx, e.follow)
 	e.addActor(&g, ctx, e.loop.Run)
+	e.addActor(&g, ctx, e.book.Run)
+	e.addActor(&g, ctx, e.sweepClaims)
 	e.addActor(&g, ctx, func(ctx context.Context) error { return e.awaitStop(ctx, callerServer) })
 	e.log.Info().Str("event", "entry_started").Str("zone", e.settings.Zone).
 		Str("callers", e.CallerAddress()).Str("operators", e.OperatorAddress()).Str("peers", e.PeerAddress()).Send()
@@ -215,6 +220,23 @@
 	return e.follower.Run(ctx)
 }
 
+// sweepClaims removes claims that are past their lifetime, at the entry that does the control work.
+func (e *Entry) sweepClaims(ctx context.Context) error {
+	const interval = 10 * time.Minute
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval):
+		}
+		if !e.loop.Holds() {
+			continue
+		}
+		n, err := e.book.Sweep(ctx, time.Now())
+		e.log.Info().Str("event", "claims_swept").Int("removed", n).Err(err).Send()
+	}
+}
+
 // caughtUp tells that somebody who knows was reached and that nobody reached knows more.
 func (e *Entry) caughtUp(ctx context.Context) bool {
 	e.servers.ReadList(ctx) // names the peers
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -256,6 +256,7 @@
 	if a.resp.StatusCode == http.StatusSwitchingProtocols {
 		return x.relayUpgrade(a.resp)
 	}
+	x.keep(a)
 	return x.relay(a)
 }
 
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/gateway/once"
 	"github.com/gannetwell/gannetwell/pkg/gateway/retry"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
@@ -39,6 +40,8 @@
 	tried    []*Server
 	handed   bool // some attempt's outcome is unknown: the request can no longer be called not run
 	attempts int
+	ticket   *once.Ticket // of the request's key
+	kept     *once.Answer // for repetitions of the key
 }
 
 // serve takes the request through admission, attempts and the answer.
@@ -47,6 +50,7 @@
 	if err == nil {
 		err = x.run()
 	}
+	x.settleClaim(err)
 	x.g.bodies.Release(x.held)
 	x.finish(err)
 }
@@ -192,6 +196,11 @@
 	}
 	ctx, cancel := x.context()
 	defer cancel()
+	if x.keyed() {
+		if done, err := x.claim(ctx); done || err != nil {
+			return err
+		}
+	}
 	x.route.service.retries.Earn()
 	x.route.service.hedges.Earn()
 	server, err := x.takeServer(ctx)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/gateway/balance"
 	"github.com/gannetwell/gannetwell/pkg/gateway/limit"
+	"github.com/gannetwell/gannetwell/pkg/gateway/once"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/table"
 )
@@ -31,6 +32,7 @@
 	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	callers  limit.Rates
 	teams    limit.Rates
+	book     *once.Book          // nil without claims of keys
 	bodies   *semaphore.Weighted // bytes of bodies that are read whole
 
 	view     atomic.Pointer[view]
@@ -50,6 +52,9 @@
 // WithLogger logs one line for each request that fails.
 func WithLogger(l zerolog.Logger) Option { return func(g *Gateway) { g.log = l } }
 
+// WithBook claims the keys of requests that must not be repeated.
+func WithBook(b *once.Book) Option { return func(g *Gateway) { g.book = b } }
+
 // WithDial opens connections to backend servers by f.
 func WithDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
 	return func(g *Gateway) { g.dial = f }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -19,6 +19,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/gannetwell/gannetwell/pkg/gateway"
+	"github.com/gannetwell/gannetwell/pkg/gateway/once"
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/table"
 )
@@ -493,3 +495,50 @@
 	close(release)
 	c.Check(<-finished, qt.IsNil)
 }
+
+// TestKeys repeats a request with its key at two entries over one store: it runs
+// once, its entry gives the first answer again, the other refuses truthfully.
+func TestKeys(t *testing.T) {
+	c := qt.New(t)
+	var ran atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(w, "%s run %d", body, ran.Add(1))
+	}))
+	defer backend.Close()
+	store := fake.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var urls []string
+	for i := range 2 {
+		book := once.New(store.View("z"), fmt.Sprintf("entry-%d", i))
+		go func() { _ = book.Run(ctx) }()
+		g := gateway.New(fmt.Sprintf("entry-%d", i), "z", schema.GatewaySettings{BufferBodyBytes: 1 << 16}, gateway.WithBook(book))
+		g.SetTable(rows(1, strings.TrimPrefix(backend.URL, "http://")))
+		g.SetReady(true)
+		s := httptest.NewServer(g)
+		defer s.Close()
+		urls = append(urls, s.URL)
+	}
+	key := []string{gateway.HeaderKey, "k1"}
+	for range 3 {
+		status, outcome, body, err := post(t, urls[0]+"/once", "hello", key...)
+		c.Assert(err, qt.IsNil)
+		c.Check(status, qt.Equals, 200)
+		c.Check(outcome, qt.Equals, gateway.OutcomeRan)
+		c.Check(body, qt.Equals, "hello run 1")
+	}
+	status, outcome, _, _ := post(t, urls[1]+"/once", "hello", key...)
+	c.Check(status, qt.Equals, http.StatusConflict)
+	c.Check(outcome, qt.Equals, gateway.OutcomeUnknown)
+	for _, url := range urls {
+		status, outcome, _, _ = post(t, url+"/once", "another body", key...)
+		c.Check(status, qt.Equals, http.StatusUnprocessableEntity)
+		c.Check(outcome, qt.Equals, gateway.OutcomeNotRun)
+	}
+	store.SetRules(fake.Rule{Fault: fake.FaultDown})
+	status, outcome, _, _ = post(t, urls[0]+"/once", "x", gateway.HeaderKey, "k2")
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(outcome, qt.Equals, gateway.OutcomeNotRun)
+	c.Check(ran.Load(), qt.Equals, int64(1))
+}
