--- a/internal/prop/prop.go
+++ b/internal/prop/prop.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"runtime"
+	"strconv"
 	"testing"
 	"testing/synctest"
 
@@ -27,6 +28,21 @@
 	rapid.Check(t, func(rt *rapid.T) { bubble(t, func() { property(rt) }) })
 }
 
+// CheckReal is rapid.Check with n cases in real time, for properties over real
+// connections; such a property must not judge by time.
+func CheckReal(t *testing.T, n int, property func(*rapid.T)) {
+	t.Helper()
+	setChecks(strconv.Itoa(n))
+	defer setChecks(checks)
+	rapid.Check(t, property)
+}
+
+// FindsReal is Finds in real time.
+func FindsReal(t *testing.T, property func(*rapid.T)) bool {
+	t.Helper()
+	return finds(property)
+}
+
 // bubble runs f in virtual time; rapid ends a case by a panic, which must reach it.
 func bubble(t *testing.T, f func()) {
 	var failure any
@@ -43,13 +59,17 @@
 // that are broken on purpose, to show that the property can fail.
 func Finds(t *testing.T, property func(*rapid.T)) bool {
 	t.Helper()
+	return finds(func(rt *rapid.T) { bubble(t, func() { property(rt) }) })
+}
+
+func finds(property func(*rapid.T)) bool {
 	setChecks(findChecks)
 	defer setChecks(checks)
 	r := &recorder{}
 	done := make(chan struct{})
 	go func() {
 		defer close(done) // FailNow ends this goroutine
-		rapid.Check(r, func(rt *rapid.T) { bubble(t, func() { property(rt) }) })
+		rapid.Check(r, property)
 	}()
 	<-done
 	return r.failed
--- a/pkg/gateway/claim.go
+++ b/pkg/gateway/claim.go
@@ -56,6 +56,21 @@
 	return notRun(http.StatusServiceUnavailable, ReasonNoClaim, err.Error()).comeBack(comeBackSoon)
 }
 
+// truthfulOfKey takes earlier requests with the same key into account: a
+// repetition that was refused before its key was claimed did not run itself,
+// but one before it may have, and its caller asks about them all.
+func (x *exchange) truthfulOfKey(err error) error {
+	var failure ErrRequest
+	if x.route == nil || !x.keyed() || x.ticket != nil || !errors.As(err, &failure) {
+		return err
+	}
+	if failure.Outcome == OutcomeNotRun && failure.Reason != ReasonKeyBody {
+		failure.Outcome = OutcomeUnknown
+		failure.Detail += " (this one did not run; an earlier one with its key may have: send it again with the key)"
+	}
+	return failure
+}
+
 // replay gives the first answer again.
 func (x *exchange) replay(a *once.Answer) {
 	h := x.w.Header()
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -50,6 +50,7 @@
 	if err == nil {
 		err = x.run()
 	}
+	err = x.truthfulOfKey(err)
 	x.settleClaim(err)
 	x.g.bodies.Release(x.held)
 	x.finish(err)
