--- a/pkg/bench/report/report.go
+++ b/pkg/bench/report/report.go
@@ -83,7 +83,7 @@
 
 // image draws a plot as a data URL.
 func image(p *plot.Plot) (template.URL, error) {
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left = true, true
 	wt, err := p.WriterTo(plotWidth, plotHeight, "svg")
 	if err != nil {
 		return "", err
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -142,6 +142,15 @@
 	c.Check(string(body), qt.Equals, "hello")
 	c.Check(resp.Header.Get(gateway.HeaderRevision), qt.Equals, fmt.Sprint(result.Revision))
 
+	backend.Close()
+	resp, err = http.Get("http://" + second.CallerAddress() + "/x")
+	c.Assert(err, qt.IsNil)
+	_ = resp.Body.Close()
+	c.Check(resp.Header.Get(gateway.HeaderOutcome), qt.Not(qt.Equals), string(gateway.OutcomeRan))
+	why, err := client.New("http://"+second.OperatorAddress(), token).Explain(context.Background(), "request", resp.Header.Get(gateway.HeaderRequestID))
+	c.Assert(err, qt.IsNil)
+	c.Check(strings.Join(why.Sentences, "\n"), qt.Contains, "The reason was "+resp.Header.Get(gateway.HeaderReason))
+
 	alone := &cluster{t: t, store: cl.store}
 	third := alone.start("entry-3")
 	for range 20 {
--- a/pkg/entry/parts.go
+++ b/pkg/entry/parts.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/control"
+	"github.com/gannetwell/gannetwell/pkg/explain"
 	"github.com/gannetwell/gannetwell/pkg/gateway"
 	"github.com/gannetwell/gannetwell/pkg/membership"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -70,6 +71,27 @@
 // MarkHealth implements membership.Marker.
 func (m marker) MarkHealth(vm string, closed bool) { m.g.Mark(vm, gateway.SourceHealth, closed) }
 
+// kindRequest is what operators ask about beside rows: a request by its ID.
+const kindRequest schema.Kind = "request"
+
+// explainer explains rows, and requests that failed here of late.
+type explainer struct {
+	*explain.Explainer
+	entry *Entry
+}
+
+// Explain implements server.Explainer.
+func (x explainer) Explain(ctx context.Context, kind schema.Kind, name string) (sentences []string, ok bool) {
+	if kind != kindRequest {
+		return x.Explainer.Explain(ctx, kind, name)
+	}
+	f, ok := x.entry.gateway.Failure(name)
+	if !ok {
+		return nil, false
+	}
+	return f.Sentences(name, x.entry.settings.Name), true
+}
+
 // listedEntries asks the entries that may still be there.
 type listedEntries struct {
 	peers *membership.Peers
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -77,6 +77,10 @@
 		Str("outcome", string(failure.Outcome)).Str("reason", string(failure.Reason)).
 		Str("detail", failure.Detail).Int("attempts", x.attempts).
 		Int64("elapsed_us", elapsed.Microseconds()).Send()
+	x.g.failures.add(x.id, Failure{
+		At: x.began, Route: name, Outcome: failure.Outcome, Reason: failure.Reason, Detail: failure.Detail,
+		Attempts: x.attempts, Servers: x.triedNames(), Took: elapsed,
+	})
 	var broken errAnswerBroken
 	if errors.As(err, &broken) {
 		panic(http.ErrAbortHandler) // the answer has begun: break the connection rather than end it as if whole
@@ -89,6 +93,14 @@
 	failure.write(x.w)
 }
 
+// triedNames are the servers of the attempts.
+func (x *exchange) triedNames() (names []string) {
+	for _, s := range x.tried {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
 // errAnswerBroken is an answer that broke off after the caller had been sent a part of it.
 type errAnswerBroken struct{ cause ErrRequest }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -32,7 +32,8 @@
 	dial     func(ctx context.Context, network, addr string) (net.Conn, error)
 	callers  limit.Rates
 	teams    limit.Rates
-	book     *once.Book          // nil without claims of keys
+	book     *once.Book // nil without claims of keys
+	failures failures
 	bodies   *semaphore.Weighted // bytes of bodies that are read whole
 
 	view     atomic.Pointer[view]
