--- a/pkg/entry/listen.go
+++ b/pkg/entry/listen.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/net/netutil"
 
 	"github.com/gannetwell/gannetwell/pkg/certs"
 	"github.com/gannetwell/gannetwell/pkg/explain"
@@ -19,14 +20,17 @@
 // ReadyPath tells the balancer, on the callers' port, whether to send requests here.
 const ReadyPath = "/.gannetwell/ready"
 
-const operatorHeaderTimeout = 5 * time.Second
+const (
+	operatorHeaderTimeout  = 5 * time.Second
+	maxOperatorConnections = 256
+)
 
 // listen binds the three listeners.
 func (e *Entry) listen() (err error) {
-	if e.callers, err = listenHTTP(e.settings.Callers.Address, e.settings.Callers.TLS); err != nil {
+	if e.callers, err = listenHTTP(e.settings.Callers.Address, e.settings.Callers.TLS, e.settings.Gateway.MaxConnections); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	if e.operators, err = listenHTTP(e.settings.Operators.Address, e.settings.Operators.TLS); err != nil {
+	if e.operators, err = listenHTTP(e.settings.Operators.Address, e.settings.Operators.TLS, maxOperatorConnections); err != nil {
 		e.closeListeners()
 		return errors.Wrap(err, "listen for operators")
 	}
@@ -45,7 +49,8 @@
 	}
 }
 
-func listenHTTP(address string, files *schema.TLS) (ln net.Listener, err error) {
+// listenHTTP binds an address; connections above the limit wait to be accepted.
+func listenHTTP(address string, files *schema.TLS, connections int) (ln net.Listener, err error) {
 	var cfg *tls.Config
 	if files != nil {
 		r, err := certs.New(*files)
@@ -55,8 +60,12 @@
 		cfg = r.Server()
 	}
 	ln, err = net.Listen("tcp", address)
-	if err != nil || cfg == nil {
-		return ln, err
+	if err != nil {
+		return nil, err
+	}
+	ln = netutil.LimitListener(ln, connections)
+	if cfg == nil {
+		return ln, nil
 	}
 	return tls.NewListener(ln, cfg), nil
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -542,3 +542,74 @@
 	c.Check(outcome, qt.Equals, gateway.OutcomeUnknown, qt.Commentf("an earlier request with the key may have run"))
 	c.Check(ran.Load(), qt.Equals, int64(1))
 }
+
+// TestRooms sends rooms through two entries: each room stays at one server, all
+// servers get some, and closing one moves only its own rooms.
+func TestRooms(t *testing.T) {
+	c := qt.New(t)
+	var addresses []string
+	for range 4 {
+		s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		defer s.Close()
+		addresses = append(addresses, strings.TrimPrefix(s.URL, "http://"))
+	}
+	a, urlA := start(t, addresses...)
+	b, urlB := start(t, addresses...)
+	place := func(room int) string {
+		var at []string
+		for _, url := range []string{urlA, urlB, urlA} {
+			req, _ := http.NewRequest(http.MethodGet, url+"/live", nil)
+			req.Header.Set(gateway.HeaderRoom, fmt.Sprint("room-", room))
+			resp, err := http.DefaultClient.Do(req)
+			c.Assert(err, qt.IsNil)
+			_ = resp.Body.Close()
+			at = append(at, resp.Header.Get(gateway.HeaderServer))
+		}
+		c.Check(at[0] == at[1] && at[1] == at[2], qt.IsTrue, qt.Commentf("%v", at))
+		return at[0]
+	}
+	const rooms = 40
+	var before [rooms]string
+	used := map[string]int{}
+	for room := range rooms {
+		before[room] = place(room)
+		used[before[room]]++
+	}
+	c.Check(used, qt.HasLen, 4)
+	a.Mark("w1", gateway.SourceProbe, true)
+	b.Mark("w1", gateway.SourceProbe, true)
+	for room := range rooms {
+		after := place(room)
+		c.Check(after, qt.Not(qt.Equals), "w1")
+		if before[room] != "w1" {
+			c.Check(after, qt.Equals, before[room])
+		}
+	}
+}
+
+// TestRates refuses what a caller or a team sends too fast, as not run. The rate
+// gives one request in 1,000 s, so that no time that the test takes matters.
+func TestRates(t *testing.T) {
+	c := qt.New(t)
+	const rate = 0.001
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer backend.Close()
+	address := strings.TrimPrefix(backend.URL, "http://")
+	outcomes := func(url string, header ...string) map[string]int {
+		out := map[string]int{}
+		for range 3 {
+			_, outcome, _, err := post(t, url+"/once", "x", header...)
+			c.Assert(err, qt.IsNil)
+			out[string(outcome)]++
+		}
+		return out
+	}
+	g, url := startWith(t, schema.GatewaySettings{BufferBodyBytes: 1 << 16}, address)
+	snap := rows(2, address)
+	snap.Teams = table.Rows[schema.Team]{"slow": {Value: schema.Team{RequestsPerS: rate}}}
+	g.SetTable(snap)
+	c.Check(outcomes(url, gateway.HeaderTeam, "slow"), qt.DeepEquals, map[string]int{"ran": 1, "not-run": 2})
+	c.Check(outcomes(url), qt.DeepEquals, map[string]int{"ran": 3})
+	_, url = startWith(t, schema.GatewaySettings{BufferBodyBytes: 1 << 16, CallerRequestsPerS: rate}, address)
+	c.Check(outcomes(url), qt.DeepEquals, map[string]int{"ran": 1, "not-run": 2})
+}
--- a/pkg/gateway/limit/rates.go
+++ b/pkg/gateway/limit/rates.go
@@ -52,17 +52,26 @@
 	return k.limiter.AllowN(now, 1)
 }
 
-// makeRoom drops the key that was used longest ago when there are too many; the caller holds the lock.
+// evictionSample is how many keys are compared when one must go, so that a flood
+// of keys costs little.
+const evictionSample = 8
+
+// makeRoom drops the key of a few that was used longest ago, when there are too
+// many; the caller holds the lock.
 func (s *rateShard) makeRoom() {
 	if len(s.byKey) < keysPerShard {
 		return
 	}
 	var oldest string
 	var at time.Time
+	seen := 0
 	for key, k := range s.byKey {
 		if oldest == "" || k.used.Before(at) {
 			oldest, at = key, k.used
 		}
+		if seen++; seen == evictionSample {
+			break
+		}
 	}
 	delete(s.byKey, oldest)
 }
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -27,6 +27,7 @@
 	HeaderDeadline  = "Gannetwell-Deadline-Ms"
 	HeaderEntry     = "Gannetwell-Entry"
 	HeaderTeam      = "Gannetwell-Team"
+	HeaderRoom      = "Gannetwell-Room"
 )
 
 // Reason names why a request failed, for headers, logs and metrics.
--- a/pkg/gateway/pick.go
+++ b/pkg/gateway/pick.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
@@ -32,6 +34,9 @@
 	if lenient {
 		return x.chooseLenient(svc)
 	}
+	if room := x.r.Header.Get(HeaderRoom); room != "" {
+		return x.chooseSticky(svc, room)
+	}
 	if x.g.settings.Policy == schema.GatewaySettingsPolicyRoundRobin {
 		return x.g.policy.Pick(svc.all, skip) // the baseline knows neither zones nor costs
 	}
@@ -46,6 +51,23 @@
 	return remote, okRemote
 }
 
+// chooseSticky returns the server with the highest hash for a room (rendezvous
+// hashing, Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
+// Rates", 1998): all who join a room meet at one server, at whichever entries
+// they come in, and a server that leaves moves only its own rooms.
+func (x *exchange) chooseSticky(svc *service, room string) (server *Server, ok bool) {
+	var best uint64
+	for _, s := range svc.all {
+		if !s.Usable() || x.wasTried(s) || !s.roomFor(x.route.Class) {
+			continue
+		}
+		if h := xxhash.Sum64String(room + "\x00" + s.Name); !ok || h > best {
+			server, best, ok = s, h, true
+		}
+	}
+	return server, ok
+}
+
 // chooseLenient returns any server that no hard source closes: when soft sources
 // close a whole service, they are more likely wrong than it is gone.
 func (x *exchange) chooseLenient(svc *service) (server *Server, ok bool) {
