Queue: first come first until the class itself is overloaded; limits rise only when used

Change: who came first goes first until it has used up half of its wait; a limit rises only when 80% of it, not 50%, is in flight.

Failed try: comparing the requests in flight with a limit that is not rounded kept it at its lowest for ever; TestAdaptive caught it.

--- a/pkg/gateway/limit/adaptive.go
+++ b/pkg/gateway/limit/adaptive.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,8 @@
 	undisturbed = 1.15
 	decrease    = 0.85
 	overload    = 0.7 // after a deadline that passed
+	// inUse is the part of the limit that must be in flight for it to rise.
+	inUse = 0.8
 	// smoothing weighs a new sample.
 	smoothing = 0.1
 	// betweenDecreases lets a decrease show its effect before the next.
@@ -76,7 +79,7 @@
 	switch {
 	case a.ratio > congested:
 		a.drop(decrease, now)
-	case a.ratio < undisturbed && float64(inFlight)*2 >= a.limit:
+	case a.ratio < undisturbed && float64(inFlight) >= inUse*math.Floor(a.limit):
 		a.set(a.limit + 1/a.limit)
 	}
 }
--- a/pkg/gateway/limit/limit_test.go
+++ b/pkg/gateway/limit/limit_test.go
@@ -39,7 +39,7 @@
 }
 
 // TestQueueOrder fills a queue and frees places one by one: the highest class
-// goes first, the newest first within it, and the last class gets its turn.
+// goes first, and within it who came first, until the first has waited for long.
 func TestQueueOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var p places
@@ -64,7 +64,18 @@
 			synctest.Wait()
 		}
 		wg.Wait()
-		qt.Check(t, order, qt.DeepEquals, []string{"live-1", "live-0", "interactive-1", "interactive-0", "clerk-1", "clerk-0", "batch-1", "batch-0"})
+		qt.Check(t, order, qt.DeepEquals, []string{"live-0", "live-1", "interactive-0", "interactive-1", "clerk-0", "clerk-1", "batch-0", "batch-1"})
+		order = nil
+		for n := range 3 {
+			join(schema.ClassInteractive, n)
+			time.Sleep(70 * time.Millisecond)
+		}
+		for range 3 {
+			p.release()
+			synctest.Wait()
+		}
+		wg.Wait()
+		qt.Check(t, order, qt.DeepEquals, []string{"interactive-2", "interactive-1", "interactive-0"})
 		qt.Check(t, p.Waiting(), qt.Equals, 0)
 	})
 }
--- a/pkg/gateway/limit/queue.go
+++ b/pkg/gateway/limit/queue.go
@@ -33,8 +33,9 @@
 var ErrShed = errors.New("no backend server had room in time")
 
 // Queue holds requests of one service while all its servers are full. The
-// highest class goes first, and within a class the newest: under overload those
-// that waited long have the least time left and are given up first.
+// highest class goes first, and within a class who came first, until the first
+// has used up half of its time: then the class itself is overloaded, and the
+// newest goes first, so that some are in time rather than all late.
 type Queue struct {
 	waiting atomic.Int64
 
@@ -43,7 +44,10 @@
 	turn    int
 }
 
-type waiter struct{ wake chan struct{} }
+type waiter struct {
+	wake  chan struct{}
+	since time.Time
+}
 
 // Ahead tells whether somebody of a higher class waits.
 func (q *Queue) Ahead(class schema.Class) bool {
@@ -73,8 +77,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	began := time.Now()
 	for {
-		w := q.join(class)
+		w := q.join(class, began)
 		if try() { // a place may have become free before the waiter was seen
 			q.leave(class, w)
 			return nil
@@ -97,8 +102,8 @@
 }
 
 // join adds a waiter; the oldest of its class is pushed out when there are too many.
-func (q *Queue) join(class schema.Class) *waiter {
-	w := &waiter{wake: make(chan struct{}, 1)}
+func (q *Queue) join(class schema.Class, since time.Time) *waiter {
+	w := &waiter{wake: make(chan struct{}, 1), since: since}
 	rank := rankOf[class]
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -149,14 +154,19 @@
 	}
 }
 
-// wakeOne wakes the newest waiter of a class; the caller holds the lock.
+// wakeOne wakes the next waiter of a class; the caller holds the lock.
 func (q *Queue) wakeOne(rank int) bool {
-	n := len(q.byClass[rank])
+	waiters := q.byClass[rank]
+	n := len(waiters)
 	if n == 0 {
 		return false
 	}
-	q.byClass[rank][n-1].wake <- struct{}{}
-	q.byClass[rank] = q.byClass[rank][:n-1]
+	next, rest := waiters[0], waiters[1:]
+	if time.Since(next.since) > longestWait[classOrder[rank]]/2 {
+		next, rest = waiters[n-1], waiters[:n-1]
+	}
+	next.wake <- struct{}{}
+	q.byClass[rank] = rest
 	q.waiting.Add(-1)
 	return true
 }
