gannetctl tells an outage from a lost answer, and sooner

Cause: tried by hand with the table service down, an edit ended after 80 s with exit code 5, may have been accepted, although every try had said that nothing was written.

Change: only a lost answer makes an edit's outcome unknown; three tries of at most 3 s each in place of eight of 10 s; scripted test of the three faults.

--- a/cmd/gannetctl/cmds/cmds.go
+++ b/cmd/gannetctl/cmds/cmds.go
@@ -33,7 +33,7 @@
 
 const (
 	callTimeout = 15 * time.Second
-	editTries   = 8
+	editTries   = 3
 	tryGap      = 250 * time.Millisecond
 )
 
@@ -122,29 +122,35 @@
 		return err
 	}
 	q := api.EditRequest{ID: newID(), Reason: reason, Changes: changes}
+	lost := false // some try may have been accepted
 	for try := 1; ; try++ {
 		result, err := cl.Edit(context.Background(), q)
 		if err == nil {
 			c.printf("accepted as revision %d, edit %s\n", result.Revision, result.EditID)
 			return nil
 		}
-		if !unsettled(err) {
+		code := codeOf(err)
+		lost = lost || code == api.ErrorCodeUnknown
+		if code != api.ErrorCodeUnknown && code != api.ErrorCodeNotDone {
 			return exitOf(err)
 		}
-		if try == editTries {
+		if try == editTries && lost {
 			return cli.Exit(cli.ExitUnknown, errors.Wrapf(err, "edit %s may have been accepted, see gannetctl audit", q.ID))
 		}
+		if try == editTries {
+			return cli.Exit(cli.ExitFailed, errors.Wrap(err, "nothing was written, try again later"))
+		}
 		time.Sleep(tryGap)
 	}
 }
 
-// unsettled tells that an edit may have been accepted, or may be sent again.
-func unsettled(err error) bool {
+// codeOf sorts the failure of an edit; without an answer its outcome is unknown.
+func codeOf(err error) api.ErrorCode {
 	var failure client.ErrAPI
 	if !errors.As(err, &failure) {
-		return true // no answer came
+		return api.ErrorCodeUnknown
 	}
-	return failure.Body.Code == api.ErrorCodeUnknown || failure.Body.Code == api.ErrorCodeNotDone
+	return failure.Body.Code
 }
 
 // exitOf gives an entry's refusal its exit code.
--- a/cmd/gannetctl/cmds/cmds_test.go
+++ b/cmd/gannetctl/cmds/cmds_test.go
@@ -18,6 +18,7 @@
 	"github.com/gannetwell/gannetwell/pkg/explain"
 	"github.com/gannetwell/gannetwell/pkg/fleet"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+	"github.com/gannetwell/gannetwell/pkg/platform/rest"
 	"github.com/gannetwell/gannetwell/pkg/replica"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/table"
@@ -46,11 +47,12 @@
 
 // TestScripts runs each file of testdata against an entry of its own. The
 // commands are: run, a command line, its standard input after a line "---"; and
-// file, which writes its input to a file.
+// file, which writes its input to a file; and fault, which puts a fault in the way of every commit.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		dir := t.TempDir()
-		r := replica.New(fake.New().View("z"))
+		store := fake.New()
+		r := replica.New(store.View("z"))
 		s := httptest.NewServer(server.New(r, explain.New(r, blind{}), server.WithAccounts([]schema.Account{
 			{Name: "maria", Role: schema.RoleEdit, TokenSha256: server.HashToken("tok")},
 		})))
@@ -58,6 +60,10 @@
 		t.Setenv("GANNETWELL_ENTRY", s.URL)
 		t.Setenv("GANNETWELL_TOKEN", "tok")
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "fault" {
+				store.SetRules(fake.Rule{Op: rest.OpCommit, Fault: fake.Fault(d.CmdArgs[0].Key)})
+				return ""
+			}
 			if d.Cmd == "file" {
 				name := filepath.Join(dir, d.CmdArgs[0].Key)
 				qt.Assert(t, os.WriteFile(name, []byte(d.Input), 0o600), qt.IsNil)
--- a/service/server/server.go
+++ b/service/server/server.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	editTimeout   = 10 * time.Second
+	editTimeout   = 3 * time.Second
 	maxEditIDLen  = 128
 	defaultLimit  = 100
 	maxAuditLimit = 10000
