An upgrade is passed on by live routes only

Cause: read in the whole change: since the first part of an answer is read before any is sent, an answer that changes the protocol on a route that is not live was read like a body, which has no end.

Change: the Upgrade header goes to the backend server on live routes only, as docs/API.md says; other routes are served without it.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -70,9 +70,8 @@
 // exchange sends the request and takes the first part of the answer.
 func (a *attempt) exchange(ctx context.Context, req *http.Request) {
 	began := time.Now()
-	var timer *time.Timer
 	if a.x.streams() {
-		timer = time.AfterFunc(a.x.deadline(), func() { a.cancel(context.DeadlineExceeded) })
+		timer := time.AfterFunc(a.x.deadline(), func() { a.cancel(context.DeadlineExceeded) })
 		defer timer.Stop()
 	}
 	a.resp, a.err = a.server.transport.RoundTrip(req)
@@ -276,7 +275,7 @@
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil // net/http adds its own otherwise
 	}
-	if up := upgradeOf(x.r.Header); up != "" {
+	if up := upgradeOf(x.r.Header); up != "" && x.streams() {
 		req.Header.Set("Connection", "Upgrade")
 		req.Header.Set("Upgrade", up)
 	}
