--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -107,6 +107,7 @@
 // Step makes one decision, if this entry holds the lease, and carries it out.
 func (l *Loop) Step(ctx context.Context) {
 	if l.paused() {
+		l.holds.Store(false)
 		if err := l.lease.release(ctx, time.Now()); err != nil {
 			l.log.Debug().Str("event", "lease_not_released").Err(err).Send()
 		}
--- a/pkg/gateway/limit/adaptive.go
+++ b/pkg/gateway/limit/adaptive.go
@@ -62,14 +62,6 @@
 // Limit returns the limit now.
 func (a *Adaptive) Limit() int64 { return a.current.Load() }
 
-// SetHighest changes the bound of the limit.
-func (a *Adaptive) SetHighest(highest int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.highest = float64(highest)
-	a.set(a.limit)
-}
-
 // Answered takes an answer into account: its latency as a multiple of the
 // undisturbed one, and how many requests were in flight.
 func (a *Adaptive) Answered(ratio float64, inFlight int64, now time.Time) {
--- a/pkg/gateway/limit/queue.go
+++ b/pkg/gateway/limit/queue.go
@@ -11,10 +11,16 @@
 )
 
 // classOrder is who goes first.
-var classOrder = []schema.Class{schema.ClassLive, schema.ClassInteractive, schema.ClassClerk, schema.ClassBatch}
+var classOrder = [...]schema.Class{schema.ClassLive, schema.ClassInteractive, schema.ClassClerk, schema.ClassBatch}
 
 // rankOf is the place of a class in classOrder.
-var rankOf = map[schema.Class]int{schema.ClassLive: 0, schema.ClassInteractive: 1, schema.ClassClerk: 2, schema.ClassBatch: 3}
+var rankOf = func() map[schema.Class]int {
+	ranks := make(map[schema.Class]int, len(classOrder))
+	for rank, class := range classOrder {
+		ranks[class] = rank
+	}
+	return ranks
+}()
 
 // longestWait is how long a class waits for a free server before it is shed.
 var longestWait = map[schema.Class]time.Duration{
@@ -40,7 +46,7 @@
 	waiting atomic.Int64
 
 	mu      sync.Mutex
-	byClass [4][]*waiter // the newest last
+	byClass [len(classOrder)][]*waiter // the newest last
 	turn    int
 }
 
--- a/pkg/gateway/once/once.go
+++ b/pkg/gateway/once/once.go
@@ -10,7 +10,8 @@
 // that ran it answers repetitions with the first answer while it holds it.
 //
 // While the store does not answer, nothing new can be claimed and requests with
-// keys are refused as not run. A claim is given back, in one attempt that is
+// keys are refused: they do not run, though earlier ones with their keys may
+// have, which is what the request path tells their callers. A claim is given back, in one attempt that is
 // never repeated, when its request certainly did not run.
 package once
 
@@ -111,7 +112,6 @@
 	pending []*Ticket
 	giveUp  []Key // claims to give back
 	closed  bool  // nobody writes claims any more
-	flushed time.Time
 }
 
 // New returns the book of an entry; Run must be running for claims to be made.
@@ -226,6 +226,7 @@
 
 // Run writes claims until ctx ends; what is pending then is refused.
 func (b *Book) Run(ctx context.Context) error {
+	var flushed time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -233,7 +234,7 @@
 			return nil
 		case <-b.kick:
 		}
-		if wait := Gap - time.Since(b.flushed); wait > 0 {
+		if wait := Gap - time.Since(flushed); wait > 0 {
 			select {
 			case <-ctx.Done():
 				b.refuseAll(ctx.Err())
@@ -241,7 +242,7 @@
 			case <-time.After(wait):
 			}
 		}
-		b.flushed = time.Now()
+		flushed = time.Now()
 		b.flush(ctx)
 	}
 }
