--- a/_scripts/generate.sh
+++ b/_scripts/generate.sh
@@ -20,7 +20,7 @@
   fi
 }
 
-generate schema pkg/schema/types.go json,msgpack schema/table.json schema/settings.json schema/messages.json
+generate schema pkg/schema/types.go json,msgpack schema/table.json schema/settings.json schema/messages.json schema/service.json
 generate api service/api/types.go json schema/api.json
 
 docs=docs
--- a/cmd/gannetwelld/cmds/cmds.go
+++ b/cmd/gannetwelld/cmds/cmds.go
@@ -30,6 +30,11 @@
 				&runCommand{stdout: stdout, stderr: stderr}); err != nil {
 				return err
 			}
+			if _, err := p.AddCommand("serve", "Run an entry of the job service",
+				"Runs an entry of the job service on the users' platform until SIGTERM or SIGINT, which begins a planned stop.\n\nExample:\n  gannetwelld serve --config /etc/gannetwell/settings.jsonc",
+				&serveCommand{stdout: stdout}); err != nil {
+				return err
+			}
 			_, err := p.AddCommand("check", "Check a settings file",
 				"Checks a settings file without starting anything; exits with 3 when it is not valid.\n\nExample:\n  gannetwelld check --config /etc/gannetwell/entry.jsonc",
 				&checkCommand{stdout: stdout})
--- /dev/null
+++ b/cmd/gannetwelld/cmds/serve.go
@@ -0,0 +1,86 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/gannetwell/gannetwell/pkg/cli"
+	"github.com/gannetwell/gannetwell/pkg/config"
+	"github.com/gannetwell/gannetwell/pkg/node"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/platform"
+)
+
+const (
+	// logLines is how many lines wait for the output; when it is slower, the oldest are dropped and counted.
+	logLines = 4096
+	// heapShare is the part of the memory limit that the collector tries to stay under; the rest is for stacks and buffers.
+	heapShare = 0.6
+	// gcPercent trades memory, of which there is enough, for processor time.
+	gcPercent = 200
+)
+
+// serveCommand runs an entry of the job service on the users' platform.
+type serveCommand struct {
+	Config string `long:"config" short:"c" env:"GANNETWELL_CONFIG" required:"true" value-name:"FILE" description:"Settings, JSON with comments"`
+
+	stdout io.Writer
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	var s schema.ServiceSettings
+	err := config.LoadFile(c.Config, config.TargetService, &s)
+	if errors.As(err, new(config.ErrInvalid)) {
+		return cli.Exit(cli.ExitInvalid, err)
+	}
+	if err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(string(s.LogLevel))
+	if err != nil {
+		return errors.Wrap(err, "log_level")
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	out := diode.NewWriter(c.stdout, logLines, 0, func(missed int) {
+		_, _ = fmt.Fprintf(c.stdout, `{"level":"warn","event":"log_lines_dropped","count":%d}`+"\n", missed)
+	})
+	defer func() {
+		time.Sleep(10 * time.Millisecond) // the writer takes what is left
+		_ = out.Close()
+	}()
+	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(s.MemoryMb) * (1 << 20) * heapShare))
+	client := platform.New(s.Store.Address, s.Machines.Address)
+	n := node.New(s, client, client, node.Source{
+		CatalogTable: platform.TableOperator, CatalogKey: platform.KeyCatalog, WorkerTable: platform.TableWorkers,
+		DecodeCatalog: platform.DecodeCatalog, DecodeWorker: platform.DecodeWorker,
+	}, log)
+	handleSignals(n.Stop, func() { log.Info().Str("event", "reload").Bool("changed", false).Send() })
+	return n.Run(node.Handlers{Callers: platform.Callers(n), Readiness: platform.Readiness(n)})
+}
+
+// handleSignals calls stop at SIGTERM or SIGINT, and reload at SIGHUP.
+func handleSignals(stop, reload func()) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				reload()
+				continue
+			}
+			stop()
+		}
+	}()
+}
--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,93 @@
+package catalog
+
+import (
+	"strings"
+	"time"
+)
+
+// Queue takes the jobs of one route.
+type Queue struct {
+	Name          string
+	Host          string
+	Prefix        string // of the path, ends where the job's ID begins
+	Pool          string // whose workers run the tasks
+	Priority      int    // 0 goes first
+	MaxAttempts   int    // failed attempts of a task after which its job has failed
+	Stretch       float64
+	TargetLatency time.Duration
+	Timeout       time.Duration
+	Advice        bool // the advice service says which workers may run a step
+}
+
+// Pool is a set of worker VMs.
+type Pool struct {
+	Name            string
+	RejectsOverload bool // its workers refuse what does not fit
+	Spare           bool // its VMs are switched off and belong to the buffer
+	HealthPath      string
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Catalog is one version of the configuration; it is never changed after it was made.
+type Catalog struct {
+	Version int64
+	Queues  []Queue
+	Pools   []Pool
+	Limits  Limits
+
+	byHost map[string][]*Queue // longest prefix first
+	byName map[string]*Queue
+}
+
+// New returns a catalog that can be searched.
+func New(c Catalog) *Catalog {
+	c.byHost = map[string][]*Queue{}
+	c.byName = map[string]*Queue{}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		c.byName[q.Name] = q
+		list := c.byHost[q.Host]
+		at := 0
+		for at < len(list) && len(list[at].Prefix) >= len(q.Prefix) {
+			at++
+		}
+		list = append(list, nil)
+		copy(list[at+1:], list[at:])
+		list[at] = q
+		c.byHost[q.Host] = list
+	}
+	return &c
+}
+
+// Route returns the queue of a request and the rest of its path, nil if there is none.
+func (c *Catalog) Route(host, path string) (q *Queue, rest string) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, q := range c.byHost[host] {
+		if strings.HasPrefix(path, q.Prefix) {
+			return q, path[len(q.Prefix):]
+		}
+	}
+	return nil, ""
+}
+
+// Queue returns a queue by its name, nil if there is none.
+func (c *Catalog) Queue(name string) *Queue { return c.byName[name] }
+
+// Pool returns a pool by its name.
+func (c *Catalog) Pool(name string) (p Pool, ok bool) {
+	for _, p := range c.Pools {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Pool{}, false
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -20,6 +20,7 @@
 const (
 	TargetSettings Target = "settings.json"
 	TargetDocument Target = "table.json"
+	TargetService  Target = "service.json"
 )
 
 // TargetRow returns the definition of one kind of row, such as "VM" or "Pool".
@@ -27,7 +28,7 @@
 
 const schemaBase = "https://gannetwell.invalid/schema/"
 
-var schemaNames = []string{"table.json", "settings.json", "messages.json"}
+var schemaNames = []string{"table.json", "settings.json", "messages.json", "service.json"}
 
 var (
 	compiledMu sync.Mutex
--- /dev/null
+++ b/pkg/jobs/book.go
@@ -0,0 +1,249 @@
+package jobs
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// attemptsPerTerm leaves room for the attempts of one task within a term of
+// ownership; numbers of a later term are above all of an earlier one.
+const attemptsPerTerm = 1 << 12
+
+// Book holds the jobs of one pool. It is not safe for concurrent use.
+type Book struct {
+	term   int64
+	jobs   map[string]*Job
+	active []*Job // not final, in order of acceptance
+	ended  int    // jobs in active that have become final since it was tidied
+}
+
+// NewBook returns an empty book; attempt numbers rise with the term.
+func NewBook(term int64) *Book { return &Book{term: term, jobs: map[string]*Job{}} }
+
+// Add takes a job that was just accepted.
+func (b *Book) Add(id string, r Record, now time.Duration) *Job {
+	return b.insert(newJob(id, r, now))
+}
+
+// Restore takes a job that a former owner kept, with its progress.
+func (b *Book) Restore(id string, r Record, p Progress, now time.Duration) *Job {
+	j := newJob(id, r, now)
+	j.Restored = true
+	j.restore(p, now)
+	return b.insert(j)
+}
+
+func (b *Book) insert(j *Job) *Job {
+	b.jobs[j.ID] = j
+	if !j.State.Final() {
+		b.active = append(b.active, j)
+	}
+	return j
+}
+
+// Job returns a job, nil if there is none of that ID.
+func (b *Book) Job(id string) *Job { return b.jobs[id] }
+
+// Remove forgets a job.
+func (b *Book) Remove(id string) {
+	if j := b.jobs[id]; j != nil {
+		delete(b.jobs, id)
+		b.active = slices.DeleteFunc(b.active, func(o *Job) bool { return o == j })
+	}
+}
+
+// All calls f for each job.
+func (b *Book) All(f func(*Job)) {
+	for _, j := range b.jobs {
+		f(j)
+	}
+}
+
+// Active returns the jobs that are not final, in order of acceptance.
+func (b *Book) Active() []*Job {
+	if b.ended > 0 {
+		b.active = slices.DeleteFunc(b.active, func(j *Job) bool { return j.State.Final() })
+		b.ended = 0
+	}
+	return b.active
+}
+
+// Timed tells whether a job has occurrences that are due at a time.
+func (b *Book) Timed() bool {
+	return slices.ContainsFunc(b.Active(), func(j *Job) bool { return j.Spec.Times > 0 })
+}
+
+// Waiting counts the jobs of a queue none of whose tasks has begun.
+func (b *Book) Waiting(queue string) int {
+	n := 0
+	for _, j := range b.Active() {
+		if j.Queue == queue && !j.Begun {
+			n++
+		}
+	}
+	return n
+}
+
+// Task finds a task by the name that workers know it by, nil if it is unknown.
+func (b *Book) Task(name string) *Task {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return nil
+	}
+	j := b.jobs[parts[0]]
+	if j == nil {
+		return nil
+	}
+	id := TaskID{Job: parts[0]}
+	var err [3]error
+	id.Occurrence, err[0] = strconv.Atoi(parts[1])
+	id.Step, err[1] = strconv.Atoi(parts[2])
+	id.Index, err[2] = strconv.Atoi(parts[3])
+	if err[0] != nil || err[1] != nil || err[2] != nil {
+		return nil
+	}
+	return j.task(id)
+}
+
+// Begin notes that an attempt of a task is ordered at a worker.
+func (b *Book) Begin(t *Task, boot string, now time.Duration) *Attempt {
+	t.lastAttempt = max(t.lastAttempt+1, b.term*attemptsPerTerm)
+	return b.attach(t, &Attempt{Task: t, Number: t.lastAttempt, Boot: boot, Phase: PhaseOrdered, Since: now, ProgressAt: now})
+}
+
+// BeginGang notes that attempts of all tasks of a step are ordered, with one number.
+func (b *Book) BeginGang(s *StepRun, boots []string, now time.Duration) []*Attempt {
+	number := b.term * attemptsPerTerm
+	for _, t := range s.Tasks {
+		number = max(number, t.lastAttempt+1)
+	}
+	attempts := make([]*Attempt, 0, len(s.Tasks))
+	for i, t := range s.Tasks {
+		t.lastAttempt = number
+		attempts = append(attempts, b.attach(t, &Attempt{
+			Task: t, Number: number, Boot: boots[i], Phase: PhaseOrdered, Since: now, ProgressAt: now,
+		}))
+	}
+	return attempts
+}
+
+// Adopt notes an attempt that a worker reports and that this book did not order.
+func (b *Book) Adopt(t *Task, number int64, boot string, now time.Duration) *Attempt {
+	t.lastAttempt = max(t.lastAttempt, number)
+	a := b.attach(t, &Attempt{Task: t, Number: number, Boot: boot, Phase: PhaseRunning, Since: now, ProgressAt: now})
+	b.MarkBegun(a)
+	return a
+}
+
+func (b *Book) attach(t *Task, a *Attempt) *Attempt {
+	t.Attempts = append(t.Attempts, a)
+	return a
+}
+
+// MarkBegun notes that a worker has taken the attempt.
+func (b *Book) MarkBegun(a *Attempt) {
+	if a.Phase != PhaseStopped {
+		a.Phase = PhaseRunning
+	}
+	j := a.Task.Step.Job
+	j.Begun = true
+	if j.State == StateQueued {
+		j.State = StateRunning
+	}
+	if j.Kept == StateQueued {
+		j.Kept = StateRunning // follows from the workers' reports, needs no row
+	}
+}
+
+// Drop notes that an attempt is not at its worker: it never started, or was lost with it.
+func (b *Book) Drop(a *Attempt, now time.Duration) {
+	t := a.Task
+	t.Attempts = slices.DeleteFunc(t.Attempts, func(o *Attempt) bool { return o == a })
+	if a.Checkpoint != "" {
+		t.Checkpoint = a.Checkpoint
+	}
+	if len(t.Attempts) == 0 {
+		t.AwaySince = now
+	}
+}
+
+// Effect tells what an end has changed.
+type Effect struct {
+	Keep     bool       // the job's progress has to be kept before the end is acknowledged
+	Surplus  []*Attempt // copies that are no longer needed
+	JobEnded bool
+}
+
+// End notes that an attempt of a task has ended; a may be nil if the book does not hold it.
+func (b *Book) End(t *Task, a *Attempt, reason platform.EndReason, checkpoint string, now time.Duration) (e Effect) {
+	if a != nil {
+		b.Drop(a, now)
+	}
+	j := t.Step.Job
+	if t.Done || j.State.Final() {
+		return e
+	}
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+		e.Keep = true
+	}
+	switch reason {
+	case platform.EndDone:
+		e.Keep = true
+		b.endDone(t, &e, now)
+	case platform.EndFailed:
+		e.Keep = true
+		b.endFailed(t, &e)
+	}
+	if j.State.Final() {
+		e.JobEnded = true
+		b.ended++
+	}
+	return e
+}
+
+func (b *Book) endDone(t *Task, e *Effect, now time.Duration) {
+	s := t.Step
+	if s.Spec.LongRunning {
+		return // to be started again
+	}
+	if s.Spec.Gang {
+		for _, m := range s.Tasks { // one end counts for all members
+			s.Job.finishTask(m, now)
+		}
+		return
+	}
+	s.Job.finishTask(t, now)
+	e.Surplus = append(e.Surplus, t.Attempts...)
+}
+
+func (b *Book) endFailed(t *Task, e *Effect) {
+	s := t.Step
+	t.Failures++
+	if s.Spec.LongRunning {
+		e.Keep = false
+		return
+	}
+	fails := t.Failures
+	if s.Spec.Gang {
+		s.GangFails++
+		fails = s.GangFails
+	}
+	if fails >= s.Job.MaxAttempts {
+		s.Job.State = StateFailed
+	}
+}
+
+// Cancel ends a job; it reports whether the job was not final before.
+func (b *Book) Cancel(j *Job) bool {
+	if j.State.Final() {
+		return false
+	}
+	j.State = StateCancelled
+	b.ended++
+	return true
+}
--- /dev/null
+++ b/pkg/jobs/job.go
@@ -0,0 +1,295 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// State is the state of a job as callers see it.
+type State string
+
+// The states of jobs.
+const (
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Final tells whether a job in this state has nothing more to do.
+func (s State) Final() bool {
+	return s == StateCompleted || s == StateFailed || s == StateCancelled
+}
+
+// Job is a job and how far it has come.
+type Job struct {
+	ID string
+	Record
+	Steps    []*StepRun    // of all occurrences, those of one occurrence together and in order
+	State    State         // what has happened, may not be kept yet
+	Kept     State         // the last state that is kept, which callers may be told
+	Begun    bool          // a task has started at some time
+	AddedAt  time.Duration // on the owner's clock
+	Chain    time.Duration // estimated longest chain of work of one occurrence
+	Restored bool          // it was kept by a former owner
+
+	unfinished int // steps
+}
+
+// StepRun is a step of one occurrence.
+type StepRun struct {
+	Job        *Job
+	Spec       *Step
+	Occurrence int
+	Index      int
+	Tasks      []*Task
+	ReadyAt    time.Duration // when its last predecessor was done or it was due, on the owner's clock
+	GangFails  int           // failed runs of the whole gang
+
+	blockers int // unfinished steps that it waits for
+	done     int
+	waiters  []*StepRun
+}
+
+// Task is one task and its attempts that may be at workers.
+type Task struct {
+	Step       *StepRun
+	Index      int
+	Done       bool
+	Failures   int
+	Checkpoint string
+	Attempts   []*Attempt
+	NotBefore  time.Duration // an attempt of a former owner may be alive until then
+	AwaySince  time.Duration // of a long-running task: since when it has not served
+
+	lastAttempt int64
+	name        string
+}
+
+// Phase is how far an attempt has come.
+type Phase string
+
+// The phases of attempts.
+const (
+	PhaseOrdered Phase = "ordered" // the order is on its way
+	PhaseRunning Phase = "running"
+	PhaseStopped Phase = "stopped" // its end was ordered, its resources are not free yet
+	PhaseInDoubt Phase = "doubt"   // the order got no answer
+)
+
+// Attempt is an attempt that is or may be at a worker.
+type Attempt struct {
+	Task       *Task
+	Number     int64
+	Boot       string
+	Phase      Phase
+	Since      time.Duration // when it was ordered
+	ProgressAt time.Duration // when Percent last rose
+	Percent    int
+	Load       int
+	Checkpoint string
+}
+
+// Name returns the name that workers know the task by.
+func (t *Task) Name() string {
+	if t.name == "" {
+		t.name = TaskID{Job: t.Step.Job.ID, Occurrence: t.Step.Occurrence, Step: t.Step.Index, Index: t.Index}.String()
+	}
+	return t.name
+}
+
+// Idle tells whether the task is neither done nor at a worker.
+func (t *Task) Idle() bool { return !t.Done && len(t.Attempts) == 0 }
+
+// Open tells whether the step's predecessors are done.
+func (s *StepRun) Open() bool { return s.blockers == 0 }
+
+// Finished tells whether each task is done.
+func (s *StepRun) Finished() bool { return s.done == len(s.Tasks) }
+
+// Due is when the step's occurrence may start, in Unix time; 0 for at once.
+func (s *StepRun) Due() time.Duration {
+	if s.Job.Spec.Times == 0 {
+		return 0
+	}
+	return s.Job.Spec.FirstDue + time.Duration(s.Occurrence)*s.Job.Spec.Interval
+}
+
+// newJob lays out all steps and tasks.
+func newJob(id string, r Record, now time.Duration) *Job {
+	j := &Job{ID: id, Record: r, State: StateQueued, Kept: StateQueued, AddedAt: now, Chain: chain(r.Spec.Steps)}
+	for occ := range r.Spec.Occurrences() {
+		first := len(j.Steps)
+		for i := range r.Spec.Steps {
+			spec := &r.Spec.Steps[i]
+			s := &StepRun{Job: j, Spec: spec, Occurrence: occ, Index: i, blockers: len(spec.After), ReadyAt: now}
+			for k := range spec.Count {
+				s.Tasks = append(s.Tasks, &Task{Step: s, Index: k, AwaySince: now})
+			}
+			for _, a := range spec.After {
+				before := j.Steps[first+a]
+				before.waiters = append(before.waiters, s)
+			}
+			j.Steps = append(j.Steps, s)
+		}
+	}
+	j.unfinished = len(j.Steps)
+	return j
+}
+
+// chain estimates the longest chain of steps that wait for one another.
+func chain(steps []Step) (longest time.Duration) {
+	ends := make([]time.Duration, len(steps))
+	for i := range steps {
+		for _, a := range steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// task finds a task by its name's numbers, nil if there is none.
+func (j *Job) task(id TaskID) *Task {
+	at := id.Occurrence*len(j.Spec.Steps) + id.Step
+	if id.Occurrence < 0 || id.Step < 0 || id.Step >= len(j.Spec.Steps) || at >= len(j.Steps) {
+		return nil
+	}
+	s := j.Steps[at]
+	if id.Index < 0 || id.Index >= len(s.Tasks) {
+		return nil
+	}
+	return s.Tasks[id.Index]
+}
+
+// finishTask marks a task done and releases the steps that waited for its step.
+func (j *Job) finishTask(t *Task, now time.Duration) {
+	if t.Done {
+		return
+	}
+	t.Done = true
+	t.Step.done++
+	if !t.Step.Finished() {
+		return
+	}
+	for _, s := range t.Step.waiters {
+		s.blockers--
+		s.ReadyAt = now
+	}
+	if j.unfinished--; j.unfinished == 0 && !j.State.Final() {
+		j.State = StateCompleted
+	}
+}
+
+// Progress is what is kept of how far a job has come.
+type Progress struct {
+	State State          `msgpack:"s,omitempty"` // empty while it goes on
+	Steps []StepProgress `msgpack:"p,omitempty"`
+}
+
+// StepProgress is the part of one step in which something has happened.
+type StepProgress struct {
+	At          int            `msgpack:"a"`           // index in Job.Steps
+	Done        []byte         `msgpack:"d,omitempty"` // a bit for each task
+	Failures    map[int]int    `msgpack:"f,omitempty"` // by task
+	Checkpoints map[int]string `msgpack:"c,omitempty"` // by task
+	GangFails   int            `msgpack:"g,omitempty"`
+}
+
+// Encode returns the progress as bytes.
+func (p *Progress) Encode() ([]byte, error) {
+	raw, err := msgpack.Marshal(p)
+	return raw, errors.Wrap(err, "encode job progress")
+}
+
+// DecodeProgress reverses Encode.
+func DecodeProgress(raw []byte) (p Progress, err error) {
+	err = msgpack.Unmarshal(raw, &p)
+	return p, errors.Wrap(err, "decode job progress")
+}
+
+// Progress returns what is to be kept of the job.
+func (j *Job) Progress() Progress {
+	p := Progress{}
+	if j.State.Final() {
+		p.State = j.State
+		return p
+	}
+	for at, s := range j.Steps {
+		if sp, ok := s.progress(at); ok {
+			p.Steps = append(p.Steps, sp)
+		}
+	}
+	return p
+}
+
+func (s *StepRun) progress(at int) (sp StepProgress, ok bool) {
+	sp = StepProgress{At: at, GangFails: s.GangFails}
+	ok = s.GangFails > 0
+	for i, t := range s.Tasks {
+		switch {
+		case t.Done:
+			if sp.Done == nil {
+				sp.Done = make([]byte, (len(s.Tasks)+7)/8)
+			}
+			sp.Done[i/8] |= 1 << (i % 8)
+			ok = true
+			continue
+		case t.Failures > 0 && !s.Spec.LongRunning:
+			if sp.Failures == nil {
+				sp.Failures = map[int]int{}
+			}
+			sp.Failures[i] = t.Failures
+			ok = true
+		}
+		if t.Checkpoint != "" {
+			if sp.Checkpoints == nil {
+				sp.Checkpoints = map[int]string{}
+			}
+			sp.Checkpoints[i] = t.Checkpoint
+			ok = true
+		}
+	}
+	return sp, ok
+}
+
+// restore applies kept progress to a job that was just laid out.
+func (j *Job) restore(p Progress, now time.Duration) {
+	if p.State.Final() {
+		j.State, j.Kept, j.Begun = p.State, p.State, true
+		return
+	}
+	for _, sp := range p.Steps {
+		if sp.At < 0 || sp.At >= len(j.Steps) {
+			continue
+		}
+		s := j.Steps[sp.At]
+		s.GangFails = sp.GangFails
+		for i, t := range s.Tasks {
+			t.Failures = sp.Failures[i]
+			t.Checkpoint = sp.Checkpoints[i]
+			if i/8 < len(sp.Done) && sp.Done[i/8]&(1<<(i%8)) != 0 {
+				j.finishTask(t, now)
+			}
+		}
+		j.Begun = true
+	}
+	j.Kept = j.visible()
+	j.State = j.visible()
+}
+
+// visible is the state that follows from what has begun.
+func (j *Job) visible() State {
+	switch {
+	case j.State.Final():
+		return j.State
+	case j.Begun:
+		return StateRunning
+	default:
+		return StateQueued
+	}
+}
--- /dev/null
+++ b/pkg/jobs/spec.go
@@ -0,0 +1,128 @@
+package jobs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// Bounds of a submission; the platform's own limit on bodies is far below what they allow together.
+const (
+	maxSteps     = 256
+	maxTasks     = 4096 // of one step
+	maxSpecBytes = 4000 // of the text that workers get
+)
+
+// Spec is a job as it was submitted.
+type Spec struct {
+	Text     string        `msgpack:"x"` // what workers get with each start
+	Steps    []Step        `msgpack:"s"`
+	Times    int           `msgpack:"t,omitempty"` // number of occurrences, 0 for one that is due at once
+	Interval time.Duration `msgpack:"i,omitempty"` // between occurrences
+	FirstDue time.Duration `msgpack:"f,omitempty"` // of occurrence 0, since 1970
+}
+
+// Step is a number of like tasks.
+type Step struct {
+	Count         int                `msgpack:"n"`
+	Needs         platform.Resources `msgpack:"r"` // of one task
+	Estimate      time.Duration      `msgpack:"e,omitempty"`
+	After         []int              `msgpack:"a,omitempty"` // steps that must be done before
+	Checkpointing bool               `msgpack:"k,omitempty"`
+	Gang          bool               `msgpack:"g,omitempty"` // its tasks run only all together
+	SameRack      bool               `msgpack:"w,omitempty"` // slower when spread over racks
+	Speculative   bool               `msgpack:"c,omitempty"` // copies may run at the same time
+	LongRunning   bool               `msgpack:"l,omitempty"` // runs until the job is cancelled
+	Filler        bool               `msgpack:"f,omitempty"` // uses processor time that others leave
+	Label         string             `msgpack:"b,omitempty"` // that the worker must have
+	DataRack      string             `msgpack:"d,omitempty"` // rack of its data, slower elsewhere
+	MaxPerWorker  int                `msgpack:"m,omitempty"` // tasks of the step on one worker, 0 for any number
+	Image         string             `msgpack:"i,omitempty"` // tasks of one image behave alike
+	TailTarget    time.Duration      `msgpack:"q,omitempty"` // of the answers that a serving task gives
+	MayMiss       int                `msgpack:"y,omitempty"` // long-running tasks that may be away by our doing
+	Limited       bool               `msgpack:"z,omitempty"` // MayMiss was given
+}
+
+// Check tells what is wrong with a submission.
+func (s *Spec) Check() (err error) {
+	defer func() { err = errors.Wrap(err, "job") }()
+	switch {
+	case len(s.Text) > maxSpecBytes:
+		return errors.Errorf("the task text has %d bytes, at most %d are taken", len(s.Text), maxSpecBytes)
+	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
+		return errors.Errorf("%d steps, 1 to %d are taken", len(s.Steps), maxSteps)
+	case s.Times < 0 || s.Interval < 0:
+		return errors.New("times and their interval must not be negative")
+	}
+	for i := range s.Steps {
+		if err := s.Steps[i].check(i); err != nil {
+			return errors.Wrapf(err, "step %d", i)
+		}
+	}
+	return nil
+}
+
+func (st *Step) check(at int) error {
+	if st.Count < 1 || st.Count > maxTasks {
+		return errors.Errorf("%d tasks, 1 to %d are taken", st.Count, maxTasks)
+	}
+	if n := st.Needs; n.CPU < 0 || n.MemoryMB < 0 || n.GPU < 0 {
+		return errors.New("resources must not be negative")
+	}
+	for _, a := range st.After {
+		if a < 0 || a >= at {
+			return errors.Errorf("waits for step %d, which is no earlier one", a)
+		}
+	}
+	return nil
+}
+
+// LongRunning tells whether the job has tasks that run until it is cancelled.
+func (s *Spec) LongRunning() bool {
+	for i := range s.Steps {
+		if s.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// Occurrences is the number of times that the steps run.
+func (s *Spec) Occurrences() int { return max(s.Times, 1) }
+
+// Record is what is kept of a job from its acceptance on.
+type Record struct {
+	Queue       string        `msgpack:"q"`
+	AcceptedAt  time.Duration `msgpack:"a"` // Unix time by the clock of the owner that accepted it
+	MaxAttempts int           `msgpack:"m"` // failed attempts of a task after which the job has failed
+	Spec        Spec          `msgpack:"s"`
+}
+
+// Encode returns the record as bytes.
+func (r *Record) Encode() ([]byte, error) {
+	raw, err := msgpack.Marshal(r)
+	return raw, errors.Wrap(err, "encode job record")
+}
+
+// DecodeRecord reverses Encode.
+func DecodeRecord(raw []byte) (r Record, err error) {
+	err = msgpack.Unmarshal(raw, &r)
+	return r, errors.Wrap(err, "decode job record")
+}
+
+// TaskID names a task.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the name that workers know the task by.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
--- /dev/null
+++ b/pkg/node/calls.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/peer"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+const (
+	// ownerWait is how long a call waits for a shard to get an owner before it
+	// is refused; a handover takes less, and a caller that is refused loses a second.
+	ownerWait = 120 * time.Millisecond
+	// forwardTimeout bounds a call to the owner; it is above what the owner itself may wait.
+	forwardTimeout = 1800 * time.Millisecond
+)
+
+// Submit hands a job to the owner of its queue's shard.
+func (n *Node) Submit(ctx context.Context, q *catalog.Queue, id string, spec jobs.Spec) schema.CallOutcome {
+	record := jobs.Record{Queue: q.Name, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: q.MaxAttempts, Spec: spec}
+	raw, err := record.Encode()
+	if err != nil {
+		n.log.Error().Str("event", "job_encode_failed").Str("job", id).Err(err).Send()
+		return schema.CallOutcomeRefused
+	}
+	call := &schema.Call{Kind: schema.CallKindSubmit, Pool: q.Pool, Queue: q.Name, Job: id, Record: raw}
+	reply := n.ask(ctx, call)
+	n.log.Info().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", q.Pool).
+		Int64("catalog", n.catalogVersion()).Str("outcome", string(reply.Outcome)).Send()
+	return reply.Outcome
+}
+
+// State asks for the state of a job.
+func (n *Node) State(ctx context.Context, q *catalog.Queue, id string) (jobs.State, schema.CallOutcome) {
+	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindState, Pool: q.Pool, Queue: q.Name, Job: id})
+	if reply.Outcome == schema.CallOutcomeNotFound {
+		reply.Outcome = n.confirmAbsent(ctx, q, id)
+	}
+	if reply.Outcome != schema.CallOutcomeOk {
+		n.log.Info().Str("event", "state_not_told").Str("request", id).Str("queue", q.Name).Str("outcome", string(reply.Outcome)).Send()
+	}
+	return jobs.State(reply.State), reply.Outcome
+}
+
+// confirmAbsent asks the table itself before a job is said not to exist: the
+// owner that was asked may have been replaced without knowing it yet.
+func (n *Node) confirmAbsent(ctx context.Context, q *catalog.Queue, id string) schema.CallOutcome {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	found, err := shard.FindJob(ctx, n.rows, q.Pool, id)
+	switch {
+	case err != nil:
+		n.log.Warn().Str("event", "absence_not_confirmed").Str("request", id).Err(err).Send()
+		return schema.CallOutcomeRefused
+	case found:
+		return schema.CallOutcomeRefused
+	default:
+		return schema.CallOutcomeNotFound
+	}
+}
+
+// Cancel ends a job.
+func (n *Node) Cancel(ctx context.Context, q *catalog.Queue, id string) schema.CallOutcome {
+	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindCancel, Pool: q.Pool, Queue: q.Name, Job: id})
+	if reply.Outcome == schema.CallOutcomeNotFound {
+		reply.Outcome = n.confirmAbsent(ctx, q, id)
+	}
+	n.log.Info().Str("event", "cancellation").Str("request", id).Str("queue", q.Name).Str("outcome", string(reply.Outcome)).Send()
+	return reply.Outcome
+}
+
+// Waiting counts the jobs of a queue that have not begun.
+func (n *Node) Waiting(ctx context.Context, q *catalog.Queue) (int, schema.CallOutcome) {
+	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindWaiting, Pool: q.Pool, Queue: q.Name})
+	return reply.Waiting, reply.Outcome
+}
+
+// ask puts a call to the owner of its shard, here or at another entry.
+func (n *Node) ask(ctx context.Context, q *schema.Call) *schema.CallReply {
+	deadline := time.Now().Add(ownerWait)
+	for {
+		row, local, changed := n.keeper.Owner(q.Pool)
+		reply := n.askOwner(ctx, q, row, local)
+		if reply.Outcome != schema.CallOutcomeNotOwner {
+			return reply
+		}
+		wait := time.NewTimer(time.Until(deadline))
+		select {
+		case <-changed:
+			wait.Stop()
+		case <-wait.C:
+			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+		case <-ctx.Done():
+			wait.Stop()
+			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+		}
+	}
+}
+
+func (n *Node) askOwner(ctx context.Context, q *schema.Call, row shard.OwnerRow, local *shard.Owner) *schema.CallReply {
+	if local != nil {
+		return n.answerLocal(ctx, local, q)
+	}
+	caller := n.members.Caller(row.Entry, row.Address)
+	if row.Entry == "" || caller == nil {
+		return &schema.CallReply{Outcome: schema.CallOutcomeNotOwner}
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	reply, err := caller.Call(ctx, q)
+	if err == nil {
+		return reply
+	}
+	n.log.Warn().Str("event", "owner_unreachable").Str("request", q.Job).Str("kind", string(q.Kind)).
+		Str("owner", row.Entry).Int64("term", row.Term).Err(err).Send()
+	if errors.As(err, new(peer.ErrNotSent)) || q.Kind != schema.CallKindSubmit && q.Kind != schema.CallKindCancel {
+		return &schema.CallReply{Outcome: schema.CallOutcomeNotOwner}
+	}
+	return &schema.CallReply{Outcome: schema.CallOutcomeUnknown}
+}
+
+// answerPeer answers a call of another entry.
+func (n *Node) answerPeer(ctx context.Context, q *schema.Call) *schema.CallReply {
+	switch q.Kind {
+	case schema.CallKindPing:
+		return &schema.CallReply{
+			Outcome: schema.CallOutcomeOk, CatalogVersion: int(n.catalogVersion()),
+			ReachesStore: n.store.ok(), Start: int(n.self.Start),
+		}
+	case schema.CallKindCatalog:
+		if c := n.catalog.Load(); c != nil {
+			return &schema.CallReply{Outcome: schema.CallOutcomeOk, CatalogVersion: int(c.Version), Catalog: c.raw}
+		}
+		return &schema.CallReply{Outcome: schema.CallOutcomeNotFound}
+	}
+	_, local, _ := n.keeper.Owner(q.Pool)
+	if local == nil {
+		return &schema.CallReply{Outcome: schema.CallOutcomeNotOwner}
+	}
+	return n.answerLocal(ctx, local, q)
+}
+
+// answerLocal answers a call from a shard of this entry.
+func (n *Node) answerLocal(ctx context.Context, o *shard.Owner, q *schema.Call) *schema.CallReply {
+	switch q.Kind {
+	case schema.CallKindSubmit:
+		record, err := jobs.DecodeRecord(q.Record)
+		if err != nil {
+			n.log.Error().Str("event", "submission_malformed").Str("request", q.Job).Err(err).Send()
+			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+		}
+		return &schema.CallReply{Outcome: o.Submit(ctx, q.Job, record)}
+	case schema.CallKindState:
+		state, out := o.State(q.Job)
+		return &schema.CallReply{Outcome: out, State: string(state)}
+	case schema.CallKindCancel:
+		return &schema.CallReply{Outcome: o.Cancel(ctx, q.Job)}
+	case schema.CallKindWaiting:
+		waiting, out := o.Waiting(q.Queue)
+		return &schema.CallReply{Outcome: out, Waiting: waiting}
+	default:
+		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+	}
+}
--- /dev/null
+++ b/pkg/node/follow.go
@@ -0,0 +1,287 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/ownership"
+	"github.com/gannetwell/gannetwell/pkg/peer"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+const (
+	// feedWait is how long one call for changes waits; keep-alive probes find a dead connection sooner.
+	feedWait = 20 * time.Second
+	// readTimeout bounds one read, and what a waiting call may take beyond its wait.
+	readTimeout = 2 * time.Second
+	// retryFeed is the pause after a read that failed; half of it is random, so that entries do not come together.
+	retryFeed = 250 * time.Millisecond
+)
+
+// reach remembers whether the table service answers this node.
+type reach struct {
+	log zerolog.Logger
+
+	mu   sync.Mutex
+	lost bool
+}
+
+func (r *reach) note(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lost := err != nil
+	if lost == r.lost {
+		return
+	}
+	r.lost = lost
+	if lost {
+		r.log.Warn().Str("event", "feeds_lost").Err(err).Send()
+	} else {
+		r.log.Info().Str("event", "feeds_regained").Send()
+	}
+}
+
+func (r *reach) ok() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lost
+}
+
+// feed follows one table.
+type feed struct {
+	table string
+	list  func(ctx context.Context) (version int64, err error) // reads the whole table
+	apply func(r platform.Row)
+}
+
+// follow keeps to a table until ctx ends.
+func (n *Node) follow(ctx context.Context, f feed) error {
+	after := int64(-1)
+	for ctx.Err() == nil {
+		err := n.followOnce(ctx, f, &after)
+		if ctx.Err() != nil {
+			return nil
+		}
+		n.store.note(err)
+		if err == nil {
+			continue
+		}
+		if errors.As(err, new(platform.ErrHistoryGone)) {
+			n.log.Warn().Str("event", "feed_history_gone").Str("table", f.table).Int64("after", after).Send()
+			after = -1
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryFeed/2 + rand.N(retryFeed)): //nolint:gosec // spreads retries only
+		}
+	}
+	return nil
+}
+
+func (n *Node) followOnce(ctx context.Context, f feed, after *int64) error {
+	if *after < 0 {
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		version, err := f.list(readCtx)
+		if err == nil {
+			*after = version
+		}
+		return err
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, feedWait+readTimeout)
+	defer cancel()
+	page, err := n.rows.FollowRows(waitCtx, f.table, *after, feedWait)
+	if err != nil {
+		return err
+	}
+	for _, r := range page.Rows {
+		f.apply(r)
+	}
+	*after = max(*after, page.Version)
+	return nil
+}
+
+// listAll reads all rows of a table without partitions.
+func (n *Node) listAll(ctx context.Context, table string, f func(platform.Row)) (version int64, err error) {
+	from := ""
+	for {
+		page, err := n.rows.ListRows(ctx, table, "", from)
+		if err != nil {
+			return 0, err
+		}
+		if version == 0 {
+			version = page.Version // changes during the listing come again by the feed
+		}
+		for _, r := range page.Rows {
+			f(r)
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return version, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
+func (n *Node) followCatalog(ctx context.Context) error {
+	return n.follow(ctx, feed{
+		table: n.source.CatalogTable,
+		list: func(ctx context.Context) (int64, error) {
+			return n.listAll(ctx, n.source.CatalogTable, n.applyOperator)
+		},
+		apply: n.applyOperator,
+	})
+}
+
+// applyOperator takes a row that the operator wrote.
+func (n *Node) applyOperator(r platform.Row) {
+	if r.Key == n.source.CatalogKey && !r.Removed {
+		n.setCatalog(r.Value, "table")
+	}
+}
+
+// setCatalog puts a configuration in force unless a newer one is.
+func (n *Node) setCatalog(raw []byte, from string) {
+	c, err := n.source.DecodeCatalog(raw)
+	if err != nil {
+		n.log.Error().Str("event", "catalog_malformed").Str("from", from).Err(err).Send()
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.catalog.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	n.catalog.Store(&stored{Catalog: c, raw: raw})
+	n.keeper.SetCatalog(c)
+	n.log.Info().Str("event", "catalog").Int64("version", c.Version).Str("from", from).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).Send()
+}
+
+// fetchCatalog asks a peer for a newer configuration than ours.
+func (n *Node) fetchCatalog(c *peer.Caller, version int64) {
+	n.mu.Lock()
+	if n.asked >= version {
+		n.mu.Unlock()
+		return
+	}
+	n.asked = version
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	reply, err := c.Call(ctx, &schema.Call{Kind: schema.CallKindCatalog})
+	if err != nil || len(reply.Catalog) == 0 {
+		n.log.Warn().Str("event", "catalog_fetch_failed").Int64("version", version).Err(err).Send()
+		n.mu.Lock()
+		n.asked = 0
+		n.mu.Unlock()
+		return
+	}
+	n.setCatalog(reply.Catalog, "peer")
+}
+
+func (n *Node) followWorkers(ctx context.Context) error {
+	return n.follow(ctx, feed{
+		table: n.source.WorkerTable,
+		list: func(ctx context.Context) (int64, error) {
+			all := map[string]platform.Worker{}
+			version, err := n.listAll(ctx, n.source.WorkerTable, func(r platform.Row) { n.decodeWorker(all, r) })
+			if err == nil {
+				n.mu.Lock()
+				n.workers = all
+				n.mu.Unlock()
+				n.passWorkers()
+			}
+			return version, err
+		},
+		apply: func(r platform.Row) {
+			n.mu.Lock()
+			n.decodeWorker(n.workers, r)
+			n.mu.Unlock()
+			n.passWorkers()
+		},
+	})
+}
+
+func (n *Node) decodeWorker(all map[string]platform.Worker, r platform.Row) {
+	if r.Removed {
+		delete(all, r.Key)
+		return
+	}
+	w, err := n.source.DecodeWorker(r.Key, r.Value)
+	if err != nil {
+		n.log.Error().Str("event", "worker_row_malformed").Str("boot", r.Key).Err(err).Send()
+		return
+	}
+	all[r.Key] = w
+}
+
+func (n *Node) passWorkers() {
+	n.mu.Lock()
+	byPool := map[string][]platform.Worker{}
+	for _, w := range n.workers {
+		byPool[w.Pool] = append(byPool[w.Pool], w)
+	}
+	n.mu.Unlock()
+	n.keeper.SetWorkers(byPool)
+}
+
+func (n *Node) followMembers(ctx context.Context) error {
+	apply := func(r platform.Row) { n.members.Apply(ctx, r) }
+	registered := false
+	return n.follow(ctx, feed{
+		table: ownership.TableMember,
+		list: func(ctx context.Context) (int64, error) {
+			if !registered {
+				if err := n.members.Register(ctx); err != nil {
+					return 0, err
+				}
+				registered = true
+			}
+			return n.listAll(ctx, ownership.TableMember, apply)
+		},
+		apply: apply,
+	})
+}
+
+// followOwners follows the owner rows; a shard's row is read once before,
+// since the table has a partition for each.
+func (n *Node) followOwners(ctx context.Context) error {
+	go n.readOwners(ctx)
+	return n.follow(ctx, feed{
+		table: shard.TableOwner,
+		list: func(ctx context.Context) (int64, error) {
+			page, err := n.rows.ListRows(ctx, shard.TableOwner, "", "")
+			return page.Version, err
+		},
+		apply: func(r platform.Row) { n.keeper.ApplyOwner(r.Partition, r) },
+	})
+}
+
+// readOwners reads the owner rows of shards that are not known yet.
+func (n *Node) readOwners(ctx context.Context) {
+	tick := time.NewTicker(retryFeed)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, pool := range n.keeper.Pools() {
+			readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+			row, err := shard.ReadOwner(readCtx, n.rows, pool)
+			cancel()
+			if err != nil {
+				break
+			}
+			n.keeper.ApplyOwner(pool, row)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/ownership"
+	"github.com/gannetwell/gannetwell/pkg/peer"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+const (
+	// RetryAfter is when a caller that was refused should come again; HTTP has whole seconds.
+	RetryAfter = time.Second
+	// noticeTime is how long the balancer may take to see that a node is not
+	// ready: it asks each second and wants two answers.
+	noticeTime = 2500 * time.Millisecond
+	// finishTime bounds the requests that are still open when a node stops.
+	finishTime = 2 * time.Second
+)
+
+// Source is where the operator's configuration and the workers' directory are kept, and how they read.
+type Source struct {
+	CatalogTable  string
+	CatalogKey    string
+	WorkerTable   string
+	DecodeCatalog func(raw []byte) (*catalog.Catalog, error)
+	DecodeWorker  func(boot string, raw []byte) (platform.Worker, error)
+}
+
+// Node is one entry of the job service.
+type Node struct {
+	settings schema.ServiceSettings
+	source   Source
+	rows     platform.Rows
+	log      zerolog.Logger
+	metrics  *metrics
+	self     ownership.Member
+	since    time.Time
+
+	members *ownership.Members
+	keeper  *ownership.Keeper
+
+	catalog  atomic.Pointer[stored]
+	stopping atomic.Bool
+	store    reach
+	stop     chan struct{}
+	stopOnce sync.Once
+
+	mu      sync.Mutex
+	workers map[string]platform.Worker // by boot
+	asked   int64                      // newest configuration version that a peer is being asked for
+}
+
+// stored is a configuration with the bytes it was read from, which peers may ask for.
+type stored struct {
+	*catalog.Catalog
+	raw []byte
+}
+
+// New returns a node that is not running yet.
+func New(s schema.ServiceSettings, rows platform.Rows, workers platform.Workers, src Source, log zerolog.Logger) *Node {
+	now := time.Now()
+	n := &Node{
+		settings: s, source: src, rows: rows, log: log, metrics: newMetrics(), since: now,
+		stop: make(chan struct{}), workers: map[string]platform.Worker{},
+	}
+	n.self = ownership.Member{
+		Name: s.Name, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])), Zone: s.Zone,
+		Start: now.UnixNano(), Share: s.CpuShare,
+	}
+	n.store.log = log
+	n.members = ownership.NewMembers(n.self, rows, log, now, n.kick, n.catalogVersion, n.fetchCatalog)
+	n.keeper = ownership.NewKeeper(shard.Identity{Entry: s.Name, Start: n.self.Start, Address: n.self.Address}, n.members, shard.Config{
+		Rows: rows, Workers: workers, Metrics: n.metrics, Log: log, Since: now,
+		Retention: time.Duration(s.Timing.RetentionS * float64(time.Second)),
+	}, log)
+	return n
+}
+
+func (n *Node) kick() { n.keeper.Kick() }
+
+// Catalog returns the configuration in force, nil while it is not known.
+func (n *Node) Catalog() *catalog.Catalog {
+	if c := n.catalog.Load(); c != nil {
+		return c.Catalog
+	}
+	return nil
+}
+
+func (n *Node) catalogVersion() int64 {
+	if c := n.catalog.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Ready tells whether the node should get callers' connections.
+func (n *Node) Ready() (ready bool, why string) {
+	switch {
+	case n.stopping.Load():
+		return false, "stopping"
+	case n.Catalog() == nil:
+		return false, "the configuration is not known yet"
+	}
+	return true, ""
+}
+
+// Stop begins a planned stop.
+func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
+
+// Handlers are what the node serves to those outside.
+type Handlers struct {
+	Callers   http.Handler
+	Readiness http.Handler
+}
+
+// Run serves until the node is stopped.
+func (n *Node) Run(h Handlers) (err error) {
+	defer func() { err = errors.Wrap(err, "run node") }()
+	n.log.Info().Str("event", "start").Str("entry", n.self.Name).Str("zone", n.self.Zone).Int64("start", n.self.Start).Send()
+	defer func() { n.log.Info().Str("event", "stop").Str("entry", n.self.Name).Err(err).Send() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	links, err := net.Listen("tcp", n.self.Address)
+	if err != nil {
+		return err
+	}
+	callers, err := n.listenHTTP(n.settings.Callers, h.Callers)
+	if err != nil {
+		return err
+	}
+	readiness, err := n.listenHTTP(n.settings.Readiness, h.Readiness)
+	if err != nil {
+		return err
+	}
+	figures, err := n.listenHTTP(net.JoinHostPort(n.settings.Address, metricsPort), n.metrics.handler())
+	if err != nil {
+		return err
+	}
+	var g run.Group
+	actor := func(f func(ctx context.Context) error) {
+		ctx, cancel := context.WithCancel(ctx)
+		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+	}
+	actor(peer.NewCallServer(links, n.answerPeer, n.log).Serve)
+	for _, s := range []*httpActor{callers, readiness, figures} {
+		g.Add(s.serve, s.interrupt)
+	}
+	actor(n.keeper.Run)
+	actor(n.followCatalog)
+	actor(n.followWorkers)
+	actor(n.followMembers)
+	actor(n.followOwners)
+	actor(func(ctx context.Context) error { return n.plannedStop(ctx, callers) })
+	return g.Run()
+}
+
+// plannedStop waits for Stop, hands the shards over, lets the balancer take
+// note, and finishes what is open.
+func (n *Node) plannedStop(ctx context.Context, callers *httpActor) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.stop:
+	}
+	n.log.Info().Str("event", "stop_begins").Send()
+	n.stopping.Store(true)
+	n.keeper.Release(ctx)
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(noticeTime):
+	}
+	finish, cancel := context.WithTimeout(ctx, finishTime)
+	defer cancel()
+	return errors.Wrap(callers.server.Shutdown(finish), "finish open requests")
+}
+
+// httpActor is an HTTP server with its listener.
+type httpActor struct {
+	server *http.Server
+	ln     net.Listener
+}
+
+func (n *Node) listenHTTP(address string, h http.Handler) (*httpActor, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &httpActor{ln: ln, server: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}}, nil
+}
+
+func (a *httpActor) serve() error {
+	if err := a.server.Serve(a.ln); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", a.ln.Addr())
+	}
+	return nil
+}
+
+func (a *httpActor) interrupt(error) { _ = a.server.Close() }
--- /dev/null
+++ b/pkg/peer/multiplex.go
@@ -0,0 +1,268 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/dial"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+const (
+	// dialTimeout bounds the opening of a link between entries of one region.
+	dialTimeout = 800 * time.Millisecond
+	// callWriteTimeout is how long a peer may leave a frame unread before its link is closed.
+	callWriteTimeout = 2 * time.Second
+	// maxCalls bounds the calls of one link that are answered at the same time.
+	maxCalls = 256
+)
+
+// ErrNotSent reports a call that did not reach the peer, so that it had no effect there.
+type ErrNotSent struct {
+	Refused bool // nothing listens at the address, the process is not there
+	Cause   error
+}
+
+// Error says why.
+func (e ErrNotSent) Error() string { return "call was not sent: " + e.Cause.Error() }
+
+// ErrLinkLost reports a call whose answer did not come; it may have had its effect.
+type ErrLinkLost struct{ Cause error }
+
+// Error says how the answer was lost.
+func (e ErrLinkLost) Error() string { return "no answer from peer: " + e.Cause.Error() }
+
+// Caller carries many calls at once to one peer, over one link that is opened when needed.
+type Caller struct {
+	address string
+
+	mu      sync.Mutex
+	link    *callLink
+	dialing chan struct{} // closed when the dial under way has ended
+}
+
+// NewCaller returns a caller of the peer at a host:port.
+func NewCaller(address string) *Caller { return &Caller{address: address} }
+
+// Call sends a call and waits for its reply.
+func (c *Caller) Call(ctx context.Context, q *schema.Call) (reply *schema.CallReply, err error) {
+	defer func() { err = errors.Wrapf(err, "call peer %s", c.address) }()
+	l, err := c.open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return l.call(ctx, q)
+}
+
+// Close closes the link; a later call opens another.
+func (c *Caller) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil {
+		c.link.fail(errors.New("closed"))
+		c.link = nil
+	}
+}
+
+// open returns the link, dialling it when there is none; calls share one dial.
+func (c *Caller) open(ctx context.Context) (*callLink, error) {
+	c.mu.Lock()
+	for {
+		if c.link != nil && !c.link.broken() {
+			l := c.link
+			c.mu.Unlock()
+			return l, nil
+		}
+		if c.dialing == nil {
+			break
+		}
+		wait := c.dialing
+		c.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ErrNotSent{Cause: ctx.Err()}
+		}
+		c.mu.Lock()
+	}
+	c.dialing = make(chan struct{})
+	c.mu.Unlock()
+
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	conn, err := dial.TCP(dialCtx, c.address)
+	cancel()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.dialing)
+	c.dialing = nil
+	if err != nil {
+		return nil, ErrNotSent{Refused: dial.Refused(err), Cause: err}
+	}
+	c.link = newCallLink(conn)
+	return c.link, nil
+}
+
+// callLink is one open connection with the calls that wait on it.
+type callLink struct {
+	conn net.Conn
+
+	writeMu sync.Mutex
+	mu      sync.Mutex
+	nextID  int
+	waiting map[int]chan *schema.CallReply
+	err     error
+	done    chan struct{}
+}
+
+func newCallLink(conn net.Conn) *callLink {
+	l := &callLink{conn: conn, waiting: map[int]chan *schema.CallReply{}, done: make(chan struct{})}
+	go l.read()
+	return l
+}
+
+func (l *callLink) broken() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *callLink) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil {
+		l.err = err
+		close(l.done)
+		_ = l.conn.Close()
+	}
+}
+
+func (l *callLink) read() {
+	for {
+		reply := &schema.CallReply{}
+		if _, err := ReadFrame(l.conn, reply); err != nil {
+			l.fail(err)
+			return
+		}
+		l.mu.Lock()
+		got := l.waiting[reply.ID]
+		delete(l.waiting, reply.ID)
+		l.mu.Unlock()
+		if got != nil {
+			got <- reply
+		}
+	}
+}
+
+func (l *callLink) call(ctx context.Context, q *schema.Call) (*schema.CallReply, error) {
+	got := make(chan *schema.CallReply, 1)
+	l.mu.Lock()
+	l.nextID++
+	id := l.nextID
+	l.waiting[id] = got
+	l.mu.Unlock()
+	sent := *q
+	sent.ID = id
+	l.writeMu.Lock()
+	_ = l.conn.SetWriteDeadline(time.Now().Add(callWriteTimeout))
+	_, err := WriteFrame(l.conn, &sent)
+	l.writeMu.Unlock()
+	if err != nil {
+		l.fail(err)
+	}
+	select {
+	case reply := <-got:
+		return reply, nil
+	case <-l.done:
+		return nil, ErrLinkLost{Cause: l.err}
+	case <-ctx.Done():
+		l.mu.Lock()
+		delete(l.waiting, id)
+		l.mu.Unlock()
+		return nil, ErrLinkLost{Cause: ctx.Err()}
+	}
+}
+
+// CallHandler answers a peer's call.
+type CallHandler func(ctx context.Context, q *schema.Call) *schema.CallReply
+
+// CallServer answers calls of peers, many at once on each link.
+type CallServer struct {
+	ln      net.Listener
+	handler CallHandler
+	log     zerolog.Logger
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// NewCallServer returns a server of links at ln.
+func NewCallServer(ln net.Listener, h CallHandler, log zerolog.Logger) *CallServer {
+	return &CallServer{ln: ln, handler: h, log: log, conns: map[net.Conn]struct{}{}}
+}
+
+// Serve takes links until ctx ends.
+func (s *CallServer) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.closeAll)
+	defer stop()
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accept link")
+		}
+		s.mu.Lock()
+		s.conns[conn] = struct{}{}
+		s.mu.Unlock()
+		go s.serveLink(ctx, conn)
+	}
+}
+
+func (s *CallServer) closeAll() {
+	_ = s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *CallServer) serveLink(ctx context.Context, conn net.Conn) {
+	var writeMu sync.Mutex
+	slots := make(chan struct{}, maxCalls)
+	defer func() {
+		_ = conn.Close()
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+	}()
+	for {
+		q := &schema.Call{}
+		if _, err := ReadFrame(conn, q); err != nil {
+			s.log.Debug().Str("event", "peer_link_ended").Str("remote", conn.RemoteAddr().String()).Err(err).Send()
+			return
+		}
+		slots <- struct{}{}
+		go func() {
+			defer func() { <-slots }()
+			reply := s.handler(ctx, q)
+			reply.ID = q.ID
+			writeMu.Lock()
+			defer writeMu.Unlock()
+			_ = conn.SetWriteDeadline(time.Now().Add(callWriteTimeout))
+			if _, err := WriteFrame(conn, reply); err != nil {
+				_ = conn.Close()
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/pkg/placement/host.go
@@ -0,0 +1,66 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// Host is a worker as placement sees it.
+type Host struct {
+	Boot     string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity platform.Resources
+	Free     platform.Resources
+	Penalty  float64 // 0 for a worker without findings, higher for one that does badly
+
+	perStep map[*jobs.StepRun]int // tasks of a step that are here
+}
+
+// Count notes that a task of the step is at the host.
+func (h *Host) Count(s *jobs.StepRun) {
+	if h.perStep == nil {
+		h.perStep = map[*jobs.StepRun]int{}
+	}
+	h.perStep[s]++
+}
+
+// Charge is what a task of the step takes of a host's free resources.
+func Charge(st *jobs.Step) platform.Resources {
+	r := st.Needs
+	if st.Filler {
+		r.CPU = 0
+	}
+	return r
+}
+
+// Admits tells whether the host may ever run a task of the step.
+func (h *Host) Admits(st *jobs.Step) bool {
+	if st.Label != "" && !slices.Contains(h.Labels, st.Label) {
+		return false
+	}
+	return Charge(st).Fits(h.Capacity)
+}
+
+// takes tells whether one more task of the step may start now.
+func (h *Host) takes(s *jobs.StepRun) bool {
+	if s.Spec.MaxPerWorker > 0 && h.perStep[s] >= s.Spec.MaxPerWorker {
+		return false
+	}
+	return h.Admits(s.Spec) && Charge(s.Spec).Fits(h.Free)
+}
+
+// place takes the resources of one task.
+func (h *Host) place(s *jobs.StepRun) {
+	h.Free = h.Free.Sub(Charge(s.Spec))
+	h.Count(s)
+}
+
+// unplace gives them back.
+func (h *Host) unplace(s *jobs.StepRun) {
+	h.Free = h.Free.Add(Charge(s.Spec))
+	h.perStep[s]--
+}
--- /dev/null
+++ b/pkg/placement/place.go
@@ -0,0 +1,158 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+)
+
+// Weights of what speaks for a host; all are shares of a host's processors.
+const (
+	// dataRackWeight outweighs any difference in load: work away from its data takes a multiple of the time.
+	dataRackWeight = 4.0
+	// spreadWeight keeps tasks of one long-running step on different workers.
+	spreadWeight = 0.5
+)
+
+// Candidate is a step with tasks that may start now, and its place in the order.
+type Candidate struct {
+	Step     *jobs.StepRun
+	Tasks    []*jobs.Task
+	Priority int           // of its queue, 0 goes first
+	Deadline time.Duration // when its job should be done, on the clock of now
+	Left     time.Duration // estimated work of its job that is still to be done, one step after the other
+}
+
+// Start says that a task starts on a host.
+type Start struct {
+	Task *jobs.Task
+	Host *Host
+}
+
+// Sort puts candidates into the order in which they get resources.
+func Sort(cs []Candidate, now time.Duration) {
+	slices.SortStableFunc(cs, func(a, b Candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(b.serving(), a.serving()),
+			cmp.Compare(a.late(now), b.late(now)),
+			cmp.Compare(a.Deadline-a.Left, b.Deadline-b.Left),
+		)
+	})
+}
+
+// serving puts tasks that serve callers of their own first: their absence counts at once.
+func (c *Candidate) serving() int {
+	if c.Step.Spec.LongRunning && !c.Step.Spec.Filler {
+		return 1
+	}
+	return 0
+}
+
+// late puts jobs that cannot be done in time behind those that can.
+func (c *Candidate) late(now time.Duration) int {
+	if now+c.Left > c.Deadline {
+		return 1
+	}
+	return 0
+}
+
+// Plan chooses hosts for the candidates, which are in order; it changes the hosts' free resources.
+func Plan(cs []Candidate, hosts []*Host) (starts []Start) {
+	for _, c := range cs {
+		if c.Step.Spec.Gang {
+			starts = append(starts, planGang(c, hosts)...)
+			continue
+		}
+		for _, t := range c.Tasks {
+			h := best(c.Step, hosts)
+			if h == nil {
+				break // the tasks of a step are alike
+			}
+			h.place(c.Step)
+			starts = append(starts, Start{Task: t, Host: h})
+		}
+	}
+	return starts
+}
+
+// best returns the host that suits a task of the step most, nil if none has room.
+func best(s *jobs.StepRun, hosts []*Host) (chosen *Host) {
+	var top float64
+	for _, h := range hosts {
+		if !h.takes(s) {
+			continue
+		}
+		if score := h.score(s); chosen == nil || score > top {
+			chosen, top = h, score
+		}
+	}
+	return chosen
+}
+
+// score is higher for a host that suits the step better.
+func (h *Host) score(s *jobs.StepRun) float64 {
+	score := float64(h.Free.CPU)/float64(max(h.Capacity.CPU, 1)) - h.Penalty
+	if s.Spec.DataRack != "" && s.Spec.DataRack == h.Rack {
+		score += dataRackWeight
+	}
+	if s.Spec.LongRunning {
+		score -= spreadWeight * float64(h.perStep[s])
+	}
+	return score
+}
+
+// planGang places all tasks of a step or none; a step that is slow when spread
+// over racks gets one rack if any has room for all.
+func planGang(c Candidate, hosts []*Host) []Start {
+	if len(c.Tasks) != len(c.Step.Tasks) {
+		return nil // a former run has not ended everywhere
+	}
+	if c.Step.Spec.SameRack {
+		for _, group := range byRack(hosts) {
+			if starts := placeAll(c, group); starts != nil {
+				return starts
+			}
+		}
+	}
+	return placeAll(c, hosts)
+}
+
+func placeAll(c Candidate, hosts []*Host) (starts []Start) {
+	for _, t := range c.Tasks {
+		h := best(c.Step, hosts)
+		if h == nil {
+			for _, s := range starts {
+				s.Host.unplace(c.Step)
+			}
+			return nil
+		}
+		h.place(c.Step)
+		starts = append(starts, Start{Task: t, Host: h})
+	}
+	return starts
+}
+
+// byRack groups hosts by rack, the rack with most free processors first.
+func byRack(hosts []*Host) (groups [][]*Host) {
+	at := map[string]int{}
+	for _, h := range hosts {
+		i, ok := at[h.Rack]
+		if !ok {
+			i = len(groups)
+			at[h.Rack] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], h)
+	}
+	free := func(g []*Host) (n int) {
+		for _, h := range g {
+			n += h.Free.CPU
+		}
+		return n
+	}
+	slices.SortStableFunc(groups, func(a, b []*Host) int { return cmp.Compare(free(b), free(a)) })
+	return groups
+}
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -16,6 +16,74 @@
 	TokenSha256 string `json:"token_sha256" msgpack:"token_sha256"`
 }
 
+// Call is a question over a link that carries many at once.
+type Call struct {
+	// CatalogVersion is the version that the sender has, 0 for none.
+	CatalogVersion int `json:"catalog_version" msgpack:"catalog_version"`
+
+	// ID pairs the reply with the call on its link.
+	ID int `json:"id" msgpack:"id"`
+
+	// Job is the job's ID.
+	Job string `json:"job" msgpack:"job"`
+
+	// Kind corresponds to the JSON schema field "kind".
+	Kind CallKind `json:"kind" msgpack:"kind"`
+
+	// Pool names the shard.
+	Pool string `json:"pool" msgpack:"pool"`
+
+	// Queue is the job's queue.
+	Queue string `json:"queue" msgpack:"queue"`
+
+	// Record is the encoded job record of a submission.
+	Record []byte `json:"record" msgpack:"record"`
+}
+
+type CallKind string
+
+const CallKindCancel CallKind = "cancel"
+const CallKindCatalog CallKind = "catalog"
+const CallKindPing CallKind = "ping"
+const CallKindState CallKind = "state"
+const CallKindSubmit CallKind = "submit"
+const CallKindWaiting CallKind = "waiting"
+
+type CallOutcome string
+
+const CallOutcomeNotFound CallOutcome = "not_found"
+const CallOutcomeNotOwner CallOutcome = "not_owner"
+const CallOutcomeOk CallOutcome = "ok"
+const CallOutcomeRefused CallOutcome = "refused"
+const CallOutcomeUnknown CallOutcome = "unknown"
+
+// CallReply answers a Call.
+type CallReply struct {
+	// Catalog is the encoded configuration, when it was asked for.
+	Catalog []byte `json:"catalog" msgpack:"catalog"`
+
+	// CatalogVersion is the version that the sender has, 0 for none.
+	CatalogVersion int `json:"catalog_version" msgpack:"catalog_version"`
+
+	// ID is that of the call.
+	ID int `json:"id" msgpack:"id"`
+
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome CallOutcome `json:"outcome" msgpack:"outcome"`
+
+	// ReachesStore tells whether the table service answers the sender.
+	ReachesStore bool `json:"reaches_store" msgpack:"reaches_store"`
+
+	// Start tells incarnations of the sender apart.
+	Start int `json:"start" msgpack:"start"`
+
+	// State is the job's state.
+	State string `json:"state" msgpack:"state"`
+
+	// Waiting counts jobs that have not begun.
+	Waiting int `json:"waiting" msgpack:"waiting"`
+}
+
 // CallerListener takes callers' requests.
 type CallerListener struct {
 	// Address is the host:port to listen at.
@@ -236,6 +304,16 @@
 const KindWeights Kind = "weights"
 const KindZone Kind = "zone"
 
+// MachinesSettings name the service that lists, moves and restarts VMs.
+type MachinesSettings struct {
+	// ActionsPerS is how many moves and restarts a second all entries together may
+	// order.
+	ActionsPerS float64 `json:"actions_per_s" msgpack:"actions_per_s"`
+
+	// Address is the host:port of the VM service.
+	Address string `json:"address" msgpack:"address"`
+}
+
 // OperatorListener serves the operators' API, health and metrics.
 type OperatorListener struct {
 	// Accounts are the operators that may use the API.
@@ -443,6 +521,58 @@
 	MaxInFlight int `json:"max_in_flight" msgpack:"max_in_flight"`
 }
 
+// ServiceSettings are what one entry of the job service is told at its start.
+type ServiceSettings struct {
+	// Address is the IP address at which other entries reach this one.
+	Address string `json:"address" msgpack:"address"`
+
+	// Advice is the host:port of the service that says which workers may run a step;
+	// empty when there is none.
+	Advice string `json:"advice" msgpack:"advice"`
+
+	// Callers is the host:port at which callers hand in jobs.
+	Callers string `json:"callers" msgpack:"callers"`
+
+	// CPUShare is the share of a processor that the process gets; entries with more
+	// own more.
+	CpuShare float64 `json:"cpu_share" msgpack:"cpu_share"`
+
+	// LogLevel is the least severe level that is logged.
+	LogLevel ServiceSettingsLogLevel `json:"log_level" msgpack:"log_level"`
+
+	// Machines corresponds to the JSON schema field "machines".
+	Machines MachinesSettings `json:"machines" msgpack:"machines"`
+
+	// MemoryMb is the most memory the process may use, in MB.
+	MemoryMb int `json:"memory_mb" msgpack:"memory_mb"`
+
+	// Name identifies the entry; it stays when the process restarts.
+	Name string `json:"name" msgpack:"name"`
+
+	// Ports are the first and the last port that entries may use between themselves.
+	Ports []int `json:"ports" msgpack:"ports"`
+
+	// Readiness is the host:port at which the balancer asks whether the entry takes
+	// calls.
+	Readiness string `json:"readiness" msgpack:"readiness"`
+
+	// Store corresponds to the JSON schema field "store".
+	Store StoreSettings `json:"store" msgpack:"store"`
+
+	// Timing corresponds to the JSON schema field "timing".
+	Timing TimingSettings `json:"timing" msgpack:"timing"`
+
+	// Zone is the availability zone of the entry.
+	Zone string `json:"zone" msgpack:"zone"`
+}
+
+type ServiceSettingsLogLevel string
+
+const ServiceSettingsLogLevelDebug ServiceSettingsLogLevel = "debug"
+const ServiceSettingsLogLevelError ServiceSettingsLogLevel = "error"
+const ServiceSettingsLogLevelInfo ServiceSettingsLogLevel = "info"
+const ServiceSettingsLogLevelWarn ServiceSettingsLogLevel = "warn"
+
 // Settings are what one entry daemon is told at its start.
 type Settings struct {
 	// Callers corresponds to the JSON schema field "callers".
@@ -480,6 +610,15 @@
 const SettingsLogLevelInfo SettingsLogLevel = "info"
 const SettingsLogLevelWarn SettingsLogLevel = "warn"
 
+// StoreSettings name the table service and its limits.
+type StoreSettings struct {
+	// Address is the host:port of the table service.
+	Address string `json:"address" msgpack:"address"`
+
+	// PartitionWritesPerS is how many transactions a second one partition takes.
+	PartitionWritesPerS float64 `json:"partition_writes_per_s" msgpack:"partition_writes_per_s"`
+}
+
 // TLS names the files of a listener's certificate; they are read again when they
 // change.
 type TLS struct {
@@ -513,6 +652,53 @@
 	Weight float64 `json:"weight" msgpack:"weight"`
 }
 
+// TimingSettings are the bounds that the deployment has been promised.
+type TimingSettings struct {
+	// DataRackFactor is how many times longer a task takes away from the rack of its
+	// data.
+	DataRackFactor float64 `json:"data_rack_factor" msgpack:"data_rack_factor"`
+
+	// DrainMs is how long a worker that is leaving may still get tasks, in
+	// milliseconds.
+	DrainMs int `json:"drain_ms" msgpack:"drain_ms"`
+
+	// EarlyMs is how long before its time a scheduled task may start, in
+	// milliseconds.
+	EarlyMs int `json:"early_ms" msgpack:"early_ms"`
+
+	// GraceS is the time in seconds between the signal to stop and the end of the
+	// process.
+	GraceS float64 `json:"grace_s" msgpack:"grace_s"`
+
+	// HarmMs is how long a serving task may miss its target before it counts, in
+	// milliseconds.
+	HarmMs int `json:"harm_ms" msgpack:"harm_ms"`
+
+	// LeaseMs is how long orders to one VM must not come from another entry after the
+	// last, in milliseconds.
+	LeaseMs int `json:"lease_ms" msgpack:"lease_ms"`
+
+	// MaintenanceS is how long a VM's maintenance takes, in seconds.
+	MaintenanceS float64 `json:"maintenance_s" msgpack:"maintenance_s"`
+
+	// MaxLeaseMs is the longest lease that workers grant, in milliseconds.
+	MaxLeaseMs int `json:"max_lease_ms" msgpack:"max_lease_ms"`
+
+	// MoveS is how long a VM's move between pools takes, in seconds.
+	MoveS float64 `json:"move_s" msgpack:"move_s"`
+
+	// NoticeMs is how long a long-running task may be away before it counts as
+	// missing, in milliseconds.
+	NoticeMs int `json:"notice_ms" msgpack:"notice_ms"`
+
+	// RetentionS is how long a finished job can be asked for, in seconds.
+	RetentionS float64 `json:"retention_s" msgpack:"retention_s"`
+
+	// StopMs is the longest time a task takes to end after it was told to, in
+	// milliseconds.
+	StopMs int `json:"stop_ms" msgpack:"stop_ms"`
+}
+
 // VM is one worker; the columns from phase on are written by control, not by
 // operators.
 type VM struct {
--- /dev/null
+++ b/pkg/shard/calls.go
@@ -0,0 +1,157 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// Submit keeps a job and starts it; it may be called again for the same ID.
+func (o *Owner) Submit(ctx context.Context, id string, r jobs.Record) Outcome {
+	o.mu.Lock()
+	switch {
+	case o.over:
+		o.mu.Unlock()
+		return schema.CallOutcomeNotOwner
+	case o.book.Job(id) != nil:
+		o.mu.Unlock()
+		return schema.CallOutcomeOk
+	}
+	s := o.pending[id]
+	if s != nil {
+		o.mu.Unlock()
+		return schema.CallOutcomeUnknown // its first arrival is on its way to the table
+	}
+	if o.troubled {
+		o.mu.Unlock()
+		return schema.CallOutcomeRefused
+	}
+	raw, err := r.Encode()
+	if err != nil {
+		o.mu.Unlock()
+		o.log.Error().Str("event", "job_encode_failed").Str("job", id).Err(err).Send()
+		return schema.CallOutcomeRefused
+	}
+	s = &submission{id: id, record: r, raw: raw, done: make(chan Outcome, 1)}
+	o.pending[id] = s
+	o.queued = append(o.queued, s)
+	o.hurry()
+	o.mu.Unlock()
+	return wait(ctx, s.done)
+}
+
+// wait returns an outcome, which is unknown when it does not come in time.
+func wait(ctx context.Context, done <-chan Outcome) Outcome {
+	t := time.NewTimer(submitWait)
+	defer t.Stop()
+	select {
+	case out := <-done:
+		return out
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return schema.CallOutcomeUnknown
+}
+
+// Cancel ends a job.
+func (o *Owner) Cancel(ctx context.Context, id string) Outcome {
+	o.mu.Lock()
+	j := o.book.Job(id)
+	if o.over {
+		o.mu.Unlock()
+		return schema.CallOutcomeNotOwner
+	}
+	if j == nil {
+		_, arriving := o.pending[id]
+		o.mu.Unlock()
+		if arriving {
+			return schema.CallOutcomeUnknown
+		}
+		return schema.CallOutcomeNotFound
+	}
+	if j.Kept.Final() {
+		o.mu.Unlock()
+		return schema.CallOutcomeOk
+	}
+	if o.book.Cancel(j) {
+		o.log.Info().Str("event", "job_cancelled").Str("job", id).Send()
+		o.metrics.Job("cancelled")
+		o.jobEnded(j)
+	}
+	done := make(chan Outcome, 1)
+	o.waiters[j] = append(o.waiters[j], done)
+	o.keep(j, true)
+	o.mu.Unlock()
+	return wait(ctx, done)
+}
+
+// State returns the state of a job that callers may be told.
+func (o *Owner) State(id string) (jobs.State, Outcome) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.over {
+		return "", schema.CallOutcomeNotOwner
+	}
+	j := o.book.Job(id)
+	if j == nil {
+		if _, arriving := o.pending[id]; arriving {
+			return "", schema.CallOutcomeUnknown
+		}
+		return "", schema.CallOutcomeNotFound
+	}
+	return j.Kept, schema.CallOutcomeOk
+}
+
+// Waiting counts the jobs of a queue that have not begun.
+func (o *Owner) Waiting(queue string) (int, Outcome) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.over {
+		return 0, schema.CallOutcomeNotOwner
+	}
+	return o.book.Waiting(queue), schema.CallOutcomeOk
+}
+
+// answerWaiters tells those who wait for a job's final state; the lock is held.
+func (o *Owner) answerWaiters(j *jobs.Job) {
+	if !j.Kept.Final() {
+		return
+	}
+	for _, done := range o.waiters[j] {
+		done <- schema.CallOutcomeOk
+	}
+	delete(o.waiters, j)
+}
+
+// keep marks a job's progress to be written, at once if someone waits for it; the lock is held.
+func (o *Owner) keep(j *jobs.Job, soon bool) {
+	o.dirty[j] = struct{}{}
+	if soon {
+		o.hurry()
+		return
+	}
+	o.kickCommit()
+}
+
+// hurry has the next transaction written without waiting for more; the lock is held.
+func (o *Owner) hurry() {
+	o.urgent = true
+	select {
+	case o.urgentWake <- struct{}{}:
+	default:
+	}
+	o.kickCommit()
+}
+
+func (o *Owner) kickCommit() { kick(o.commitWake) }
+
+func (o *Owner) kickPlacement() { kick(o.placeWake) }
+
+func kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/shard/health.go
@@ -0,0 +1,48 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// outcomes is what is remembered of a worker's ends to tell a bad worker.
+type outcomes struct {
+	failures float64 // recent failed attempts, fading
+	at       time.Duration
+}
+
+const (
+	// failureHalfLife is how fast failures are forgiven.
+	failureHalfLife = 4 * time.Second
+	// failurePenalty is what one recent failure weighs against a worker, as a share of free processors.
+	failurePenalty = 0.35
+)
+
+// note takes one end into account.
+func (h *outcomes) note(reason platform.EndReason, a *jobs.Attempt, now time.Duration) {
+	h.fade(now)
+	switch reason {
+	case platform.EndFailed:
+		h.failures++
+	case platform.EndDone:
+		h.failures /= 2
+	}
+}
+
+func (h *outcomes) fade(now time.Duration) {
+	for h.failures > 0.05 && now-h.at >= failureHalfLife {
+		h.failures /= 2
+		h.at += failureHalfLife
+	}
+	if now-h.at >= failureHalfLife || h.failures <= 0.05 {
+		h.at = now
+	}
+}
+
+// penalty is what speaks against the worker.
+func (h *outcomes) penalty(now time.Duration) float64 {
+	h.fade(now)
+	return h.failures * failurePenalty
+}
--- /dev/null
+++ b/pkg/shard/owner.go
@@ -0,0 +1,366 @@
+package shard
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// Waits of callers.
+const (
+	// submitWait is how long a submission waits for its row before its outcome is told as unknown.
+	submitWait = 1500 * time.Millisecond
+	// takeoverRead bounds the reads of a takeover.
+	takeoverRead = 3 * time.Second
+	// upkeepInterval is how often leases, stops and finished jobs are gone through.
+	upkeepInterval = 150 * time.Millisecond
+)
+
+// rackLabel is how labels that name a rack begin.
+const rackLabel = "r"
+
+// Metrics counts what an owner does.
+type Metrics interface {
+	Commit(d time.Duration, err error)
+	Look(err error)
+	Order(err error)
+	End(reason platform.EndReason)
+	Job(event string)
+}
+
+// Config is what an owner works with.
+type Config struct {
+	Pool      string
+	Self      Identity
+	Rows      platform.Rows
+	Workers   platform.Workers
+	Metrics   Metrics
+	Log       zerolog.Logger
+	Retention time.Duration // how long final jobs can be asked for
+	Since     time.Time     // origin of the owner's clock
+	OnOver    func(error)   // called once when the shard is given up
+}
+
+// finalJob is a job to be forgotten after the retention.
+type finalJob struct {
+	id string
+	at time.Duration
+}
+
+// Owner owns one shard until it is given up or another entry takes it over.
+type Owner struct {
+	pool    string
+	self    Identity
+	rows    platform.Rows
+	workers platform.Workers
+	metrics Metrics
+	log     zerolog.Logger
+	retain  time.Duration
+	since   time.Time
+	onOver  func(error)
+	term    int64
+	ownerAt int64
+
+	placeWake  chan struct{}
+	commitWake chan struct{}
+	urgentWake chan struct{}
+
+	mu       sync.Mutex
+	ctx      context.Context
+	cancel   context.CancelFunc
+	over     bool
+	book     *jobs.Book
+	sessions map[string]*session
+	catalog  *catalog.Catalog
+	held     bool          // a worker of a former owner has not been heard
+	heldTo   time.Duration // when its leases have run out
+
+	pending        map[string]*submission
+	queued         []*submission
+	dirty          map[*jobs.Job]struct{}
+	drops          []string
+	finals         []finalJob
+	waiters        map[*jobs.Job][]chan Outcome
+	workersChanged bool
+	urgent         bool
+	idleTasks      bool // tasks wait for room, or for a time
+	troubled       bool
+	chain          int64 // version of the commit row
+	seq            int64
+	wg             sync.WaitGroup
+}
+
+// Open takes the shard over, if its owner row still has the version seen, reads
+// what is kept and starts to own it.
+func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog, workers []platform.Worker) (o *Owner, err error) {
+	ctx, done := context.WithTimeout(ctx, takeoverRead)
+	defer done()
+	c, err := takeOver(ctx, cfg.Rows, cfg.Pool, cfg.Self, seen)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Since(cfg.Since)
+	k, err := readKept(ctx, cfg.Rows, cfg.Pool, c.row.Term, now)
+	if err != nil {
+		return nil, err
+	}
+	o = &Owner{
+		pool: cfg.Pool, self: cfg.Self, rows: cfg.Rows, workers: cfg.Workers, metrics: cfg.Metrics,
+		log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.row.Term).Logger(), retain: cfg.Retention,
+		since: cfg.Since, onOver: cfg.OnOver, term: c.row.Term, ownerAt: c.ownerAt, chain: c.chain,
+		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
+		book: k.book, sessions: map[string]*session{}, catalog: cat,
+		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
+	}
+	o.ctx, o.cancel = context.WithCancel(context.Background())
+	o.start(k, workers, now)
+	return o, nil
+}
+
+func (o *Owner) start(k kept, workers []platform.Worker, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	jobCount := 0
+	o.book.All(func(j *jobs.Job) {
+		jobCount++
+		if j.State.Final() {
+			o.finals = append(o.finals, finalJob{id: j.ID, at: now})
+		}
+	})
+	for _, w := range k.workers {
+		s := o.addSession(platform.WorkerRef{Boot: w.Boot, Address: w.Address}, w.VM)
+		s.recorded = true
+		o.held = true
+	}
+	o.heldTo = o.formerLeasesEnd(now)
+	o.setWorkers(workers)
+	o.log.Info().Str("event", "shard_owned").Int("jobs", jobCount).Int("active", len(o.book.Active())).
+		Int("workers", len(o.sessions)).Int("leased", len(k.workers)).Send()
+	o.checkHeld()
+	o.wg.Go(func() { o.commitLoop(o.ctx) })
+	o.wg.Go(func() { o.placeLoop(o.ctx) })
+	o.wg.Go(func() { o.upkeepLoop(o.ctx) })
+	o.kickPlacement()
+}
+
+// formerLeasesEnd is when the longest lease of a former owner has run out.
+func (o *Owner) formerLeasesEnd(now time.Duration) time.Duration {
+	return now + time.Duration(float64(leaseLength.Nanoseconds())*(1+2*maxClockDrift)) + lapseSlack
+}
+
+func (o *Owner) now() time.Duration { return time.Since(o.since) }
+
+// Term is the term of ownership.
+func (o *Owner) Term() int64 { return o.term }
+
+// RowVersion is the version of the owner row that this owner wrote.
+func (o *Owner) RowVersion() int64 { return o.ownerAt }
+
+// Pool is the pool whose shard this is.
+func (o *Owner) Pool() string { return o.pool }
+
+// addSession starts to watch a boot.
+func (o *Owner) addSession(ref platform.WorkerRef, vm string) *session {
+	ctx, cancel := context.WithCancel(o.ctx)
+	s := &session{
+		ref: ref, vm: vm, attempts: map[string]*running{}, token: o.term*tokensPerTerm + 1,
+		wake: make(chan struct{}, 1), cancel: cancel, lapsesAt: o.formerLeasesEnd(o.now()),
+	}
+	o.sessions[ref.Boot] = s
+	o.wg.Go(func() { o.sessionLoop(ctx, s) })
+	return s
+}
+
+// SetWorkers takes the directory's boots of this pool.
+func (o *Owner) SetWorkers(workers []platform.Worker) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.over {
+		o.setWorkers(workers)
+	}
+}
+
+func (o *Owner) setWorkers(workers []platform.Worker) {
+	listed := make(map[string]bool, len(workers))
+	for _, w := range workers {
+		listed[w.Boot] = true
+		s := o.sessions[w.Boot]
+		if s == nil {
+			s = o.addSession(platform.WorkerRef{Boot: w.Boot, Address: w.Address}, w.VM)
+			o.workersChanged = true
+			o.log.Info().Str("event", "worker_listed").Str("boot", w.Boot).Str("vm", w.VM).Str("address", w.Address).Send()
+		}
+		s.listed, s.info, s.vm = true, w, w.VM
+		if w.Draining && !s.draining {
+			s.draining = true
+			o.log.Info().Str("event", "worker_draining").Str("boot", w.Boot).Send()
+		}
+		o.retireOlder(w)
+	}
+	for boot, s := range o.sessions {
+		if s.listed && !listed[boot] {
+			s.listed = false
+			o.log.Info().Str("event", "worker_unlisted").Str("boot", boot).Send()
+		}
+		if !s.listed && s.failures > 0 {
+			o.expire(s)
+		}
+	}
+	if o.workersChanged {
+		o.kickCommit()
+	}
+	o.kickPlacement()
+}
+
+// retireOlder ends the sessions of former boots of the same VM.
+func (o *Owner) retireOlder(w platform.Worker) {
+	if w.VM == "" {
+		return
+	}
+	for boot, s := range o.sessions {
+		if boot != w.Boot && s.vm == w.VM && !s.listed {
+			o.bootEnded(s, "its VM has another boot")
+		}
+	}
+}
+
+// SetCatalog takes a new version of the configuration.
+func (o *Owner) SetCatalog(c *catalog.Catalog) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.catalog = c
+	o.kickPlacement()
+}
+
+// checkHeld sees whether tasks of a former owner may still be somewhere unseen.
+func (o *Owner) checkHeld() {
+	if !o.held {
+		return
+	}
+	now := o.now()
+	if now < o.heldTo {
+		for _, s := range o.sessions {
+			if s.recorded && !s.known && !s.gone {
+				return
+			}
+		}
+	}
+	o.held = false
+	o.log.Info().Str("event", "takeover_complete").Dur("after", now-(o.heldTo-o.formerLeasesEnd(0))).Send()
+	o.kickPlacement()
+}
+
+// upkeepLoop goes through what is due by time.
+func (o *Owner) upkeepLoop(ctx context.Context) {
+	tick := time.NewTicker(upkeepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			o.upkeep()
+		}
+	}
+}
+
+func (o *Owner) upkeep() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.now()
+	for _, s := range o.sessions {
+		o.expire(s)
+		o.repeatStops(s, now)
+	}
+	o.checkHeld()
+	o.forgetFinals(now)
+	if o.idleTasks || o.book.Timed() {
+		o.kickPlacement()
+	}
+}
+
+// forgetFinals removes jobs that callers no longer ask for.
+func (o *Owner) forgetFinals(now time.Duration) {
+	for len(o.finals) > 0 && now-o.finals[0].at > o.retain {
+		id := o.finals[0].id
+		o.finals = o.finals[1:]
+		o.book.Remove(id)
+		o.drops = append(o.drops, id)
+		o.kickCommit()
+	}
+}
+
+// outranked gives the shard up: a worker has seen a higher token than ours.
+func (o *Owner) outranked(s *session) {
+	o.giveUp(ErrNotOwner{Owner: OwnerRow{Entry: "the sender of a higher token at " + s.ref.Boot}})
+}
+
+// giveUp ends the ownership; the lock is held.
+func (o *Owner) giveUp(cause error) {
+	if o.over {
+		return
+	}
+	o.over = true
+	o.refuseQueued()
+	o.cancel()
+	o.log.Warn().Str("event", "shard_given_up").Err(cause).Send()
+	go o.onOver(cause)
+}
+
+// Close ends the ownership without handing it over.
+func (o *Owner) Close() {
+	o.mu.Lock()
+	o.over = true
+	o.refuseQueued()
+	o.mu.Unlock()
+	o.cancel()
+	o.wg.Wait()
+}
+
+func rackOf(labels []string) string {
+	for _, l := range labels {
+		if strings.HasPrefix(l, rackLabel) && strings.ContainsRune(l, '-') {
+			return l
+		}
+	}
+	return ""
+}
+
+// Release hands the shard over: it gives no more orders, keeps what is there to
+// keep and lets go of the owner row; next names who should take over, if not empty.
+func (o *Owner) Release(ctx context.Context, next string) {
+	o.mu.Lock()
+	if o.over {
+		o.mu.Unlock()
+		return
+	}
+	o.over = true
+	o.refuseQueued()
+	o.mu.Unlock()
+	o.cancel()
+	o.wg.Wait()
+	o.mu.Lock()
+	ownerAt := o.ownerAt
+	o.mu.Unlock()
+	err := o.release(ctx, ownerAt, next)
+	o.log.Info().Str("event", "shard_released").Str("next", next).Err(err).Send()
+}
+
+func (o *Owner) release(ctx context.Context, ownerAt int64, next string) error {
+	raw, err := encode(OwnerRow{Term: o.term, Next: next})
+	if err != nil {
+		return err
+	}
+	_, err = o.rows.CommitRows(ctx, platform.RowTxn{
+		Expect: []platform.Row{{RowKey: ownerKey(o.pool), Version: ownerAt}},
+		Put:    []platform.Row{{RowKey: ownerKey(o.pool), Value: raw}},
+	})
+	return err
+}
--- /dev/null
+++ b/pkg/shard/rows.go
@@ -0,0 +1,75 @@
+package shard
+
+import (
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// The tables of a shard; the partition is the pool's name.
+const (
+	TableOwner    = "owner"    // who owns the shard; followed by every entry
+	tableCommit   = "commit"   // chains the shard's transactions
+	tableJob      = "job"      // job records by job ID
+	tableProgress = "progress" // progress by job ID
+	tableWorkers  = "workers"  // boots that may hold a lease
+)
+
+// singleKey is the key of the one row in a table that has one row a partition.
+const singleKey = "row"
+
+// OwnerRow says who owns a shard.
+type OwnerRow struct {
+	Entry   string `msgpack:"e"` // empty when the last owner has let go
+	Start   int64  `msgpack:"s"` // tells incarnations of the entry apart
+	Address string `msgpack:"a"` // of its peer listener
+	Term    int64  `msgpack:"t"` // rises with each takeover
+	Next    string `msgpack:"n"` // entry that should take over, set by an owner that lets go
+}
+
+// CommitRow is rewritten by each transaction of a shard.
+type CommitRow struct {
+	Entry string `msgpack:"e"`
+	Start int64  `msgpack:"s"`
+	Term  int64  `msgpack:"t"`
+	Seq   int64  `msgpack:"q"` // counts the transactions of the term
+}
+
+// leasedWorker is a boot that was given a lease and may still run tasks.
+type leasedWorker struct {
+	Boot    string `msgpack:"b"`
+	VM      string `msgpack:"v"`
+	Address string `msgpack:"a"`
+}
+
+func ownerKey(pool string) platform.RowKey {
+	return platform.RowKey{Table: TableOwner, Partition: pool, Key: singleKey}
+}
+
+func commitKey(pool string) platform.RowKey {
+	return platform.RowKey{Table: tableCommit, Partition: pool, Key: singleKey}
+}
+
+func workersKey(pool string) platform.RowKey {
+	return platform.RowKey{Table: tableWorkers, Partition: pool, Key: singleKey}
+}
+
+func jobKey(pool, id string) platform.RowKey {
+	return platform.RowKey{Table: tableJob, Partition: pool, Key: id}
+}
+
+func progressKey(pool, id string) platform.RowKey {
+	return platform.RowKey{Table: tableProgress, Partition: pool, Key: id}
+}
+
+func encode(v any) ([]byte, error) {
+	raw, err := msgpack.Marshal(v)
+	return raw, errors.Wrap(err, "encode row")
+}
+
+// DecodeOwner reads an owner row.
+func DecodeOwner(raw []byte) (o OwnerRow, err error) {
+	err = msgpack.Unmarshal(raw, &o)
+	return o, errors.Wrap(err, "decode owner row")
+}
