Leases only while ownership is confirmed; an owner without the store is replaced

Change: an owner gives leases and orders only within 1.5 s of its last confirmation (a transaction, a read of its row, or every entry's word that it knows no newer owner row); the next owner waits that much longer for leases of workers that do not answer. Lease 4.5 to 4 s, looks each second. Pings carry owner rows, so that entries cut off from the store know whom to ask.

Ruled out: a clock or token error (the workers' tokens were in order).

--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -129,9 +129,11 @@
 func (n *Node) answerPeer(ctx context.Context, q *schema.Call) *schema.CallReply {
 	switch q.Kind {
 	case schema.CallKindPing:
+		version, claiming := n.keeper.Seen()
 		return &schema.CallReply{
 			Outcome: schema.CallOutcomeOk, CatalogVersion: int(n.catalogVersion()),
-			ReachesStore: n.store.ok(), Start: int(n.self.Start),
+			ReachesStore: n.rows.ok(), Start: int(n.self.Start),
+			OwnersVersion: int(version), Claiming: claiming, Owners: n.keeper.News(int64(q.OwnersVersion)),
 		}
 	case schema.CallKindCatalog:
 		if c := n.catalog.Load(); c != nil {
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
@@ -21,44 +19,20 @@
 	feedWait = 20 * time.Second
 	// readTimeout bounds one read, and what a waiting call may take beyond its wait.
 	readTimeout = 2 * time.Second
+	// workersPace is the least time between two calls for the directory of
+	// workers, whose rows change with every heartbeat; a worker that is leaving
+	// may get tasks for seconds.
+	workersPace = 400 * time.Millisecond
 	// retryFeed is the pause after a read that failed; half of it is random, so that entries do not come together.
 	retryFeed = 250 * time.Millisecond
 )
 
-// reach remembers whether the table service answers this node.
-type reach struct {
-	log zerolog.Logger
-
-	mu   sync.Mutex
-	lost bool
-}
-
-func (r *reach) note(err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	lost := err != nil
-	if lost == r.lost {
-		return
-	}
-	r.lost = lost
-	if lost {
-		r.log.Warn().Str("event", "feeds_lost").Err(err).Send()
-	} else {
-		r.log.Info().Str("event", "feeds_regained").Send()
-	}
-}
-
-func (r *reach) ok() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.lost
-}
-
 // feed follows one table.
 type feed struct {
 	table string
 	list  func(ctx context.Context) (version int64, err error) // reads the whole table
 	apply func(r platform.Row)
+	pace  time.Duration // least time between two calls, 0 for none
 }
 
 // follow keeps to a table until ctx ends.
@@ -69,8 +43,8 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		n.store.note(err)
 		if err == nil {
+			sleep(ctx, f.pace)
 			continue
 		}
 		if errors.As(err, new(platform.ErrHistoryGone)) {
@@ -78,14 +52,23 @@
 			after = -1
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryFeed/2 + rand.N(retryFeed)): //nolint:gosec // spreads retries only
-		}
+		sleep(ctx, retryFeed/2+rand.N(retryFeed))
 	}
 	return nil
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func (n *Node) followOnce(ctx context.Context, f feed, after *int64) error {
 	if *after < 0 {
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -188,7 +171,7 @@
 
 func (n *Node) followWorkers(ctx context.Context) error {
 	return n.follow(ctx, feed{
-		table: n.source.WorkerTable,
+		table: n.source.WorkerTable, pace: workersPace,
 		list: func(ctx context.Context) (int64, error) {
 			all := map[string]platform.Worker{}
 			version, err := n.listAll(ctx, n.source.WorkerTable, func(r platform.Row) { n.decodeWorker(all, r) })
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -44,7 +44,7 @@
 type Node struct {
 	settings schema.ServiceSettings
 	source   Source
-	rows     platform.Rows
+	rows     *reach
 	log      zerolog.Logger
 	metrics  *metrics
 	self     ownership.Member
@@ -55,7 +55,6 @@
 
 	catalog  atomic.Pointer[stored]
 	stopping atomic.Bool
-	store    reach
 	stop     chan struct{}
 	stopOnce sync.Once
 
@@ -71,8 +70,9 @@
 }
 
 // New returns a node that is not running yet.
-func New(s schema.ServiceSettings, rows platform.Rows, workers platform.Workers, src Source, log zerolog.Logger) *Node {
+func New(s schema.ServiceSettings, table platform.Rows, workers platform.Workers, src Source, log zerolog.Logger) *Node {
 	now := time.Now()
+	rows := &reach{Rows: table, log: log}
 	n := &Node{
 		settings: s, source: src, rows: rows, log: log, metrics: newMetrics(), since: now,
 		stop: make(chan struct{}), workers: map[string]platform.Worker{},
@@ -81,8 +81,7 @@
 		Name: s.Name, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])), Zone: s.Zone,
 		Start: now.UnixNano(), Share: s.CpuShare,
 	}
-	n.store.log = log
-	n.members = ownership.NewMembers(n.self, rows, log, now, n.kick, n.catalogVersion, n.fetchCatalog)
+	n.members = ownership.NewMembers(n.self, rows, log, now, local{n})
 	n.keeper = ownership.NewKeeper(shard.Identity{Entry: s.Name, Start: n.self.Start, Address: n.self.Address}, n.members, shard.Config{
 		Rows: rows, Workers: workers, Metrics: n.metrics, Log: log, Since: now,
 		Retention: time.Duration(s.Timing.RetentionS * float64(time.Second)),
@@ -90,7 +89,29 @@
 	return n
 }
 
-func (n *Node) kick() { n.keeper.Kick() }
+// local is what the pings to other entries need of this one.
+type local struct{ *Node }
+
+// CatalogVersion implements ownership.Local.
+func (l local) CatalogVersion() int64 { return l.catalogVersion() }
+
+// OwnersVersion implements ownership.Local.
+func (l local) OwnersVersion() int64 {
+	version, _ := l.keeper.Seen()
+	return version
+}
+
+// ReachesStore implements ownership.Local.
+func (l local) ReachesStore() bool { return l.rows.ok() }
+
+// EntryChanged implements ownership.Local.
+func (l local) EntryChanged() { l.keeper.Kick() }
+
+// CatalogNewer implements ownership.Local.
+func (l local) CatalogNewer(c *peer.Caller, version int64) { l.fetchCatalog(c, version) }
+
+// OwnerNews implements ownership.Local.
+func (l local) OwnerNews(pool string, r platform.Row) { l.keeper.ApplyOwner(pool, r) }
 
 // Catalog returns the configuration in force, nil while it is not known.
 func (n *Node) Catalog() *catalog.Catalog {
--- /dev/null
+++ b/pkg/node/reach.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// reach passes calls to the table service on and remembers whether it answers this node.
+type reach struct {
+	platform.Rows
+	log zerolog.Logger
+
+	mu   sync.Mutex
+	lost bool
+}
+
+// CommitRows implements platform.Rows.
+func (r *reach) CommitRows(ctx context.Context, txn platform.RowTxn) (int64, error) {
+	version, err := r.Rows.CommitRows(ctx, txn)
+	r.note(err)
+	return version, err
+}
+
+// ListRows implements platform.Rows.
+func (r *reach) ListRows(ctx context.Context, table, partition, from string) (platform.RowPage, error) {
+	page, err := r.Rows.ListRows(ctx, table, partition, from)
+	r.note(err)
+	return page, err
+}
+
+// FollowRows implements platform.Rows.
+func (r *reach) FollowRows(ctx context.Context, table string, after int64, wait time.Duration) (platform.RowPage, error) {
+	page, err := r.Rows.FollowRows(ctx, table, after, wait)
+	r.note(err)
+	return page, err
+}
+
+// note takes the outcome of a call; what the service refused, it has answered.
+func (r *reach) note(err error) {
+	if errors.As(err, new(platform.ErrConflict)) || errors.As(err, new(platform.ErrHistoryGone)) || errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lost := err != nil
+	if lost == r.lost {
+		return
+	}
+	r.lost = lost
+	if lost {
+		r.log.Warn().Str("event", "store_lost").Err(err).Send()
+	} else {
+		r.log.Info().Str("event", "store_regained").Send()
+	}
+}
+
+// ok tells whether the last call was answered.
+func (r *reach) ok() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.lost
+}
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -13,6 +13,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
@@ -199,6 +200,13 @@
 	if k.stopping || now < settleTime || k.catalog == nil {
 		return
 	}
+	if at, ok := k.members.ConfirmedAt(k.seenVersion()); ok {
+		for _, s := range k.shards {
+			if s.owner != nil {
+				s.owner.Confirm(at)
+			}
+		}
+	}
 	alive := k.members.Alive()
 	load := k.load(alive)
 	pools := make([]string, 0, len(k.shards))
@@ -226,6 +234,43 @@
 	}
 }
 
+// seenVersion is the highest version of an owner row that was seen; the lock is held.
+func (k *Keeper) seenVersion() (version int64) {
+	for _, s := range k.shards {
+		version = max(version, s.version)
+	}
+	return version
+}
+
+// News returns the owner rows that are newer than a version.
+func (k *Keeper) News(after int64) (news []schema.OwnerNews) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for pool, s := range k.shards {
+		if s.version <= after {
+			continue
+		}
+		raw, err := shard.EncodeOwner(s.row)
+		if err != nil {
+			k.log.Error().Str("event", "owner_row_not_encoded").Str("pool", pool).Err(err).Send()
+			continue
+		}
+		news = append(news, schema.OwnerNews{Pool: pool, Version: int(s.version), Row: raw})
+	}
+	return news
+}
+
+// Seen returns the highest version of an owner row that this entry has seen,
+// and whether it is taking a shard over.
+func (k *Keeper) Seen() (version int64, claiming bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range k.shards {
+		claiming = claiming || s.claiming || !s.loaded
+	}
+	return k.seenVersion(), claiming
+}
+
 // judge tells whether a shard is to be claimed; the lock is held.
 func (k *Keeper) judge(s *state, now time.Duration) (why string, gone bool) {
 	verdict, why := k.members.Judge(s.row)
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -29,6 +29,9 @@
 	pingTimeout = 900 * time.Millisecond
 	// silence is how long an owner may go unheard before it is held for gone.
 	silence = 1100 * time.Millisecond
+	// storeSilence is how long an owner may be without the table service, which
+	// others reach, before one of them takes over.
+	storeSilence = time.Second
 )
 
 // Member is an entry as it registers itself.
@@ -46,31 +49,46 @@
 	caller *peer.Caller
 	cancel context.CancelFunc
 
-	heardAt time.Duration // last answer, 0 for never
-	addedAt time.Duration
-	refused bool // nothing listened at its address at the last try
-	store   bool // the table service answers it
-	owns    bool // it owns a shard
-	catalog int64
+	heardAt   time.Duration // last answer, 0 for never
+	addedAt   time.Duration
+	refused   bool          // nothing listened at its address at the last try
+	storeLost time.Duration // since when the table service does not answer it, 0 while it does
+	owns      bool          // it owns a shard
+	sentAt    time.Duration // when the last ping that was answered was sent
+	seen      int64         // highest version of an owner row that it had seen, -1 while it claims a shard
 }
 
 // Members are the other entries.
 type Members struct {
-	self    Member
-	rows    platform.Rows
-	log     zerolog.Logger
-	since   time.Time
-	changed func()                              // called when an entry is lost or regained
-	newer   func(c *peer.Caller, version int64) // called when a peer has a newer configuration
-	version func() int64                        // of the own configuration
+	self  Member
+	rows  platform.Rows
+	log   zerolog.Logger
+	since time.Time
+	local Local
 
 	mu    sync.Mutex
 	peers map[string]*known // by name
 }
 
+// Local is what the pings need of this entry.
+type Local interface {
+	// CatalogVersion is the version of the configuration in force here, 0 for none.
+	CatalogVersion() int64
+	// OwnersVersion is the highest version of an owner row seen here.
+	OwnersVersion() int64
+	// ReachesStore tells whether the table service answers this entry.
+	ReachesStore() bool
+	// EntryChanged is told that an entry was lost or regained.
+	EntryChanged()
+	// CatalogNewer is told that a peer has a newer configuration.
+	CatalogNewer(c *peer.Caller, version int64)
+	// OwnerNews is told of an owner row that a peer has seen.
+	OwnerNews(pool string, r platform.Row)
+}
+
 // NewMembers returns the other entries, none at first.
-func NewMembers(self Member, rows platform.Rows, log zerolog.Logger, since time.Time, changed func(), version func() int64, newer func(*peer.Caller, int64)) *Members {
-	return &Members{self: self, rows: rows, log: log, since: since, changed: changed, version: version, newer: newer, peers: map[string]*known{}}
+func NewMembers(self Member, rows platform.Rows, log zerolog.Logger, since time.Time, local Local) *Members {
+	return &Members{self: self, rows: rows, log: log, since: since, local: local, peers: map[string]*known{}}
 }
 
 // Register writes this entry's row.
@@ -112,7 +130,7 @@
 	m.peers[r.Key] = k
 	m.log.Info().Str("event", "entry_listed").Str("entry", row.Name).Str("zone", row.Zone).Int64("start", row.Start).Send()
 	go m.pingLoop(pingCtx, k)
-	go m.changed()
+	go m.local.EntryChanged()
 }
 
 func (m *Members) forget(k *known) {
@@ -146,9 +164,10 @@
 }
 
 func (m *Members) ping(ctx context.Context, k *known) {
-	version := m.version()
+	version := m.local.CatalogVersion()
+	sentAt := m.now()
 	pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-	reply, err := k.caller.Call(pingCtx, &schema.Call{Kind: schema.CallKindPing, CatalogVersion: int(version)})
+	reply, err := k.caller.Call(pingCtx, &schema.Call{Kind: schema.CallKindPing, CatalogVersion: int(version), OwnersVersion: int(m.local.OwnersVersion())})
 	cancel()
 	if ctx.Err() != nil {
 		return
@@ -157,7 +176,11 @@
 	before := m.alive(k)
 	if err == nil {
 		k.heardAt, k.refused = m.now(), false
-		k.store, k.catalog = reply.ReachesStore, int64(reply.CatalogVersion)
+		k.noteStore(reply.ReachesStore, m.now())
+		k.sentAt, k.seen = sentAt, int64(reply.OwnersVersion)
+		if reply.Claiming {
+			k.seen = -1
+		}
 	} else {
 		var notSent peer.ErrNotSent
 		k.refused = errors.As(err, &notSent) && notSent.Refused
@@ -172,10 +195,25 @@
 		m.log.Info().Str("event", "entry_seen").Str("entry", k.Name).Bool("alive", after).Err(err).Send()
 	}
 	if before != after || k.refused {
-		m.changed()
+		m.local.EntryChanged()
 	}
-	if err == nil && int64(reply.CatalogVersion) > version {
-		m.newer(k.caller, int64(reply.CatalogVersion))
+	if err != nil {
+		return
+	}
+	for _, o := range reply.Owners {
+		m.local.OwnerNews(o.Pool, shard.OwnerRowOf(o))
+	}
+	if int64(reply.CatalogVersion) > version {
+		m.local.CatalogNewer(k.caller, int64(reply.CatalogVersion))
+	}
+}
+
+func (k *known) noteStore(reaches bool, now time.Duration) {
+	switch {
+	case reaches:
+		k.storeLost = 0
+	case k.storeLost == 0:
+		k.storeLost = now
 	}
 }
 
@@ -223,6 +261,21 @@
 	return all
 }
 
+// ConfirmedAt is a time at which certainly no entry had an owner row newer than
+// the version, since each has said so in answer to a later ping; false if any has not.
+func (m *Members) ConfirmedAt(version int64) (at time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at = m.now()
+	for _, k := range m.peers {
+		if k.seen < 0 || k.seen > version || k.heardAt == 0 {
+			return 0, false
+		}
+		at = min(at, k.sentAt)
+	}
+	return at, true
+}
+
 // Verdict is what this entry holds of an owner.
 type Verdict string
 
@@ -249,6 +302,8 @@
 		return VerdictSuspect, "not listed"
 	case k.Start != o.Start:
 		return VerdictGone, "started anew"
+	case m.alive(k) && k.storeLost > 0 && m.now()-k.storeLost > storeSilence && m.local.ReachesStore():
+		return VerdictGone, "the table service does not answer it, but us"
 	case m.alive(k):
 		return VerdictAlive, ""
 	case k.heardAt == 0 && m.now()-k.addedAt < silence && !k.refused:
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -30,6 +30,9 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind CallKind `json:"kind" msgpack:"kind"`
 
+	// OwnersVersion is the highest version of an owner row that the sender has seen.
+	OwnersVersion int `json:"owners_version" msgpack:"owners_version"`
+
 	// Pool names the shard.
 	Pool string `json:"pool" msgpack:"pool"`
 
@@ -65,12 +68,22 @@
 	// CatalogVersion is the version that the sender has, 0 for none.
 	CatalogVersion int `json:"catalog_version" msgpack:"catalog_version"`
 
+	// Claiming tells whether the sender is taking a shard over and does not know the
+	// outcome.
+	Claiming bool `json:"claiming" msgpack:"claiming"`
+
 	// ID is that of the call.
 	ID int `json:"id" msgpack:"id"`
 
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome CallOutcome `json:"outcome" msgpack:"outcome"`
 
+	// Owners are the owner rows that are newer than those the caller has seen.
+	Owners []OwnerNews `json:"owners" msgpack:"owners"`
+
+	// OwnersVersion is the highest version of an owner row that the sender has seen.
+	OwnersVersion int `json:"owners_version" msgpack:"owners_version"`
+
 	// ReachesStore tells whether the table service answers the sender.
 	ReachesStore bool `json:"reaches_store" msgpack:"reaches_store"`
 
@@ -326,6 +339,18 @@
 	TLS *TLS `json:"tls" msgpack:"tls"`
 }
 
+// OwnerNews is an owner row passed on between entries.
+type OwnerNews struct {
+	// Pool names the shard.
+	Pool string `json:"pool" msgpack:"pool"`
+
+	// Row is the encoded owner row.
+	Row []byte `json:"row" msgpack:"row"`
+
+	// Version is the version of the row in the table service.
+	Version int `json:"version" msgpack:"version"`
+}
+
 // PeerHello opens a link and proves the peer.
 type PeerHello struct {
 	// Nonce is a fresh random value of the sender.
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -208,6 +208,7 @@
 		switch {
 		case err == nil:
 			o.setTrouble(false, nil)
+			o.Confirm(started)
 			return version, nil
 		case errors.As(err, &conflict):
 			return o.resolveConflict(conflict, b)
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -72,15 +72,18 @@
 	commitWake chan struct{}
 	urgentWake chan struct{}
 
-	mu       sync.Mutex
-	ctx      context.Context
-	cancel   context.CancelFunc
-	over     bool
-	book     *jobs.Book
-	sessions map[string]*session
-	catalog  *catalog.Catalog
-	held     bool          // a worker of a former owner has not been heard
-	heldTo   time.Duration // when its leases have run out
+	mu          sync.Mutex
+	ctx         context.Context
+	cancel      context.CancelFunc
+	over        bool
+	book        *jobs.Book
+	sessions    map[string]*session
+	catalog     *catalog.Catalog
+	confirmedAt time.Duration // when this entry certainly was the owner
+	asking      bool          // the owner row is being read
+	unconfirmed bool          // that was said in the log
+	held        bool          // a worker of a former owner has not been heard
+	heldTo      time.Duration // when its leases have run out
 
 	pending        map[string]*submission
 	queued         []*submission
@@ -140,6 +143,7 @@
 		o.held = true
 	}
 	o.heldTo = o.formerLeasesEnd(now)
+	o.confirmedAt = now
 	o.setWorkers(workers)
 	o.log.Info().Str("event", "shard_owned").Int("jobs", jobCount).Int("active", len(o.book.Active())).
 		Int("workers", len(o.sessions)).Int("leased", len(k.workers)).Send()
@@ -152,11 +156,69 @@
 
 // formerLeasesEnd is when the longest lease of a former owner has run out.
 func (o *Owner) formerLeasesEnd(now time.Duration) time.Duration {
-	return now + time.Duration(float64(leaseLength.Nanoseconds())*(1+2*maxClockDrift)) + lapseSlack
+	return now + confirmedFor + time.Duration(float64(leaseLength.Nanoseconds())*(1+2*maxClockDrift)) + lapseSlack
 }
 
 func (o *Owner) now() time.Duration { return time.Since(o.since) }
 
+// confirmed tells whether this entry may give leases and orders: it was the
+// owner a short time ago, so a next one will wait for what is given now.
+func (o *Owner) confirmed(now time.Duration) bool { return now-o.confirmedAt < confirmedFor }
+
+// Confirm notes that this entry was the owner at a time on the owner's clock.
+func (o *Owner) Confirm(at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.noteConfirmed(at)
+}
+
+func (o *Owner) noteConfirmed(at time.Duration) {
+	if at <= o.confirmedAt {
+		return
+	}
+	now := o.now()
+	regained := !o.confirmed(now) && now-at < confirmedFor
+	o.confirmedAt = at
+	if regained {
+		o.log.Info().Str("event", "ownership_confirmed").Dur("age", now-at).Send()
+		o.kickPlacement()
+		for _, s := range o.sessions {
+			s.kick()
+		}
+	}
+}
+
+// askOwnership reads the owner row when nothing else has confirmed it of late; the lock is held.
+func (o *Owner) askOwnership(now time.Duration) {
+	if o.asking || now-o.confirmedAt < confirmedFor/2 {
+		return
+	}
+	if !o.confirmed(now) && !o.unconfirmed {
+		o.unconfirmed = true
+		o.log.Warn().Str("event", "ownership_unconfirmed").Dur("age", now-o.confirmedAt).Send()
+	}
+	o.asking = true
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
+		defer cancel()
+		sentAt := o.now()
+		row, err := ReadOwner(ctx, o.rows, o.pool)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.asking = false
+		if err != nil {
+			o.log.Debug().Str("event", "ownership_not_read").Err(err).Send()
+			return
+		}
+		if row.Version != o.ownerAt {
+			o.giveUp(ErrNotOwner{Owner: OwnerRow{Entry: "the writer of a later owner row"}})
+			return
+		}
+		o.unconfirmed = false
+		o.noteConfirmed(sentAt)
+	})
+}
+
 // Term is the term of ownership.
 func (o *Owner) Term() int64 { return o.term }
 
@@ -275,6 +337,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.now()
+	o.askOwnership(now)
 	for _, s := range o.sessions {
 		o.expire(s)
 		o.repeatStops(s, now)
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -39,6 +39,9 @@
 		return
 	}
 	now := o.now()
+	if !o.confirmed(now) {
+		return
+	}
 	candidates := o.candidates(now)
 	o.idleTasks = len(candidates) > 0
 	if len(candidates) == 0 {
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -5,6 +5,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
 // The tables of a shard; the partition is the pool's name.
@@ -68,8 +69,16 @@
 	return raw, errors.Wrap(err, "encode row")
 }
 
+// EncodeOwner writes an owner row.
+func EncodeOwner(o OwnerRow) ([]byte, error) { return encode(o) }
+
 // DecodeOwner reads an owner row.
 func DecodeOwner(raw []byte) (o OwnerRow, err error) {
 	err = msgpack.Unmarshal(raw, &o)
 	return o, errors.Wrap(err, "decode owner row")
 }
+
+// OwnerRowOf turns news of an owner row from another entry into the row.
+func OwnerRowOf(o schema.OwnerNews) platform.Row {
+	return platform.Row{RowKey: ownerKey(o.Pool), Value: o.Row, Version: int64(o.Version)}
+}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -15,13 +15,18 @@
 const (
 	// leaseLength outlasts a takeover by another owner, and is what tasks of a
 	// worker that falls silent have to wait before they start elsewhere.
-	leaseLength = 4500 * time.Millisecond
+	leaseLength = 4 * time.Second
+	// confirmedFor is how long after its ownership was last confirmed an owner
+	// gives leases and orders. One that is cut off from the table service and may
+	// have been replaced stops then, so that a next owner knows when leases at
+	// workers that only the former one reaches have run out.
+	confirmedFor = 1500 * time.Millisecond
 	// maxClockDrift is how much slower than ours a worker's clock may run.
 	maxClockDrift = 0.02
 	// lapseSlack covers the rounding of clocks to milliseconds and late timers.
 	lapseSlack = 150 * time.Millisecond
 	// lookWait is how long a look waits for an end; it has to renew the leases in time.
-	lookWait = 1500 * time.Millisecond
+	lookWait = time.Second
 	// answerTimeout is how long an order may go unanswered, waiting apart; workers answer in milliseconds.
 	answerTimeout = 700 * time.Millisecond
 	// retryLook is the pause after a look that failed.
@@ -55,7 +60,7 @@
 	clockMs    int64         // the worker's clock in the last answer
 	clockAt    time.Duration // when that answer arrived
 	leaseUntil int64         // highest deadline that was sent, by the worker's clock
-	lapsesAt   time.Duration // of a boot whose clock is not known: when a former owner's leases have run out
+	lapsesAt   time.Duration // when leases that a former owner gave have run out
 
 	seenEnd  int64 // ends up to here were taken into account
 	ackedEnd int64 // ends up to here are kept
@@ -87,8 +92,11 @@
 
 // lapsed tells whether all leases given there have certainly run out.
 func (s *session) lapsed(now time.Duration) bool {
+	if now < s.lapsesAt {
+		return false
+	}
 	if s.clockAt == 0 {
-		return now >= s.lapsesAt
+		return true
 	}
 	passed := float64(now-s.clockAt-lapseSlack) * (1 - maxClockDrift)
 	return float64(s.clockMs)+passed/float64(time.Millisecond) > float64(s.leaseUntil)
@@ -170,7 +178,10 @@
 	}
 	settles := s.inDoubt && s.inFlight == 0
 	now := o.now()
-	order := platform.RenewOrder{Token: s.token, LeaseUntil: s.lease(now), AckedEnd: s.ackedEnd}
+	order := platform.RenewOrder{Token: s.token, AckedEnd: s.ackedEnd}
+	if o.confirmed(now) {
+		order.LeaseUntil = s.lease(now)
+	}
 	if s.known && !s.inDoubt && s.seenEnd == s.ackedEnd && s.failures == 0 && order.LeaseUntil > 0 {
 		order.Wait = lookWait
 	}
