--- /dev/null
+++ b/pkg/platform/fake/rows.go
@@ -0,0 +1,218 @@
+package fake
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// FaultLate is an answer that is lost while the effect comes seconds later, if
+// its preconditions still hold then.
+const FaultLate Fault = "late"
+
+// RowOp names an operation of the partitioned table service.
+type RowOp string
+
+// The operations of the partitioned table service.
+const (
+	RowCommit RowOp = "commit"
+	RowList   RowOp = "list"
+	RowFollow RowOp = "follow"
+)
+
+// maxListedRows is how many rows one listing returns at most.
+const maxListedRows = 500
+
+// Rows is a stand-in of the partitioned table service.
+type Rows struct {
+	latency time.Duration
+	lateBy  time.Duration
+	start   time.Time
+
+	mu      sync.Mutex
+	fault   func(op RowOp, entry string) Fault
+	rows    map[platform.RowKey]platform.Row
+	log     []platform.Row // changes in order of their versions
+	version int64
+	forgot  int64 // changes up to this version are no longer known
+	changed chan struct{}
+	commits int
+}
+
+var _ platform.Rows = (*rowsView)(nil)
+
+// NewRows returns an empty table service whose calls take latency, and late effects lateBy more.
+func NewRows(latency, lateBy time.Duration) *Rows {
+	return &Rows{
+		latency: latency, lateBy: lateBy, start: time.Now(), fault: func(RowOp, string) Fault { return FaultNone },
+		rows: map[platform.RowKey]platform.Row{}, changed: make(chan struct{}),
+	}
+}
+
+// SetFault decides about each call from now on.
+func (r *Rows) SetFault(f func(op RowOp, entry string) Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+}
+
+// Forget drops the history of changes.
+func (r *Rows) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log, r.forgot = nil, r.version
+}
+
+// Commits counts the transactions that took effect.
+func (r *Rows) Commits() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.commits
+}
+
+// As returns the table service as one entry reaches it.
+func (r *Rows) As(entry string) platform.Rows { return &rowsView{Rows: r, entry: entry} }
+
+type rowsView struct {
+	*Rows
+	entry string
+}
+
+func (r *rowsView) decide(op RowOp) Fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault(op, r.entry)
+}
+
+// CommitRows implements platform.Rows.
+func (r *rowsView) CommitRows(ctx context.Context, txn platform.RowTxn) (version int64, err error) {
+	fault := r.decide(RowCommit)
+	if err := sleep(ctx, r.latency); err != nil {
+		return 0, platform.ErrUnknown{Op: string(RowCommit), Cause: err.Error()}
+	}
+	switch fault {
+	case FaultDown:
+		return 0, platform.ErrNotDone{Op: string(RowCommit), Cause: "the table service is down"}
+	case FaultLostBefore:
+		<-ctx.Done()
+		return 0, platform.ErrUnknown{Op: string(RowCommit), Cause: ctx.Err().Error()}
+	case FaultLate:
+		time.AfterFunc(r.lateBy, func() { _, _ = r.commit(txn) })
+		<-ctx.Done()
+		return 0, platform.ErrUnknown{Op: string(RowCommit), Cause: ctx.Err().Error()}
+	}
+	version, err = r.commit(txn)
+	if fault == FaultLostAfter {
+		<-ctx.Done()
+		return 0, platform.ErrUnknown{Op: string(RowCommit), Cause: ctx.Err().Error()}
+	}
+	return version, err
+}
+
+func (r *Rows) commit(txn platform.RowTxn) (version int64, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range txn.Expect {
+		if r.rows[e.RowKey].Version != e.Version {
+			return 0, r.conflict(txn)
+		}
+	}
+	r.version++
+	r.commits++
+	for _, p := range txn.Put {
+		p.Version = r.version
+		p.Value = slices.Clone(p.Value)
+		r.rows[p.RowKey] = p
+		r.log = append(r.log, p)
+	}
+	for _, k := range txn.Remove {
+		delete(r.rows, k)
+		r.log = append(r.log, platform.Row{RowKey: k, Version: r.version, Removed: true})
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+	return r.version, nil
+}
+
+func (r *Rows) conflict(txn platform.RowTxn) error {
+	var rows []platform.Row
+	for _, e := range txn.Expect {
+		row := r.rows[e.RowKey]
+		row.RowKey = e.RowKey
+		rows = append(rows, row)
+	}
+	return platform.ErrConflict{Rows: rows}
+}
+
+// ListRows implements platform.Rows.
+func (r *rowsView) ListRows(ctx context.Context, table, partition, from string) (page platform.RowPage, err error) {
+	if err := r.read(ctx, RowList); err != nil {
+		return page, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, row := range r.rows {
+		if k.Table == table && k.Partition == partition && k.Key >= from {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	if len(page.Rows) > maxListedRows {
+		page.Rows, page.More = page.Rows[:maxListedRows], true
+	}
+	page.Version, page.Now = r.version, time.Since(r.start)
+	return page, nil
+}
+
+func (r *rowsView) read(ctx context.Context, op RowOp) error {
+	fault := r.decide(op)
+	if err := sleep(ctx, r.latency); err != nil {
+		return platform.ErrNotDone{Op: string(op), Cause: err.Error()}
+	}
+	switch fault {
+	case FaultDown:
+		return platform.ErrNotDone{Op: string(op), Cause: "the table service is down"}
+	case FaultLostBefore, FaultLostAfter:
+		<-ctx.Done()
+		return platform.ErrUnknown{Op: string(op), Cause: ctx.Err().Error()}
+	}
+	return nil
+}
+
+// FollowRows implements platform.Rows.
+func (r *rowsView) FollowRows(ctx context.Context, table string, after int64, wait time.Duration) (page platform.RowPage, err error) {
+	if err := r.read(ctx, RowFollow); err != nil {
+		return page, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		r.mu.Lock()
+		changed := r.changed
+		if after < r.forgot {
+			r.mu.Unlock()
+			return page, platform.ErrHistoryGone{}
+		}
+		for _, row := range r.log {
+			if row.Table == table && row.Version > after {
+				page.Rows = append(page.Rows, row)
+			}
+		}
+		page.Version, page.Now = r.version, time.Since(r.start)
+		r.mu.Unlock()
+		if len(page.Rows) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return page, nil
+		case <-ctx.Done():
+			return page, platform.ErrUnknown{Op: string(RowFollow), Cause: ctx.Err().Error()}
+		}
+	}
+}
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,14 +49,8 @@
 	if len(candidates) == 0 {
 		return
 	}
-	var hosts []*placement.Host
-	for _, s := range o.sessions {
-		if s.usable(now) {
-			hosts = append(hosts, s.host(now))
-		}
-	}
 	placement.Sort(candidates, now)
-	starts := placement.Plan(candidates, hosts)
+	starts := placement.Plan(candidates, o.hosts(now))
 	gangs := map[*jobs.StepRun][]string{}
 	for _, st := range starts {
 		if step := st.Task.Step; step.Spec.Gang {
@@ -70,6 +66,17 @@
 	}
 }
 
+// hosts returns the workers that may get tasks, in an order that does not depend on chance.
+func (o *Owner) hosts(now time.Duration) (hosts []*placement.Host) {
+	for _, s := range o.sessions {
+		if s.usable(now) {
+			hosts = append(hosts, s.host(now))
+		}
+	}
+	slices.SortFunc(hosts, func(a, b *placement.Host) int { return cmp.Compare(a.Boot, b.Boot) })
+	return hosts
+}
+
 // candidates returns the steps with tasks that may start.
 func (o *Owner) candidates(now time.Duration) (cs []placement.Candidate) {
 	wall := time.Duration(time.Now().UnixNano())
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -179,7 +179,9 @@
 	settles := s.inDoubt && s.inFlight == 0
 	now := o.now()
 	order := platform.RenewOrder{Token: s.token, AckedEnd: s.ackedEnd}
-	if o.confirmed(now) {
+	if s.failures == 0 && o.confirmed(now) {
+		// A look without an answer may still arrive; were each of them to renew,
+		// the leases of a worker that is gone would never run out.
 		order.LeaseUntil = s.lease(now)
 	}
 	if s.known && !s.inDoubt && s.seenEnd == s.ackedEnd && s.failures == 0 && order.LeaseUntil > 0 {
