Maintenance waves: one entry owns them, shard owners empty the VMs, orders settled by the list

Change: pkg/maintenance (what is next as a pure function, a runner that carries it out under an owner row of its own); shard owners keep new tasks off a VM that is to be empty and move long-running tasks within their limit on missing ones; tasks on leaving workers move too. A new holder waits the deployment's pause between holders after what a former one may have ordered last.

What binds now is room in the pool whose turn it is.

--- a/cmd/gannetwelld/cmds/serve.go
+++ b/cmd/gannetwelld/cmds/serve.go
@@ -62,9 +62,10 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMb) * (1 << 20) * heapShare))
 	client := platform.New(s.Store.Address, s.Machines.Address)
-	n := node.New(s, client, client, node.Source{
+	n := node.New(s, client, node.Source{
 		CatalogTable: platform.TableOperator, CatalogKey: platform.KeyCatalog, WorkerTable: platform.TableWorkers,
 		DecodeCatalog: platform.DecodeCatalog, DecodeWorker: platform.DecodeWorker,
+		DecodeWave: platform.DecodeWave, EncodeWave: platform.EncodeWaveReport,
 	}, log)
 	handleSignals(n.Stop, func() { log.Info().Str("event", "reload").Bool("changed", false).Send() })
 	return n.Run(node.Handlers{Callers: platform.Callers(n), Readiness: platform.Readiness(n)})
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -91,3 +91,13 @@
 	}
 	return Pool{}, false
 }
+
+// Spare returns the name of the pool of switched-off VMs, empty if there is none.
+func (c *Catalog) Spare() string {
+	for _, p := range c.Pools {
+		if p.Spare {
+			return p.Name
+		}
+	}
+	return ""
+}
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -103,9 +104,9 @@
 	}
 }
 
-func (n *Node) askOwner(ctx context.Context, q *schema.Call, row shard.OwnerRow, local *shard.Owner) *schema.CallReply {
-	if local != nil {
-		return n.answerLocal(ctx, local, q)
+func (n *Node) askOwner(ctx context.Context, q *schema.Call, row shard.OwnerRow, local ownership.Work) *schema.CallReply {
+	if o, ok := local.(*shard.Owner); ok {
+		return n.answerLocal(ctx, o, q)
 	}
 	caller := n.members.Caller(row.Entry, row.Address)
 	if row.Entry == "" || caller == nil {
@@ -142,10 +143,11 @@
 		return &schema.CallReply{Outcome: schema.CallOutcomeNotFound}
 	}
 	_, local, _ := n.keeper.Owner(q.Pool)
-	if local == nil {
+	o, ok := local.(*shard.Owner)
+	if !ok {
 		return &schema.CallReply{Outcome: schema.CallOutcomeNotOwner}
 	}
-	return n.answerLocal(ctx, local, q)
+	return n.answerLocal(ctx, o, q)
 }
 
 // answerLocal answers a call from a shard of this entry.
@@ -166,6 +168,11 @@
 	case schema.CallKindWaiting:
 		waiting, out := o.Waiting(q.Queue)
 		return &schema.CallReply{Outcome: out, Waiting: waiting}
+	case schema.CallKindEmpty:
+		if o.Empty(q.VM) {
+			return &schema.CallReply{Outcome: schema.CallOutcomeOk}
+		}
+		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
 	default:
 		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
 	}
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -125,8 +125,19 @@
 
 // applyOperator takes a row that the operator wrote.
 func (n *Node) applyOperator(r platform.Row) {
-	if r.Key == n.source.CatalogKey && !r.Removed {
+	if r.Removed {
+		return
+	}
+	if r.Key == n.source.CatalogKey {
 		n.setCatalog(r.Value, "table")
+		return
+	}
+	w, ok, err := n.source.DecodeWave(r.Key, r.Value)
+	if err != nil {
+		n.log.Error().Str("event", "wave_malformed").Str("key", r.Key).Err(err).Send()
+	}
+	if ok && err == nil {
+		n.setWave(w)
 	}
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -14,11 +14,11 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/maintenance"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
-	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
 const (
@@ -38,6 +38,17 @@
 	WorkerTable   string
 	DecodeCatalog func(raw []byte) (*catalog.Catalog, error)
 	DecodeWorker  func(boot string, raw []byte) (platform.Worker, error)
+	// DecodeWave reads a row of CatalogTable; ok is false if it is no request for maintenance.
+	DecodeWave func(key string, raw []byte) (w maintenance.Wave, ok bool, err error)
+	// EncodeWave makes the row that tells the operator how far a wave has come.
+	EncodeWave func(wave int, completed bool) (platform.Row, error)
+}
+
+// Services is what the node needs of the platform.
+type Services interface {
+	platform.Rows
+	platform.Workers
+	platform.Machines
 }
 
 // Node is one entry of the job service.
@@ -45,6 +56,7 @@
 	settings schema.ServiceSettings
 	source   Source
 	rows     *reach
+	platform Services
 	log      zerolog.Logger
 	metrics  *metrics
 	self     ownership.Member
@@ -60,7 +72,8 @@
 
 	mu      sync.Mutex
 	workers map[string]platform.Worker // by boot
-	asked   int64                      // newest configuration version that a peer is being asked for
+	waves   map[int]maintenance.Wave
+	asked   int64 // newest configuration version that a peer is being asked for
 }
 
 // stored is a configuration with the bytes it was read from, which peers may ask for.
@@ -70,22 +83,20 @@
 }
 
 // New returns a node that is not running yet.
-func New(s schema.ServiceSettings, table platform.Rows, workers platform.Workers, src Source, log zerolog.Logger) *Node {
+func New(s schema.ServiceSettings, services Services, src Source, log zerolog.Logger) *Node {
 	now := time.Now()
-	rows := &reach{Rows: table, log: log}
+	rows := &reach{Rows: services, log: log}
 	n := &Node{
 		settings: s, source: src, rows: rows, log: log, metrics: newMetrics(), since: now,
-		stop: make(chan struct{}), workers: map[string]platform.Worker{},
+		stop: make(chan struct{}), workers: map[string]platform.Worker{}, waves: map[int]maintenance.Wave{},
 	}
 	n.self = ownership.Member{
 		Name: s.Name, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])), Zone: s.Zone,
 		Start: now.UnixNano(), Share: s.CpuShare,
 	}
 	n.members = ownership.NewMembers(n.self, rows, log, now, local{n})
-	n.keeper = ownership.NewKeeper(shard.Identity{Entry: s.Name, Start: n.self.Start, Address: n.self.Address}, n.members, shard.Config{
-		Rows: rows, Workers: workers, Metrics: n.metrics, Log: log, Since: now,
-		Retention: time.Duration(s.Timing.RetentionS * float64(time.Second)),
-	}, log)
+	n.platform = services
+	n.keeper = ownership.NewKeeper(n.identity(), n.members, n.openShard, log, now)
 	return n
 }
 
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/maintenance"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -31,12 +32,27 @@
 	claimPause = 300 * time.Millisecond
 )
 
+// Work is what an entry that owns a shard does.
+type Work interface {
+	Term() int64
+	RowVersion() int64
+	Confirm(at time.Duration)
+	SetCatalog(c *catalog.Catalog)
+	SetWorkers(workers []platform.Worker)
+	Release(ctx context.Context, next string)
+	Close()
+}
+
+// Opener takes a shard over, if its owner row still has the version seen, and
+// begins its work; over is called once if the work is given up.
+type Opener func(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, over func(error)) (Work, error)
+
 // state is what this entry knows of one shard.
 type state struct {
 	row       shard.OwnerRow
 	version   int64 // of the owner row, 0 when there is none
 	loaded    bool  // the row was read at least once
-	owner     *shard.Owner
+	owner     Work
 	claiming  bool
 	notBefore time.Duration
 	gone      time.Duration // since when the owner is held for gone, 0 when it is not
@@ -47,7 +63,7 @@
 type Keeper struct {
 	self    shard.Identity
 	members *Members
-	config  shard.Config // Pool is filled in for each shard
+	open    Opener
 	log     zerolog.Logger
 	since   time.Time
 
@@ -61,9 +77,9 @@
 }
 
 // NewKeeper returns a keeper that owns nothing yet.
-func NewKeeper(self shard.Identity, m *Members, cfg shard.Config, log zerolog.Logger) *Keeper {
+func NewKeeper(self shard.Identity, m *Members, open Opener, log zerolog.Logger, since time.Time) *Keeper {
 	return &Keeper{
-		self: self, members: m, config: cfg, log: log, since: cfg.Since,
+		self: self, members: m, open: open, log: log, since: since,
 		shards: map[string]*state{}, workers: map[string][]platform.Worker{},
 		changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
@@ -99,9 +115,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.catalog = c
+	k.want(maintenance.Partition)
 	for _, p := range c.Pools {
-		if !p.Spare && k.shards[p.Name] == nil {
-			k.shards[p.Name] = &state{}
+		if !p.Spare {
+			k.want(p.Name)
 		}
 	}
 	for _, s := range k.shards {
@@ -112,6 +129,13 @@
 	k.Kick()
 }
 
+// want has a shard owned by someone; the lock is held.
+func (k *Keeper) want(pool string) {
+	if k.shards[pool] == nil {
+		k.shards[pool] = &state{}
+	}
+}
+
 // SetWorkers takes the directory's workers by pool.
 func (k *Keeper) SetWorkers(byPool map[string][]platform.Worker) {
 	k.mu.Lock()
@@ -170,7 +194,7 @@
 
 // Owner returns who owns a shard, and the shard itself if it is this entry;
 // changed is closed when that changes.
-func (k *Keeper) Owner(pool string) (row shard.OwnerRow, local *shard.Owner, changed <-chan struct{}) {
+func (k *Keeper) Owner(pool string) (row shard.OwnerRow, local Work, changed <-chan struct{}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.shards[pool]
@@ -331,12 +355,9 @@
 // claim takes a shard over.
 func (k *Keeper) claim(ctx context.Context, pool string, s *state, seen int64) {
 	k.mu.Lock()
-	cfg := k.config
-	cfg.Pool, cfg.Self = pool, k.self
 	cat, workers := k.catalog, k.workers[pool]
-	cfg.OnOver = func(error) { k.over(pool) }
 	k.mu.Unlock()
-	o, err := shard.Open(ctx, cfg, seen, cat, workers)
+	o, err := k.open(ctx, pool, seen, cat, workers, func(error) { k.over(pool) })
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s.claiming = false
@@ -380,7 +401,7 @@
 func (k *Keeper) Release(ctx context.Context) {
 	k.mu.Lock()
 	k.stopping = true
-	var owners []*shard.Owner
+	var owners []Work
 	for _, s := range k.shards {
 		if s.owner != nil {
 			owners = append(owners, s.owner)
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -41,12 +41,16 @@
 
 	// Record is the encoded job record of a submission.
 	Record []byte `json:"record" msgpack:"record"`
+
+	// Vm is the VM that is to be empty.
+	VM string `json:"vm" msgpack:"vm"`
 }
 
 type CallKind string
 
 const CallKindCancel CallKind = "cancel"
 const CallKindCatalog CallKind = "catalog"
+const CallKindEmpty CallKind = "empty"
 const CallKindPing CallKind = "ping"
 const CallKindState CallKind = "state"
 const CallKindSubmit CallKind = "submit"
--- /dev/null
+++ b/pkg/shard/evacuate.go
@@ -0,0 +1,77 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+)
+
+const (
+	// cordonTime is how long a VM stays without new tasks after it was last asked to be empty.
+	cordonTime = 4 * time.Second
+	// fullPercent is the progress of a long-running task that serves.
+	fullPercent = 100
+)
+
+// Empty keeps new tasks away from a VM and moves away what runs there, as far as
+// the steps' limits on missing tasks allow; it reports whether nothing is left.
+func (o *Owner) Empty(vm string) (empty bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.now()
+	if o.over || o.held || !o.confirmed(now) {
+		return false
+	}
+	empty = true
+	for _, s := range o.sessions {
+		if s.vm != vm {
+			continue
+		}
+		if s.cordonedTo < now {
+			o.log.Info().Str("event", "worker_cordoned").Str("boot", s.ref.Boot).Str("vm", vm).Int("attempts", len(s.attempts)).Send()
+		}
+		s.cordonedTo = now + cordonTime
+		o.evacuate(s, true, "its VM is to be empty")
+		if len(s.attempts) > 0 || s.inFlight > 0 || s.inDoubt {
+			empty = false
+		}
+	}
+	return empty
+}
+
+// evacuate ends the long-running tasks at a worker, so that they start elsewhere;
+// others are left to finish. With limited, no more tasks of a step are away than it allows.
+func (o *Owner) evacuate(s *session, limited bool, why string) {
+	for _, r := range s.attempts {
+		step := r.Task.Step
+		if !step.Spec.LongRunning || r.Phase == jobs.PhaseStopped {
+			continue
+		}
+		if limited && step.Spec.Limited && !mayMiss(step, r.Task) {
+			continue
+		}
+		o.stop(s, r, why)
+	}
+}
+
+// mayMiss tells whether a task may be taken away: fewer others of its step than
+// the step allows do not serve at present, whatever the cause.
+func mayMiss(step *jobs.StepRun, t *jobs.Task) bool {
+	away := 0
+	for _, other := range step.Tasks {
+		if other != t && !serves(other) {
+			away++
+		}
+	}
+	return away < step.Spec.MayMiss
+}
+
+// serves tells whether a long-running task is at work.
+func serves(t *jobs.Task) bool {
+	for _, a := range t.Attempts {
+		if a.Phase == jobs.PhaseRunning && a.Percent >= fullPercent {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -66,7 +66,7 @@
 	since   time.Time
 	onOver  func(error)
 	term    int64
-	ownerAt int64
+	claim   Claim
 
 	placeWake  chan struct{}
 	commitWake chan struct{}
@@ -105,19 +105,19 @@
 func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog, workers []platform.Worker) (o *Owner, err error) {
 	ctx, done := context.WithTimeout(ctx, takeoverRead)
 	defer done()
-	c, err := takeOver(ctx, cfg.Rows, cfg.Pool, cfg.Self, seen)
+	c, err := TakeOver(ctx, cfg.Rows, cfg.Pool, cfg.Self, seen)
 	if err != nil {
 		return nil, err
 	}
 	now := time.Since(cfg.Since)
-	k, err := readKept(ctx, cfg.Rows, cfg.Pool, c.row.Term, now)
+	k, err := readKept(ctx, cfg.Rows, cfg.Pool, c.Term, now)
 	if err != nil {
 		return nil, err
 	}
 	o = &Owner{
 		pool: cfg.Pool, self: cfg.Self, rows: cfg.Rows, workers: cfg.Workers, metrics: cfg.Metrics,
-		log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.row.Term).Logger(), retain: cfg.Retention,
-		since: cfg.Since, onOver: cfg.OnOver, term: c.row.Term, ownerAt: c.ownerAt, chain: c.chain,
+		log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), retain: cfg.Retention,
+		since: cfg.Since, onOver: cfg.OnOver, term: c.Term, claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
 		book: k.book, sessions: map[string]*session{}, catalog: cat,
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
@@ -156,14 +156,14 @@
 
 // formerLeasesEnd is when the longest lease of a former owner has run out.
 func (o *Owner) formerLeasesEnd(now time.Duration) time.Duration {
-	return now + confirmedFor + time.Duration(float64(leaseLength.Nanoseconds())*(1+2*maxClockDrift)) + lapseSlack
+	return now + ConfirmedFor + time.Duration(float64(leaseLength.Nanoseconds())*(1+2*maxClockDrift)) + lapseSlack
 }
 
 func (o *Owner) now() time.Duration { return time.Since(o.since) }
 
 // confirmed tells whether this entry may give leases and orders: it was the
 // owner a short time ago, so a next one will wait for what is given now.
-func (o *Owner) confirmed(now time.Duration) bool { return now-o.confirmedAt < confirmedFor }
+func (o *Owner) confirmed(now time.Duration) bool { return now-o.confirmedAt < ConfirmedFor }
 
 // Confirm notes that this entry was the owner at a time on the owner's clock.
 func (o *Owner) Confirm(at time.Duration) {
@@ -177,7 +177,7 @@
 		return
 	}
 	now := o.now()
-	regained := !o.confirmed(now) && now-at < confirmedFor
+	regained := !o.confirmed(now) && now-at < ConfirmedFor
 	o.confirmedAt = at
 	if regained {
 		o.log.Info().Str("event", "ownership_confirmed").Dur("age", now-at).Send()
@@ -190,7 +190,7 @@
 
 // askOwnership reads the owner row when nothing else has confirmed it of late; the lock is held.
 func (o *Owner) askOwnership(now time.Duration) {
-	if o.asking || now-o.confirmedAt < confirmedFor/2 {
+	if o.asking || now-o.confirmedAt < ConfirmedFor/2 {
 		return
 	}
 	if !o.confirmed(now) && !o.unconfirmed {
@@ -210,7 +210,7 @@
 			o.log.Debug().Str("event", "ownership_not_read").Err(err).Send()
 			return
 		}
-		if row.Version != o.ownerAt {
+		if row.Version != o.claim.OwnerVersion {
 			o.giveUp(ErrNotOwner{Owner: OwnerRow{Entry: "the writer of a later owner row"}})
 			return
 		}
@@ -223,7 +223,7 @@
 func (o *Owner) Term() int64 { return o.term }
 
 // RowVersion is the version of the owner row that this owner wrote.
-func (o *Owner) RowVersion() int64 { return o.ownerAt }
+func (o *Owner) RowVersion() int64 { return o.claim.OwnerVersion }
 
 // Pool is the pool whose shard this is.
 func (o *Owner) Pool() string { return o.pool }
@@ -341,6 +341,9 @@
 	for _, s := range o.sessions {
 		o.expire(s)
 		o.repeatStops(s, now)
+		if s.draining {
+			o.evacuate(s, false, "its worker is leaving")
+		}
 	}
 	o.checkHeld()
 	o.forgetFinals(now)
@@ -409,21 +412,6 @@
 	o.mu.Unlock()
 	o.cancel()
 	o.wg.Wait()
-	o.mu.Lock()
-	ownerAt := o.ownerAt
-	o.mu.Unlock()
-	err := o.release(ctx, ownerAt, next)
+	err := o.claim.Release(ctx, o.rows, o.pool, next)
 	o.log.Info().Str("event", "shard_released").Str("next", next).Err(err).Send()
 }
-
-func (o *Owner) release(ctx context.Context, ownerAt int64, next string) error {
-	raw, err := encode(OwnerRow{Term: o.term, Next: next})
-	if err != nil {
-		return err
-	}
-	_, err = o.rows.CommitRows(ctx, platform.RowTxn{
-		Expect: []platform.Row{{RowKey: ownerKey(o.pool), Version: ownerAt}},
-		Put:    []platform.Row{{RowKey: ownerKey(o.pool), Value: raw}},
-	})
-	return err
-}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -16,11 +16,11 @@
 	// leaseLength outlasts a takeover by another owner, and is what tasks of a
 	// worker that falls silent have to wait before they start elsewhere.
 	leaseLength = 4 * time.Second
-	// confirmedFor is how long after its ownership was last confirmed an owner
+	// ConfirmedFor is how long after its ownership was last confirmed an owner
 	// gives leases and orders. One that is cut off from the table service and may
 	// have been replaced stops then, so that a next owner knows when leases at
 	// workers that only the former one reaches have run out.
-	confirmedFor = 1500 * time.Millisecond
+	ConfirmedFor = 1500 * time.Millisecond
 	// maxClockDrift is how much slower than ours a worker's clock may run.
 	maxClockDrift = 0.02
 	// lapseSlack covers the rounding of clocks to milliseconds and late timers.
@@ -50,12 +50,13 @@
 	draining bool
 	gone     bool // the boot has ended
 
-	attempts map[string]*running // by task name
-	token    int64               // fencing token of the orders
-	inFlight int                 // start orders without an answer yet
-	inDoubt  bool                // a start order got no answer; a look with a higher token settles it
-	failures int                 // looks and orders in a row without an answer
-	pause    time.Duration       // no new tasks until then
+	attempts   map[string]*running // by task name
+	token      int64               // fencing token of the orders
+	inFlight   int                 // start orders without an answer yet
+	inDoubt    bool                // a start order got no answer; a look with a higher token settles it
+	failures   int                 // looks and orders in a row without an answer
+	pause      time.Duration       // no new tasks until then
+	cordonedTo time.Duration       // the VM is to be empty until then
 
 	clockMs    int64         // the worker's clock in the last answer
 	clockAt    time.Duration // when that answer arrived
@@ -87,7 +88,7 @@
 
 // usable tells whether new tasks may start at the worker.
 func (s *session) usable(now time.Duration) bool {
-	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pause
+	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pause && now >= s.cordonedTo
 }
 
 // lapsed tells whether all leases given there have certainly run out.
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -26,22 +26,36 @@
 // Error names the owner.
 func (e ErrNotOwner) Error() string { return "the shard is owned by " + e.Owner.Entry }
 
-// claim is a shard that this process has just become the owner of.
-type claim struct {
-	row     OwnerRow
-	ownerAt int64 // version of the owner row
-	chain   int64 // version of the commit row
+// Claim is a shard that this process has just become the owner of.
+type Claim struct {
+	Term         int64
+	OwnerVersion int64 // of the owner row
+	chain        int64 // version of the commit row
 }
 
-// takeOver writes this entry into the owner row, provided the row still has the
+// Release lets go of the owner row; next names who should take over, if not empty.
+func (c Claim) Release(ctx context.Context, rows platform.Rows, pool, next string) (err error) {
+	defer func() { err = errors.Wrapf(err, "release shard %s", pool) }()
+	raw, err := encode(OwnerRow{Term: c.Term, Next: next})
+	if err != nil {
+		return err
+	}
+	_, err = rows.CommitRows(ctx, platform.RowTxn{
+		Expect: []platform.Row{{RowKey: ownerKey(pool), Version: c.OwnerVersion}},
+		Put:    []platform.Row{{RowKey: ownerKey(pool), Value: raw}},
+	})
+	return err
+}
+
+// TakeOver writes this entry into the owner row, provided the row still has the
 // version that the decision to take over was made on.
-func takeOver(ctx context.Context, rows platform.Rows, pool string, self Identity, seen int64) (c claim, err error) {
+func TakeOver(ctx context.Context, rows platform.Rows, pool string, self Identity, seen int64) (c Claim, err error) {
 	defer func() { err = errors.Wrapf(err, "take over shard %s", pool) }()
-	owner, err := readOne(ctx, rows, ownerKey(pool))
+	owner, err := ReadOne(ctx, rows, ownerKey(pool))
 	if err != nil {
 		return c, err
 	}
-	commit, err := readOne(ctx, rows, commitKey(pool))
+	commit, err := ReadOne(ctx, rows, commitKey(pool))
 	if err != nil {
 		return c, err
 	}
@@ -54,12 +68,12 @@
 	if owner.Version != seen {
 		return c, ErrNotOwner{Owner: old}
 	}
-	c.row = OwnerRow{Entry: self.Entry, Start: self.Start, Address: self.Address, Term: old.Term + 1}
-	ownerRaw, err := encode(c.row)
+	c.Term = old.Term + 1
+	ownerRaw, err := encode(OwnerRow{Entry: self.Entry, Start: self.Start, Address: self.Address, Term: c.Term})
 	if err != nil {
 		return c, err
 	}
-	commitRaw, err := encode(CommitRow{Entry: self.Entry, Start: self.Start, Term: c.row.Term})
+	commitRaw, err := encode(CommitRow{Entry: self.Entry, Start: self.Start, Term: c.Term})
 	if err != nil {
 		return c, err
 	}
@@ -71,12 +85,12 @@
 	if err != nil {
 		return c, err
 	}
-	c.ownerAt, c.chain = version, version
+	c.OwnerVersion, c.chain = version, version
 	return c, nil
 }
 
-// readOne returns a row, with version 0 when it is not there.
-func readOne(ctx context.Context, rows platform.Rows, key platform.RowKey) (platform.Row, error) {
+// ReadOne returns a row, with version 0 when it is not there.
+func ReadOne(ctx context.Context, rows platform.Rows, key platform.RowKey) (platform.Row, error) {
 	page, err := rows.ListRows(ctx, key.Table, key.Partition, key.Key)
 	if err != nil {
 		return platform.Row{}, err
@@ -138,7 +152,7 @@
 		}
 		k.book.Restore(r.Key, record, byID[r.Key], now)
 	}
-	set, err := readOne(ctx, rows, workersKey(pool))
+	set, err := ReadOne(ctx, rows, workersKey(pool))
 	if err != nil {
 		return k, err
 	}
@@ -150,12 +164,12 @@
 
 // ReadOwner returns the owner row of a shard, with version 0 when there is none.
 func ReadOwner(ctx context.Context, rows platform.Rows, pool string) (r platform.Row, err error) {
-	r, err = readOne(ctx, rows, ownerKey(pool))
+	r, err = ReadOne(ctx, rows, ownerKey(pool))
 	return r, errors.Wrapf(err, "read owner of shard %s", pool)
 }
 
 // FindJob tells whether the partition of a shard holds a job.
 func FindJob(ctx context.Context, rows platform.Rows, pool, id string) (found bool, err error) {
-	r, err := readOne(ctx, rows, jobKey(pool, id))
+	r, err := ReadOne(ctx, rows, jobKey(pool, id))
 	return r.Version > 0, errors.Wrapf(err, "look for job %s", id)
 }
