Pools sized to demand: VMs move to where tasks wait, tasks packed so that VMs are free to leave

Change: pkg/fleetops (was pkg/maintenance) plans moves from each shard's load; placement takes the fullest host that has room and keeps long-running tasks of different steps together.

--- /dev/null
+++ b/pkg/fleetops/moves.go
@@ -0,0 +1,212 @@
+package fleetops
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+const (
+	// moveGiveUp is how long a VM may take to become empty before its move is given up.
+	moveGiveUp = 3 * time.Second
+	// moveSettles is how long after its order a VM may take to come up in its new pool.
+	moveSettles = 8 * time.Second
+)
+
+// move is a VM's change of pool under way.
+type move struct {
+	Move
+	since   time.Duration
+	ordered time.Duration // 0 while the VM is being emptied
+	boot    string        // that was to end
+}
+
+// resize moves VMs to where they are needed.
+func (r *Runner) resize(ctx context.Context, machines map[string]platform.Machine) {
+	loads := r.loads(ctx)
+	r.settleMoves(machines)
+	if !r.mayOrder(ctx) {
+		return
+	}
+	pools := r.poolStates(machines, loads)
+	for _, m := range r.policy.PlanMoves(pools) {
+		r.moves[m.VM] = &move{Move: m, since: r.now()}
+		r.log.Info().Str("event", "move_planned").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Str("why", m.Why).Send()
+	}
+	var wg sync.WaitGroup
+	for _, m := range r.moves {
+		if m.ordered == 0 {
+			wg.Go(func() { r.carryOut(ctx, m, machines[m.VM]) })
+		}
+	}
+	wg.Wait()
+}
+
+// loads asks the owner of each shard how busy it is; pools whose owner does not answer are left out.
+func (r *Runner) loads(ctx context.Context) map[string]shard.Load {
+	r.mu.Lock()
+	pools := r.catalog.Pools
+	r.mu.Unlock()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	loads := map[string]shard.Load{}
+	for _, p := range pools {
+		if p.Spare {
+			continue
+		}
+		wg.Go(func() {
+			l, ok := r.cfg.Load(ctx, p.Name)
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			loads[p.Name] = l
+		})
+	}
+	wg.Wait()
+	return loads
+}
+
+// settleMoves forgets moves that are over.
+func (r *Runner) settleMoves(machines map[string]platform.Machine) {
+	now := r.now()
+	for vm, m := range r.moves {
+		listed, ok := machines[vm]
+		why := ""
+		switch {
+		case !ok:
+			why = "the VM is no longer listed"
+		case m.ordered > 0 && listed.Pool == m.To && listed.State == platform.MachineUp:
+			why = "the VM is up in its new pool"
+		case m.ordered > 0 && now-m.ordered > moveSettles:
+			why = "it has taken too long"
+		case m.ordered == 0 && now-m.since > moveGiveUp:
+			why = "the VM did not become empty in time"
+		}
+		if why != "" {
+			delete(r.moves, vm)
+			r.log.Info().Str("event", "move_over").Str("vm", vm).Str("to", m.To).Str("why", why).Dur("after", now-m.since).Send()
+		}
+	}
+}
+
+// poolStates gathers what sizing decides on.
+func (r *Runner) poolStates(machines map[string]platform.Machine, loads map[string]shard.Load) (pools []*PoolState) {
+	spare := r.spare()
+	byName := map[string]*PoolState{}
+	for name, l := range loads {
+		s := &PoolState{Name: name, Load: l}
+		byName[name] = s
+		pools = append(pools, s)
+	}
+	if spare != "" {
+		s := &PoolState{Name: spare, Spare: true}
+		byName[spare] = s
+		pools = append(pools, s)
+	}
+	leaving := map[string]int{}
+	for vm, m := range r.moves {
+		if s := byName[m.To]; s != nil && machines[vm].Pool != m.To {
+			s.Supply++
+		}
+		if machines[vm].Pool == m.From {
+			leaving[m.From]++
+		}
+	}
+	for vm, m := range machines {
+		s := byName[m.Pool]
+		if s == nil || m.State == platform.MachineDown {
+			continue
+		}
+		if _, moving := r.moves[vm]; moving && m.Pool != r.moves[vm].To {
+			continue
+		}
+		s.Supply++
+		if s.Spare && m.State == platform.MachineUp && !r.inWave(vm) {
+			s.Idle = append(s.Idle, vm)
+		}
+	}
+	for _, s := range pools {
+		if !s.Spare {
+			s.Idle = r.idle(s, machines, leaving[s.Name])
+		}
+		if s.Spare {
+			slices.Sort(s.Idle)
+		}
+		s.Surely = r.countSurplus(s)
+	}
+	slices.SortFunc(pools, func(a, b *PoolState) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return pools
+}
+
+// idle returns the VMs of a pool that may leave, those without any task first.
+func (r *Runner) idle(s *PoolState, machines map[string]platform.Machine, leaving int) (idle []string) {
+	for _, vm := range s.Load.Light {
+		m, ok := machines[vm]
+		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || r.inWave(vm) {
+			continue
+		}
+		if leaving+len(idle) >= r.policy.MaxLeaving {
+			break
+		}
+		idle = append(idle, vm)
+	}
+	return idle
+}
+
+// countSurplus counts the steps in a row in which a pool had VMs left over.
+func (r *Runner) countSurplus(s *PoolState) int {
+	if s.Spare {
+		return 0
+	}
+	if s.Supply > r.policy.Want(s.Load) {
+		r.surplus[s.Name]++
+	} else {
+		r.surplus[s.Name] = 0
+	}
+	return r.surplus[s.Name]
+}
+
+// inWave tells whether a VM is being emptied or maintained.
+func (r *Runner) inWave(vm string) bool {
+	for _, w := range r.waves {
+		for _, v := range w.vms {
+			if v.Name == vm && (v.Phase == PhaseEmptying || v.Phase == PhaseOrdered) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// carryOut empties a VM and orders its move.
+func (r *Runner) carryOut(ctx context.Context, m *move, listed platform.Machine) {
+	if m.From != r.spare() && !r.cfg.Empty(ctx, m.From, m.VM) {
+		return
+	}
+	if !r.mayOrder(ctx) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.cfg.Machines.MoveMachine(callCtx, m.VM, m.To, r.holder())
+	var refused platform.ErrRefused
+	var notDone platform.ErrNotDone
+	r.log.Info().Str("event", "move_ordered").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Err(err).Send()
+	if errors.As(err, &refused) || errors.As(err, &notDone) {
+		return
+	}
+	m.ordered, m.boot = r.now(), listed.Boot
+}
--- a/pkg/maintenance/runner.go
+++ b/pkg/fleetops/runner.go
@@ -1,4 +1,4 @@
-package maintenance
+package fleetops
 
 import (
 	"context"
@@ -16,8 +16,8 @@
 )
 
 const (
-	// stepInterval is the time between two steps while a wave is under way.
-	stepInterval = 200 * time.Millisecond
+	// stepInterval is the time between two steps; pools change their demand within a second.
+	stepInterval = 250 * time.Millisecond
 	// callTimeout bounds a call to the VM service, which answers in milliseconds and up to 60 times slower in trouble.
 	callTimeout = 1500 * time.Millisecond
 	// tableProgress holds what is done of each wave.
@@ -37,6 +37,7 @@
 	Rows     platform.Rows
 	Machines platform.Machines
 	Empty    Emptier
+	Load     func(ctx context.Context, pool string) (l shard.Load, ok bool) // of a pool's shard
 	Report   func(wave int, completed bool) (platform.Row, error)
 	Log      zerolog.Logger
 	Since    time.Time
@@ -57,13 +58,16 @@
 
 // Runner carries the maintenance out while this entry owns the work.
 type Runner struct {
-	cfg    Config
-	claim  shard.Claim
-	log    zerolog.Logger
-	cancel context.CancelFunc
-	done   chan struct{}
-	wake   chan struct{}
-	first  time.Duration // no orders before
+	cfg     Config
+	claim   shard.Claim
+	log     zerolog.Logger
+	cancel  context.CancelFunc
+	done    chan struct{}
+	wake    chan struct{}
+	first   time.Duration // no orders before
+	policy  SizingPolicy
+	moves   map[string]*move // by VM; used by the run loop only
+	surplus map[string]int   // steps in a row with VMs left over, by pool
 
 	mu          sync.Mutex
 	confirmedAt time.Duration
@@ -82,6 +86,7 @@
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		done: make(chan struct{}), wake: make(chan struct{}, 1), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
+		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{},
 	}
 	if c.Term > 1 {
 		// A former holder may have given its last order this late.
@@ -157,29 +162,50 @@
 func (r *Runner) run(ctx context.Context) {
 	defer close(r.done)
 	for {
-		active := r.step(ctx)
-		var timer <-chan time.Time
-		if active {
-			timer = time.After(stepInterval)
-		}
+		r.step(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.wake:
-		case <-timer:
+		case <-time.After(stepInterval):
 		}
 	}
 }
 
-// step carries each wave on; it reports whether one is under way.
-func (r *Runner) step(ctx context.Context) (active bool) {
+// step carries each wave on and sizes the pools.
+func (r *Runner) step(ctx context.Context) {
+	machines, err := r.list(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.log.Warn().Str("event", "machines_not_listed").Err(err).Send()
+		}
+		return
+	}
 	for _, w := range r.open() {
-		active = true
-		if err := r.advance(ctx, w); err != nil && ctx.Err() == nil {
+		if err := r.advance(ctx, w, machines); err != nil && ctx.Err() == nil {
 			r.log.Warn().Str("event", "wave_step_failed").Int("wave", w.ID).Err(err).Send()
 		}
 	}
-	return active
+	r.resize(ctx, machines)
+}
+
+func (r *Runner) holder() platform.Holder {
+	return platform.Holder{Name: r.cfg.Self.Entry, Token: r.claim.Term}
+}
+
+// list returns the VMs by name.
+func (r *Runner) list(ctx context.Context) (machines map[string]platform.Machine, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := r.cfg.Machines.ListMachines(ctx)
+	if err != nil {
+		return nil, err
+	}
+	machines = make(map[string]platform.Machine, len(list))
+	for _, m := range list {
+		machines[m.VM] = m
+	}
+	return machines, nil
 }
 
 func (r *Runner) open() (open []*wave) {
@@ -194,23 +220,16 @@
 }
 
 // advance takes one wave one step further.
-func (r *Runner) advance(ctx context.Context, w *wave) error {
+func (r *Runner) advance(ctx context.Context, w *wave, machines map[string]platform.Machine) error {
 	if err := r.load(ctx, w); err != nil || w.completed {
 		return err
 	}
-	listCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	list, err := r.cfg.Machines.ListMachines(listCtx)
-	cancel()
-	if err != nil {
-		return err
-	}
-	machines := make(map[string]platform.Machine, len(list))
-	for _, m := range list {
-		machines[m.VM] = m
-	}
 	r.observe(w, machines)
 	if r.mayOrder(ctx) {
 		for _, v := range Next(w.Wave, w.vms, machines, r.spare()) {
+			if r.moves[v.Name] != nil {
+				continue
+			}
 			r.setPhase(w, v, PhaseEmptying, "a place in the wave is free")
 		}
 	}
@@ -310,7 +329,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := r.cfg.Machines.MaintainMachine(callCtx, v.Name, w.ID, platform.Holder{Name: r.cfg.Self.Entry, Token: r.claim.Term})
+	err := r.cfg.Machines.MaintainMachine(callCtx, v.Name, w.ID, r.holder())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var refused platform.ErrRefused
--- /dev/null
+++ b/pkg/fleetops/sizing.go
@@ -0,0 +1,120 @@
+package fleetops
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+// SizingPolicy is how generously pools are sized.
+type SizingPolicy struct {
+	Headroom float64 // part of the demand that a pool has beyond it
+	Reserve  int     // VMs that a pool has beyond its demand
+	// KeepSteps is for how many steps in a row a VM must not be needed before it is switched off.
+	KeepSteps int
+	// MaxLeaving bounds the VMs that are emptied for a move at the same time in one pool.
+	MaxLeaving int
+}
+
+// DefaultSizing was measured on the users' standard days: a VM-second costs
+// little against late jobs, and a move costs about one VM-second.
+var DefaultSizing = SizingPolicy{Headroom: 0.15, Reserve: 1, KeepSteps: 12, MaxLeaving: 6}
+
+// PoolState is what sizing knows of one pool.
+type PoolState struct {
+	Name   string
+	Spare  bool
+	Load   shard.Load // zero for the spare pool
+	Supply int        // VMs that are in the pool or on their way into it
+	Idle   []string   // VMs that may leave at once, best first
+	Surely int        // steps in a row in which VMs were left over
+}
+
+// Move is a VM's change of pool.
+type Move struct {
+	VM   string
+	From string
+	To   string
+	Why  string
+}
+
+// Want is how many VMs a pool should have.
+func (p SizingPolicy) Want(l shard.Load) int {
+	if l.VMCapacity.CPU == 0 {
+		return 0
+	}
+	need := share(l.Used, l.Waiting, l.VMCapacity)
+	want := int(math.Ceil(need*(1+p.Headroom))) + p.Reserve
+	return max(want, l.Floor)
+}
+
+// share is the demand in VMs, by the resource that binds.
+func share(used, waiting, one platform.Resources) float64 {
+	part := func(u, w, c int) float64 {
+		if c == 0 {
+			return 0
+		}
+		return float64(u+w) / float64(c)
+	}
+	return max(part(used.CPU, waiting.CPU, one.CPU), part(used.MemoryMB, waiting.MemoryMB, one.MemoryMB), part(used.GPU, waiting.GPU, one.GPU))
+}
+
+// PlanMoves returns the moves that bring pools nearer to what they should have:
+// to those that lack most, from the spare pool first and then from pools with
+// VMs left over; VMs that no pool needs go to the spare pool after a while.
+func (p SizingPolicy) PlanMoves(pools []*PoolState) (moves []Move) {
+	surplus := map[string]int{}
+	var short []*PoolState
+	spare := ""
+	for _, s := range pools {
+		if s.Spare {
+			spare = s.Name
+			surplus[s.Name] = len(s.Idle)
+			continue
+		}
+		surplus[s.Name] = s.Supply - p.Want(s.Load)
+		if surplus[s.Name] < 0 {
+			short = append(short, s)
+		}
+	}
+	slices.SortStableFunc(short, func(a, b *PoolState) int { return cmp.Compare(surplus[a.Name], surplus[b.Name]) })
+	take := func(from *PoolState, to, why string) bool {
+		if surplus[from.Name] <= 0 || len(from.Idle) == 0 {
+			return false
+		}
+		moves = append(moves, Move{VM: from.Idle[0], From: from.Name, To: to, Why: why})
+		from.Idle = from.Idle[1:]
+		surplus[from.Name]--
+		return true
+	}
+	donors := slices.Clone(pools)
+	for _, s := range short {
+		slices.SortStableFunc(donors, func(a, b *PoolState) int {
+			return cmp.Or(cmp.Compare(notSpare(a), notSpare(b)), cmp.Compare(surplus[b.Name], surplus[a.Name]))
+		})
+		for _, d := range donors {
+			for surplus[s.Name] < 0 && d != s && take(d, s.Name, "demand is above what the pool has") {
+				surplus[s.Name]++
+			}
+		}
+	}
+	if spare == "" || len(short) > 0 {
+		return moves
+	}
+	for _, s := range pools {
+		if !s.Spare && s.Surely >= p.KeepSteps {
+			take(s, spare, "the pool has had more than its demand for a while")
+		}
+	}
+	return moves
+}
+
+func notSpare(s *PoolState) int {
+	if s.Spare {
+		return 0
+	}
+	return 1
+}
--- a/pkg/maintenance/plan.go
+++ b/pkg/fleetops/wave.go
@@ -1,4 +1,4 @@
-package maintenance
+package fleetops
 
 import (
 	"cmp"
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
@@ -168,6 +169,13 @@
 	case schema.CallKindWaiting:
 		waiting, out := o.Waiting(q.Queue)
 		return &schema.CallReply{Outcome: out, Waiting: waiting}
+	case schema.CallKindLoad:
+		l, ok := o.Load()
+		raw, err := msgpack.Marshal(l)
+		if !ok || err != nil {
+			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+		}
+		return &schema.CallReply{Outcome: schema.CallOutcomeOk, Load: raw}
 	case schema.CallKindEmpty:
 		if o.Empty(q.VM) {
 			return &schema.CallReply{Outcome: schema.CallOutcomeOk}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -14,7 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
-	"github.com/gannetwell/gannetwell/pkg/maintenance"
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -39,7 +39,7 @@
 	DecodeCatalog func(raw []byte) (*catalog.Catalog, error)
 	DecodeWorker  func(boot string, raw []byte) (platform.Worker, error)
 	// DecodeWave reads a row of CatalogTable; ok is false if it is no request for maintenance.
-	DecodeWave func(key string, raw []byte) (w maintenance.Wave, ok bool, err error)
+	DecodeWave func(key string, raw []byte) (w fleetops.Wave, ok bool, err error)
 	// EncodeWave makes the row that tells the operator how far a wave has come.
 	EncodeWave func(wave int, completed bool) (platform.Row, error)
 }
@@ -72,7 +72,7 @@
 
 	mu      sync.Mutex
 	workers map[string]platform.Worker // by boot
-	waves   map[int]maintenance.Wave
+	waves   map[int]fleetops.Wave
 	asked   int64 // newest configuration version that a peer is being asked for
 }
 
@@ -88,7 +88,7 @@
 	rows := &reach{Rows: services, log: log}
 	n := &Node{
 		settings: s, source: src, rows: rows, log: log, metrics: newMetrics(), since: now,
-		stop: make(chan struct{}), workers: map[string]platform.Worker{}, waves: map[int]maintenance.Wave{},
+		stop: make(chan struct{}), workers: map[string]platform.Worker{}, waves: map[int]fleetops.Wave{},
 	}
 	n.self = ownership.Member{
 		Name: s.Name, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])), Zone: s.Zone,
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/gannetwell/gannetwell/pkg/catalog"
-	"github.com/gannetwell/gannetwell/pkg/maintenance"
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -21,9 +23,9 @@
 
 // openShard begins the work of a shard that falls to this entry.
 func (n *Node) openShard(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, over func(error)) (ownership.Work, error) {
-	if pool == maintenance.Partition {
-		r, err := maintenance.Open(ctx, maintenance.Config{
-			Self: n.identity(), Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Report: n.source.EncodeWave,
+	if pool == fleetops.Partition {
+		r, err := fleetops.Open(ctx, fleetops.Config{
+			Self: n.identity(), Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave,
 			Log: n.log, Since: n.since, Pause: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, OnOver: over,
 			Takes: time.Duration(n.settings.Timing.MaintenanceS * float64(time.Second)),
 		}, seen, cat, n.allWaves())
@@ -43,18 +45,18 @@
 }
 
 // setWave takes a request for maintenance.
-func (n *Node) setWave(w maintenance.Wave) {
+func (n *Node) setWave(w fleetops.Wave) {
 	n.mu.Lock()
 	n.waves[w.ID] = w
 	n.mu.Unlock()
-	if _, work, _ := n.keeper.Owner(maintenance.Partition); work != nil {
-		if r, ok := work.(*maintenance.Runner); ok {
+	if _, work, _ := n.keeper.Owner(fleetops.Partition); work != nil {
+		if r, ok := work.(*fleetops.Runner); ok {
 			r.SetWaves(n.allWaves())
 		}
 	}
 }
 
-func (n *Node) allWaves() (waves []maintenance.Wave) {
+func (n *Node) allWaves() (waves []fleetops.Wave) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, w := range n.waves {
@@ -70,3 +72,18 @@
 	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindEmpty, Pool: pool, VM: vm})
 	return reply.Outcome == schema.CallOutcomeOk
 }
+
+// loadOf asks the owner of a pool's shard how busy it is.
+func (n *Node) loadOf(ctx context.Context, pool string) (l shard.Load, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, emptyTimeout)
+	defer cancel()
+	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindLoad, Pool: pool})
+	if reply.Outcome != schema.CallOutcomeOk {
+		return l, false
+	}
+	if err := msgpack.Unmarshal(reply.Load, &l); err != nil {
+		n.log.Error().Str("event", "load_malformed").Str("pool", pool).Err(err).Send()
+		return l, false
+	}
+	return l, true
+}
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -12,7 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
-	"github.com/gannetwell/gannetwell/pkg/maintenance"
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -115,7 +115,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.catalog = c
-	k.want(maintenance.Partition)
+	k.want(fleetops.Partition)
 	for _, p := range c.Pools {
 		if !p.Spare {
 			k.want(p.Name)
--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -17,6 +17,7 @@
 	Free     platform.Resources
 	Penalty  float64 // 0 for a worker without findings, higher for one that does badly
 
+	lasting int                   // long-running tasks that are here
 	perStep map[*jobs.StepRun]int // tasks of a step that are here
 }
 
@@ -26,6 +27,9 @@
 		h.perStep = map[*jobs.StepRun]int{}
 	}
 	h.perStep[s]++
+	if s.Spec.LongRunning {
+		h.lasting++
+	}
 }
 
 // Charge is what a task of the step takes of a host's free resources.
@@ -63,4 +67,7 @@
 func (h *Host) unplace(s *jobs.StepRun) {
 	h.Free = h.Free.Add(Charge(s.Spec))
 	h.perStep[s]--
+	if s.Spec.LongRunning {
+		h.lasting--
+	}
 }
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -13,7 +13,9 @@
 	// dataRackWeight outweighs any difference in load: work away from its data takes a multiple of the time.
 	dataRackWeight = 4.0
 	// spreadWeight keeps tasks of one long-running step on different workers.
-	spreadWeight = 0.5
+	spreadWeight = 1.5
+	// togetherWeight keeps long-running tasks of different steps on few workers, so that the others can leave the pool.
+	togetherWeight = 1.0
 )
 
 // Candidate is a step with tasks that may start now, and its place in the order.
@@ -94,12 +96,16 @@
 
 // score is higher for a host that suits the step better.
 func (h *Host) score(s *jobs.StepRun) float64 {
-	score := float64(h.Free.CPU)/float64(max(h.Capacity.CPU, 1)) - h.Penalty
+	// The fullest host that has room, so that others stay empty and can leave the pool.
+	score := -float64(h.Free.CPU)/float64(max(h.Capacity.CPU, 1)) - h.Penalty
 	if s.Spec.DataRack != "" && s.Spec.DataRack == h.Rack {
 		score += dataRackWeight
 	}
 	if s.Spec.LongRunning {
 		score -= spreadWeight * float64(h.perStep[s])
+		if h.lasting > 0 {
+			score += togetherWeight
+		}
 	}
 	return score
 }
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -51,6 +51,7 @@
 const CallKindCancel CallKind = "cancel"
 const CallKindCatalog CallKind = "catalog"
 const CallKindEmpty CallKind = "empty"
+const CallKindLoad CallKind = "load"
 const CallKindPing CallKind = "ping"
 const CallKindState CallKind = "state"
 const CallKindSubmit CallKind = "submit"
@@ -79,6 +80,9 @@
 	// ID is that of the call.
 	ID int `json:"id" msgpack:"id"`
 
+	// Load is the encoded load of a shard, when it was asked for.
+	Load []byte `json:"load" msgpack:"load"`
+
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome CallOutcome `json:"outcome" msgpack:"outcome"`
 
--- /dev/null
+++ b/pkg/shard/load.go
@@ -0,0 +1,107 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/placement"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// logLoadEvery is the time between two lines about a shard's load.
+const logLoadEvery = time.Second
+
+// Load is how busy a shard's workers are.
+type Load struct {
+	Workers  int                // that may get tasks
+	Capacity platform.Resources // of those
+	Used     platform.Resources // by tasks there
+	Waiting  platform.Resources // of tasks that could start at once if there were room
+	Tasks    int                // that wait so
+	// VMCapacity is what one worker has on average.
+	VMCapacity platform.Resources
+	// Floor is how many workers the long-running tasks need at least.
+	Floor int
+	// Light names the VMs without long-running tasks and with little work, the emptiest first.
+	Light []string
+}
+
+// lightShare is the part of its processors that a VM may have in use and still count as light.
+const lightShare = 0.15
+
+// Load sums the shard's workers and waiting tasks up; ok is false while they are not wholly known.
+func (o *Owner) Load() (l Load, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.now()
+	if o.over || o.held || !o.confirmed(now) {
+		return l, false
+	}
+	return o.load(now), true
+}
+
+func (o *Owner) load(now time.Duration) (l Load) {
+	used := map[string]int{}
+	for _, s := range o.sessions {
+		if !s.usable(now) {
+			continue
+		}
+		l.Workers++
+		l.VMCapacity = s.info.Capacity
+		l.Capacity = l.Capacity.Add(s.info.Capacity)
+		lasting, cpu := false, 0
+		for _, a := range s.attempts {
+			charge := placement.Charge(a.Task.Step.Spec)
+			l.Used = l.Used.Add(charge)
+			cpu += charge.CPU
+			lasting = lasting || a.Task.Step.Spec.LongRunning
+		}
+		if !lasting && float64(cpu) <= lightShare*float64(s.info.Capacity.CPU) {
+			used[s.vm] = cpu
+			l.Light = append(l.Light, s.vm)
+		}
+	}
+	slices.SortFunc(l.Light, func(a, b string) int { return cmp.Or(cmp.Compare(used[a], used[b]), cmp.Compare(a, b)) })
+	l.Floor = o.floor()
+	for _, c := range o.candidates(now) {
+		l.Tasks += len(c.Tasks)
+		for range c.Tasks {
+			l.Waiting = l.Waiting.Add(placement.Charge(c.Step.Spec))
+		}
+	}
+	return l
+}
+
+// floor is how many workers the long-running tasks need, one more to restart
+// tasks of a worker that is lost, and two at the least.
+func (o *Owner) floor() int {
+	widest := 1
+	for _, j := range o.book.Active() {
+		for _, s := range j.Steps {
+			if s.Spec.LongRunning && s.Spec.MaxPerWorker > 0 {
+				widest = max(widest, (len(s.Tasks)+s.Spec.MaxPerWorker-1)/s.Spec.MaxPerWorker)
+			}
+		}
+	}
+	return widest + 1
+}
+
+// logLoad writes the load to the log from time to time; the lock is held.
+func (o *Owner) logLoad(now time.Duration) {
+	if now-o.loadLogged < logLoadEvery {
+		return
+	}
+	o.loadLogged = now
+	l := o.load(now)
+	running := 0
+	for _, j := range o.book.Active() {
+		if j.State == jobs.StateRunning {
+			running++
+		}
+	}
+	o.log.Info().Str("event", "shard_load").Int("workers", l.Workers).Int("cpu", l.Capacity.CPU).Int("cpu_used", l.Used.CPU).
+		Int("cpu_waiting", l.Waiting.CPU).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
+		Int("tasks_waiting", l.Tasks).Int("jobs", len(o.book.Active())).Int("jobs_running", running).Send()
+}
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -93,6 +93,7 @@
 	waiters        map[*jobs.Job][]chan Outcome
 	workersChanged bool
 	urgent         bool
+	loadLogged     time.Duration
 	idleTasks      bool // tasks wait for room, or for a time
 	troubled       bool
 	chain          int64 // version of the commit row
@@ -347,6 +348,7 @@
 	}
 	o.checkHeld()
 	o.forgetFinals(now)
+	o.logLoad(now)
 	if o.idleTasks || o.book.Timed() {
 		o.kickPlacement()
 	}
