A task at a silent worker counts as missing; tasks are moved only where there is room

Change: a task serves only if its worker answered the last look; a task is stopped for an evacuation only if a host for it can be reserved.

--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -80,6 +80,17 @@
 	return starts
 }
 
+// Reserve takes room for one more task of a step at the host that suits it most;
+// it reports whether there is one.
+func Reserve(s *jobs.StepRun, hosts []*Host) bool {
+	h := best(s, hosts)
+	if h == nil {
+		return false
+	}
+	h.place(s)
+	return true
+}
+
 // best returns the host that suits a task of the step most, nil if none has room.
 func best(s *jobs.StepRun, hosts []*Host) (chosen *Host) {
 	var top float64
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -66,10 +66,11 @@
 }
 
 type attempt struct {
-	number int64
-	needs  platform.Resources
-	timer  *time.Timer
-	ending bool
+	number  int64
+	needs   platform.Resources
+	timer   *time.Timer
+	ending  bool
+	percent int // as it is reported
 }
 
 // NewWorkers returns no workers yet; orders take latency, those carried out late
@@ -225,15 +226,15 @@
 		return platform.ErrOrderRefused{Reason: platform.RefusedRoom, ClockMs: b.clock()}
 	}
 	b.free = b.free.Sub(work.Needs)
-	duration := work.Duration
+	duration, percent := work.Duration, 50
 	if duration == 0 {
-		duration = 100 * time.Hour
+		duration, percent = 100*time.Hour, 100
 	}
 	reason := platform.EndDone
 	if work.Fails {
 		reason = platform.EndFailed
 	}
-	a := &attempt{number: o.Attempt, needs: work.Needs}
+	a := &attempt{number: o.Attempt, needs: work.Needs, percent: percent}
 	a.timer = time.AfterFunc(duration, func() { w.finish(b, o.Task, a, reason) })
 	b.running[o.Task] = a
 	w.witness.Started(b.info.Boot, o.Task, o.Attempt)
@@ -367,7 +368,7 @@
 func (b *boot) report() platform.WorkerReport {
 	r := platform.WorkerReport{ClockMs: b.clock(), Ended: slices.Clone(b.ended)}
 	for task, a := range b.running {
-		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: 50})
+		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent})
 	}
 	return r
 }
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/placement"
 )
 
 const (
@@ -39,15 +40,20 @@
 	return empty
 }
 
-// evacuate ends the long-running tasks at a worker, so that they start elsewhere;
-// others are left to finish. With limited, no more tasks of a step are away than it allows.
+// evacuate ends the long-running tasks at a worker that have room elsewhere, so
+// that they start there; others are left to finish. With limited, no more tasks
+// of a step are away than it allows.
 func (o *Owner) evacuate(s *session, limited bool, why string) {
+	hosts := o.hosts(o.now())
 	for _, r := range s.attempts {
 		step := r.Task.Step
 		if !step.Spec.LongRunning || r.Phase == jobs.PhaseStopped {
 			continue
 		}
-		if limited && step.Spec.Limited && !mayMiss(step, r.Task) {
+		if limited && step.Spec.Limited && !o.mayMiss(step, r.Task) {
+			continue
+		}
+		if !placement.Reserve(step, hosts) {
 			continue
 		}
 		o.stop(s, r, why)
@@ -56,20 +62,22 @@
 
 // mayMiss tells whether a task may be taken away: fewer others of its step than
 // the step allows do not serve at present, whatever the cause.
-func mayMiss(step *jobs.StepRun, t *jobs.Task) bool {
+func (o *Owner) mayMiss(step *jobs.StepRun, t *jobs.Task) bool {
 	away := 0
 	for _, other := range step.Tasks {
-		if other != t && !serves(other) {
+		if other != t && !o.serves(other) {
 			away++
 		}
 	}
 	return away < step.Spec.MayMiss
 }
 
-// serves tells whether a long-running task is at work.
-func serves(t *jobs.Task) bool {
+// serves tells whether a long-running task is at work, as far as is known: one
+// at a worker that does not answer may have ended with it.
+func (o *Owner) serves(t *jobs.Task) bool {
 	for _, a := range t.Attempts {
-		if a.Phase == jobs.PhaseRunning && a.Percent >= fullPercent {
+		s := o.sessions[a.Boot]
+		if s != nil && s.failures == 0 && a.Phase == jobs.PhaseRunning && a.Percent >= fullPercent {
 			return true
 		}
 	}
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -208,6 +208,8 @@
 			fmt.Fprintf(&out, "%s: %s\n", w.Boot, strings.Join(e.workers.Running(w.Boot), " "))
 		}
 		return out.String()
+	case "empty":
+		return fmt.Sprintf("%v\n", e.owners[entry].Empty(arg("vm", "")))
 	case "check":
 		return e.witness.report()
 	case "log":
