Takeovers in outages: only where most others reach the store; ended boots known by the VM list

Change: an owner without the store is replaced only if the store answers most others; an entry counts as claiming only while its transaction is in doubt; calls given up here say nothing of the store. A new owner asks the VM list, 2 s after its takeover, which of the former owner's silent boots are over.

--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -44,6 +44,7 @@
 	Pause    time.Duration // after another holder's last order to a VM before we may give one
 	Takes    time.Duration // the maintenance of one VM
 	OnOver   func(error)
+	Sending  func() // called before the takeover's transaction is sent
 }
 
 // wave is a wave under way.
@@ -78,7 +79,7 @@
 
 // Open takes the work over, if its owner row still has the version seen.
 func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog, waves []Wave) (r *Runner, err error) {
-	c, err := shard.TakeOver(ctx, cfg.Rows, Partition, cfg.Self, seen)
+	c, err := shard.TakeOver(ctx, cfg.Rows, Partition, cfg.Self, seen, cfg.Sending)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -52,7 +52,10 @@
 
 // maxShare is the part of a pool that may be emptied or down for a wave at
 // once; a pool that loses more has no room for the tasks that move.
-const maxShare = 0.2
+const maxShare = 0.3
+
+// minAtOnce is how many VMs of a small pool may be emptied or down at once all the same.
+const minAtOnce = 2
 
 // listLag is how far the list of VMs may lag behind, with room to spare.
 const listLag = 1500 * time.Millisecond
@@ -89,7 +92,7 @@
 		if m.State != platform.MachineUp {
 			continue
 		}
-		if m.Pool != spare && inPool[m.Pool] >= max(1, int(maxShare*float64(size[m.Pool]))) {
+		if m.Pool != spare && inPool[m.Pool] >= max(minAtOnce, int(maxShare*float64(size[m.Pool]))) {
 			continue
 		}
 		busy++
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -218,12 +220,9 @@
 
 func (n *Node) passWorkers() {
 	n.mu.Lock()
-	byPool := map[string][]platform.Worker{}
-	for _, w := range n.workers {
-		byPool[w.Pool] = append(byPool[w.Pool], w)
-	}
+	workers := slices.Collect(maps.Values(n.workers))
 	n.mu.Unlock()
-	n.keeper.SetWorkers(byPool)
+	n.keeper.SetWorkers(workers)
 }
 
 func (n *Node) followMembers(ctx context.Context) error {
--- a/pkg/node/reach.go
+++ b/pkg/node/reach.go
@@ -23,27 +23,30 @@
 // CommitRows implements platform.Rows.
 func (r *reach) CommitRows(ctx context.Context, txn platform.RowTxn) (int64, error) {
 	version, err := r.Rows.CommitRows(ctx, txn)
-	r.note(err)
+	r.note(ctx, err)
 	return version, err
 }
 
 // ListRows implements platform.Rows.
 func (r *reach) ListRows(ctx context.Context, table, partition, from string) (platform.RowPage, error) {
 	page, err := r.Rows.ListRows(ctx, table, partition, from)
-	r.note(err)
+	r.note(ctx, err)
 	return page, err
 }
 
 // FollowRows implements platform.Rows.
 func (r *reach) FollowRows(ctx context.Context, table string, after int64, wait time.Duration) (platform.RowPage, error) {
 	page, err := r.Rows.FollowRows(ctx, table, after, wait)
-	r.note(err)
+	r.note(ctx, err)
 	return page, err
 }
 
 // note takes the outcome of a call; what the service refused, it has answered.
-func (r *reach) note(err error) {
-	if errors.As(err, new(platform.ErrConflict)) || errors.As(err, new(platform.ErrHistoryGone)) || errors.Is(err, context.Canceled) {
+func (r *reach) note(ctx context.Context, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return // given up here, which says nothing of the service
+	}
+	if errors.As(err, new(platform.ErrConflict)) || errors.As(err, new(platform.ErrHistoryGone)) {
 		err = nil
 	}
 	r.mu.Lock()
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -22,11 +22,11 @@
 }
 
 // openShard begins the work of a shard that falls to this entry.
-func (n *Node) openShard(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, over func(error)) (ownership.Work, error) {
+func (n *Node) openShard(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, events ownership.Events) (ownership.Work, error) {
 	if pool == fleetops.Partition {
 		r, err := fleetops.Open(ctx, fleetops.Config{
 			Self: n.identity(), Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave,
-			Log: n.log, Since: n.since, Pause: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, OnOver: over,
+			Log: n.log, Since: n.since, Pause: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, OnOver: events.Over, Sending: events.Sending,
 			Takes: time.Duration(n.settings.Timing.MaintenanceS * float64(time.Second)),
 		}, seen, cat, n.allWaves())
 		if err != nil {
@@ -35,8 +35,8 @@
 		return r, nil
 	}
 	o, err := shard.Open(ctx, shard.Config{
-		Pool: pool, Self: n.identity(), Rows: n.rows, Workers: n.platform, Metrics: n.metrics, Log: n.log, Since: n.since,
-		Retention: time.Duration(n.settings.Timing.RetentionS * float64(time.Second)), OnOver: over,
+		Pool: pool, Self: n.identity(), Rows: n.rows, Workers: n.platform, Machines: n.platform, Metrics: n.metrics, Log: n.log, Since: n.since,
+		Retention: time.Duration(n.settings.Timing.RetentionS * float64(time.Second)), OnOver: events.Over, Sending: events.Sending,
 	}, seen, cat, workers)
 	if err != nil {
 		return nil, err
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -44,8 +44,15 @@
 }
 
 // Opener takes a shard over, if its owner row still has the version seen, and
-// begins its work; over is called once if the work is given up.
-type Opener func(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, over func(error)) (Work, error)
+// begins its work. It calls events.Sending before the takeover's transaction is
+// sent, and events.Over once if the work is given up.
+type Opener func(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, events Events) (Work, error)
+
+// Events are what an Opener tells of.
+type Events struct {
+	Sending func()
+	Over    func(error)
+}
 
 // state is what this entry knows of one shard.
 type state struct {
@@ -54,6 +61,7 @@
 	loaded    bool  // the row was read at least once
 	owner     Work
 	claiming  bool
+	inDoubt   bool // a takeover's transaction was sent and its outcome is not known
 	notBefore time.Duration
 	gone      time.Duration // since when the owner is held for gone, 0 when it is not
 	suspect   time.Duration
@@ -70,7 +78,7 @@
 	mu       sync.Mutex
 	shards   map[string]*state
 	catalog  *catalog.Catalog
-	workers  map[string][]platform.Worker // by pool
+	workers  []platform.Worker // current boots of all pools
 	stopping bool
 	changed  chan struct{} // closed and replaced whenever an owner changes
 	wake     chan struct{}
@@ -80,7 +88,7 @@
 func NewKeeper(self shard.Identity, m *Members, open Opener, log zerolog.Logger, since time.Time) *Keeper {
 	return &Keeper{
 		self: self, members: m, open: open, log: log, since: since,
-		shards: map[string]*state{}, workers: map[string][]platform.Worker{},
+		shards:  map[string]*state{},
 		changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
@@ -136,14 +144,14 @@
 	}
 }
 
-// SetWorkers takes the directory's workers by pool.
-func (k *Keeper) SetWorkers(byPool map[string][]platform.Worker) {
+// SetWorkers takes the directory's current boots of all pools.
+func (k *Keeper) SetWorkers(workers []platform.Worker) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.workers = byPool
-	for pool, s := range k.shards {
+	k.workers = workers
+	for _, s := range k.shards {
 		if s.owner != nil {
-			s.owner.SetWorkers(byPool[pool])
+			s.owner.SetWorkers(workers)
 		}
 	}
 }
@@ -181,6 +189,7 @@
 // setRow notes an owner row; the lock is held.
 func (k *Keeper) setRow(pool string, s *state, row shard.OwnerRow, version int64) {
 	s.row, s.version, s.loaded = row, version, true
+	s.inDoubt = false
 	s.gone, s.suspect = 0, 0
 	k.log.Info().Str("event", "shard_owner").Str("pool", pool).Str("owner", row.Entry).Int64("term", row.Term).Int64("version", version).Send()
 	owners := map[string]bool{}
@@ -290,7 +299,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, s := range k.shards {
-		claiming = claiming || s.claiming || !s.loaded
+		claiming = claiming || s.inDoubt
 	}
 	return k.seenVersion(), claiming
 }
@@ -355,9 +364,16 @@
 // claim takes a shard over.
 func (k *Keeper) claim(ctx context.Context, pool string, s *state, seen int64) {
 	k.mu.Lock()
-	cat, workers := k.catalog, k.workers[pool]
+	cat, workers := k.catalog, k.workers
 	k.mu.Unlock()
-	o, err := k.open(ctx, pool, seen, cat, workers, func(error) { k.over(pool) })
+	o, err := k.open(ctx, pool, seen, cat, workers, Events{
+		Sending: func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			s.inDoubt = true
+		},
+		Over: func(error) { k.over(pool) },
+	})
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s.claiming = false
@@ -366,19 +382,23 @@
 		k.log.Warn().Str("event", "shard_claim_failed").Str("pool", pool).Err(err).Send()
 		var conflict platform.ErrConflict
 		var notOwner shard.ErrNotOwner
-		if errors.As(err, &conflict) || errors.As(err, &notOwner) {
-			return // the feed brings the row
+		var notDone platform.ErrNotDone
+		if errors.As(err, &conflict) || errors.As(err, &notOwner) || errors.As(err, &notDone) {
+			s.inDoubt = false // the feed brings the row
+		}
+		if s.inDoubt {
+			s.loaded = false // the claim may have happened: read the row again
 		}
-		s.loaded = false // the claim may have happened: read the row again
 		return
 	}
+	s.inDoubt = false
 	if k.stopping || (s.version > o.RowVersion()) {
 		go o.Close()
 		return
 	}
 	s.owner = o
 	o.SetCatalog(k.catalog)
-	o.SetWorkers(k.workers[pool])
+	o.SetWorkers(k.workers)
 	k.setRow(pool, s, shard.OwnerRow{Entry: k.self.Entry, Start: k.self.Start, Address: k.self.Address, Term: o.Term()}, o.RowVersion())
 }
 
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -276,6 +276,22 @@
 	return at, true
 }
 
+// storeAnswersMost tells whether the table service answers this entry and most
+// others but k, so that it is k's path to it that is broken; the lock is held.
+func (m *Members) storeAnswersMost(k *known) bool {
+	reached, heard := 0, 0
+	for _, p := range m.peers {
+		if p == k || !m.alive(p) {
+			continue
+		}
+		heard++
+		if p.storeLost == 0 {
+			reached++
+		}
+	}
+	return m.local.ReachesStore() && 2*reached > heard
+}
+
 // Verdict is what this entry holds of an owner.
 type Verdict string
 
@@ -302,7 +318,7 @@
 		return VerdictSuspect, "not listed"
 	case k.Start != o.Start:
 		return VerdictGone, "started anew"
-	case m.alive(k) && k.storeLost > 0 && m.now()-k.storeLost > storeSilence && m.local.ReachesStore():
+	case m.alive(k) && k.storeLost > 0 && m.now()-k.storeLost > storeSilence && m.storeAnswersMost(k):
 		return VerdictGone, "the table service does not answer it, but us"
 	case m.alive(k):
 		return VerdictAlive, ""
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -41,11 +41,13 @@
 	Self      Identity
 	Rows      platform.Rows
 	Workers   platform.Workers
+	Machines  platform.Machines
 	Metrics   Metrics
 	Log       zerolog.Logger
 	Retention time.Duration // how long final jobs can be asked for
 	Since     time.Time     // origin of the owner's clock
 	OnOver    func(error)   // called once when the shard is given up
+	Sending   func()        // called before the takeover's transaction is sent
 }
 
 // finalJob is a job to be forgotten after the retention.
@@ -56,34 +58,37 @@
 
 // Owner owns one shard until it is given up or another entry takes it over.
 type Owner struct {
-	pool    string
-	self    Identity
-	rows    platform.Rows
-	workers platform.Workers
-	metrics Metrics
-	log     zerolog.Logger
-	retain  time.Duration
-	since   time.Time
-	onOver  func(error)
-	term    int64
-	claim   Claim
+	pool     string
+	self     Identity
+	rows     platform.Rows
+	workers  platform.Workers
+	machines platform.Machines
+	metrics  Metrics
+	log      zerolog.Logger
+	retain   time.Duration
+	since    time.Time
+	onOver   func(error)
+	term     int64
+	claim    Claim
 
 	placeWake  chan struct{}
 	commitWake chan struct{}
 	urgentWake chan struct{}
 
-	mu          sync.Mutex
-	ctx         context.Context
-	cancel      context.CancelFunc
-	over        bool
-	book        *jobs.Book
-	sessions    map[string]*session
-	catalog     *catalog.Catalog
-	confirmedAt time.Duration // when this entry certainly was the owner
-	asking      bool          // the owner row is being read
-	unconfirmed bool          // that was said in the log
-	held        bool          // a worker of a former owner has not been heard
-	heldTo      time.Duration // when its leases have run out
+	mu            sync.Mutex
+	ctx           context.Context
+	cancel        context.CancelFunc
+	over          bool
+	book          *jobs.Book
+	sessions      map[string]*session
+	catalog       *catalog.Catalog
+	confirmedAt   time.Duration // when this entry certainly was the owner
+	askedMachines time.Duration // when the VM list was last asked for, 0 for never
+	asking        bool          // the owner row is being read
+	unconfirmed   bool          // that was said in the log
+	held          bool          // a worker of a former owner has not been heard
+	openedAt      time.Duration // when this entry took over
+	heldTo        time.Duration // when its leases have run out
 
 	pending        map[string]*submission
 	queued         []*submission
@@ -106,7 +111,7 @@
 func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog, workers []platform.Worker) (o *Owner, err error) {
 	ctx, done := context.WithTimeout(ctx, takeoverRead)
 	defer done()
-	c, err := TakeOver(ctx, cfg.Rows, cfg.Pool, cfg.Self, seen)
+	c, err := TakeOver(ctx, cfg.Rows, cfg.Pool, cfg.Self, seen, cfg.Sending)
 	if err != nil {
 		return nil, err
 	}
@@ -116,7 +121,7 @@
 		return nil, err
 	}
 	o = &Owner{
-		pool: cfg.Pool, self: cfg.Self, rows: cfg.Rows, workers: cfg.Workers, metrics: cfg.Metrics,
+		pool: cfg.Pool, self: cfg.Self, rows: cfg.Rows, workers: cfg.Workers, machines: cfg.Machines, metrics: cfg.Metrics,
 		log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), retain: cfg.Retention,
 		since: cfg.Since, onOver: cfg.OnOver, term: c.Term, claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
@@ -145,6 +150,7 @@
 	}
 	o.heldTo = o.formerLeasesEnd(now)
 	o.confirmedAt = now
+	o.openedAt = now
 	o.setWorkers(workers)
 	o.log.Info().Str("event", "shard_owned").Int("jobs", jobCount).Int("active", len(o.book.Active())).
 		Int("workers", len(o.sessions)).Int("leased", len(k.workers)).Send()
@@ -241,7 +247,7 @@
 	return s
 }
 
-// SetWorkers takes the directory's boots of this pool.
+// SetWorkers takes the directory's current boots of all pools.
 func (o *Owner) SetWorkers(workers []platform.Worker) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -253,6 +259,9 @@
 func (o *Owner) setWorkers(workers []platform.Worker) {
 	listed := make(map[string]bool, len(workers))
 	for _, w := range workers {
+		if w.Pool != o.pool {
+			continue
+		}
 		listed[w.Boot] = true
 		s := o.sessions[w.Boot]
 		if s == nil {
@@ -265,7 +274,6 @@
 			s.draining = true
 			o.log.Info().Str("event", "worker_draining").Str("boot", w.Boot).Send()
 		}
-		o.retireOlder(w)
 	}
 	for boot, s := range o.sessions {
 		if s.listed && !listed[boot] {
@@ -282,18 +290,6 @@
 	o.kickPlacement()
 }
 
-// retireOlder ends the sessions of former boots of the same VM.
-func (o *Owner) retireOlder(w platform.Worker) {
-	if w.VM == "" {
-		return
-	}
-	for boot, s := range o.sessions {
-		if boot != w.Boot && s.vm == w.VM && !s.listed {
-			o.bootEnded(s, "its VM has another boot")
-		}
-	}
-}
-
 // SetCatalog takes a new version of the configuration.
 func (o *Owner) SetCatalog(c *catalog.Catalog) {
 	o.mu.Lock()
@@ -347,6 +343,7 @@
 		}
 	}
 	o.checkHeld()
+	o.askMachines(now)
 	o.forgetFinals(now)
 	o.logLoad(now)
 	if o.idleTasks || o.book.Timed() {
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
@@ -28,16 +29,17 @@
 
 // estate is a deployment of one pool in virtual time.
 type estate struct {
-	t       *testing.T
-	since   time.Time
-	rows    *fake.Rows
-	workers *fake.Workers
-	witness *witness
-	listed  []platform.Worker
-	owners  map[string]*shard.Owner
-	faults  map[string]fake.Fault // by "op entry" and "op boot entry", with * for any
-	failing map[string]int        // failures that a task has left
-	log     bytes.Buffer
+	t        *testing.T
+	since    time.Time
+	rows     *fake.Rows
+	workers  *fake.Workers
+	witness  *witness
+	listed   []platform.Worker
+	machines []platform.Machine
+	owners   map[string]*shard.Owner
+	faults   map[string]fake.Fault // by "op entry" and "op boot entry", with * for any
+	failing  map[string]int        // failures that a task has left
+	log      bytes.Buffer
 }
 
 // TestScripts plays each file of testdata in virtual time.
@@ -208,6 +210,11 @@
 			fmt.Fprintf(&out, "%s: %s\n", w.Boot, strings.Join(e.workers.Running(w.Boot), " "))
 		}
 		return out.String()
+	case "relist":
+		return e.relist(arg("boot", ""), arg("vm", ""), arg("address", ""))
+	case "machine":
+		e.machines = append(e.machines, platform.Machine{VM: arg("vm", ""), Boot: arg("boot", ""), Pool: arg("pool", pool), State: platform.MachineUp})
+		return ""
 	case "empty":
 		return fmt.Sprintf("%v\n", e.owners[entry].Empty(arg("vm", "")))
 	case "check":
@@ -231,6 +238,35 @@
 	return ""
 }
 
+// ListMachines implements platform.Machines; a script that sets no machine gets those of the directory.
+func (e *estate) ListMachines(context.Context) (list []platform.Machine, err error) {
+	if e.machines != nil {
+		return e.machines, nil
+	}
+	for _, w := range e.listed {
+		list = append(list, platform.Machine{VM: w.VM, Boot: w.Boot, Pool: pool, State: platform.MachineUp})
+	}
+	return list, nil
+}
+
+// MoveMachine implements platform.Machines; owners of shards move nothing.
+func (e *estate) MoveMachine(context.Context, string, string, platform.Holder) error {
+	return errors.New("not expected")
+}
+
+// MaintainMachine implements platform.Machines; owners of shards maintain nothing.
+func (e *estate) MaintainMachine(context.Context, string, int, platform.Holder) error {
+	return errors.New("not expected")
+}
+
+// relist puts the row of an ended boot in place of the present one of its VM, as
+// a directory that is out of date does.
+func (e *estate) relist(boot, vm, address string) string {
+	e.listed = slices.DeleteFunc(e.listed, func(w platform.Worker) bool { return w.VM == vm })
+	e.listed = append(e.listed, platform.Worker{Boot: boot, VM: vm, Pool: pool, Address: address, Capacity: platform.Resources{CPU: 1}})
+	return ""
+}
+
 func (e *estate) publish() {
 	for _, o := range e.owners {
 		o.SetWorkers(e.listed)
@@ -245,9 +281,9 @@
 	}
 	cfg := shard.Config{
 		Pool: pool, Self: shard.Identity{Entry: entry, Start: int64(len(e.owners)) + 1, Address: entry},
-		Rows: rows, Workers: e.workers.As(entry), Metrics: noMetrics{}, Retention: time.Minute,
+		Rows: rows, Workers: e.workers.As(entry), Machines: e, Metrics: noMetrics{}, Retention: time.Minute,
 		Log: zerolog.New(&e.log).With().Str("entry", entry).Logger(), Since: e.since,
-		OnOver: func(error) {},
+		OnOver: func(error) {}, Sending: func() {},
 	}
 	o, err := shard.Open(context.Background(), cfg, row.Version, e.catalog(), e.listed)
 	if err != nil {
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -48,8 +48,9 @@
 }
 
 // TakeOver writes this entry into the owner row, provided the row still has the
-// version that the decision to take over was made on.
-func TakeOver(ctx context.Context, rows platform.Rows, pool string, self Identity, seen int64) (c Claim, err error) {
+// version that the decision to take over was made on. It calls sending before
+// the transaction is sent; an error without that call had no effect.
+func TakeOver(ctx context.Context, rows platform.Rows, pool string, self Identity, seen int64, sending func()) (c Claim, err error) {
 	defer func() { err = errors.Wrapf(err, "take over shard %s", pool) }()
 	owner, err := ReadOne(ctx, rows, ownerKey(pool))
 	if err != nil {
@@ -81,6 +82,7 @@
 		Expect: []platform.Row{{RowKey: ownerKey(pool), Version: owner.Version}, {RowKey: commitKey(pool), Version: commit.Version}},
 		Put:    []platform.Row{{RowKey: ownerKey(pool), Value: ownerRaw}, {RowKey: commitKey(pool), Value: commitRaw}},
 	}
+	sending()
 	version, err := rows.CommitRows(ctx, txn)
 	if err != nil {
 		return c, err
