Pools sized by the workers that can be used

A pool's size was counted from the VM list, silent and cordoned VMs among them; with every usable worker holding a task of the step, the last task had no place, and as it was missing the cordoned VM could not be emptied either.

Change: supply is what the shard's owner can use, and what is on its way.

--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -17,6 +17,9 @@
 	moveGiveUp = 3 * time.Second
 	// moveSettles is how long after its order a VM may take to come up in its new pool.
 	moveSettles = 8 * time.Second
+	// moveKnown is how long a VM that is up in its new pool may take until the pool's
+	// owner counts it.
+	moveKnown = 600 * time.Millisecond
 )
 
 // move is a VM's change of pool under way.
@@ -24,7 +27,7 @@
 	Move
 	since   time.Duration
 	ordered time.Duration // 0 while the VM is being emptied
-	boot    string        // that was to end
+	up      time.Duration // when it was first seen up in its new pool
 }
 
 // resize moves VMs to where they are needed.
@@ -42,7 +45,7 @@
 	var wg sync.WaitGroup
 	for _, m := range r.moves {
 		if m.ordered == 0 {
-			wg.Go(func() { r.carryOut(ctx, m, machines[m.VM]) })
+			wg.Go(func() { r.carryOut(ctx, m) })
 		}
 	}
 	wg.Wait()
@@ -83,8 +86,11 @@
 		switch {
 		case !ok:
 			why = "the VM is no longer listed"
-		case m.ordered > 0 && listed.Pool == m.To && listed.State == platform.MachineUp:
+		case m.up > 0 && now-m.up > moveKnown:
 			why = "the VM is up in its new pool"
+		case m.up > 0:
+		case m.ordered > 0 && listed.Pool == m.To && listed.State == platform.MachineUp:
+			m.up = now
 		case m.ordered > 0 && now-m.ordered > moveSettles:
 			why = "it has taken too long"
 		case m.ordered == 0 && now-m.since > moveGiveUp:
@@ -102,7 +108,7 @@
 	spare := r.spare()
 	byName := map[string]*PoolState{}
 	for name, l := range loads {
-		s := &PoolState{Name: name, Load: l}
+		s := &PoolState{Name: name, Load: l, Supply: l.Workers}
 		byName[name] = s
 		pools = append(pools, s)
 	}
@@ -113,7 +119,7 @@
 	}
 	leaving := map[string]int{}
 	for vm, m := range r.moves {
-		if s := byName[m.To]; s != nil && machines[vm].Pool != m.To {
+		if s := byName[m.To]; s != nil {
 			s.Supply++
 		}
 		if machines[vm].Pool == m.From {
@@ -125,11 +131,13 @@
 		if s == nil || m.State == platform.MachineDown {
 			continue
 		}
-		if _, moving := r.moves[vm]; moving && m.Pool != r.moves[vm].To {
+		if r.moves[vm] != nil {
 			continue
 		}
-		s.Supply++
-		if s.Spare && m.State == platform.MachineUp && !r.inWave(vm) {
+		if r.inWave(vm) == PhaseOrdered {
+			s.Supply++ // it is back in a moment
+		}
+		if s.Spare && m.State == platform.MachineUp && r.inWave(vm) == "" {
 			s.Idle = append(s.Idle, vm)
 		}
 	}
@@ -155,7 +163,7 @@
 func (r *Runner) idle(s *PoolState, machines map[string]platform.Machine, leaving int) (idle []string) {
 	for _, vm := range s.Load.Light {
 		m, ok := machines[vm]
-		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || r.inWave(vm) {
+		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || r.inWave(vm) != "" {
 			continue
 		}
 		if leaving+len(idle) >= r.policy.MaxLeaving {
@@ -179,20 +187,20 @@
 	return r.surplus[s.Name]
 }
 
-// inWave tells whether a VM is being emptied or maintained.
-func (r *Runner) inWave(vm string) bool {
+// inWave returns the phase of a VM that is being emptied or maintained, empty for another.
+func (r *Runner) inWave(vm string) Phase {
 	for _, w := range r.waves {
 		for _, v := range w.vms {
 			if v.Name == vm && (v.Phase == PhaseEmptying || v.Phase == PhaseOrdered) {
-				return true
+				return v.Phase
 			}
 		}
 	}
-	return false
+	return ""
 }
 
 // carryOut empties a VM and orders its move.
-func (r *Runner) carryOut(ctx context.Context, m *move, listed platform.Machine) {
+func (r *Runner) carryOut(ctx context.Context, m *move) {
 	if m.From != r.spare() && !r.cfg.Empty(ctx, m.From, m.VM) {
 		return
 	}
@@ -208,5 +216,5 @@
 	if errors.As(err, &refused) || errors.As(err, &notDone) {
 		return
 	}
-	m.ordered, m.boot = r.now(), listed.Boot
+	m.ordered = r.now()
 }
--- /dev/null
+++ b/pkg/fleetops/plan_test.go
@@ -0,0 +1,89 @@
+package fleetops
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+// TestPlans plays the files of testdata: sizes of pools and the order of a wave.
+func TestPlans(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "moves":
+				return planMoves(d.Input)
+			case "wave":
+				most := 0
+				d.ScanArgs(t, "max", &most)
+				return planWave(d.Input, most)
+			default:
+				t.Fatalf("unknown command %q", d.Cmd)
+				return ""
+			}
+		})
+	})
+}
+
+// fields reads "key=value" pairs behind the first word of a line.
+func fields(line string) (name string, values map[string]string) {
+	words := strings.Fields(line)
+	values = map[string]string{}
+	for _, w := range words[1:] {
+		k, v, _ := strings.Cut(w, "=")
+		values[k] = v
+	}
+	return words[0], values
+}
+
+func number(s string) int {
+	n, _ := strconv.Atoi(s)
+	return n
+}
+
+func planMoves(input string) string {
+	var pools []*PoolState
+	for _, line := range strings.Split(input, "\n") {
+		name, v := fields(line)
+		s := &PoolState{Name: name, Supply: number(v["supply"]), Surely: number(v["surely"])}
+		_, s.Spare = v["spare"]
+		if v["idle"] != "" {
+			s.Idle = strings.Split(v["idle"], ",")
+		}
+		s.Load = shard.Load{
+			Workers: s.Supply, Floor: number(v["floor"]), VMCapacity: platform.Resources{CPU: 1000, MemoryMB: 1000},
+			Used:    platform.Resources{CPU: number(v["used"]), MemoryMB: number(v["memory"])},
+			Waiting: platform.Resources{CPU: number(v["waiting"])},
+		}
+		pools = append(pools, s)
+	}
+	var out strings.Builder
+	for _, m := range DefaultSizing.PlanMoves(pools) {
+		fmt.Fprintf(&out, "%s: %s -> %s\n", m.VM, m.From, m.To)
+	}
+	return out.String()
+}
+
+func planWave(input string, most int) string {
+	w := Wave{MaxDown: most}
+	var vms []*VM
+	machines := map[string]platform.Machine{}
+	for _, line := range strings.Split(input, "\n") {
+		name, v := fields(line)
+		machines[name] = platform.Machine{VM: name, Pool: v["pool"], State: platform.MachineUp}
+		if v["phase"] != "" {
+			vms = append(vms, &VM{Name: name, Phase: Phase(v["phase"])})
+		}
+	}
+	var out strings.Builder
+	for _, v := range Next(w, vms, machines, "spare") {
+		fmt.Fprintf(&out, "%s\n", v.Name)
+	}
+	return out.String()
+}
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -15,7 +15,7 @@
 
 // Load is how busy a shard's workers are.
 type Load struct {
-	Workers  int                // that may get tasks
+	Workers  int                // that may get tasks, or will within a moment
 	Capacity platform.Resources // of those
 	Used     platform.Resources // by tasks there
 	Waiting  platform.Resources // of tasks that could start at once if there were room
@@ -45,7 +45,7 @@
 func (o *Owner) load(now time.Duration) (l Load) {
 	used := map[string]int{}
 	for _, s := range o.sessions {
-		if !s.usable(now) {
+		if !s.serviceable(now) {
 			continue
 		}
 		l.Workers++
@@ -88,6 +88,15 @@
 	return widest + 1
 }
 
+// lostAfter is how many looks in a row a worker may leave unanswered and still count.
+const lostAfter = 2
+
+// serviceable tells whether a worker counts for the size of the pool: it is
+// usable but for what passes within a moment.
+func (s *session) serviceable(now time.Duration) bool {
+	return s.listed && !s.draining && !s.gone && s.failures < lostAfter && now >= s.cordonedTo
+}
+
 // logLoad writes the load to the log from time to time; the lock is held.
 func (o *Owner) logLoad(now time.Duration) {
 	if now-o.loadLogged < logLoadEvery {
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -31,6 +31,9 @@
 	answerTimeout = 700 * time.Millisecond
 	// retryLook is the pause after a look that failed.
 	retryLook = 250 * time.Millisecond
+	// awaitOrders is the pause while orders are on their way that must be answered
+	// before a look can settle the doubt about another.
+	awaitOrders = 30 * time.Millisecond
 	// ackPause is how long ends wait for their acknowledgement before the next look renews the leases anyway.
 	ackPause = 500 * time.Millisecond
 )
@@ -132,6 +135,7 @@
 		wants := s.wantsLook()
 		unacked := s.seenEnd > s.ackedEnd
 		failures := s.failures
+		crowded := s.inDoubt && s.inFlight > 0
 		o.mu.Unlock()
 		var pause time.Duration
 		switch {
@@ -139,6 +143,8 @@
 			pause = -1
 		case failures > 0:
 			pause = retryLook
+		case crowded:
+			pause = awaitOrders
 		case unacked:
 			pause = ackPause
 		}
