--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -135,7 +135,7 @@
 		return &schema.CallReply{
 			Outcome: schema.CallOutcomeOk, CatalogVersion: int(n.catalogVersion()),
 			ReachesStore: n.rows.ok(), Start: int(n.self.Start),
-			OwnersVersion: int(version), Claiming: claiming, Owners: n.keeper.News(int64(q.OwnersVersion)),
+			OwnersVersion: int(version), Claiming: claiming, Stopping: n.stopping.Load(), Owners: n.keeper.News(int64(q.OwnersVersion)),
 		}
 	case schema.CallKindCatalog:
 		if c := n.catalog.Load(); c != nil {
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -57,8 +57,9 @@
 // state is what this entry knows of one shard.
 type state struct {
 	row       shard.OwnerRow
-	version   int64 // of the owner row, 0 when there is none
-	loaded    bool  // the row was read at least once
+	version   int64         // of the owner row, 0 when there is none
+	loaded    bool          // the row was read at least once
+	rowAt     time.Duration // when the row was seen first
 	owner     Work
 	claiming  bool
 	inDoubt   bool // a takeover's transaction was sent and its outcome is not known
@@ -190,6 +191,7 @@
 func (k *Keeper) setRow(pool string, s *state, row shard.OwnerRow, version int64) {
 	s.row, s.version, s.loaded = row, version, true
 	s.inDoubt = false
+	s.rowAt = k.now()
 	s.gone, s.suspect = 0, 0
 	k.log.Info().Str("event", "shard_owner").Str("pool", pool).Str("owner", row.Entry).Int64("term", row.Term).Int64("version", version).Send()
 	owners := map[string]bool{}
@@ -240,7 +242,7 @@
 			}
 		}
 	}
-	alive := k.members.Alive()
+	alive := k.members.Heirs()
 	load := k.load(alive)
 	pools := make([]string, 0, len(k.shards))
 	for pool := range k.shards {
@@ -306,7 +308,7 @@
 
 // judge tells whether a shard is to be claimed; the lock is held.
 func (k *Keeper) judge(s *state, now time.Duration) (why string, gone bool) {
-	verdict, why := k.members.Judge(s.row)
+	verdict, why := k.members.Judge(s.row, s.rowAt)
 	switch verdict {
 	case VerdictAlive:
 		s.gone, s.suspect = 0, 0
@@ -417,6 +419,22 @@
 	k.Kick()
 }
 
+// next returns the entries that should take over from this one, those that own
+// least first; an empty name stands for any.
+func (k *Keeper) next() (names []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	heirs := slices.DeleteFunc(k.members.Heirs(), func(m Member) bool { return m.Name == k.self.Entry })
+	load := k.load(heirs)
+	slices.SortFunc(heirs, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(float64(load[a.Name]+1)/a.Share, float64(load[b.Name]+1)/b.Share), cmp.Compare(a.Name, b.Name))
+	})
+	for _, m := range heirs {
+		names = append(names, m.Name)
+	}
+	return append(names, "")
+}
+
 // Release hands all shards over, so that others can take them at once.
 func (k *Keeper) Release(ctx context.Context) {
 	k.mu.Lock()
@@ -428,9 +446,10 @@
 		}
 	}
 	k.mu.Unlock()
+	next := k.next()
 	var wg sync.WaitGroup
-	for _, o := range owners {
-		wg.Go(func() { o.Release(ctx, "") })
+	for i, o := range owners {
+		wg.Go(func() { o.Release(ctx, next[i%len(next)]) })
 	}
 	wg.Wait()
 }
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -52,6 +52,7 @@
 	heardAt   time.Duration // last answer, 0 for never
 	addedAt   time.Duration
 	refused   bool          // nothing listened at its address at the last try
+	stopping  bool          // it is in a planned stop and takes nothing over
 	storeLost time.Duration // since when the table service does not answer it, 0 while it does
 	owns      bool          // it owns a shard
 	sentAt    time.Duration // when the last ping that was answered was sent
@@ -177,6 +178,7 @@
 	if err == nil {
 		k.heardAt, k.refused = m.now(), false
 		k.noteStore(reply.ReachesStore, m.now())
+		k.stopping = reply.Stopping
 		k.sentAt, k.seen = sentAt, int64(reply.OwnersVersion)
 		if reply.Claiming {
 			k.seen = -1
@@ -248,13 +250,14 @@
 	return nil
 }
 
-// Alive returns the entries that were heard of late, this one among them.
-func (m *Members) Alive() []Member {
+// Heirs returns the entries that may take a shard over, this one among them:
+// they were heard of late, reach the table service and are not stopping.
+func (m *Members) Heirs() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	all := []Member{m.self}
 	for _, k := range m.peers {
-		if m.alive(k) {
+		if m.alive(k) && !k.stopping && k.storeLost == 0 {
 			all = append(all, k.Member)
 		}
 	}
@@ -302,8 +305,9 @@
 	VerdictSuspect Verdict = "suspect" // not heard, but few others are either
 )
 
-// Judge tells whether the owner in a row still lives.
-func (m *Members) Judge(o shard.OwnerRow) (v Verdict, why string) {
+// Judge tells whether the owner in a row, which was seen first at since, still
+// lives. An owner that has just written its row does, whatever was heard before.
+func (m *Members) Judge(o shard.OwnerRow, since time.Duration) (v Verdict, why string) {
 	if o.Entry == "" {
 		return VerdictGone, "released"
 	}
@@ -318,6 +322,8 @@
 		return VerdictSuspect, "not listed"
 	case k.Start != o.Start:
 		return VerdictGone, "started anew"
+	case m.now()-since < silence:
+		return VerdictAlive, "its row is new"
 	case m.alive(k) && k.storeLost > 0 && m.now()-k.storeLost > storeSilence && m.storeAnswersMost(k):
 		return VerdictGone, "the table service does not answer it, but us"
 	case m.alive(k):
@@ -331,7 +337,8 @@
 			heard++
 		}
 	}
-	if others := len(m.peers) - 1; 2*heard >= others {
+	// This entry counts for itself; of two halves that do not hear each other neither goes ahead at once.
+	if total := len(m.peers) + 1; 2*(heard+1) > total {
 		return VerdictGone, "not heard while most others are"
 	}
 	return VerdictSuspect, "few others are heard either"
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -101,6 +101,9 @@
 	// State is the job's state.
 	State string `json:"state" msgpack:"state"`
 
+	// Stopping tells whether the sender is in a planned stop.
+	Stopping bool `json:"stopping" msgpack:"stopping"`
+
 	// Waiting counts jobs that have not begun.
 	Waiting int `json:"waiting" msgpack:"waiting"`
 }
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -12,7 +12,7 @@
 func (o *Owner) Submit(ctx context.Context, id string, r jobs.Record) Outcome {
 	o.mu.Lock()
 	switch {
-	case o.over:
+	case o.over || o.releasing:
 		o.mu.Unlock()
 		return schema.CallOutcomeNotOwner
 	case o.book.Job(id) != nil:
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -90,6 +90,7 @@
 func (o *Owner) commitOnce(ctx context.Context) bool {
 	o.mu.Lock()
 	b, err := o.nextBatch()
+	o.committing = err == nil && !b.empty()
 	o.mu.Unlock()
 	if err != nil {
 		o.log.Error().Str("event", "commit_encode_failed").Err(err).Send()
@@ -101,6 +102,7 @@
 	version, err := o.settle(ctx, b)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.committing = false
 	if err != nil {
 		o.batchFailed(b, err)
 		return ctx.Err() == nil && !o.over
@@ -176,8 +178,8 @@
 func (o *Owner) putWorkers(b *batch, put func(platform.RowKey, []byte)) error {
 	var set []leasedWorker
 	for _, s := range o.sessions {
-		if s.gone {
-			continue
+		if s.gone || s.cordonedTo > o.now() && s.idle() {
+			continue // it cannot hold a lease
 		}
 		set = append(set, leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address})
 		if !s.recorded {
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -33,8 +33,15 @@
 		}
 		s.cordonedTo = now + cordonTime
 		o.evacuate(s, true, "its VM is to be empty")
-		if len(s.attempts) > 0 || s.inFlight > 0 || s.inDoubt {
+		if !s.idle() {
 			empty = false
+			continue
+		}
+		if s.recorded {
+			// It may leave now: a next owner need not look for leases there.
+			s.recorded = false
+			o.workersChanged = true
+			o.kickCommit()
 		}
 	}
 	return empty
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -79,6 +79,7 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	over          bool
+	releasing     bool // it is being handed over: nothing new is begun
 	book          *jobs.Book
 	sessions      map[string]*session
 	catalog       *catalog.Catalog
@@ -98,6 +99,7 @@
 	waiters        map[*jobs.Job][]chan Outcome
 	workersChanged bool
 	urgent         bool
+	committing     bool // a transaction is under way
 	loadLogged     time.Duration
 	idleTasks      bool // tasks wait for room, or for a time
 	troubled       bool
@@ -280,8 +282,13 @@
 			s.listed = false
 			o.log.Info().Str("event", "worker_unlisted").Str("boot", boot).Send()
 		}
-		if !s.listed && s.failures > 0 {
+		if s.listed {
+			continue
+		}
+		if s.failures > 0 {
 			o.expire(s)
+		} else if s.known && s.idle() {
+			o.bootEnded(s, "it is not listed and has nothing to do")
 		}
 	}
 	if o.workersChanged {
@@ -338,6 +345,10 @@
 	for _, s := range o.sessions {
 		o.expire(s)
 		o.repeatStops(s, now)
+		if s.listed && !s.recorded && now >= s.cordonedTo {
+			o.workersChanged = true
+			o.kickCommit()
+		}
 		if s.draining {
 			o.evacuate(s, false, "its worker is leaving")
 		}
@@ -397,20 +408,3 @@
 	}
 	return ""
 }
-
-// Release hands the shard over: it gives no more orders, keeps what is there to
-// keep and lets go of the owner row; next names who should take over, if not empty.
-func (o *Owner) Release(ctx context.Context, next string) {
-	o.mu.Lock()
-	if o.over {
-		o.mu.Unlock()
-		return
-	}
-	o.over = true
-	o.refuseQueued()
-	o.mu.Unlock()
-	o.cancel()
-	o.wg.Wait()
-	err := o.claim.Release(ctx, o.rows, o.pool, next)
-	o.log.Info().Str("event", "shard_released").Str("next", next).Err(err).Send()
-}
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -37,7 +37,7 @@
 func (o *Owner) place() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.over || o.catalog == nil {
+	if o.over || o.releasing || o.catalog == nil {
 		return
 	}
 	now := o.now()
--- /dev/null
+++ b/pkg/shard/release.go
@@ -0,0 +1,96 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+const (
+	// quietTime is how long a handover waits for orders and transactions under way.
+	quietTime = 600 * time.Millisecond
+	// quietPoll is how often that is looked at.
+	quietPoll = 5 * time.Millisecond
+	// releaseTimeout bounds the handover's transaction.
+	releaseTimeout = 2 * time.Second
+)
+
+// Release hands the shard over: it gives no more orders, keeps what is there to
+// keep and lets go of the owner row; next names who should take over, if not empty.
+func (o *Owner) Release(ctx context.Context, next string) {
+	o.mu.Lock()
+	if o.over || o.releasing {
+		o.mu.Unlock()
+		return
+	}
+	o.releasing = true
+	o.mu.Unlock()
+	started := o.now()
+	quiet := o.awaitQuiet(ctx)
+	o.mu.Lock()
+	o.over = true
+	o.refuseQueued()
+	o.mu.Unlock()
+	o.cancel()
+	o.wg.Wait()
+	releaseCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	err := o.letGo(releaseCtx, next, quiet)
+	o.log.Info().Str("event", "shard_released").Str("next", next).Bool("quiet", quiet).Dur("took", o.now()-started).Err(err).Send()
+}
+
+// awaitQuiet waits until no order and no transaction is under way; it reports whether that came in time.
+func (o *Owner) awaitQuiet(ctx context.Context) bool {
+	end := time.Now().Add(quietTime)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		if o.quiet() {
+			return true
+		}
+		time.Sleep(quietPoll)
+	}
+	return false
+}
+
+func (o *Owner) quiet() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.committing || len(o.queued) > 0 || len(o.dirty) > 0 {
+		return false
+	}
+	for _, s := range o.sessions {
+		if s.inFlight > 0 || s.inDoubt {
+			return false
+		}
+	}
+	return true
+}
+
+// letGo writes the owner row. When nothing was under way it also narrows the
+// record of leased workers to those where something runs, so that the next owner
+// need not wait for the others.
+func (o *Owner) letGo(ctx context.Context, next string, quiet bool) error {
+	if !quiet {
+		return o.claim.Release(ctx, o.rows, o.pool, next)
+	}
+	var set []leasedWorker
+	for _, s := range o.sessions {
+		if s.recorded && !s.idle() {
+			set = append(set, leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address})
+		}
+	}
+	raw, err := encode(set)
+	if err != nil {
+		return err
+	}
+	err = o.claim.releaseWith(ctx, o.rows, o.pool, next, platform.RowTxn{
+		Expect: []platform.Row{{RowKey: commitKey(o.pool), Version: o.chain}},
+		Put:    []platform.Row{{RowKey: workersKey(o.pool), Value: raw}},
+	})
+	if errors.As(err, new(platform.ErrConflict)) {
+		return o.claim.Release(ctx, o.rows, o.pool, next)
+	}
+	return err
+}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -128,6 +128,11 @@
 	return !s.gone && (!s.known || s.inDoubt || len(s.attempts) > 0 || s.seenEnd > s.ackedEnd)
 }
 
+// idle tells whether nothing of ours is or may be at the worker.
+func (s *session) idle() bool {
+	return len(s.attempts) == 0 && s.inFlight == 0 && !s.inDoubt && s.seenEnd == s.ackedEnd
+}
+
 // sessionLoop looks at a worker as long as there is something to see.
 func (o *Owner) sessionLoop(ctx context.Context, s *session) {
 	for ctx.Err() == nil {
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -35,15 +35,19 @@
 
 // Release lets go of the owner row; next names who should take over, if not empty.
 func (c Claim) Release(ctx context.Context, rows platform.Rows, pool, next string) (err error) {
+	return c.releaseWith(ctx, rows, pool, next, platform.RowTxn{})
+}
+
+// releaseWith lets go of the owner row in a transaction that does more.
+func (c Claim) releaseWith(ctx context.Context, rows platform.Rows, pool, next string, txn platform.RowTxn) (err error) {
 	defer func() { err = errors.Wrapf(err, "release shard %s", pool) }()
 	raw, err := encode(OwnerRow{Term: c.Term, Next: next})
 	if err != nil {
 		return err
 	}
-	_, err = rows.CommitRows(ctx, platform.RowTxn{
-		Expect: []platform.Row{{RowKey: ownerKey(pool), Version: c.OwnerVersion}},
-		Put:    []platform.Row{{RowKey: ownerKey(pool), Value: raw}},
-	})
+	txn.Expect = append(txn.Expect, platform.Row{RowKey: ownerKey(pool), Version: c.OwnerVersion})
+	txn.Put = append(txn.Put, platform.Row{RowKey: ownerKey(pool), Value: raw})
+	_, err = rows.CommitRows(ctx, txn)
 	return err
 }
 
