Demand foreseen by its slope; VM orders handed over without a pause

Change: demand is foreseen 2 s ahead by its smoothed slope; a holder that lets go names the VMs it gave orders for within the pause between holders.

--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -17,6 +17,10 @@
 	moveGiveUp = 3 * time.Second
 	// moveSettles is how long after its order a VM may take to come up in its new pool.
 	moveSettles = 8 * time.Second
+	// trendAhead is how far ahead demand is foreseen: about what a move takes until the VM is at work.
+	trendAhead = 2 * time.Second
+	// trendWeight smooths the slope of demand over about a second.
+	trendWeight = 0.25
 	// moveKnown is how long a VM that is up in its new pool may take until the pool's
 	// owner counts it.
 	moveKnown = 600 * time.Millisecond
@@ -109,6 +113,7 @@
 	byName := map[string]*PoolState{}
 	for name, l := range loads {
 		s := &PoolState{Name: name, Load: l, Supply: l.Workers}
+		s.Load.Waiting.CPU += r.rise(name, l.Used.CPU+l.Waiting.CPU)
 		byName[name] = s
 		pools = append(pools, s)
 	}
@@ -159,6 +164,26 @@
 	return pools
 }
 
+// trend is how a pool's demand has changed of late.
+type trend struct {
+	at     time.Duration
+	demand int
+	slope  float64 // thousandths of a core a second, smoothed
+}
+
+// rise is by how much a pool's demand will have grown when a VM that is moved now has arrived.
+func (r *Runner) rise(pool string, demand int) int {
+	now := r.now()
+	t := r.trends[pool]
+	if t.at > 0 && now > t.at {
+		slope := float64(demand-t.demand) / (now - t.at).Seconds()
+		t.slope += trendWeight * (slope - t.slope)
+	}
+	t.at, t.demand = now, demand
+	r.trends[pool] = t
+	return int(max(0, t.slope) * trendAhead.Seconds())
+}
+
 // idle returns the VMs of a pool that may leave, those without any task first.
 func (r *Runner) idle(s *PoolState, machines map[string]platform.Machine, leaving int) (idle []string) {
 	for _, vm := range s.Load.Light {
@@ -204,9 +229,10 @@
 	if m.From != r.spare() && !r.cfg.Empty(ctx, m.From, m.VM) {
 		return
 	}
-	if !r.mayOrder(ctx) {
+	if !r.mayOrderFor(m.VM) || !r.mayOrder(ctx) {
 		return
 	}
+	r.noteOrder(m.VM)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.cfg.Machines.MoveMachine(callCtx, m.VM, m.To, r.holder())
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -59,16 +59,19 @@
 
 // Runner carries the maintenance out while this entry owns the work.
 type Runner struct {
-	cfg     Config
-	claim   shard.Claim
-	log     zerolog.Logger
-	cancel  context.CancelFunc
-	done    chan struct{}
-	wake    chan struct{}
-	first   time.Duration // no orders before
-	policy  SizingPolicy
-	moves   map[string]*move // by VM; used by the run loop only
-	surplus map[string]int   // steps in a row with VMs left over, by pool
+	cfg       Config
+	claim     shard.Claim
+	log       zerolog.Logger
+	cancel    context.CancelFunc
+	done      chan struct{}
+	wake      chan struct{}
+	first     time.Duration            // no orders before
+	notBefore map[string]time.Duration // no orders for a VM before; used by the run loop only
+	lastOrder map[string]time.Duration // of ours for a VM; guarded by mu
+	trends    map[string]trend         // of demand, by pool; used by the run loop only
+	policy    SizingPolicy
+	moves     map[string]*move // by VM; used by the run loop only
+	surplus   map[string]int   // steps in a row with VMs left over, by pool
 
 	mu          sync.Mutex
 	confirmedAt time.Duration
@@ -87,11 +90,11 @@
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		done: make(chan struct{}), wake: make(chan struct{}, 1), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
-		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{},
+		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
+		notBefore: map[string]time.Duration{}, lastOrder: map[string]time.Duration{},
 	}
 	if c.Term > 1 {
-		// A former holder may have given its last order this late.
-		r.first = now + shard.ConfirmedFor + cfg.Pause
+		r.afterFormer(ctx, now)
 	}
 	r.SetWaves(waves)
 	runCtx, cancel := context.WithCancel(context.Background())
@@ -154,7 +157,7 @@
 // Release ends the work and lets go of the owner row.
 func (r *Runner) Release(ctx context.Context, next string) {
 	r.Close()
-	err := r.claim.Release(ctx, r.cfg.Rows, Partition, next)
+	err := r.letGo(ctx, next)
 	r.log.Info().Str("event", "maintenance_released").Err(err).Send()
 }
 
@@ -325,9 +328,10 @@
 	if m.Pool != r.spare() && !r.cfg.Empty(ctx, m.Pool, v.Name) {
 		return
 	}
-	if !r.mayOrder(ctx) {
+	if !r.mayOrderFor(v.Name) || !r.mayOrder(ctx) {
 		return
 	}
+	r.noteOrder(v.Name)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.cfg.Machines.MaintainMachine(callCtx, v.Name, w.ID, r.holder())
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	err = o.claim.releaseWith(ctx, o.rows, o.pool, next, platform.RowTxn{
+	err = o.claim.ReleaseWith(ctx, o.rows, o.pool, next, platform.RowTxn{
 		Expect: []platform.Row{{RowKey: commitKey(o.pool), Version: o.chain}},
 		Put:    []platform.Row{{RowKey: workersKey(o.pool), Value: raw}},
 	})
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -35,11 +35,11 @@
 
 // Release lets go of the owner row; next names who should take over, if not empty.
 func (c Claim) Release(ctx context.Context, rows platform.Rows, pool, next string) (err error) {
-	return c.releaseWith(ctx, rows, pool, next, platform.RowTxn{})
+	return c.ReleaseWith(ctx, rows, pool, next, platform.RowTxn{})
 }
 
-// releaseWith lets go of the owner row in a transaction that does more.
-func (c Claim) releaseWith(ctx context.Context, rows platform.Rows, pool, next string, txn platform.RowTxn) (err error) {
+// ReleaseWith lets go of the owner row in a transaction that does more.
+func (c Claim) ReleaseWith(ctx context.Context, rows platform.Rows, pool, next string, txn platform.RowTxn) (err error) {
 	defer func() { err = errors.Wrapf(err, "release shard %s", pool) }()
 	raw, err := encode(OwnerRow{Term: c.Term, Next: next})
 	if err != nil {
