Waves take VMs without work first

Change: VMs that are switched off go first, then those with little work, the others when half of the wave's time is over or the rest would not suffice.

--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -37,6 +37,7 @@
 // resize moves VMs to where they are needed.
 func (r *Runner) resize(ctx context.Context, machines map[string]platform.Machine) {
 	loads := r.loads(ctx)
+	r.lastLoads = loads
 	r.settleMoves(machines)
 	if !r.mayOrder(ctx) {
 		return
--- a/pkg/fleetops/plan_test.go
+++ b/pkg/fleetops/plan_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -22,7 +23,9 @@
 			case "wave":
 				most := 0
 				d.ScanArgs(t, "max", &most)
-				return planWave(d.Input, most)
+				since := 0
+				d.MaybeScanArgs(t, "since", &since)
+				return planWave(d.Input, most, time.Duration(since)*time.Second)
 			default:
 				t.Fatalf("unknown command %q", d.Cmd)
 				return ""
@@ -70,19 +73,21 @@
 	return out.String()
 }
 
-func planWave(input string, most int) string {
-	w := Wave{MaxDown: most}
+func planWave(input string, most int, since time.Duration) string {
+	w := Wave{MaxDown: most, Within: 60 * time.Second}
+	light := map[string]bool{}
 	var vms []*VM
 	machines := map[string]platform.Machine{}
 	for _, line := range strings.Split(input, "\n") {
 		name, v := fields(line)
 		machines[name] = platform.Machine{VM: name, Pool: v["pool"], State: platform.MachineUp}
+		_, light[name] = v["light"]
 		if v["phase"] != "" {
 			vms = append(vms, &VM{Name: name, Phase: Phase(v["phase"])})
 		}
 	}
 	var out strings.Builder
-	for _, v := range Next(w, vms, machines, "spare") {
+	for _, v := range Next(w, vms, machines, "spare", light, since) {
 		fmt.Fprintf(&out, "%s\n", v.Name)
 	}
 	return out.String()
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -54,7 +54,8 @@
 	loaded    bool // what was done before was read
 	reported  bool
 	completed bool
-	changed   bool // what is done differs from what is kept
+	begun     time.Duration // when this entry saw the request first
+	changed   bool          // what is done differs from what is kept
 }
 
 // Runner carries the maintenance out while this entry owns the work.
@@ -69,6 +70,7 @@
 	notBefore map[string]time.Duration // no orders for a VM before; used by the run loop only
 	lastOrder map[string]time.Duration // of ours for a VM; guarded by mu
 	trends    map[string]trend         // of demand, by pool; used by the run loop only
+	lastLoads map[string]shard.Load    // by pool; used by the run loop only
 	policy    SizingPolicy
 	moves     map[string]*move // by VM; used by the run loop only
 	surplus   map[string]int   // steps in a row with VMs left over, by pool
@@ -135,7 +137,7 @@
 		if r.waves[w.ID] != nil {
 			continue
 		}
-		state := &wave{Wave: w}
+		state := &wave{Wave: w, begun: r.now()}
 		for _, vm := range w.VMs {
 			state.vms = append(state.vms, &VM{Name: vm, Phase: PhaseWaiting})
 		}
@@ -193,6 +195,17 @@
 	r.resize(ctx, machines)
 }
 
+// light returns the VMs with little work, as the last step saw them.
+func (r *Runner) light() map[string]bool {
+	light := map[string]bool{}
+	for _, l := range r.lastLoads {
+		for _, vm := range l.Light {
+			light[vm] = true
+		}
+	}
+	return light
+}
+
 func (r *Runner) holder() platform.Holder {
 	return platform.Holder{Name: r.cfg.Self.Entry, Token: r.claim.Term}
 }
@@ -230,7 +243,7 @@
 	}
 	r.observe(w, machines)
 	if r.mayOrder(ctx) {
-		for _, v := range Next(w.Wave, w.vms, machines, r.spare()) {
+		for _, v := range Next(w.Wave, w.vms, machines, r.spare(), r.light(), r.now()-w.begun) {
 			if r.moves[v.Name] != nil {
 				continue
 			}
@@ -388,6 +401,9 @@
 			}
 		}
 	}
+	if len(k.Done) > 0 {
+		w.begun -= w.Within / 2 // a former owner began it, it is not known when
+	}
 	w.loaded, w.changed = true, true
 	return nil
 }
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -60,9 +60,40 @@
 // listLag is how far the list of VMs may lag behind, with room to spare.
 const listLag = 1500 * time.Millisecond
 
+// presses tells whether VMs with work have to be emptied for the wave to end in
+// time: half of it is over, or what is left takes about as long as there is.
+func (w *Wave) presses(vms int, since time.Duration) bool {
+	rounds := (vms + max(w.MaxDown, 1) - 1) / max(w.MaxDown, 1)
+	needs := time.Duration(rounds) * roundTime
+	return since >= w.Within/2 || since+2*needs >= w.Within
+}
+
+// roundTime is about how long a VM with work takes to be emptied and maintained.
+const roundTime = 5 * time.Second
+
+// The weights of VMs, by how much their maintenance disturbs.
+const (
+	weightOff = iota
+	weightLight
+	weightBusy
+)
+
+func weight(m platform.Machine, spare string, light map[string]bool) int {
+	switch {
+	case m.Pool == spare:
+		return weightOff
+	case light[m.VM]:
+		return weightLight
+	default:
+		return weightBusy
+	}
+}
+
 // Next returns the VMs to empty next, so that neither the wave's limit nor the
-// share of a pool is exceeded. VMs of the pools with most left go first.
-func Next(w Wave, vms []*VM, machines map[string]platform.Machine, spare string) (next []*VM) {
+// share of a pool is exceeded: first those that are switched off, then those
+// with little work, and the others once the time since the request presses. In a
+// deployment whose VMs move with demand most are without work at some moment.
+func Next(w Wave, vms []*VM, machines map[string]platform.Machine, spare string, light map[string]bool, since time.Duration) (next []*VM) {
 	busy := 0
 	inPool := map[string]int{}
 	left := map[string]int{}
@@ -80,9 +111,13 @@
 			left[pool]++
 		}
 	}
+	pressing := w.presses(len(vms), since)
 	waiting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.Phase != PhaseWaiting })
 	slices.SortStableFunc(waiting, func(a, b *VM) int {
-		return cmp.Compare(left[machines[b.Name].Pool], left[machines[a.Name].Pool])
+		return cmp.Or(
+			cmp.Compare(weight(machines[a.Name], spare, light), weight(machines[b.Name], spare, light)),
+			cmp.Compare(left[machines[b.Name].Pool], left[machines[a.Name].Pool]),
+		)
 	})
 	for _, v := range waiting {
 		m, ok := machines[v.Name]
@@ -92,6 +127,9 @@
 		if m.State != platform.MachineUp {
 			continue
 		}
+		if !pressing && weight(m, spare, light) == weightBusy {
+			continue
+		}
 		if m.Pool != spare && inPool[m.Pool] >= max(minAtOnce, int(maxShare*float64(size[m.Pool]))) {
 			continue
 		}
