Order among jobs: learned durations, a margin, lost jobs last

Cause: under overload the job with least slack went first and missed by a little; estimates of one class are off by a factor of two.

Change: the mean of a queue's durations where it has been nearer than the estimates; a job counts as late when what is left with a tenth and 100 ms more does not fit; jobs beyond three times their objective go behind all others.

--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -33,7 +33,6 @@
 	Kept     State         // the last state that is kept, which callers may be told
 	Begun    bool          // a task has started at some time
 	AddedAt  time.Duration // on the owner's clock
-	Chain    time.Duration // estimated longest chain of work of one occurrence
 	Restored bool          // it was kept by a former owner
 
 	unfinished int // steps
@@ -120,7 +119,7 @@
 
 // newJob lays out all steps and tasks.
 func newJob(id string, r Record, now time.Duration) *Job {
-	j := &Job{ID: id, Record: r, State: StateQueued, Kept: StateQueued, AddedAt: now, Chain: chain(r.Spec.Steps)}
+	j := &Job{ID: id, Record: r, State: StateQueued, Kept: StateQueued, AddedAt: now}
 	for occ := range r.Spec.Occurrences() {
 		first := len(j.Steps)
 		for i := range r.Spec.Steps {
@@ -140,19 +139,6 @@
 	return j
 }
 
-// chain estimates the longest chain of steps that wait for one another.
-func chain(steps []Step) (longest time.Duration) {
-	ends := make([]time.Duration, len(steps))
-	for i := range steps {
-		for _, a := range steps[i].After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += steps[i].Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // task finds a task by its name's numbers, nil if there is none.
 func (j *Job) task(id TaskID) *Task {
 	at := id.Occurrence*len(j.Spec.Steps) + id.Step
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -18,12 +18,20 @@
 	togetherWeight = 1.0
 )
 
+// Under overload the job with least slack is the one that is about to be late;
+// the margin keeps resources from jobs that would miss by a little.
+const (
+	marginPart  = 10 // one part in so many of the work that is left
+	marginLeast = 100 * time.Millisecond
+)
+
 // Candidate is a step with tasks that may start now, and its place in the order.
 type Candidate struct {
 	Step     *jobs.StepRun
 	Tasks    []*jobs.Task
 	Priority int           // of its queue, 0 goes first
 	Deadline time.Duration // when its job should be done, on the clock of now
+	Lost     time.Duration // when its job is of little use any more, 0 for never
 	Left     time.Duration // estimated work of its job that is still to be done, one step after the other
 }
 
@@ -53,12 +61,17 @@
 	return 0
 }
 
-// late puts jobs that cannot be done in time behind those that can.
+// late puts jobs that can hardly be done in time behind those that can, and
+// those that are of little use any more behind all others.
 func (c *Candidate) late(now time.Duration) int {
-	if now+c.Left > c.Deadline {
+	switch end := now + c.Left + c.Left/marginPart + marginLeast; {
+	case c.Lost > 0 && end > c.Lost:
+		return 2
+	case end > c.Deadline:
 		return 1
+	default:
+		return 0
 	}
-	return 0
 }
 
 // Plan chooses hosts for the candidates, which are in order; it changes the hosts' free resources.
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -99,7 +99,8 @@
 	waiters        map[*jobs.Job][]chan Outcome
 	workersChanged bool
 	urgent         bool
-	committing     bool // a transaction is under way
+	durations      map[string]*learned // by queue
+	committing     bool                // a transaction is under way
 	loadLogged     time.Duration
 	idleTasks      bool // tasks wait for room, or for a time
 	troubled       bool
@@ -128,7 +129,7 @@
 		since: cfg.Since, onOver: cfg.OnOver, term: c.Term, claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
 		book: k.book, sessions: map[string]*session{}, catalog: cat,
-		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
+		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{}, durations: map[string]*learned{},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.start(k, workers, now)
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -19,6 +19,8 @@
 	pauseFull      = 100 * time.Millisecond // it said that it has no room
 	// repeatStop is how long an ordered end may stay away before it is ordered again.
 	repeatStop = 1200 * time.Millisecond
+	// lostFactor times its objective is when a job no longer counts as served.
+	lostFactor = 3
 )
 
 // placeLoop starts tasks whenever something has changed.
@@ -91,7 +93,7 @@
 				continue
 			}
 			if left < 0 {
-				left = workLeft(j)
+				left = o.workLeft(j, now)
 			}
 			cs = append(cs, o.candidate(s, idle, left, now))
 		}
@@ -113,30 +115,17 @@
 }
 
 func (o *Owner) candidate(s *jobs.StepRun, idle []*jobs.Task, left, now time.Duration) placement.Candidate {
-	c := placement.Candidate{Step: s, Tasks: idle, Left: left, Deadline: s.Job.AddedAt + left}
-	if q := o.catalog.Queue(s.Job.Queue); q != nil {
+	j := s.Job
+	c := placement.Candidate{Step: s, Tasks: idle, Left: left, Deadline: j.AddedAt + left}
+	if q := o.catalog.Queue(j.Queue); q != nil {
+		objective := q.TargetLatency + time.Duration(q.Stretch*float64(o.longestChain(j)))
 		c.Priority = q.Priority
-		c.Deadline = s.Job.AddedAt + q.TargetLatency + time.Duration(q.Stretch*float64(s.Job.Chain))
+		c.Deadline = j.AddedAt + objective
+		c.Lost = j.AddedAt + lostFactor*objective
 	}
 	return c
 }
 
-// workLeft estimates the longest chain of work that is left of a job.
-func workLeft(j *jobs.Job) (longest time.Duration) {
-	ends := make([]time.Duration, len(j.Steps))
-	width := len(j.Spec.Steps)
-	for i, s := range j.Steps {
-		for _, a := range s.Spec.After {
-			ends[i] = max(ends[i], ends[i-i%width+a])
-		}
-		if !s.Finished() {
-			ends[i] += s.Spec.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // order sends the start of an attempt; the lock is held.
 func (o *Owner) order(a *jobs.Attempt) {
 	s := o.sessions[a.Boot]
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -334,6 +334,9 @@
 	if a != nil && a.Number == e.Attempt {
 		attempt = a.Attempt
 		delete(s.attempts, e.Task)
+		if e.Reason == platform.EndDone {
+			o.learn(a, now)
+		}
 	}
 	s.health.note(e.Reason, attempt, now)
 	effect := o.book.End(t, attempt, e.Reason, e.Checkpoint, now)
