Advice with tickets, stragglers, pace of filling tasks; refusals end with the trouble

Cause: queues with advice, tasks that stand still and filling tasks beside serving ones were not handled. Scripts of lost answers found two faults: after an outage without further work the owner went on refusing submissions, and a worker that left every start unanswered was chosen again and again.

Change: advice asked for a step and kept by worker; a task that stands still for 1.6 s, or takes 2.2 times what others of its step take, is stopped and started elsewhere, or copied where copies are allowed; filling tasks are slowed down by the tails beside them; trouble ends with a read that succeeds; a start without an answer counts against its worker.

--- a/cmd/gannetwelld/cmds/serve.go
+++ b/cmd/gannetwelld/cmds/serve.go
@@ -61,7 +61,7 @@
 	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMb) * (1 << 20) * heapShare))
-	client := platform.New(s.Store.Address, s.Machines.Address)
+	client := platform.New(s.Store.Address, s.Machines.Address, s.Advice)
 	n := node.New(s, client, node.Source{
 		CatalogTable: platform.TableOperator, CatalogKey: platform.KeyCatalog, WorkerTable: platform.TableWorkers,
 		DecodeCatalog: platform.DecodeCatalog, DecodeWorker: platform.DecodeWorker,
--- a/pkg/jobs/book.go
+++ b/pkg/jobs/book.go
@@ -141,6 +141,7 @@
 
 func (b *Book) attach(t *Task, a *Attempt) *Attempt {
 	t.Attempts = append(t.Attempts, a)
+	t.WantsCopy = false
 	return a
 }
 
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -61,7 +61,8 @@
 	Failures   int
 	Checkpoint string
 	Attempts   []*Attempt
-	NotBefore  time.Duration // an attempt of a former owner may be alive until then
+	Took       time.Duration // of the attempt that was done
+	WantsCopy  bool          // another attempt is to start beside the one that runs
 	AwaySince  time.Duration // of a long-running task: since when it has not served
 
 	lastAttempt int64
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -49,6 +49,7 @@
 	platform.Rows
 	platform.Workers
 	platform.Machines
+	platform.Adviser
 }
 
 // Node is one entry of the job service.
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -35,7 +35,7 @@
 		return r, nil
 	}
 	o, err := shard.Open(ctx, shard.Config{
-		Pool: pool, Self: n.identity(), Rows: n.rows, Workers: n.platform, Machines: n.platform, Metrics: n.metrics, Log: n.log, Since: n.since,
+		Pool: pool, Self: n.identity(), Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform, Metrics: n.metrics, Log: n.log, Since: n.since,
 		Retention: time.Duration(n.settings.Timing.RetentionS * float64(time.Second)), OnOver: events.Over, Sending: events.Sending,
 	}, seen, cat, workers)
 	if err != nil {
--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -57,6 +57,26 @@
 	return h.Admits(s.Spec) && Charge(s.Spec).Fits(h.Free)
 }
 
+// Room is how many more tasks of the step may start now.
+func (h *Host) Room(s *jobs.StepRun) int {
+	if !h.takes(s) {
+		return 0
+	}
+	charge, n := Charge(s.Spec), maxRoom
+	for _, k := range [...][2]int{{h.Free.CPU, charge.CPU}, {h.Free.MemoryMB, charge.MemoryMB}, {h.Free.GPU, charge.GPU}} {
+		if k[1] > 0 {
+			n = min(n, k[0]/k[1])
+		}
+	}
+	if s.Spec.MaxPerWorker > 0 {
+		n = min(n, s.Spec.MaxPerWorker-h.perStep[s])
+	}
+	return n
+}
+
+// maxRoom stands for the room of a host for tasks that ask for nothing.
+const maxRoom = 1 << 16
+
 // place takes the resources of one task.
 func (h *Host) place(s *jobs.StepRun) {
 	h.Free = h.Free.Sub(Charge(s.Spec))
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -29,10 +29,11 @@
 type Candidate struct {
 	Step     *jobs.StepRun
 	Tasks    []*jobs.Task
-	Priority int           // of its queue, 0 goes first
-	Deadline time.Duration // when its job should be done, on the clock of now
-	Lost     time.Duration // when its job is of little use any more, 0 for never
-	Left     time.Duration // estimated work of its job that is still to be done, one step after the other
+	Priority int                    // of its queue, 0 goes first
+	Deadline time.Duration          // when its job should be done, on the clock of now
+	Allowed  func(boot string) bool // which hosts the advice service lets run the step, nil for any
+	Lost     time.Duration          // when its job is of little use any more, 0 for never
+	Left     time.Duration          // estimated work of its job that is still to be done, one step after the other
 }
 
 // Start says that a task starts on a host.
@@ -82,7 +83,7 @@
 			continue
 		}
 		for _, t := range c.Tasks {
-			h := best(c.Step, hosts)
+			h := best(&c, hosts)
 			if h == nil {
 				break // the tasks of a step are alike
 			}
@@ -96,7 +97,7 @@
 // Reserve takes room for one more task of a step at the host that suits it most;
 // it reports whether there is one.
 func Reserve(s *jobs.StepRun, hosts []*Host) bool {
-	h := best(s, hosts)
+	h := best(&Candidate{Step: s}, hosts)
 	if h == nil {
 		return false
 	}
@@ -105,10 +106,11 @@
 }
 
 // best returns the host that suits a task of the step most, nil if none has room.
-func best(s *jobs.StepRun, hosts []*Host) (chosen *Host) {
+func best(c *Candidate, hosts []*Host) (chosen *Host) {
+	s := c.Step
 	var top float64
 	for _, h := range hosts {
-		if !h.takes(s) {
+		if !h.takes(s) || c.Allowed != nil && !c.Allowed(h.Boot) {
 			continue
 		}
 		if score := h.score(s); chosen == nil || score > top {
@@ -152,7 +154,7 @@
 
 func placeAll(c Candidate, hosts []*Host) (starts []Start) {
 	for _, t := range c.Tasks {
-		h := best(c.Step, hosts)
+		h := best(&c, hosts)
 		if h == nil {
 			for _, s := range starts {
 				s.Host.unplace(c.Step)
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -20,6 +20,9 @@
 	OrderPace  OrderOp = "pace"
 )
 
+// forever is longer than any test.
+const forever = 100 * time.Hour
+
 // Work is what a task does at a worker.
 type Work struct {
 	Needs    platform.Resources
@@ -44,6 +47,7 @@
 
 	mu    sync.Mutex
 	fault func(op OrderOp, boot, entry string) Fault
+	stall func(boot, task string) bool
 	boots map[string]*boot
 }
 
@@ -66,11 +70,13 @@
 }
 
 type attempt struct {
-	number  int64
-	needs   platform.Resources
-	timer   *time.Timer
-	ending  bool
-	percent int // as it is reported
+	number   int64
+	needs    platform.Resources
+	timer    *time.Timer
+	ending   bool
+	started  time.Time
+	duration time.Duration // 0 for a task that runs until it is stopped
+	stalled  time.Duration // progress at which it stands still, 0 for never
 }
 
 // NewWorkers returns no workers yet; orders take latency, those carried out late
@@ -226,15 +232,18 @@
 		return platform.ErrOrderRefused{Reason: platform.RefusedRoom, ClockMs: b.clock()}
 	}
 	b.free = b.free.Sub(work.Needs)
-	duration, percent := work.Duration, 50
-	if duration == 0 {
-		duration, percent = 100*time.Hour, 100
+	duration := work.Duration
+	if duration == 0 || w.stalls(b, o.Task) {
+		duration = forever
 	}
 	reason := platform.EndDone
 	if work.Fails {
 		reason = platform.EndFailed
 	}
-	a := &attempt{number: o.Attempt, needs: work.Needs, percent: percent}
+	a := &attempt{number: o.Attempt, needs: work.Needs, started: time.Now(), duration: work.Duration}
+	if w.stalls(b, o.Task) {
+		a.stalled = work.Duration / 4
+	}
 	a.timer = time.AfterFunc(duration, func() { w.finish(b, o.Task, a, reason) })
 	b.running[o.Task] = a
 	w.witness.Started(b.info.Boot, o.Task, o.Attempt)
@@ -261,6 +270,30 @@
 	b.changed = make(chan struct{})
 }
 
+// percent is the progress that is reported.
+func (a *attempt) percent() int {
+	if a.duration == 0 {
+		return 100
+	}
+	ran := time.Since(a.started)
+	if a.stalled > 0 {
+		ran = min(ran, a.stalled)
+	}
+	return int(100 * ran / a.duration)
+}
+
+// stalls tells whether tasks stand still at a boot.
+func (w *Workers) stalls(b *boot, task string) bool {
+	return w.stall != nil && w.stall(b.info.Boot, task)
+}
+
+// SetStall decides for each task that starts from now on whether it stands still.
+func (w *Workers) SetStall(f func(boot, task string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stall = f
+}
+
 // extend moves the deadline of the leases; it is never shortened.
 func (w *Workers) extend(b *boot, until int64) {
 	if until <= b.lease {
@@ -368,7 +401,7 @@
 func (b *boot) report() platform.WorkerReport {
 	r := platform.WorkerReport{ClockMs: b.clock(), Ended: slices.Clone(b.ended)}
 	for task, a := range b.running {
-		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent})
+		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent()})
 	}
 	return r
 }
--- /dev/null
+++ b/pkg/shard/advice.go
@@ -0,0 +1,126 @@
+package shard
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/placement"
+)
+
+const (
+	// adviceAtOnce is how many workers one call asks about; the service takes a
+	// while for each.
+	adviceAtOnce = 30
+	// adviceTimeout bounds one call, the wait behind others of this entry included.
+	adviceTimeout = 5 * time.Second
+	// adviceRetry is the pause after a call that failed.
+	adviceRetry = 300 * time.Millisecond
+	// ticketMargin is how long before its end a ticket is no longer used.
+	ticketMargin = 100 * time.Millisecond
+)
+
+// advice is what the advice service has said about a step.
+type advice struct {
+	asking  bool
+	after   time.Duration     // not asked again before
+	tickets map[string]ticket // by boot
+	denied  map[string]bool   // boots that may not run the step, which does not change
+}
+
+type ticket struct {
+	text  string
+	until time.Duration
+}
+
+// advised lets a candidate run only where the advice service allows it, and asks
+// for advice when none of the workers that are free is known to be allowed; the
+// lock is held.
+func (o *Owner) advised(c *placement.Candidate, hosts []*placement.Host, now time.Duration) {
+	q := o.catalog.Queue(c.Step.Job.Queue)
+	if q == nil || !q.Advice {
+		return
+	}
+	a := o.advices[c.Step]
+	if a == nil {
+		a = &advice{tickets: map[string]ticket{}, denied: map[string]bool{}}
+		o.advices[c.Step] = a
+	}
+	c.Allowed = func(boot string) bool {
+		t, ok := a.tickets[boot]
+		return ok && now < t.until-ticketMargin
+	}
+	room := 0
+	var ask []*placement.Host
+	for _, h := range hosts {
+		switch {
+		case a.denied[h.Boot] || !h.Admits(c.Step.Spec):
+		case c.Allowed(h.Boot):
+			room += h.Room(c.Step)
+		default:
+			ask = append(ask, h)
+		}
+	}
+	if room >= len(c.Tasks) || len(ask) == 0 || a.asking || now < a.after {
+		return
+	}
+	slices.SortStableFunc(ask, func(x, y *placement.Host) int { return cmp.Compare(y.Free.CPU, x.Free.CPU) })
+	boots := make([]string, 0, adviceAtOnce)
+	for _, h := range ask[:min(len(ask), adviceAtOnce)] {
+		boots = append(boots, h.Boot)
+	}
+	a.asking = true
+	o.askAdvice(c.Step, a, boots)
+}
+
+// askAdvice asks in the background.
+func (o *Owner) askAdvice(s *jobs.StepRun, a *advice, boots []string) {
+	name := fmt.Sprintf("%s.%d.%d", s.Job.ID, s.Occurrence, s.Index)
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
+		permits, valid, err := o.adviser.Advise(ctx, name, boots)
+		cancel()
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		a.asking = false
+		now := o.now()
+		o.log.Info().Str("event", "advice").Str("step", name).Int("asked", len(boots)).Int("allowed", len(permits)).Dur("valid", valid).Err(err).Send()
+		if err != nil {
+			a.after = now + adviceRetry
+			return
+		}
+		for _, b := range boots {
+			a.denied[b] = true
+		}
+		for _, p := range permits {
+			delete(a.denied, p.Boot)
+			a.tickets[p.Boot] = ticket{text: p.Ticket, until: now + valid}
+		}
+		o.kickPlacement()
+	})
+}
+
+// ticketOf returns the ticket to show with a start, empty where none is needed; the lock is held.
+func (o *Owner) ticketOf(s *jobs.StepRun, boot string) string {
+	if a := o.advices[s]; a != nil {
+		return a.tickets[boot].text
+	}
+	return ""
+}
+
+// ticketRefused forgets a ticket that a worker did not take; the lock is held.
+func (o *Owner) ticketRefused(s *jobs.StepRun, boot string) {
+	if a := o.advices[s]; a != nil {
+		delete(a.tickets, boot)
+	}
+}
+
+// forgetAdvice drops what was said about the steps of a job that has ended; the lock is held.
+func (o *Owner) forgetAdvice(j *jobs.Job) {
+	for _, s := range j.Steps {
+		delete(o.advices, s)
+	}
+}
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -321,6 +321,10 @@
 func (o *Owner) setTrouble(on bool, cause error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.noteTrouble(on, cause)
+}
+
+func (o *Owner) noteTrouble(on bool, cause error) {
 	if on == o.troubled {
 		return
 	}
--- a/pkg/shard/health.go
+++ b/pkg/shard/health.go
@@ -41,6 +41,18 @@
 	}
 }
 
+// unanswered notes a start that got no answer, or that the worker was not well enough to carry out.
+func (h *outcomes) unanswered(now time.Duration) {
+	h.fade(now)
+	h.failures++
+}
+
+// stalled notes a task that stands still or crawls at the worker.
+func (h *outcomes) stalled(now time.Duration) {
+	h.fade(now)
+	h.failures += stallWeight
+}
+
 // penalty is what speaks against the worker.
 func (h *outcomes) penalty(now time.Duration) float64 {
 	h.fade(now)
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -42,6 +42,7 @@
 	Rows      platform.Rows
 	Workers   platform.Workers
 	Machines  platform.Machines
+	Adviser   platform.Adviser
 	Metrics   Metrics
 	Log       zerolog.Logger
 	Retention time.Duration // how long final jobs can be asked for
@@ -63,6 +64,7 @@
 	rows     platform.Rows
 	workers  platform.Workers
 	machines platform.Machines
+	adviser  platform.Adviser
 	metrics  Metrics
 	log      zerolog.Logger
 	retain   time.Duration
@@ -99,6 +101,7 @@
 	waiters        map[*jobs.Job][]chan Outcome
 	workersChanged bool
 	urgent         bool
+	advices        map[*jobs.StepRun]*advice
 	durations      map[string]*learned // by queue
 	committing     bool                // a transaction is under way
 	loadLogged     time.Duration
@@ -124,12 +127,12 @@
 		return nil, err
 	}
 	o = &Owner{
-		pool: cfg.Pool, self: cfg.Self, rows: cfg.Rows, workers: cfg.Workers, machines: cfg.Machines, metrics: cfg.Metrics,
+		pool: cfg.Pool, self: cfg.Self, rows: cfg.Rows, workers: cfg.Workers, machines: cfg.Machines, adviser: cfg.Adviser, metrics: cfg.Metrics,
 		log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), retain: cfg.Retention,
 		since: cfg.Since, onOver: cfg.OnOver, term: c.Term, claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
 		book: k.book, sessions: map[string]*session{}, catalog: cat,
-		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{}, durations: map[string]*learned{},
+		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{}, durations: map[string]*learned{}, advices: map[*jobs.StepRun]*advice{},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.start(k, workers, now)
@@ -198,9 +201,10 @@
 	}
 }
 
-// askOwnership reads the owner row when nothing else has confirmed it of late; the lock is held.
+// askOwnership reads the owner row when nothing else has confirmed it of late,
+// or while the table service is in trouble; the lock is held.
 func (o *Owner) askOwnership(now time.Duration) {
-	if o.asking || now-o.confirmedAt < ConfirmedFor/2 {
+	if o.asking || !o.troubled && now-o.confirmedAt < ConfirmedFor/2 {
 		return
 	}
 	if !o.confirmed(now) && !o.unconfirmed {
@@ -225,6 +229,10 @@
 			return
 		}
 		o.unconfirmed = false
+		if o.troubled && len(o.dirty) == 0 {
+			// Nothing else would find out that transactions may be carried out again.
+			o.noteTrouble(false, nil)
+		}
 		o.noteConfirmed(sentAt)
 	})
 }
@@ -357,6 +365,7 @@
 	o.checkHeld()
 	o.askMachines(now)
 	o.forgetFinals(now)
+	o.checkStragglers(now)
 	o.logLoad(now)
 	if o.idleTasks || o.book.Timed() {
 		o.kickPlacement()
--- /dev/null
+++ b/pkg/shard/pace.go
@@ -0,0 +1,77 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// Filling tasks use what serving tasks leave, and disturb them by amounts that
+// shift within seconds: they are slowed down at once when a tail nears its
+// target and sped up step by step when it is well below.
+const (
+	paceHigh  = 0.85 // share of the target above which filling tasks are slowed down
+	paceLow   = 0.6  // share of the target below which they are sped up
+	paceStep  = 15   // percent by which they are sped up
+	paceLeast = 5    // percent below which they are not slowed down further
+	fullPace  = 100
+	// paceUpAfter is how long a pace is kept before it is raised; reports cover half a second.
+	paceUpAfter = 900 * time.Millisecond
+	// paceDownAfter is how long a pace is kept before it is lowered again.
+	paceDownAfter = 500 * time.Millisecond
+)
+
+// pace adjusts the filling tasks at a worker to the serving tasks beside them; the lock is held.
+func (o *Owner) pace(s *session, now time.Duration) {
+	worst := 0.0 // tail against target
+	for _, r := range s.attempts {
+		if target := r.Task.Step.Spec.TailTarget; target > 0 && r.Phase == jobs.PhaseRunning {
+			worst = max(worst, float64(r.Load)/float64(target.Milliseconds()))
+		}
+	}
+	for name, r := range s.attempts {
+		if !r.Task.Step.Spec.Filler || r.Phase != jobs.PhaseRunning || r.confirmedAt == 0 {
+			continue
+		}
+		if next := nextPace(r, worst, now); next != r.pace {
+			o.setPace(s, name, r, next, worst, now)
+		}
+	}
+}
+
+// nextPace is the share of its speed that a filling task should have.
+func nextPace(r *running, worst float64, now time.Duration) int {
+	current := r.pace
+	if current == 0 {
+		current = fullPace
+	}
+	switch {
+	case worst > paceHigh && now-r.pacedAt >= paceDownAfter:
+		return max(paceLeast, current/2)
+	case worst < paceLow && now-r.pacedAt >= paceUpAfter && current < fullPace:
+		return min(fullPace, current+paceStep)
+	default:
+		return r.pace
+	}
+}
+
+func (o *Owner) setPace(s *session, name string, r *running, percent int, worst float64, now time.Duration) {
+	r.pace, r.pacedAt = percent, now
+	o.log.Info().Str("event", "pace_ordered").Str("task", name).Str("boot", s.ref.Boot).Int("percent", percent).Float64("tail_of_target", worst).Send()
+	order := platform.PaceOrder{Task: name, Attempt: r.Number, Percent: percent, Token: s.token}
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
+		defer cancel()
+		clock, err := o.workers.PaceAttempt(ctx, s.ref, order)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.metrics.Order(err)
+		s.noteClock(clock, o.now())
+		if err != nil {
+			r.pace, r.pacedAt = 0, 0 // not known; the next report decides anew
+			o.log.Warn().Str("event", "pace_failed").Str("task", name).Str("boot", s.ref.Boot).Err(err).Send()
+		}
+	})
+}
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -52,7 +52,11 @@
 		return
 	}
 	placement.Sort(candidates, now)
-	starts := placement.Plan(candidates, o.hosts(now))
+	hosts := o.hosts(now)
+	for i := range candidates {
+		o.advised(&candidates[i], hosts, now)
+	}
+	starts := placement.Plan(candidates, hosts)
 	gangs := map[*jobs.StepRun][]string{}
 	for _, st := range starts {
 		if step := st.Task.Step; step.Spec.Gang {
@@ -107,7 +111,7 @@
 		return nil
 	}
 	for _, t := range s.Tasks {
-		if t.Idle() && now >= t.NotBefore {
+		if t.Idle() || t.WantsCopy && !t.Done && len(t.Attempts) == 1 {
 			tasks = append(tasks, t)
 		}
 	}
@@ -120,8 +124,12 @@
 	if q := o.catalog.Queue(j.Queue); q != nil {
 		objective := q.TargetLatency + time.Duration(q.Stretch*float64(o.longestChain(j)))
 		c.Priority = q.Priority
-		c.Deadline = j.AddedAt + objective
-		c.Lost = j.AddedAt + lostFactor*objective
+		due := j.AddedAt
+		if at := s.Due(); at > 0 {
+			due = now - (time.Duration(time.Now().UnixNano()) - at)
+		}
+		c.Deadline = due + objective
+		c.Lost = due + lostFactor*objective
 	}
 	return c
 }
@@ -135,7 +143,7 @@
 	s.inFlight++
 	order := platform.StartOrder{
 		Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.Task.Checkpoint,
-		Token: s.token, LeaseUntil: s.lease(a.Since),
+		Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.lease(a.Since),
 	}
 	o.log.Info().Str("event", "start_ordered").Str("task", name).Int64("attempt", a.Number).
 		Str("boot", a.Boot).Int64("token", s.token).Int("at_worker", len(s.attempts)).Send()
@@ -180,6 +188,7 @@
 			o.drop(s, name, now)
 		}
 	default:
+		s.health.unanswered(now)
 		s.inDoubt = true
 		if current && r.confirmedAt == 0 {
 			r.Phase = jobs.PhaseInDoubt
@@ -210,9 +219,12 @@
 		}
 		o.outranked(s)
 		return
+	case platform.RefusedTicket:
+		o.ticketRefused(r.Task.Step, s.ref.Boot)
 	case platform.RefusedRoom:
 		s.pause = now + pauseFull
 	case platform.RefusedUnhealthy, platform.RefusedOther:
+		s.health.unanswered(now)
 		s.pause = now + pauseUnhealthy
 	}
 	if s.attempts[name] == r && r.confirmedAt == 0 {
@@ -236,6 +248,7 @@
 			}
 		}
 	}
+	o.forgetAdvice(j)
 	o.keep(j, true)
 }
 
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -36,6 +36,8 @@
 	witness  *witness
 	listed   []platform.Worker
 	machines []platform.Machine
+	allowed  []string // boots that the advice service allows; the queue has advice if there are any
+	asked    int      // calls for advice
 	owners   map[string]*shard.Owner
 	faults   map[string]fake.Fault // by "op entry" and "op boot entry", with * for any
 	failing  map[string]int        // failures that a task has left
@@ -129,7 +131,7 @@
 func (e *estate) catalog() *catalog.Catalog {
 	return catalog.New(catalog.Catalog{
 		Version: 1,
-		Queues:  []catalog.Queue{{Name: queue, Pool: pool, MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}},
+		Queues:  []catalog.Queue{{Name: queue, Pool: pool, MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second, Advice: len(e.allowed) > 0}},
 		Pools:   []catalog.Pool{{Name: pool, RejectsOverload: true}},
 	})
 }
@@ -215,6 +217,13 @@
 	case "machine":
 		e.machines = append(e.machines, platform.Machine{VM: arg("vm", ""), Boot: arg("boot", ""), Pool: arg("pool", pool), State: platform.MachineUp})
 		return ""
+	case "stall":
+		boot := arg("boot", "")
+		e.workers.SetStall(func(b, _ string) bool { return b == boot })
+		return ""
+	case "allow":
+		e.allowed = append(e.allowed, arg("boot", ""))
+		return ""
 	case "empty":
 		return fmt.Sprintf("%v\n", e.owners[entry].Empty(arg("vm", "")))
 	case "check":
@@ -259,6 +268,17 @@
 	return errors.New("not expected")
 }
 
+// Advise implements platform.Adviser.
+func (e *estate) Advise(_ context.Context, step string, boots []string) (permits []platform.Permit, valid time.Duration, err error) {
+	e.asked++
+	for _, b := range boots {
+		if slices.Contains(e.allowed, b) {
+			permits = append(permits, platform.Permit{Boot: b, Ticket: step + "@" + b})
+		}
+	}
+	return permits, time.Second, nil
+}
+
 // relist puts the row of an ended boot in place of the present one of its VM, as
 // a directory that is out of date does.
 func (e *estate) relist(boot, vm, address string) string {
@@ -281,7 +301,7 @@
 	}
 	cfg := shard.Config{
 		Pool: pool, Self: shard.Identity{Entry: entry, Start: int64(len(e.owners)) + 1, Address: entry},
-		Rows: rows, Workers: e.workers.As(entry), Machines: e, Metrics: noMetrics{}, Retention: time.Minute,
+		Rows: rows, Workers: e.workers.As(entry), Machines: e, Adviser: e, Metrics: noMetrics{}, Retention: time.Minute,
 		Log: zerolog.New(&e.log).With().Str("entry", entry).Logger(), Since: e.since,
 		OnOver: func(error) {}, Sending: func() {},
 	}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -79,6 +79,10 @@
 	*jobs.Attempt
 	confirmedAt time.Duration // when the worker said that it has it, 0 before
 	orderedEnd  time.Duration // when its end was last ordered, 0 for never
+	seenAt      time.Duration // when the worker last reported it
+	replaced    bool          // it was given up as too slow
+	pace        int           // share of its speed that it was limited to, 0 for not limited
+	pacedAt     time.Duration
 }
 
 // kick lets the session's loop look again.
@@ -266,6 +270,7 @@
 		seen[r.Running[i].Task] = true
 		o.takeRunning(s, &r.Running[i], now)
 	}
+	o.pace(s, now)
 	for name, a := range s.attempts {
 		if !seen[name] && a.confirmedAt > 0 && a.confirmedAt < sentAt {
 			o.log.Warn().Str("event", "attempt_vanished").Str("task", name).Int64("attempt", a.Number).Str("boot", s.ref.Boot).Send()
@@ -291,7 +296,7 @@
 	if r.Percent > a.Percent {
 		a.ProgressAt = now
 	}
-	a.Percent, a.Load = r.Percent, r.Load
+	a.Percent, a.Load, a.seenAt = r.Percent, r.Load, now
 	if r.Checkpoint != "" {
 		a.Checkpoint = r.Checkpoint
 	}
--- /dev/null
+++ b/pkg/shard/straggler.go
@@ -0,0 +1,132 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+)
+
+const (
+	// stragglerLeast is how long a task runs before it is judged at all.
+	stragglerLeast = 500 * time.Millisecond
+	// stallTime is how long the progress of a task may stand still; reports come
+	// each second at least.
+	stallTime = 1600 * time.Millisecond
+	// siblingFactor is how many times longer than the others of its step a task
+	// must take; those differ by a third or so among themselves.
+	siblingFactor = 2.2
+	// siblingPercent is the progress from which a running task tells how long it takes.
+	siblingPercent = 8
+	// enoughSiblings is how many others are needed for a comparison.
+	enoughSiblings = 2
+	// roughFactor widens an estimate that stands in for a comparison.
+	roughFactor = 3
+	// roundedPercent is what the rounding of a reported progress may hide.
+	roundedPercent = 0.5
+	// stragglerFactor is how many times longer the rest must take than a new
+	// attempt elsewhere, so that a restart pays though estimates are rough.
+	stragglerFactor = 1.5
+	// restartCost is about what a stop and another start take beside the work.
+	restartCost = time.Second
+	// awayFactor allows for work away from the rack of its data.
+	awayFactor = 3
+	// stallWeight is what a straggler counts against its worker, in failed attempts.
+	stallWeight = 3
+)
+
+// checkStragglers starts tasks elsewhere that stand still or crawl where they
+// are, by what their workers report of their progress; the lock is held.
+func (o *Owner) checkStragglers(now time.Duration) {
+	if !o.confirmed(now) || o.held {
+		return
+	}
+	for _, s := range o.sessions {
+		if s.failures > 0 || s.draining {
+			continue
+		}
+		for name, r := range s.attempts {
+			if left, crawls := o.crawls(s, r); crawls {
+				o.replaceStraggler(s, name, r, left, now)
+			}
+		}
+	}
+}
+
+// crawls tells whether an attempt stands still, or takes much longer than the
+// other tasks of its step and than a restart would.
+func (o *Owner) crawls(s *session, r *running) (left time.Duration, crawls bool) {
+	step := r.Task.Step
+	if step.Spec.LongRunning || step.Spec.Gang || r.Phase != jobs.PhaseRunning || r.confirmedAt == 0 || r.replaced {
+		return 0, false
+	}
+	ran := r.seenAt - r.confirmedAt
+	if ran < stragglerLeast {
+		return 0, false
+	}
+	total := r.total()
+	left = max(0, total-ran)
+	if r.seenAt-r.ProgressAt > stallTime {
+		return left, true
+	}
+	usual := o.usualTotal(s, r)
+	return left, float64(total) > siblingFactor*float64(usual) && float64(left) > stragglerFactor*float64(usual+restartCost)
+}
+
+// total is how long the attempt will have taken at its present speed.
+func (r *running) total() time.Duration {
+	return time.Duration(float64(r.seenAt-r.confirmedAt) * 100 / (float64(r.Percent) + roundedPercent))
+}
+
+// usualTotal is the median of what the step's other tasks take at other workers;
+// with too few of them, a generous estimate.
+func (o *Owner) usualTotal(s *session, r *running) time.Duration {
+	step := r.Task.Step
+	var totals []time.Duration
+	for _, t := range step.Tasks {
+		switch {
+		case t == r.Task:
+		case t.Took > 0:
+			totals = append(totals, t.Took)
+		case len(t.Attempts) > 0 && t.Attempts[0].Boot != s.ref.Boot:
+			if other := o.running(t.Attempts[0]); other != nil && other.Percent >= siblingPercent {
+				totals = append(totals, other.total())
+			}
+		}
+	}
+	if len(totals) >= enoughSiblings {
+		slices.Sort(totals)
+		return totals[len(totals)/2]
+	}
+	usual := roughFactor * max(step.Spec.Estimate, o.durations[step.Job.Queue].expect(step.Spec.Estimate))
+	if step.Spec.DataRack != "" && step.Spec.DataRack != rackOf(s.info.Labels) {
+		usual *= awayFactor
+	}
+	return usual
+}
+
+// running returns the session's view of an attempt, nil if it is not at its worker any more.
+func (o *Owner) running(a *jobs.Attempt) *running {
+	s := o.sessions[a.Boot]
+	if s == nil {
+		return nil
+	}
+	if r := s.attempts[a.Task.Name()]; r != nil && r.Attempt == a {
+		return r
+	}
+	return nil
+}
+
+// replaceStraggler starts a copy where the step allows it and stops the attempt otherwise.
+func (o *Owner) replaceStraggler(s *session, name string, r *running, left, now time.Duration) {
+	r.replaced = true
+	s.health.stalled(now)
+	o.log.Info().Str("event", "straggler").Str("task", name).Int64("attempt", r.Number).Str("boot", s.ref.Boot).
+		Int("percent", r.Percent).Dur("ran", r.seenAt-r.confirmedAt).Dur("left", left).Send()
+	if r.Task.Step.Spec.Speculative {
+		r.Task.WantsCopy = true
+		o.kickPlacement()
+		return
+	}
+	o.stop(s, r, "it crawls here")
+}
