Property test of an owner; failed attempts are counted once each

Cause: TestOwner found that an end that was kept but not yet acknowledged when its owner ended was counted again by the next: a job failed after two failures.

Change: failed attempts are kept by their numbers.

--- a/pkg/jobs/book.go
+++ b/pkg/jobs/book.go
@@ -179,8 +179,9 @@
 	JobEnded bool
 }
 
-// End notes that an attempt of a task has ended; a may be nil if the book does not hold it.
-func (b *Book) End(t *Task, a *Attempt, reason platform.EndReason, checkpoint string, now time.Duration) (e Effect) {
+// End notes that the attempt of a task with a number has ended; a may be nil if
+// the book does not hold it. An end may be told again, to another owner.
+func (b *Book) End(t *Task, a *Attempt, number int64, reason platform.EndReason, checkpoint string, now time.Duration) (e Effect) {
 	if a != nil {
 		b.Drop(a, now)
 	}
@@ -197,8 +198,7 @@
 		e.Keep = true
 		b.endDone(t, &e, now)
 	case platform.EndFailed:
-		e.Keep = true
-		b.endFailed(t, &e)
+		e.Keep = b.endFailed(t, number)
 	}
 	if j.State.Final() {
 		e.JobEnded = true
@@ -222,21 +222,24 @@
 	e.Surplus = append(e.Surplus, t.Attempts...)
 }
 
-func (b *Book) endFailed(t *Task, e *Effect) {
+// endFailed counts a failed attempt unless it was counted before; it reports whether it was not.
+func (b *Book) endFailed(t *Task, number int64) bool {
 	s := t.Step
-	t.Failures++
 	if s.Spec.LongRunning {
-		e.Keep = false
-		return
+		return false
 	}
-	fails := t.Failures
+	failed := &t.Failed
 	if s.Spec.Gang {
-		s.GangFails++
-		fails = s.GangFails
+		failed = &s.GangFailed
 	}
-	if fails >= s.Job.MaxAttempts {
+	if slices.Contains(*failed, number) {
+		return false
+	}
+	*failed = append(*failed, number)
+	if len(*failed) >= s.Job.MaxAttempts {
 		s.Job.State = StateFailed
 	}
+	return true
 }
 
 // Cancel ends a job; it reports whether the job was not final before.
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -46,7 +46,7 @@
 	Index      int
 	Tasks      []*Task
 	ReadyAt    time.Duration // when its last predecessor was done or it was due, on the owner's clock
-	GangFails  int           // failed runs of the whole gang
+	GangFailed []int64       // numbers of the runs of the whole gang that failed
 
 	blockers int // unfinished steps that it waits for
 	done     int
@@ -58,7 +58,7 @@
 	Step       *StepRun
 	Index      int
 	Done       bool
-	Failures   int
+	Failed     []int64 // numbers of the attempts that failed by their own or a worker's fault
 	Checkpoint string
 	Attempts   []*Attempt
 	Took       time.Duration // of the attempt that was done
@@ -180,11 +180,11 @@
 
 // StepProgress is the part of one step in which something has happened.
 type StepProgress struct {
-	At          int            `msgpack:"a"`           // index in Job.Steps
-	Done        []byte         `msgpack:"d,omitempty"` // a bit for each task
-	Failures    map[int]int    `msgpack:"f,omitempty"` // by task
-	Checkpoints map[int]string `msgpack:"c,omitempty"` // by task
-	GangFails   int            `msgpack:"g,omitempty"`
+	At          int             `msgpack:"a"`           // index in Job.Steps
+	Done        []byte          `msgpack:"d,omitempty"` // a bit for each task
+	Failed      map[int][]int64 `msgpack:"f,omitempty"` // numbers of failed attempts, by task
+	Checkpoints map[int]string  `msgpack:"c,omitempty"` // by task
+	GangFailed  []int64         `msgpack:"g,omitempty"`
 }
 
 // Encode returns the progress as bytes.
@@ -215,8 +215,8 @@
 }
 
 func (s *StepRun) progress(at int) (sp StepProgress, ok bool) {
-	sp = StepProgress{At: at, GangFails: s.GangFails}
-	ok = s.GangFails > 0
+	sp = StepProgress{At: at, GangFailed: s.GangFailed}
+	ok = len(s.GangFailed) > 0
 	for i, t := range s.Tasks {
 		switch {
 		case t.Done:
@@ -226,11 +226,11 @@
 			sp.Done[i/8] |= 1 << (i % 8)
 			ok = true
 			continue
-		case t.Failures > 0 && !s.Spec.LongRunning:
-			if sp.Failures == nil {
-				sp.Failures = map[int]int{}
+		case len(t.Failed) > 0:
+			if sp.Failed == nil {
+				sp.Failed = map[int][]int64{}
 			}
-			sp.Failures[i] = t.Failures
+			sp.Failed[i] = t.Failed
 			ok = true
 		}
 		if t.Checkpoint != "" {
@@ -255,9 +255,9 @@
 			continue
 		}
 		s := j.Steps[sp.At]
-		s.GangFails = sp.GangFails
+		s.GangFailed = sp.GangFailed
 		for i, t := range s.Tasks {
-			t.Failures = sp.Failures[i]
+			t.Failed = sp.Failed[i]
 			t.Checkpoint = sp.Checkpoints[i]
 			if i/8 < len(sp.Done) && sp.Done[i/8]&(1<<(i%8)) != 0 {
 				j.finishTask(t, now)
--- /dev/null
+++ b/pkg/shard/machine_test.go
@@ -0,0 +1,253 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/gannetwell/gannetwell/internal/prop"
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// settleTime is how long the machine waits at the end, with all faults over, for
+// every accepted job to become final: leases of former owners, late orders and
+// the work itself.
+const settleTime = 60 * time.Second
+
+// machine draws what happens to an owner and its workers.
+type machine struct {
+	t        *rapid.T
+	e        *estate
+	present  string // the entry that owns the shard
+	accepted map[string]bool
+	jobs     int
+	boots    int
+	entries  int
+}
+
+var rowFaults = []fake.Fault{fake.FaultDown, fake.FaultLostBefore, fake.FaultLostAfter, fake.FaultLate}
+
+// property plays one drawn course of events and holds the promises against it.
+func property(plant func(*estate)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		e := newEstate(t)
+		defer e.close()
+		if plant != nil {
+			plant(e)
+		}
+		m := &machine{t: t, e: e, accepted: map[string]bool{}}
+		for range 3 {
+			m.boot()
+		}
+		m.takeOver()
+		steps := rapid.IntRange(3, 14).Draw(t, "steps")
+		for range steps {
+			m.step()
+			time.Sleep(time.Duration(rapid.IntRange(1, 900).Draw(t, "pause")) * time.Millisecond)
+		}
+		m.settle()
+	}
+}
+
+func (m *machine) step() {
+	kinds := []func(){m.submit, m.submit, m.submit, m.cancel, m.again, m.boot, m.crash, m.takeOver, m.usurp, m.orderFault, m.rowFault, m.heal, m.fail}
+	kinds[rapid.IntRange(0, len(kinds)-1).Draw(m.t, "kind")]()
+}
+
+func (m *machine) submit() {
+	texts := []string{"1x1000/300ms", "3x1000/700ms 2x1500/300ms<0", "4x500/1200ms", "2x2000/400ms 2x2000/400ms<0 1x500/200ms<1"}
+	m.jobs++
+	m.send(fmt.Sprintf("%016x", m.jobs), texts[rapid.IntRange(0, len(texts)-1).Draw(m.t, "text")])
+}
+
+// again repeats an earlier submission, as a caller does that got no answer.
+func (m *machine) again() {
+	if m.jobs == 0 {
+		return
+	}
+	id := fmt.Sprintf("%016x", rapid.IntRange(1, m.jobs).Draw(m.t, "job"))
+	m.send(id, m.e.witness.steps[id])
+}
+
+func (m *machine) send(id, text string) {
+	if m.e.owners[m.present] == nil {
+		return
+	}
+	out := schema.CallOutcome(strings.TrimSpace(m.e.submit(m.present, id, text)))
+	before, known := m.e.witness.refused[id]
+	m.e.witness.refused[id] = (before || !known) && (out == schema.CallOutcomeRefused || out == schema.CallOutcomeNotOwner)
+	if out == schema.CallOutcomeOk {
+		m.accepted[id] = true
+	}
+}
+
+func (m *machine) cancel() {
+	if m.jobs == 0 || m.e.owners[m.present] == nil {
+		return
+	}
+	id := fmt.Sprintf("%016x", rapid.IntRange(1, m.jobs).Draw(m.t, "job"))
+	job := m.e.owners[m.present]
+	state, _ := job.State(id)
+	if out := job.Cancel(context.Background(), id); out == schema.CallOutcomeOk && !state.Final() {
+		m.e.witness.cancelled[id] = time.Now()
+	}
+}
+
+func (m *machine) boot() {
+	m.boots++
+	name := fmt.Sprintf("w%d", m.boots)
+	m.e.addWorker(name, name, name, "4000", []string{"0", "0.02"}[m.boots%2])
+}
+
+func (m *machine) crash() {
+	if len(m.e.listed) < 2 {
+		return
+	}
+	at := rapid.IntRange(0, len(m.e.listed)-1).Draw(m.t, "worker")
+	m.e.workers.Crash(m.e.listed[at].Boot)
+	m.e.listed = slices.Delete(m.e.listed, at, at+1)
+	m.e.publish()
+}
+
+// takeOver ends the present owner and lets another entry follow.
+func (m *machine) takeOver() {
+	if o := m.e.owners[m.present]; o != nil {
+		o.Close()
+		delete(m.e.owners, m.present)
+	}
+	m.follow()
+}
+
+// usurp lets another entry take over while the present owner goes on, as one
+// does that is cut off.
+func (m *machine) usurp() { m.follow() }
+
+func (m *machine) follow() {
+	m.entries++
+	name := fmt.Sprintf("e%d", m.entries)
+	if strings.HasPrefix(m.e.own(name), "term") {
+		m.present = name
+	}
+}
+
+func (m *machine) orderFault() {
+	op := rapid.SampledFrom([]fake.OrderOp{fake.OrderStart, fake.OrderStop, fake.OrderRenew}).Draw(m.t, "order")
+	at := "*"
+	if len(m.e.listed) > 0 && rapid.Bool().Draw(m.t, "one") {
+		at = m.e.listed[rapid.IntRange(0, len(m.e.listed)-1).Draw(m.t, "worker")].Boot
+	}
+	entry := rapid.SampledFrom([]string{"*", m.present}).Draw(m.t, "entry")
+	m.e.faults[string(op)+" "+at+" "+entry] = rapid.SampledFrom([]fake.Fault{fake.FaultLostBefore, fake.FaultLostAfter, fake.FaultLate}).Draw(m.t, "fault")
+}
+
+func (m *machine) rowFault() {
+	op := rapid.SampledFrom([]fake.RowOp{fake.RowCommit, fake.RowList}).Draw(m.t, "call")
+	m.e.faults["rows "+string(op)+" "+rapid.SampledFrom([]string{"*", m.present}).Draw(m.t, "entry")] = rapid.SampledFrom(rowFaults).Draw(m.t, "fault")
+}
+
+func (m *machine) heal() { clear(m.e.faults) }
+
+func (m *machine) fail() {
+	if m.jobs == 0 {
+		return
+	}
+	task := fmt.Sprintf("%016x.0.0.0", rapid.IntRange(1, m.jobs).Draw(m.t, "job"))
+	m.e.failing[task] = rapid.IntRange(1, 4).Draw(m.t, "times")
+}
+
+// settle ends all faults and sees that each accepted job has become final and that no promise was broken.
+func (m *machine) settle() {
+	m.heal()
+	m.boot()
+	m.takeOver()
+	for range 20 {
+		if m.e.owners[m.present] != nil {
+			break
+		}
+		time.Sleep(time.Second)
+		m.follow()
+	}
+	time.Sleep(settleTime)
+	synctest.Wait()
+	if broken := m.e.witness.broken; len(broken) > 0 {
+		m.t.Fatalf("broken: %s\n%s", strings.Join(broken, "\n"), m.e.log.String())
+	}
+	for id := range m.accepted {
+		state, out := m.e.owners[m.present].State(id)
+		if out != schema.CallOutcomeOk || !state.Final() {
+			m.t.Fatalf("job %s is %s %s in the end\n%s", id, out, state, m.e.log.String())
+		}
+		if state == jobs.StateFailed && m.e.witness.failures[id+".0.0.0"] < maxAttempts {
+			m.t.Fatalf("job %s has failed after %d failures", id, m.e.witness.failures[id+".0.0.0"])
+		}
+	}
+}
+
+// TestOwner holds the promises over drawn courses of submissions, cancels,
+// crashes, takeovers, usurpations and lost or late answers.
+func TestOwner(t *testing.T) { prop.Check(t, property(nil)) }
+
+// TestOwnerFindsPlanted shows that the machine finds an owner whose orders are
+// not fenced, one that acknowledges ends before they are kept, and one whose
+// transactions have no preconditions.
+func TestOwnerFindsPlanted(t *testing.T) {
+	for name, plant := range map[string]func(*estate){
+		"orders without fencing": func(e *estate) {
+			e.breakWorkers = func(w platform.Workers) platform.Workers { return unfenced{w} }
+		},
+		"ends acknowledged too early": func(e *estate) {
+			e.breakWorkers = func(w platform.Workers) platform.Workers { return &hasty{Workers: w, last: map[string]int64{}} }
+		},
+		"transactions without preconditions": func(e *estate) {
+			e.breakRows = func(r platform.Rows) platform.Rows { return unconditional{r} }
+		},
+	} {
+		t.Run(name, func(t *testing.T) { qt.Assert(t, prop.Finds(t, property(plant)), qt.IsTrue) })
+	}
+}
+
+// unfenced gives all orders the same token.
+type unfenced struct{ platform.Workers }
+
+func (u unfenced) StartAttempt(ctx context.Context, w platform.WorkerRef, o platform.StartOrder) (int64, error) {
+	o.Token = 1
+	return u.Workers.StartAttempt(ctx, w, o)
+}
+
+func (u unfenced) RenewLeases(ctx context.Context, w platform.WorkerRef, o platform.RenewOrder) (platform.WorkerReport, error) {
+	o.Token = 1
+	return u.Workers.RenewLeases(ctx, w, o)
+}
+
+// hasty acknowledges every end that it has seen.
+type hasty struct {
+	platform.Workers
+	last map[string]int64
+}
+
+func (h *hasty) RenewLeases(ctx context.Context, w platform.WorkerRef, o platform.RenewOrder) (platform.WorkerReport, error) {
+	o.AckedEnd = max(o.AckedEnd, h.last[w.Boot])
+	r, err := h.Workers.RenewLeases(ctx, w, o)
+	for _, e := range r.Ended {
+		h.last[w.Boot] = max(h.last[w.Boot], e.Number)
+	}
+	return r, err
+}
+
+// unconditional drops the preconditions of transactions.
+type unconditional struct{ platform.Rows }
+
+func (u unconditional) CommitRows(ctx context.Context, txn platform.RowTxn) (int64, error) {
+	txn.Expect = nil
+	return u.Rows.CommitRows(ctx, txn)
+}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -344,7 +344,7 @@
 		}
 	}
 	s.health.note(e.Reason, attempt, now)
-	effect := o.book.End(t, attempt, e.Reason, e.Checkpoint, now)
+	effect := o.book.End(t, attempt, e.Attempt, e.Reason, e.Checkpoint, now)
 	ev.Str("job_state", string(t.Step.Job.State)).Send()
 	if effect.Keep {
 		o.keep(t.Step.Job, effect.JobEnded)
--- /dev/null
+++ b/pkg/shard/witness_test.go
@@ -0,0 +1,111 @@
+package shard_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// cancelBound is how long after a confirmed cancel a task may still start.
+const cancelBound = 3 * time.Second
+
+// witness holds the promises against what workers do and callers were told.
+type witness struct {
+	estate    *estate
+	running   map[string][]string  // boots, by task
+	ended     map[string]bool      // tasks that ended done at a worker
+	done      map[string]bool      // tasks whose done end was acknowledged
+	failed    map[string]int       // failed ends that were acknowledged, by task
+	failures  map[string]int       // failed ends at workers, by task
+	refused   map[string]bool      // jobs whose every submission was refused
+	steps     map[string]string    // texts of jobs that were submitted
+	cancelled map[string]time.Time // when a job's cancel was confirmed
+	copies    map[string]bool      // jobs whose tasks may run more than once at a time
+	broken    []string
+	starts    int
+}
+
+func newWitness(e *estate) *witness {
+	return &witness{
+		estate: e, running: map[string][]string{}, ended: map[string]bool{}, done: map[string]bool{}, failed: map[string]int{}, failures: map[string]int{},
+		refused: map[string]bool{}, steps: map[string]string{}, cancelled: map[string]time.Time{}, copies: map[string]bool{},
+	}
+}
+
+func (w *witness) breaks(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf(format, args...))
+}
+
+// Started implements fake.Witness.
+func (w *witness) Started(boot, task string, attempt int64) {
+	w.starts++
+	job, _, _ := strings.Cut(task, ".")
+	if others := w.running[task]; len(others) > 0 && !w.copies[job] {
+		w.breaks("%s attempt %d started at %s while it runs at %s", task, attempt, boot, others)
+	}
+	if w.done[task] {
+		w.breaks("%s attempt %d started at %s after it was done", task, attempt, boot)
+	}
+	if w.failed[task] >= maxAttempts {
+		w.breaks("%s attempt %d started at %s after %d failures", task, attempt, boot, w.failed[task])
+	}
+	if w.refused[job] {
+		w.breaks("%s started at %s though its job was refused", task, boot)
+	}
+	if at, ok := w.cancelled[job]; ok && time.Since(at) > cancelBound {
+		w.breaks("%s started at %s %s after its job was cancelled", task, boot, time.Since(at))
+	}
+	w.checkOrder(task, job)
+	w.running[task] = append(w.running[task], boot)
+}
+
+// checkOrder sees that the steps before are done.
+func (w *witness) checkOrder(task, job string) {
+	text, ok := w.steps[job]
+	if !ok {
+		w.breaks("%s started though no such job was submitted", task)
+		return
+	}
+	step, _ := strconv.Atoi(strings.Split(task, ".")[2])
+	st, _ := parseStep(strings.Fields(text)[step])
+	for _, a := range st.After {
+		before, _ := parseStep(strings.Fields(text)[a])
+		for i := range before.Count {
+			if name := fmt.Sprintf("%s.0.%d.%d", job, a, i); !w.ended[name] {
+				w.breaks("%s started before %s was done", task, name)
+			}
+		}
+	}
+}
+
+// Ended implements fake.Witness.
+func (w *witness) Ended(boot, task string, _ int64, reason platform.EndReason) {
+	w.running[task] = slices.DeleteFunc(w.running[task], func(b string) bool { return b == boot })
+	switch reason {
+	case platform.EndDone:
+		w.ended[task] = true
+	case platform.EndFailed:
+		w.failures[task]++
+	}
+}
+
+// Acked implements fake.Witness.
+func (w *witness) Acked(_, task string, reason platform.EndReason) {
+	switch reason {
+	case platform.EndDone:
+		w.done[task] = true
+	case platform.EndFailed:
+		w.failed[task]++
+	}
+}
+
+func (w *witness) report() string {
+	if len(w.broken) == 0 {
+		return fmt.Sprintf("%d starts, nothing broken\n", w.starts)
+	}
+	return strings.Join(w.broken, "\n") + "\n"
+}
