Silent owners are not dialled for callers; claims in doubt wait for a steady store

Change: no link is given out to an entry that is silent; a takeover in doubt wants the store to have answered for 1.5 s.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -86,7 +86,7 @@
 // New returns a node that is not running yet.
 func New(s schema.ServiceSettings, services Services, src Source, log zerolog.Logger) *Node {
 	now := time.Now()
-	rows := &reach{Rows: services, log: log}
+	rows := &reach{Rows: services, log: log, since: now}
 	n := &Node{
 		settings: s, source: src, rows: rows, log: log, metrics: newMetrics(), since: now,
 		stop: make(chan struct{}), workers: map[string]platform.Worker{}, waves: map[int]fleetops.Wave{},
@@ -116,6 +116,9 @@
 // ReachesStore implements ownership.Local.
 func (l local) ReachesStore() bool { return l.rows.ok() }
 
+// StoreAnsweredFor implements ownership.Local.
+func (l local) StoreAnsweredFor() time.Duration { return l.rows.okFor() }
+
 // EntryChanged implements ownership.Local.
 func (l local) EntryChanged() { l.keeper.Kick() }
 
--- a/pkg/node/reach.go
+++ b/pkg/node/reach.go
@@ -16,8 +16,9 @@
 	platform.Rows
 	log zerolog.Logger
 
-	mu   sync.Mutex
-	lost bool
+	mu    sync.Mutex
+	lost  bool
+	since time.Time // when lost last changed
 }
 
 // CommitRows implements platform.Rows.
@@ -55,7 +56,7 @@
 	if lost == r.lost {
 		return
 	}
-	r.lost = lost
+	r.lost, r.since = lost, time.Now()
 	if lost {
 		r.log.Warn().Str("event", "store_lost").Err(err).Send()
 	} else {
@@ -63,6 +64,16 @@
 	}
 }
 
+// okFor is for how long calls have been answered, 0 while they are not.
+func (r *reach) okFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost {
+		return 0
+	}
+	return time.Since(r.since)
+}
+
 // ok tells whether the last call was answered.
 func (r *reach) ok() bool {
 	r.mu.Lock()
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -26,6 +26,10 @@
 	rankDelay = 350 * time.Millisecond
 	// suspectTime is how long an owner is suspected before a claim when few others are heard.
 	suspectTime = 3 * time.Second
+	// storeSteady is for how long the table service must have answered before a
+	// suspected owner is replaced: an entry whose cut has just healed reaches the
+	// service before it hears the others again.
+	storeSteady = 1500 * time.Millisecond
 	// evaluateInterval is how often claims are gone through without an event.
 	evaluateInterval = 200 * time.Millisecond
 	// claimPause follows a claim that failed.
@@ -317,7 +321,7 @@
 		if s.suspect == 0 {
 			s.suspect = now
 		}
-		if now-s.suspect < suspectTime {
+		if now-s.suspect < suspectTime || k.members.local.StoreAnsweredFor() < storeSteady {
 			return why, false
 		}
 	}
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -79,6 +79,8 @@
 	OwnersVersion() int64
 	// ReachesStore tells whether the table service answers this entry.
 	ReachesStore() bool
+	// StoreAnsweredFor is for how long it has done so, 0 while it does not.
+	StoreAnsweredFor() time.Duration
 	// EntryChanged is told that an entry was lost or regained.
 	EntryChanged()
 	// CatalogNewer is told that a peer has a newer configuration.
@@ -240,14 +242,16 @@
 	}
 }
 
-// Caller returns the link to an entry at an address, nil if it is not known.
+// Caller returns the link to an entry at an address, nil if it is not known or
+// silent: a caller's request is not held while a dead link is dialled.
 func (m *Members) Caller(name, address string) *peer.Caller {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if k := m.peers[name]; k != nil && k.Address == address {
-		return k.caller
+	k := m.peers[name]
+	if k == nil || k.Address != address || k.heardAt > 0 && !m.alive(k) {
+		return nil
 	}
-	return nil
+	return k.caller
 }
 
 // Heirs returns the entries that may take a shard over, this one among them:
