--- a/pkg/ownership/judge_test.go
+++ b/pkg/ownership/judge_test.go
@@ -47,6 +47,11 @@
 			addPeer(m, strings.Fields(line))
 		}
 		row := shard.OwnerRow{Entry: args["owner"], Start: 1, Address: args["owner"]}
+		m.majorityAt = m.now() - 10*time.Second
+		if v, ok := args["majority"]; ok {
+			age, _ := time.ParseDuration(v)
+			m.majorityAt = m.now() - age
+		}
 		rowAge, _ := time.ParseDuration(args["row"])
 		if d.Cmd == "caller" {
 			return fmt.Sprintf("%v\n", m.Caller(row.Entry, row.Address) != nil)
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -69,6 +69,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*known // by name
+	// majorityAt is since when most entries are heard, 0 while they are not.
+	majorityAt time.Duration
 }
 
 // Local is what the pings need of this entry.
@@ -194,6 +196,7 @@
 		}
 	}
 	after := m.alive(k)
+	m.noteMajority()
 	m.mu.Unlock()
 	if before != after {
 		m.log.Info().Str("event", "entry_seen").Str("entry", k.Name).Bool("alive", after).Err(err).Send()
@@ -299,6 +302,25 @@
 	return m.local.ReachesStore() && 2*reached > heard
 }
 
+// noteMajority notes since when most entries are heard; the lock is held. This
+// entry counts for itself; of two halves that do not hear each other neither has
+// a majority. After a cut the others are heard again one by one: until that is
+// over, one that is not heard yet is not the one that is missing.
+func (m *Members) noteMajority() {
+	heard := 1
+	for _, k := range m.peers {
+		if m.alive(k) {
+			heard++
+		}
+	}
+	switch {
+	case 2*heard <= len(m.peers)+1:
+		m.majorityAt = 0
+	case m.majorityAt == 0:
+		m.majorityAt = m.now()
+	}
+}
+
 // Verdict is what this entry holds of an owner.
 type Verdict string
 
@@ -335,14 +357,8 @@
 	case k.heardAt == 0 && m.now()-k.addedAt < silence && !k.refused:
 		return VerdictAlive, "not asked yet"
 	}
-	heard := 0
-	for _, p := range m.peers {
-		if p != k && m.alive(p) {
-			heard++
-		}
-	}
-	// This entry counts for itself; of two halves that do not hear each other neither goes ahead at once.
-	if total := len(m.peers) + 1; 2*(heard+1) > total {
+	m.noteMajority()
+	if m.majorityAt > 0 && m.now()-m.majorityAt >= silence {
 		return VerdictGone, "not heard while most others are"
 	}
 	return VerdictSuspect, "few others are heard either"
