pkg/ownership: one file for each concern

Cause: keeper.go and members.go held rows, claims, the order among entries, pings and judgements together. Change: each is in a file of its name, with its constants.

--- /dev/null
+++ b/pkg/ownership/claim.go
@@ -0,0 +1,145 @@
+package ownership
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+// Pace of claims.
+const (
+	// settleTime is how long a process that has started waits for others to register before it claims a shard that nobody owned.
+	settleTime = 600 * time.Millisecond
+	// rankDelay separates the claims of entries that would take over in turn.
+	rankDelay = 350 * time.Millisecond
+	// suspectTime is how long an owner is suspected before a claim when few others are heard.
+	suspectTime = 3 * time.Second
+	// evaluateInterval is how often claims are gone through without an event.
+	evaluateInterval = 200 * time.Millisecond
+	// claimPause follows a claim that failed.
+	claimPause = 300 * time.Millisecond
+)
+
+// evaluate claims the shards whose owner is gone and that fall to this entry.
+func (k *Keeper) evaluate(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	if k.stopping || now < settleTime || k.catalog == nil {
+		return
+	}
+	if at, ok := k.members.ConfirmedAt(k.seenVersion()); ok {
+		for _, s := range k.shards {
+			if s.owner != nil {
+				s.owner.Confirm(at)
+			}
+		}
+	}
+	alive := k.members.Heirs()
+	load := k.load(alive)
+	pools := make([]string, 0, len(k.shards))
+	for pool := range k.shards {
+		pools = append(pools, pool)
+	}
+	slices.Sort(pools)
+	for _, pool := range pools {
+		s := k.shards[pool]
+		if !s.loaded || s.owner != nil || s.claiming || now < s.notBefore {
+			continue
+		}
+		why, gone := k.judge(s, now)
+		if !gone {
+			continue
+		}
+		rank := k.rank(pool, s.row, alive, load)
+		if now-s.gone < time.Duration(rank)*rankDelay {
+			continue
+		}
+		s.claiming = true
+		k.log.Info().Str("event", "shard_claimed").Str("pool", pool).Str("former", s.row.Entry).Int64("version", s.version).
+			Str("why", why).Int("rank", rank).Int("alive", len(alive)).Send()
+		go k.claim(ctx, pool, s, s.version)
+	}
+}
+
+// judge tells whether a shard is to be claimed; the lock is held.
+func (k *Keeper) judge(s *state, now time.Duration) (why string, gone bool) {
+	verdict, why := k.members.Judge(s.row, s.rowAt)
+	switch verdict {
+	case VerdictAlive:
+		s.gone, s.suspect = 0, 0
+		return why, false
+	case VerdictSuspect:
+		if s.suspect == 0 {
+			s.suspect = now
+		}
+		if now-s.suspect < suspectTime {
+			return why, false
+		}
+	}
+	if s.gone == 0 {
+		s.gone = now
+	}
+	return why, true
+}
+
+// claim takes a shard over.
+func (k *Keeper) claim(ctx context.Context, pool string, s *state, seen int64) {
+	k.mu.Lock()
+	cat, workers := k.catalog, k.workers
+	k.mu.Unlock()
+	o, err := k.open(ctx, pool, seen, cat, workers, Events{
+		Sending: func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			s.inDoubt = true
+		},
+		Over: func(error) { k.over(pool) },
+	})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s.claiming = false
+	if err != nil {
+		s.notBefore = k.now() + claimPause
+		k.log.Warn().Str("event", "shard_claim_failed").Str("pool", pool).Err(err).Send()
+		var conflict platform.ErrConflict
+		var notOwner shard.ErrNotOwner
+		var notDone platform.ErrNotDone
+		if errors.As(err, &conflict) || errors.As(err, &notOwner) || errors.As(err, &notDone) {
+			s.inDoubt = false // the feed brings the row
+		}
+		if s.inDoubt {
+			s.loaded = false // the claim may have happened: read the row again
+		}
+		return
+	}
+	s.inDoubt = false
+	if k.stopping || (s.version > o.RowVersion()) {
+		go o.Close()
+		return
+	}
+	s.owner = o
+	o.SetCatalog(k.catalog)
+	o.SetWorkers(k.workers)
+	k.setRow(pool, s, shard.OwnerRow{Entry: k.self.Entry, Start: k.self.Start, Address: k.self.Address, Term: o.Term()}, o.RowVersion())
+}
+
+// over notes that an owner of ours has given its shard up.
+func (k *Keeper) over(pool string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.shards[pool]
+	if s == nil || s.owner == nil {
+		return
+	}
+	go s.owner.Close()
+	s.owner = nil
+	s.loaded = false
+	s.notBefore = k.now() + claimPause
+	k.Kick()
+}
--- /dev/null
+++ b/pkg/ownership/judge.go
@@ -0,0 +1,105 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+// storeSilence is how long an owner may be without the table service, which
+// others reach, before one of them takes over.
+const storeSilence = time.Second
+
+// The verdicts on an owner.
+const (
+	VerdictAlive   Verdict = "alive"
+	VerdictGone    Verdict = "gone"    // for certain, or most others are heard and it is not
+	VerdictSuspect Verdict = "suspect" // not heard, but few others are either
+)
+
+// Verdict is what this entry holds of an owner.
+type Verdict string
+
+// Judge tells whether the owner in a row, which was seen first at since, still
+// lives. An owner that has just written its row does, whatever was heard before.
+func (m *Members) Judge(o shard.OwnerRow, since time.Duration) (v Verdict, why string) {
+	if o.Entry == "" {
+		return VerdictGone, "released"
+	}
+	if o.Entry == m.self.Name {
+		return VerdictGone, "an earlier start of this entry"
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.peers[o.Entry]
+	switch {
+	case k == nil:
+		return VerdictSuspect, "not listed"
+	case k.Start != o.Start:
+		return VerdictGone, "started anew"
+	case m.now()-since < silence:
+		return VerdictAlive, "its row is new"
+	case m.alive(k) && k.storeLost > 0 && m.now()-k.storeLost > storeSilence && m.storeAnswersMost(k):
+		return VerdictGone, "the table service does not answer it, but us"
+	case m.alive(k):
+		return VerdictAlive, ""
+	case k.heardAt == 0 && m.now()-k.addedAt < silence && !k.refused:
+		return VerdictAlive, "not asked yet"
+	}
+	heard := 0
+	for _, p := range m.peers {
+		if p != k && m.alive(p) {
+			heard++
+		}
+	}
+	// This entry counts for itself; of two halves that do not hear each other neither goes ahead at once.
+	if total := len(m.peers) + 1; 2*(heard+1) > total {
+		return VerdictGone, "not heard while most others are"
+	}
+	return VerdictSuspect, "few others are heard either"
+}
+
+// storeAnswersMost tells whether the table service answers this entry and most
+// others but k, so that it is k's path to it that is broken; the lock is held.
+func (m *Members) storeAnswersMost(k *known) bool {
+	reached, heard := 0, 0
+	for _, p := range m.peers {
+		if p == k || !m.alive(p) {
+			continue
+		}
+		heard++
+		if p.storeLost == 0 {
+			reached++
+		}
+	}
+	return m.local.ReachesStore() && 2*reached > heard
+}
+
+// Heirs returns the entries that may take a shard over, this one among them:
+// they were heard of late, reach the table service and are not stopping.
+func (m *Members) Heirs() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := []Member{m.self}
+	for _, k := range m.peers {
+		if m.alive(k) && !k.stopping && k.storeLost == 0 {
+			all = append(all, k.Member)
+		}
+	}
+	return all
+}
+
+// ConfirmedAt is a time at which certainly no entry had an owner row newer than
+// the version, since each has said so in answer to a later ping; false if any has not.
+func (m *Members) ConfirmedAt(version int64) (at time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at = m.now()
+	for _, k := range m.peers {
+		if k.seen < 0 || k.seen > version || k.heardAt == 0 {
+			return 0, false
+		}
+		at = min(at, k.sentAt)
+	}
+	return at, true
+}
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -11,29 +11,11 @@
 
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
-	"github.com/gannetwell/gannetwell/pkg/schema"
-	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
 // TableMember holds one row for each entry, under its name.
 const TableMember = "member"
 
-// Pings.
-const (
-	// pingInterval is the time between two pings of an entry that owns a shard.
-	pingInterval = 400 * time.Millisecond
-	// pingSpacing times the number of entries is the interval for those that own
-	// none, so that the cost to each entry does not grow with their number.
-	pingSpacing = 60 * time.Millisecond
-	// pingTimeout bounds one ping.
-	pingTimeout = 900 * time.Millisecond
-	// silence is how long an owner may go unheard before it is held for gone.
-	silence = 1100 * time.Millisecond
-	// storeSilence is how long an owner may be without the table service, which
-	// others reach, before one of them takes over.
-	storeSilence = time.Second
-)
-
 // Member is an entry as it registers itself.
 type Member struct {
 	Name    string  `msgpack:"n"`
@@ -145,92 +127,6 @@
 
 func (m *Members) now() time.Duration { return time.Since(m.since) }
 
-func (m *Members) pingLoop(ctx context.Context, k *known) {
-	for ctx.Err() == nil {
-		m.ping(ctx, k)
-		select {
-		case <-ctx.Done():
-		case <-time.After(m.interval(k)):
-		}
-	}
-}
-
-func (m *Members) interval(k *known) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if k.owns {
-		return pingInterval
-	}
-	return max(pingInterval, time.Duration(len(m.peers))*pingSpacing)
-}
-
-func (m *Members) ping(ctx context.Context, k *known) {
-	version := m.local.CatalogVersion()
-	sentAt := m.now()
-	pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-	reply, err := k.caller.Call(pingCtx, &schema.Call{Kind: schema.CallKindPing, CatalogVersion: int(version), OwnersVersion: int(m.local.OwnersVersion())})
-	cancel()
-	if ctx.Err() != nil {
-		return
-	}
-	m.mu.Lock()
-	before := m.alive(k)
-	if err == nil {
-		k.heardAt, k.refused = m.now(), false
-		k.noteStore(reply.ReachesStore, m.now())
-		k.stopping = reply.Stopping
-		k.sentAt, k.seen = sentAt, int64(reply.OwnersVersion)
-		if reply.Claiming {
-			k.seen = -1
-		}
-	} else {
-		var notSent peer.ErrNotSent
-		k.refused = errors.As(err, &notSent) && notSent.Refused
-		var lost peer.ErrLinkLost
-		if errors.As(err, &lost) && pingCtx.Err() != nil {
-			k.caller.Close() // a silent link is not waited for
-		}
-	}
-	after := m.alive(k)
-	m.mu.Unlock()
-	if before != after {
-		m.log.Info().Str("event", "entry_seen").Str("entry", k.Name).Bool("alive", after).Err(err).Send()
-	}
-	if before != after || k.refused {
-		m.local.EntryChanged()
-	}
-	if err != nil {
-		return
-	}
-	for _, o := range reply.Owners {
-		m.local.OwnerNews(o.Pool, shard.OwnerRowOf(o))
-	}
-	if int64(reply.CatalogVersion) > version {
-		m.local.CatalogNewer(k.caller, int64(reply.CatalogVersion))
-	}
-}
-
-func (k *known) noteStore(reaches bool, now time.Duration) {
-	switch {
-	case reaches:
-		k.storeLost = 0
-	case k.storeLost == 0:
-		k.storeLost = now
-	}
-}
-
-// alive tells whether an entry was heard of late; the lock is held.
-func (m *Members) alive(k *known) bool {
-	if k.refused || k.heardAt == 0 {
-		return false
-	}
-	limit := silence
-	if !k.owns {
-		limit += time.Duration(len(m.peers)) * pingSpacing
-	}
-	return m.now()-k.heardAt < limit
-}
-
 // SetOwners tells which entries own a shard and are to be pinged often.
 func (m *Members) SetOwners(names map[string]bool) {
 	m.mu.Lock()
@@ -249,97 +145,3 @@
 	}
 	return nil
 }
-
-// Heirs returns the entries that may take a shard over, this one among them:
-// they were heard of late, reach the table service and are not stopping.
-func (m *Members) Heirs() []Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	all := []Member{m.self}
-	for _, k := range m.peers {
-		if m.alive(k) && !k.stopping && k.storeLost == 0 {
-			all = append(all, k.Member)
-		}
-	}
-	return all
-}
-
-// ConfirmedAt is a time at which certainly no entry had an owner row newer than
-// the version, since each has said so in answer to a later ping; false if any has not.
-func (m *Members) ConfirmedAt(version int64) (at time.Duration, ok bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	at = m.now()
-	for _, k := range m.peers {
-		if k.seen < 0 || k.seen > version || k.heardAt == 0 {
-			return 0, false
-		}
-		at = min(at, k.sentAt)
-	}
-	return at, true
-}
-
-// storeAnswersMost tells whether the table service answers this entry and most
-// others but k, so that it is k's path to it that is broken; the lock is held.
-func (m *Members) storeAnswersMost(k *known) bool {
-	reached, heard := 0, 0
-	for _, p := range m.peers {
-		if p == k || !m.alive(p) {
-			continue
-		}
-		heard++
-		if p.storeLost == 0 {
-			reached++
-		}
-	}
-	return m.local.ReachesStore() && 2*reached > heard
-}
-
-// Verdict is what this entry holds of an owner.
-type Verdict string
-
-// The verdicts on an owner.
-const (
-	VerdictAlive   Verdict = "alive"
-	VerdictGone    Verdict = "gone"    // for certain, or most others are heard and it is not
-	VerdictSuspect Verdict = "suspect" // not heard, but few others are either
-)
-
-// Judge tells whether the owner in a row, which was seen first at since, still
-// lives. An owner that has just written its row does, whatever was heard before.
-func (m *Members) Judge(o shard.OwnerRow, since time.Duration) (v Verdict, why string) {
-	if o.Entry == "" {
-		return VerdictGone, "released"
-	}
-	if o.Entry == m.self.Name {
-		return VerdictGone, "an earlier start of this entry"
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	k := m.peers[o.Entry]
-	switch {
-	case k == nil:
-		return VerdictSuspect, "not listed"
-	case k.Start != o.Start:
-		return VerdictGone, "started anew"
-	case m.now()-since < silence:
-		return VerdictAlive, "its row is new"
-	case m.alive(k) && k.storeLost > 0 && m.now()-k.storeLost > storeSilence && m.storeAnswersMost(k):
-		return VerdictGone, "the table service does not answer it, but us"
-	case m.alive(k):
-		return VerdictAlive, ""
-	case k.heardAt == 0 && m.now()-k.addedAt < silence && !k.refused:
-		return VerdictAlive, "not asked yet"
-	}
-	heard := 0
-	for _, p := range m.peers {
-		if p != k && m.alive(p) {
-			heard++
-		}
-	}
-	// This entry counts for itself; of two halves that do not hear each other neither goes ahead at once.
-	if total := len(m.peers) + 1; 2*(heard+1) > total {
-		return VerdictGone, "not heard while most others are"
-	}
-	return VerdictSuspect, "few others are heard either"
-}
