pkg/fleetops: one file for each concern

Cause: runner.go held the loop, orders, waves and their progress; moves.go also held the reading of demand. Change: each is in a file of its name, with its constants.

--- /dev/null
+++ b/pkg/fleetops/demand.go
@@ -0,0 +1,161 @@
+package fleetops
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+const (
+	// trendAhead is how far ahead demand is foreseen: about what a move takes until the VM is at work.
+	trendAhead = 2 * time.Second
+	// trendWeight smooths the slope of demand over about a second.
+	trendWeight = 0.25
+)
+
+// trend is how a pool's demand has changed of late.
+type trend struct {
+	at     time.Duration
+	demand int
+	slope  float64 // thousandths of a core a second, smoothed
+}
+
+// loads asks the owner of each shard how busy it is; pools whose owner does not answer are left out.
+func (r *Runner) loads(ctx context.Context) map[string]shard.Load {
+	r.mu.Lock()
+	pools := r.catalog.Pools
+	r.mu.Unlock()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	loads := map[string]shard.Load{}
+	for _, p := range pools {
+		if p.Spare {
+			continue
+		}
+		wg.Go(func() {
+			l, ok := r.cfg.Load(ctx, p.Name)
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			loads[p.Name] = l
+		})
+	}
+	wg.Wait()
+	return loads
+}
+
+// rise is by how much a pool's demand will have grown when a VM that is moved now has arrived.
+func (r *Runner) rise(pool string, demand int) int {
+	now := r.now()
+	t := r.trends[pool]
+	if t.at > 0 && now > t.at {
+		slope := float64(demand-t.demand) / (now - t.at).Seconds()
+		t.slope += trendWeight * (slope - t.slope)
+	}
+	t.at, t.demand = now, demand
+	r.trends[pool] = t
+	return int(max(0, t.slope) * trendAhead.Seconds())
+}
+
+// poolStates gathers what sizing decides on.
+func (r *Runner) poolStates(machines map[string]platform.Machine, loads map[string]shard.Load) (pools []*PoolState) {
+	spare := r.spare()
+	byName := map[string]*PoolState{}
+	for name, l := range loads {
+		s := &PoolState{Name: name, Load: l, Supply: l.Workers}
+		s.Load.Waiting.CPU += r.rise(name, l.Used.CPU+l.Waiting.CPU)
+		byName[name] = s
+		pools = append(pools, s)
+	}
+	if spare != "" {
+		s := &PoolState{Name: spare, Spare: true}
+		byName[spare] = s
+		pools = append(pools, s)
+	}
+	leaving := map[string]int{}
+	for vm, m := range r.moves {
+		if s := byName[m.To]; s != nil {
+			s.Supply++
+		}
+		if machines[vm].Pool == m.From {
+			leaving[m.From]++
+		}
+	}
+	for vm, m := range machines {
+		s := byName[m.Pool]
+		if s == nil || m.State == platform.MachineDown {
+			continue
+		}
+		if r.moves[vm] != nil {
+			continue
+		}
+		if r.inWave(vm) == PhaseOrdered {
+			s.Supply++ // it is back in a moment
+		}
+		if s.Spare && m.State == platform.MachineUp && r.inWave(vm) == "" {
+			s.Idle = append(s.Idle, vm)
+		}
+	}
+	for _, s := range pools {
+		if !s.Spare {
+			s.Idle = r.idle(s, machines, leaving[s.Name])
+		}
+		if s.Spare {
+			slices.Sort(s.Idle)
+		}
+		s.Surely = r.countSurplus(s)
+	}
+	slices.SortFunc(pools, func(a, b *PoolState) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return pools
+}
+
+// idle returns the VMs of a pool that may leave, those without any task first.
+func (r *Runner) idle(s *PoolState, machines map[string]platform.Machine, leaving int) (idle []string) {
+	for _, vm := range s.Load.Light {
+		m, ok := machines[vm]
+		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || r.inWave(vm) != "" {
+			continue
+		}
+		if leaving+len(idle) >= r.policy.MaxLeaving {
+			break
+		}
+		idle = append(idle, vm)
+	}
+	return idle
+}
+
+// countSurplus counts the steps in a row in which a pool had VMs left over.
+func (r *Runner) countSurplus(s *PoolState) int {
+	if s.Spare {
+		return 0
+	}
+	if s.Supply > r.policy.Want(s.Load) {
+		r.surplus[s.Name]++
+	} else {
+		r.surplus[s.Name] = 0
+	}
+	return r.surplus[s.Name]
+}
+
+// inWave returns the phase of a VM that is being emptied or maintained, empty for another.
+func (r *Runner) inWave(vm string) Phase {
+	for _, w := range r.waves {
+		for _, v := range w.vms {
+			if v.Name == vm && (v.Phase == PhaseEmptying || v.Phase == PhaseOrdered) {
+				return v.Phase
+			}
+		}
+	}
+	return ""
+}
--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -40,16 +40,6 @@
 	}
 }
 
-// mayOrderFor tells whether an order for a VM keeps its distance from a former holder's.
-func (r *Runner) mayOrderFor(vm string) bool { return r.now() >= r.notBefore[vm] }
-
-// noteOrder remembers that an order for a VM is about to be sent.
-func (r *Runner) noteOrder(vm string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lastOrder[vm] = r.now()
-}
-
 // letGo releases the owner row and leaves the next holder what it has to know.
 func (r *Runner) letGo(ctx context.Context, next string) error {
 	h := handover{Term: r.claim.Term}
--- /dev/null
+++ b/pkg/fleetops/maintain.go
@@ -0,0 +1,153 @@
+package fleetops
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// wave is a wave under way.
+type wave struct {
+	Wave
+	vms       []*VM
+	loaded    bool // what was done before was read
+	reported  bool
+	completed bool
+	begun     time.Duration // when this entry saw the request first
+	changed   bool          // what is done differs from what is kept
+}
+
+// SetWaves takes all requests for maintenance.
+func (r *Runner) SetWaves(waves []Wave) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range waves {
+		if r.waves[w.ID] != nil {
+			continue
+		}
+		state := &wave{Wave: w, begun: r.now()}
+		for _, vm := range w.VMs {
+			state.vms = append(state.vms, &VM{Name: vm, Phase: PhaseWaiting})
+		}
+		r.waves[w.ID] = state
+		r.log.Info().Str("event", "wave_requested").Int("wave", w.ID).Int("vms", len(w.VMs)).Int("max_down", w.MaxDown).Dur("within", w.Within).Send()
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Runner) open() (open []*wave) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.waves {
+		if !w.completed {
+			open = append(open, w)
+		}
+	}
+	return open
+}
+
+// advance takes one wave one step further.
+func (r *Runner) advance(ctx context.Context, w *wave, machines map[string]platform.Machine) error {
+	if err := r.load(ctx, w); err != nil || w.completed {
+		return err
+	}
+	r.observe(w, machines)
+	if r.mayOrder(ctx) {
+		for _, v := range Next(w.Wave, w.vms, machines, r.spare(), r.light(), r.now()-w.begun) {
+			if r.moves[v.Name] != nil {
+				continue
+			}
+			r.setPhase(w, v, PhaseEmptying, "a place in the wave is free")
+		}
+	}
+	r.empty(ctx, w, machines)
+	return r.keep(ctx, w)
+}
+
+// observe takes the list of VMs into account.
+func (r *Runner) observe(w *wave, machines map[string]platform.Machine) {
+	for _, v := range w.vms {
+		m, ok := machines[v.Name]
+		switch {
+		case v.Phase == PhaseDone || v.Phase == PhaseGone:
+		case !ok:
+			r.setPhase(w, v, PhaseGone, "the VM is no longer listed")
+		case v.Phase == PhaseOrdered && v.back(m, r.now(), r.cfg.Takes):
+			r.setPhase(w, v, PhaseDone, "it is up again")
+		}
+	}
+}
+
+func (r *Runner) setPhase(w *wave, v *VM, p Phase, why string) {
+	r.log.Info().Str("event", "maintenance").Int("wave", w.ID).Str("vm", v.Name).Str("from", string(v.Phase)).Str("to", string(p)).Str("why", why).Send()
+	v.Phase = p
+	if p == PhaseDone || p == PhaseGone {
+		w.changed = true
+	}
+}
+
+// empty has VMs emptied and orders the maintenance of those that are.
+func (r *Runner) empty(ctx context.Context, w *wave, machines map[string]platform.Machine) {
+	var wg sync.WaitGroup
+	for _, v := range w.vms {
+		m := machines[v.Name]
+		switch v.Phase {
+		case PhaseEmptying:
+			wg.Go(func() { r.emptyOne(ctx, w, v, m) })
+		case PhaseOrdered:
+			if v.confirmedAt == 0 && m.State == platform.MachineUp && m.Boot == v.Boot {
+				wg.Go(func() { r.emptyOne(ctx, w, v, m) }) // the order may not have arrived
+			}
+		}
+	}
+	wg.Wait()
+}
+
+func (r *Runner) emptyOne(ctx context.Context, w *wave, v *VM, m platform.Machine) {
+	if m.Pool != r.spare() && !r.cfg.Empty(ctx, m.Pool, v.Name) {
+		return
+	}
+	if !r.mayOrderFor(v.Name) || !r.mayOrder(ctx) {
+		return
+	}
+	r.noteOrder(v.Name)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.cfg.Machines.MaintainMachine(callCtx, v.Name, w.ID, r.holder())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var refused platform.ErrRefused
+	var notDone platform.ErrNotDone
+	switch {
+	case errors.As(err, &refused), errors.As(err, &notDone):
+		r.log.Warn().Str("event", "maintenance_refused").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
+		return
+	case err != nil:
+		r.log.Warn().Str("event", "maintenance_unanswered").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
+	}
+	if err == nil {
+		v.confirmedAt = r.now()
+	}
+	if v.Phase == PhaseEmptying {
+		v.Boot = m.Boot
+		r.setPhase(w, v, PhaseOrdered, "it is empty")
+	}
+}
+
+// light returns the VMs with little work, as the last step saw them.
+func (r *Runner) light() map[string]bool {
+	light := map[string]bool{}
+	for _, l := range r.lastLoads {
+		for _, vm := range l.Light {
+			light[vm] = true
+		}
+	}
+	return light
+}
--- /dev/null
+++ b/pkg/fleetops/progress.go
@@ -0,0 +1,102 @@
+package fleetops
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+// tableProgress holds what is done of each wave.
+const tableProgress = "maintenance"
+
+// kept is what lasts of a wave.
+type kept struct {
+	Done []string `msgpack:"d"` // VMs that are done or gone
+}
+
+func progressKey(id int) platform.RowKey {
+	return platform.RowKey{Table: tableProgress, Partition: Partition, Key: strconv.Itoa(id)}
+}
+
+// load reads what a former owner has done of a wave.
+func (r *Runner) load(ctx context.Context, w *wave) error {
+	if w.loaded {
+		return nil
+	}
+	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row, err := shard.ReadOne(readCtx, r.cfg.Rows, progressKey(w.ID))
+	if err != nil {
+		return err
+	}
+	var k kept
+	if row.Version > 0 {
+		if err := msgpack.Unmarshal(row.Value, &k); err != nil {
+			return errors.Wrap(err, "decode progress of wave")
+		}
+	}
+	for _, name := range k.Done {
+		for _, v := range w.vms {
+			if v.Name == name {
+				v.Phase = PhaseDone
+			}
+		}
+	}
+	if len(k.Done) > 0 {
+		w.begun -= w.Within / 2 // a former owner began it, it is not known when
+	}
+	w.loaded, w.changed = true, true
+	return nil
+}
+
+// keep writes what is done, and reports to the operator.
+func (r *Runner) keep(ctx context.Context, w *wave) error {
+	if !w.changed {
+		return nil
+	}
+	var k kept
+	finished := true
+	for _, v := range w.vms {
+		if v.Phase == PhaseDone || v.Phase == PhaseGone {
+			k.Done = append(k.Done, v.Name)
+		} else {
+			finished = false
+		}
+	}
+	raw, err := msgpack.Marshal(k)
+	if err != nil {
+		return errors.Wrap(err, "encode progress of wave")
+	}
+	writeCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := r.cfg.Rows.CommitRows(writeCtx, platform.RowTxn{
+		Put: []platform.Row{{RowKey: progressKey(w.ID), Value: raw}},
+	}); err != nil {
+		return err
+	}
+	w.changed = false
+	if w.reported && !finished {
+		return nil
+	}
+	row, err := r.cfg.Report(w.ID, finished)
+	if err != nil {
+		return err
+	}
+	if _, err := r.cfg.Rows.CommitRows(writeCtx, platform.RowTxn{Put: []platform.Row{row}}); err != nil {
+		w.changed = true
+		return err
+	}
+	w.reported = true
+	if finished {
+		r.mu.Lock()
+		w.completed = true
+		r.mu.Unlock()
+		r.log.Info().Str("event", "wave_completed").Int("wave", w.ID).Send()
+	}
+	return nil
+}
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -2,27 +2,18 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
-const (
-	// stepInterval is the time between two steps; pools change their demand within a second.
-	stepInterval = 250 * time.Millisecond
-	// callTimeout bounds a call to the VM service, which answers in milliseconds and up to 60 times slower in trouble.
-	callTimeout = 1500 * time.Millisecond
-	// tableProgress holds what is done of each wave.
-	tableProgress = "maintenance"
-)
+// stepInterval is the time between two steps; pools change their demand within a second.
+const stepInterval = 250 * time.Millisecond
 
 // Partition is the partition, and the name of the shard, of this work; no pool is called so.
 const Partition = "~maintenance"
@@ -47,17 +38,6 @@
 	Sending  func() // called before the takeover's transaction is sent
 }
 
-// wave is a wave under way.
-type wave struct {
-	Wave
-	vms       []*VM
-	loaded    bool // what was done before was read
-	reported  bool
-	completed bool
-	begun     time.Duration // when this entry saw the request first
-	changed   bool          // what is done differs from what is kept
-}
-
 // Runner carries the maintenance out while this entry owns the work.
 type Runner struct {
 	cfg       Config
@@ -129,27 +109,6 @@
 	r.confirmedAt = max(r.confirmedAt, at)
 }
 
-// SetWaves takes all requests for maintenance.
-func (r *Runner) SetWaves(waves []Wave) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, w := range waves {
-		if r.waves[w.ID] != nil {
-			continue
-		}
-		state := &wave{Wave: w, begun: r.now()}
-		for _, vm := range w.VMs {
-			state.vms = append(state.vms, &VM{Name: vm, Phase: PhaseWaiting})
-		}
-		r.waves[w.ID] = state
-		r.log.Info().Str("event", "wave_requested").Int("wave", w.ID).Int("vms", len(w.VMs)).Int("max_down", w.MaxDown).Dur("within", w.Within).Send()
-	}
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Close ends the work without letting go of the owner row.
 func (r *Runner) Close() {
 	r.cancel()
@@ -195,21 +154,6 @@
 	r.resize(ctx, machines)
 }
 
-// light returns the VMs with little work, as the last step saw them.
-func (r *Runner) light() map[string]bool {
-	light := map[string]bool{}
-	for _, l := range r.lastLoads {
-		for _, vm := range l.Light {
-			light[vm] = true
-		}
-	}
-	return light
-}
-
-func (r *Runner) holder() platform.Holder {
-	return platform.Holder{Name: r.cfg.Self.Entry, Token: r.claim.Term}
-}
-
 // list returns the VMs by name.
 func (r *Runner) list(ctx context.Context) (machines map[string]platform.Machine, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -225,67 +169,12 @@
 	return machines, nil
 }
 
-func (r *Runner) open() (open []*wave) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, w := range r.waves {
-		if !w.completed {
-			open = append(open, w)
-		}
-	}
-	return open
-}
-
-// advance takes one wave one step further.
-func (r *Runner) advance(ctx context.Context, w *wave, machines map[string]platform.Machine) error {
-	if err := r.load(ctx, w); err != nil || w.completed {
-		return err
-	}
-	r.observe(w, machines)
-	if r.mayOrder(ctx) {
-		for _, v := range Next(w.Wave, w.vms, machines, r.spare(), r.light(), r.now()-w.begun) {
-			if r.moves[v.Name] != nil {
-				continue
-			}
-			r.setPhase(w, v, PhaseEmptying, "a place in the wave is free")
-		}
-	}
-	r.empty(ctx, w, machines)
-	return r.keep(ctx, w)
-}
-
 func (r *Runner) spare() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.catalog.Spare()
 }
 
-// mayOrder tells whether this entry is certainly the owner and no order of a former one can come between.
-func (r *Runner) mayOrder(ctx context.Context) bool {
-	now := r.now()
-	if now < r.first {
-		return false
-	}
-	r.mu.Lock()
-	confirmed := now-r.confirmedAt < shard.ConfirmedFor/2
-	r.mu.Unlock()
-	if confirmed {
-		return true
-	}
-	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	row, err := shard.ReadOwner(readCtx, r.cfg.Rows, Partition)
-	if err != nil {
-		return false
-	}
-	if row.Version != r.claim.OwnerVersion {
-		r.giveUp()
-		return false
-	}
-	r.Confirm(now)
-	return r.now()-now < shard.ConfirmedFor
-}
-
 func (r *Runner) giveUp() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -297,160 +186,3 @@
 	r.cancel()
 	go r.cfg.OnOver(nil)
 }
-
-// observe takes the list of VMs into account.
-func (r *Runner) observe(w *wave, machines map[string]platform.Machine) {
-	for _, v := range w.vms {
-		m, ok := machines[v.Name]
-		switch {
-		case v.Phase == PhaseDone || v.Phase == PhaseGone:
-		case !ok:
-			r.setPhase(w, v, PhaseGone, "the VM is no longer listed")
-		case v.Phase == PhaseOrdered && v.back(m, r.now(), r.cfg.Takes):
-			r.setPhase(w, v, PhaseDone, "it is up again")
-		}
-	}
-}
-
-func (r *Runner) setPhase(w *wave, v *VM, p Phase, why string) {
-	r.log.Info().Str("event", "maintenance").Int("wave", w.ID).Str("vm", v.Name).Str("from", string(v.Phase)).Str("to", string(p)).Str("why", why).Send()
-	v.Phase = p
-	if p == PhaseDone || p == PhaseGone {
-		w.changed = true
-	}
-}
-
-// empty has VMs emptied and orders the maintenance of those that are.
-func (r *Runner) empty(ctx context.Context, w *wave, machines map[string]platform.Machine) {
-	var wg sync.WaitGroup
-	for _, v := range w.vms {
-		m := machines[v.Name]
-		switch v.Phase {
-		case PhaseEmptying:
-			wg.Go(func() { r.emptyOne(ctx, w, v, m) })
-		case PhaseOrdered:
-			if v.confirmedAt == 0 && m.State == platform.MachineUp && m.Boot == v.Boot {
-				wg.Go(func() { r.emptyOne(ctx, w, v, m) }) // the order may not have arrived
-			}
-		}
-	}
-	wg.Wait()
-}
-
-func (r *Runner) emptyOne(ctx context.Context, w *wave, v *VM, m platform.Machine) {
-	if m.Pool != r.spare() && !r.cfg.Empty(ctx, m.Pool, v.Name) {
-		return
-	}
-	if !r.mayOrderFor(v.Name) || !r.mayOrder(ctx) {
-		return
-	}
-	r.noteOrder(v.Name)
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := r.cfg.Machines.MaintainMachine(callCtx, v.Name, w.ID, r.holder())
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var refused platform.ErrRefused
-	var notDone platform.ErrNotDone
-	switch {
-	case errors.As(err, &refused), errors.As(err, &notDone):
-		r.log.Warn().Str("event", "maintenance_refused").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
-		return
-	case err != nil:
-		r.log.Warn().Str("event", "maintenance_unanswered").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
-	}
-	if err == nil {
-		v.confirmedAt = r.now()
-	}
-	if v.Phase == PhaseEmptying {
-		v.Boot = m.Boot
-		r.setPhase(w, v, PhaseOrdered, "it is empty")
-	}
-}
-
-// kept is what lasts of a wave.
-type kept struct {
-	Done []string `msgpack:"d"` // VMs that are done or gone
-}
-
-func progressKey(id int) platform.RowKey {
-	return platform.RowKey{Table: tableProgress, Partition: Partition, Key: strconv.Itoa(id)}
-}
-
-// load reads what a former owner has done of a wave.
-func (r *Runner) load(ctx context.Context, w *wave) error {
-	if w.loaded {
-		return nil
-	}
-	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	row, err := shard.ReadOne(readCtx, r.cfg.Rows, progressKey(w.ID))
-	if err != nil {
-		return err
-	}
-	var k kept
-	if row.Version > 0 {
-		if err := msgpack.Unmarshal(row.Value, &k); err != nil {
-			return errors.Wrap(err, "decode progress of wave")
-		}
-	}
-	for _, name := range k.Done {
-		for _, v := range w.vms {
-			if v.Name == name {
-				v.Phase = PhaseDone
-			}
-		}
-	}
-	if len(k.Done) > 0 {
-		w.begun -= w.Within / 2 // a former owner began it, it is not known when
-	}
-	w.loaded, w.changed = true, true
-	return nil
-}
-
-// keep writes what is done, and reports to the operator.
-func (r *Runner) keep(ctx context.Context, w *wave) error {
-	if !w.changed {
-		return nil
-	}
-	var k kept
-	finished := true
-	for _, v := range w.vms {
-		if v.Phase == PhaseDone || v.Phase == PhaseGone {
-			k.Done = append(k.Done, v.Name)
-		} else {
-			finished = false
-		}
-	}
-	raw, err := msgpack.Marshal(k)
-	if err != nil {
-		return errors.Wrap(err, "encode progress of wave")
-	}
-	writeCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := r.cfg.Rows.CommitRows(writeCtx, platform.RowTxn{
-		Put: []platform.Row{{RowKey: progressKey(w.ID), Value: raw}},
-	}); err != nil {
-		return err
-	}
-	w.changed = false
-	if w.reported && !finished {
-		return nil
-	}
-	row, err := r.cfg.Report(w.ID, finished)
-	if err != nil {
-		return err
-	}
-	if _, err := r.cfg.Rows.CommitRows(writeCtx, platform.RowTxn{Put: []platform.Row{row}}); err != nil {
-		w.changed = true
-		return err
-	}
-	w.reported = true
-	if finished {
-		r.mu.Lock()
-		w.completed = true
-		r.mu.Unlock()
-		r.log.Info().Str("event", "wave_completed").Int("wave", w.ID).Send()
-	}
-	return nil
-}
