Remove what nothing uses

Cause: the rewrite left fields that were only written (when a step was ready, since when a task was away, a host's zone), parameters that served them, and functions without a caller. Change: they are gone; nothing else reads a clock for them.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -82,16 +82,6 @@
 // Queue returns a queue by its name, nil if there is none.
 func (c *Catalog) Queue(name string) *Queue { return c.byName[name] }
 
-// Pool returns a pool by its name.
-func (c *Catalog) Pool(name string) (p Pool, ok bool) {
-	for _, p := range c.Pools {
-		if p.Name == name {
-			return p, true
-		}
-	}
-	return Pool{}, false
-}
-
 // Spare returns the name of the pool of switched-off VMs, empty if there is none.
 func (c *Catalog) Spare() string {
 	for _, p := range c.Pools {
--- a/pkg/jobs/book.go
+++ b/pkg/jobs/book.go
@@ -25,24 +25,23 @@
 func NewBook(term int64) *Book { return &Book{term: term, jobs: map[string]*Job{}} }
 
 // Add takes a job that was just accepted.
-func (b *Book) Add(id string, r Record, now time.Duration) *Job {
-	return b.insert(newJob(id, r, now))
+func (b *Book) Add(id string, r Record, now time.Duration) {
+	b.insert(newJob(id, r, now))
 }
 
 // Restore takes a job that a former owner kept, with its progress.
-func (b *Book) Restore(id string, r Record, p Progress, now time.Duration) *Job {
+func (b *Book) Restore(id string, r Record, p Progress, now time.Duration) {
 	j := newJob(id, r, now)
 	j.Restored = true
-	j.restore(p, now)
-	return b.insert(j)
+	j.restore(p)
+	b.insert(j)
 }
 
-func (b *Book) insert(j *Job) *Job {
+func (b *Book) insert(j *Job) {
 	b.jobs[j.ID] = j
 	if !j.State.Final() {
 		b.active = append(b.active, j)
 	}
-	return j
 }
 
 // Job returns a job, nil if there is none of that ID.
@@ -161,15 +160,12 @@
 }
 
 // Drop notes that an attempt is not at its worker: it never started, or was lost with it.
-func (b *Book) Drop(a *Attempt, now time.Duration) {
+func (b *Book) Drop(a *Attempt) {
 	t := a.Task
 	t.Attempts = slices.DeleteFunc(t.Attempts, func(o *Attempt) bool { return o == a })
 	if a.Checkpoint != "" {
 		t.Checkpoint = a.Checkpoint
 	}
-	if len(t.Attempts) == 0 {
-		t.AwaySince = now
-	}
 }
 
 // Effect tells what an end has changed.
@@ -181,9 +177,9 @@
 
 // End notes that the attempt of a task with a number has ended; a may be nil if
 // the book does not hold it. An end may be told again, to another owner.
-func (b *Book) End(t *Task, a *Attempt, number int64, reason platform.EndReason, checkpoint string, now time.Duration) (e Effect) {
+func (b *Book) End(t *Task, a *Attempt, number int64, reason platform.EndReason, checkpoint string) (e Effect) {
 	if a != nil {
-		b.Drop(a, now)
+		b.Drop(a)
 	}
 	j := t.Step.Job
 	if t.Done || j.State.Final() {
@@ -196,7 +192,7 @@
 	switch reason {
 	case platform.EndDone:
 		e.Keep = true
-		b.endDone(t, &e, now)
+		b.endDone(t, &e)
 	case platform.EndFailed:
 		e.Keep = b.endFailed(t, number)
 	}
@@ -207,18 +203,18 @@
 	return e
 }
 
-func (b *Book) endDone(t *Task, e *Effect, now time.Duration) {
+func (b *Book) endDone(t *Task, e *Effect) {
 	s := t.Step
 	if s.Spec.LongRunning {
 		return // to be started again
 	}
 	if s.Spec.Gang {
 		for _, m := range s.Tasks { // one end counts for all members
-			s.Job.finishTask(m, now)
+			s.Job.finishTask(m)
 		}
 		return
 	}
-	s.Job.finishTask(t, now)
+	s.Job.finishTask(t)
 	e.Surplus = append(e.Surplus, t.Attempts...)
 }
 
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -45,8 +45,7 @@
 	Occurrence int
 	Index      int
 	Tasks      []*Task
-	ReadyAt    time.Duration // when its last predecessor was done or it was due, on the owner's clock
-	GangFailed []int64       // numbers of the runs of the whole gang that failed
+	GangFailed []int64 // numbers of the runs of the whole gang that failed
 
 	blockers int // unfinished steps that it waits for
 	done     int
@@ -63,7 +62,6 @@
 	Attempts   []*Attempt
 	Took       time.Duration // of the attempt that was done
 	WantsCopy  bool          // another attempt is to start beside the one that runs
-	AwaySince  time.Duration // of a long-running task: since when it has not served
 
 	lastAttempt int64
 	name        string
@@ -125,9 +123,9 @@
 		first := len(j.Steps)
 		for i := range r.Spec.Steps {
 			spec := &r.Spec.Steps[i]
-			s := &StepRun{Job: j, Spec: spec, Occurrence: occ, Index: i, blockers: len(spec.After), ReadyAt: now}
+			s := &StepRun{Job: j, Spec: spec, Occurrence: occ, Index: i, blockers: len(spec.After)}
 			for k := range spec.Count {
-				s.Tasks = append(s.Tasks, &Task{Step: s, Index: k, AwaySince: now})
+				s.Tasks = append(s.Tasks, &Task{Step: s, Index: k})
 			}
 			for _, a := range spec.After {
 				before := j.Steps[first+a]
@@ -154,7 +152,7 @@
 }
 
 // finishTask marks a task done and releases the steps that waited for its step.
-func (j *Job) finishTask(t *Task, now time.Duration) {
+func (j *Job) finishTask(t *Task) {
 	if t.Done {
 		return
 	}
@@ -165,7 +163,6 @@
 	}
 	for _, s := range t.Step.waiters {
 		s.blockers--
-		s.ReadyAt = now
 	}
 	if j.unfinished--; j.unfinished == 0 && !j.State.Final() {
 		j.State = StateCompleted
@@ -245,7 +242,7 @@
 }
 
 // restore applies kept progress to a job that was just laid out.
-func (j *Job) restore(p Progress, now time.Duration) {
+func (j *Job) restore(p Progress) {
 	if p.State.Final() {
 		j.State, j.Kept, j.Begun = p.State, p.State, true
 		return
@@ -260,7 +257,7 @@
 			t.Failed = sp.Failed[i]
 			t.Checkpoint = sp.Checkpoints[i]
 			if i/8 < len(sp.Done) && sp.Done[i/8]&(1<<(i%8)) != 0 {
-				j.finishTask(t, now)
+				j.finishTask(t)
 			}
 		}
 		j.Begun = true
--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -81,16 +81,6 @@
 	return nil
 }
 
-// LongRunning tells whether the job has tasks that run until it is cancelled.
-func (s *Spec) LongRunning() bool {
-	for i := range s.Steps {
-		if s.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // Occurrences is the number of times that the steps run.
 func (s *Spec) Occurrences() int { return max(s.Times, 1) }
 
--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -10,7 +10,6 @@
 // Host is a worker as placement sees it.
 type Host struct {
 	Boot     string
-	Zone     string
 	Rack     string
 	Labels   []string
 	Capacity platform.Resources
--- a/pkg/platform/fake/rows.go
+++ b/pkg/platform/fake/rows.go
@@ -40,7 +40,6 @@
 	version int64
 	forgot  int64 // changes up to this version are no longer known
 	changed chan struct{}
-	commits int
 }
 
 var _ platform.Rows = (*rowsView)(nil)
@@ -67,13 +66,6 @@
 	r.log, r.forgot = nil, r.version
 }
 
-// Commits counts the transactions that took effect.
-func (r *Rows) Commits() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.commits
-}
-
 // As returns the table service as one entry reaches it.
 func (r *Rows) As(entry string) platform.Rows { return &rowsView{Rows: r, entry: entry} }
 
@@ -122,7 +114,6 @@
 		}
 	}
 	r.version++
-	r.commits++
 	for _, p := range txn.Put {
 		p.Version = r.version
 		p.Value = slices.Clone(p.Value)
--- a/pkg/shard/health.go
+++ b/pkg/shard/health.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -21,7 +20,7 @@
 )
 
 // note takes one end into account.
-func (h *outcomes) note(reason platform.EndReason, a *jobs.Attempt, now time.Duration) {
+func (h *outcomes) note(reason platform.EndReason, now time.Duration) {
 	h.fade(now)
 	switch reason {
 	case platform.EndFailed:
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -73,7 +73,7 @@
 	case errors.As(err, &notDone):
 		s.failures++
 		if current && r.confirmedAt == 0 {
-			o.drop(s, name, now)
+			o.drop(s, name)
 		}
 	default:
 		s.health.unanswered(now)
@@ -103,7 +103,7 @@
 		s.pause = now + pauseUnhealthy
 	}
 	if s.attempts[name] == r && r.confirmedAt == 0 {
-		o.drop(s, name, now)
+		o.drop(s, name)
 	}
 }
 
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -158,9 +158,6 @@
 // RowVersion is the version of the owner row that this owner wrote.
 func (o *Owner) RowVersion() int64 { return o.claim.OwnerVersion }
 
-// Pool is the pool whose shard this is.
-func (o *Owner) Pool() string { return o.pool }
-
 // SetCatalog takes a new version of the configuration.
 func (o *Owner) SetCatalog(c *catalog.Catalog) {
 	o.mu.Lock()
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -29,7 +29,7 @@
 	for name, a := range s.attempts {
 		if !seen[name] && a.confirmedAt > 0 && a.confirmedAt < sentAt {
 			o.log.Warn().Str("event", "attempt_vanished").Str("task", name).Int64("attempt", a.Number).Str("boot", s.ref.Boot).Send()
-			o.drop(s, name, now)
+			o.drop(s, name)
 		}
 	}
 }
@@ -98,8 +98,8 @@
 			o.learn(a, now)
 		}
 	}
-	s.health.note(e.Reason, attempt, now)
-	effect := o.book.End(t, attempt, e.Attempt, e.Reason, e.Checkpoint, now)
+	s.health.note(e.Reason, now)
+	effect := o.book.End(t, attempt, e.Attempt, e.Reason, e.Checkpoint)
 	ev.Str("job_state", string(t.Step.Job.State)).Send()
 	if effect.Keep {
 		o.keep(t.Step.Job, effect.JobEnded)
@@ -121,16 +121,16 @@
 		if a.Phase == jobs.PhaseInDoubt && a.confirmedAt == 0 {
 			o.log.Info().Str("event", "start_settled").Str("task", name).Int64("attempt", a.Number).
 				Str("boot", s.ref.Boot).Bool("running", false).Dur("age", o.now()-sentAt).Send()
-			o.drop(s, name, o.now())
+			o.drop(s, name)
 		}
 	}
 }
 
 // drop forgets an attempt that is not at the worker, or no longer.
-func (o *Owner) drop(s *session, name string, now time.Duration) {
+func (o *Owner) drop(s *session, name string) {
 	if a := s.attempts[name]; a != nil {
 		delete(s.attempts, name)
-		o.book.Drop(a.Attempt, now)
+		o.book.Drop(a.Attempt)
 		o.kickPlacement()
 	}
 }
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -83,7 +83,7 @@
 // host describes the worker to placement.
 func (s *session) host(now time.Duration) *placement.Host {
 	h := &placement.Host{
-		Boot: s.ref.Boot, Zone: s.info.Zone, Labels: s.info.Labels, Rack: rackOf(s.info.Labels),
+		Boot: s.ref.Boot, Labels: s.info.Labels, Rack: rackOf(s.info.Labels),
 		Capacity: s.info.Capacity, Free: s.info.Capacity, Penalty: s.health.penalty(now),
 	}
 	for _, a := range s.attempts {
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -97,7 +97,7 @@
 		o.log.Warn().Str("event", "leases_lapsed").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Send()
 	}
 	for name := range s.attempts {
-		o.drop(s, name, now)
+		o.drop(s, name)
 	}
 	s.inDoubt = false
 	s.known = false
@@ -114,9 +114,8 @@
 		return
 	}
 	o.log.Info().Str("event", "worker_ended").Str("boot", s.ref.Boot).Str("vm", s.vm).Str("why", why).Int("attempts", len(s.attempts)).Send()
-	now := o.now()
 	for name := range s.attempts {
-		o.drop(s, name, now)
+		o.drop(s, name)
 	}
 	s.gone = true
 	s.cancel()
