--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -95,7 +95,7 @@
 		b.acks = nil
 		return b, nil
 	}
-	raw, err := encode(CommitRow{Entry: o.self.Entry, Start: o.self.Start, Term: o.term, Seq: b.seq})
+	raw, err := encode(commitRow{Entry: o.self.Entry, Start: o.self.Start, Term: o.term, Seq: b.seq})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -123,7 +123,7 @@
 		if r.RowKey != commitKey(o.pool) || r.Version == 0 {
 			continue
 		}
-		var row CommitRow
+		var row commitRow
 		if err := msgpack.Unmarshal(r.Value, &row); err != nil {
 			return 0, errors.Wrap(err, "decode commit row")
 		}
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -35,26 +35,33 @@
 	}
 	o.log.Info().Str("event", "start_ordered").Str("task", name).Int64("attempt", a.Number).
 		Str("boot", a.Boot).Int64("token", s.token).Int("at_worker", len(s.attempts)).Send()
+	o.send(func(ctx context.Context) (int64, error) { return o.workers.StartAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
+		s.inFlight--
+		o.started(s, name, r, clockMs, err)
+	})
+}
+
+// send carries an order out in the background and passes its answer on under the lock.
+func (o *Owner) send(order func(context.Context) (clockMs int64, err error), answered func(clockMs int64, err error)) {
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
-		clock, err := o.workers.StartAttempt(ctx, s.ref, order)
-		cancel()
+		defer cancel()
+		clockMs, err := order(ctx)
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.metrics.Order(err)
-		s.inFlight--
-		o.started(s, name, r, clock, err)
+		answered(clockMs, err)
 	})
 }
 
 // started applies the answer to a start order; the lock is held.
-func (o *Owner) started(s *session, name string, r *running, clock int64, err error) {
+func (o *Owner) started(s *session, name string, r *running, clockMs int64, err error) {
 	now := o.now()
 	current := s.attempts[name] == r
 	if err == nil {
-		s.noteClock(clock, now)
+		s.noteClock(clockMs, now)
 		if current {
-			o.confirm(s, r, now)
+			o.begun(s, r, now)
 		}
 		s.kick()
 		return
@@ -107,8 +114,8 @@
 	}
 }
 
-// confirm notes that the worker has begun the attempt.
-func (o *Owner) confirm(s *session, r *running, now time.Duration) {
+// begun notes that the worker has the attempt, and stops one that should not run; the lock is held.
+func (o *Owner) begun(s *session, r *running, now time.Duration) {
 	if r.confirmedAt == 0 {
 		r.confirmedAt = now
 	}
@@ -142,12 +149,8 @@
 
 // stopAttempt ends an attempt wherever it is; the lock is held.
 func (o *Owner) stopAttempt(a *jobs.Attempt, why string) {
-	s := o.sessions[a.Boot]
-	if s == nil {
-		return
-	}
-	if r := s.attempts[a.Task.Name()]; r != nil && r.Attempt == a {
-		o.stop(s, r, why)
+	if r := o.running(a); r != nil {
+		o.stop(o.sessions[a.Boot], r, why)
 	}
 }
 
@@ -159,23 +162,22 @@
 	}
 	r.Phase = jobs.PhaseStopped
 	o.log.Info().Str("event", "stop_ordered").Str("task", r.Task.Name()).Int64("attempt", r.Number).Str("boot", s.ref.Boot).Str("why", why).Send()
-	o.sendStop(s, platform.StopOrder{Task: r.Task.Name(), Attempt: r.Number, Token: s.token}, r)
+	o.orderEnd(s, r)
 }
 
-func (o *Owner) sendStop(s *session, order platform.StopOrder, r *running) {
-	if r != nil {
-		r.orderedEnd = o.now()
-	}
-	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
-		defer cancel()
-		clock, err := o.workers.StopAttempt(ctx, s.ref, order)
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		o.metrics.Order(err)
-		s.noteClock(clock, o.now())
+// orderEnd sends the order to end an attempt and notes when.
+func (o *Owner) orderEnd(s *session, r *running) {
+	r.orderedEnd = o.now()
+	o.sendStop(s, r.Task.Name(), r.Number)
+}
+
+// sendStop sends the order to end an attempt, of which this owner need know nothing.
+func (o *Owner) sendStop(s *session, task string, attempt int64) {
+	order := platform.StopOrder{Task: task, Attempt: attempt, Token: s.token}
+	o.send(func(ctx context.Context) (int64, error) { return o.workers.StopAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
+		s.noteClock(clockMs, o.now())
 		if err != nil {
-			o.log.Warn().Str("event", "stop_failed").Str("task", order.Task).Str("boot", s.ref.Boot).Err(err).Send()
+			o.log.Warn().Str("event", "stop_failed").Str("task", task).Str("boot", s.ref.Boot).Err(err).Send()
 		}
 		s.kick()
 	})
@@ -185,7 +187,7 @@
 func (o *Owner) repeatStops(s *session, now time.Duration) {
 	for _, r := range s.attempts {
 		if r.Phase == jobs.PhaseStopped && now-r.orderedEnd > repeatStop {
-			o.sendStop(s, platform.StopOrder{Task: r.Task.Name(), Attempt: r.Number, Token: s.token}, r)
+			o.orderEnd(s, r)
 		}
 	}
 }
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -42,12 +42,6 @@
 			return
 		}
 	}
-	if a.confirmedAt == 0 {
-		a.confirmedAt = now
-	}
-	if a.Phase != jobs.PhaseStopped {
-		o.book.MarkBegun(a.Attempt)
-	}
 	if r.Percent > a.Percent {
 		a.ProgressAt = now
 	}
@@ -55,9 +49,7 @@
 	if r.Checkpoint != "" {
 		a.Checkpoint = r.Checkpoint
 	}
-	if o.unwanted(a.Attempt) {
-		o.stop(s, a, "no longer wanted")
-	}
+	o.begun(s, a, now)
 }
 
 // takeStranger decides on an attempt that runs at a worker without our having
@@ -75,7 +67,7 @@
 		s.attempts[r.Task] = a
 		return a
 	}
-	o.sendStop(s, platform.StopOrder{Task: r.Task, Attempt: r.Attempt, Token: s.token}, nil)
+	o.sendStop(s, r.Task, r.Attempt)
 	return nil
 }
 
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -29,8 +29,8 @@
 	Next    string `msgpack:"n"` // entry that should take over, set by an owner that lets go
 }
 
-// CommitRow is rewritten by each transaction of a shard.
-type CommitRow struct {
+// commitRow is rewritten by each transaction of a shard.
+type commitRow struct {
 	Entry string `msgpack:"e"`
 	Start int64  `msgpack:"s"`
 	Term  int64  `msgpack:"t"`
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return c, err
 	}
-	commitRaw, err := encode(CommitRow{Entry: self.Entry, Start: self.Start, Term: c.Term})
+	commitRaw, err := encode(commitRow{Entry: self.Entry, Start: self.Start, Term: c.Term})
 	if err != nil {
 		return c, err
 	}
