pkg/ownership, pkg/node: true names, one listing, one measure of burden

Cause: two orders of entries spelled the same quotient out; what was called alive were the heirs, those that may take a shard over; Keeper.Pools returned only pools whose row was not read; node went through the pages of a listing by itself, as shard does; AcceptedAt was said to be by the owner's clock. Change: burden, heirs, Keeper.Unread and platform.ListAll; the comment on AcceptedAt names the entry that took the job.

--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -87,7 +87,7 @@
 // Record is what is kept of a job from its acceptance on.
 type Record struct {
 	Queue       string        `msgpack:"q"`
-	AcceptedAt  time.Duration `msgpack:"a"` // Unix time by the clock of the owner that accepted it
+	AcceptedAt  time.Duration `msgpack:"a"` // Unix time by the clock of the entry that took it
 	MaxAttempts int           `msgpack:"m"` // failed attempts of a task after which the job has failed
 	Spec        Spec          `msgpack:"s"`
 }
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -96,23 +96,7 @@
 
 // listAll reads all rows of a table without partitions.
 func (n *Node) listAll(ctx context.Context, table string, f func(platform.Row)) (version int64, err error) {
-	from := ""
-	for {
-		page, err := n.rows.ListRows(ctx, table, "", from)
-		if err != nil {
-			return 0, err
-		}
-		if version == 0 {
-			version = page.Version // changes during the listing come again by the feed
-		}
-		for _, r := range page.Rows {
-			f(r)
-		}
-		if !page.More || len(page.Rows) == 0 {
-			return version, nil
-		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
-	}
+	return platform.ListAll(ctx, n.rows, table, "", f)
 }
 
 func (n *Node) followCatalog(ctx context.Context) error {
@@ -267,7 +251,7 @@
 			return
 		case <-tick.C:
 		}
-		for _, pool := range n.keeper.Pools() {
+		for _, pool := range n.keeper.Unread() {
 			readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 			row, err := shard.ReadOwner(readCtx, n.rows, pool)
 			cancel()
--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -40,8 +40,8 @@
 			}
 		}
 	}
-	alive := k.members.Heirs()
-	load := k.load(alive)
+	heirs := k.members.Heirs()
+	load := k.load()
 	pools := make([]string, 0, len(k.shards))
 	for pool := range k.shards {
 		pools = append(pools, pool)
@@ -56,13 +56,13 @@
 		if !gone {
 			continue
 		}
-		rank := k.rank(pool, s.row, alive, load)
+		rank := k.rank(pool, s.row, heirs, load)
 		if now-s.gone < time.Duration(rank)*rankDelay {
 			continue
 		}
 		s.claiming = true
 		k.log.Info().Str("event", "shard_claimed").Str("pool", pool).Str("former", s.row.Entry).Int64("version", s.version).
-			Str("why", why).Int("rank", rank).Int("alive", len(alive)).Send()
+			Str("why", why).Int("rank", rank).Int("alive", len(heirs)).Send()
 		go k.claim(ctx, pool, s, s.version)
 	}
 }
--- a/pkg/ownership/judge.go
+++ b/pkg/ownership/judge.go
@@ -10,6 +10,9 @@
 // others reach, before one of them takes over.
 const storeSilence = time.Second
 
+// Verdict is what this entry holds of an owner.
+type Verdict string
+
 // The verdicts on an owner.
 const (
 	VerdictAlive   Verdict = "alive"
@@ -17,9 +20,6 @@
 	VerdictSuspect Verdict = "suspect" // not heard, but few others are either
 )
 
-// Verdict is what this entry holds of an owner.
-type Verdict string
-
 // Judge tells whether the owner in a row, which was seen first at since, still
 // lives. An owner that has just written its row does, whatever was heard before.
 func (m *Members) Judge(o shard.OwnerRow, since time.Duration) (v Verdict, why string) {
--- a/pkg/ownership/rank.go
+++ b/pkg/ownership/rank.go
@@ -9,9 +9,9 @@
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
-// load counts the shards of each entry that is alive.
-func (k *Keeper) load(alive []Member) map[string]int {
-	load := make(map[string]int, len(alive))
+// load counts the shards of each entry; the lock is held.
+func (k *Keeper) load() map[string]int {
+	load := map[string]int{}
 	for _, s := range k.shards {
 		if s.row.Entry != "" {
 			load[s.row.Entry]++
@@ -20,14 +20,14 @@
 	return load
 }
 
-// rank is this entry's place among those that may take a shard over, 0 for the
-// first; the first is counted as its owner from then on.
-func (k *Keeper) rank(pool string, row shard.OwnerRow, alive []Member, load map[string]int) int {
-	order := slices.Clone(alive)
+// rank is this entry's place among the heirs of a shard, 0 for the first; load
+// counts the first as its owner from then on.
+func (k *Keeper) rank(pool string, row shard.OwnerRow, heirs []Member, load map[string]int) int {
+	order := slices.Clone(heirs)
 	slices.SortFunc(order, func(a, b Member) int {
 		return cmp.Or(
 			cmp.Compare(notNext(a, row), notNext(b, row)),
-			cmp.Compare(float64(load[a.Name]+1)/a.Share, float64(load[b.Name]+1)/b.Share),
+			cmp.Compare(burden(a, load), burden(b, load)),
 			cmp.Compare(xxhash.Sum64String(pool+"/"+a.Name), xxhash.Sum64String(pool+"/"+b.Name)),
 		)
 	})
@@ -37,6 +37,9 @@
 	return slices.IndexFunc(order, func(m Member) bool { return m.Name == k.self.Entry })
 }
 
+// burden is how many shards an entry would own for each processor with one more.
+func burden(m Member, load map[string]int) float64 { return float64(load[m.Name]+1) / m.Share }
+
 // notNext is 0 for the entry that the last owner named as the next.
 func notNext(m Member, row shard.OwnerRow) int {
 	if row.Next != "" && m.Name == row.Next {
@@ -51,9 +54,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	heirs := slices.DeleteFunc(k.members.Heirs(), func(m Member) bool { return m.Name == k.self.Entry })
-	load := k.load(heirs)
+	load := k.load()
 	slices.SortFunc(heirs, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(float64(load[a.Name]+1)/a.Share, float64(load[b.Name]+1)/b.Share), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(burden(a, load), burden(b, load)), cmp.Compare(a.Name, b.Name))
 	})
 	for _, m := range heirs {
 		names = append(names, m.Name)
--- a/pkg/ownership/rows.go
+++ b/pkg/ownership/rows.go
@@ -64,16 +64,16 @@
 	return s.row, s.owner, k.changed
 }
 
-// Pools returns the pools whose owner row has not been read yet.
-func (k *Keeper) Pools() (unread []string) {
+// Unread returns the pools whose owner row has not been read yet.
+func (k *Keeper) Unread() (pools []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for pool, s := range k.shards {
 		if !s.loaded {
-			unread = append(unread, pool)
+			pools = append(pools, pool)
 		}
 	}
-	return unread
+	return pools
 }
 
 // seenVersion is the highest version of an owner row that was seen; the lock is held.
--- a/pkg/platform/rows.go
+++ b/pkg/platform/rows.go
@@ -61,3 +61,26 @@
 	// FollowRows waits for rows of a table that changed after a version.
 	FollowRows(ctx context.Context, table string, after int64, wait time.Duration) (RowPage, error)
 }
+
+// ListAll calls f for each row of a table's partition, in order of keys, page by
+// page. The version is that of the first page: what changed during the listing
+// comes again by FollowRows.
+func ListAll(ctx context.Context, rows Rows, table, partition string, f func(Row)) (version int64, err error) {
+	from := ""
+	for {
+		page, err := rows.ListRows(ctx, table, partition, from)
+		if err != nil {
+			return 0, err
+		}
+		if version == 0 {
+			version = page.Version
+		}
+		for _, r := range page.Rows {
+			f(r)
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return version, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
