pkg/shard: fields by concern, long functions split, nothing held twice

Cause: an owner copied each part of its configuration into a field of its own; its fields stood in the order in which they came; a look and the filling of a batch were long; the record of a leased worker was made in two places.

--- a/pkg/shard/advice.go
+++ b/pkg/shard/advice.go
@@ -81,7 +81,7 @@
 	name := fmt.Sprintf("%s.%d.%d", s.Job.ID, s.Occurrence, s.Index)
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
-		permits, valid, err := o.adviser.Advise(ctx, name, boots)
+		permits, valid, err := o.cfg.Adviser.Advise(ctx, name, boots)
 		cancel()
 		o.mu.Lock()
 		defer o.mu.Unlock()
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -33,47 +33,41 @@
 	acks        map[*session]int64
 	drops       []string
 	txn         platform.RowTxn
+	size        int // of the values that txn puts, in bytes
 	seq         int64
 }
 
+// room tells whether one more row may be put.
+func (b *batch) room() bool {
+	return len(b.txn.Put)+len(b.txn.Remove) < maxTxnRows && b.size < maxTxnBytes
+}
+
+func (b *batch) put(key platform.RowKey, raw []byte) {
+	b.txn.Put = append(b.txn.Put, platform.Row{RowKey: key, Value: raw})
+	b.size += len(raw)
+}
+
 func (b *batch) empty() bool {
 	return len(b.submissions) == 0 && len(b.jobs) == 0 && len(b.workers) == 0 && len(b.acks) == 0 && len(b.drops) == 0
 }
 
-// nextBatch takes what waits to be written, as much as fits.
+// nextBatch takes what waits to be written, as much as fits; the lock is held.
 func (o *Owner) nextBatch() (b *batch, err error) {
 	b = &batch{acks: map[*session]int64{}, seq: o.seq + 1}
-	size := 0
-	room := func() bool { return len(b.txn.Put)+len(b.txn.Remove) < maxTxnRows && size < maxTxnBytes }
-	put := func(key platform.RowKey, raw []byte) {
-		b.txn.Put = append(b.txn.Put, platform.Row{RowKey: key, Value: raw})
-		size += len(raw)
-	}
-	for len(o.queued) > 0 && room() {
+	for len(o.queued) > 0 && b.room() {
 		s := o.queued[0]
 		o.queued = o.queued[1:]
 		b.submissions = append(b.submissions, s)
-		put(jobKey(o.pool, s.id), s.raw)
+		b.put(jobKey(o.cfg.Pool, s.id), s.raw)
 	}
-	for j := range o.dirty {
-		if !room() {
-			break
-		}
-		p := j.Progress()
-		raw, err := p.Encode()
-		if err != nil {
-			return nil, err
-		}
-		delete(o.dirty, j)
-		b.jobs = append(b.jobs, j)
-		b.states = append(b.states, j.State)
-		put(progressKey(o.pool, j.ID), raw)
+	if err := o.putProgress(b); err != nil {
+		return nil, err
 	}
-	for len(o.drops) > 0 && room() {
+	for len(o.drops) > 0 && b.room() {
 		id := o.drops[0]
 		o.drops = o.drops[1:]
 		b.drops = append(b.drops, id)
-		b.txn.Remove = append(b.txn.Remove, jobKey(o.pool, id), progressKey(o.pool, id))
+		b.txn.Remove = append(b.txn.Remove, jobKey(o.cfg.Pool, id), progressKey(o.cfg.Pool, id))
 	}
 	if len(o.dirty) == 0 {
 		for _, s := range o.sessions {
@@ -84,7 +78,7 @@
 	}
 	if o.workersChanged {
 		o.workersChanged = false
-		if err := o.putWorkers(b, put); err != nil {
+		if err := o.putWorkers(b); err != nil {
 			return nil, err
 		}
 	}
@@ -95,22 +89,42 @@
 		b.acks = nil
 		return b, nil
 	}
-	raw, err := encode(commitRow{Entry: o.self.Entry, Start: o.self.Start, Term: o.term, Seq: b.seq})
+	raw, err := encode(commitRow{Entry: o.cfg.Self.Entry, Start: o.cfg.Self.Start, Term: o.claim.Term, Seq: b.seq})
 	if err != nil {
 		return nil, err
 	}
-	put(commitKey(o.pool), raw)
-	b.txn.Expect = []platform.Row{{RowKey: commitKey(o.pool), Version: o.chain}}
+	b.put(commitKey(o.cfg.Pool), raw)
+	b.txn.Expect = []platform.Row{{RowKey: commitKey(o.cfg.Pool), Version: o.chain}}
 	return b, nil
 }
 
-func (o *Owner) putWorkers(b *batch, put func(platform.RowKey, []byte)) error {
+// putProgress adds the progress of jobs that have changed.
+func (o *Owner) putProgress(b *batch) error {
+	for j := range o.dirty {
+		if !b.room() {
+			break
+		}
+		p := j.Progress()
+		raw, err := p.Encode()
+		if err != nil {
+			return err
+		}
+		delete(o.dirty, j)
+		b.jobs = append(b.jobs, j)
+		b.states = append(b.states, j.State)
+		b.put(progressKey(o.cfg.Pool, j.ID), raw)
+	}
+	return nil
+}
+
+// putWorkers adds the record of workers that may hold a lease.
+func (o *Owner) putWorkers(b *batch) error {
 	var set []leasedWorker
 	for _, s := range o.sessions {
 		if s.gone || s.cordonedTo > o.now() && s.idle() {
 			continue // it cannot hold a lease
 		}
-		set = append(set, leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address})
+		set = append(set, s.leased())
 		if !s.recorded {
 			b.workers = append(b.workers, s)
 		}
@@ -119,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	put(workersKey(o.pool), raw)
+	b.put(workersKey(o.cfg.Pool), raw)
 	return nil
 }
 
@@ -130,7 +144,7 @@
 	for _, s := range b.submissions {
 		delete(o.pending, s.id)
 		o.book.Add(s.id, s.record, now)
-		o.metrics.Job("accepted")
+		o.cfg.Metrics.Job("accepted")
 		s.done <- schema.CallOutcomeOk
 	}
 	for i, j := range b.jobs {
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -80,7 +80,7 @@
 	}
 	if o.book.Cancel(j) {
 		o.log.Info().Str("event", "job_cancelled").Str("job", id).Send()
-		o.metrics.Job("cancelled")
+		o.cfg.Metrics.Job("cancelled")
 		o.jobEnded(j)
 	}
 	done := make(chan Outcome, 1)
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -88,9 +88,9 @@
 	for {
 		started := o.now()
 		tryCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-		version, err = o.rows.CommitRows(tryCtx, b.txn)
+		version, err = o.cfg.Rows.CommitRows(tryCtx, b.txn)
 		cancel()
-		o.metrics.Commit(o.now()-started, err)
+		o.cfg.Metrics.Commit(o.now()-started, err)
 		var conflict platform.ErrConflict
 		var notDone platform.ErrNotDone
 		switch {
@@ -120,14 +120,14 @@
 // resolveConflict tells a transaction of ours that had happened from a takeover by another entry.
 func (o *Owner) resolveConflict(conflict platform.ErrConflict, b *batch) (version int64, err error) {
 	for _, r := range conflict.Rows {
-		if r.RowKey != commitKey(o.pool) || r.Version == 0 {
+		if r.RowKey != commitKey(o.cfg.Pool) || r.Version == 0 {
 			continue
 		}
 		var row commitRow
 		if err := msgpack.Unmarshal(r.Value, &row); err != nil {
 			return 0, errors.Wrap(err, "decode commit row")
 		}
-		if row.Entry == o.self.Entry && row.Start == o.self.Start && row.Term == o.term && row.Seq == b.seq {
+		if row.Entry == o.cfg.Self.Entry && row.Start == o.cfg.Self.Start && row.Term == o.claim.Term && row.Seq == b.seq {
 			o.setTrouble(false, nil)
 			return r.Version, nil
 		}
--- a/pkg/shard/confirm.go
+++ b/pkg/shard/confirm.go
@@ -53,7 +53,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
 		defer cancel()
 		sentAt := o.now()
-		row, err := ReadOwner(ctx, o.rows, o.pool)
+		stands, err := o.claim.Stands(ctx, o.cfg.Rows, o.cfg.Pool)
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.asking = false
@@ -61,7 +61,7 @@
 			o.log.Debug().Str("event", "ownership_not_read").Err(err).Send()
 			return
 		}
-		if row.Version != o.claim.OwnerVersion {
+		if !stands {
 			o.giveUp(ErrNotOwner{Owner: OwnerRow{Entry: "the writer of a later owner row"}})
 			return
 		}
--- a/pkg/shard/health.go
+++ b/pkg/shard/health.go
@@ -6,19 +6,21 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
-// outcomes is what is remembered of a worker's ends to tell a bad worker.
-type outcomes struct {
-	failures float64 // recent failed attempts, fading
-	at       time.Duration
-}
-
 const (
 	// failureHalfLife is how fast failures are forgiven.
 	failureHalfLife = 4 * time.Second
 	// failurePenalty is what one recent failure weighs against a worker, as a share of free processors.
 	failurePenalty = 0.35
+	// forgiven is the count of failures below which they no longer matter.
+	forgiven = 0.05
 )
 
+// outcomes is what is remembered of a worker's ends to tell a bad worker.
+type outcomes struct {
+	failures float64 // recent failed attempts, fading
+	at       time.Duration
+}
+
 // note takes one end into account.
 func (h *outcomes) note(reason platform.EndReason, now time.Duration) {
 	h.fade(now)
@@ -31,11 +33,11 @@
 }
 
 func (h *outcomes) fade(now time.Duration) {
-	for h.failures > 0.05 && now-h.at >= failureHalfLife {
+	for h.failures > forgiven && now-h.at >= failureHalfLife {
 		h.failures /= 2
 		h.at += failureHalfLife
 	}
-	if now-h.at >= failureHalfLife || h.failures <= 0.05 {
+	if now-h.at >= failureHalfLife || h.failures <= forgiven {
 		h.at = now
 	}
 }
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -13,6 +13,12 @@
 // logLoadEvery is the time between two lines about a shard's load.
 const logLoadEvery = time.Second
 
+// lightShare is the part of its processors that a VM may have in use and still count as light.
+const lightShare = 0.15
+
+// lostAfter is how many looks in a row a worker may leave unanswered and still count.
+const lostAfter = 2
+
 // Load is how busy a shard's workers are.
 type Load struct {
 	Workers  int                // that may get tasks, or will within a moment
@@ -28,9 +34,6 @@
 	Light []string
 }
 
-// lightShare is the part of its processors that a VM may have in use and still count as light.
-const lightShare = 0.15
-
 // Load sums the shard's workers and waiting tasks up; ok is false while they are not wholly known.
 func (o *Owner) Load() (l Load, ok bool) {
 	o.mu.Lock()
@@ -88,9 +91,6 @@
 	return widest + 1
 }
 
-// lostAfter is how many looks in a row a worker may leave unanswered and still count.
-const lostAfter = 2
-
 // serviceable tells whether a worker counts for the size of the pool: it is
 // usable but for what passes within a moment.
 func (s *session) serviceable(now time.Duration) bool {
--- a/pkg/shard/look.go
+++ b/pkg/shard/look.go
@@ -74,42 +74,29 @@
 // look renews the leases at a worker and takes its report.
 func (o *Owner) look(ctx context.Context, s *session) {
 	o.mu.Lock()
-	if s.inDoubt && s.inFlight == 0 {
-		s.token++
-	}
 	settles := s.inDoubt && s.inFlight == 0
-	now := o.now()
-	order := platform.RenewOrder{Token: s.token, AckedEnd: s.ackedEnd}
-	if s.failures == 0 && o.confirmed(now) {
-		// A look without an answer may still arrive; were each of them to renew,
-		// the leases of a worker that is gone would never run out.
-		order.LeaseUntil = s.lease(now)
-	}
-	if s.known && !s.inDoubt && s.seenEnd == s.ackedEnd && s.failures == 0 && order.LeaseUntil > 0 {
-		order.Wait = lookWait
+	if settles {
+		s.token++
 	}
+	sentAt := o.now()
+	order := o.renewal(s, sentAt)
 	o.mu.Unlock()
 	lookCtx, cancel := context.WithTimeout(ctx, order.Wait+answerTimeout)
-	report, err := o.workers.RenewLeases(lookCtx, s.ref, order)
+	report, err := o.cfg.Workers.RenewLeases(lookCtx, s.ref, order)
 	cancel()
 	if ctx.Err() != nil {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.metrics.Look(err)
+	o.cfg.Metrics.Look(err)
 	if err != nil {
 		o.lookFailed(s, err)
 		return
 	}
-	if s.failures > 0 {
-		o.log.Info().Str("event", "worker_regained").Str("boot", s.ref.Boot).Int("failures", s.failures).Send()
-	}
-	s.failures = 0
-	s.noteClock(report.ClockMs, o.now())
-	o.takeReport(s, &report, now, order.Token)
+	o.lookAnswered(s, &report, sentAt)
 	if settles && order.Token == s.token {
-		o.settled(s, now)
+		o.settled(s, sentAt)
 	}
 	if !s.known && order.LeaseUntil > 0 {
 		s.known = true
@@ -119,6 +106,31 @@
 	o.kickPlacement()
 }
 
+// renewal is the order to send with a look; the lock is held.
+func (o *Owner) renewal(s *session, now time.Duration) platform.RenewOrder {
+	order := platform.RenewOrder{Token: s.token, AckedEnd: s.ackedEnd}
+	if s.failures == 0 && o.confirmed(now) {
+		// A look without an answer may still arrive; were each of them to renew,
+		// the leases of a worker that is gone would never run out.
+		order.LeaseUntil = s.lease(now)
+	}
+	if s.known && !s.inDoubt && s.seenEnd == s.ackedEnd && s.failures == 0 && order.LeaseUntil > 0 {
+		order.Wait = lookWait
+	}
+	return order
+}
+
+// lookAnswered takes the report that answers a look; the lock is held.
+func (o *Owner) lookAnswered(s *session, report *platform.WorkerReport, sentAt time.Duration) {
+	if s.failures > 0 {
+		o.log.Info().Str("event", "worker_regained").Str("boot", s.ref.Boot).Int("failures", s.failures).Send()
+	}
+	s.failures = 0
+	s.noteClock(report.ClockMs, o.now())
+	o.takeReport(s, report, sentAt)
+}
+
+// lookFailed applies the lack of an answer to a look; the lock is held.
 func (o *Owner) lookFailed(s *session, err error) {
 	var other platform.ErrOtherBoot
 	var refused platform.ErrOrderRefused
--- a/pkg/shard/machines.go
+++ b/pkg/shard/machines.go
@@ -28,7 +28,7 @@
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
 		defer cancel()
-		list, err := o.machines.ListMachines(ctx)
+		list, err := o.cfg.Machines.ListMachines(ctx)
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		if err != nil {
@@ -53,7 +53,7 @@
 		switch {
 		case !ok:
 			o.bootEnded(s, "its VM is no longer there")
-		case m.Pool != o.pool:
+		case m.Pool != o.cfg.Pool:
 			o.bootEnded(s, "its VM is in another pool")
 		case m.State == platform.MachineUp && m.Boot != "" && m.Boot != s.ref.Boot:
 			o.bootEnded(s, "its VM has another boot")
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -35,7 +35,7 @@
 	}
 	o.log.Info().Str("event", "start_ordered").Str("task", name).Int64("attempt", a.Number).
 		Str("boot", a.Boot).Int64("token", s.token).Int("at_worker", len(s.attempts)).Send()
-	o.send(func(ctx context.Context) (int64, error) { return o.workers.StartAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
+	o.send(func(ctx context.Context) (int64, error) { return o.cfg.Workers.StartAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
 		s.inFlight--
 		o.started(s, name, r, clockMs, err)
 	})
@@ -49,7 +49,7 @@
 		clockMs, err := order(ctx)
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		o.metrics.Order(err)
+		o.cfg.Metrics.Order(err)
 		answered(clockMs, err)
 	})
 }
@@ -104,10 +104,10 @@
 	case platform.RefusedTicket:
 		o.ticketRefused(r.Task.Step, s.ref.Boot)
 	case platform.RefusedRoom:
-		s.pause = now + pauseFull
+		s.pausedTo = now + pauseFull
 	case platform.RefusedUnhealthy, platform.RefusedOther:
 		s.health.unanswered(now)
-		s.pause = now + pauseUnhealthy
+		s.pausedTo = now + pauseUnhealthy
 	}
 	if s.attempts[name] == r && r.confirmedAt == 0 {
 		o.drop(s, name)
@@ -134,7 +134,7 @@
 
 // jobEnded stops what still runs of a job that is final; the lock is held.
 func (o *Owner) jobEnded(j *jobs.Job) {
-	o.metrics.Job(string(j.State))
+	o.cfg.Metrics.Job(string(j.State))
 	o.log.Info().Str("event", "job_ended").Str("job", j.ID).Str("state", string(j.State)).Send()
 	for _, step := range j.Steps {
 		for _, t := range step.Tasks {
@@ -174,7 +174,7 @@
 // sendStop sends the order to end an attempt, of which this owner need know nothing.
 func (o *Owner) sendStop(s *session, task string, attempt int64) {
 	order := platform.StopOrder{Task: task, Attempt: attempt, Token: s.token}
-	o.send(func(ctx context.Context) (int64, error) { return o.workers.StopAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
+	o.send(func(ctx context.Context) (int64, error) { return o.cfg.Workers.StopAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
 		s.noteClock(clockMs, o.now())
 		if err != nil {
 			o.log.Warn().Str("event", "stop_failed").Str("task", task).Str("boot", s.ref.Boot).Err(err).Send()
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -17,10 +17,15 @@
 
 // Metrics counts what an owner does.
 type Metrics interface {
+	// Commit counts a try of a transaction, and how long it took.
 	Commit(d time.Duration, err error)
+	// Look counts a renewal of leases.
 	Look(err error)
+	// Order counts a start, a stop or a pace.
 	Order(err error)
+	// End counts an end that a worker reports.
 	End(reason platform.EndReason)
+	// Job counts what became of a job.
 	Job(event string)
 }
 
@@ -28,71 +33,68 @@
 type Config struct {
 	Pool      string
 	Self      Identity
-	Rows      platform.Rows
-	Workers   platform.Workers
-	Machines  platform.Machines
-	Adviser   platform.Adviser
-	Metrics   Metrics
-	Log       zerolog.Logger
-	Retention time.Duration // how long final jobs can be asked for
 	Since     time.Time     // origin of the owner's clock
-	OnOver    func(error)   // called once when the shard is given up
-	Sending   func()        // called before the takeover's transaction is sent
+	Retention time.Duration // how long final jobs can be asked for
+
+	Rows     platform.Rows
+	Workers  platform.Workers
+	Machines platform.Machines
+	Adviser  platform.Adviser
+
+	Metrics Metrics
+	Log     zerolog.Logger
+
+	Sending func()      // called before the takeover's transaction is sent
+	OnOver  func(error) // called once when the shard is given up
 }
 
 // Owner owns one shard until it is given up or another entry takes it over.
 type Owner struct {
-	pool     string
-	self     Identity
-	rows     platform.Rows
-	workers  platform.Workers
-	machines platform.Machines
-	adviser  platform.Adviser
-	metrics  Metrics
-	log      zerolog.Logger
-	retain   time.Duration
-	since    time.Time
-	onOver   func(error)
-	term     int64
-	claim    Claim
+	cfg   Config
+	log   zerolog.Logger
+	claim Claim
 
+	ctx        context.Context // ends with the ownership
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup // loops, and calls under way
 	placeWake  chan struct{}
 	commitWake chan struct{}
-	urgentWake chan struct{}
-
-	mu            sync.Mutex
-	ctx           context.Context
-	cancel        context.CancelFunc
-	over          bool
-	releasing     bool // it is being handed over: nothing new is begun
-	book          *jobs.Book
-	sessions      map[string]*session
-	catalog       *catalog.Catalog
-	confirmedAt   time.Duration // when this entry certainly was the owner
-	askedMachines time.Duration // when the VM list was last asked for, 0 for never
-	asking        bool          // the owner row is being read
-	unconfirmed   bool          // that was said in the log
+	urgentWake chan struct{} // a transaction is not to wait for more
+
+	mu        sync.Mutex
+	over      bool
+	releasing bool // it is being handed over: nothing new is begun
+
+	catalog   *catalog.Catalog
+	book      *jobs.Book
+	sessions  map[string]*session       // by boot
+	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
+	durations map[string]*learned       // by queue
+	idleTasks bool                      // tasks wait for room, or for a time
+
+	confirmedAt time.Duration // when this entry certainly was the owner
+	asking      bool          // the owner row is being read
+	unconfirmed bool          // that was said in the log
+
 	held          bool          // a worker of a former owner has not been heard
-	openedAt      time.Duration // when this entry took over
 	heldTo        time.Duration // when its leases have run out
+	openedAt      time.Duration // when this entry took over
+	askedMachines time.Duration // when the VM list was last asked for, 0 for never
 
-	pending        map[string]*submission
-	queued         []*submission
-	dirty          map[*jobs.Job]struct{}
-	drops          []string
-	finals         []finalJob
-	waiters        map[*jobs.Job][]chan Outcome
-	workersChanged bool
-	urgent         bool
-	advices        map[*jobs.StepRun]*advice
-	durations      map[string]*learned // by queue
-	committing     bool                // a transaction is under way
-	loadLogged     time.Duration
-	idleTasks      bool // tasks wait for room, or for a time
-	troubled       bool
-	chain          int64 // version of the commit row
-	seq            int64
-	wg             sync.WaitGroup
+	pending        map[string]*submission       // by job ID, until their row is written or refused
+	queued         []*submission                // of those, the ones not in a transaction yet
+	dirty          map[*jobs.Job]struct{}       // whose progress is to be written
+	drops          []string                     // IDs of jobs whose rows are to be removed
+	workersChanged bool                         // the record of leased workers is to be written
+	urgent         bool                         // someone waits for the next transaction
+	committing     bool                         // a transaction is under way
+	troubled       bool                         // the table service carries out no transactions
+	chain          int64                        // version of the commit row
+	seq            int64                        // of the last transaction in this term
+	waiters        map[*jobs.Job][]chan Outcome // callers that wait for a final state to be kept
+	finals         []finalJob                   // in the order in which they are forgotten
+
+	loadLogged time.Duration // when the load was last written to the log
 }
 
 // Open takes the shard over, if its owner row still has the version seen, reads
@@ -110,18 +112,18 @@
 		return nil, err
 	}
 	o = &Owner{
-		pool: cfg.Pool, self: cfg.Self, rows: cfg.Rows, workers: cfg.Workers, machines: cfg.Machines, adviser: cfg.Adviser, metrics: cfg.Metrics,
-		log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), retain: cfg.Retention,
-		since: cfg.Since, onOver: cfg.OnOver, term: c.Term, claim: c, chain: c.chain,
+		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
-		book: k.book, sessions: map[string]*session{}, catalog: cat,
-		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{}, durations: map[string]*learned{}, advices: map[*jobs.StepRun]*advice{},
+		catalog: cat, book: k.book, sessions: map[string]*session{},
+		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*learned{},
+		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.start(k, workers, now)
 	return o, nil
 }
 
+// start begins to watch the workers and to write and place.
 func (o *Owner) start(k kept, workers []platform.Worker, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -150,10 +152,10 @@
 	o.kickPlacement()
 }
 
-func (o *Owner) now() time.Duration { return time.Since(o.since) }
+func (o *Owner) now() time.Duration { return time.Since(o.cfg.Since) }
 
 // Term is the term of ownership.
-func (o *Owner) Term() int64 { return o.term }
+func (o *Owner) Term() int64 { return o.claim.Term }
 
 // RowVersion is the version of the owner row that this owner wrote.
 func (o *Owner) RowVersion() int64 { return o.claim.OwnerVersion }
@@ -180,7 +182,7 @@
 	o.refuseQueued()
 	o.cancel()
 	o.log.Warn().Str("event", "shard_given_up").Err(cause).Send()
-	go o.onOver(cause)
+	go o.cfg.OnOver(cause)
 }
 
 // Close ends the ownership without handing it over.
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -73,24 +73,24 @@
 // need not wait for the others.
 func (o *Owner) letGo(ctx context.Context, next string, quiet bool) error {
 	if !quiet {
-		return o.claim.Release(ctx, o.rows, o.pool, next)
+		return o.claim.Release(ctx, o.cfg.Rows, o.cfg.Pool, next)
 	}
 	var set []leasedWorker
 	for _, s := range o.sessions {
 		if s.recorded && !s.idle() {
-			set = append(set, leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address})
+			set = append(set, s.leased())
 		}
 	}
 	raw, err := encode(set)
 	if err != nil {
 		return err
 	}
-	err = o.claim.ReleaseWith(ctx, o.rows, o.pool, next, platform.RowTxn{
-		Expect: []platform.Row{{RowKey: commitKey(o.pool), Version: o.chain}},
-		Put:    []platform.Row{{RowKey: workersKey(o.pool), Value: raw}},
+	err = o.claim.ReleaseWith(ctx, o.cfg.Rows, o.cfg.Pool, next, platform.RowTxn{
+		Expect: []platform.Row{{RowKey: commitKey(o.cfg.Pool), Version: o.chain}},
+		Put:    []platform.Row{{RowKey: workersKey(o.cfg.Pool), Value: raw}},
 	})
 	if errors.As(err, new(platform.ErrConflict)) {
-		return o.claim.Release(ctx, o.rows, o.pool, next)
+		return o.claim.Release(ctx, o.cfg.Rows, o.cfg.Pool, next)
 	}
 	return err
 }
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -8,7 +8,7 @@
 )
 
 // takeReport applies what a worker said in answer to a look sent at sentAt.
-func (o *Owner) takeReport(s *session, r *platform.WorkerReport, sentAt time.Duration, token int64) {
+func (o *Owner) takeReport(s *session, r *platform.WorkerReport, sentAt time.Duration) {
 	if r.Draining && !s.draining {
 		s.draining = true
 		o.log.Info().Str("event", "worker_draining").Str("boot", s.ref.Boot).Dur("remaining", r.Remaining).Send()
@@ -75,7 +75,7 @@
 func (o *Owner) takeEnd(s *session, e *platform.AttemptEnd, now time.Duration) {
 	t := o.book.Task(e.Task)
 	a := s.attempts[e.Task]
-	o.metrics.End(e.Reason)
+	o.cfg.Metrics.End(e.Reason)
 	ev := o.log.Info().Str("event", "attempt_ended").Str("task", e.Task).Int64("attempt", e.Attempt).
 		Str("boot", s.ref.Boot).Int64("end", e.Number).Str("reason", string(e.Reason))
 	if t == nil {
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -30,7 +30,8 @@
 	inFlight   int                 // start orders without an answer yet
 	inDoubt    bool                // a start order got no answer; a look with a higher token settles it
 	failures   int                 // looks and orders in a row without an answer
-	pause      time.Duration       // no new tasks until then
+	health     outcomes            // to tell a bad worker
+	pausedTo   time.Duration       // no new tasks until then
 	cordonedTo time.Duration       // the VM is to be empty until then
 
 	clockMs    int64         // the worker's clock in the last answer
@@ -40,10 +41,9 @@
 
 	seenEnd  int64 // ends up to here were taken into account
 	ackedEnd int64 // ends up to here are kept
-	health   outcomes
 
-	wake   chan struct{}
-	cancel context.CancelFunc
+	wake   chan struct{}      // a look is due, or the reasons for one have changed
+	cancel context.CancelFunc // ends the session's loop
 }
 
 // running is an attempt at a worker.
@@ -53,8 +53,8 @@
 	orderedEnd  time.Duration // when its end was last ordered, 0 for never
 	seenAt      time.Duration // when the worker last reported it
 	replaced    bool          // it was given up as too slow
-	pace        int           // share of its speed that it was limited to, 0 for not limited
-	pacedAt     time.Duration
+	pace        int           // percent of its speed that it was limited to, 0 for not limited
+	pacedAt     time.Duration // when the pace was last ordered
 }
 
 // kick lets the session's loop look again.
@@ -67,7 +67,7 @@
 
 // usable tells whether new tasks may start at the worker.
 func (s *session) usable(now time.Duration) bool {
-	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pause && now >= s.cordonedTo
+	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo
 }
 
 // wantsLook tells whether the worker has to be asked at all.
@@ -80,6 +80,11 @@
 	return len(s.attempts) == 0 && s.inFlight == 0 && !s.inDoubt && s.seenEnd == s.ackedEnd
 }
 
+// leased is how the partition names the worker.
+func (s *session) leased() leasedWorker {
+	return leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address}
+}
+
 // host describes the worker to placement.
 func (s *session) host(now time.Duration) *placement.Host {
 	h := &placement.Host{
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -18,7 +18,7 @@
 	Address string // of its peer listener
 }
 
-// ErrNotOwner reports a takeover that another entry has forestalled.
+// ErrNotOwner reports that another entry owns the shard: it was first, or has taken the shard over.
 type ErrNotOwner struct {
 	Owner OwnerRow
 }
@@ -51,6 +51,12 @@
 	return err
 }
 
+// Stands reads the owner row and tells whether it is still the one that the claim wrote.
+func (c Claim) Stands(ctx context.Context, rows platform.Rows, pool string) (stands bool, err error) {
+	row, err := ReadOwner(ctx, rows, pool)
+	return err == nil && row.Version == c.OwnerVersion, err
+}
+
 // TakeOver writes this entry into the owner row, provided the row still has the
 // version that the decision to take over was made on. It calls sending before
 // the transaction is sent; an error without that call had no effect.
@@ -111,18 +117,8 @@
 
 // readAll returns all rows of a table's partition.
 func readAll(ctx context.Context, rows platform.Rows, table, pool string) (all []platform.Row, err error) {
-	from := ""
-	for {
-		page, err := rows.ListRows(ctx, table, pool, from)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			return all, nil
-		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
-	}
+	_, err = platform.ListAll(ctx, rows, table, pool, func(r platform.Row) { all = append(all, r) })
+	return all, err
 }
 
 // kept is what a shard's partition holds.
--- a/pkg/shard/upkeep.go
+++ b/pkg/shard/upkeep.go
@@ -56,7 +56,7 @@
 
 // forgetFinals removes jobs that callers no longer ask for.
 func (o *Owner) forgetFinals(now time.Duration) {
-	for len(o.finals) > 0 && now-o.finals[0].at > o.retain {
+	for len(o.finals) > 0 && now-o.finals[0].at > o.cfg.Retention {
 		id := o.finals[0].id
 		o.finals = o.finals[1:]
 		o.book.Remove(id)
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -13,7 +13,7 @@
 func (o *Owner) addSession(ref platform.WorkerRef, vm string) *session {
 	ctx, cancel := context.WithCancel(o.ctx)
 	s := &session{
-		ref: ref, vm: vm, attempts: map[string]*running{}, token: o.term*tokensPerTerm + 1,
+		ref: ref, vm: vm, attempts: map[string]*running{}, token: o.claim.Term*tokensPerTerm + 1,
 		wake: make(chan struct{}, 1), cancel: cancel, lapsesAt: o.formerLeasesEnd(o.now()),
 	}
 	o.sessions[ref.Boot] = s
@@ -33,7 +33,7 @@
 func (o *Owner) setWorkers(workers []platform.Worker) {
 	listed := make(map[string]bool, len(workers))
 	for _, w := range workers {
-		if w.Pool != o.pool {
+		if w.Pool != o.cfg.Pool {
 			continue
 		}
 		listed[w.Boot] = true
