pkg/fleetops: true names, one way to prepare an order

Cause: load, keep, list, open and empty each meant something else than a reader expects beside Open, Config.Load and Config.Empty; moves and maintenance each spelled out what precedes an order; the comments knew of maintenance only.

--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -1,6 +1,7 @@
 package fleetops
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -89,34 +90,26 @@
 	}
 	for vm, m := range machines {
 		s := byName[m.Pool]
-		if s == nil || m.State == platform.MachineDown {
+		if s == nil || m.State == platform.MachineDown || r.moves[vm] != nil {
 			continue
 		}
-		if r.moves[vm] != nil {
-			continue
-		}
-		if r.inWave(vm) == PhaseOrdered {
+		phase := r.inWave(vm)
+		if phase == PhaseOrdered {
 			s.Supply++ // it is back in a moment
 		}
-		if s.Spare && m.State == platform.MachineUp && r.inWave(vm) == "" {
+		if s.Spare && m.State == platform.MachineUp && phase == "" {
 			s.Idle = append(s.Idle, vm)
 		}
 	}
 	for _, s := range pools {
-		if !s.Spare {
-			s.Idle = r.idle(s, machines, leaving[s.Name])
-		}
 		if s.Spare {
 			slices.Sort(s.Idle)
+		} else {
+			s.Idle = r.idle(s, machines, leaving[s.Name])
 		}
 		s.Surely = r.countSurplus(s)
 	}
-	slices.SortFunc(pools, func(a, b *PoolState) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(pools, func(a, b *PoolState) int { return cmp.Compare(a.Name, b.Name) })
 	return pools
 }
 
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -5,20 +5,19 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 // wave is a wave under way.
 type wave struct {
 	Wave
-	vms       []*VM
+	vms   []*VM
+	begun time.Duration // when this entry saw the request first, or half of its time before that
+
 	loaded    bool // what was done before was read
-	reported  bool
-	completed bool
-	begun     time.Duration // when this entry saw the request first
-	changed   bool          // what is done differs from what is kept
+	changed   bool // what is done differs from what is kept
+	reported  bool // the operator was told of the wave
+	completed bool // all is done, and the operator was told
 }
 
 // SetWaves takes all requests for maintenance.
@@ -42,7 +41,8 @@
 	}
 }
 
-func (r *Runner) open() (open []*wave) {
+// openWaves returns the waves that are not completed.
+func (r *Runner) openWaves() (open []*wave) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range r.waves {
@@ -55,7 +55,7 @@
 
 // advance takes one wave one step further.
 func (r *Runner) advance(ctx context.Context, w *wave, machines map[string]platform.Machine) error {
-	if err := r.load(ctx, w); err != nil || w.completed {
+	if err := r.loadProgress(ctx, w); err != nil || w.completed {
 		return err
 	}
 	r.observe(w, machines)
@@ -67,8 +67,8 @@
 			r.setPhase(w, v, PhaseEmptying, "a place in the wave is free")
 		}
 	}
-	r.empty(ctx, w, machines)
-	return r.keep(ctx, w)
+	r.maintain(ctx, w, machines)
+	return r.keepProgress(ctx, w)
 }
 
 // observe takes the list of VMs into account.
@@ -93,46 +93,39 @@
 	}
 }
 
-// empty has VMs emptied and orders the maintenance of those that are.
-func (r *Runner) empty(ctx context.Context, w *wave, machines map[string]platform.Machine) {
+// maintain has VMs emptied and orders the maintenance of those that are.
+func (r *Runner) maintain(ctx context.Context, w *wave, machines map[string]platform.Machine) {
 	var wg sync.WaitGroup
 	for _, v := range w.vms {
 		m := machines[v.Name]
 		switch v.Phase {
 		case PhaseEmptying:
-			wg.Go(func() { r.emptyOne(ctx, w, v, m) })
+			wg.Go(func() { r.maintainOne(ctx, w, v, m) })
 		case PhaseOrdered:
 			if v.confirmedAt == 0 && m.State == platform.MachineUp && m.Boot == v.Boot {
-				wg.Go(func() { r.emptyOne(ctx, w, v, m) }) // the order may not have arrived
+				wg.Go(func() { r.maintainOne(ctx, w, v, m) }) // the order may not have arrived
 			}
 		}
 	}
 	wg.Wait()
 }
 
-func (r *Runner) emptyOne(ctx context.Context, w *wave, v *VM, m platform.Machine) {
-	if m.Pool != r.spare() && !r.cfg.Empty(ctx, m.Pool, v.Name) {
-		return
-	}
-	if !r.mayOrderFor(v.Name) || !r.mayOrder(ctx) {
+func (r *Runner) maintainOne(ctx context.Context, w *wave, v *VM, m platform.Machine) {
+	if !r.prepareOrder(ctx, m.Pool, v.Name) {
 		return
 	}
-	r.noteOrder(v.Name)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.cfg.Machines.MaintainMachine(callCtx, v.Name, w.ID, r.holder())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var refused platform.ErrRefused
-	var notDone platform.ErrNotDone
 	switch {
-	case errors.As(err, &refused), errors.As(err, &notDone):
+	case platform.IsRefused(err), platform.IsNotDone(err):
 		r.log.Warn().Str("event", "maintenance_refused").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
 		return
 	case err != nil:
 		r.log.Warn().Str("event", "maintenance_unanswered").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
-	}
-	if err == nil {
+	default:
 		v.confirmedAt = r.now()
 	}
 	if v.Phase == PhaseEmptying {
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -23,7 +21,7 @@
 // move is a VM's change of pool under way.
 type move struct {
 	Move
-	since   time.Duration
+	since   time.Duration // when it was planned
 	ordered time.Duration // 0 while the VM is being emptied
 	up      time.Duration // when it was first seen up in its new pool
 }
@@ -78,20 +76,14 @@
 
 // carryOut empties a VM and orders its move.
 func (r *Runner) carryOut(ctx context.Context, m *move) {
-	if m.From != r.spare() && !r.cfg.Empty(ctx, m.From, m.VM) {
-		return
-	}
-	if !r.mayOrderFor(m.VM) || !r.mayOrder(ctx) {
+	if !r.prepareOrder(ctx, m.From, m.VM) {
 		return
 	}
-	r.noteOrder(m.VM)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.cfg.Machines.MoveMachine(callCtx, m.VM, m.To, r.holder())
-	var refused platform.ErrRefused
-	var notDone platform.ErrNotDone
 	r.log.Info().Str("event", "move_ordered").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Err(err).Send()
-	if errors.As(err, &refused) || errors.As(err, &notDone) {
+	if platform.IsRefused(err) || platform.IsNotDone(err) {
 		return
 	}
 	m.ordered = r.now()
--- a/pkg/fleetops/progress.go
+++ b/pkg/fleetops/progress.go
@@ -11,7 +11,7 @@
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
-// tableProgress holds what is done of each wave.
+// tableProgress holds what is done of each wave, and the handover.
 const tableProgress = "maintenance"
 
 // kept is what lasts of a wave.
@@ -23,8 +23,8 @@
 	return platform.RowKey{Table: tableProgress, Partition: Partition, Key: strconv.Itoa(id)}
 }
 
-// load reads what a former owner has done of a wave.
-func (r *Runner) load(ctx context.Context, w *wave) error {
+// loadProgress reads what a former owner has done of a wave, once.
+func (r *Runner) loadProgress(ctx context.Context, w *wave) error {
 	if w.loaded {
 		return nil
 	}
@@ -54,8 +54,8 @@
 	return nil
 }
 
-// keep writes what is done, and reports to the operator.
-func (r *Runner) keep(ctx context.Context, w *wave) error {
+// keepProgress writes what is done, and reports to the operator.
+func (r *Runner) keepProgress(ctx context.Context, w *wave) error {
 	if !w.changed {
 		return nil
 	}
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -15,7 +15,7 @@
 // stepInterval is the time between two steps; pools change their demand within a second.
 const stepInterval = 250 * time.Millisecond
 
-// Partition is the partition, and the name of the shard, of this work; no pool is called so.
+// Partition names the partition and the shard of this work; no pool is called so.
 const Partition = "~maintenance"
 
 // Emptier has the owner of a pool's shard move the tasks away from a VM and keep
@@ -24,42 +24,49 @@
 
 // Config is what a Runner works with.
 type Config struct {
-	Self     shard.Identity
+	Self  shard.Identity
+	Log   zerolog.Logger
+	Since time.Time // origin of the runner's clock
+
 	Rows     platform.Rows
 	Machines platform.Machines
 	Empty    Emptier
 	Load     func(ctx context.Context, pool string) (l shard.Load, ok bool) // of a pool's shard
-	Report   func(wave int, completed bool) (platform.Row, error)
-	Log      zerolog.Logger
-	Since    time.Time
-	Pause    time.Duration // after another holder's last order to a VM before we may give one
-	Takes    time.Duration // the maintenance of one VM
-	OnOver   func(error)
-	Sending  func() // called before the takeover's transaction is sent
+	Report   func(wave int, completed bool) (platform.Row, error)           // makes the row that tells the operator of a wave
+
+	Pause time.Duration // after another holder's last order for a VM before we may give one
+	Takes time.Duration // the maintenance of one VM
+
+	Sending func()      // called before the takeover's transaction is sent
+	OnOver  func(error) // called once when the work is given up
 }
 
-// Runner carries the maintenance out while this entry owns the work.
+// Runner maintains VMs and sizes pools while this entry owns that work.
 type Runner struct {
-	cfg       Config
-	claim     shard.Claim
-	log       zerolog.Logger
-	cancel    context.CancelFunc
-	done      chan struct{}
-	wake      chan struct{}
+	cfg    Config
+	policy SizingPolicy
+	claim  shard.Claim
+	log    zerolog.Logger
+	cancel context.CancelFunc
+	done   chan struct{}
+	wake   chan struct{}
+
+	// What a former holder's orders demand; set before the run loop begins.
 	first     time.Duration            // no orders before
-	notBefore map[string]time.Duration // no orders for a VM before; used by the run loop only
-	lastOrder map[string]time.Duration // of ours for a VM; guarded by mu
-	trends    map[string]trend         // of demand, by pool; used by the run loop only
-	lastLoads map[string]shard.Load    // by pool; used by the run loop only
-	policy    SizingPolicy
-	moves     map[string]*move // by VM; used by the run loop only
-	surplus   map[string]int   // steps in a row with VMs left over, by pool
+	notBefore map[string]time.Duration // no orders for a VM before
+
+	// Used by the run loop only.
+	lastLoads map[string]shard.Load // by pool
+	trends    map[string]trend      // of demand, by pool
+	surplus   map[string]int        // steps in a row with VMs left over, by pool
+	moves     map[string]*move      // by VM
 
 	mu          sync.Mutex
-	confirmedAt time.Duration
-	catalog     *catalog.Catalog
-	waves       map[int]*wave
+	confirmedAt time.Duration // when this entry certainly was the owner
 	over        bool
+	catalog     *catalog.Catalog
+	waves       map[int]*wave            // by ID
+	lastOrder   map[string]time.Duration // of ours for a VM
 }
 
 // Open takes the work over, if its owner row still has the version seen.
@@ -139,14 +146,14 @@
 
 // step carries each wave on and sizes the pools.
 func (r *Runner) step(ctx context.Context) {
-	machines, err := r.list(ctx)
+	machines, err := r.listMachines(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
 			r.log.Warn().Str("event", "machines_not_listed").Err(err).Send()
 		}
 		return
 	}
-	for _, w := range r.open() {
+	for _, w := range r.openWaves() {
 		if err := r.advance(ctx, w, machines); err != nil && ctx.Err() == nil {
 			r.log.Warn().Str("event", "wave_step_failed").Int("wave", w.ID).Err(err).Send()
 		}
@@ -154,8 +161,8 @@
 	r.resize(ctx, machines)
 }
 
-// list returns the VMs by name.
-func (r *Runner) list(ctx context.Context) (machines map[string]platform.Machine, err error) {
+// listMachines returns the VMs by name.
+func (r *Runner) listMachines(ctx context.Context) (machines map[string]platform.Machine, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	list, err := r.cfg.Machines.ListMachines(ctx)
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -8,6 +8,19 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
+// maxShare is the part of a pool that may be emptied or down for a wave at
+// once; a pool that loses more has no room for the tasks that move.
+const maxShare = 0.3
+
+// minAtOnce is how many VMs of a small pool may be emptied or down at once all the same.
+const minAtOnce = 2
+
+// listLag is how far the list of VMs may lag behind, with room to spare.
+const listLag = 1500 * time.Millisecond
+
+// roundTime is about how long a VM with work takes to be emptied and maintained.
+const roundTime = 5 * time.Second
+
 // Wave is a request to maintain VMs.
 type Wave struct {
 	ID      int
@@ -50,16 +63,6 @@
 	return v.confirmedAt > 0 && now-v.confirmedAt > takes+listLag
 }
 
-// maxShare is the part of a pool that may be emptied or down for a wave at
-// once; a pool that loses more has no room for the tasks that move.
-const maxShare = 0.3
-
-// minAtOnce is how many VMs of a small pool may be emptied or down at once all the same.
-const minAtOnce = 2
-
-// listLag is how far the list of VMs may lag behind, with room to spare.
-const listLag = 1500 * time.Millisecond
-
 // presses tells whether VMs with work have to be emptied for the wave to end in
 // time: half of it is over, or what is left takes about as long as there is.
 func (w *Wave) presses(vms int, since time.Duration) bool {
@@ -68,9 +71,6 @@
 	return since >= w.Within/2 || since+2*needs >= w.Within
 }
 
-// roundTime is about how long a VM with work takes to be emptied and maintained.
-const roundTime = 5 * time.Second
-
 // The weights of VMs, by how much their maintenance disturbs.
 const (
 	weightOff = iota
