--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,6 +29,10 @@
 	noticeTime = 2500 * time.Millisecond
 	// finishTime bounds the requests that are still open when a node stops.
 	finishTime = 2 * time.Second
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a connection without requests is kept.
+	idleTimeout = time.Minute
 )
 
 // Source is where the operator's configuration and the workers' directory are kept, and how they read.
@@ -55,26 +59,28 @@
 // Node is one entry of the job service.
 type Node struct {
 	settings schema.ServiceSettings
-	source   Source
-	rows     *reach
-	platform Services
+	self     ownership.Member
+	since    time.Time // origin of the clocks of this entry's shards
 	log      zerolog.Logger
 	metrics  *metrics
-	self     ownership.Member
-	since    time.Time
+
+	source   Source
+	platform Services
+	rows     *reach // the table service of platform
 
 	members *ownership.Members
 	keeper  *ownership.Keeper
 
-	catalog  atomic.Pointer[stored]
-	stopping atomic.Bool
-	stop     chan struct{}
+	stop     chan struct{} // closed by Stop
 	stopOnce sync.Once
+	stopping atomic.Bool // a planned stop is under way
+
+	catalog atomic.Pointer[stored]
 
 	mu      sync.Mutex
 	workers map[string]platform.Worker // by boot
-	waves   map[int]fleetops.Wave
-	asked   int64 // newest configuration version that a peer is being asked for
+	waves   map[int]fleetops.Wave      // by ID
+	asked   int64                      // newest configuration version that a peer is being asked for
 }
 
 // stored is a configuration with the bytes it was read from, which peers may ask for.
@@ -88,7 +94,7 @@
 	now := time.Now()
 	rows := &reach{Rows: services, log: log}
 	n := &Node{
-		settings: s, source: src, rows: rows, log: log, metrics: newMetrics(), since: now,
+		settings: s, since: now, log: log, metrics: newMetrics(), source: src, platform: services, rows: rows,
 		stop: make(chan struct{}), workers: map[string]platform.Worker{}, waves: map[int]fleetops.Wave{},
 	}
 	n.self = ownership.Member{
@@ -96,7 +102,6 @@
 		Start: now.UnixNano(), Share: s.CpuShare,
 	}
 	n.members = ownership.NewMembers(n.self, rows, log, now, local{n})
-	n.platform = services
 	n.keeper = ownership.NewKeeper(n.identity(), n.members, n.openShard, log, now)
 	return n
 }
@@ -233,7 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &httpActor{ln: ln, server: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}}, nil
+	return &httpActor{ln: ln, server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}, nil
 }
 
 func (a *httpActor) serve() error {
--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -7,6 +7,9 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
+// maxRoom stands for the room of a host for tasks that ask for nothing.
+const maxRoom = 1 << 16
+
 // Host is a worker as placement sees it.
 type Host struct {
 	Boot     string
@@ -73,9 +76,6 @@
 	return n
 }
 
-// maxRoom stands for the room of a host for tasks that ask for nothing.
-const maxRoom = 1 << 16
-
 // place takes the resources of one task.
 func (h *Host) place(s *jobs.StepRun) {
 	h.Free = h.Free.Sub(Charge(s.Spec))
