--- /dev/null
+++ b/pkg/platform/fake/attempts.go
@@ -0,0 +1,127 @@
+package fake
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+type attempt struct {
+	number   int64
+	needs    platform.Resources
+	timer    *time.Timer
+	ending   bool
+	started  time.Time
+	duration time.Duration // 0 for a task that runs until it is stopped
+	stalled  time.Duration // progress at which it stands still, 0 for never
+}
+
+func (w *Workers) begin(b *boot, o platform.StartOrder) error {
+	if a := b.running[o.Task]; a != nil && a.number == o.Attempt {
+		return nil
+	}
+	if o.Attempt <= b.highest[o.Task] {
+		return platform.ErrOrderRefused{Reason: platform.RefusedOld, ClockMs: b.clock()}
+	}
+	work := w.work(o.Task, o.Spec)
+	if !work.Needs.Fits(b.free) {
+		return platform.ErrOrderRefused{Reason: platform.RefusedRoom, ClockMs: b.clock()}
+	}
+	b.free = b.free.Sub(work.Needs)
+	duration := work.Duration
+	if duration == 0 || w.stalls(b, o.Task) {
+		duration = forever
+	}
+	reason := platform.EndDone
+	if work.Fails {
+		reason = platform.EndFailed
+	}
+	a := &attempt{number: o.Attempt, needs: work.Needs, started: time.Now(), duration: work.Duration}
+	if w.stalls(b, o.Task) {
+		a.stalled = work.Duration / 4
+	}
+	a.timer = time.AfterFunc(duration, func() { w.finish(b, o.Task, a, reason) })
+	b.running[o.Task] = a
+	w.witness.Started(b.info.Boot, o.Task, o.Attempt)
+	return nil
+}
+
+func (w *Workers) finish(b *boot, task string, a *attempt, reason platform.EndReason) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b.running[task] == a && !b.dead {
+		w.finishLocked(b, task, a, reason)
+	}
+}
+
+func (w *Workers) finishLocked(b *boot, task string, a *attempt, reason platform.EndReason) {
+	a.timer.Stop()
+	delete(b.running, task)
+	b.free = b.free.Add(a.needs)
+	b.highest[task] = max(b.highest[task], a.number)
+	b.last++
+	b.ended = append(b.ended, platform.AttemptEnd{Number: b.last, Task: task, Attempt: a.number, Reason: reason})
+	w.witness.Ended(b.info.Boot, task, a.number, reason)
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// percent is the progress that is reported.
+func (a *attempt) percent() int {
+	if a.duration == 0 {
+		return 100
+	}
+	ran := time.Since(a.started)
+	if a.stalled > 0 {
+		ran = min(ran, a.stalled)
+	}
+	return int(100 * ran / a.duration)
+}
+
+// stalls tells whether tasks stand still at a boot.
+func (w *Workers) stalls(b *boot, task string) bool {
+	return w.stall != nil && w.stall(b.info.Boot, task)
+}
+
+// extend moves the deadline of the leases; it is never shortened.
+func (w *Workers) extend(b *boot, until int64) {
+	if until <= b.lease {
+		return
+	}
+	b.lease = until
+	if b.lapse != nil {
+		b.lapse.Stop()
+	}
+	left := time.Duration(float64(until-b.clock())/(1-b.drift)) * time.Millisecond
+	b.lapse = time.AfterFunc(left, func() { w.lapse(b, until) })
+}
+
+func (w *Workers) lapse(b *boot, until int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b.dead || b.lease != until {
+		return
+	}
+	for task, a := range b.running {
+		w.finishLocked(b, task, a, platform.EndLapsed)
+	}
+}
+
+func (w *Workers) acknowledge(b *boot, upTo int64) {
+	for _, e := range b.ended {
+		if e.Number <= upTo && e.Number > b.acked {
+			w.witness.Acked(b.info.Boot, e.Task, e.Reason)
+		}
+	}
+	b.acked = max(b.acked, upTo)
+	b.ended = slices.DeleteFunc(b.ended, func(e platform.AttemptEnd) bool { return e.Number <= b.acked })
+}
+
+func (b *boot) report() platform.WorkerReport {
+	r := platform.WorkerReport{ClockMs: b.clock(), Ended: slices.Clone(b.ended)}
+	for task, a := range b.running {
+		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent()})
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/platform/fake/orders.go
@@ -0,0 +1,165 @@
+package fake
+
+import (
+	"context"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// OrderOp names an order to a worker.
+type OrderOp string
+
+// The orders.
+const (
+	OrderStart OrderOp = "start"
+	OrderStop  OrderOp = "stop"
+	OrderRenew OrderOp = "renew"
+	OrderPace  OrderOp = "pace"
+)
+
+type workersView struct {
+	w     *Workers
+	entry string
+}
+
+// As returns the workers as one entry reaches them.
+func (w *Workers) As(entry string) platform.Workers { return &workersView{w: w, entry: entry} }
+
+// call carries one order out under the fault in force; do runs under the lock.
+func (v *workersView) call(ctx context.Context, op OrderOp, ref platform.WorkerRef, do func(b *boot) error) error {
+	v.w.mu.Lock()
+	fault := v.w.fault(op, ref.Boot, v.entry)
+	v.w.mu.Unlock()
+	if err := sleep(ctx, v.w.latency); err != nil {
+		return platform.ErrUnknown{Op: string(op), Cause: err.Error()}
+	}
+	lost := func() error {
+		<-ctx.Done()
+		return platform.ErrUnknown{Op: string(op), Cause: ctx.Err().Error()}
+	}
+	switch fault {
+	case FaultDown:
+		return platform.ErrNotDone{Op: string(op), Cause: "connection refused"}
+	case FaultLostBefore:
+		return lost()
+	case FaultLate:
+		time.AfterFunc(v.w.lateBy, func() { _ = v.apply(ref, do) })
+		return lost()
+	}
+	err := v.apply(ref, do)
+	if fault == FaultLostAfter {
+		return lost()
+	}
+	return err
+}
+
+func (v *workersView) apply(ref platform.WorkerRef, do func(b *boot) error) error {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	b := v.w.boots[ref.Boot]
+	if b != nil && !b.dead {
+		return do(b)
+	}
+	for _, other := range v.w.boots {
+		if !other.dead && other.info.Address == ref.Address {
+			return platform.ErrOtherBoot{Boot: other.info.Boot}
+		}
+	}
+	return platform.ErrNotDone{Op: "order", Cause: "connection refused"}
+}
+
+// admit checks an order's token.
+func (b *boot) admit(token int64) error {
+	if token < b.token {
+		return platform.ErrOrderRefused{Reason: platform.RefusedToken, ClockMs: b.clock()}
+	}
+	b.token = token
+	return nil
+}
+
+// StartAttempt implements platform.Workers.
+func (v *workersView) StartAttempt(ctx context.Context, ref platform.WorkerRef, o platform.StartOrder) (clock int64, err error) {
+	err = v.call(ctx, OrderStart, ref, func(b *boot) error {
+		if err := b.admit(o.Token); err != nil {
+			return err
+		}
+		clock = b.clock()
+		if o.LeaseUntil <= clock {
+			return platform.ErrOrderRefused{Reason: platform.RefusedLate, ClockMs: clock}
+		}
+		v.w.extend(b, o.LeaseUntil)
+		return v.w.begin(b, o)
+	})
+	return clock, err
+}
+
+// StopAttempt implements platform.Workers.
+func (v *workersView) StopAttempt(ctx context.Context, ref platform.WorkerRef, o platform.StopOrder) (clock int64, err error) {
+	err = v.call(ctx, OrderStop, ref, func(b *boot) error {
+		if err := b.admit(o.Token); err != nil {
+			return err
+		}
+		clock = b.clock()
+		b.highest[o.Task] = max(b.highest[o.Task], o.Attempt)
+		if a := b.running[o.Task]; a != nil && a.number <= o.Attempt && !a.ending {
+			a.ending = true
+			time.AfterFunc(v.w.stopTime, func() { v.w.finish(b, o.Task, a, platform.EndStopped) })
+		}
+		return nil
+	})
+	return clock, err
+}
+
+// PaceAttempt implements platform.Workers.
+func (v *workersView) PaceAttempt(ctx context.Context, ref platform.WorkerRef, o platform.PaceOrder) (clock int64, err error) {
+	err = v.call(ctx, OrderPace, ref, func(b *boot) error {
+		clock = b.clock()
+		return b.admit(o.Token)
+	})
+	return clock, err
+}
+
+// RenewLeases implements platform.Workers.
+func (v *workersView) RenewLeases(ctx context.Context, ref platform.WorkerRef, o platform.RenewOrder) (report platform.WorkerReport, err error) {
+	var changed chan struct{}
+	look := func(b *boot) error {
+		if err := b.admit(o.Token); err != nil {
+			return err
+		}
+		v.w.extend(b, o.LeaseUntil)
+		v.w.acknowledge(b, o.AckedEnd)
+		report, changed = b.report(), b.changed
+		return nil
+	}
+	if err := v.call(ctx, OrderRenew, ref, look); err != nil {
+		return report, err
+	}
+	if o.Wait <= 0 || len(report.Ended) > 0 || changed == nil {
+		return report, nil
+	}
+	t := time.NewTimer(o.Wait)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+		return report, platform.ErrUnknown{Op: string(OrderRenew), Cause: ctx.Err().Error()}
+	}
+	err = v.apply(ref, func(b *boot) error {
+		report = b.report()
+		return nil
+	})
+	if err == nil && v.w.silent(OrderRenew, ref.Boot, v.entry) {
+		<-ctx.Done()
+		err = platform.ErrUnknown{Op: string(OrderRenew), Cause: ctx.Err().Error()}
+	}
+	return report, err
+}
+
+// silent tells whether an answer that is due now would be lost.
+func (w *Workers) silent(op OrderOp, boot, entry string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fault(op, boot, entry) != FaultNone
+}
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -100,78 +97,3 @@
 	c.OwnerVersion, c.chain = version, version
 	return c, nil
 }
-
-// ReadOne returns a row, with version 0 when it is not there.
-func ReadOne(ctx context.Context, rows platform.Rows, key platform.RowKey) (platform.Row, error) {
-	page, err := rows.ListRows(ctx, key.Table, key.Partition, key.Key)
-	if err != nil {
-		return platform.Row{}, err
-	}
-	for _, r := range page.Rows {
-		if r.Key == key.Key {
-			return r, nil
-		}
-	}
-	return platform.Row{RowKey: key}, nil
-}
-
-// readAll returns all rows of a table's partition.
-func readAll(ctx context.Context, rows platform.Rows, table, pool string) (all []platform.Row, err error) {
-	_, err = platform.ListAll(ctx, rows, table, pool, func(r platform.Row) { all = append(all, r) })
-	return all, err
-}
-
-// kept is what a shard's partition holds.
-type kept struct {
-	book    *jobs.Book
-	workers []leasedWorker
-}
-
-// readKept reads the partition after the takeover, when no one else can write to it.
-func readKept(ctx context.Context, rows platform.Rows, pool string, term int64, now time.Duration) (k kept, err error) {
-	defer func() { err = errors.Wrapf(err, "read shard %s", pool) }()
-	records, err := readAll(ctx, rows, tableJob, pool)
-	if err != nil {
-		return k, err
-	}
-	progress, err := readAll(ctx, rows, tableProgress, pool)
-	if err != nil {
-		return k, err
-	}
-	byID := make(map[string]jobs.Progress, len(progress))
-	for _, r := range progress {
-		p, err := jobs.DecodeProgress(r.Value)
-		if err != nil {
-			return k, errors.Wrapf(err, "job %s", r.Key)
-		}
-		byID[r.Key] = p
-	}
-	k.book = jobs.NewBook(term)
-	for _, r := range records {
-		record, err := jobs.DecodeRecord(r.Value)
-		if err != nil {
-			return k, errors.Wrapf(err, "job %s", r.Key)
-		}
-		k.book.Restore(r.Key, record, byID[r.Key], now)
-	}
-	set, err := ReadOne(ctx, rows, workersKey(pool))
-	if err != nil {
-		return k, err
-	}
-	if set.Version > 0 {
-		err = msgpack.Unmarshal(set.Value, &k.workers)
-	}
-	return k, errors.Wrap(err, "decode leased workers")
-}
-
-// ReadOwner returns the owner row of a shard, with version 0 when there is none.
-func ReadOwner(ctx context.Context, rows platform.Rows, pool string) (r platform.Row, err error) {
-	r, err = ReadOne(ctx, rows, ownerKey(pool))
-	return r, errors.Wrapf(err, "read owner of shard %s", pool)
-}
-
-// FindJob tells whether the partition of a shard holds a job.
-func FindJob(ctx context.Context, rows platform.Rows, pool, id string) (found bool, err error) {
-	r, err := ReadOne(ctx, rows, jobKey(pool, id))
-	return r.Version > 0, errors.Wrapf(err, "look for job %s", id)
-}
