pkg/ownership, pkg/catalog: fields by concern, what an answer says in one place

Cause: the fields of a shard's state, of another entry and of a queue stood in the order in which they came, some without a word on what they hold; a ping and a round of claims were long. Change: grouped and commented fields; noteReply and confirmOwned.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -7,16 +7,19 @@
 
 // Queue takes the jobs of one route.
 type Queue struct {
-	Name          string
-	Host          string
-	Prefix        string // of the path, ends where the job's ID begins
-	Pool          string // whose workers run the tasks
-	Priority      int    // 0 goes first
-	MaxAttempts   int    // failed attempts of a task after which its job has failed
+	Name   string
+	Host   string
+	Prefix string // of the path, ends where the job's ID begins
+	Pool   string // whose workers run the tasks
+
+	Priority    int  // 0 goes first
+	MaxAttempts int  // failed attempts of a task after which its job has failed
+	Advice      bool // the advice service says which workers may run a step
+
+	// A job should be done within TargetLatency and Stretch times its longest chain of work.
 	Stretch       float64
 	TargetLatency time.Duration
 	Timeout       time.Duration
-	Advice        bool // the advice service says which workers may run a step
 }
 
 // Pool is a set of worker VMs.
--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,21 +34,10 @@
 	if k.stopping || now < settleTime || k.catalog == nil {
 		return
 	}
-	if at, ok := k.members.ConfirmedAt(k.seenVersion()); ok {
-		for _, s := range k.shards {
-			if s.owner != nil {
-				s.owner.Confirm(at)
-			}
-		}
-	}
+	k.confirmOwned()
 	heirs := k.members.Heirs()
 	load := k.load()
-	pools := make([]string, 0, len(k.shards))
-	for pool := range k.shards {
-		pools = append(pools, pool)
-	}
-	slices.Sort(pools)
-	for _, pool := range pools {
+	for _, pool := range slices.Sorted(maps.Keys(k.shards)) {
 		s := k.shards[pool]
 		if !s.loaded || s.owner != nil || s.claiming || now < s.notBefore {
 			continue
@@ -67,6 +57,19 @@
 	}
 }
 
+// confirmOwned tells our owners until when the other entries saw no later owner; the lock is held.
+func (k *Keeper) confirmOwned() {
+	at, ok := k.members.ConfirmedAt(k.seenVersion())
+	if !ok {
+		return
+	}
+	for _, s := range k.shards {
+		if s.owner != nil {
+			s.owner.Confirm(at)
+		}
+	}
+}
+
 // judge tells whether a shard is to be claimed; the lock is held.
 func (k *Keeper) judge(s *state, now time.Duration) (why string, gone bool) {
 	verdict, why := k.members.Judge(s.row, s.rowAt)
@@ -107,10 +110,7 @@
 	if err != nil {
 		s.notBefore = k.now() + claimPause
 		k.log.Warn().Str("event", "shard_claim_failed").Str("pool", pool).Err(err).Send()
-		var conflict platform.ErrConflict
-		var notOwner shard.ErrNotOwner
-		var notDone platform.ErrNotDone
-		if errors.As(err, &conflict) || errors.As(err, &notOwner) || errors.As(err, &notDone) {
+		if errors.As(err, new(platform.ErrConflict)) || errors.As(err, new(shard.ErrNotOwner)) || platform.IsNotDone(err) {
 			s.inDoubt = false // the feed brings the row
 		}
 		if s.inDoubt {
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -37,16 +37,18 @@
 
 // state is what this entry knows of one shard.
 type state struct {
-	row       shard.OwnerRow
-	version   int64         // of the owner row, 0 when there is none
-	loaded    bool          // the row was read at least once
-	rowAt     time.Duration // when the row was seen first
-	owner     Work
-	claiming  bool
-	inDoubt   bool // a takeover's transaction was sent and its outcome is not known
-	notBefore time.Duration
-	gone      time.Duration // since when the owner is held for gone, 0 when it is not
-	suspect   time.Duration
+	row     shard.OwnerRow
+	version int64         // of the owner row, 0 when there is none
+	loaded  bool          // the row was read and need not be read again
+	rowAt   time.Duration // when the row was seen first
+
+	gone    time.Duration // since when the owner is held for gone, 0 when it is not
+	suspect time.Duration // since when it is suspected, 0 when it is not
+
+	owner     Work          // nil while this entry does not own the shard
+	claiming  bool          // a takeover is under way here
+	inDoubt   bool          // its transaction was sent and the outcome is not known
+	notBefore time.Duration // no claim before
 }
 
 // Keeper owns the shards that fall to this entry.
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -29,16 +29,18 @@
 type known struct {
 	Member
 	caller *peer.Caller
-	cancel context.CancelFunc
+	cancel context.CancelFunc // ends the pings
+	owns   bool               // it owns a shard
 
-	heardAt   time.Duration // last answer, 0 for never
-	addedAt   time.Duration
-	refused   bool          // nothing listened at its address at the last try
+	addedAt time.Duration // when its row was seen
+	heardAt time.Duration // last answer, 0 for never
+	refused bool          // nothing listened at its address at the last try
+
+	// As it said in its last answer.
+	sentAt    time.Duration // when the ping was sent that it answered
+	seen      int64         // highest version of an owner row that it had seen, -1 while it claims a shard
 	stopping  bool          // it is in a planned stop and takes nothing over
 	storeLost time.Duration // since when the table service does not answer it, 0 while it does
-	owns      bool          // it owns a shard
-	sentAt    time.Duration // when the last ping that was answered was sent
-	seen      int64         // highest version of an owner row that it had seen, -1 while it claims a shard
 }
 
 // Members are the other entries.
@@ -116,6 +118,7 @@
 	go m.local.EntryChanged()
 }
 
+// forget drops an entry, if there is one; the lock is held.
 func (m *Members) forget(k *known) {
 	if k == nil {
 		return
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -24,6 +24,7 @@
 	silence = 1100 * time.Millisecond
 )
 
+// pingLoop pings an entry until ctx ends.
 func (m *Members) pingLoop(ctx context.Context, k *known) {
 	for ctx.Err() == nil {
 		m.ping(ctx, k)
@@ -34,6 +35,7 @@
 	}
 }
 
+// interval is the time until the next ping of an entry.
 func (m *Members) interval(k *known) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -43,6 +45,7 @@
 	return max(pingInterval, time.Duration(len(m.peers))*pingSpacing)
 }
 
+// ping asks an entry once and takes what it says.
 func (m *Members) ping(ctx context.Context, k *known) {
 	version := m.local.CatalogVersion()
 	sentAt := m.now()
@@ -55,13 +58,7 @@
 	m.mu.Lock()
 	before := m.alive(k)
 	if err == nil {
-		k.heardAt, k.refused = m.now(), false
-		k.noteStore(reply.ReachesStore, m.now())
-		k.stopping = reply.Stopping
-		k.sentAt, k.seen = sentAt, int64(reply.OwnersVersion)
-		if reply.Claiming {
-			k.seen = -1
-		}
+		k.noteReply(reply, sentAt, m.now())
 	} else {
 		var notSent peer.ErrNotSent
 		k.refused = errors.As(err, &notSent) && notSent.Refused
@@ -89,6 +86,18 @@
 	}
 }
 
+// noteReply takes the answer to a ping that was sent at sentAt.
+func (k *known) noteReply(reply *schema.CallReply, sentAt, now time.Duration) {
+	k.heardAt, k.refused = now, false
+	k.noteStore(reply.ReachesStore, now)
+	k.stopping = reply.Stopping
+	k.sentAt, k.seen = sentAt, int64(reply.OwnersVersion)
+	if reply.Claiming {
+		k.seen = -1
+	}
+}
+
+// noteStore notes whether the table service answers the entry.
 func (k *known) noteStore(reaches bool, now time.Duration) {
 	switch {
 	case reaches:
