pkg/node, pkg/shard: openings of each kind of work apart; errors told by platform's own functions

Cause: openShard held two long configurations; three places repeated what platform.IsNotDone says. Change: openFleet and seconds; platform.IsNotDone.

--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -24,35 +24,43 @@
 // openShard begins the work of a shard that falls to this entry.
 func (n *Node) openShard(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, events ownership.Events) (ownership.Work, error) {
 	if pool == fleetops.Partition {
-		r, err := fleetops.Open(ctx, fleetops.Config{
-			Self: n.identity(), Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave,
-			Log: n.log, Since: n.since, Pause: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, OnOver: events.Over, Sending: events.Sending,
-			Takes: time.Duration(n.settings.Timing.MaintenanceS * float64(time.Second)),
-		}, seen, cat, n.allWaves())
-		if err != nil {
-			return nil, err // no typed nil in the interface
-		}
-		return r, nil
+		return n.openFleet(ctx, seen, cat, events)
 	}
 	o, err := shard.Open(ctx, shard.Config{
-		Pool: pool, Self: n.identity(), Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform, Metrics: n.metrics, Log: n.log, Since: n.since,
-		Retention: time.Duration(n.settings.Timing.RetentionS * float64(time.Second)), OnOver: events.Over, Sending: events.Sending,
+		Pool: pool, Self: n.identity(), Since: n.since, Retention: seconds(n.settings.Timing.RetentionS),
+		Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
+		Metrics: n.metrics, Log: n.log, Sending: events.Sending, OnOver: events.Over,
 	}, seen, cat, workers)
 	if err != nil {
-		return nil, err
+		return nil, err // no typed nil in the interface
 	}
 	return o, nil
 }
 
+// openFleet begins the work of moving and maintaining VMs.
+func (n *Node) openFleet(ctx context.Context, seen int64, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
+	r, err := fleetops.Open(ctx, fleetops.Config{
+		Self: n.identity(), Log: n.log, Since: n.since,
+		Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave,
+		Pause: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, Takes: seconds(n.settings.Timing.MaintenanceS),
+		Sending: events.Sending, OnOver: events.Over,
+	}, seen, cat, n.allWaves())
+	if err != nil {
+		return nil, err // no typed nil in the interface
+	}
+	return r, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // setWave takes a request for maintenance.
 func (n *Node) setWave(w fleetops.Wave) {
 	n.mu.Lock()
 	n.waves[w.ID] = w
 	n.mu.Unlock()
-	if _, work, _ := n.keeper.Owner(fleetops.Partition); work != nil {
-		if r, ok := work.(*fleetops.Runner); ok {
-			r.SetWaves(n.allWaves())
-		}
+	_, work, _ := n.keeper.Owner(fleetops.Partition)
+	if r, ok := work.(*fleetops.Runner); ok {
+		r.SetWaves(n.allWaves())
 	}
 }
 
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -171,9 +169,8 @@
 
 // batchFailed undoes a batch that did not happen, or whose outcome stays unknown because the shard is given up.
 func (o *Owner) batchFailed(b *batch, err error) {
-	var notDone platform.ErrNotDone
 	outcome := schema.CallOutcomeUnknown
-	if errors.As(err, &notDone) {
+	if platform.IsNotDone(err) {
 		outcome = schema.CallOutcomeRefused
 	}
 	for _, s := range b.submissions {
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -92,7 +92,6 @@
 		cancel()
 		o.cfg.Metrics.Commit(o.now()-started, err)
 		var conflict platform.ErrConflict
-		var notDone platform.ErrNotDone
 		switch {
 		case err == nil:
 			o.setTrouble(false, nil)
@@ -100,7 +99,7 @@
 			return version, nil
 		case errors.As(err, &conflict):
 			return o.resolveConflict(conflict, b)
-		case errors.As(err, &notDone):
+		case platform.IsNotDone(err):
 			o.setTrouble(true, err)
 			if !inDoubt {
 				return 0, err
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -71,13 +71,12 @@
 	}
 	var refused platform.ErrOrderRefused
 	var other platform.ErrOtherBoot
-	var notDone platform.ErrNotDone
 	switch {
 	case errors.As(err, &other):
 		o.bootEnded(s, "another boot answers at its address")
 	case errors.As(err, &refused):
 		o.startRefused(s, name, r, refused, now)
-	case errors.As(err, &notDone):
+	case platform.IsNotDone(err):
 		s.failures++
 		if current && r.confirmedAt == 0 {
 			o.drop(s, name)
