--- /dev/null
+++ b/pkg/shard/batch.go
@@ -0,0 +1,202 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// Bounds of a transaction, below the table service's own of 100 entries and 1 MB.
+const (
+	maxTxnRows  = 90
+	maxTxnBytes = 600_000 // before the encoding of the wire, which adds a third
+)
+
+// submission is a job that waits to be kept.
+type submission struct {
+	id     string
+	record jobs.Record
+	raw    []byte
+	done   chan Outcome // buffered, gets one value
+}
+
+// batch is the content of one transaction.
+type batch struct {
+	submissions []*submission
+	jobs        []*jobs.Job
+	states      []jobs.State // of jobs, as they are written
+	workers     []*session   // that become recorded
+	acks        map[*session]int64
+	drops       []string
+	txn         platform.RowTxn
+	size        int // of the values that txn puts, in bytes
+	seq         int64
+}
+
+// room tells whether one more row may be put.
+func (b *batch) room() bool {
+	return len(b.txn.Put)+len(b.txn.Remove) < maxTxnRows && b.size < maxTxnBytes
+}
+
+func (b *batch) put(key platform.RowKey, raw []byte) {
+	b.txn.Put = append(b.txn.Put, platform.Row{RowKey: key, Value: raw})
+	b.size += len(raw)
+}
+
+func (b *batch) empty() bool {
+	return len(b.submissions) == 0 && len(b.jobs) == 0 && len(b.workers) == 0 && len(b.acks) == 0 && len(b.drops) == 0
+}
+
+// nextBatch takes what waits to be written, as much as fits; the lock is held.
+func (o *Owner) nextBatch() (b *batch, err error) {
+	b = &batch{acks: map[*session]int64{}, seq: o.seq + 1}
+	for len(o.queued) > 0 && b.room() {
+		s := o.queued[0]
+		o.queued = o.queued[1:]
+		b.submissions = append(b.submissions, s)
+		b.put(jobKey(o.cfg.Pool, s.id), s.raw)
+	}
+	if err := o.putProgress(b); err != nil {
+		return nil, err
+	}
+	for len(o.drops) > 0 && b.room() {
+		id := o.drops[0]
+		o.drops = o.drops[1:]
+		b.drops = append(b.drops, id)
+		b.txn.Remove = append(b.txn.Remove, jobKey(o.cfg.Pool, id), progressKey(o.cfg.Pool, id))
+	}
+	if len(o.dirty) == 0 {
+		for _, s := range o.sessions {
+			if s.seenEnd > s.ackedEnd {
+				b.acks[s] = s.seenEnd
+			}
+		}
+	}
+	if o.workersChanged {
+		o.workersChanged = false
+		if err := o.putWorkers(b); err != nil {
+			return nil, err
+		}
+	}
+	o.urgent = len(o.queued) > 0
+	if len(b.txn.Put) == 0 && len(b.txn.Remove) == 0 {
+		// Ends that changed nothing need no row.
+		o.acknowledge(b)
+		b.acks = nil
+		return b, nil
+	}
+	raw, err := encode(commitRow{Entry: o.cfg.Self.Entry, Start: o.cfg.Self.Start, Term: o.claim.Term, Seq: b.seq})
+	if err != nil {
+		return nil, err
+	}
+	b.put(commitKey(o.cfg.Pool), raw)
+	b.txn.Expect = []platform.Row{{RowKey: commitKey(o.cfg.Pool), Version: o.chain}}
+	return b, nil
+}
+
+// putProgress adds the progress of jobs that have changed.
+func (o *Owner) putProgress(b *batch) error {
+	for j := range o.dirty {
+		if !b.room() {
+			break
+		}
+		p := j.Progress()
+		raw, err := p.Encode()
+		if err != nil {
+			return err
+		}
+		delete(o.dirty, j)
+		b.jobs = append(b.jobs, j)
+		b.states = append(b.states, j.State)
+		b.put(progressKey(o.cfg.Pool, j.ID), raw)
+	}
+	return nil
+}
+
+// putWorkers adds the record of workers that may hold a lease.
+func (o *Owner) putWorkers(b *batch) error {
+	var set []leasedWorker
+	for _, s := range o.sessions {
+		if s.gone || s.cordonedTo > o.now() && s.idle() {
+			continue // it cannot hold a lease
+		}
+		set = append(set, s.leased())
+		if !s.recorded {
+			b.workers = append(b.workers, s)
+		}
+	}
+	raw, err := encode(set)
+	if err != nil {
+		return err
+	}
+	b.put(workersKey(o.cfg.Pool), raw)
+	return nil
+}
+
+// batchKept applies a transaction that happened.
+func (o *Owner) batchKept(b *batch, version int64) {
+	o.chain, o.seq = version, b.seq
+	now := o.now()
+	for _, s := range b.submissions {
+		delete(o.pending, s.id)
+		o.book.Add(s.id, s.record, now)
+		o.cfg.Metrics.Job("accepted")
+		s.done <- schema.CallOutcomeOk
+	}
+	for i, j := range b.jobs {
+		if b.states[i].Final() {
+			j.Kept = b.states[i]
+			o.finals = append(o.finals, finalJob{id: j.ID, at: now})
+		}
+		o.answerWaiters(j)
+	}
+	for _, s := range b.workers {
+		s.recorded = true
+		s.kick()
+	}
+	o.acknowledge(b)
+	o.kickPlacement()
+}
+
+func (o *Owner) acknowledge(b *batch) {
+	for s, n := range b.acks {
+		s.ackedEnd = max(s.ackedEnd, n)
+		s.kick()
+	}
+}
+
+// batchFailed undoes a batch that did not happen, or whose outcome stays unknown because the shard is given up.
+func (o *Owner) batchFailed(b *batch, err error) {
+	outcome := schema.CallOutcomeUnknown
+	if platform.IsNotDone(err) {
+		outcome = schema.CallOutcomeRefused
+	}
+	for _, s := range b.submissions {
+		delete(o.pending, s.id)
+		s.done <- outcome
+	}
+	for _, j := range b.jobs {
+		o.dirty[j] = struct{}{}
+	}
+	o.drops = append(o.drops, b.drops...)
+	if len(b.workers) > 0 {
+		o.workersChanged = true
+	}
+	if outcome == schema.CallOutcomeUnknown {
+		o.giveUp(err)
+		return
+	}
+	o.refuseQueued()
+	time.AfterFunc(retryCommit, o.kickCommit)
+}
+
+// refuseQueued answers the submissions that were not yet sent to the table service.
+func (o *Owner) refuseQueued() {
+	for _, s := range o.queued {
+		delete(o.pending, s.id)
+		s.done <- schema.CallOutcomeRefused
+	}
+	o.queued = nil
+}
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -8,6 +8,9 @@
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
+// submitWait is how long a submission waits for its row before its outcome is told as unknown.
+const submitWait = 1500 * time.Millisecond
+
 // Submit keeps a job and starts it; it may be called again for the same ID.
 func (o *Owner) Submit(ctx context.Context, id string, r jobs.Record) Outcome {
 	o.mu.Lock()
@@ -77,7 +80,7 @@
 	}
 	if o.book.Cancel(j) {
 		o.log.Info().Str("event", "job_cancelled").Str("job", id).Send()
-		o.metrics.Job("cancelled")
+		o.cfg.Metrics.Job("cancelled")
 		o.jobEnded(j)
 	}
 	done := make(chan Outcome, 1)
--- /dev/null
+++ b/pkg/shard/orders.go
@@ -0,0 +1,192 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// Answers to orders, and what follows from them.
+const (
+	// answerTimeout is how long an order may go unanswered, waiting apart; workers answer in milliseconds.
+	answerTimeout = 700 * time.Millisecond
+	// pauseUnhealthy is the pause before new tasks for a worker that said it is not well.
+	pauseUnhealthy = 800 * time.Millisecond
+	// pauseFull is the pause before new tasks for a worker that said it has no room.
+	pauseFull = 100 * time.Millisecond
+	// repeatStop is how long an ordered end may stay away before it is ordered again.
+	repeatStop = 1200 * time.Millisecond
+)
+
+// order sends the start of an attempt; the lock is held.
+func (o *Owner) order(a *jobs.Attempt) {
+	s := o.sessions[a.Boot]
+	name := a.Task.Name()
+	r := &running{Attempt: a}
+	s.attempts[name] = r
+	s.inFlight++
+	order := platform.StartOrder{
+		Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.Task.Checkpoint,
+		Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.lease(a.Since),
+	}
+	o.log.Info().Str("event", "start_ordered").Str("task", name).Int64("attempt", a.Number).
+		Str("boot", a.Boot).Int64("token", s.token).Int("at_worker", len(s.attempts)).Send()
+	o.send(func(ctx context.Context) (int64, error) { return o.cfg.Workers.StartAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
+		s.inFlight--
+		o.started(s, name, r, clockMs, err)
+	})
+}
+
+// send carries an order out in the background and passes its answer on under the lock.
+func (o *Owner) send(order func(context.Context) (clockMs int64, err error), answered func(clockMs int64, err error)) {
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
+		defer cancel()
+		clockMs, err := order(ctx)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.cfg.Metrics.Order(err)
+		answered(clockMs, err)
+	})
+}
+
+// started applies the answer to a start order; the lock is held.
+func (o *Owner) started(s *session, name string, r *running, clockMs int64, err error) {
+	now := o.now()
+	current := s.attempts[name] == r
+	if err == nil {
+		s.noteClock(clockMs, now)
+		if current {
+			o.begun(s, r, now)
+		}
+		s.kick()
+		return
+	}
+	if current {
+		o.log.Warn().Str("event", "start_failed").Str("task", name).Int64("attempt", r.Number).Str("boot", s.ref.Boot).Err(err).Send()
+	}
+	var refused platform.ErrOrderRefused
+	var other platform.ErrOtherBoot
+	switch {
+	case errors.As(err, &other):
+		o.bootEnded(s, "another boot answers at its address")
+	case errors.As(err, &refused):
+		o.startRefused(s, name, r, refused, now)
+	case platform.IsNotDone(err):
+		s.failures++
+		if current && r.confirmedAt == 0 {
+			o.drop(s, name)
+		}
+	default:
+		s.health.unanswered(now)
+		s.inDoubt = true
+		if current && r.confirmedAt == 0 {
+			r.Phase = jobs.PhaseInDoubt
+		}
+	}
+	s.kick()
+}
+
+func (o *Owner) startRefused(s *session, name string, r *running, refused platform.ErrOrderRefused, now time.Duration) {
+	s.noteClock(refused.ClockMs, now)
+	switch refused.Reason {
+	case platform.RefusedToken:
+		if s.inDoubt || r.Attempt.Phase == jobs.PhaseInDoubt {
+			break // our own look has raised the token meanwhile
+		}
+		o.outranked(s)
+		return
+	case platform.RefusedTicket:
+		o.ticketRefused(r.Task.Step, s.ref.Boot)
+	case platform.RefusedRoom:
+		s.pausedTo = now + pauseFull
+	case platform.RefusedUnhealthy, platform.RefusedOther:
+		s.health.unanswered(now)
+		s.pausedTo = now + pauseUnhealthy
+	}
+	if s.attempts[name] == r && r.confirmedAt == 0 {
+		o.drop(s, name)
+	}
+}
+
+// begun notes that the worker has the attempt, and stops one that should not run; the lock is held.
+func (o *Owner) begun(s *session, r *running, now time.Duration) {
+	if r.confirmedAt == 0 {
+		r.confirmedAt = now
+	}
+	if r.Phase != jobs.PhaseStopped {
+		o.book.MarkBegun(r.Attempt)
+	}
+	if o.unwanted(r.Attempt) {
+		o.stop(s, r, "no longer wanted")
+	}
+}
+
+// unwanted tells whether an attempt should not run.
+func (o *Owner) unwanted(a *jobs.Attempt) bool {
+	return a.Phase != jobs.PhaseStopped && (a.Task.Done || a.Task.Step.Job.State.Final())
+}
+
+// jobEnded stops what still runs of a job that is final; the lock is held.
+func (o *Owner) jobEnded(j *jobs.Job) {
+	o.cfg.Metrics.Job(string(j.State))
+	o.log.Info().Str("event", "job_ended").Str("job", j.ID).Str("state", string(j.State)).Send()
+	for _, step := range j.Steps {
+		for _, t := range step.Tasks {
+			for _, a := range t.Attempts {
+				o.stopAttempt(a, "its job is "+string(j.State))
+			}
+		}
+	}
+	o.forgetAdvice(j)
+	o.keep(j, true)
+}
+
+// stopAttempt ends an attempt wherever it is; the lock is held.
+func (o *Owner) stopAttempt(a *jobs.Attempt, why string) {
+	if r := o.running(a); r != nil {
+		o.stop(o.sessions[a.Boot], r, why)
+	}
+}
+
+// stop orders the end of an attempt; one whose start is on its way is stopped
+// when the start's answer is known.
+func (o *Owner) stop(s *session, r *running, why string) {
+	if r.confirmedAt == 0 || r.Phase == jobs.PhaseStopped {
+		return
+	}
+	r.Phase = jobs.PhaseStopped
+	o.log.Info().Str("event", "stop_ordered").Str("task", r.Task.Name()).Int64("attempt", r.Number).Str("boot", s.ref.Boot).Str("why", why).Send()
+	o.orderEnd(s, r)
+}
+
+// orderEnd sends the order to end an attempt and notes when.
+func (o *Owner) orderEnd(s *session, r *running) {
+	r.orderedEnd = o.now()
+	o.sendStop(s, r.Task.Name(), r.Number)
+}
+
+// sendStop sends the order to end an attempt, of which this owner need know nothing.
+func (o *Owner) sendStop(s *session, task string, attempt int64) {
+	order := platform.StopOrder{Task: task, Attempt: attempt, Token: s.token}
+	o.send(func(ctx context.Context) (int64, error) { return o.cfg.Workers.StopAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
+		s.noteClock(clockMs, o.now())
+		if err != nil {
+			o.log.Warn().Str("event", "stop_failed").Str("task", task).Str("boot", s.ref.Boot).Err(err).Send()
+		}
+		s.kick()
+	})
+}
+
+// repeatStops orders ends again that have not come.
+func (o *Owner) repeatStops(s *session, now time.Duration) {
+	for _, r := range s.attempts {
+		if r.Phase == jobs.PhaseStopped && now-r.orderedEnd > repeatStop {
+			o.orderEnd(s, r)
+		}
+	}
+}
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,25 +12,20 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
-// Waits of callers.
-const (
-	// submitWait is how long a submission waits for its row before its outcome is told as unknown.
-	submitWait = 1500 * time.Millisecond
-	// takeoverRead bounds the reads of a takeover.
-	takeoverRead = 3 * time.Second
-	// upkeepInterval is how often leases, stops and finished jobs are gone through.
-	upkeepInterval = 150 * time.Millisecond
-)
-
-// rackLabel is how labels that name a rack begin.
-const rackLabel = "r"
+// takeoverRead bounds the reads of a takeover.
+const takeoverRead = 3 * time.Second
 
 // Metrics counts what an owner does.
 type Metrics interface {
+	// Commit counts a try of a transaction, and how long it took.
 	Commit(d time.Duration, err error)
+	// Look counts a renewal of leases.
 	Look(err error)
+	// Order counts a start, a stop or a pace.
 	Order(err error)
+	// End counts an end that a worker reports.
 	End(reason platform.EndReason)
+	// Job counts what became of a job.
 	Job(event string)
 }
 
@@ -39,77 +33,68 @@
 type Config struct {
 	Pool      string
 	Self      Identity
-	Rows      platform.Rows
-	Workers   platform.Workers
-	Machines  platform.Machines
-	Adviser   platform.Adviser
-	Metrics   Metrics
-	Log       zerolog.Logger
-	Retention time.Duration // how long final jobs can be asked for
 	Since     time.Time     // origin of the owner's clock
-	OnOver    func(error)   // called once when the shard is given up
-	Sending   func()        // called before the takeover's transaction is sent
-}
+	Retention time.Duration // how long final jobs can be asked for
+
+	Rows     platform.Rows
+	Workers  platform.Workers
+	Machines platform.Machines
+	Adviser  platform.Adviser
 
-// finalJob is a job to be forgotten after the retention.
-type finalJob struct {
-	id string
-	at time.Duration
+	Metrics Metrics
+	Log     zerolog.Logger
+
+	Sending func()      // called before the takeover's transaction is sent
+	OnOver  func(error) // called once when the shard is given up
 }
 
 // Owner owns one shard until it is given up or another entry takes it over.
 type Owner struct {
-	pool     string
-	self     Identity
-	rows     platform.Rows
-	workers  platform.Workers
-	machines platform.Machines
-	adviser  platform.Adviser
-	metrics  Metrics
-	log      zerolog.Logger
-	retain   time.Duration
-	since    time.Time
-	onOver   func(error)
-	term     int64
-	claim    Claim
+	cfg   Config
+	log   zerolog.Logger
+	claim Claim
 
+	ctx        context.Context // ends with the ownership
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup // loops, and calls under way
 	placeWake  chan struct{}
 	commitWake chan struct{}
-	urgentWake chan struct{}
+	urgentWake chan struct{} // a transaction is not to wait for more
+
+	mu        sync.Mutex
+	over      bool
+	releasing bool // it is being handed over: nothing new is begun
+
+	catalog   *catalog.Catalog
+	book      *jobs.Book
+	sessions  map[string]*session       // by boot
+	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
+	durations map[string]*learned       // by queue
+	idleTasks bool                      // tasks wait for room, or for a time
+
+	confirmedAt time.Duration // when this entry certainly was the owner
+	asking      bool          // the owner row is being read
+	unconfirmed bool          // that was said in the log
 
-	mu            sync.Mutex
-	ctx           context.Context
-	cancel        context.CancelFunc
-	over          bool
-	releasing     bool // it is being handed over: nothing new is begun
-	book          *jobs.Book
-	sessions      map[string]*session
-	catalog       *catalog.Catalog
-	confirmedAt   time.Duration // when this entry certainly was the owner
-	askedMachines time.Duration // when the VM list was last asked for, 0 for never
-	asking        bool          // the owner row is being read
-	unconfirmed   bool          // that was said in the log
 	held          bool          // a worker of a former owner has not been heard
-	openedAt      time.Duration // when this entry took over
 	heldTo        time.Duration // when its leases have run out
+	openedAt      time.Duration // when this entry took over
+	askedMachines time.Duration // when the VM list was last asked for, 0 for never
 
-	pending        map[string]*submission
-	queued         []*submission
-	dirty          map[*jobs.Job]struct{}
-	drops          []string
-	finals         []finalJob
-	waiters        map[*jobs.Job][]chan Outcome
-	workersChanged bool
-	urgent         bool
-	advices        map[*jobs.StepRun]*advice
-	durations      map[string]*learned // by queue
-	committing     bool                // a transaction is under way
-	loadLogged     time.Duration
-	idleTasks      bool // tasks wait for room, or for a time
-	troubled       bool
-	chain          int64 // version of the commit row
-	seq            int64
-	wg             sync.WaitGroup
+	pending        map[string]*submission       // by job ID, until their row is written or refused
+	queued         []*submission                // of those, the ones not in a transaction yet
+	dirty          map[*jobs.Job]struct{}       // whose progress is to be written
+	drops          []string                     // IDs of jobs whose rows are to be removed
+	workersChanged bool                         // the record of leased workers is to be written
+	urgent         bool                         // someone waits for the next transaction
+	committing     bool                         // a transaction is under way
+	troubled       bool                         // the table service carries out no transactions
+	chain          int64                        // version of the commit row
+	seq            int64                        // of the last transaction in this term
+	waiters        map[*jobs.Job][]chan Outcome // callers that wait for a final state to be kept
+	finals         []finalJob                   // in the order in which they are forgotten
+
+	loadLogged time.Duration // when the load was last written to the log
 }
 
 // Open takes the shard over, if its owner row still has the version seen, reads
@@ -127,18 +112,18 @@
 		return nil, err
 	}
 	o = &Owner{
-		pool: cfg.Pool, self: cfg.Self, rows: cfg.Rows, workers: cfg.Workers, machines: cfg.Machines, adviser: cfg.Adviser, metrics: cfg.Metrics,
-		log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), retain: cfg.Retention,
-		since: cfg.Since, onOver: cfg.OnOver, term: c.Term, claim: c, chain: c.chain,
+		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
-		book: k.book, sessions: map[string]*session{}, catalog: cat,
-		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{}, durations: map[string]*learned{}, advices: map[*jobs.StepRun]*advice{},
+		catalog: cat, book: k.book, sessions: map[string]*session{},
+		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*learned{},
+		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	o.start(k, workers, now)
 	return o, nil
 }
 
+// start begins to watch the workers and to write and place.
 func (o *Owner) start(k kept, workers []platform.Worker, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -167,145 +152,14 @@
 	o.kickPlacement()
 }
 
-// formerLeasesEnd is when the longest lease of a former owner has run out.
-func (o *Owner) formerLeasesEnd(now time.Duration) time.Duration {
-	return now + ConfirmedFor + time.Duration(float64(leaseLength.Nanoseconds())*(1+2*maxClockDrift)) + lapseSlack
-}
-
-func (o *Owner) now() time.Duration { return time.Since(o.since) }
-
-// confirmed tells whether this entry may give leases and orders: it was the
-// owner a short time ago, so a next one will wait for what is given now.
-func (o *Owner) confirmed(now time.Duration) bool { return now-o.confirmedAt < ConfirmedFor }
-
-// Confirm notes that this entry was the owner at a time on the owner's clock.
-func (o *Owner) Confirm(at time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.noteConfirmed(at)
-}
-
-func (o *Owner) noteConfirmed(at time.Duration) {
-	if at <= o.confirmedAt {
-		return
-	}
-	now := o.now()
-	regained := !o.confirmed(now) && now-at < ConfirmedFor
-	o.confirmedAt = at
-	if regained {
-		o.log.Info().Str("event", "ownership_confirmed").Dur("age", now-at).Send()
-		o.kickPlacement()
-		for _, s := range o.sessions {
-			s.kick()
-		}
-	}
-}
-
-// askOwnership reads the owner row when nothing else has confirmed it of late,
-// or while the table service is in trouble; the lock is held.
-func (o *Owner) askOwnership(now time.Duration) {
-	if o.asking || !o.troubled && now-o.confirmedAt < ConfirmedFor/2 {
-		return
-	}
-	if !o.confirmed(now) && !o.unconfirmed {
-		o.unconfirmed = true
-		o.log.Warn().Str("event", "ownership_unconfirmed").Dur("age", now-o.confirmedAt).Send()
-	}
-	o.asking = true
-	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
-		defer cancel()
-		sentAt := o.now()
-		row, err := ReadOwner(ctx, o.rows, o.pool)
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		o.asking = false
-		if err != nil {
-			o.log.Debug().Str("event", "ownership_not_read").Err(err).Send()
-			return
-		}
-		if row.Version != o.claim.OwnerVersion {
-			o.giveUp(ErrNotOwner{Owner: OwnerRow{Entry: "the writer of a later owner row"}})
-			return
-		}
-		o.unconfirmed = false
-		if o.troubled && len(o.dirty) == 0 {
-			// Nothing else would find out that transactions may be carried out again.
-			o.noteTrouble(false, nil)
-		}
-		o.noteConfirmed(sentAt)
-	})
-}
+func (o *Owner) now() time.Duration { return time.Since(o.cfg.Since) }
 
 // Term is the term of ownership.
-func (o *Owner) Term() int64 { return o.term }
+func (o *Owner) Term() int64 { return o.claim.Term }
 
 // RowVersion is the version of the owner row that this owner wrote.
 func (o *Owner) RowVersion() int64 { return o.claim.OwnerVersion }
 
-// Pool is the pool whose shard this is.
-func (o *Owner) Pool() string { return o.pool }
-
-// addSession starts to watch a boot.
-func (o *Owner) addSession(ref platform.WorkerRef, vm string) *session {
-	ctx, cancel := context.WithCancel(o.ctx)
-	s := &session{
-		ref: ref, vm: vm, attempts: map[string]*running{}, token: o.term*tokensPerTerm + 1,
-		wake: make(chan struct{}, 1), cancel: cancel, lapsesAt: o.formerLeasesEnd(o.now()),
-	}
-	o.sessions[ref.Boot] = s
-	o.wg.Go(func() { o.sessionLoop(ctx, s) })
-	return s
-}
-
-// SetWorkers takes the directory's current boots of all pools.
-func (o *Owner) SetWorkers(workers []platform.Worker) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if !o.over {
-		o.setWorkers(workers)
-	}
-}
-
-func (o *Owner) setWorkers(workers []platform.Worker) {
-	listed := make(map[string]bool, len(workers))
-	for _, w := range workers {
-		if w.Pool != o.pool {
-			continue
-		}
-		listed[w.Boot] = true
-		s := o.sessions[w.Boot]
-		if s == nil {
-			s = o.addSession(platform.WorkerRef{Boot: w.Boot, Address: w.Address}, w.VM)
-			o.workersChanged = true
-			o.log.Info().Str("event", "worker_listed").Str("boot", w.Boot).Str("vm", w.VM).Str("address", w.Address).Send()
-		}
-		s.listed, s.info, s.vm = true, w, w.VM
-		if w.Draining && !s.draining {
-			s.draining = true
-			o.log.Info().Str("event", "worker_draining").Str("boot", w.Boot).Send()
-		}
-	}
-	for boot, s := range o.sessions {
-		if s.listed && !listed[boot] {
-			s.listed = false
-			o.log.Info().Str("event", "worker_unlisted").Str("boot", boot).Send()
-		}
-		if s.listed {
-			continue
-		}
-		if s.failures > 0 {
-			o.expire(s)
-		} else if s.known && s.idle() {
-			o.bootEnded(s, "it is not listed and has nothing to do")
-		}
-	}
-	if o.workersChanged {
-		o.kickCommit()
-	}
-	o.kickPlacement()
-}
-
 // SetCatalog takes a new version of the configuration.
 func (o *Owner) SetCatalog(c *catalog.Catalog) {
 	o.mu.Lock()
@@ -314,75 +168,6 @@
 	o.kickPlacement()
 }
 
-// checkHeld sees whether tasks of a former owner may still be somewhere unseen.
-func (o *Owner) checkHeld() {
-	if !o.held {
-		return
-	}
-	now := o.now()
-	if now < o.heldTo {
-		for _, s := range o.sessions {
-			if s.recorded && !s.known && !s.gone {
-				return
-			}
-		}
-	}
-	o.held = false
-	o.log.Info().Str("event", "takeover_complete").Dur("after", now-(o.heldTo-o.formerLeasesEnd(0))).Send()
-	o.kickPlacement()
-}
-
-// upkeepLoop goes through what is due by time.
-func (o *Owner) upkeepLoop(ctx context.Context) {
-	tick := time.NewTicker(upkeepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			o.upkeep()
-		}
-	}
-}
-
-func (o *Owner) upkeep() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.now()
-	o.askOwnership(now)
-	for _, s := range o.sessions {
-		o.expire(s)
-		o.repeatStops(s, now)
-		if s.listed && !s.recorded && now >= s.cordonedTo {
-			o.workersChanged = true
-			o.kickCommit()
-		}
-		if s.draining {
-			o.evacuate(s, false, "its worker is leaving")
-		}
-	}
-	o.checkHeld()
-	o.askMachines(now)
-	o.forgetFinals(now)
-	o.checkStragglers(now)
-	o.logLoad(now)
-	if o.idleTasks || o.book.Timed() {
-		o.kickPlacement()
-	}
-}
-
-// forgetFinals removes jobs that callers no longer ask for.
-func (o *Owner) forgetFinals(now time.Duration) {
-	for len(o.finals) > 0 && now-o.finals[0].at > o.retain {
-		id := o.finals[0].id
-		o.finals = o.finals[1:]
-		o.book.Remove(id)
-		o.drops = append(o.drops, id)
-		o.kickCommit()
-	}
-}
-
 // outranked gives the shard up: a worker has seen a higher token than ours.
 func (o *Owner) outranked(s *session) {
 	o.giveUp(ErrNotOwner{Owner: OwnerRow{Entry: "the sender of a higher token at " + s.ref.Boot}})
@@ -397,7 +182,7 @@
 	o.refuseQueued()
 	o.cancel()
 	o.log.Warn().Str("event", "shard_given_up").Err(cause).Send()
-	go o.onOver(cause)
+	go o.cfg.OnOver(cause)
 }
 
 // Close ends the ownership without handing it over.
@@ -409,12 +194,3 @@
 	o.cancel()
 	o.wg.Wait()
 }
-
-func rackOf(labels []string) string {
-	for _, l := range labels {
-		if strings.HasPrefix(l, rackLabel) && strings.ContainsRune(l, '-') {
-			return l
-		}
-	}
-	return ""
-}
