--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -143,6 +143,8 @@
 
 // inWave returns the phase of a VM that is being emptied or maintained, empty for another.
 func (r *Runner) inWave(vm string) Phase {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, w := range r.waves {
 		for _, v := range w.vms {
 			if v.Name == vm && (v.Phase == PhaseEmptying || v.Phase == PhaseOrdered) {
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -158,3 +158,13 @@
 	}
 	wg.Wait()
 }
+
+// Shards returns the names of all shards that are known here.
+func (k *Keeper) Shards() (pools []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for pool := range k.shards {
+		pools = append(pools, pool)
+	}
+	return pools
+}
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -51,6 +51,7 @@
 	sentAt := m.now()
 	pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	reply, err := k.caller.Call(pingCtx, &schema.Call{Kind: schema.CallKindPing, CatalogVersion: int(version), OwnersVersion: int(m.local.OwnersVersion())})
+	timedOut := pingCtx.Err() != nil
 	cancel()
 	if ctx.Err() != nil {
 		return
@@ -63,7 +64,7 @@
 		var notSent peer.ErrNotSent
 		k.refused = errors.As(err, &notSent) && notSent.Refused
 		var lost peer.ErrLinkLost
-		if errors.As(err, &lost) && pingCtx.Err() != nil {
+		if errors.As(err, &lost) && timedOut {
 			k.caller.Close() // a silent link is not waited for
 		}
 	}
