--- a/_scripts/generate.sh
+++ b/_scripts/generate.sh
@@ -27,7 +27,7 @@
 [ "$check" = --check ] && docs=$(mktemp -d)
 go run ./_scripts/refdocs "$docs"
 if [ "$docs" != docs ]; then
-  for f in cli/gannetwelld.md cli/gannetctl.md cli/gannetbench.md operate/settings-reference.md operate/table-reference.md; do
+  for f in cli/gannetwelld.md cli/gannetctl.md cli/gannetbench.md operate/settings-reference.md operate/service-settings-reference.md operate/table-reference.md; do
     diff -u "docs/$f" "$docs/$f" || { echo "docs/$f is out of date: run _scripts/generate.sh" >&2; exit 1; }
   done
   rm -rf "$docs"
--- a/_scripts/refdocs/main.go
+++ b/_scripts/refdocs/main.go
@@ -29,6 +29,8 @@
 	}
 	write(filepath.Join(dir, "operate", "settings-reference.md"), reference("settings.json", "Settings reference",
 		"Settings of gannetwelld, JSON with comments. Unknown fields are errors.", "Settings"))
+	write(filepath.Join(dir, "operate", "service-settings-reference.md"), reference("service.json", "Settings of the job service",
+		"Settings of gannetwelld serve, JSON with comments; on the users' platform deploy/settings.jsonc makes them. Unknown fields are errors.", "ServiceSettings"))
 	write(filepath.Join(dir, "operate", "table-reference.md"), reference("table.json", "Table reference",
 		"The rows of the table. A table file has one object for each kind of row, with rows by name.", "Document"))
 }
--- a/cmd/gannetwelld/cmds/serve.go
+++ b/cmd/gannetwelld/cmds/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -67,10 +68,19 @@
 		DecodeCatalog: platform.DecodeCatalog, DecodeWorker: platform.DecodeWorker,
 		DecodeWave: platform.DecodeWave, EncodeWave: platform.EncodeWaveReport,
 	}, log)
-	handleSignals(n.Stop, func() { log.Info().Str("event", "reload").Bool("changed", false).Send() })
+	handleSignals(n.Stop, func() { c.reload(s, log) })
 	return n.Run(node.Handlers{Callers: platform.Callers(n), Readiness: platform.Readiness(n)})
 }
 
+// reload reads the settings again. An entry takes them at its start only, since
+// its addresses and limits are those of its process; a change is told, so that
+// someone restarts it.
+func (c *serveCommand) reload(inForce schema.ServiceSettings, log zerolog.Logger) {
+	var s schema.ServiceSettings
+	err := config.LoadFile(c.Config, config.TargetService, &s)
+	log.Info().Str("event", "reload").Bool("valid", err == nil).Bool("restart_needed", err == nil && !reflect.DeepEqual(s, inForce)).Err(err).Send()
+}
+
 // handleSignals calls stop at SIGTERM or SIGINT, and reload at SIGHUP.
 func handleSignals(stop, reload func()) {
 	signals := make(chan os.Signal, 4)
