Pools are sized during takeovers

Change: an owner tells its load during a takeover, tasks that wait for its end among the waiting ones.

--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -39,7 +39,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.now()
-	if o.over || o.held || !o.confirmed(now) {
+	if o.over || !o.confirmed(now) {
 		return l, false
 	}
 	return o.load(now), true
@@ -68,7 +68,7 @@
 	}
 	slices.SortFunc(l.Light, func(a, b string) int { return cmp.Or(cmp.Compare(used[a], used[b]), cmp.Compare(a, b)) })
 	l.Floor = o.floor()
-	for _, c := range o.candidates(now) {
+	for _, c := range o.candidates(now, true) {
 		l.Tasks += len(c.Tasks)
 		for range c.Tasks {
 			l.Waiting = l.Waiting.Add(placement.Charge(c.Step.Spec))
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -36,7 +36,7 @@
 	if !o.confirmed(now) {
 		return
 	}
-	candidates := o.candidates(now)
+	candidates := o.candidates(now, false)
 	o.idleTasks = len(candidates) > 0
 	if len(candidates) == 0 {
 		return
@@ -73,8 +73,9 @@
 	return hosts
 }
 
-// candidates returns the steps with tasks that may start.
-func (o *Owner) candidates(now time.Duration) (cs []placement.Candidate) {
+// candidates returns the steps with tasks that may start; with held also those
+// that must wait for the end of a takeover.
+func (o *Owner) candidates(now time.Duration, withHeld bool) (cs []placement.Candidate) {
 	wall := time.Duration(time.Now().UnixNano())
 	for _, j := range o.book.Active() {
 		left := time.Duration(-1)
@@ -82,7 +83,7 @@
 			if !s.Open() || s.Finished() || s.Due() > wall {
 				continue
 			}
-			idle := o.idle(s, now)
+			idle := o.idle(s, withHeld)
 			if len(idle) == 0 {
 				continue
 			}
@@ -95,9 +96,10 @@
 	return cs
 }
 
-// idle returns the tasks of a step that may start now.
-func (o *Owner) idle(s *jobs.StepRun, now time.Duration) (tasks []*jobs.Task) {
-	if o.held && s.Job.Restored {
+// idle returns the tasks of a step that may start now, with held also those that
+// must wait for the end of a takeover.
+func (o *Owner) idle(s *jobs.StepRun, withHeld bool) (tasks []*jobs.Task) {
+	if o.held && s.Job.Restored && !withHeld {
 		return nil
 	}
 	for _, t := range s.Tasks {
