A gang one of whose starts fails is ended at once

A start that fails leaves the others of its gang waiting, by reading the code; the script gang shows it and fails without the change.

--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -41,6 +41,7 @@
 	Index      int
 	Tasks      []*Task
 	GangFailed []int64 // numbers of the runs of the whole gang that failed
+	BrokenRun  int64   // number of the last run of the gang that a start failed of
 
 	blockers int // unfinished steps that it waits for
 	done     int
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -88,6 +88,9 @@
 			r.Phase = jobs.PhaseInDoubt
 		}
 	}
+	if r.Task.Step.Spec.Gang {
+		o.breakGang(r.Task.Step, r.Number)
+	}
 	s.kick()
 }
 
@@ -124,6 +127,22 @@
 	if o.unwanted(r.Attempt) {
 		o.stop(s, r, "no longer wanted")
 	}
+	if r.Number <= r.Task.Step.BrokenRun {
+		o.stop(s, r, "another member of its gang did not start")
+	}
+}
+
+// breakGang ends the other members of a run of a gang one of whose starts
+// failed: they would only wait for it.
+func (o *Owner) breakGang(step *jobs.StepRun, number int64) {
+	step.BrokenRun = max(step.BrokenRun, number)
+	for _, t := range step.Tasks {
+		for _, a := range t.Attempts {
+			if a.Number <= number {
+				o.stopAttempt(a, "another member of its gang did not start")
+			}
+		}
+	}
 }
 
 // unwanted tells whether an attempt should not run.
