--- /dev/null
+++ b/_scripts/matrix.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Plays each day of platform/days on a site of the users' bench, one after the other:
+#   _scripts/matrix.sh BENCH SITE [WHY]
+# and prints what broke, what the day was worth and how often shards changed hands.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bench=$1 site=$2 why=${3:-"matrix of own days"}
+printf '%-14s %-8s %-8s %-9s %s\n' day worth served takeovers broken
+for day in platform/days/*.toml; do
+  out=$(mktemp)
+  "$bench" run "$site" "$day" --log front --why "$why" > "$out" 2>&1 || true
+  name=$(basename "$day" .toml)
+  line=$(grep "^$name " "$out" | head -1 || true)
+  owned=$(grep -c '"event":"shard_owned"' "$out" || true)
+  printf '%-14s %-8s %-8s %-9s %s\n' "$name" "$(echo "$line" | awk '{print $4}')" "$(echo "$line" | awk '{print $5}')" "$owned" \
+    "$(echo "$line" | grep -o 'BROKEN.*' || echo none)"
+  rm -f "$out"
+done
--- a/cmd/gannetctl/cmds/jobs.go
+++ b/cmd/gannetctl/cmds/jobs.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gannetwell/gannetwell/pkg/cli"
+	"github.com/gannetwell/gannetwell/service/api"
 )
 
 // jobCommands ask about the job service; --entry names the metrics address of an entry.
@@ -60,16 +61,12 @@
 
 // Execute implements flags.Commander.
 func (c *poolListCommand) Execute([]string) error {
-	cl, err := c.console.client()
+	shards, err := c.console.shards()
 	if err != nil {
 		return err
 	}
-	shards, err := cl.Shards(context.Background())
-	if err != nil {
-		return exitOf(err)
-	}
 	c.console.printf("%-16s %8s %10s %10s %10s %8s\n", "POOL", "WORKERS", "CPU", "USED", "WAITING", "TASKS")
-	for _, s := range shards.Shards {
+	for _, s := range shards {
 		if !s.Loaded {
 			c.console.printf("%-16s %8s\n", s.Pool, "-")
 			continue
@@ -83,16 +80,12 @@
 
 // Execute implements flags.Commander.
 func (c *ownerListCommand) Execute([]string) error {
-	cl, err := c.console.client()
+	shards, err := c.console.shards()
 	if err != nil {
 		return err
 	}
-	shards, err := cl.Shards(context.Background())
-	if err != nil {
-		return exitOf(err)
-	}
 	c.console.printf("%-16s %6s  %s\n", "POOL", "TERM", "OWNER")
-	for _, s := range shards.Shards {
+	for _, s := range shards {
 		owner := s.Owner
 		if owner == "" {
 			owner = "-"
@@ -101,3 +94,13 @@
 	}
 	return nil
 }
+
+// shards asks an entry who owns each shard and how busy it is.
+func (c *console) shards() (shards []api.ShardStatus, err error) {
+	cl, err := c.client()
+	if err != nil {
+		return nil, err
+	}
+	answer, err := cl.Shards(context.Background())
+	return answer.Shards, exitOf(err)
+}
