VMs that a former holder ordered down count in a wave

Change: VMs of the wave that the list shows down, or that the handover names, count as down; a VM that is not listed no longer ends the choice. The script wave holds it.

--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -60,7 +60,7 @@
 	}
 	r.observe(w, machines)
 	if r.mayOrder(ctx) {
-		for _, v := range Next(w.Wave, w.vms, machines, r.spare(), r.light(), r.now()-w.begun) {
+		for _, v := range Next(w.Wave, w.vms, r.view(w, machines)) {
 			if r.moves[v.Name] != nil {
 				continue
 			}
@@ -144,3 +144,12 @@
 	}
 	return light
 }
+
+// view gathers what the next VMs of a wave are chosen by.
+func (r *Runner) view(w *wave, machines map[string]platform.Machine) View {
+	recent := map[string]bool{}
+	for vm := range r.notBefore {
+		recent[vm] = !r.mayOrderFor(vm)
+	}
+	return View{Machines: machines, Spare: r.spare(), Light: r.light(), Recent: recent, Since: r.now() - w.begun}
+}
--- a/pkg/fleetops/plan_test.go
+++ b/pkg/fleetops/plan_test.go
@@ -75,19 +75,25 @@
 
 func planWave(input string, most int, since time.Duration) string {
 	w := Wave{MaxDown: most, Within: 60 * time.Second}
-	light := map[string]bool{}
+	light, recent := map[string]bool{}, map[string]bool{}
 	var vms []*VM
 	machines := map[string]platform.Machine{}
 	for _, line := range strings.Split(input, "\n") {
 		name, v := fields(line)
 		machines[name] = platform.Machine{VM: name, Pool: v["pool"], State: platform.MachineUp}
 		_, light[name] = v["light"]
+		_, recent[name] = v["recent"]
+		if _, down := v["down"]; down {
+			m := machines[name]
+			m.State = platform.MachineMaintenance
+			machines[name] = m
+		}
 		if v["phase"] != "" {
 			vms = append(vms, &VM{Name: name, Phase: Phase(v["phase"])})
 		}
 	}
 	var out strings.Builder
-	for _, v := range Next(w, vms, machines, "spare", light, since) {
+	for _, v := range Next(w, vms, View{Machines: machines, Spare: "spare", Light: light, Recent: recent, Since: since}) {
 		fmt.Fprintf(&out, "%s\n", v.Name)
 	}
 	return out.String()
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -89,11 +89,21 @@
 	}
 }
 
+// View is what the next VMs of a wave are chosen by.
+type View struct {
+	Machines map[string]platform.Machine // by name
+	Spare    string                      // pool of VMs that are switched off
+	Light    map[string]bool             // VMs with little work
+	Recent   map[string]bool             // VMs that a former holder may have ordered down a moment ago
+	Since    time.Duration               // since the wave was requested
+}
+
 // Next returns the VMs to empty next, so that neither the wave's limit nor the
 // share of a pool is exceeded: first those that are switched off, then those
 // with little work, and the others once the time since the request presses. In a
 // deployment whose VMs move with demand most are without work at some moment.
-func Next(w Wave, vms []*VM, machines map[string]platform.Machine, spare string, light map[string]bool, since time.Duration) (next []*VM) {
+func Next(w Wave, vms []*VM, view View) (next []*VM) {
+	machines, spare, light := view.Machines, view.Spare, view.Light
 	busy := 0
 	inPool := map[string]int{}
 	left := map[string]int{}
@@ -109,9 +119,13 @@
 			inPool[pool]++
 		case PhaseWaiting:
 			left[pool]++
+			if machines[v.Name].State == platform.MachineMaintenance || view.Recent[v.Name] {
+				busy++ // by an order of a former holder
+				inPool[pool]++
+			}
 		}
 	}
-	pressing := w.presses(len(vms), since)
+	pressing := w.presses(len(vms), view.Since)
 	waiting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.Phase != PhaseWaiting })
 	slices.SortStableFunc(waiting, func(a, b *VM) int {
 		return cmp.Or(
@@ -121,10 +135,10 @@
 	})
 	for _, v := range waiting {
 		m, ok := machines[v.Name]
-		if busy >= w.MaxDown || !ok {
+		if busy >= w.MaxDown {
 			break
 		}
-		if m.State != platform.MachineUp {
+		if !ok || m.State != platform.MachineUp || view.Recent[v.Name] {
 			continue
 		}
 		if !pressing && weight(m, spare, light) == weightBusy {
