--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -20,7 +20,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.now()
-	if o.over || o.held || !o.confirmed(now) {
+	if o.over || !o.confirmed(now) {
 		return false
 	}
 	empty = true
@@ -28,6 +28,10 @@
 		if s.vm != vm {
 			continue
 		}
+		if o.held && !s.known {
+			empty = false // a former owner's tasks may be there
+			continue
+		}
 		if s.cordonedTo < now {
 			o.log.Info().Str("event", "worker_cordoned").Str("boot", s.ref.Boot).Str("vm", vm).Int("attempts", len(s.attempts)).Send()
 		}
