A new owner takes no limited task away at first

Change: for 2.5 s, and until the takeover is complete, no task of a step with a limit on missing ones is taken away; idle VMs may leave all the same.

--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -12,6 +12,10 @@
 	cordonTime = 4 * time.Second
 	// fullPercent is the progress of a long-running task that serves.
 	fullPercent = 100
+	// evacuateAfter is how long a new owner takes no task away where a step limits
+	// the missing ones: a former owner may have told one to end, which takes a
+	// second and does not show in the listings before.
+	evacuateAfter = 2500 * time.Millisecond
 )
 
 // Empty keeps new tasks away from a VM and moves away what runs there, as far as
@@ -55,13 +59,14 @@
 // that they start there; others are left to finish. With limited, no more tasks
 // of a step are away than it allows.
 func (o *Owner) evacuate(s *session, limited bool, why string) {
-	hosts := o.hosts(o.now())
+	now := o.now()
+	hosts := o.hosts(now)
 	for _, r := range s.attempts {
 		step := r.Task.Step
 		if !step.Spec.LongRunning || r.Phase == jobs.PhaseStopped {
 			continue
 		}
-		if limited && step.Spec.Limited && !o.mayMiss(step, r.Task) {
+		if limited && step.Spec.Limited && (o.held || now-o.openedAt < evacuateAfter || !o.mayMiss(step, r.Task)) {
 			continue
 		}
 		if !placement.Reserve(step, hosts) {
