--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -72,7 +72,7 @@
 
 // wantsLook tells whether the worker has to be asked at all.
 func (s *session) wantsLook() bool {
-	return !s.gone && (!s.known || s.inDoubt || len(s.attempts) > 0 || s.seenEnd > s.ackedEnd)
+	return !s.gone && (!s.known || s.failures > 0 || s.inDoubt || len(s.attempts) > 0 || s.seenEnd > s.ackedEnd)
 }
 
 // idle tells whether nothing of ours is or may be at the worker.
