A shard's load and its order share one walk over waiting tasks

Cause: read again at the end: the load, asked for four times a second, built whole candidates with deadlines and chains of work only to count tasks; the same wake-up was written out three times; the age of a takeover was derived from its end; a comment called one worker's capacity an average. Change: eachIdle serves both, kick is called, openedAt is used, the comment says what the code does. Behaviour is as before.

--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -141,10 +141,7 @@
 // hurry has the next transaction written without waiting for more; the lock is held.
 func (o *Owner) hurry() {
 	o.urgent = true
-	select {
-	case o.urgentWake <- struct{}{}:
-	default:
-	}
+	kick(o.urgentWake)
 	o.kickCommit()
 }
 
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -26,7 +26,7 @@
 	Used     platform.Resources // by tasks there
 	Waiting  platform.Resources // of tasks that could start at once if there were room
 	Tasks    int                // that wait so
-	// VMCapacity is what one worker has on average.
+	// VMCapacity is what one of the workers has; those of a pool are alike.
 	VMCapacity platform.Resources
 	// Floor is how many workers the long-running tasks need at least.
 	Floor int
@@ -68,12 +68,12 @@
 	}
 	slices.SortFunc(l.Light, func(a, b string) int { return cmp.Or(cmp.Compare(used[a], used[b]), cmp.Compare(a, b)) })
 	l.Floor = o.floor()
-	for _, c := range o.candidates(now, true) {
-		l.Tasks += len(c.Tasks)
-		for range c.Tasks {
-			l.Waiting = l.Waiting.Add(placement.Charge(c.Step.Spec))
+	o.eachIdle(true, func(s *jobs.StepRun, idle []*jobs.Task) {
+		l.Tasks += len(idle)
+		for range idle {
+			l.Waiting = l.Waiting.Add(placement.Charge(s.Spec))
 		}
-	}
+	})
 	return l
 }
 
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -36,7 +36,7 @@
 	if !o.confirmed(now) {
 		return
 	}
-	candidates := o.candidates(now, false)
+	candidates := o.candidates(now)
 	o.idleTasks = len(candidates) > 0
 	if len(candidates) == 0 {
 		return
@@ -73,27 +73,32 @@
 	return hosts
 }
 
-// candidates returns the steps with tasks that may start; with held also those
-// that must wait for the end of a takeover.
-func (o *Owner) candidates(now time.Duration, withHeld bool) (cs []placement.Candidate) {
+// candidates returns the steps with tasks that may start now, with what their order depends on.
+func (o *Owner) candidates(now time.Duration) (cs []placement.Candidate) {
+	left := map[*jobs.Job]time.Duration{}
+	o.eachIdle(false, func(s *jobs.StepRun, idle []*jobs.Task) {
+		if _, ok := left[s.Job]; !ok {
+			left[s.Job] = o.workLeft(s.Job, now)
+		}
+		cs = append(cs, o.candidate(s, idle, left[s.Job], now))
+	})
+	return cs
+}
+
+// eachIdle calls f for each step with tasks that may start, in order of
+// acceptance; with held also those that must wait for the end of a takeover.
+func (o *Owner) eachIdle(withHeld bool, f func(s *jobs.StepRun, idle []*jobs.Task)) {
 	wall := time.Duration(time.Now().UnixNano())
 	for _, j := range o.book.Active() {
-		left := time.Duration(-1)
 		for _, s := range j.Steps {
 			if !s.Open() || s.Finished() || s.Due() > wall {
 				continue
 			}
-			idle := o.idle(s, withHeld)
-			if len(idle) == 0 {
-				continue
-			}
-			if left < 0 {
-				left = o.workLeft(j, now)
+			if idle := o.idle(s, withHeld); len(idle) > 0 {
+				f(s, idle)
 			}
-			cs = append(cs, o.candidate(s, idle, left, now))
 		}
 	}
-	return cs
 }
 
 // idle returns the tasks of a step that may start now, with held also those that
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -58,12 +58,7 @@
 }
 
 // kick lets the session's loop look again.
-func (s *session) kick() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
+func (s *session) kick() { kick(s.wake) }
 
 // usable tells whether new tasks may start at the worker.
 func (s *session) usable(now time.Duration) bool {
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -83,7 +83,7 @@
 		}
 	}
 	o.held = false
-	o.log.Info().Str("event", "takeover_complete").Dur("after", now-(o.heldTo-o.formerLeasesEnd(0))).Send()
+	o.log.Info().Str("event", "takeover_complete").Dur("after", now-o.openedAt).Send()
 	o.kickPlacement()
 }
 
