--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -17,9 +17,14 @@
 )
 
 const (
-	// feedWait is how long one call for changes waits; keep-alive probes find a dead connection sooner.
-	feedWait = 20 * time.Second
-	// readTimeout bounds one read, and what a waiting call may take beyond its wait.
+	// feedWait is how long one call for changes waits. A service that was silent
+	// for a while never answers the calls of that time, although their connections
+	// stand: the wait bounds for how long such a call hides what happens after it.
+	feedWait = time.Second
+	// feedTimeout is what a waiting call may take beyond its wait; the service
+	// answers in milliseconds, and up to 60 times slower in trouble.
+	feedTimeout = 700 * time.Millisecond
+	// readTimeout bounds one read.
 	readTimeout = 2 * time.Second
 	// workersPace is the least time between two calls for the directory of
 	// workers, whose rows change with every heartbeat; a worker that is leaving
@@ -81,7 +86,7 @@
 		}
 		return err
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, feedWait+readTimeout)
+	waitCtx, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
 	defer cancel()
 	page, err := n.rows.FollowRows(waitCtx, f.table, *after, feedWait)
 	if err != nil {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	callers, err := n.listenHTTP(n.settings.Callers, h.Callers)
+	callers, err := n.listenHTTP(n.settings.Callers, n.closingWhenStopped(h.Callers))
 	if err != nil {
 		return err
 	}
@@ -230,10 +230,22 @@
 	return errors.Wrap(callers.server.Shutdown(finish), "finish open requests")
 }
 
+// closingWhenStopped has callers open a new connection, at another node, for
+// what they ask after a planned stop has begun.
+func (n *Node) closingWhenStopped(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // httpActor is an HTTP server with its listener.
 type httpActor struct {
-	server *http.Server
-	ln     net.Listener
+	server      *http.Server
+	ln          net.Listener
+	interrupted chan struct{} // closed when the server's connections are to be closed
 }
 
 func (n *Node) listenHTTP(address string, h http.Handler) (*httpActor, error) {
@@ -241,14 +253,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return &httpActor{ln: ln, server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}, nil
+	return &httpActor{
+		ln: ln, interrupted: make(chan struct{}),
+		server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+	}, nil
 }
 
+// serve returns when the server fails or is interrupted. A server that shuts
+// down still answers the requests that are open, so that its end of listening is
+// not the end of the actor, which would end all others.
 func (a *httpActor) serve() error {
 	if err := a.server.Serve(a.ln); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve %s", a.ln.Addr())
 	}
+	<-a.interrupted
 	return nil
 }
 
-func (a *httpActor) interrupt(error) { _ = a.server.Close() }
+// interrupt closes all connections; oklog/run calls it once.
+func (a *httpActor) interrupt(error) {
+	close(a.interrupted)
+	_ = a.server.Close()
+}
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -187,14 +187,20 @@
 }
 
 func newTestNode(c *qt.C, name, ip string, s services) *Node {
-	port := freePort(c, ip)
-	return New(schema.ServiceSettings{
-		Name: name, Zone: "z", Address: ip, Callers: fmt.Sprintf("%s:%d", ip, freePort(c, ip)),
-		Readiness: fmt.Sprintf("%s:%d", ip, freePort(c, ip)), Ports: []int{port, port}, MemoryMb: 100, CpuShare: 1,
+	return New(testSettings(name, ip, freePort(c, ip), freePort(c, ip), freePort(c, ip)), s, source(), testLog())
+}
+
+// testSettings are an entry's settings with its ports for peers, callers and readiness.
+func testSettings(name, ip string, peers, callers, readiness int) schema.ServiceSettings {
+	return schema.ServiceSettings{
+		Name: name, Zone: "z", Address: ip, Callers: fmt.Sprintf("%s:%d", ip, callers),
+		Readiness: fmt.Sprintf("%s:%d", ip, readiness), Ports: []int{peers, peers}, MemoryMb: 100, CpuShare: 1,
 		Timing: schema.TimingSettings{GraceS: 6, MaxLeaseMs: 10000, RetentionS: 100, LeaseMs: 100},
-	}, s, source(), zerolog.New(io.Discard))
+	}
 }
 
+func testLog() zerolog.Logger { return zerolog.New(io.Discard) }
+
 // handIn repeats a submission until it is taken, as callers do.
 func handIn(c *qt.C, n *Node, id string) {
 	spec := jobs.Spec{Text: "work", Steps: []jobs.Step{{Count: 3, Needs: platform.Resources{CPU: 500}}, {Count: 1, Needs: platform.Resources{CPU: 500}, After: []int{0}}}}
--- /dev/null
+++ b/pkg/node/recover_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+)
+
+// TestStopAnswersOpenRequests has a request under way while the node stops by
+// plan: the connection must not be closed before the answer.
+func TestStopAnswersOpenRequests(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, "e0", "127.0.0.21", services{Rows: fake.NewRows(time.Millisecond, time.Second).As("e0")})
+	arrived, release := make(chan struct{}), make(chan struct{})
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		<-release
+		_, _ = io.WriteString(w, "whole answer")
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(Handlers{Callers: slow, Readiness: http.NotFoundHandler()}) }()
+	eventually(c, "the node listens", func() bool { return listens(n.settings.Callers) })
+
+	answer := make(chan string, 1)
+	go func() {
+		resp, err := http.Get("http://" + n.settings.Callers)
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		raw, _ := io.ReadAll(resp.Body)
+		answer <- string(raw)
+	}()
+	<-arrived
+	n.Stop()
+	eventually(c, "the node takes no connections any more", func() bool { return !listens(n.settings.Callers) })
+	close(release)
+	c.Check(<-answer, qt.Equals, "whole answer")
+	c.Check(<-ended, qt.IsNil)
+}
+
+func listens(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// TestFeedAfterSilence follows a table whose service takes a call and never
+// answers it: once the service answers others again, changes are seen soon.
+func TestFeedAfterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rows := fake.NewRows(time.Millisecond, time.Second)
+		n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.followWorkers(ctx) }()
+		putJSON(c, rows.As("operator"), "workers", "w0", platform.Worker{Boot: "w0"})
+		time.Sleep(5 * time.Second)
+		c.Check(n.knows("w0"), qt.IsTrue)
+
+		rows.SetFault(func(op fake.RowOp, entry string) fake.Fault {
+			if entry == "e0" {
+				return fake.FaultLostAfter
+			}
+			return fake.FaultNone
+		})
+		putJSON(c, rows.As("operator"), "workers", "w1", platform.Worker{Boot: "w1"}) // the next call is not answered
+		time.Sleep(4 * time.Second)
+		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultNone })
+		putJSON(c, rows.As("operator"), "workers", "w2", platform.Worker{Boot: "w2"})
+		time.Sleep(2 * time.Second)
+		c.Check(n.knows("w2"), qt.IsTrue)
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+}
+
+// knows tells whether the directory holds a boot.
+func (n *Node) knows(boot string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, ok := n.workers[boot]
+	return ok
+}
