--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -69,15 +69,16 @@
 }
 
 // letGo writes the owner row. When nothing was under way it also narrows the
-// record of leased workers to those where something runs, so that the next owner
-// need not wait for the others.
+// record of leased workers to those where something runs or may run, so that the
+// next owner need not wait for the others. A worker that this owner has not heard
+// since it took over may run tasks of a former owner, who may renew there still.
 func (o *Owner) letGo(ctx context.Context, next string, quiet bool) error {
 	if !quiet {
 		return o.claim.Release(ctx, o.cfg.Rows, o.cfg.Pool, next)
 	}
 	var set []leasedWorker
 	for _, s := range o.sessions {
-		if s.recorded && !s.idle() {
+		if s.recorded && (!s.known || !s.idle()) {
 			set = append(set, s.leased())
 		}
 	}
