--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -31,6 +31,7 @@
 	caller *peer.Caller
 	cancel context.CancelFunc // ends the pings
 	owns   bool               // it owns a shard
+	wake   chan struct{}      // ends the pause before the next ping
 
 	addedAt time.Duration // when its row was seen
 	heardAt time.Duration // last answer, 0 for never
@@ -115,7 +116,7 @@
 	}
 	m.forget(old)
 	pingCtx, cancel := context.WithCancel(ctx)
-	k := &known{Member: row, caller: peer.NewCaller(row.Address), cancel: cancel, addedAt: m.now()}
+	k := &known{Member: row, caller: peer.NewCaller(row.Address), cancel: cancel, wake: make(chan struct{}, 1), addedAt: m.now()}
 	m.peers[r.Key] = k
 	m.log.Info().Str("event", "entry_listed").Str("entry", row.Name).Str("zone", row.Zone).Int64("start", row.Start).Send()
 	go m.pingLoop(pingCtx, k)
@@ -139,10 +140,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, k := range m.peers {
+		if names[name] && !k.owns {
+			k.hurry() // its last answer may be older than an owner's may be
+		}
 		k.owns = names[name]
 	}
 }
 
+// hurry has the entry pinged at once.
+func (k *known) hurry() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Caller returns the link to an entry at an address, nil if it is not known or
 // silent: a caller's request is not held while a dead link is dialled.
 func (m *Members) Caller(name, address string) *peer.Caller {
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -28,10 +28,18 @@
 func (m *Members) pingLoop(ctx context.Context, k *known) {
 	for ctx.Err() == nil {
 		m.ping(ctx, k)
-		select {
-		case <-ctx.Done():
-		case <-time.After(m.interval(k)):
-		}
+		m.pause(ctx, k)
+	}
+}
+
+// pause waits until the next ping of an entry is due.
+func (m *Members) pause(ctx context.Context, k *known) {
+	t := time.NewTimer(m.interval(k))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-k.wake:
+	case <-t.C:
 	}
 }
 
