--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -93,6 +93,9 @@
 		if s == nil || m.State == platform.MachineDown || r.moves[vm] != nil {
 			continue
 		}
+		if m.State == platform.MachineMoving {
+			s.Supply++ // by an order of a former holder
+		}
 		phase := r.inWave(vm)
 		if phase == PhaseOrdered {
 			s.Supply++ // it is back in a moment
--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,57 +13,117 @@
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
-// handover is what a holder that lets go leaves to the next: which VMs it gave
-// orders for so lately that another holder must wait.
-type handover struct {
-	Term   int64    `msgpack:"t"`
-	Recent []string `msgpack:"r"`
+// announcement names the VMs for which this holder may have given orders of
+// late, or is about to. It is kept before the first order for a VM, under the
+// condition that this entry still owns the work: what a new holder reads after
+// its takeover names all VMs for which it has to keep its distance from orders
+// of a former one.
+type announcement struct {
+	Term     int64    `msgpack:"t"`
+	VMs      []string `msgpack:"v"`
+	Released bool     `msgpack:"r,omitempty"` // the holder has let go and gives no more orders
 }
 
-var handoverKey = platform.RowKey{Table: tableProgress, Partition: Partition, Key: "handover"}
+var announcementKey = platform.RowKey{Table: tableProgress, Partition: Partition, Key: "orders"}
 
-// afterFormer finds out when this holder may give its first orders. A former one
-// that let go has said for which VMs that is later than at once; one that did not
-// may have given an order for any VM until its ownership was no longer confirmed.
+// afterFormer finds out for which VMs orders have to wait. A former holder that
+// did not let go may give orders until its ownership is no longer confirmed.
 func (r *Runner) afterFormer(ctx context.Context, now time.Duration) {
 	pause := r.cfg.Pause + shard.ConfirmedFor
-	row, err := shard.ReadOne(ctx, r.cfg.Rows, handoverKey)
-	var h handover
+	row, err := shard.ReadOne(ctx, r.cfg.Rows, announcementKey)
+	var a announcement
 	if err == nil && row.Version > 0 {
-		err = msgpack.Unmarshal(row.Value, &h)
+		err = msgpack.Unmarshal(row.Value, &a)
 	}
-	if err != nil || h.Term != r.claim.Term-1 {
+	if err != nil {
 		r.first = now + pause
-		r.log.Info().Str("event", "maintenance_waits").Dur("for", pause).Err(err).Send()
+		r.log.Warn().Str("event", "maintenance_waits").Dur("for", pause).Err(err).Send()
 		return
 	}
-	for _, vm := range h.Recent {
-		r.notBefore[vm] = now + r.cfg.Pause
+	if a.Released && a.Term == r.claim.Term-1 {
+		pause = r.cfg.Pause
+	}
+	for _, vm := range a.VMs {
+		r.notBefore[vm] = now + pause
 	}
+	r.log.Info().Str("event", "maintenance_waits").Int("vms", len(a.VMs)).Int64("former_term", a.Term).Bool("released", a.Released).Dur("for", pause).Send()
 }
 
-// letGo releases the owner row and leaves the next holder what it has to know.
-func (r *Runner) letGo(ctx context.Context, next string) error {
-	h := handover{Term: r.claim.Term}
+// announce keeps that orders for some VMs may follow, unless that is kept.
+func (r *Runner) announce(ctx context.Context, vms []string) {
+	isNew := func(vm string) bool { _, ok := r.announced[vm]; return !ok }
+	if !slices.ContainsFunc(vms, isNew) {
+		return
+	}
+	now := r.now()
+	next := map[string]time.Duration{}
+	for vm, at := range r.announced {
+		if now-at < r.cfg.Pause {
+			next[vm] = at
+		}
+	}
+	for _, vm := range vms {
+		next[vm] = now
+	}
+	txn, err := r.announcementTxn(slices.Concat(slices.Collect(maps.Keys(next)), r.recentOrders()), false)
+	if err != nil {
+		r.log.Error().Str("event", "orders_not_announced").Err(err).Send()
+		return
+	}
+	txn.Expect = []platform.Row{r.claim.Holds(Partition)}
+	writeCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = r.cfg.Rows.CommitRows(writeCtx, txn)
+	switch {
+	case err == nil:
+		r.announced = next
+	case errors.As(err, new(platform.ErrConflict)):
+		r.giveUp()
+	default:
+		r.log.Warn().Str("event", "orders_not_announced").Int("vms", len(vms)).Err(err).Send()
+		// The row may or may not have been replaced: only what both name counts.
+		maps.DeleteFunc(r.announced, func(vm string, _ time.Duration) bool { _, ok := next[vm]; return !ok })
+	}
+}
+
+// recentOrders are the VMs for which another holder would have to wait. A VM
+// that waits because of the holder before us waits for the next one as well.
+func (r *Runner) recentOrders() (recent []string) {
 	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for vm, at := range r.lastOrder {
-		// A VM that waits because of the holder before us waits for the next one as well.
-		if now-at < r.cfg.Pause || now < r.notBefore[vm] {
-			h.Recent = append(h.Recent, vm)
+		if now-at < r.cfg.Pause {
+			recent = append(recent, vm)
 		}
 	}
 	for vm, until := range r.notBefore {
-		if _, ordered := r.lastOrder[vm]; !ordered && now < until {
-			h.Recent = append(h.Recent, vm)
+		if now < until {
+			recent = append(recent, vm)
 		}
 	}
-	raw, err := msgpack.Marshal(h)
+	return recent
+}
+
+func (r *Runner) announcementTxn(vms []string, released bool) (txn platform.RowTxn, err error) {
+	slices.Sort(vms)
+	a := announcement{Term: r.claim.Term, VMs: slices.Compact(vms), Released: released}
+	raw, err := msgpack.Marshal(a)
 	if err != nil {
-		return errors.Wrap(err, "encode handover")
+		return txn, errors.Wrap(err, "encode announcement of orders")
 	}
-	put := platform.RowTxn{Put: []platform.Row{{RowKey: handoverKey, Value: raw}}}
-	if now < r.first {
-		put = platform.RowTxn{} // we were still waiting for all of the former holder's orders
+	return platform.RowTxn{Put: []platform.Row{{RowKey: announcementKey, Value: raw}}}, nil
+}
+
+// letGo releases the owner row and leaves the next holder what it has to know.
+func (r *Runner) letGo(ctx context.Context, next string) error {
+	if r.now() < r.first {
+		// We were still waiting for all of a former holder's orders: the next one waits as we did.
+		return r.claim.Release(ctx, r.cfg.Rows, Partition, next)
+	}
+	txn, err := r.announcementTxn(r.recentOrders(), true)
+	if err != nil {
+		return err
 	}
-	return r.claim.ReleaseWith(ctx, r.cfg.Rows, Partition, next, put)
+	return r.claim.ReleaseWith(ctx, r.cfg.Rows, Partition, next, txn)
 }
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -95,18 +95,21 @@
 
 // maintain has VMs emptied and orders the maintenance of those that are.
 func (r *Runner) maintain(ctx context.Context, w *wave, machines map[string]platform.Machine) {
-	var wg sync.WaitGroup
+	var due []*VM
+	var names []string
 	for _, v := range w.vms {
 		m := machines[v.Name]
-		switch v.Phase {
-		case PhaseEmptying:
-			wg.Go(func() { r.maintainOne(ctx, w, v, m) })
-		case PhaseOrdered:
-			if v.confirmedAt == 0 && m.State == platform.MachineUp && m.Boot == v.Boot {
-				wg.Go(func() { r.maintainOne(ctx, w, v, m) }) // the order may not have arrived
-			}
+		unanswered := v.Phase == PhaseOrdered && v.confirmedAt == 0 && m.State == platform.MachineUp && m.Boot == v.Boot
+		if v.Phase == PhaseEmptying || unanswered { // an order without an answer may not have arrived
+			due = append(due, v)
+			names = append(names, v.Name)
 		}
 	}
+	r.announce(ctx, names)
+	var wg sync.WaitGroup
+	for _, v := range due {
+		wg.Go(func() { r.maintainOne(ctx, w, v, machines[v.Name]) })
+	}
 	wg.Wait()
 }
 
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -39,12 +39,17 @@
 		r.moves[m.VM] = &move{Move: m, since: r.now()}
 		r.log.Info().Str("event", "move_planned").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Str("why", m.Why).Send()
 	}
-	var wg sync.WaitGroup
-	for _, m := range r.moves {
+	var planned []string
+	for vm, m := range r.moves {
 		if m.ordered == 0 {
-			wg.Go(func() { r.carryOut(ctx, m) })
+			planned = append(planned, vm)
 		}
 	}
+	r.announce(ctx, planned)
+	var wg sync.WaitGroup
+	for _, vm := range planned {
+		wg.Go(func() { r.carryOut(ctx, r.moves[vm]) })
+	}
 	wg.Wait()
 }
 
--- a/pkg/fleetops/orders.go
+++ b/pkg/fleetops/orders.go
@@ -49,7 +49,7 @@
 	if pool != r.spare() && !r.cfg.Empty(ctx, pool, vm) {
 		return false
 	}
-	if !r.mayOrderFor(vm) || !r.mayOrder(ctx) {
+	if _, ok := r.announced[vm]; !ok || !r.mayOrderFor(vm) || !r.mayOrder(ctx) {
 		return false
 	}
 	r.noteOrder(vm)
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -52,14 +52,15 @@
 	wake   chan struct{}
 
 	// What a former holder's orders demand; set before the run loop begins.
-	first     time.Duration            // no orders before
+	first     time.Duration            // no orders before, 0 unless what the former holder announced could not be read
 	notBefore map[string]time.Duration // no orders for a VM before
 
 	// Used by the run loop only.
-	lastLoads map[string]shard.Load // by pool
-	trends    map[string]trend      // of demand, by pool
-	surplus   map[string]int        // steps in a row with VMs left over, by pool
-	moves     map[string]*move      // by VM
+	lastLoads map[string]shard.Load    // by pool
+	trends    map[string]trend         // of demand, by pool
+	surplus   map[string]int           // steps in a row with VMs left over, by pool
+	moves     map[string]*move         // by VM
+	announced map[string]time.Duration // VMs for which orders may be given, as is kept, and when that was written
 
 	mu          sync.Mutex
 	confirmedAt time.Duration // when this entry certainly was the owner
@@ -80,7 +81,7 @@
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		done: make(chan struct{}), wake: make(chan struct{}, 1), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
-		notBefore: map[string]time.Duration{}, lastOrder: map[string]time.Duration{},
+		notBefore: map[string]time.Duration{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
 	}
 	if c.Term > 1 {
 		r.afterFormer(ctx, now)
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -42,12 +42,17 @@
 	if err != nil {
 		return err
 	}
-	txn.Expect = append(txn.Expect, platform.Row{RowKey: ownerKey(pool), Version: c.OwnerVersion})
+	txn.Expect = append(txn.Expect, c.Holds(pool))
 	txn.Put = append(txn.Put, platform.Row{RowKey: ownerKey(pool), Value: raw})
 	_, err = rows.CommitRows(ctx, txn)
 	return err
 }
 
+// Holds is the precondition of a transaction that it is carried out only while the claim stands.
+func (c Claim) Holds(pool string) platform.Row {
+	return platform.Row{RowKey: ownerKey(pool), Version: c.OwnerVersion}
+}
+
 // Stands reads the owner row and tells whether it is still the one that the claim wrote.
 func (c Claim) Stands(ctx context.Context, rows platform.Rows, pool string) (stands bool, err error) {
 	row, err := ReadOwner(ctx, rows, pool)
