--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -16,8 +16,8 @@
 	// gatherEnds is how long ends wait for others before they are kept; ends that
 	// are not acknowledged stay at their worker, so waiting loses nothing.
 	gatherEnds = 40 * time.Millisecond
-	// commitTimeout bounds one try; the service answers in milliseconds, and up
-	// to 60 times slower when it is in trouble.
+	// commitTimeout bounds the tries of one transaction; the service answers in
+	// milliseconds, and up to 60 times slower when it is in trouble.
 	commitTimeout = 2 * time.Second
 	// retryCommit is the pause after a try that failed.
 	retryCommit = 150 * time.Millisecond
@@ -86,27 +86,23 @@
 func (o *Owner) settle(ctx context.Context, b *batch) (version int64, err error) {
 	inDoubt := false
 	for {
-		started := o.now()
-		tryCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-		version, err = o.cfg.Rows.CommitRows(tryCtx, b.txn)
-		cancel()
-		o.cfg.Metrics.Commit(o.now()-started, err)
+		t := commitHedged(ctx, o.cfg.Rows, b.txn, o.cfg.Metrics.Commit)
 		var conflict platform.ErrConflict
 		switch {
-		case err == nil:
+		case t.err == nil:
 			o.setTrouble(false, nil)
-			o.Confirm(started)
-			return version, nil
-		case errors.As(err, &conflict):
+			o.Confirm(t.sentAt.Sub(o.cfg.Since))
+			return t.version, nil
+		case errors.As(t.err, &conflict):
 			return o.resolveConflict(conflict, b)
-		case platform.IsNotDone(err):
-			o.setTrouble(true, err)
+		case platform.IsNotDone(t.err):
+			o.setTrouble(true, t.err)
 			if !inDoubt {
-				return 0, err
+				return 0, t.err
 			}
 		default:
 			inDoubt = true
-			o.setTrouble(true, err)
+			o.setTrouble(true, t.err)
 		}
 		select {
 		case <-ctx.Done():
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -48,6 +48,7 @@
 	asked        int // calls for advice
 	owners       map[string]*shard.Owner
 	faults       map[string]fake.Fault // by "op entry" and "op boot entry", with * for any
+	faultTimes   map[string]int        // calls that a fault strikes, 0 and less for all
 	failing      map[string]int        // failures that a task has left
 	log          bytes.Buffer
 	out          io.Writer // to log
@@ -60,7 +61,7 @@
 }
 
 func newEstate(t fataler) *estate {
-	e := &estate{t: t, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, failing: map[string]int{}}
+	e := &estate{t: t, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, faultTimes: map[string]int{}, failing: map[string]int{}}
 	e.witness = newWitness(e)
 	e.out = zerolog.SyncWriter(&e.log)
 	e.rows = fake.NewRows(4*time.Millisecond, 3*time.Second)
@@ -91,9 +92,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, key := range []string{op + " " + what + " " + entry, op + " " + what + " *", op + " * " + entry, op + " * *"} {
-		if f, ok := e.faults[key]; ok {
-			return f
+		f, ok := e.faults[key]
+		if !ok {
+			continue
 		}
+		if e.faultTimes[key]--; e.faultTimes[key] == 0 {
+			delete(e.faults, key)
+		}
+		return f
 	}
 	return fake.FaultNone
 }
--- /dev/null
+++ b/pkg/shard/hedge.go
@@ -0,0 +1,77 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+const (
+	// hedgeAfter is how long a transaction may go unanswered before it is sent once
+	// more beside the first: above what the service takes under load, and below
+	// what callers wait.
+	hedgeAfter = 250 * time.Millisecond
+	// hedgesAtOnce bounds the tries of one transaction that are under way together.
+	hedgesAtOnce = 3
+)
+
+// try is one sending of a transaction and its outcome.
+type try struct {
+	sentAt  time.Time
+	took    time.Duration
+	version int64
+	err     error
+}
+
+// definite tells whether the outcome of the transaction follows from this try
+// alone. A refusal says nothing of an earlier try that has not been answered.
+func (t *try) definite() bool {
+	return t.err == nil || errors.As(t.err, new(platform.ErrConflict))
+}
+
+// commitHedged carries out a transaction whose preconditions let it happen once
+// only, however often it is sent. It is sent again while no answer comes; the
+// first definite answer counts. The error is a platform.ErrConflict also when an
+// earlier try of ours has happened: the caller tells that by the rows in it.
+func commitHedged(ctx context.Context, rows platform.Rows, txn platform.RowTxn, note func(took time.Duration, err error)) (t try) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	results := make(chan try, hedgesAtOnce)
+	send := func() {
+		sent := try{sentAt: time.Now()}
+		go func() {
+			sent.version, sent.err = rows.CommitRows(ctx, txn)
+			sent.took = time.Since(sent.sentAt)
+			results <- sent
+		}()
+	}
+	send()
+	underWay, sends := 1, 1
+	again := time.NewTicker(hedgeAfter)
+	defer again.Stop()
+	inDoubt := false
+	for underWay > 0 {
+		select {
+		case <-again.C:
+			if sends < hedgesAtOnce {
+				send()
+				underWay++
+				sends++
+			}
+		case t = <-results:
+			underWay--
+			note(t.took, t.err)
+			if t.definite() {
+				return t
+			}
+			inDoubt = inDoubt || !platform.IsNotDone(t.err)
+		}
+	}
+	if inDoubt && platform.IsNotDone(t.err) {
+		t.err = platform.ErrUnknown{Op: "commit rows", Cause: "an earlier try had no answer, the last one: " + t.err.Error()}
+	}
+	return t
+}
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -84,7 +84,8 @@
 		if kind := arg("kind", ""); kind == "none" {
 			e.locked(func() { delete(e.faults, key) })
 		} else {
-			e.locked(func() { e.faults[key] = fake.Fault(kind) })
+			times, _ := strconv.Atoi(arg("times", "0"))
+			e.locked(func() { e.faults[key], e.faultTimes[key] = fake.Fault(kind), times })
 		}
 		return ""
 	case "wait":
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -95,10 +96,29 @@
 		Put:    []platform.Row{{RowKey: ownerKey(pool), Value: ownerRaw}, {RowKey: commitKey(pool), Value: commitRaw}},
 	}
 	sending()
-	version, err := rows.CommitRows(ctx, txn)
-	if err != nil {
-		return c, err
+	t := commitHedged(ctx, rows, txn, func(time.Duration, error) {})
+	if version, ok := ownTakeover(t.err, pool, self, c.Term); ok {
+		t.version, t.err = version, nil
 	}
-	c.OwnerVersion, c.chain = version, version
+	if t.err != nil {
+		return c, t.err
+	}
+	c.OwnerVersion, c.chain = t.version, t.version
 	return c, nil
 }
+
+// ownTakeover tells whether a conflict is with an earlier try of the same takeover, and its version.
+func ownTakeover(err error, pool string, self Identity, term int64) (version int64, ok bool) {
+	var conflict platform.ErrConflict
+	if !errors.As(err, &conflict) {
+		return 0, false
+	}
+	for _, r := range conflict.Rows {
+		if r.RowKey != ownerKey(pool) || r.Version == 0 {
+			continue
+		}
+		row, err := DecodeOwner(r.Value)
+		return r.Version, err == nil && row.Entry == self.Entry && row.Start == self.Start && row.Term == term
+	}
+	return 0, false
+}
