--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,6 +29,9 @@
 	noticeTime = 2500 * time.Millisecond
 	// finishTime bounds the requests that are still open when a node stops.
 	finishTime = 2 * time.Second
+	// cutOffAfter is how long the table service must not have answered an entry
+	// before it counts as cut off, rather than struck by a call that was lost.
+	cutOffAfter = 800 * time.Millisecond
 	// headerTimeout bounds the reading of a request's headers.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a connection without requests is kept.
@@ -155,10 +158,19 @@
 		return false, "stopping"
 	case n.Catalog() == nil:
 		return false, "the configuration is not known yet"
+	case n.cutOff():
+		return false, "neither the table service nor most other entries answer"
 	}
 	return true, ""
 }
 
+// cutOff tells whether this entry has no way to take work while others probably
+// have: it neither reaches the table service nor hears most other entries. Were
+// the service down for all, the others would be heard, and say the same as we do.
+func (n *Node) cutOff() bool {
+	return n.rows.lostFor() > cutOffAfter && !n.members.HearMost()
+}
+
 // Stop begins a planned stop.
 func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
 
@@ -179,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	callers, err := n.listenHTTP(n.settings.Callers, n.closingWhenStopped(h.Callers))
+	callers, err := n.listenHTTP(n.settings.Callers, n.closingUnlessReady(h.Callers))
 	if err != nil {
 		return err
 	}
@@ -230,11 +242,11 @@
 	return errors.Wrap(callers.server.Shutdown(finish), "finish open requests")
 }
 
-// closingWhenStopped has callers open a new connection, at another node, for
-// what they ask after a planned stop has begun.
-func (n *Node) closingWhenStopped(h http.Handler) http.Handler {
+// closingUnlessReady has callers open a new connection, at another node, for what
+// they ask after this answer: an open connection stays with its node.
+func (n *Node) closingUnlessReady(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.stopping.Load() {
+		if ready, _ := n.Ready(); !ready {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -10,7 +10,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 )
@@ -89,6 +92,39 @@
 	})
 }
 
+// TestCutOffIsNotReady has an entry lose the table service: alone it keeps callers
+// away, while it hears most of the others it does not, since then none can do better.
+func TestCutOffIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rows := fake.NewRows(time.Millisecond, time.Second)
+		n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
+		putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 1})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.followCatalog(ctx) }()
+		ready := func() bool { ok, _ := n.Ready(); return ok }
+		time.Sleep(time.Second)
+		c.Check(ready(), qt.IsTrue)
+		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultDown })
+		time.Sleep(4 * time.Second)
+		c.Check(ready(), qt.IsTrue) // no other entry is known: this one is most of them
+		pingCtx, stopPings := context.WithCancel(ctx)
+		stopPings() // the other two entries are never heard
+		for _, name := range []string{"e1", "e2"} {
+			raw, err := msgpack.Marshal(ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
+			c.Assert(err, qt.IsNil)
+			n.members.Apply(pingCtx, platform.Row{RowKey: platform.RowKey{Table: ownership.TableMember, Key: name}, Value: raw, Version: 1})
+		}
+		c.Check(ready(), qt.IsFalse)
+		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultNone })
+		time.Sleep(2 * time.Second) // a call for changes is answered after its wait
+		c.Check(ready(), qt.IsTrue)
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+}
+
 // knows tells whether the directory holds a boot.
 func (n *Node) knows(boot string) bool {
 	n.mu.Lock()
--- a/pkg/ownership/judge.go
+++ b/pkg/ownership/judge.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// HearMost tells whether most entries, this one among them, are heard.
+func (m *Members) HearMost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteMajority()
+	return m.majorityAt > 0
+}
+
 // storeAnswersMost tells whether the table service answers this entry and most
 // others but k, so that it is k's path to it that is broken; the lock is held.
 func (m *Members) storeAnswersMost(k *known) bool {
