--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -39,6 +39,9 @@
 		return
 	}
 	k.confirmOwned()
+	if !k.members.local.ReachesStore() {
+		return // a claim could not be written
+	}
 	heirs := k.members.Heirs()
 	load := k.load()
 	for _, pool := range slices.Sorted(maps.Keys(k.shards)) {
--- a/pkg/ownership/judge.go
+++ b/pkg/ownership/judge.go
@@ -10,6 +10,11 @@
 // others reach, before one of them takes over.
 const storeSilence = time.Second
 
+// heirsSettle is how long after the table service has come back to this entry
+// the others may not have told so; those without a shard are asked each 2.6 s
+// where there are 43.
+const heirsSettle = 3 * time.Second
+
 // Verdict is what this entry holds of an owner.
 type Verdict string
 
@@ -97,13 +102,16 @@
 }
 
 // Heirs returns the entries that may take a shard over, this one among them:
-// they were heard of late, reach the table service and are not stopping.
+// they were heard of late, reach the table service and are not stopping. When the
+// service has just come back, the others have not said yet that it answers them:
+// left out, each entry would be its own first heir, and all would claim at once.
 func (m *Members) Heirs() []Member {
+	justBack := m.local.StoreAnsweredFor() < heirsSettle
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	all := []Member{m.self}
 	for _, k := range m.peers {
-		if m.alive(k) && !k.stopping && k.storeLost == 0 {
+		if m.alive(k) && !k.stopping && (k.storeLost == 0 || justBack) {
 			all = append(all, k.Member)
 		}
 	}
