--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -51,8 +51,11 @@
 	return nil
 }
 
-func (s *vmService) MaintainMachine(context.Context, string, int, platform.Holder) error {
-	return platform.ErrRefused{Op: "maintain machine", Reason: "not expected"}
+func (s *vmService) MaintainMachine(_ context.Context, vm string, _ int, h platform.Holder) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders = append(s.orders, order{vm: vm, holder: h.Name, at: time.Now()})
+	return nil
 }
 
 // of returns the orders of a holder by VM.
@@ -73,8 +76,15 @@
 	vms  vmService
 	rows *fake.Rows
 
-	mu   sync.Mutex
-	need map[string]int // VMs that a pool's tasks fill
+	mu    sync.Mutex
+	need  map[string]int // VMs that a pool's tasks fill
+	waves []Wave
+}
+
+func (s *site) requested() []Wave {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waves
 }
 
 func (s *site) load(_ context.Context, pool string) (l shard.Load, ok bool) {
@@ -107,8 +117,9 @@
 		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Since: since, Rows: rows, Machines: &s.vms,
 		Empty: func(context.Context, string, string) bool { return true }, Load: s.load,
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
+		Waves:  s.requested,
 		Pause:  pause, Sending: func() {}, OnOver: func(error) {},
-	}, seen.Version, cat, nil)
+	}, seen.Version, cat)
 	c.Assert(err, qt.IsNil)
 	return r
 }
@@ -151,3 +162,20 @@
 		})
 	}
 }
+
+// TestWaveAfterTakeover has a wave requested when a holder has just taken the work
+// over: it is begun all the same.
+func TestWaveAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &site{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{}}
+		s.vms.list = []platform.Machine{{VM: "v1", Pool: "off", State: platform.MachineUp, Boot: "v1"}}
+		r := s.open(c, "e", time.Now())
+		s.mu.Lock()
+		s.waves = []Wave{{ID: 1, VMs: []string{"v1"}, Within: time.Minute, MaxDown: 1}}
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		c.Check(s.vms.of("e"), qt.HasLen, 1)
+		r.Close()
+	})
+}
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -20,11 +20,13 @@
 	completed bool // all is done, and the operator was told
 }
 
-// SetWaves takes all requests for maintenance.
-func (r *Runner) SetWaves(waves []Wave) {
+// takeWaves takes the requests for maintenance that have come since the last
+// step, also those that came while this entry was taking the work over.
+func (r *Runner) takeWaves() {
+	requested := r.cfg.Waves()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, w := range waves {
+	for _, w := range requested {
 		if r.waves[w.ID] != nil {
 			continue
 		}
@@ -35,10 +37,6 @@
 		r.waves[w.ID] = state
 		r.log.Info().Str("event", "wave_requested").Int("wave", w.ID).Int("vms", len(w.VMs)).Int("max_down", w.MaxDown).Dur("within", w.Within).Send()
 	}
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
 }
 
 // openWaves returns the waves that are not completed.
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -32,6 +32,7 @@
 	Machines platform.Machines
 	Empty    Emptier
 	Load     func(ctx context.Context, pool string) (l shard.Load, ok bool) // of a pool's shard
+	Waves    func() []Wave                                                  // all requests for maintenance that are known by now
 	Report   func(wave int, completed bool) (platform.Row, error)           // makes the row that tells the operator of a wave
 
 	Pause time.Duration // after another holder's last order for a VM before we may give one
@@ -49,7 +50,6 @@
 	log    zerolog.Logger
 	cancel context.CancelFunc
 	done   chan struct{}
-	wake   chan struct{}
 
 	// What a former holder's orders demand; set before the run loop begins.
 	first     time.Duration            // no orders before, 0 unless what the former holder announced could not be read
@@ -71,7 +71,7 @@
 }
 
 // Open takes the work over, if its owner row still has the version seen.
-func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog, waves []Wave) (r *Runner, err error) {
+func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog) (r *Runner, err error) {
 	c, err := shard.TakeOver(ctx, cfg.Rows, Partition, cfg.Self, seen, cfg.Sending)
 	if err != nil {
 		return nil, err
@@ -79,18 +79,17 @@
 	now := time.Since(cfg.Since)
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
-		done: make(chan struct{}), wake: make(chan struct{}, 1), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
+		done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
 		notBefore: map[string]time.Duration{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
 	}
 	if c.Term > 1 {
 		r.afterFormer(ctx, now)
 	}
-	r.SetWaves(waves)
 	runCtx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	go r.run(runCtx)
-	r.log.Info().Str("event", "maintenance_owned").Int("waves", len(waves)).Send()
+	r.log.Info().Str("event", "maintenance_owned").Int("waves", len(cfg.Waves())).Send()
 	return r, nil
 }
 
@@ -139,7 +138,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.wake:
 		case <-time.After(stepInterval):
 		}
 	}
@@ -154,6 +152,7 @@
 		}
 		return
 	}
+	r.takeWaves()
 	for _, w := range r.openWaves() {
 		if err := r.advance(ctx, w, machines); err != nil && ctx.Err() == nil {
 			r.log.Warn().Str("event", "wave_step_failed").Int("wave", w.ID).Err(err).Send()
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -41,10 +41,10 @@
 func (n *Node) openFleet(ctx context.Context, seen int64, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
 	r, err := fleetops.Open(ctx, fleetops.Config{
 		Self: n.identity(), Log: n.log, Since: n.since,
-		Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave,
+		Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves,
 		Pause: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, Takes: seconds(n.settings.Timing.MaintenanceS),
 		Sending: events.Sending, OnOver: events.Over,
-	}, seen, cat, n.allWaves())
+	}, seen, cat)
 	if err != nil {
 		return nil, err // no typed nil in the interface
 	}
@@ -58,10 +58,6 @@
 	n.mu.Lock()
 	n.waves[w.ID] = w
 	n.mu.Unlock()
-	_, work, _ := n.keeper.Owner(fleetops.Partition)
-	if r, ok := work.(*fleetops.Runner); ok {
-		r.SetWaves(n.allWaves())
-	}
 }
 
 func (n *Node) allWaves() (waves []fleetops.Wave) {
