--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -28,6 +28,7 @@
 	jobs        []*jobs.Job
 	states      []jobs.State // of jobs, as they are written
 	workers     []*session   // that become recorded
+	record      bool         // the record of leased workers is written
 	acks        map[*session]int64
 	drops       []string
 	txn         platform.RowTxn
@@ -45,9 +46,8 @@
 	b.size += len(raw)
 }
 
-func (b *batch) empty() bool {
-	return len(b.submissions) == 0 && len(b.jobs) == 0 && len(b.workers) == 0 && len(b.acks) == 0 && len(b.drops) == 0
-}
+// empty tells whether there is nothing to write.
+func (b *batch) empty() bool { return len(b.txn.Put) == 0 && len(b.txn.Remove) == 0 }
 
 // nextBatch takes what waits to be written, as much as fits; the lock is held.
 func (o *Owner) nextBatch() (b *batch, err error) {
@@ -81,7 +81,7 @@
 		}
 	}
 	o.urgent = len(o.queued) > 0
-	if len(b.txn.Put) == 0 && len(b.txn.Remove) == 0 {
+	if b.empty() {
 		// Ends that changed nothing need no row.
 		o.acknowledge(b)
 		b.acks = nil
@@ -132,6 +132,7 @@
 		return err
 	}
 	b.put(workersKey(o.cfg.Pool), raw)
+	b.record = true
 	return nil
 }
 
@@ -181,7 +182,7 @@
 		o.dirty[j] = struct{}{}
 	}
 	o.drops = append(o.drops, b.drops...)
-	if len(b.workers) > 0 {
+	if b.record {
 		o.workersChanged = true
 	}
 	if outcome == schema.CallOutcomeUnknown {
