--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -29,7 +29,7 @@
 	o, err := shard.Open(ctx, shard.Config{
 		Pool: pool, Self: n.identity(), Since: n.since, Retention: seconds(n.settings.Timing.RetentionS),
 		Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
-		Metrics: n.metrics, Log: n.log, Sending: events.Sending, OnOver: events.Over,
+		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, Sending: events.Sending, OnOver: events.Over,
 	}, seen, cat, workers)
 	if err != nil {
 		return nil, err // no typed nil in the interface
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -240,7 +240,8 @@
 		Pool: pool, Self: shard.Identity{Entry: entry, Start: e.starts, Address: entry},
 		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: noMetrics{}, Retention: time.Hour,
 		Log: zerolog.New(e.out).With().Str("entry", entry).Logger(), Since: e.since,
-		OnOver: func(error) {}, Sending: func() {},
+		StoreSteady: func() time.Duration { return time.Since(e.since) },
+		OnOver:      func(error) {}, Sending: func() {},
 	}
 	o, err := shard.Open(context.Background(), cfg, row.Version, e.catalog(), e.listed)
 	if err != nil {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -44,6 +44,8 @@
 	Metrics Metrics
 	Log     zerolog.Logger
 
+	StoreSteady func() time.Duration // for how long the table service has answered this entry, 0 while it does not
+
 	Sending func()      // called before the takeover's transaction is sent
 	OnOver  func(error) // called once when the shard is given up
 }
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -10,6 +10,11 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
+// lapsedEntryBack is how long after an outage of the table service the entry of a
+// worker that lives may stay away from the directory; the operators say about two
+// seconds.
+const lapsedEntryBack = 2500 * time.Millisecond
+
 // rackLabel is how labels that name a rack begin.
 const rackLabel = "r"
 
@@ -25,6 +30,8 @@
 	draining bool
 	gone     bool // the boot has ended
 
+	unlistedAt time.Duration // when it was first missing from the directory, 0 while it is listed
+
 	attempts   map[string]*running // by task name
 	token      int64               // fencing token of the orders
 	inFlight   int                 // start orders without an answer yet
@@ -65,6 +72,17 @@
 	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo
 }
 
+// leaves tells whether the worker is about to leave without having said so: its
+// entry is gone from the directory. Entries also lapse while the table service is
+// away; they are back a moment after it answers again.
+func (s *session) leaves(now, storeSteady time.Duration) bool {
+	if s.listed || s.unlistedAt == 0 {
+		return false
+	}
+	missing := now - s.unlistedAt
+	return missing > lapsedEntryBack || storeSteady-missing > lapsedEntryBack
+}
+
 // wantsLook tells whether the worker has to be asked at all.
 func (s *session) wantsLook() bool {
 	return !s.gone && (!s.known || s.failures > 0 || s.inDoubt || len(s.attempts) > 0 || s.seenEnd > s.ackedEnd)
--- a/pkg/shard/upkeep.go
+++ b/pkg/shard/upkeep.go
@@ -42,6 +42,8 @@
 		}
 		if s.draining {
 			o.evacuate(s, false, "its worker is leaving")
+		} else if s.leaves(now, o.cfg.StoreSteady()) {
+			o.evacuate(s, true, "its worker is no longer listed")
 		}
 	}
 	o.checkHeld()
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -43,15 +43,15 @@
 			o.workersChanged = true
 			o.log.Info().Str("event", "worker_listed").Str("boot", w.Boot).Str("vm", w.VM).Str("address", w.Address).Send()
 		}
-		s.listed, s.info, s.vm = true, w, w.VM
+		s.listed, s.info, s.vm, s.unlistedAt = true, w, w.VM, 0
 		if w.Draining && !s.draining {
 			s.draining = true
 			o.log.Info().Str("event", "worker_draining").Str("boot", w.Boot).Send()
 		}
 	}
 	for boot, s := range o.sessions {
-		if s.listed && !listed[boot] {
-			s.listed = false
+		if s.unlistedAt == 0 && !listed[boot] {
+			s.listed, s.unlistedAt = false, o.now()
 			o.log.Info().Str("event", "worker_unlisted").Str("boot", boot).Send()
 		}
 		if s.listed {
