--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -100,7 +100,7 @@
 		if phase == PhaseOrdered {
 			s.Supply++ // it is back in a moment
 		}
-		if s.Spare && m.State == platform.MachineUp && phase == "" {
+		if s.Spare && m.State == platform.MachineUp && phase == "" && r.mayOrderFor(vm) {
 			s.Idle = append(s.Idle, vm)
 		}
 	}
@@ -120,7 +120,7 @@
 func (r *Runner) idle(s *PoolState, machines map[string]platform.Machine, leaving int) (idle []string) {
 	for _, vm := range s.Load.Light {
 		m, ok := machines[vm]
-		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || r.inWave(vm) != "" {
+		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || r.inWave(vm) != "" || !r.mayOrderFor(vm) {
 			continue
 		}
 		if leaving+len(idle) >= r.policy.mayLeave(s.Supply) {
