--- a/pkg/fleetops/plan_test.go
+++ b/pkg/fleetops/plan_test.go
@@ -62,7 +62,7 @@
 		s.Load = shard.Load{
 			Workers: s.Supply, Floor: number(v["floor"]), VMCapacity: platform.Resources{CPU: 1000, MemoryMB: 1000},
 			Used:    platform.Resources{CPU: number(v["used"]), MemoryMB: number(v["memory"])},
-			Waiting: platform.Resources{CPU: number(v["waiting"])},
+			Waiting: platform.Resources{CPU: number(v["waiting"])}, Arriving: platform.Resources{CPU: number(v["arriving"])},
 		}
 		pools = append(pools, s)
 	}
--- a/pkg/fleetops/sizing.go
+++ b/pkg/fleetops/sizing.go
@@ -58,7 +58,8 @@
 	if l.VMCapacity.CPU == 0 {
 		return 0
 	}
-	need := share(l.Used, l.Waiting, l.VMCapacity)
+	// Tasks wait only once there are too few VMs; the flow of jobs tells sooner.
+	need := max(share(l.Used, l.Waiting, l.VMCapacity), share(l.Arriving, platform.Resources{}, l.VMCapacity))
 	want := int(math.Ceil(need*(1+p.Headroom))) + p.Reserve
 	return max(want, l.Floor)
 }
--- /dev/null
+++ b/pkg/shard/arrivals_test.go
@@ -0,0 +1,24 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// TestArrivals has jobs of 3 cores for 2 s arrive 10 times a second for a while.
+func TestArrivals(t *testing.T) {
+	c := qt.New(t)
+	var a arrivals
+	at := time.Duration(0)
+	for ; at < 2*time.Second; at += 100 * time.Millisecond {
+		a.note(at, 3000*2, 1024*2)
+	}
+	d := a.demand(at - time.Millisecond)
+	c.Check(d, qt.Equals, platform.Resources{CPU: 60000, MemoryMB: 20480})
+	c.Check(a.demand(at+arrivalWindow), qt.Equals, platform.Resources{})
+	c.Check(a.recent, qt.HasLen, 0)
+}
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -143,6 +143,7 @@
 	for _, s := range b.submissions {
 		delete(o.pending, s.id)
 		o.book.Add(s.id, s.record, now)
+		o.noteArrival(&s.record, now)
 		o.cfg.Metrics.Job("accepted")
 		s.done <- schema.CallOutcomeOk
 	}
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -26,6 +26,7 @@
 	Used     platform.Resources // by tasks there
 	Waiting  platform.Resources // of tasks that could start at once if there were room
 	Tasks    int                // that wait so
+	Arriving platform.Resources // that jobs hold on average if they go on to arrive as of late
 	// VMCapacity is what one of the workers has; those of a pool are alike.
 	VMCapacity platform.Resources
 	// Floor is how many workers the long-running tasks need at least.
@@ -68,6 +69,7 @@
 	}
 	slices.SortFunc(l.Light, func(a, b string) int { return cmp.Or(cmp.Compare(used[a], used[b]), cmp.Compare(a, b)) })
 	l.Floor = o.floor()
+	l.Arriving = o.arrivals.demand(now)
 	o.eachIdle(true, func(s *jobs.StepRun, idle []*jobs.Task) {
 		l.Tasks += len(idle)
 		for range idle {
@@ -111,6 +113,6 @@
 		}
 	}
 	o.log.Info().Str("event", "shard_load").Int("workers", l.Workers).Int("cpu", l.Capacity.CPU).Int("cpu_used", l.Used.CPU).
-		Int("cpu_waiting", l.Waiting.CPU).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
+		Int("cpu_waiting", l.Waiting.CPU).Int("cpu_arriving", l.Arriving.CPU).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
 		Int("tasks_waiting", l.Tasks).Int("jobs", len(o.book.Active())).Int("jobs_running", running).Send()
 }
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -72,7 +72,8 @@
 	sessions  map[string]*session       // by boot
 	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
 	durations map[string]*learned       // by queue
-	idleTasks bool                      // tasks wait for room, or for a time
+	arrivals  arrivals
+	idleTasks bool // tasks wait for room, or for a time
 
 	confirmedAt time.Duration // when this entry certainly was the owner
 	asking      bool          // the owner row is being read
@@ -144,6 +145,7 @@
 	o.heldTo = o.formerLeasesEnd(now)
 	o.confirmedAt = now
 	o.openedAt = now
+	o.arrivals.since = now
 	o.setWorkers(workers)
 	o.log.Info().Str("event", "shard_owned").Int("jobs", jobCount).Int("active", len(o.book.Active())).
 		Int("workers", len(o.sessions)).Int("leased", len(k.workers)).Send()
