--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -40,12 +40,14 @@
 	list  func(ctx context.Context) (version int64, err error) // reads the whole table
 	apply func(r platform.Row)
 	pace  time.Duration // least time between two calls, 0 for none
+	// wanted tells whether to go on, nil for always.
+	wanted func() bool
 }
 
-// follow keeps to a table until ctx ends.
+// follow keeps to a table until ctx ends or the feed is not wanted any more.
 func (n *Node) follow(ctx context.Context, f feed) error {
 	after := int64(-1)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && (f.wanted == nil || f.wanted()) {
 		err := n.followOnce(ctx, f, &after)
 		if ctx.Err() != nil {
 			return nil
@@ -171,27 +173,54 @@
 	n.setCatalog(reply.Catalog, "peer")
 }
 
+// followWorkers follows the directory of workers while this entry owns a shard.
+// Its rows change with every heartbeat: followed by all entries, its bytes would
+// grow with the number of workers times that of entries.
 func (n *Node) followWorkers(ctx context.Context) error {
-	return n.follow(ctx, feed{
-		table: n.source.WorkerTable, pace: workersPace,
-		list: func(ctx context.Context) (int64, error) {
-			all := map[string]platform.Worker{}
-			version, err := n.listAll(ctx, n.source.WorkerTable, func(r platform.Row) { n.decodeWorker(all, r) })
-			if err == nil {
-				n.mu.Lock()
-				n.workers = all
-				n.mu.Unlock()
-				n.passWorkers()
+	for ctx.Err() == nil {
+		owns, changed := n.keeper.Owns()
+		if !owns {
+			select {
+			case <-ctx.Done():
+			case <-changed:
 			}
-			return version, err
-		},
+			continue
+		}
+		f := n.workerFeed()
+		f.wanted = func() bool { owns, _ := n.keeper.Owns(); return owns }
+		err := n.follow(ctx, f)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) workerFeed() feed {
+	return feed{
+		table: n.source.WorkerTable, pace: workersPace,
+		list: n.loadWorkers,
 		apply: func(r platform.Row) {
 			n.mu.Lock()
 			n.decodeWorker(n.workers, r)
 			n.mu.Unlock()
 			n.passWorkers()
 		},
-	})
+	}
+}
+
+// loadWorkers reads the whole directory of workers.
+func (n *Node) loadWorkers(ctx context.Context) (version int64, err error) {
+	all := map[string]platform.Worker{}
+	version, err = n.listAll(ctx, n.source.WorkerTable, func(r platform.Row) { n.decodeWorker(all, r) })
+	if err != nil {
+		return 0, err
+	}
+	n.mu.Lock()
+	n.workers = all
+	n.mu.Unlock()
+	n.passWorkers()
+	return version, nil
 }
 
 func (n *Node) decodeWorker(all map[string]platform.Worker, r platform.Row) {
@@ -207,11 +236,13 @@
 	all[r.Key] = w
 }
 
-func (n *Node) passWorkers() {
+func (n *Node) passWorkers() { n.keeper.SetWorkers(n.allWorkers()) }
+
+// allWorkers returns the directory's current boots of all pools.
+func (n *Node) allWorkers() []platform.Worker {
 	n.mu.Lock()
-	workers := slices.Collect(maps.Values(n.workers))
-	n.mu.Unlock()
-	n.keeper.SetWorkers(workers)
+	defer n.mu.Unlock()
+	return slices.Collect(maps.Values(n.workers))
 }
 
 func (n *Node) followMembers(ctx context.Context) error {
--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -70,7 +70,7 @@
 		n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
-		go func() { done <- n.followWorkers(ctx) }()
+		go func() { done <- n.follow(ctx, n.workerFeed()) }()
 		putJSON(c, rows.As("operator"), "workers", "w0", platform.Worker{Boot: "w0"})
 		time.Sleep(5 * time.Second)
 		c.Check(n.knows("w0"), qt.IsTrue)
@@ -125,6 +125,28 @@
 	})
 }
 
+// TestDirectoryIsForOwners has an entry own nothing: it leaves the directory of
+// workers alone.
+func TestDirectoryIsForOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rows := fake.NewRows(time.Millisecond, time.Second)
+		calls := 0
+		rows.SetFault(func(fake.RowOp, string) fake.Fault {
+			calls++
+			return fake.FaultNone
+		})
+		n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.followWorkers(ctx) }()
+		time.Sleep(time.Minute)
+		c.Check(calls, qt.Equals, 0)
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+}
+
 // knows tells whether the directory holds a boot.
 func (n *Node) knows(boot string) bool {
 	n.mu.Lock()
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
-	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -22,15 +22,18 @@
 }
 
 // openShard begins the work of a shard that falls to this entry.
-func (n *Node) openShard(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, events ownership.Events) (ownership.Work, error) {
+func (n *Node) openShard(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
 	if pool == fleetops.Partition {
 		return n.openFleet(ctx, seen, cat, events)
 	}
+	if _, err := n.loadWorkers(ctx); err != nil {
+		return nil, errors.Wrap(err, "read directory of workers")
+	}
 	o, err := shard.Open(ctx, shard.Config{
 		Pool: pool, Self: n.identity(), Since: n.since, Retention: seconds(n.settings.Timing.RetentionS),
 		Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
 		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, Sending: events.Sending, OnOver: events.Over,
-	}, seen, cat, workers)
+	}, seen, cat, n.allWorkers())
 	if err != nil {
 		return nil, err // no typed nil in the interface
 	}
--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -101,9 +101,9 @@
 // claim takes a shard over.
 func (k *Keeper) claim(ctx context.Context, pool string, s *state, seen int64) {
 	k.mu.Lock()
-	cat, workers := k.catalog, k.workers
+	cat := k.catalog
 	k.mu.Unlock()
-	o, err := k.open(ctx, pool, seen, cat, workers, Events{
+	o, err := k.open(ctx, pool, seen, cat, Events{
 		Sending: func() {
 			k.mu.Lock()
 			defer k.mu.Unlock()
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
-	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
@@ -56,7 +55,7 @@
 					m.peers[other] = k
 				}
 			}
-			open := func(context.Context, string, int64, *catalog.Catalog, []platform.Worker, Events) (Work, error) {
+			open := func(context.Context, string, int64, *catalog.Catalog, Events) (Work, error) {
 				claims <- self
 				return nil, errors.New("another entry was first")
 			}
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -27,7 +27,7 @@
 // Opener takes a shard over, if its owner row still has the version seen, and
 // begins its work. It calls events.Sending before the takeover's transaction is
 // sent, and events.Over once if the work is given up.
-type Opener func(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, workers []platform.Worker, events Events) (Work, error)
+type Opener func(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, events Events) (Work, error)
 
 // Events are what an Opener tells of.
 type Events struct {
@@ -140,6 +140,17 @@
 	}
 }
 
+// Owns tells whether this entry owns a shard of workers, and
+// returns a channel that is closed when an owner changes.
+func (k *Keeper) Owns() (owns bool, changed <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for pool, s := range k.shards {
+		owns = owns || pool != fleetops.Partition && s.owner != nil
+	}
+	return owns, k.changed
+}
+
 // Release hands all shards over, so that others can take them at once.
 func (k *Keeper) Release(ctx context.Context) {
 	k.mu.Lock()
