--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -60,7 +60,7 @@
 // of a step are away than it allows.
 func (o *Owner) evacuate(s *session, limited bool, why string) {
 	now := o.now()
-	hosts := o.hosts(now)
+	hosts := o.hostsToTry(now)
 	for _, r := range s.attempts {
 		step := r.Task.Step
 		if !step.Spec.LongRunning || r.Phase == jobs.PhaseStopped {
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -27,7 +27,7 @@
 	s := o.sessions[a.Boot]
 	name := a.Task.Name()
 	r := &running{Attempt: a}
-	s.attempts[name] = r
+	s.hold(name, r)
 	s.inFlight++
 	order := platform.StartOrder{
 		Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.Task.Checkpoint,
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -70,6 +70,7 @@
 	catalog   *catalog.Catalog
 	book      *jobs.Book
 	sessions  map[string]*session       // by boot
+	inOrder   []*session                // sessions by boot, nil when out of date
 	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
 	durations map[string]*learned       // by queue
 	arrivals  arrivals
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,11 @@
 // lostFactor times its objective is when a job no longer counts as served.
 const lostFactor = 3
 
+// placeShare bounds placement to one part in so many of the time: each pass looks
+// at all workers and waiting tasks, and in a pool of 250 workers ends and starts
+// come by the hundred a second. What comes meanwhile is placed together.
+const placeShare = 5
+
 // placeLoop starts tasks whenever something has changed.
 func (o *Owner) placeLoop(ctx context.Context) {
 	for {
@@ -20,8 +26,22 @@
 		case <-ctx.Done():
 			return
 		case <-o.placeWake:
-			o.place()
 		}
+		started := o.now()
+		o.place()
+		sleep(ctx, (placeShare-1)*(o.now()-started))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
 }
 
@@ -62,17 +82,35 @@
 	}
 }
 
-// hosts returns the workers that may get tasks, in an order that does not depend on chance.
+// hosts returns the workers that may get tasks, in an order that does not depend
+// on chance. What is placed on them is to be ordered before the lock is let go.
 func (o *Owner) hosts(now time.Duration) (hosts []*placement.Host) {
-	for _, s := range o.sessions {
+	for _, s := range o.sessionsInOrder() {
 		if s.usable(now) {
 			hosts = append(hosts, s.host(now))
 		}
 	}
-	slices.SortFunc(hosts, func(a, b *placement.Host) int { return cmp.Compare(a.Boot, b.Boot) })
 	return hosts
 }
 
+// hostsToTry returns hosts of their own to try placements on.
+func (o *Owner) hostsToTry(now time.Duration) (hosts []*placement.Host) {
+	for _, s := range o.sessionsInOrder() {
+		if s.usable(now) {
+			hosts = append(hosts, s.newHost())
+		}
+	}
+	return hosts
+}
+
+// sessionsInOrder returns the sessions by boot.
+func (o *Owner) sessionsInOrder() []*session {
+	if o.inOrder == nil {
+		o.inOrder = slices.SortedFunc(maps.Values(o.sessions), func(a, b *session) int { return cmp.Compare(a.ref.Boot, b.ref.Boot) })
+	}
+	return o.inOrder
+}
+
 // candidates returns the steps with tasks that may start now, with what their order depends on.
 func (o *Owner) candidates(now time.Duration) (cs []placement.Candidate) {
 	left := map[*jobs.Job]time.Duration{}
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -64,7 +64,7 @@
 		Str("boot", s.ref.Boot).Bool("adopted", wanted).Send()
 	if wanted {
 		a := &running{Attempt: o.book.Adopt(t, r.Attempt, s.ref.Boot, now), confirmedAt: now}
-		s.attempts[r.Task] = a
+		s.hold(r.Task, a)
 		return a
 	}
 	o.sendStop(s, r.Task, r.Attempt)
@@ -85,7 +85,7 @@
 	var attempt *jobs.Attempt
 	if a != nil && a.Number == e.Attempt {
 		attempt = a.Attempt
-		delete(s.attempts, e.Task)
+		s.letGo(e.Task)
 		if e.Reason == platform.EndDone {
 			o.learn(a, now)
 		}
@@ -121,7 +121,7 @@
 // drop forgets an attempt that is not at the worker, or no longer.
 func (o *Owner) drop(s *session, name string) {
 	if a := s.attempts[name]; a != nil {
-		delete(s.attempts, name)
+		s.letGo(name)
 		o.book.Drop(a.Attempt)
 		o.kickPlacement()
 	}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -32,7 +32,8 @@
 
 	unlistedAt time.Duration // when it was first missing from the directory, 0 while it is listed
 
-	attempts   map[string]*running // by task name
+	attempts   map[string]*running // by task name; changed by hold and letGo only
+	hostCache  *placement.Host     // as placement saw the worker last, nil when that is out of date
 	token      int64               // fencing token of the orders
 	inFlight   int                 // start orders without an answer yet
 	inDoubt    bool                // a start order got no answer; a look with a higher token settles it
@@ -98,11 +99,33 @@
 	return leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address}
 }
 
-// host describes the worker to placement.
+// hold notes an attempt that is or may be at the worker.
+func (s *session) hold(task string, r *running) {
+	s.attempts[task] = r
+	s.hostCache = nil
+}
+
+// letGo forgets an attempt.
+func (s *session) letGo(task string) {
+	delete(s.attempts, task)
+	s.hostCache = nil
+}
+
+// host describes the worker to placement; what placement takes of it is kept
+// until an attempt comes or goes.
 func (s *session) host(now time.Duration) *placement.Host {
+	if s.hostCache == nil {
+		s.hostCache = s.newHost()
+	}
+	s.hostCache.Penalty = s.health.penalty(now)
+	return s.hostCache
+}
+
+// newHost describes the worker as it is.
+func (s *session) newHost() *placement.Host {
 	h := &placement.Host{
 		Boot: s.ref.Boot, Labels: s.info.Labels, Rack: rackOf(s.info.Labels),
-		Capacity: s.info.Capacity, Free: s.info.Capacity, Penalty: s.health.penalty(now),
+		Capacity: s.info.Capacity, Free: s.info.Capacity,
 	}
 	for _, a := range s.attempts {
 		h.Free = h.Free.Sub(placement.Charge(a.Task.Step.Spec))
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -17,6 +17,7 @@
 		wake: make(chan struct{}, 1), cancel: cancel, lapsesAt: o.formerLeasesEnd(o.now()),
 	}
 	o.sessions[ref.Boot] = s
+	o.inOrder = nil
 	o.wg.Go(func() { o.sessionLoop(ctx, s) })
 	return s
 }
@@ -44,6 +45,7 @@
 			o.log.Info().Str("event", "worker_listed").Str("boot", w.Boot).Str("vm", w.VM).Str("address", w.Address).Send()
 		}
 		s.listed, s.info, s.vm, s.unlistedAt = true, w, w.VM, 0
+		s.hostCache = nil
 		if w.Draining && !s.draining {
 			s.draining = true
 			o.log.Info().Str("event", "worker_draining").Str("boot", w.Boot).Send()
@@ -120,6 +122,7 @@
 	s.gone = true
 	s.cancel()
 	delete(o.sessions, s.ref.Boot)
+	o.inOrder = nil
 	o.workersChanged = true
 	o.checkHeld()
 	o.kickCommit()
