--- a/pkg/jobs/book.go
+++ b/pkg/jobs/book.go
@@ -30,8 +30,8 @@
 }
 
 // Restore takes a job that a former owner kept, with its progress.
-func (b *Book) Restore(id string, r Record, p Progress, now time.Duration) {
-	j := newJob(id, r, now)
+func (b *Book) Restore(id string, r Record, p Progress, addedAt time.Duration) {
+	j := newJob(id, r, addedAt)
 	j.Restored = true
 	j.restore(p)
 	b.insert(j)
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -66,7 +66,7 @@
 // those that are of little use any more behind all others.
 func (c *Candidate) late(now time.Duration) int {
 	switch end := now + c.Left + c.Left/marginPart + marginLeast; {
-	case c.Lost > 0 && end > c.Lost:
+	case c.Lost != 0 && end > c.Lost:
 		return 2
 	case end > c.Deadline:
 		return 1
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -264,7 +264,7 @@
 		e.witness.steps[id] = text
 		e.witness.copies[id] = strings.Contains(text, "copies")
 	})
-	out := e.owners[entry].Submit(context.Background(), id, jobs.Record{Queue: queue, MaxAttempts: maxAttempts, Spec: spec})
+	out := e.owners[entry].Submit(context.Background(), id, jobs.Record{Queue: queue, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: maxAttempts, Spec: spec})
 	return string(out) + "\n"
 }
 
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			return k, errors.Wrapf(err, "job %s", r.Key)
 		}
-		k.book.Restore(r.Key, record, byID[r.Key], now)
+		k.book.Restore(r.Key, record, byID[r.Key], now-ageOf(&record))
 	}
 	set, err := ReadOne(ctx, rows, workersKey(pool))
 	if err != nil {
@@ -74,6 +74,15 @@
 	return k, errors.Wrap(err, "decode leased workers")
 }
 
+// maxAge bounds how old a job may seem by clocks that differ; older ones are late anyway.
+const maxAge = time.Minute
+
+// ageOf is how long ago a job was accepted, by the clock of the entry that took it
+// and ours. It only orders jobs, so that clocks that differ or jump do no harm.
+func ageOf(r *jobs.Record) time.Duration {
+	return min(max(0, time.Duration(time.Now().UnixNano())-r.AcceptedAt), maxAge)
+}
+
 // ReadOwner returns the owner row of a shard, with version 0 when there is none.
 func ReadOwner(ctx context.Context, rows platform.Rows, pool string) (r platform.Row, err error) {
 	r, err = ReadOne(ctx, rows, ownerKey(pool))
