--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -19,6 +19,10 @@
 // come by the hundred a second. What comes meanwhile is placed together.
 const placeShare = 5
 
+// longestPlacePause bounds the pause after a pass: on a machine that is short of
+// processor time a pass may be interrupted for long.
+const longestPlacePause = 20 * time.Millisecond
+
 // placeLoop starts tasks whenever something has changed.
 func (o *Owner) placeLoop(ctx context.Context) {
 	for {
@@ -29,7 +33,7 @@
 		}
 		started := o.now()
 		o.place()
-		sleep(ctx, (placeShare-1)*(o.now()-started))
+		sleep(ctx, min(longestPlacePause, (placeShare-1)*(o.now()-started)))
 	}
 }
 
