--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -19,7 +19,16 @@
 	id     string
 	record jobs.Record
 	raw    []byte
-	done   chan Outcome // buffered, gets one value
+
+	waiting int           // calls that wait for the outcome
+	settled chan struct{} // closed when the outcome is known
+	outcome Outcome       // set before that
+}
+
+// settle tells all who wait for the submission what became of it.
+func (s *submission) settle(out Outcome) {
+	s.outcome = out
+	close(s.settled)
 }
 
 // batch is the content of one transaction.
@@ -145,7 +154,7 @@
 		o.book.Add(s.id, s.record, now)
 		o.noteArrival(&s.record, now)
 		o.cfg.Metrics.Job("accepted")
-		s.done <- schema.CallOutcomeOk
+		s.settle(schema.CallOutcomeOk)
 	}
 	for i, j := range b.jobs {
 		if b.states[i].Final() {
@@ -177,7 +186,7 @@
 	}
 	for _, s := range b.submissions {
 		delete(o.pending, s.id)
-		s.done <- outcome
+		s.settle(outcome)
 	}
 	for _, j := range b.jobs {
 		o.dirty[j] = struct{}{}
@@ -198,7 +207,7 @@
 func (o *Owner) refuseQueued() {
 	for _, s := range o.queued {
 		delete(o.pending, s.id)
-		s.done <- schema.CallOutcomeRefused
+		s.settle(schema.CallOutcomeRefused)
 	}
 	o.queued = nil
 }
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
@@ -22,10 +23,10 @@
 		o.mu.Unlock()
 		return schema.CallOutcomeOk
 	}
-	s := o.pending[id]
-	if s != nil {
+	if s := o.pending[id]; s != nil {
+		s.waiting++ // its first arrival is on its way to the table
 		o.mu.Unlock()
-		return schema.CallOutcomeUnknown // its first arrival is on its way to the table
+		return o.awaitSubmission(ctx, s)
 	}
 	if o.troubled {
 		o.mu.Unlock()
@@ -37,12 +38,41 @@
 		o.log.Error().Str("event", "job_encode_failed").Str("job", id).Err(err).Send()
 		return schema.CallOutcomeRefused
 	}
-	s = &submission{id: id, record: r, raw: raw, done: make(chan Outcome, 1)}
+	s := &submission{id: id, record: r, raw: raw, waiting: 1, settled: make(chan struct{})}
 	o.pending[id] = s
 	o.queued = append(o.queued, s)
 	o.hurry()
 	o.mu.Unlock()
-	return wait(ctx, s.done)
+	return o.awaitSubmission(ctx, s)
+}
+
+// awaitSubmission returns the outcome of a submission. One that has not been sent
+// to the table service in time is withdrawn, unless others wait for it too.
+func (o *Owner) awaitSubmission(ctx context.Context, s *submission) Outcome {
+	t := time.NewTimer(submitWait)
+	defer t.Stop()
+	select {
+	case <-s.settled:
+		return s.outcome
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s.waiting--
+	select {
+	case <-s.settled:
+		return s.outcome
+	default:
+	}
+	at := slices.Index(o.queued, s)
+	if at < 0 || s.waiting > 0 {
+		return schema.CallOutcomeUnknown
+	}
+	o.queued = slices.Delete(o.queued, at, at+1)
+	delete(o.pending, s.id)
+	s.settle(schema.CallOutcomeRefused)
+	return schema.CallOutcomeRefused
 }
 
 // wait returns an outcome, which is unknown when it does not come in time.
--- /dev/null
+++ b/pkg/shard/calls_test.go
@@ -0,0 +1,53 @@
+package shard_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+)
+
+// TestRepeatedSubmission has a submission repeated while its row is on its way to
+// a slow table service: both calls get the outcome of the one row.
+func TestRepeatedSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := newEstate(t)
+		defer e.close()
+		e.rows = fake.NewRows(500*time.Millisecond, time.Second)
+		e.addWorker("w1", "w1", "w1", "2000", "0")
+		c.Assert(e.own("a"), qt.Equals, "term 1\n")
+		outcomes := make(chan string, 2)
+		go func() { outcomes <- e.submit("a", "j1", "1x1000/200ms") }()
+		time.Sleep(100 * time.Millisecond)
+		go func() { outcomes <- e.submit("a", "j1", "1x1000/200ms") }()
+		c.Check(<-outcomes, qt.Equals, "ok\n")
+		c.Check(<-outcomes, qt.Equals, "ok\n")
+		time.Sleep(5 * time.Second)
+		c.Check(e.witness.report(), qt.Equals, "1 starts, nothing broken\n")
+	})
+}
+
+// TestQueueInSlowService hands jobs in one after the other while each transaction
+// takes half a second: none of them is left without an outcome.
+func TestQueueInSlowService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := newEstate(t)
+		defer e.close()
+		e.rows = fake.NewRows(500*time.Millisecond, time.Second)
+		e.addWorker("w1", "w1", "w1", "2000", "0")
+		c.Assert(e.own("a"), qt.Equals, "term 1\n")
+		outcomes := make(chan string, 20)
+		for _, id := range []string{"j0", "j1", "j2", "j3", "j4", "j5", "j6", "j7", "j8", "j9"} {
+			go func() { outcomes <- e.submit("a", id, "1x100/100ms") }()
+			time.Sleep(200 * time.Millisecond)
+		}
+		for range 10 {
+			c.Check(<-outcomes, qt.Equals, "ok\n")
+		}
+	})
+}
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -86,7 +86,7 @@
 func (o *Owner) settle(ctx context.Context, b *batch) (version int64, err error) {
 	inDoubt := false
 	for {
-		t := commitHedged(ctx, o.cfg.Rows, b.txn, o.cfg.Metrics.Commit)
+		t := commitHedged(ctx, o.cfg.Rows, b.txn, o.commitPace.hedge(), o.noteCommit)
 		var conflict platform.ErrConflict
 		switch {
 		case t.err == nil:
@@ -112,6 +112,14 @@
 	}
 }
 
+// noteCommit takes the outcome of one try; only the loop of transactions calls it.
+func (o *Owner) noteCommit(took time.Duration, err error) {
+	o.cfg.Metrics.Commit(took, err)
+	if err == nil {
+		o.commitPace.note(took)
+	}
+}
+
 // resolveConflict tells a transaction of ours that had happened from a takeover by another entry.
 func (o *Owner) resolveConflict(conflict platform.ErrConflict, b *batch) (version int64, err error) {
 	for _, r := range conflict.Rows {
--- a/pkg/shard/hedge.go
+++ b/pkg/shard/hedge.go
@@ -14,6 +14,12 @@
 	// more beside the first: above what the service takes under load, and below
 	// what callers wait.
 	hedgeAfter = 250 * time.Millisecond
+	// hedgeFactor times what transactions take of late is waited in a service that
+	// is slow: it carries a partition's transactions out one after the other, so
+	// that a try that was not needed holds up the next transaction.
+	hedgeFactor = 3
+	// longestHedge bounds that wait.
+	longestHedge = time.Second
 	// hedgesAtOnce bounds the tries of one transaction that are under way together.
 	hedgesAtOnce = 3
 )
@@ -32,11 +38,24 @@
 	return t.err == nil || errors.As(t.err, new(platform.ErrConflict))
 }
 
+// commitPace is how long transactions take of late, as far as they are answered.
+type commitPace struct {
+	mean time.Duration
+}
+
+// note takes the time of an answered try; a slow service shows within two.
+func (p *commitPace) note(took time.Duration) { p.mean = (p.mean + took) / 2 }
+
+// hedge is when a transaction without an answer is to be sent again.
+func (p *commitPace) hedge() time.Duration {
+	return min(longestHedge, max(hedgeAfter, hedgeFactor*p.mean))
+}
+
 // commitHedged carries out a transaction whose preconditions let it happen once
 // only, however often it is sent. It is sent again while no answer comes; the
-// first definite answer counts. The error is a platform.ErrConflict also when an
+// first definite answer counts. After is the time before each repetition. The error is a platform.ErrConflict also when an
 // earlier try of ours has happened: the caller tells that by the rows in it.
-func commitHedged(ctx context.Context, rows platform.Rows, txn platform.RowTxn, note func(took time.Duration, err error)) (t try) {
+func commitHedged(ctx context.Context, rows platform.Rows, txn platform.RowTxn, after time.Duration, note func(took time.Duration, err error)) (t try) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	results := make(chan try, hedgesAtOnce)
@@ -50,7 +69,7 @@
 	}
 	send()
 	underWay, sends := 1, 1
-	again := time.NewTicker(hedgeAfter)
+	again := time.NewTicker(after)
 	defer again.Stop()
 	inDoubt := false
 	for underWay > 0 {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -63,6 +63,8 @@
 	commitWake chan struct{}
 	urgentWake chan struct{} // a transaction is not to wait for more
 
+	commitPace commitPace // used by the loop of transactions only
+
 	mu        sync.Mutex
 	over      bool
 	releasing bool // it is being handed over: nothing new is begun
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -96,7 +96,7 @@
 		Put:    []platform.Row{{RowKey: ownerKey(pool), Value: ownerRaw}, {RowKey: commitKey(pool), Value: commitRaw}},
 	}
 	sending()
-	t := commitHedged(ctx, rows, txn, func(time.Duration, error) {})
+	t := commitHedged(ctx, rows, txn, hedgeAfter, func(time.Duration, error) {})
 	if version, ok := ownTakeover(t.err, pool, self, c.Term); ok {
 		t.version, t.err = version, nil
 	}
