--- a/pkg/shard/calls_test.go
+++ b/pkg/shard/calls_test.go
@@ -1,6 +1,9 @@
 package shard_test
 
 import (
+	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,3 +54,37 @@
 		}
 	})
 }
+
+// TestHandoverUnderLoad hands a shard over while tasks end every few milliseconds:
+// ends that are not kept stay at their workers, so that it need not wait for a
+// moment without any.
+func TestHandoverUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := newEstate(t)
+		defer e.close()
+		for _, boot := range []string{"w1", "w2", "w3", "w4"} {
+			e.addWorker(boot, boot, boot, "32000", "0")
+		}
+		c.Assert(e.own("a"), qt.Equals, "term 1\n")
+		const jobCount = 2400
+		for i := range jobCount {
+			go e.submit("a", fmt.Sprintf("%016x", i), "1x50/1s")
+			time.Sleep(time.Millisecond / 2)
+		}
+		started := time.Now()
+		e.owners["a"].Release(context.Background(), "")
+		took := time.Since(started)
+		delete(e.owners, "a")
+		c.Check(took < 200*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", took))
+		c.Assert(e.own("b"), qt.Equals, "term 2\n")
+		time.Sleep(5 * time.Second)
+		for i := range jobCount {
+			state, out := e.owners["b"].State(fmt.Sprintf("%016x", i))
+			if out != "not_found" { // submissions that the handover refused
+				c.Check(string(state), qt.Equals, "completed")
+			}
+		}
+		c.Check(strings.HasSuffix(e.witness.report(), "nothing broken\n"), qt.IsTrue, qt.Commentf("%s", e.witness.report()))
+	})
+}
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -65,10 +65,12 @@
 // the transaction is sent; an error without that call had no effect.
 func TakeOver(ctx context.Context, rows platform.Rows, pool string, self Identity, seen int64, sending func()) (c Claim, err error) {
 	defer func() { err = errors.Wrapf(err, "take over shard %s", pool) }()
+	started := time.Now()
 	owner, err := ReadOne(ctx, rows, ownerKey(pool))
 	if err != nil {
 		return c, err
 	}
+	pace := commitPace{mean: time.Since(started)} // reads and writes are slow together
 	commit, err := ReadOne(ctx, rows, commitKey(pool))
 	if err != nil {
 		return c, err
@@ -96,7 +98,7 @@
 		Put:    []platform.Row{{RowKey: ownerKey(pool), Value: ownerRaw}, {RowKey: commitKey(pool), Value: commitRaw}},
 	}
 	sending()
-	t := commitHedged(ctx, rows, txn, hedgeAfter, func(time.Duration, error) {})
+	t := commitHedged(ctx, rows, txn, pace.hedge(), func(time.Duration, error) {})
 	if version, ok := ownTakeover(t.err, pool, self, c.Term); ok {
 		t.version, t.err = version, nil
 	}
