--- a/pkg/ownership/judge.go
+++ b/pkg/ownership/judge.go
@@ -86,8 +86,13 @@
 }
 
 // storeAnswersMost tells whether the table service answers this entry and most
-// others but k, so that it is k's path to it that is broken; the lock is held.
+// others but k, so that it is k's path to it that is broken; the lock is held. When
+// the service comes back for all, entries notice at different times: it must have
+// answered this one for a while.
 func (m *Members) storeAnswersMost(k *known) bool {
+	if m.local.StoreAnsweredFor() < storeSteady {
+		return false
+	}
 	reached, heard := 0, 0
 	for _, p := range m.peers {
 		if p == k || !m.alive(p) {
