--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gannetwell/gannetwell/pkg/ownership"
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -53,7 +54,7 @@
 			return nil
 		}
 		if err == nil {
-			sleep(ctx, f.pace)
+			_ = pause.For(ctx, f.pace)
 			continue
 		}
 		if errors.As(err, new(platform.ErrHistoryGone)) {
@@ -61,23 +62,11 @@
 			after = -1
 			continue
 		}
-		sleep(ctx, retryFeed/2+rand.N(retryFeed))
+		_ = pause.For(ctx, retryFeed/2+rand.N(retryFeed))
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (n *Node) followOnce(ctx context.Context, f feed, after *int64) error {
 	if *after < 0 {
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/pkg/platform/fake/faults.go
+++ b/pkg/platform/fake/faults.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/rest"
 )
@@ -87,7 +88,7 @@
 // around carries out one call under the rules and limits.
 func (v *view) around(ctx context.Context, op rest.Operation, effect func() error) error {
 	fault, delay := v.p.faults.decide(op, v.zone)
-	if err := sleep(ctx, v.p.latency+delay); err != nil {
+	if err := pause.For(ctx, v.p.latency+delay); err != nil {
 		return platform.ErrNotDone{Op: string(op), Cause: err.Error()}
 	}
 	if err := v.p.limit(op); err != nil {
@@ -113,17 +114,3 @@
 	}
 	return platform.ErrNotDone{Op: string(op), Cause: cause}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/pkg/platform/fake/orders.go
+++ b/pkg/platform/fake/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -31,7 +32,7 @@
 	v.w.mu.Lock()
 	fault := v.w.fault(op, ref.Boot, v.entry)
 	v.w.mu.Unlock()
-	if err := sleep(ctx, v.w.latency); err != nil {
+	if err := pause.For(ctx, v.w.latency); err != nil {
 		return platform.ErrUnknown{Op: string(op), Cause: err.Error()}
 	}
 	lost := func() error {
--- a/pkg/platform/fake/rows.go
+++ b/pkg/platform/fake/rows.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -83,7 +84,7 @@
 // CommitRows implements platform.Rows.
 func (r *rowsView) CommitRows(ctx context.Context, txn platform.RowTxn) (version int64, err error) {
 	fault := r.decide(RowCommit)
-	if err := sleep(ctx, r.latency); err != nil {
+	if err := pause.For(ctx, r.latency); err != nil {
 		return 0, platform.ErrUnknown{Op: string(RowCommit), Cause: err.Error()}
 	}
 	switch fault {
@@ -161,7 +162,7 @@
 
 func (r *rowsView) read(ctx context.Context, op RowOp) error {
 	fault := r.decide(op)
-	if err := sleep(ctx, r.latency); err != nil {
+	if err := pause.For(ctx, r.latency); err != nil {
 		return platform.ErrNotDone{Op: string(op), Cause: err.Error()}
 	}
 	switch fault {
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/placement"
 )
 
@@ -33,19 +34,7 @@
 		}
 		started := o.now()
 		o.place()
-		sleep(ctx, min(longestPlacePause, (placeShare-1)*(o.now()-started)))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		_ = pause.For(ctx, min(longestPlacePause, (placeShare-1)*(o.now()-started))) // the loop sees an end of ctx
 	}
 }
 
