--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,10 +25,6 @@
 	feedTimeout = 700 * time.Millisecond
 	// readTimeout bounds one read.
 	readTimeout = 2 * time.Second
-	// workersPace is the least time between two calls for the directory of
-	// workers, whose rows change with every heartbeat; a worker that is leaving
-	// may get tasks for seconds.
-	workersPace = 400 * time.Millisecond
 	// retryFeed is the pause after a read that failed; half of it is random, so that entries do not come together.
 	retryFeed = 250 * time.Millisecond
 )
@@ -162,78 +156,6 @@
 	n.setCatalog(reply.Catalog, "peer")
 }
 
-// followWorkers follows the directory of workers while this entry owns a shard.
-// Its rows change with every heartbeat: followed by all entries, its bytes would
-// grow with the number of workers times that of entries.
-func (n *Node) followWorkers(ctx context.Context) error {
-	for ctx.Err() == nil {
-		owns, changed := n.keeper.Owns()
-		if !owns {
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			}
-			continue
-		}
-		f := n.workerFeed()
-		f.wanted = func() bool { owns, _ := n.keeper.Owns(); return owns }
-		err := n.follow(ctx, f)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (n *Node) workerFeed() feed {
-	return feed{
-		table: n.source.WorkerTable, pace: workersPace,
-		list: n.loadWorkers,
-		apply: func(r platform.Row) {
-			n.mu.Lock()
-			n.decodeWorker(n.workers, r)
-			n.mu.Unlock()
-			n.passWorkers()
-		},
-	}
-}
-
-// loadWorkers reads the whole directory of workers.
-func (n *Node) loadWorkers(ctx context.Context) (version int64, err error) {
-	all := map[string]platform.Worker{}
-	version, err = n.listAll(ctx, n.source.WorkerTable, func(r platform.Row) { n.decodeWorker(all, r) })
-	if err != nil {
-		return 0, err
-	}
-	n.mu.Lock()
-	n.workers = all
-	n.mu.Unlock()
-	n.passWorkers()
-	return version, nil
-}
-
-func (n *Node) decodeWorker(all map[string]platform.Worker, r platform.Row) {
-	if r.Removed {
-		delete(all, r.Key)
-		return
-	}
-	w, err := n.source.DecodeWorker(r.Key, r.Value)
-	if err != nil {
-		n.log.Error().Str("event", "worker_row_malformed").Str("boot", r.Key).Err(err).Send()
-		return
-	}
-	all[r.Key] = w
-}
-
-func (n *Node) passWorkers() { n.keeper.SetWorkers(n.allWorkers()) }
-
-// allWorkers returns the directory's current boots of all pools.
-func (n *Node) allWorkers() []platform.Worker {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.Collect(maps.Values(n.workers))
-}
-
 func (n *Node) followMembers(ctx context.Context) error {
 	apply := func(r platform.Row) { n.members.Apply(ctx, r) }
 	registered := false
--- /dev/null
+++ b/pkg/node/local.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/peer"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// local is what the pings to other entries need of this one.
+type local struct{ *Node }
+
+// CatalogVersion implements ownership.Local.
+func (l local) CatalogVersion() int64 { return l.catalogVersion() }
+
+// OwnersVersion implements ownership.Local.
+func (l local) OwnersVersion() int64 {
+	version, _ := l.keeper.Seen()
+	return version
+}
+
+// ReachesStore implements ownership.Local.
+func (l local) ReachesStore() bool { return l.rows.ok() }
+
+// StoreAnsweredFor implements ownership.Local.
+func (l local) StoreAnsweredFor() time.Duration { return l.rows.okFor() }
+
+// EntryChanged implements ownership.Local.
+func (l local) EntryChanged() { l.keeper.Kick() }
+
+// CatalogNewer implements ownership.Local.
+func (l local) CatalogNewer(c *peer.Caller, version int64) { l.fetchCatalog(c, version) }
+
+// OwnerNews implements ownership.Local.
+func (l local) OwnerNews(pool string, r platform.Row) { l.keeper.ApplyOwner(pool, r) }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -32,10 +32,6 @@
 	// cutOffAfter is how long the table service must not have answered an entry
 	// before it counts as cut off, rather than struck by a call that was lost.
 	cutOffAfter = 800 * time.Millisecond
-	// headerTimeout bounds the reading of a request's headers.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long a connection without requests is kept.
-	idleTimeout = time.Minute
 )
 
 // Source is where the operator's configuration and the workers' directory are kept, and how they read.
@@ -109,33 +105,6 @@
 	return n
 }
 
-// local is what the pings to other entries need of this one.
-type local struct{ *Node }
-
-// CatalogVersion implements ownership.Local.
-func (l local) CatalogVersion() int64 { return l.catalogVersion() }
-
-// OwnersVersion implements ownership.Local.
-func (l local) OwnersVersion() int64 {
-	version, _ := l.keeper.Seen()
-	return version
-}
-
-// ReachesStore implements ownership.Local.
-func (l local) ReachesStore() bool { return l.rows.ok() }
-
-// StoreAnsweredFor implements ownership.Local.
-func (l local) StoreAnsweredFor() time.Duration { return l.rows.okFor() }
-
-// EntryChanged implements ownership.Local.
-func (l local) EntryChanged() { l.keeper.Kick() }
-
-// CatalogNewer implements ownership.Local.
-func (l local) CatalogNewer(c *peer.Caller, version int64) { l.fetchCatalog(c, version) }
-
-// OwnerNews implements ownership.Local.
-func (l local) OwnerNews(pool string, r platform.Row) { l.keeper.ApplyOwner(pool, r) }
-
 // Catalog returns the configuration in force, nil while it is not known.
 func (n *Node) Catalog() *catalog.Catalog {
 	if c := n.catalog.Load(); c != nil {
@@ -191,15 +160,15 @@
 	if err != nil {
 		return err
 	}
-	callers, err := n.listenHTTP(n.settings.Callers, n.closingUnlessReady(h.Callers))
+	callers, err := listenHTTP(n.settings.Callers, n.closingUnlessReady(h.Callers))
 	if err != nil {
 		return err
 	}
-	readiness, err := n.listenHTTP(n.settings.Readiness, h.Readiness)
+	readiness, err := listenHTTP(n.settings.Readiness, h.Readiness)
 	if err != nil {
 		return err
 	}
-	figures, err := n.listenHTTP(net.JoinHostPort(n.settings.Address, metricsPort), n.operators())
+	figures, err := listenHTTP(net.JoinHostPort(n.settings.Address, metricsPort), n.operators())
 	if err != nil {
 		return err
 	}
@@ -241,49 +210,3 @@
 	defer cancel()
 	return errors.Wrap(callers.server.Shutdown(finish), "finish open requests")
 }
-
-// closingUnlessReady has callers open a new connection, at another node, for what
-// they ask after this answer: an open connection stays with its node.
-func (n *Node) closingUnlessReady(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if ready, _ := n.Ready(); !ready {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
-// httpActor is an HTTP server with its listener.
-type httpActor struct {
-	server      *http.Server
-	ln          net.Listener
-	interrupted chan struct{} // closed when the server's connections are to be closed
-}
-
-func (n *Node) listenHTTP(address string, h http.Handler) (*httpActor, error) {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &httpActor{
-		ln: ln, interrupted: make(chan struct{}),
-		server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-	}, nil
-}
-
-// serve returns when the server fails or is interrupted. A server that shuts
-// down still answers the requests that are open, so that its end of listening is
-// not the end of the actor, which would end all others.
-func (a *httpActor) serve() error {
-	if err := a.server.Serve(a.ln); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", a.ln.Addr())
-	}
-	<-a.interrupted
-	return nil
-}
-
-// interrupt closes all connections; oklog/run calls it once.
-func (a *httpActor) interrupt(error) {
-	close(a.interrupted)
-	_ = a.server.Close()
-}
--- a/pkg/node/reach.go
+++ b/pkg/node/reach.go
@@ -65,20 +65,16 @@
 }
 
 // okFor is for how long calls have been answered, 0 while they are not.
-func (r *reach) okFor() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lost {
-		return 0
-	}
-	return time.Since(r.since)
-}
+func (r *reach) okFor() time.Duration { return r.lasting(false) }
 
 // lostFor is for how long calls have not been answered, 0 while they are.
-func (r *reach) lostFor() time.Duration {
+func (r *reach) lostFor() time.Duration { return r.lasting(true) }
+
+// lasting is for how long lost has had a value, 0 while it has the other.
+func (r *reach) lasting(lost bool) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.lost {
+	if r.lost != lost {
 		return 0
 	}
 	return time.Since(r.since)
