--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -9,7 +9,8 @@
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
-// submitWait is how long a submission waits for its row before its outcome is told as unknown.
+// submitWait is how long a submission or a cancellation waits for its row before
+// its outcome is told as unknown.
 const submitWait = 1500 * time.Millisecond
 
 // Submit keeps a job and starts it; it may be called again for the same ID.
@@ -49,13 +50,8 @@
 // awaitSubmission returns the outcome of a submission. One that has not been sent
 // to the table service in time is withdrawn, unless others wait for it too.
 func (o *Owner) awaitSubmission(ctx context.Context, s *submission) Outcome {
-	t := time.NewTimer(submitWait)
-	defer t.Stop()
-	select {
-	case <-s.settled:
+	if _, settled := receive(ctx, s.settled); settled {
 		return s.outcome
-	case <-ctx.Done():
-	case <-t.C:
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -75,17 +71,18 @@
 	return schema.CallOutcomeRefused
 }
 
-// wait returns an outcome, which is unknown when it does not come in time.
-func wait(ctx context.Context, done <-chan Outcome) Outcome {
+// receive waits for what a channel gives, as long as a call waits for its row; it
+// reports whether something came, also when the channel was closed.
+func receive[T any](ctx context.Context, c <-chan T) (v T, came bool) {
 	t := time.NewTimer(submitWait)
 	defer t.Stop()
 	select {
-	case out := <-done:
-		return out
+	case v = <-c:
+		return v, true
 	case <-ctx.Done():
 	case <-t.C:
 	}
-	return schema.CallOutcomeUnknown
+	return v, false
 }
 
 // Cancel ends a job.
@@ -117,7 +114,11 @@
 	o.waiters[j] = append(o.waiters[j], done)
 	o.keep(j, true)
 	o.mu.Unlock()
-	return wait(ctx, done)
+	out, came := receive(ctx, done)
+	if !came {
+		return schema.CallOutcomeUnknown
+	}
+	return out
 }
 
 // State returns the state of a job that callers may be told.
--- a/pkg/shard/hedge.go
+++ b/pkg/shard/hedge.go
@@ -52,9 +52,10 @@
 }
 
 // commitHedged carries out a transaction whose preconditions let it happen once
-// only, however often it is sent. It is sent again while no answer comes; the
-// first definite answer counts. After is the time before each repetition. The error is a platform.ErrConflict also when an
-// earlier try of ours has happened: the caller tells that by the rows in it.
+// only, however often it is sent. It is sent again each time after has passed
+// without an answer; the first definite answer counts. The error is a
+// platform.ErrConflict also when an earlier try of ours has happened: the caller
+// tells that by the rows in it.
 func commitHedged(ctx context.Context, rows platform.Rows, txn platform.RowTxn, after time.Duration, note func(took time.Duration, err error)) (t try) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
