--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -61,28 +61,12 @@
 // nextBatch takes what waits to be written, as much as fits; the lock is held.
 func (o *Owner) nextBatch() (b *batch, err error) {
 	b = &batch{acks: map[*session]int64{}, seq: o.seq + 1}
-	for len(o.queued) > 0 && b.room() {
-		s := o.queued[0]
-		o.queued = o.queued[1:]
-		b.submissions = append(b.submissions, s)
-		b.put(jobKey(o.cfg.Pool, s.id), s.raw)
-	}
+	o.putSubmissions(b)
 	if err := o.putProgress(b); err != nil {
 		return nil, err
 	}
-	for len(o.drops) > 0 && b.room() {
-		id := o.drops[0]
-		o.drops = o.drops[1:]
-		b.drops = append(b.drops, id)
-		b.txn.Remove = append(b.txn.Remove, jobKey(o.cfg.Pool, id), progressKey(o.cfg.Pool, id))
-	}
-	if len(o.dirty) == 0 {
-		for _, s := range o.sessions {
-			if s.seenEnd > s.ackedEnd {
-				b.acks[s] = s.seenEnd
-			}
-		}
-	}
+	o.removeForgotten(b)
+	o.noteAcks(b)
 	if o.workersChanged {
 		o.workersChanged = false
 		if err := o.putWorkers(b); err != nil {
@@ -105,6 +89,39 @@
 	return b, nil
 }
 
+// putSubmissions adds the jobs that wait to be kept, first come first served.
+func (o *Owner) putSubmissions(b *batch) {
+	for len(o.queued) > 0 && b.room() {
+		s := o.queued[0]
+		o.queued = o.queued[1:]
+		b.submissions = append(b.submissions, s)
+		b.put(jobKey(o.cfg.Pool, s.id), s.raw)
+	}
+}
+
+// removeForgotten removes the rows of jobs whose retention is over.
+func (o *Owner) removeForgotten(b *batch) {
+	for len(o.drops) > 0 && b.room() {
+		id := o.drops[0]
+		o.drops = o.drops[1:]
+		b.drops = append(b.drops, id)
+		b.txn.Remove = append(b.txn.Remove, jobKey(o.cfg.Pool, id), progressKey(o.cfg.Pool, id))
+	}
+}
+
+// noteAcks notes the ends that may be acknowledged once the batch is kept: those
+// seen by now, if the batch leaves no changed job for a later one.
+func (o *Owner) noteAcks(b *batch) {
+	if len(o.dirty) > 0 {
+		return
+	}
+	for _, s := range o.sessions {
+		if s.seenEnd > s.ackedEnd {
+			b.acks[s] = s.seenEnd
+		}
+	}
+}
+
 // putProgress adds the progress of jobs that have changed.
 func (o *Owner) putProgress(b *batch) error {
 	for j := range o.dirty {
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -31,6 +31,7 @@
 	}
 }
 
+// setWorkers takes the directory's current boots; the lock is held.
 func (o *Owner) setWorkers(workers []platform.Worker) {
 	listed := make(map[string]bool, len(workers))
 	for _, w := range workers {
@@ -38,18 +39,7 @@
 			continue
 		}
 		listed[w.Boot] = true
-		s := o.sessions[w.Boot]
-		if s == nil {
-			s = o.addSession(platform.WorkerRef{Boot: w.Boot, Address: w.Address}, w.VM)
-			o.workersChanged = true
-			o.log.Info().Str("event", "worker_listed").Str("boot", w.Boot).Str("vm", w.VM).Str("address", w.Address).Send()
-		}
-		s.listed, s.info, s.vm, s.unlistedAt = true, w, w.VM, 0
-		s.hostCache = nil
-		if w.Draining && !s.draining {
-			s.draining = true
-			o.log.Info().Str("event", "worker_draining").Str("boot", w.Boot).Send()
-		}
+		o.listWorker(w)
 	}
 	for boot, s := range o.sessions {
 		if s.unlistedAt == 0 && !listed[boot] {
@@ -71,6 +61,22 @@
 	o.kickPlacement()
 }
 
+// listWorker takes a boot's entry in the directory.
+func (o *Owner) listWorker(w platform.Worker) {
+	s := o.sessions[w.Boot]
+	if s == nil {
+		s = o.addSession(platform.WorkerRef{Boot: w.Boot, Address: w.Address}, w.VM)
+		o.workersChanged = true
+		o.log.Info().Str("event", "worker_listed").Str("boot", w.Boot).Str("vm", w.VM).Str("address", w.Address).Send()
+	}
+	s.listed, s.info, s.vm, s.unlistedAt = true, w, w.VM, 0
+	s.hostCache = nil
+	if w.Draining && !s.draining {
+		s.draining = true
+		o.log.Info().Str("event", "worker_draining").Str("boot", w.Boot).Send()
+	}
+}
+
 // checkHeld sees whether tasks of a former owner may still be somewhere unseen.
 func (o *Owner) checkHeld() {
 	if !o.held {
