--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -66,30 +67,56 @@
 
 // poolStates gathers what sizing decides on.
 func (r *Runner) poolStates(machines map[string]platform.Machine, loads map[string]shard.Load) (pools []*PoolState) {
-	spare := r.spare()
-	byName := map[string]*PoolState{}
+	byName := r.loadedPools(loads)
+	leaving := r.countMoves(byName, machines)
+	r.countMachines(byName, machines)
+	pools = slices.SortedFunc(maps.Values(byName), func(a, b *PoolState) int { return cmp.Compare(a.Name, b.Name) })
+	for _, s := range pools {
+		if s.Spare {
+			slices.Sort(s.Idle)
+		} else {
+			s.Idle = r.idle(s, machines, leaving[s.Name])
+		}
+		s.Surely = r.countSurplus(s)
+	}
+	return pools
+}
+
+// loadedPools returns the pools whose load is known, and the spare one, with
+// the workers that they have.
+func (r *Runner) loadedPools(loads map[string]shard.Load) map[string]*PoolState {
+	pools := map[string]*PoolState{}
 	for name, l := range loads {
 		s := &PoolState{Name: name, Load: l, Supply: l.Workers}
 		s.Load.Waiting.CPU += r.rise(name, l.Used.CPU+l.Waiting.CPU)
-		byName[name] = s
-		pools = append(pools, s)
+		pools[name] = s
 	}
-	if spare != "" {
-		s := &PoolState{Name: spare, Spare: true}
-		byName[spare] = s
-		pools = append(pools, s)
+	if spare := r.spare(); spare != "" {
+		pools[spare] = &PoolState{Name: spare, Spare: true}
 	}
-	leaving := map[string]int{}
+	return pools
+}
+
+// countMoves adds the VMs on their way to the supply of pools, and returns how
+// many are leaving each.
+func (r *Runner) countMoves(pools map[string]*PoolState, machines map[string]platform.Machine) (leaving map[string]int) {
+	leaving = map[string]int{}
 	for vm, m := range r.moves {
-		if s := byName[m.To]; s != nil {
+		if s := pools[m.To]; s != nil {
 			s.Supply++
 		}
 		if machines[vm].Pool == m.From {
 			leaving[m.From]++
 		}
 	}
+	return leaving
+}
+
+// countMachines adds the VMs that will be at work soon without a move of ours to
+// the supply of pools, and finds those of the spare pool that may be moved.
+func (r *Runner) countMachines(pools map[string]*PoolState, machines map[string]platform.Machine) {
 	for vm, m := range machines {
-		s := byName[m.Pool]
+		s := pools[m.Pool]
 		if s == nil || m.State == platform.MachineDown || r.moves[vm] != nil {
 			continue
 		}
@@ -104,16 +131,6 @@
 			s.Idle = append(s.Idle, vm)
 		}
 	}
-	for _, s := range pools {
-		if s.Spare {
-			slices.Sort(s.Idle)
-		} else {
-			s.Idle = r.idle(s, machines, leaving[s.Name])
-		}
-		s.Surely = r.countSurplus(s)
-	}
-	slices.SortFunc(pools, func(a, b *PoolState) int { return cmp.Compare(a.Name, b.Name) })
-	return pools
 }
 
 // idle returns the VMs of a pool that may leave, those without any task first.
--- a/pkg/fleetops/sizing.go
+++ b/pkg/fleetops/sizing.go
@@ -80,53 +80,66 @@
 // to those that lack most, from the spare pool first and then from pools with
 // VMs left over; VMs that no pool needs go to the spare pool after a while.
 func (p SizingPolicy) PlanMoves(pools []*PoolState) (moves []Move) {
-	surplus := map[string]int{}
+	pl := plan{surplus: map[string]int{}}
 	var short []*PoolState
 	spare := ""
 	for _, s := range pools {
 		if s.Spare {
 			spare = s.Name
-			surplus[s.Name] = len(s.Idle)
+			pl.surplus[s.Name] = len(s.Idle)
 			continue
 		}
-		surplus[s.Name] = s.Supply - p.Want(s.Load)
-		if surplus[s.Name] < 0 {
+		pl.surplus[s.Name] = s.Supply - p.Want(s.Load)
+		if pl.surplus[s.Name] < 0 {
 			short = append(short, s)
 		}
 	}
-	slices.SortStableFunc(short, func(a, b *PoolState) int { return cmp.Compare(surplus[a.Name], surplus[b.Name]) })
-	take := func(from *PoolState, to, why string) bool {
-		if surplus[from.Name] <= 0 || len(from.Idle) == 0 {
-			return false
+	pl.fill(short, pools)
+	if spare == "" || len(short) > 0 {
+		return pl.moves
+	}
+	for _, s := range pools {
+		if s.Spare || s.Surely < p.KeepSteps {
+			continue
+		}
+		for range int(math.Ceil(p.SwitchOffShare * float64(pl.surplus[s.Name]))) {
+			pl.take(s, spare, "the pool has had more than its demand for a while")
 		}
-		moves = append(moves, Move{VM: from.Idle[0], From: from.Name, To: to, Why: why})
-		from.Idle = from.Idle[1:]
-		surplus[from.Name]--
-		return true
 	}
+	return pl.moves
+}
+
+// plan is the moves found so far.
+type plan struct {
+	moves   []Move
+	surplus map[string]int // VMs beyond what a pool should have after the moves, by pool
+}
+
+// fill plans moves to the pools that are short, those that lack most first.
+func (pl *plan) fill(short, pools []*PoolState) {
+	slices.SortStableFunc(short, func(a, b *PoolState) int { return cmp.Compare(pl.surplus[a.Name], pl.surplus[b.Name]) })
 	donors := slices.Clone(pools)
 	for _, s := range short {
 		slices.SortStableFunc(donors, func(a, b *PoolState) int {
-			return cmp.Or(cmp.Compare(notSpare(a), notSpare(b)), cmp.Compare(surplus[b.Name], surplus[a.Name]))
+			return cmp.Or(cmp.Compare(notSpare(a), notSpare(b)), cmp.Compare(pl.surplus[b.Name], pl.surplus[a.Name]))
 		})
 		for _, d := range donors {
-			for surplus[s.Name] < 0 && d != s && take(d, s.Name, "demand is above what the pool has") {
-				surplus[s.Name]++
+			for pl.surplus[s.Name] < 0 && d != s && pl.take(d, s.Name, "demand is above what the pool has") {
+				pl.surplus[s.Name]++
 			}
 		}
 	}
-	if spare == "" || len(short) > 0 {
-		return moves
-	}
-	for _, s := range pools {
-		if s.Spare || s.Surely < p.KeepSteps {
-			continue
-		}
-		for range int(math.Ceil(p.SwitchOffShare * float64(surplus[s.Name]))) {
-			take(s, spare, "the pool has had more than its demand for a while")
-		}
+}
+
+// take plans the move of a pool's best idle VM, if the pool can spare one.
+func (pl *plan) take(from *PoolState, to, why string) bool {
+	if pl.surplus[from.Name] <= 0 || len(from.Idle) == 0 {
+		return false
 	}
-	return moves
+	pl.moves = append(pl.moves, Move{VM: from.Idle[0], From: from.Name, To: to, Why: why})
+	from.Idle = from.Idle[1:]
+	pl.surplus[from.Name]--
+	return true
 }
 
 func notSpare(s *PoolState) int {
