--- a/pkg/fleetops/progress.go
+++ b/pkg/fleetops/progress.go
@@ -11,7 +11,7 @@
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
-// tableProgress holds what is done of each wave, and the handover.
+// tableProgress holds what is done of each wave, and the announcement of orders.
 const tableProgress = "maintenance"
 
 // kept is what lasts of a wave.
@@ -54,13 +54,9 @@
 	return nil
 }
 
-// keepProgress writes what is done, and reports to the operator.
-func (r *Runner) keepProgress(ctx context.Context, w *wave) error {
-	if !w.changed {
-		return nil
-	}
-	var k kept
-	finished := true
+// progress returns what lasts of a wave, and whether the wave is finished.
+func (w *wave) progress() (k kept, finished bool) {
+	finished = true
 	for _, v := range w.vms {
 		if v.Phase == PhaseDone || v.Phase == PhaseGone {
 			k.Done = append(k.Done, v.Name)
@@ -68,6 +64,15 @@
 			finished = false
 		}
 	}
+	return k, finished
+}
+
+// keepProgress writes what is done, and reports to the operator.
+func (r *Runner) keepProgress(ctx context.Context, w *wave) error {
+	if !w.changed {
+		return nil
+	}
+	k, finished := w.progress()
 	raw, err := msgpack.Marshal(k)
 	if err != nil {
 		return errors.Wrap(err, "encode progress of wave")
@@ -83,11 +88,16 @@
 	if w.reported && !finished {
 		return nil
 	}
+	return r.reportWave(writeCtx, w, finished)
+}
+
+// reportWave tells the operator how far a wave has come.
+func (r *Runner) reportWave(ctx context.Context, w *wave, finished bool) error {
 	row, err := r.cfg.Report(w.ID, finished)
 	if err != nil {
 		return err
 	}
-	if _, err := r.cfg.Rows.CommitRows(writeCtx, platform.RowTxn{Put: []platform.Row{row}}); err != nil {
+	if _, err := r.cfg.Rows.CommitRows(ctx, platform.RowTxn{Put: []platform.Row{row}}); err != nil {
 		w.changed = true
 		return err
 	}
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -98,44 +98,54 @@
 	Since    time.Duration               // since the wave was requested
 }
 
-// Next returns the VMs to empty next, so that neither the wave's limit nor the
-// share of a pool is exceeded: first those that are switched off, then those
-// with little work, and the others once the time since the request presses. In a
-// deployment whose VMs move with demand most are without work at some moment.
-func Next(w Wave, vms []*VM, view View) (next []*VM) {
-	machines, spare, light := view.Machines, view.Spare, view.Light
-	busy := 0
-	inPool := map[string]int{}
-	left := map[string]int{}
-	size := map[string]int{}
-	for _, m := range machines {
-		size[m.Pool]++
+// tally counts VMs for the limits on a wave.
+type tally struct {
+	busy   int            // VMs of the wave that are being emptied or are down
+	inPool map[string]int // those of them in each pool
+	left   map[string]int // VMs of the wave that wait, by pool
+	size   map[string]int // all VMs of each pool
+}
+
+func tallyOf(vms []*VM, view View) tally {
+	t := tally{inPool: map[string]int{}, left: map[string]int{}, size: map[string]int{}}
+	for _, m := range view.Machines {
+		t.size[m.Pool]++
 	}
 	for _, v := range vms {
-		pool := machines[v.Name].Pool
+		m := view.Machines[v.Name]
 		switch v.Phase {
 		case PhaseEmptying, PhaseOrdered:
-			busy++
-			inPool[pool]++
+			t.busy++
+			t.inPool[m.Pool]++
 		case PhaseWaiting:
-			left[pool]++
-			if machines[v.Name].State == platform.MachineMaintenance || view.Recent[v.Name] {
-				busy++ // by an order of a former holder
-				inPool[pool]++
+			t.left[m.Pool]++
+			if m.State == platform.MachineMaintenance || view.Recent[v.Name] {
+				t.busy++ // by an order of a former holder
+				t.inPool[m.Pool]++
 			}
 		}
 	}
+	return t
+}
+
+// Next returns the VMs to empty next, so that neither the wave's limit nor the
+// share of a pool is exceeded: first those that are switched off, then those
+// with little work, and the others once the time since the request presses. In a
+// deployment whose VMs move with demand most are without work at some moment.
+func Next(w Wave, vms []*VM, view View) (next []*VM) {
+	machines, spare, light := view.Machines, view.Spare, view.Light
+	t := tallyOf(vms, view)
 	pressing := w.presses(len(vms), view.Since)
 	waiting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.Phase != PhaseWaiting })
 	slices.SortStableFunc(waiting, func(a, b *VM) int {
 		return cmp.Or(
 			cmp.Compare(weight(machines[a.Name], spare, light), weight(machines[b.Name], spare, light)),
-			cmp.Compare(left[machines[b.Name].Pool], left[machines[a.Name].Pool]),
+			cmp.Compare(t.left[machines[b.Name].Pool], t.left[machines[a.Name].Pool]),
 		)
 	})
 	for _, v := range waiting {
 		m, ok := machines[v.Name]
-		if busy >= w.MaxDown {
+		if t.busy >= w.MaxDown {
 			break
 		}
 		if !ok || m.State != platform.MachineUp || view.Recent[v.Name] {
@@ -144,11 +154,11 @@
 		if !pressing && weight(m, spare, light) == weightBusy {
 			continue
 		}
-		if m.Pool != spare && inPool[m.Pool] >= max(minAtOnce, int(maxShare*float64(size[m.Pool]))) {
+		if m.Pool != spare && t.inPool[m.Pool] >= max(minAtOnce, int(maxShare*float64(t.size[m.Pool]))) {
 			continue
 		}
-		busy++
-		inPool[m.Pool]++
+		t.busy++
+		t.inPool[m.Pool]++
 		next = append(next, v)
 	}
 	return next
