--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -67,10 +67,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		rows := fake.NewRows(time.Millisecond, time.Second)
-		n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- n.follow(ctx, n.workerFeed()) }()
+		n := newIdleNode(rows)
+		stop := begin(func(ctx context.Context) error { return n.follow(ctx, n.workerFeed()) })
 		putJSON(c, rows.As("operator"), "workers", "w0", platform.Worker{Boot: "w0"})
 		time.Sleep(5 * time.Second)
 		c.Check(n.knows("w0"), qt.IsTrue)
@@ -87,8 +85,7 @@
 		putJSON(c, rows.As("operator"), "workers", "w2", platform.Worker{Boot: "w2"})
 		time.Sleep(2 * time.Second)
 		c.Check(n.knows("w2"), qt.IsTrue)
-		cancel()
-		c.Check(<-done, qt.IsNil)
+		c.Check(stop(), qt.IsNil)
 	})
 }
 
@@ -98,18 +95,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		rows := fake.NewRows(time.Millisecond, time.Second)
-		n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
+		n := newIdleNode(rows)
 		putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 1})
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- n.followCatalog(ctx) }()
+		stop := begin(n.followCatalog)
 		ready := func() bool { ok, _ := n.Ready(); return ok }
 		time.Sleep(time.Second)
 		c.Check(ready(), qt.IsTrue)
 		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultDown })
 		time.Sleep(4 * time.Second)
 		c.Check(ready(), qt.IsTrue) // no other entry is known: this one is most of them
-		pingCtx, stopPings := context.WithCancel(ctx)
+		pingCtx, stopPings := context.WithCancel(context.Background())
 		stopPings() // the other two entries are never heard
 		for _, name := range []string{"e1", "e2"} {
 			raw, err := msgpack.Marshal(ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
@@ -120,8 +115,7 @@
 		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultNone })
 		time.Sleep(2 * time.Second) // a call for changes is answered after its wait
 		c.Check(ready(), qt.IsTrue)
-		cancel()
-		c.Check(<-done, qt.IsNil)
+		c.Check(stop(), qt.IsNil)
 	})
 }
 
@@ -136,17 +130,30 @@
 			calls++
 			return fake.FaultNone
 		})
-		n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- n.followWorkers(ctx) }()
+		n := newIdleNode(rows)
+		stop := begin(n.followWorkers)
 		time.Sleep(time.Minute)
 		c.Check(calls, qt.Equals, 0)
-		cancel()
-		c.Check(<-done, qt.IsNil)
+		c.Check(stop(), qt.IsNil)
 	})
 }
 
+// newIdleNode returns a node, e0, that is not run: a test runs parts of it.
+func newIdleNode(rows *fake.Rows) *Node {
+	return New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
+}
+
+// begin runs a part of a node; stop ends its context and returns what it returned.
+func begin(part func(ctx context.Context) error) (stop func() error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- part(ctx) }()
+	return func() error {
+		cancel()
+		return <-done
+	}
+}
+
 // knows tells whether the directory holds a boot.
 func (n *Node) knows(boot string) bool {
 	n.mu.Lock()
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -29,55 +29,75 @@
 	return time.Since(l.back)
 }
 
+// outage is five entries, and one more that owned the only shard and has ended,
+// while the table service is down for all.
+type outage struct {
+	entries []*there
+	keepers []*Keeper
+	claims  chan string // names of the entries that try to take the shard over
+}
+
+func newOutage() *outage {
+	u := &outage{claims: make(chan string, 100)}
+	names := []string{"e1", "e2", "e3", "e4", "e5"}
+	since := time.Now()
+	time.Sleep(time.Minute)
+	for _, self := range names {
+		l := &there{}
+		m := NewMembers(Member{Name: self, Share: 1}, nil, zerolog.Nop(), since, l)
+		m.majorityAt = 1
+		for _, other := range names {
+			if other != self {
+				m.peers[other] = peerHeard(other, time.Hour)
+				m.peers[other].storeLost = time.Second
+			}
+		}
+		m.peers["lost"] = peerHeard("lost", time.Second)
+		u.entries = append(u.entries, l)
+		u.keepers = append(u.keepers, u.keeper(self, m, since))
+	}
+	return u
+}
+
+func peerHeard(name string, at time.Duration) *known {
+	return &known{Member: Member{Name: name, Share: 1, Start: 1}, wake: make(chan struct{}, 1), heardAt: at}
+}
+
+// keeper returns the keeper of an entry that notes its claims; none of them succeeds.
+func (u *outage) keeper(self string, m *Members, since time.Time) *Keeper {
+	open := func(context.Context, string, int64, *catalog.Catalog, Events) (Work, error) {
+		u.claims <- self
+		return nil, errors.New("another entry was first")
+	}
+	k := NewKeeper(shard.Identity{Entry: self, Start: 1}, m, open, zerolog.Nop(), since)
+	k.catalog = catalog.New(catalog.Catalog{})
+	k.shards["p"] = &state{row: shard.OwnerRow{Entry: "lost", Start: 1, Term: 1}, version: 1, loaded: true}
+	return k
+}
+
+// step has all entries look at the shard once and returns those that claim it.
+func (u *outage) step() (claimed []string) {
+	for _, k := range u.keepers {
+		k.evaluate(context.Background())
+	}
+	synctest.Wait()
+	for len(u.claims) > 0 {
+		claimed = append(claimed, <-u.claims)
+	}
+	return claimed
+}
+
 // TestClaimsAfterOutage has an owner end while the table service is down for all.
 // No entry claims its shard before the service is back, and then not all at once:
 // what they last heard of each other is that the service does not answer.
 func TestClaimsAfterOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		names := []string{"e1", "e2", "e3", "e4", "e5"}
-		claims := make(chan string, 100)
-		entries := map[string]*there{}
-		var keepers []*Keeper
-		since := time.Now()
-		time.Sleep(time.Minute)
-		for _, self := range names {
-			l := &there{}
-			entries[self] = l
-			m := NewMembers(Member{Name: self, Share: 1}, nil, zerolog.Nop(), since, l)
-			m.majorityAt = 1
-			for _, other := range append(names, "lost") {
-				k := &known{Member: Member{Name: other, Share: 1, Start: 1}, wake: make(chan struct{}, 1), heardAt: time.Second}
-				if other != "lost" {
-					k.heardAt, k.storeLost = time.Hour, time.Second
-				}
-				if other != self {
-					m.peers[other] = k
-				}
-			}
-			open := func(context.Context, string, int64, *catalog.Catalog, Events) (Work, error) {
-				claims <- self
-				return nil, errors.New("another entry was first")
-			}
-			k := NewKeeper(shard.Identity{Entry: self, Start: 1}, m, open, zerolog.Nop(), since)
-			k.catalog = catalog.New(catalog.Catalog{})
-			k.shards["p"] = &state{row: shard.OwnerRow{Entry: "lost", Start: 1, Term: 1}, version: 1, loaded: true}
-			keepers = append(keepers, k)
-		}
-		step := func() (claimed []string) {
-			for _, k := range keepers {
-				k.evaluate(context.Background())
-			}
-			synctest.Wait()
-			for len(claims) > 0 {
-				claimed = append(claimed, <-claims)
-			}
-			return claimed
-		}
-		c.Check(step(), qt.HasLen, 0)
-		for _, l := range entries {
+		u := newOutage()
+		c.Check(u.step(), qt.HasLen, 0)
+		for _, l := range u.entries {
 			l.back = time.Now()
 		}
-		c.Check(step(), qt.HasLen, 1)
+		c.Check(u.step(), qt.HasLen, 1)
 	})
 }
--- a/pkg/shard/calls_test.go
+++ b/pkg/shard/calls_test.go
@@ -15,10 +15,8 @@
 func TestRepeatedSubmission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		e := newEstate(t)
+		e := newSlowEstate(t)
 		defer e.close()
-		e.rows = fake.NewRows(500*time.Millisecond, time.Second)
-		e.addWorker("w1", "w1", "w1", "2000", "0")
 		c.Assert(e.own("a"), qt.Equals, "term 1\n")
 		outcomes := make(chan string, 2)
 		go func() { outcomes <- e.submit("a", "j1", "1x1000/200ms") }()
@@ -36,10 +34,8 @@
 func TestQueueInSlowService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		e := newEstate(t)
+		e := newSlowEstate(t)
 		defer e.close()
-		e.rows = fake.NewRows(500*time.Millisecond, time.Second)
-		e.addWorker("w1", "w1", "w1", "2000", "0")
 		c.Assert(e.own("a"), qt.Equals, "term 1\n")
 		outcomes := make(chan string, 20)
 		for _, id := range []string{"j0", "j1", "j2", "j3", "j4", "j5", "j6", "j7", "j8", "j9"} {
@@ -51,3 +47,12 @@
 		}
 	})
 }
+
+// newSlowEstate has one worker, and a table service that takes half a second for
+// each transaction.
+func newSlowEstate(t *testing.T) *estate {
+	e := newEstate(t)
+	e.rows = fake.NewRows(500*time.Millisecond, time.Second)
+	e.addWorker("w1", "w1", "w1", "2000", "0")
+	return e
+}
