--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -16,7 +16,7 @@
 	eventInCode = regexp.MustCompile(`Str\("event", "([a-z_]+)"\)|"event":"([a-z_]+)"`)
 )
 
-// notEvents are names on the page that are fields or outcomes of lines.
+// notEvents are names on the page that are fields or outcomes of lines, or metrics.
 var notEvents = map[string]bool{"not_found": true, "not_owner": true, "cpu_waiting": true, "cpu_arriving": true, "process_cpu_seconds_total": true}
 
 // TestOperationsPage sees that each log line which the page builds on is written by the code.
--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -55,16 +55,7 @@
 	if !slices.ContainsFunc(vms, isNew) {
 		return
 	}
-	now := r.now()
-	next := map[string]time.Duration{}
-	for vm, at := range r.announced {
-		if now-at < r.cfg.Pause {
-			next[vm] = at
-		}
-	}
-	for _, vm := range vms {
-		next[vm] = now
-	}
+	next := r.announcedWith(vms)
 	txn, err := r.announcementTxn(slices.Concat(slices.Collect(maps.Keys(next)), r.recentOrders()), false)
 	if err != nil {
 		r.log.Error().Str("event", "orders_not_announced").Err(err).Send()
@@ -86,6 +77,21 @@
 	}
 }
 
+// announcedWith returns what is announced and not yet out of date, with some VMs more.
+func (r *Runner) announcedWith(vms []string) map[string]time.Duration {
+	now := r.now()
+	next := map[string]time.Duration{}
+	for vm, at := range r.announced {
+		if now-at < r.cfg.Pause {
+			next[vm] = at
+		}
+	}
+	for _, vm := range vms {
+		next[vm] = now
+	}
+	return next
+}
+
 // recentOrders are the VMs for which another holder would have to wait. A VM
 // that waits because of the holder before us waits for the next one as well.
 func (r *Runner) recentOrders() (recent []string) {
@@ -105,6 +111,8 @@
 	return recent
 }
 
+// announcementTxn is the transaction that keeps an announcement; its
+// preconditions are the caller's to add.
 func (r *Runner) announcementTxn(vms []string, released bool) (txn platform.RowTxn, err error) {
 	slices.Sort(vms)
 	a := announcement{Term: r.claim.Term, VMs: slices.Compact(vms), Released: released}
