--- a/pkg/replica/commit.go
+++ b/pkg/replica/commit.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/table"
@@ -54,7 +55,7 @@
 		if err == nil || !again(err) {
 			return entry, err
 		}
-		if sleepErr := pause(ctx, wait); sleepErr != nil {
+		if sleepErr := pauseAbout(ctx, wait); sleepErr != nil {
 			break
 		}
 	}
@@ -69,16 +70,9 @@
 	return platform.IsNotDone(err) || platform.IsUnknown(err) || platform.IsConflict(err)
 }
 
-// pause waits for about d, spread so that processes do not meet again.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
+// pauseAbout waits for about d, spread so that processes do not meet again.
+func pauseAbout(ctx context.Context, d time.Duration) error {
+	return pause.For(ctx, d/2+rand.N(d))
 }
 
 // try makes one attempt; settle demands to look first whether an earlier one took effect.
--- a/pkg/replica/follow.go
+++ b/pkg/replica/follow.go
@@ -51,7 +51,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	skipped := 0
 	for {
-		if pause(ctx, f.interval) != nil {
+		if pauseAbout(ctx, f.interval) != nil {
 			return nil
 		}
 		if !f.reader() && skipped < slowFactor {
