--- a/pkg/shard/arrivals.go
+++ b/pkg/shard/arrivals.go
@@ -24,6 +24,7 @@
 	memoryMB float64
 }
 
+// note takes the work of one job.
 func (a *arrivals) note(at time.Duration, cpu, memoryMB float64) {
 	a.recent = append(a.recent, arrival{at: at, cpu: cpu, memoryMB: memoryMB})
 }
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -146,6 +146,7 @@
 	o.noteTrouble(on, cause)
 }
 
+// noteTrouble does what setTrouble does; the lock is held.
 func (o *Owner) noteTrouble(on bool, cause error) {
 	if on == o.troubled {
 		return
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -75,8 +75,8 @@
 	inOrder   []*session                // sessions by boot, nil when out of date
 	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
 	durations map[string]*learned       // by queue
-	arrivals  arrivals
-	idleTasks bool // tasks wait for room, or for a time
+	arrivals  arrivals                  // of jobs, which tell how much work is on its way
+	idleTasks bool                      // tasks wait for room, or for a time
 
 	confirmedAt time.Duration // when this entry certainly was the owner
 	asking      bool          // the owner row is being read
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -86,7 +86,8 @@
 	return hosts
 }
 
-// hostsToTry returns hosts of their own to try placements on.
+// hostsToTry returns the same workers as hosts does, to try placements on that may
+// not be ordered: what they are charged with is not kept.
 func (o *Owner) hostsToTry(now time.Duration) (hosts []*placement.Host) {
 	for _, s := range o.sessionsInOrder() {
 		if s.usable(now) {
@@ -96,7 +97,8 @@
 	return hosts
 }
 
-// sessionsInOrder returns the sessions by boot.
+// sessionsInOrder returns the sessions by boot; they are sorted again only after
+// one has come or gone, since each pass of placement asks for them.
 func (o *Owner) sessionsInOrder() []*session {
 	if o.inOrder == nil {
 		o.inOrder = slices.SortedFunc(maps.Values(o.sessions), func(a, b *session) int { return cmp.Compare(a.ref.Boot, b.ref.Boot) })
