--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/placement"
 )
 
@@ -33,19 +34,7 @@
 		}
 		started := o.now()
 		o.place()
-		sleep(ctx, min(longestPlacePause, (placeShare-1)*(o.now()-started)))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		_ = pause.For(ctx, min(longestPlacePause, (placeShare-1)*(o.now()-started))) // the loop sees an end of ctx
 	}
 }
 
@@ -97,7 +86,8 @@
 	return hosts
 }
 
-// hostsToTry returns hosts of their own to try placements on.
+// hostsToTry returns the same workers as hosts does, to try placements on that may
+// not be ordered: what they are charged with is not kept.
 func (o *Owner) hostsToTry(now time.Duration) (hosts []*placement.Host) {
 	for _, s := range o.sessionsInOrder() {
 		if s.usable(now) {
@@ -107,7 +97,8 @@
 	return hosts
 }
 
-// sessionsInOrder returns the sessions by boot.
+// sessionsInOrder returns the sessions by boot; they are sorted again only after
+// one has come or gone, since each pass of placement asks for them.
 func (o *Owner) sessionsInOrder() []*session {
 	if o.inOrder == nil {
 		o.inOrder = slices.SortedFunc(maps.Values(o.sessions), func(a, b *session) int { return cmp.Compare(a.ref.Boot, b.ref.Boot) })
