--- a/pkg/shard/look.go
+++ b/pkg/shard/look.go
@@ -29,14 +29,15 @@
 		wants := s.wantsLook()
 		unacked := s.seenEnd > s.ackedEnd
 		failures := s.failures
+		askAgain := s.askAgain
 		crowded := s.inDoubt && s.inFlight > 0
 		o.mu.Unlock()
 		var pause time.Duration
 		switch {
 		case !wants:
 			pause = -1
-		case failures > 1:
-			pause = retryLook // a single answer that was lost is asked for again at once
+		case failures > 0 && !askAgain:
+			pause = retryLook
 		case crowded:
 			pause = awaitOrders
 		case unacked:
@@ -143,6 +144,7 @@
 		return
 	}
 	s.failures++
+	s.askAgain = s.failures == 1
 	if s.failures == 1 {
 		o.log.Warn().Str("event", "worker_lost").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Err(err).Send()
 	}
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -81,6 +81,7 @@
 		o.startRefused(s, name, r, refused, now)
 	case platform.IsNotDone(err):
 		s.failures++
+		s.askAgain = false // what did not reach the worker is not sent again at once
 		if current && r.confirmedAt == 0 {
 			o.drop(s, name)
 		}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -38,6 +38,7 @@
 	inFlight   int                 // start orders without an answer yet
 	inDoubt    bool                // a start order got no answer; a look with a higher token settles it
 	failures   int                 // looks and orders in a row without an answer
+	askAgain   bool                // the only one was a look: it is repeated without a pause
 	health     outcomes            // to tell a bad worker
 	pausedTo   time.Duration       // no new tasks until then
 	cordonedTo time.Duration       // the VM is to be empty until then
