--- a/_scripts/matrix.sh
+++ b/_scripts/matrix.sh
@@ -11,6 +11,7 @@
   "$bench" run "$site" "$day" --log front --why "$why" > "$out" 2>&1 || true
   name=$(basename "$day" .toml)
   line=$(grep "^$name " "$out" | head -1 || true)
+  [ -n "$line" ] || { printf '%-14s not played: %s\n' "$name" "$(grep '^fleetbench:' "$out" | head -1)"; rm -f "$out"; continue; }
   owned=$(grep -c '"event":"shard_owned"' "$out" || true)
   printf '%-14s %-8s %-8s %-9s %s\n' "$name" "$(echo "$line" | awk '{print $4}')" "$(echo "$line" | awk '{print $5}')" "$owned" \
     "$(echo "$line" | grep -o 'BROKEN.*' || echo none)"
--- a/pkg/shard/look.go
+++ b/pkg/shard/look.go
@@ -35,8 +35,8 @@
 		switch {
 		case !wants:
 			pause = -1
-		case failures > 0:
-			pause = retryLook
+		case failures > 1:
+			pause = retryLook // a single answer that was lost is asked for again at once
 		case crowded:
 			pause = awaitOrders
 		case unacked:
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -12,8 +12,11 @@
 
 // Answers to orders, and what follows from them.
 const (
-	// answerTimeout is how long an order may go unanswered, waiting apart; workers answer in milliseconds.
+	// answerTimeout is how long a look may go unanswered, waiting apart; workers answer in milliseconds.
 	answerTimeout = 700 * time.Millisecond
+	// orderTimeout is how long an order may go unanswered before a look settles
+	// what became of it; until then the worker gets no other tasks.
+	orderTimeout = 350 * time.Millisecond
 	// pauseUnhealthy is the pause before new tasks for a worker that said it is not well.
 	pauseUnhealthy = 800 * time.Millisecond
 	// pauseFull is the pause before new tasks for a worker that said it has no room.
@@ -44,7 +47,7 @@
 // send carries an order out in the background and passes its answer on under the lock.
 func (o *Owner) send(order func(context.Context) (clockMs int64, err error), answered func(clockMs int64, err error)) {
 	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, answerTimeout)
+		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 		defer cancel()
 		clockMs, err := order(ctx)
 		o.mu.Lock()
