An attempt that is being stopped and is not ours is charged to its worker

Cause: a new owner that found an attempt which it did not want told it to end and held nothing, so that the next placement took the worker for empty. Workers that start whatever they are told then went over their capacity (LIMIT). Change: such attempts are held per session with what they take, until their end is listed, a later look does not list them, the leases have lapsed or the boot has ended; one of an unknown job takes the whole worker. Test: testdata/stranger_holds_room failed before (two starts without room).

--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -26,7 +26,10 @@
 	}
 	work := w.work(o.Task, o.Spec)
 	if !work.Needs.Fits(b.free) {
-		return platform.ErrOrderRefused{Reason: platform.RefusedRoom, ClockMs: b.clock()}
+		if !w.takesAll {
+			return platform.ErrOrderRefused{Reason: platform.RefusedRoom, ClockMs: b.clock()}
+		}
+		w.witness.Overfilled(b.info.Boot, o.Task)
 	}
 	b.free = b.free.Sub(work.Needs)
 	duration := work.Duration
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -23,6 +23,8 @@
 	Started(boot, task string, attempt int64)
 	Ended(boot, task string, attempt int64, reason platform.EndReason)
 	Acked(boot, task string, reason platform.EndReason)
+	// Overfilled tells of a start for which the boot, which does not reject it, has no room.
+	Overfilled(boot, task string)
 }
 
 // Workers is a stand-in of the workers of a deployment.
@@ -37,6 +39,8 @@
 	fault func(op OrderOp, boot, entry string) Fault
 	stall func(boot, task string) bool
 	boots map[string]*boot
+	// takesAll has workers start what does not fit, as those do that do not guard their capacity.
+	takesAll bool
 }
 
 // boot is one boot of a worker.
@@ -73,6 +77,13 @@
 	w.fault = f
 }
 
+// SetTakesAll has workers start whatever they are told to, or reject what does not fit.
+func (w *Workers) SetTakesAll(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.takesAll = on
+}
+
 // Boot starts a worker, in place of an earlier boot at the same address.
 func (w *Workers) Boot(info platform.Worker, drift float64) {
 	w.mu.Lock()
--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -47,6 +47,7 @@
 			plant(e)
 		}
 		m := &machine{t: t, e: e, accepted: map[string]bool{}}
+		e.workers.SetTakesAll(rapid.Bool().Draw(t, "takes all"))
 		for range 3 {
 			m.boot()
 		}
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -25,6 +25,7 @@
 		seen[r.Running[i].Task] = true
 		o.takeRunning(s, &r.Running[i], now)
 	}
+	s.forgetUnlisted(r, sentAt)
 	o.pace(s, now)
 	for name, a := range s.attempts {
 		if !seen[name] && a.confirmedAt > 0 && a.confirmedAt < sentAt {
@@ -52,29 +53,11 @@
 	o.begun(s, a, now)
 }
 
-// takeStranger decides on an attempt that runs at a worker without our having
-// ordered it: a former owner did, or our order was taken for lost.
-func (o *Owner) takeStranger(s *session, r *platform.RunningAttempt, now time.Duration) *running {
-	t := o.book.Task(r.Task)
-	wanted := t != nil && t.Idle() && !t.Step.Job.State.Final()
-	if t != nil && t.Step.Spec.Speculative && !t.Done && !t.Step.Job.State.Final() {
-		wanted = true
-	}
-	o.log.Info().Str("event", "attempt_found").Str("task", r.Task).Int64("attempt", r.Attempt).
-		Str("boot", s.ref.Boot).Bool("adopted", wanted).Send()
-	if wanted {
-		a := &running{Attempt: o.book.Adopt(t, r.Attempt, s.ref.Boot, now), confirmedAt: now}
-		s.hold(r.Task, a)
-		return a
-	}
-	o.sendStop(s, r.Task, r.Attempt)
-	return nil
-}
-
 // takeEnd applies one end that a worker reports.
 func (o *Owner) takeEnd(s *session, e *platform.AttemptEnd, now time.Duration) {
 	t := o.book.Task(e.Task)
 	a := s.attempts[e.Task]
+	s.forgetStranger(strangerKey{task: e.Task, number: e.Attempt})
 	o.cfg.Metrics.End(e.Reason)
 	ev := o.log.Info().Str("event", "attempt_ended").Str("task", e.Task).Int64("attempt", e.Attempt).
 		Str("boot", s.ref.Boot).Int64("end", e.Number).Str("reason", string(e.Reason))
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -40,6 +40,9 @@
 	switch d.Cmd {
 	case "worker":
 		return e.addWorker(arg("boot", ""), arg("vm", arg("boot", "")), arg("address", arg("boot", "")), arg("cpu", "4000"), arg("drift", "0"))
+	case "takes-all":
+		e.workers.SetTakesAll(true)
+		return ""
 	case "unlist":
 		e.listed = slices.DeleteFunc(e.listed, func(w platform.Worker) bool { return w.Boot == arg("boot", "") })
 		e.publish()
--- a/pkg/shard/witness_test.go
+++ b/pkg/shard/witness_test.go
@@ -97,6 +97,13 @@
 	}
 }
 
+// Overfilled implements fake.Witness.
+func (w *witness) Overfilled(boot, task string) {
+	w.estate.mu.Lock()
+	defer w.estate.mu.Unlock()
+	w.breaks("%s started at %s, which has no room for it", task, boot)
+}
+
 // Acked implements fake.Witness.
 func (w *witness) Acked(_, task string, reason platform.EndReason) {
 	w.estate.mu.Lock()
