Orders for VMs are announced until a time of the table service's clock

Hypothesis: a new owner of the fleet's work stands still for 4.5 s for just the VMs that follow demand; an announcement that says until when orders are sent lets it wait from that time on instead of from its takeover, and one that names only VMs that are empty does not block those still being emptied. Change: an order is sent only after a transaction that names the VM and a time 1 s ahead on the table service's clock, kept while this entry owns the work; a next holder waits from that time for lease_ms and 250 ms. A planned stop leaves the times of the orders sent. Ruled out: waiting less for VMs whose order is seen done in the list: two holders in touch may not take turns within lease_ms, done or not. TestHandover now measures from the former holder's last order to the VM, which is what the rule counts, instead of from its end, and its pools give VMs back, so that more VMs are ordered twice.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -10,61 +10,117 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
-	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+const (
+	// orderWindow is how long after its announcement an order for a VM may be sent.
+	// It has to outlast a transaction of a slow table service, 0.3 s; each second
+	// more is one that a next holder waits.
+	orderWindow = time.Second
+	// orderTransit is how long an order may take to the VM service beyond that, a
+	// few milliseconds on the users' networks.
+	orderTransit = 250 * time.Millisecond
 )
 
 // announcement names the VMs for which this holder may have given orders of
-// late, or is about to. It is kept before the first order for a VM, under the
-// condition that this entry still owns the work: what a new holder reads after
-// its takeover names all VMs for which it has to keep its distance from orders
-// of a former one.
+// late, or is about to, with the time until when. It is kept before the orders
+// are sent, under the condition that this entry still owns the work: what a new
+// holder reads after its takeover names all VMs for which it has to keep its
+// distance from orders of former ones.
 type announcement struct {
-	Term     int64    `msgpack:"t"`
-	VMs      []string `msgpack:"v"`
-	Released bool     `msgpack:"r,omitempty"` // the holder has let go and gives no more orders
+	Term   int64            `msgpack:"t"`
+	Orders []announcedOrder `msgpack:"o"`
+}
+
+// announcedOrder is the announcement of orders for one VM.
+type announcedOrder struct {
+	VM    string        `msgpack:"v"`
+	Until time.Duration `msgpack:"u"` // no order for it is sent later, on the table service's clock
 }
 
 var announcementKey = platform.RowKey{Table: tableProgress, Partition: Partition, Key: "orders"}
 
-// afterFormer finds out for which VMs orders have to wait. A former holder that
-// did not let go may give orders until its ownership is no longer confirmed.
-func (r *Runner) afterFormer(ctx context.Context, now time.Duration) {
-	pause := r.cfg.Pause + shard.ConfirmedFor
-	row, err := shard.ReadOne(ctx, r.cfg.Rows, announcementKey)
-	var a announcement
-	if err == nil {
-		r.announcedAs = row.Version
-		a, err = decodeAnnouncement(row)
-	}
+// readAnnouncement reads what is announced, and the table service's clock with it.
+func (r *Runner) readAnnouncement(ctx context.Context) (a announcement, err error) {
+	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := r.now()
+	page, err := r.cfg.Rows.ListRows(readCtx, announcementKey.Table, announcementKey.Partition, announcementKey.Key)
 	if err != nil {
-		r.first = now + pause
-		r.log.Warn().Str("event", "maintenance_waits").Dur("for", pause).Err(err).Send()
-		return
+		return a, err
 	}
-	if a.Released && a.Term == r.claim.Term-1 {
-		pause = r.cfg.Pause
+	r.clock = storeClock{read: page.Now, sent: sent, received: r.now()}
+	row := platform.Row{RowKey: announcementKey}
+	if len(page.Rows) > 0 && page.Rows[0].Key == announcementKey.Key {
+		row = page.Rows[0]
 	}
-	for _, vm := range a.VMs {
-		r.notBefore[vm] = now + pause
-	}
-	r.log.Info().Str("event", "maintenance_waits").Int("vms", len(a.VMs)).Int64("former_term", a.Term).Bool("released", a.Released).Dur("for", pause).Send()
+	r.announcedAs = row.Version
+	return decodeAnnouncement(row)
 }
 
+// learnFormer finds out for which VMs orders have to wait; it reports whether that
+// is known. The holders before us send none later than they announced, however
+// long they were frozen or cut off.
+func (r *Runner) learnFormer(ctx context.Context) (known bool) {
+	if r.formerKnown {
+		return true
+	}
+	a, err := r.readAnnouncement(ctx)
+	now := r.now()
+	var malformed errMalformed
+	switch {
+	case errors.As(err, &malformed):
+		r.first = now + orderWindow + orderTransit + r.cfg.Pause
+	case err != nil:
+		r.log.Warn().Str("event", "former_orders_not_known").Err(err).Send()
+		return false
+	}
+	r.formerKnown = true
+	var longest time.Duration
+	for _, o := range a.Orders {
+		r.former[o.VM] = o.Until
+		longest = max(longest, o.Until+orderTransit+r.cfg.Pause-r.clock.earliest(now))
+	}
+	r.log.Info().Str("event", "maintenance_waits").Int("vms", len(a.Orders)).Int64("former_term", a.Term).
+		Dur("for", max(longest, r.first-now)).Err(err).Send()
+	return true
+}
+
+// errMalformed reports an announcement that cannot be read.
+type errMalformed struct{ cause error }
+
+// Error names the cause.
+func (e errMalformed) Error() string { return "decode announcement of orders: " + e.cause.Error() }
+
 func decodeAnnouncement(row platform.Row) (a announcement, err error) {
-	if row.Version > 0 {
-		err = msgpack.Unmarshal(row.Value, &a)
+	if row.Version == 0 {
+		return a, nil
+	}
+	if err := msgpack.Unmarshal(row.Value, &a); err != nil {
+		return a, errMalformed{cause: err}
 	}
-	return a, errors.Wrap(err, "decode announcement of orders")
+	return a, nil
+}
+
+// binds tells whether another holder would have to keep its distance yet from an
+// order that is sent until a time of the table service's clock.
+func (r *Runner) binds(until, now time.Duration) bool {
+	return r.clock.earliest(now) < until+orderTransit+r.cfg.Pause
 }
 
-// announce keeps that orders for some VMs may follow, unless that is kept.
+// announce keeps that orders for some VMs may follow within the next moment.
 func (r *Runner) announce(ctx context.Context, vms []string) {
-	isNew := func(vm string) bool { _, ok := r.announced[vm]; return !ok }
-	if !slices.ContainsFunc(vms, isNew) {
+	if len(vms) == 0 {
 		return
 	}
+	if !r.clock.fresh(r.now()) {
+		if _, err := r.readAnnouncement(ctx); err != nil && !errors.As(err, new(errMalformed)) {
+			r.log.Warn().Str("event", "orders_not_announced").Int("vms", len(vms)).Err(err).Send()
+			return
+		}
+	}
 	next := r.announcedWith(vms)
-	txn, err := r.announcementTxn(slices.Concat(slices.Collect(maps.Keys(next)), r.recentOrders()), false)
+	txn, err := r.announcementTxn(next)
 	if err != nil {
 		r.log.Error().Str("event", "orders_not_announced").Err(err).Send()
 		return
@@ -82,9 +138,9 @@
 	case errors.As(err, &conflict):
 		r.announcedBefore(conflict)
 	default:
+		// The row may or may not have been replaced: what was announced before
+		// stands in either with the same time or a later one.
 		r.log.Warn().Str("event", "orders_not_announced").Int("vms", len(vms)).Err(err).Send()
-		// The row may or may not have been replaced: only what both name counts.
-		maps.DeleteFunc(r.announced, func(vm string, _ time.Duration) bool { _, ok := next[vm]; return !ok })
 	}
 }
 
@@ -105,53 +161,40 @@
 			}
 			r.announcedAs = row.Version
 			r.announced = map[string]time.Duration{}
-			for _, vm := range a.VMs {
-				r.announced[vm] = r.now()
+			for _, o := range a.Orders {
+				r.announced[o.VM] = o.Until
 			}
-			r.log.Info().Str("event", "orders_announced_before").Int("vms", len(a.VMs)).Int64("term", a.Term).Send()
+			r.log.Info().Str("event", "orders_announced_before").Int("vms", len(a.Orders)).Int64("term", a.Term).Send()
 		}
 	}
 }
 
-// announcedWith returns what is announced and not yet out of date, with some VMs more.
+// announcedWith returns what is announced, by us or by a former holder, as far as
+// it still binds, with some VMs more.
 func (r *Runner) announcedWith(vms []string) map[string]time.Duration {
 	now := r.now()
 	next := map[string]time.Duration{}
-	for vm, at := range r.announced {
-		if now-at < r.cfg.Pause {
-			next[vm] = at
+	for _, known := range []map[string]time.Duration{r.former, r.announced} {
+		for vm, until := range known {
+			if r.binds(until, now) {
+				next[vm] = max(next[vm], until)
+			}
 		}
 	}
+	until := r.clock.latest(now) + orderWindow
 	for _, vm := range vms {
-		next[vm] = now
+		next[vm] = until
 	}
 	return next
 }
 
-// recentOrders are the VMs for which another holder would have to wait. A VM
-// that waits because of the holder before us waits for the next one as well.
-func (r *Runner) recentOrders() (recent []string) {
-	now := r.now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for vm, at := range r.lastOrder {
-		if now-at < r.cfg.Pause {
-			recent = append(recent, vm)
-		}
-	}
-	for vm, until := range r.notBefore {
-		if now < until {
-			recent = append(recent, vm)
-		}
-	}
-	return recent
-}
-
 // announcementTxn is the transaction that keeps an announcement; its
 // preconditions are the caller's to add.
-func (r *Runner) announcementTxn(vms []string, released bool) (txn platform.RowTxn, err error) {
-	slices.Sort(vms)
-	a := announcement{Term: r.claim.Term, VMs: slices.Compact(vms), Released: released}
+func (r *Runner) announcementTxn(orders map[string]time.Duration) (txn platform.RowTxn, err error) {
+	a := announcement{Term: r.claim.Term}
+	for _, vm := range slices.Sorted(maps.Keys(orders)) {
+		a.Orders = append(a.Orders, announcedOrder{VM: vm, Until: orders[vm]})
+	}
 	raw, err := msgpack.Marshal(a)
 	if err != nil {
 		return txn, errors.Wrap(err, "encode announcement of orders")
@@ -160,12 +203,25 @@
 }
 
 // letGo releases the owner row and leaves the next holder what it has to know.
+// We send no more orders, so that it need not wait longer than for those sent.
 func (r *Runner) letGo(ctx context.Context, next string) error {
-	if r.now() < r.first {
-		// We were still waiting for all of a former holder's orders: the next one waits as we did.
+	now := r.now()
+	if !r.formerKnown || now < r.first {
+		// We do not know a former holder's orders ourselves: the next one reads what we have read.
 		return r.claim.Release(ctx, r.cfg.Rows, Partition, next)
 	}
-	txn, err := r.announcementTxn(r.recentOrders(), true)
+	orders := map[string]time.Duration{}
+	for vm, until := range r.announcedWith(nil) {
+		if sent := r.lastOrderOf(vm); sent > 0 {
+			until = min(until, r.clock.latest(sent))
+		} else {
+			until = r.former[vm]
+		}
+		if until = max(until, r.former[vm]); r.binds(until, now) {
+			orders[vm] = until
+		}
+	}
+	txn, err := r.announcementTxn(orders)
 	if err != nil {
 		return err
 	}
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -30,6 +30,7 @@
 type order struct {
 	vm     string
 	holder string
+	token  int64
 	at     time.Time
 }
 
@@ -42,7 +43,7 @@
 func (s *vmService) MoveMachine(_ context.Context, vm, pool string, h platform.Holder) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.orders = append(s.orders, order{vm: vm, holder: h.Name, at: time.Now()})
+	s.orders = append(s.orders, order{vm: vm, holder: h.Name, token: h.Token, at: time.Now()})
 	for i := range s.list {
 		if s.list[i].VM == vm {
 			s.list[i].Pool, s.list[i].Boot = pool, s.list[i].Boot+"+"
@@ -54,7 +55,7 @@
 func (s *vmService) MaintainMachine(_ context.Context, vm string, _ int, h platform.Holder) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.orders = append(s.orders, order{vm: vm, holder: h.Name, at: time.Now()})
+	s.orders = append(s.orders, order{vm: vm, holder: h.Name, token: h.Token, at: time.Now()})
 	return nil
 }
 
@@ -71,6 +72,19 @@
 	return at
 }
 
+// lastOf returns the last orders of a holder by VM.
+func (s *vmService) lastOf(holder string) map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := map[string]time.Time{}
+	for _, o := range s.orders {
+		if o.holder == holder {
+			at[o.vm] = o.at
+		}
+	}
+	return at
+}
+
 // site is a deployment of two pools and a spare one whose demand a test sets.
 type site struct {
 	vms  vmService
@@ -79,6 +93,9 @@
 	mu    sync.Mutex
 	need  map[string]int // VMs that a pool's tasks fill
 	waves []Wave
+	// rowsOf and vmsOf are how an entry reaches the services, nil for no faults.
+	rowsOf func(entry string, rows platform.Rows) platform.Rows
+	vmsOf  func(entry string, vms platform.Machines) platform.Machines
 }
 
 func (s *site) requested() []Wave {
@@ -95,8 +112,11 @@
 	s.vms.mu.Lock()
 	defer s.vms.mu.Unlock()
 	for _, m := range s.vms.list {
-		if m.Pool == pool {
-			l.Workers++
+		if m.Pool != pool {
+			continue
+		}
+		if l.Workers++; l.Workers > s.need[pool] {
+			l.Light = append(l.Light, m.VM)
 		}
 	}
 	return l, true
@@ -109,19 +129,29 @@
 }
 
 func (s *site) open(c *qt.C, entry string, since time.Time) *Runner {
-	rows := s.rows.As(entry)
-	seen, err := shard.ReadOwner(context.Background(), rows, Partition)
+	r, err := s.tryOpen(entry, since)
 	c.Assert(err, qt.IsNil)
+	return r
+}
+
+// tryOpen lets an entry take the work over, whoever holds it.
+func (s *site) tryOpen(entry string, since time.Time) (*Runner, error) {
+	rows, vms := s.rows.As(entry), platform.Machines(&s.vms)
+	if s.rowsOf != nil {
+		rows, vms = s.rowsOf(entry, rows), s.vmsOf(entry, vms)
+	}
+	seen, err := shard.ReadOwner(context.Background(), rows, Partition)
+	if err != nil {
+		return nil, err
+	}
 	cat := catalog.New(catalog.Catalog{Pools: []catalog.Pool{{Name: "a"}, {Name: "b"}, {Name: "off", Spare: true}}})
-	r, err := Open(context.Background(), Config{
-		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Since: since, Rows: rows, Machines: &s.vms,
+	return Open(context.Background(), Config{
+		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Since: since, Rows: rows, Machines: vms,
 		Empty: func(context.Context, string, string) bool { return true }, Load: s.load,
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
 		Waves:  s.requested,
 		Pause:  pause, Sending: func() {}, OnOver: func(error) {},
 	}, seen.Version, cat)
-	c.Assert(err, qt.IsNil)
-	return r
 }
 
 // TestHandover has a holder end, by plan or not, after orders for some VMs: the
@@ -139,7 +169,6 @@
 			time.Sleep(time.Second)
 			ordered := s.vms.of("first")
 			c.Assert(ordered, qt.Not(qt.HasLen), 0)
-			ended := time.Now()
 			if planned {
 				first.Release(context.Background(), "")
 			} else {
@@ -153,9 +182,10 @@
 			s.setNeed("b", 0)
 			s.setNeed("a", 5)
 			time.Sleep(30 * time.Second)
+			last := s.vms.lastOf("first")
 			for vm, when := range s.vms.of("second") {
-				if _, ok := ordered[vm]; ok {
-					c.Check(when.Sub(ended) >= pause, qt.IsTrue, qt.Commentf("%s ordered after %v", vm, when.Sub(ended)))
+				if before, ok := last[vm]; ok {
+					c.Check(when.Sub(before) >= pause, qt.IsTrue, qt.Commentf("%s ordered %v after the former holder's order", vm, when.Sub(before)))
 				}
 			}
 			second.Close()
@@ -179,3 +209,33 @@
 		r.Close()
 	})
 }
+
+// TestWaitAfterTakeover has a holder end without a word and another follow 1.5 s
+// later, as long as silence takes to be noticed: the VMs of the last orders wait for
+// 2.75 s after the takeover, as long as orders may have followed the announcement
+// and a lease; 4.5 s when the wait was counted from the takeover.
+func TestWaitAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &site{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{"a": 3}}
+		for _, vm := range []string{"v1", "v2", "v3", "v4"} {
+			s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Pool: "off", State: platform.MachineUp, Boot: vm})
+		}
+		since := time.Now()
+		first := s.open(c, "first", since)
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(s.vms.of("first"), qt.HasLen, 4)
+		first.Close()
+		time.Sleep(1500 * time.Millisecond)
+		s.setNeed("a", 0)
+		s.setNeed("b", 3)
+		taken := time.Now()
+		second := s.open(c, "second", since)
+		time.Sleep(10 * time.Second)
+		for vm, at := range s.vms.of("second") {
+			c.Check(at.Sub(taken) < 3200*time.Millisecond, qt.IsTrue, qt.Commentf("%s ordered %v after the takeover", vm, at.Sub(taken)))
+		}
+		c.Check(s.vms.of("second"), qt.Not(qt.HasLen), 0)
+		second.Close()
+	})
+}
--- a/pkg/fleetops/late_test.go
+++ b/pkg/fleetops/late_test.go
@@ -29,8 +29,7 @@
 		s.rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultNone })
 		first.announce(context.Background(), []string{"v2"})
 		time.Sleep(10 * time.Millisecond)
-		_, ok := first.announced["v2"]
-		c.Assert(ok, qt.IsTrue)
+		c.Assert(first.maySend("v2"), qt.IsTrue)
 		time.Sleep(2 * time.Second) // the late write lands
 		first.noteOrder("v2")
 		first.Close()
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -93,31 +92,20 @@
 
 // maintain has VMs emptied and orders the maintenance of those that are.
 func (r *Runner) maintain(ctx context.Context, w *wave, machines map[string]platform.Machine) {
-	var due []*VM
-	var names []string
+	var due []vmOrder
 	for _, v := range w.vms {
 		m := machines[v.Name]
 		unanswered := v.Phase == PhaseOrdered && v.confirmedAt == 0 && m.State == platform.MachineUp && m.Boot == v.Boot
 		if v.Phase == PhaseEmptying || unanswered { // an order without an answer may not have arrived
-			due = append(due, v)
-			names = append(names, v.Name)
+			due = append(due, vmOrder{vm: v.Name, pool: m.Pool, send: func(ctx context.Context) { r.sendMaintenance(ctx, w, v, m) }})
 		}
 	}
-	r.announce(ctx, names)
-	var wg sync.WaitGroup
-	for _, v := range due {
-		wg.Go(func() { r.maintainOne(ctx, w, v, machines[v.Name]) })
-	}
-	wg.Wait()
+	r.orderAll(ctx, due)
 }
 
-func (r *Runner) maintainOne(ctx context.Context, w *wave, v *VM, m platform.Machine) {
-	if !r.prepareOrder(ctx, m.Pool, v.Name) {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := r.cfg.Machines.MaintainMachine(callCtx, v.Name, w.ID, r.holder())
+// sendMaintenance orders the maintenance of a VM.
+func (r *Runner) sendMaintenance(ctx context.Context, w *wave, v *VM, m platform.Machine) {
+	err := r.cfg.Machines.MaintainMachine(ctx, v.Name, w.ID, r.holder())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -149,7 +137,7 @@
 // view gathers what the next VMs of a wave are chosen by.
 func (r *Runner) view(w *wave, machines map[string]platform.Machine) View {
 	recent := map[string]bool{}
-	for vm := range r.notBefore {
+	for vm := range r.former {
 		recent[vm] = !r.mayOrderFor(vm)
 	}
 	return View{Machines: machines, Spare: r.spare(), Light: r.light(), Recent: recent, Since: r.now() - w.begun}
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -39,18 +38,13 @@
 		r.moves[m.VM] = &move{Move: m, since: r.now()}
 		r.log.Info().Str("event", "move_planned").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Str("why", m.Why).Send()
 	}
-	var planned []string
+	var due []vmOrder
 	for vm, m := range r.moves {
 		if m.ordered == 0 {
-			planned = append(planned, vm)
+			due = append(due, vmOrder{vm: vm, pool: m.From, send: func(ctx context.Context) { r.sendMove(ctx, m) }})
 		}
 	}
-	r.announce(ctx, planned)
-	var wg sync.WaitGroup
-	for _, vm := range planned {
-		wg.Go(func() { r.carryOut(ctx, r.moves[vm]) })
-	}
-	wg.Wait()
+	r.orderAll(ctx, due)
 }
 
 // settleMoves forgets moves that are over.
@@ -79,14 +73,9 @@
 	}
 }
 
-// carryOut empties a VM and orders its move.
-func (r *Runner) carryOut(ctx context.Context, m *move) {
-	if !r.prepareOrder(ctx, m.From, m.VM) {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := r.cfg.Machines.MoveMachine(callCtx, m.VM, m.To, r.holder())
+// sendMove orders a VM's move.
+func (r *Runner) sendMove(ctx context.Context, m *move) {
+	err := r.cfg.Machines.MoveMachine(ctx, m.VM, m.To, r.holder())
 	r.log.Info().Str("event", "move_ordered").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Err(err).Send()
 	if platform.IsRefused(err) || platform.IsNotDone(err) {
 		return
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -35,7 +35,7 @@
 	Waves    func() []Wave                                                  // all requests for maintenance that are known by now
 	Report   func(wave int, completed bool) (platform.Row, error)           // makes the row that tells the operator of a wave
 
-	Pause time.Duration // after another holder's last order for a VM before we may give one
+	Pause time.Duration // between orders of two holders for a VM
 	Takes time.Duration // the maintenance of one VM
 
 	Sending func()      // called before the takeover's transaction is sent
@@ -51,16 +51,16 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
-	// What a former holder's orders demand; set before the run loop begins.
-	first     time.Duration            // no orders before, 0 unless what the former holder announced could not be read
-	notBefore map[string]time.Duration // no orders for a VM before
-
 	// Used by the run loop only.
-	lastLoads map[string]shard.Load    // by pool
-	trends    map[string]trend         // of demand, by pool
-	surplus   map[string]int           // steps in a row with VMs left over, by pool
-	moves     map[string]*move         // by VM
-	announced map[string]time.Duration // VMs for which orders may be given, as is kept, and when that was written
+	clock       storeClock
+	formerKnown bool                     // what former holders announced was read
+	first       time.Duration            // no orders before, 0 unless that was malformed
+	former      map[string]time.Duration // until when former holders may have sent orders for a VM, on the table service's clock
+	lastLoads   map[string]shard.Load    // by pool
+	trends      map[string]trend         // of demand, by pool
+	surplus     map[string]int           // steps in a row with VMs left over, by pool
+	moves       map[string]*move         // by VM
+	announced   map[string]time.Duration // until when orders for a VM may be sent, as is kept, on the table service's clock
 
 	announcedAs int64 // version of the row that names them, as last read or written; 0 for none
 
@@ -83,11 +83,9 @@
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
-		notBefore: map[string]time.Duration{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
-	}
-	if c.Term > 1 {
-		r.afterFormer(ctx, now)
+		formerKnown: c.Term == 1, former: map[string]time.Duration{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
 	}
+	r.learnFormer(ctx)
 	runCtx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	go r.run(runCtx)
