A pool none of whose workers can be used gets others

The workers of its pool were all being emptied for a wave and for a move; the capacity of its VMs was taken from its usable workers, none, so that the pool wanted no VM; and the VMs could not be emptied since their long-running tasks had nowhere to go. Change: the capacity that stands in is one of the pool's own VMs in the VM list, or else the largest there; where nothing is known, the pool still wants its floor. Test: TestPoolWithoutWorkers (no order for the pool before).

--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -67,7 +67,7 @@
 
 // poolStates gathers what sizing decides on.
 func (r *Runner) poolStates(machines map[string]platform.Machine, loads map[string]shard.Load) (pools []*PoolState) {
-	byName := r.loadedPools(loads)
+	byName := r.loadedPools(machines, loads)
 	leaving := r.countMoves(byName, machines)
 	r.countMachines(byName, machines)
 	pools = slices.SortedFunc(maps.Values(byName), func(a, b *PoolState) int { return cmp.Compare(a.Name, b.Name) })
@@ -84,10 +84,13 @@
 
 // loadedPools returns the pools whose load is known, and the spare one, with
 // the workers that they have.
-func (r *Runner) loadedPools(loads map[string]shard.Load) map[string]*PoolState {
+func (r *Runner) loadedPools(machines map[string]platform.Machine, loads map[string]shard.Load) map[string]*PoolState {
 	pools := map[string]*PoolState{}
 	for name, l := range loads {
 		s := &PoolState{Name: name, Load: l, Supply: l.Workers}
+		if s.Load.VMCapacity.CPU == 0 {
+			s.Load.VMCapacity = capacityFor(name, machines)
+		}
 		s.Load.Waiting.CPU += r.rise(name, l.Used.CPU+l.Waiting.CPU)
 		pools[name] = s
 	}
@@ -97,6 +100,19 @@
 	return pools
 }
 
+// capacityFor is what a VM has that would come into a pool none of whose workers
+// can be used: as much as one of its own, or else as the largest there is.
+func capacityFor(pool string, machines map[string]platform.Machine) (c platform.Resources) {
+	own := false
+	for _, m := range machines {
+		its := m.Pool == pool
+		if its && !own || its == own && m.Capacity.CPU > c.CPU {
+			c, own = m.Capacity, its
+		}
+	}
+	return c
+}
+
 // countMoves adds the VMs on their way to the supply of pools, and returns how
 // many are leaving each.
 func (r *Runner) countMoves(pools map[string]*PoolState, machines map[string]platform.Machine) (leaving map[string]int) {
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -92,6 +92,7 @@
 
 	mu    sync.Mutex
 	need  map[string]int // VMs that a pool's tasks fill
+	dark  string         // pool none of whose workers can be used; its tasks wait
 	waves []Wave
 	// rowsOf and vmsOf are how an entry reaches the services, nil for no faults.
 	rowsOf func(entry string, rows platform.Rows) platform.Rows
@@ -107,6 +108,10 @@
 func (s *site) load(_ context.Context, pool string) (l shard.Load, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if pool == s.dark {
+		l.Waiting = platform.Resources{CPU: 1000 * s.need[pool]}
+		return l, true
+	}
 	l.VMCapacity = platform.Resources{CPU: 1000}
 	l.Used = platform.Resources{CPU: 1000 * s.need[pool]}
 	s.vms.mu.Lock()
@@ -239,3 +244,22 @@
 		second.Close()
 	})
 }
+
+// TestPoolWithoutWorkers has all workers of a pool unusable, since they are being
+// emptied or do not answer: it gets others all the same. Of the kinds of jobs of a
+// day with such a pool none was served.
+func TestPoolWithoutWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &site{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{"a": 2}, dark: "a"}
+		for _, vm := range []string{"v1", "v2", "v3", "v4"} {
+			s.vms.list = append(s.vms.list, platform.Machine{
+				VM: vm, Pool: "off", State: platform.MachineUp, Boot: vm, Capacity: platform.Resources{CPU: 1000},
+			})
+		}
+		r := s.open(c, "e", time.Now())
+		time.Sleep(time.Second)
+		c.Check(s.vms.of("e"), qt.HasLen, 4)
+		r.Close()
+	})
+}
--- a/pkg/fleetops/sizing.go
+++ b/pkg/fleetops/sizing.go
@@ -57,7 +57,7 @@
 // Want is how many VMs a pool should have.
 func (p SizingPolicy) Want(l shard.Load) int {
 	if l.VMCapacity.CPU == 0 {
-		return 0
+		return l.Floor
 	}
 	// Tasks wait only once there are too few VMs; the flow of jobs tells sooner.
 	need := max(share(l.Used, l.Waiting, l.VMCapacity), share(l.Arriving, platform.Resources{}, l.VMCapacity))
