Callers' requests wait for an owner that can take them

A request that came while its shard had no owner was refused after 120 ms, or hung at the silent one for 1.8 s and was of unknown outcome; its caller came again a second later. Hypothesis: a request that waits the 1.5 s until the next owner is there is in time. Change: while the table service answers this entry, a caller's request is put to the owner again for up to 2 s: at once when the shard gets another owner, else each 150 ms. A call at an owner that is replaced is given up. An unknown outcome stays unknown. Without the table service it is refused at once, as before.

--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -16,9 +16,16 @@
 )
 
 const (
-	// ownerWait is how long a call waits for a shard to get an owner before it
-	// is refused; a handover takes less, and a caller that is refused loses a second.
+	// ownerWait is how long a call of another part of the system waits for a shard
+	// to get an owner before it is refused; a handover takes less.
 	ownerWait = 120 * time.Millisecond
+	// callerWait is how long a caller's request waits for an owner that can take it.
+	// An owner that falls silent is replaced within about 1.6 s; a caller that is
+	// refused meanwhile comes again a second later, by which its job is late.
+	callerWait = 2 * time.Second
+	// askAgain is the pause before an owner that could not take a request is asked
+	// again, unless the shard gets another one before.
+	askAgain = 150 * time.Millisecond
 	// forwardTimeout bounds a call to the owner; it is above what the owner itself may wait.
 	forwardTimeout = 1800 * time.Millisecond
 )
@@ -32,7 +39,7 @@
 		return schema.CallOutcomeRefused
 	}
 	call := &schema.Call{Kind: schema.CallKindSubmit, Pool: q.Pool, Queue: q.Name, Job: id, Record: raw}
-	reply := n.ask(ctx, call)
+	reply := n.askForCaller(ctx, call)
 	n.log.Info().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", q.Pool).
 		Int64("catalog", n.catalogVersion()).Str("outcome", string(reply.Outcome)).Send()
 	return reply.Outcome
@@ -40,7 +47,7 @@
 
 // State asks for the state of a job.
 func (n *Node) State(ctx context.Context, q *catalog.Queue, id string) (jobs.State, schema.CallOutcome) {
-	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindState, Pool: q.Pool, Queue: q.Name, Job: id})
+	reply := n.askForCaller(ctx, &schema.Call{Kind: schema.CallKindState, Pool: q.Pool, Queue: q.Name, Job: id})
 	if reply.Outcome == schema.CallOutcomeNotFound {
 		reply.Outcome = n.confirmAbsent(ctx, q, id)
 	}
@@ -69,7 +76,7 @@
 
 // Cancel ends a job.
 func (n *Node) Cancel(ctx context.Context, q *catalog.Queue, id string) schema.CallOutcome {
-	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindCancel, Pool: q.Pool, Queue: q.Name, Job: id})
+	reply := n.askForCaller(ctx, &schema.Call{Kind: schema.CallKindCancel, Pool: q.Pool, Queue: q.Name, Job: id})
 	if reply.Outcome == schema.CallOutcomeNotFound {
 		reply.Outcome = n.confirmAbsent(ctx, q, id)
 	}
@@ -79,32 +86,88 @@
 
 // Waiting counts the jobs of a queue that have not begun.
 func (n *Node) Waiting(ctx context.Context, q *catalog.Queue) (int, schema.CallOutcome) {
-	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindWaiting, Pool: q.Pool, Queue: q.Name})
+	reply := n.askForCaller(ctx, &schema.Call{Kind: schema.CallKindWaiting, Pool: q.Pool, Queue: q.Name})
 	return reply.Waiting, reply.Outcome
 }
 
 // ask puts a call to the owner of its shard, here or at another entry.
 func (n *Node) ask(ctx context.Context, q *schema.Call) *schema.CallReply {
-	deadline := time.Now().Add(ownerWait)
+	return n.askWithin(ctx, q, ownerWait)
+}
+
+// askForCaller puts a caller's request to the owner of its shard. While the table
+// service answers this entry, a shard whose owner cannot take the request gets
+// another one soon, which the request waits for. Each request may be repeated: a
+// submission at any owner remains one job.
+func (n *Node) askForCaller(ctx context.Context, q *schema.Call) *schema.CallReply {
+	if !n.rows.ok() {
+		return n.askWithin(ctx, q, ownerWait)
+	}
+	return n.askWithin(ctx, q, callerWait)
+}
+
+func (n *Node) askWithin(ctx context.Context, q *schema.Call, patience time.Duration) *schema.CallReply {
+	ctx, cancel := context.WithTimeout(ctx, patience+forwardTimeout)
+	defer cancel()
+	deadline := time.Now().Add(patience)
+	unknown := false // an owner may have taken the request without our having its answer
 	for {
-		row, local, changed := n.keeper.Owner(q.Pool)
+		row, local, _ := n.keeper.Owner(q.Pool)
 		reply := n.askOwner(ctx, q, row, local)
-		if reply.Outcome != schema.CallOutcomeNotOwner {
+		if !n.mayTakeLater(reply, patience) {
 			return reply
 		}
-		wait := time.NewTimer(time.Until(deadline))
+		unknown = unknown || reply.Outcome == schema.CallOutcomeUnknown
+		if !n.awaitOwner(ctx, q.Pool, row.Term, time.Until(deadline)) {
+			if unknown {
+				return &schema.CallReply{Outcome: schema.CallOutcomeUnknown}
+			}
+			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+		}
+	}
+}
+
+// mayTakeLater tells whether it is of use to ask again: the owner is another one
+// by now, or is about to be replaced.
+func (n *Node) mayTakeLater(reply *schema.CallReply, patience time.Duration) bool {
+	switch reply.Outcome {
+	case schema.CallOutcomeNotOwner:
+		return true
+	case schema.CallOutcomeRefused, schema.CallOutcomeUnknown:
+		return patience > ownerWait && n.rows.ok()
+	default:
+		return false
+	}
+}
+
+// awaitOwner waits for a shard to get another owner than that of a term, for a
+// moment at the most; it reports false when the patience or ctx is over.
+func (n *Node) awaitOwner(ctx context.Context, pool string, term int64, patience time.Duration) bool {
+	if patience <= 0 {
+		return false
+	}
+	moment, cancel := context.WithTimeout(ctx, min(patience, askAgain))
+	defer cancel()
+	n.ownerChanges(moment, pool, term)
+	return ctx.Err() == nil
+}
+
+// ownerChanges returns when a shard has another owner than that of a term, or ctx ends.
+func (n *Node) ownerChanges(ctx context.Context, pool string, term int64) {
+	for {
+		row, _, changed := n.keeper.Owner(pool)
+		if row.Term != term {
+			return
+		}
 		select {
 		case <-changed:
-			wait.Stop()
-		case <-wait.C:
-			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
 		case <-ctx.Done():
-			wait.Stop()
-			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+			return
 		}
 	}
 }
 
+// askOwner puts a call to one owner; it gives the call up when the shard gets another.
 func (n *Node) askOwner(ctx context.Context, q *schema.Call, row shard.OwnerRow, local ownership.Work) *schema.CallReply {
 	if o, ok := local.(*shard.Owner); ok {
 		return n.answerLocal(ctx, o, q)
@@ -115,6 +178,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
+	go func() {
+		n.ownerChanges(ctx, q.Pool, row.Term)
+		cancel()
+	}()
 	reply, err := caller.Call(ctx, q)
 	if err == nil {
 		return reply
