An entry that is cut off says sooner that it is not ready

The table service counted as lost when a waiting call had failed, up to 1.7 s after the cut, and 0.8 s more had to pass. Change: an entry that does not hear most others is cut off once no call was answered for 1.1 s; calls for changes are answered each second. Test: TestCutOffSoonNotReady, 1.1 s now, up to 2.5 s before.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,9 +29,11 @@
 	noticeTime = 2500 * time.Millisecond
 	// finishTime bounds the requests that are still open when a node stops.
 	finishTime = 2 * time.Second
-	// cutOffAfter is how long the table service must not have answered an entry
-	// before it counts as cut off, rather than struck by a call that was lost.
-	cutOffAfter = 800 * time.Millisecond
+	// cutOffAfter is for how long the table service must not have answered an entry
+	// that does not hear most others for it to count as cut off. Calls for changes
+	// are answered each second; callers come to the entry until it says that it is
+	// not ready, and then for two seconds more.
+	cutOffAfter = 1100 * time.Millisecond
 )
 
 // Source is where the operator's configuration and the workers' directory are kept, and how they read.
@@ -91,7 +93,7 @@
 // New returns a node that is not running yet.
 func New(s schema.ServiceSettings, services Services, src Source, log zerolog.Logger) *Node {
 	now := time.Now()
-	rows := &reach{Rows: services, log: log, since: now}
+	rows := &reach{Rows: services, log: log, since: now, heard: now}
 	n := &Node{
 		settings: s, since: now, log: log, metrics: newMetrics(), source: src, platform: services, rows: rows,
 		stop: make(chan struct{}), workers: map[string]platform.Worker{}, waves: map[int]fleetops.Wave{},
@@ -137,7 +139,7 @@
 // have: it neither reaches the table service nor hears most other entries. Were
 // the service down for all, the others would be heard, and say the same as we do.
 func (n *Node) cutOff() bool {
-	return n.rows.lostFor() > cutOffAfter && !n.members.HearMost()
+	return n.rows.silentFor() > cutOffAfter && !n.members.HearMost()
 }
 
 // Stop begins a planned stop.
--- a/pkg/node/reach.go
+++ b/pkg/node/reach.go
@@ -19,6 +19,7 @@
 	mu    sync.Mutex
 	lost  bool
 	since time.Time // when lost last changed
+	heard time.Time // when a call was last answered
 }
 
 // CommitRows implements platform.Rows.
@@ -53,6 +54,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	lost := err != nil
+	if !lost {
+		r.heard = time.Now()
+	}
 	if lost == r.lost {
 		return
 	}
@@ -65,21 +69,22 @@
 }
 
 // okFor is for how long calls have been answered, 0 while they are not.
-func (r *reach) okFor() time.Duration { return r.lasting(false) }
-
-// lostFor is for how long calls have not been answered, 0 while they are.
-func (r *reach) lostFor() time.Duration { return r.lasting(true) }
-
-// lasting is for how long lost has had a value, 0 while it has the other.
-func (r *reach) lasting(lost bool) time.Duration {
+func (r *reach) okFor() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.lost != lost {
+	if r.lost {
 		return 0
 	}
 	return time.Since(r.since)
 }
 
+// silentFor is how long ago a call was last answered.
+func (r *reach) silentFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.heard)
+}
+
 // ok tells whether the last call was answered.
 func (r *reach) ok() bool {
 	r.mu.Lock()
--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -119,6 +119,35 @@
 	})
 }
 
+// TestCutOffSoonNotReady has an entry lose the table service and all other entries
+// at once, as in a zone that is cut off: it says that it is not ready after 1.1 s.
+// It took up to 2.5 s, for which callers of the zone went on coming to it.
+func TestCutOffSoonNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rows := fake.NewRows(time.Millisecond, time.Second)
+		n := newIdleNode(rows)
+		putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 1})
+		stop := begin(n.followCatalog)
+		pingCtx, stopPings := context.WithCancel(context.Background())
+		stopPings() // the other entries are never heard
+		for _, name := range []string{"e1", "e2"} {
+			raw, err := msgpack.Marshal(ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
+			c.Assert(err, qt.IsNil)
+			n.members.Apply(pingCtx, platform.Row{RowKey: platform.RowKey{Table: ownership.TableMember, Key: name}, Value: raw, Version: 1})
+		}
+		ready := func() bool { ok, _ := n.Ready(); return ok }
+		for range 20 { // the time of the cut between two calls for changes does not matter
+			time.Sleep(1700 * time.Millisecond)
+			c.Assert(ready(), qt.IsTrue)
+		}
+		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultLostBefore })
+		time.Sleep(cutOffAfter + 50*time.Millisecond)
+		c.Check(ready(), qt.IsFalse)
+		c.Check(stop(), qt.IsNil)
+	})
+}
+
 // TestDirectoryIsForOwners has an entry own nothing: it leaves the directory of
 // workers alone.
 func TestDirectoryIsForOwners(t *testing.T) {
