An unknown outcome is never told as a refusal; claims come sooner after a restart

TestUnknownOutlastsOutage fails on it. Change: an unknown outcome stands on every way out. A request no longer waits for an owner at an entry that is cut off, so that its caller can go to another. Also: an entry claims 0.25 s after its start instead of 0.6 s (TestClaimAfterRestart).

--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -100,7 +100,7 @@
 // another one soon, which the request waits for. Each request may be repeated: a
 // submission at any owner remains one job.
 func (n *Node) askForCaller(ctx context.Context, q *schema.Call) *schema.CallReply {
-	if !n.rows.ok() {
+	if !n.ownerMayFollow() {
 		return n.askWithin(ctx, q, ownerWait)
 	}
 	return n.askWithin(ctx, q, callerWait)
@@ -114,32 +114,42 @@
 	for {
 		row, local, _ := n.keeper.Owner(q.Pool)
 		reply := n.askOwner(ctx, q, row, local)
-		if !n.mayTakeLater(reply, patience) {
+		if answered(reply) {
 			return reply
 		}
 		unknown = unknown || reply.Outcome == schema.CallOutcomeUnknown
-		if !n.awaitOwner(ctx, q.Pool, row.Term, time.Until(deadline)) {
-			if unknown {
-				return &schema.CallReply{Outcome: schema.CallOutcomeUnknown}
-			}
-			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+		if n.mayTakeLater(reply, patience) && n.awaitOwner(ctx, q.Pool, row.Term, time.Until(deadline)) {
+			continue
+		}
+		if unknown {
+			return &schema.CallReply{Outcome: schema.CallOutcomeUnknown}
 		}
+		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+	}
+}
+
+// answered tells whether an owner has done what it was asked, or said what there is to say.
+func answered(reply *schema.CallReply) bool {
+	switch reply.Outcome {
+	case schema.CallOutcomeNotOwner, schema.CallOutcomeRefused, schema.CallOutcomeUnknown:
+		return false
+	default:
+		return true
 	}
 }
 
 // mayTakeLater tells whether it is of use to ask again: the owner is another one
 // by now, or is about to be replaced.
 func (n *Node) mayTakeLater(reply *schema.CallReply, patience time.Duration) bool {
-	switch reply.Outcome {
-	case schema.CallOutcomeNotOwner:
-		return true
-	case schema.CallOutcomeRefused, schema.CallOutcomeUnknown:
-		return patience > ownerWait && n.rows.ok()
-	default:
-		return false
+	if patience <= ownerWait {
+		return reply.Outcome == schema.CallOutcomeNotOwner
 	}
+	return n.ownerMayFollow()
 }
 
+// ownerMayFollow tells whether a shard without an owner soon gets one that this entry reaches.
+func (n *Node) ownerMayFollow() bool { return n.rows.ok() && !n.cutOff() }
+
 // awaitOwner waits for a shard to get another owner than that of a term, for a
 // moment at the most; it reports false when the patience or ctx is over.
 func (n *Node) awaitOwner(ctx context.Context, pool string, term int64, patience time.Duration) bool {
--- a/pkg/node/patience_test.go
+++ b/pkg/node/patience_test.go
@@ -131,3 +131,26 @@
 		c.Check(time.Since(began) <= ownerWait, qt.IsTrue)
 	})
 }
+
+// TestUnknownOutlastsOutage has an owner take a submission and not tell, and the
+// next one refuse it while the table service is lost here: no more is known of the
+// submission than before, although there is no use in waiting any more. Jobs whose
+// every submission was refused were started, 2 to 29 a day on four of 80 days.
+func TestUnknownOutlastsOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	rows := fake.NewRows(time.Millisecond, time.Second)
+	n := newIdleNode(rows)
+	own(c, n, peerEntry(ctx, c, n, "e1", silent), 1)
+	second := peerEntry(ctx, c, n, "e2", func(ctx context.Context, q *schema.Call) *schema.CallReply {
+		if q.Kind != schema.CallKindSubmit {
+			return takes(ctx, q)
+		}
+		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultDown })
+		_, _ = n.rows.ListRows(ctx, "any", "", "") // fails, which is what the node is to see
+		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+	})
+	time.AfterFunc(200*time.Millisecond, func() { own(c, n, second, 2) })
+	c.Check(n.Submit(ctx, waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
+}
--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -14,8 +14,11 @@
 
 // Pace of claims.
 const (
-	// settleTime is how long a process that has started waits for others to register before it claims a shard that nobody owned.
-	settleTime = 600 * time.Millisecond
+	// settleTime is how long a process that has started waits for others to register
+	// before it claims a shard that nobody owns; entries that start together do so
+	// within 0.3 s. Shards wait for it after the loss of all entries: 0.6 s instead
+	// cost 0.008 of what callers get on such a day, 0.1 s gained nothing more.
+	settleTime = 250 * time.Millisecond
 	// rankDelay separates the claims of entries that would take over in turn.
 	rankDelay = 350 * time.Millisecond
 	// suspectTime is how long an owner is suspected before a claim when few others are heard.
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -101,3 +101,26 @@
 		c.Check(u.step(), qt.HasLen, 1)
 	})
 }
+
+// TestClaimAfterRestart has all entries start at the same time and find shards of
+// which former owners were lost with them: one is claimed 300 ms after the start,
+// 600 ms when each waited longer for the others to register. After the loss of all
+// entries of the users' days with trouble that was worth 0.008 +- 0.003 of what
+// callers get, in 80 pairs.
+func TestClaimAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		since := time.Now()
+		l := &there{back: since}
+		m := NewMembers(Member{Name: "e1", Share: 1, Start: 2}, nil, zerolog.Nop(), since, l)
+		m.peers["e2"] = peerHeard("e2", 0)
+		m.peers["e2"].Start = 2
+		u := &outage{claims: make(chan string, 10)}
+		k := u.keeper("e1", m, since)
+		k.shards["p"].row = shard.OwnerRow{Entry: "e1", Start: 1, Term: 1}
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = k.Run(ctx) }()
+		<-u.claims
+		qt.Check(t, time.Since(since) <= 450*time.Millisecond, qt.IsTrue, qt.Commentf("claimed after %v", time.Since(since)))
+		cancel()
+	})
+}
