gannetbench late tells what made jobs late

The log of all entries is enough to say for each job whether it was in time and what took the time of the late ones: accepting, the first start, starts of one step apart, waits between steps, starts again. Tested on small logs of our own.

--- a/cmd/gannetbench/cmds/cmds.go
+++ b/cmd/gannetbench/cmds/cmds.go
@@ -26,6 +26,7 @@
 				{"claims", "Measure ways of claiming keys", "Offers claims of keys to the table service's stand-in at its real limit of 100 writes a second, grouped and one by one.\n\nExample:\n  gannetbench claims --json", &claimsCommand{stdout: stdout}},
 				{"load", "Measure the request path under a fault", "Runs a scenario against the product and against the plain baseline, in one process.\n\nExamples:\n  gannetbench load --list\n  gannetbench load --scenario slow-server --json", &loadCommand{stdout: stdout}},
 				{"report", "Make a page of saved runs", "Makes one HTML page with plots from runs that load --json printed.\n\nExample:\n  gannetbench load --scenario slow-server --json > slow.json\n  gannetbench report --out report.html slow.json", &reportCommand{stdout: stdout}},
+				{"late", "Tell what made jobs late", "Counts the jobs of a log by when they were first submitted and by what took most of the time of those that were late.\n\nExample:\n  gannetbench late --target 600ms --stretch 1.6 entries.log", &lateCommand{stdout: stdout}},
 				{"capacity", "Measure what each role costs by size", "Measures the costs that docs/CAPACITY.md works with and fits a line to each.\n\nExample:\n  gannetbench capacity --json", &capacityCommand{stdout: stdout}},
 			}
 			for _, c := range commands {
