The platform's settings variable is known in its adapter only; one way to wake a loop

How earlier code reads: GANNETWELL_CONFIG stood in the daemon's command, it is platform.SettingsFile now; (*Keeper).Kick, (*known).hurry and kick of pkg/shard were three copies of one non-blocking send, pause.Wake now; tests of a node list other entries by one function. Behaviour as before.

--- a/cmd/gannetwelld/cmds/serve.go
+++ b/cmd/gannetwelld/cmds/serve.go
@@ -32,15 +32,20 @@
 
 // serveCommand runs an entry of the job service on the users' platform.
 type serveCommand struct {
-	Config string `long:"config" short:"c" env:"GANNETWELL_CONFIG" required:"true" value-name:"FILE" description:"Settings, JSON with comments"`
+	Config string `long:"config" short:"c" value-name:"FILE" description:"Settings, JSON with comments; without it the file that the platform names"`
 
 	stdout io.Writer
 }
 
 // Execute implements flags.Commander.
-func (c *serveCommand) Execute([]string) error {
+func (c *serveCommand) Execute([]string) (err error) {
+	if c.Config == "" {
+		if c.Config, err = platform.SettingsFile(); err != nil {
+			return cli.Exit(cli.ExitInvalid, err)
+		}
+	}
 	var s schema.ServiceSettings
-	err := config.LoadFile(c.Config, config.TargetService, &s)
+	err = config.LoadFile(c.Config, config.TargetService, &s)
 	if errors.As(err, new(config.ErrInvalid)) {
 		return cli.Exit(cli.ExitInvalid, err)
 	}
--- a/pkg/node/patience_test.go
+++ b/pkg/node/patience_test.go
@@ -30,10 +30,15 @@
 	c.Assert(err, qt.IsNil)
 	go func() { _ = peer.NewCallServer(ln, answer, testLog()).Serve(ctx) }()
 	m := ownership.Member{Name: name, Address: ln.Addr().String(), Start: 1}
+	listEntry(ctx, c, n, m)
+	return m
+}
+
+// listEntry lets n know another entry, which it pings until ctx ends.
+func listEntry(ctx context.Context, c *qt.C, n *Node, m ownership.Member) {
 	raw, err := msgpack.Marshal(m)
 	c.Assert(err, qt.IsNil)
-	n.members.Apply(ctx, platform.Row{RowKey: platform.RowKey{Table: ownership.TableMember, Key: name}, Value: raw, Version: 1})
-	return m
+	n.members.Apply(ctx, platform.Row{RowKey: platform.RowKey{Table: ownership.TableMember, Key: m.Name}, Value: raw, Version: 1})
 }
 
 // own has n learn that an entry owns the pool.
--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
@@ -107,9 +106,7 @@
 		pingCtx, stopPings := context.WithCancel(context.Background())
 		stopPings() // the other two entries are never heard
 		for _, name := range []string{"e1", "e2"} {
-			raw, err := msgpack.Marshal(ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
-			c.Assert(err, qt.IsNil)
-			n.members.Apply(pingCtx, platform.Row{RowKey: platform.RowKey{Table: ownership.TableMember, Key: name}, Value: raw, Version: 1})
+			listEntry(pingCtx, c, n, ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
 		}
 		c.Check(ready(), qt.IsFalse)
 		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultNone })
@@ -132,9 +129,7 @@
 		pingCtx, stopPings := context.WithCancel(context.Background())
 		stopPings() // the other entries are never heard
 		for _, name := range []string{"e1", "e2"} {
-			raw, err := msgpack.Marshal(ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
-			c.Assert(err, qt.IsNil)
-			n.members.Apply(pingCtx, platform.Row{RowKey: platform.RowKey{Table: ownership.TableMember, Key: name}, Value: raw, Version: 1})
+			listEntry(pingCtx, c, n, ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
 		}
 		ready := func() bool { ok, _ := n.Ready(); return ok }
 		for range 20 { // the time of the cut between two calls for changes does not matter
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -9,6 +9,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -80,12 +81,7 @@
 func (k *Keeper) now() time.Duration { return time.Since(k.since) }
 
 // Kick has the claims gone through soon.
-func (k *Keeper) Kick() {
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
+func (k *Keeper) Kick() { pause.Wake(k.wake) }
 
 // Run claims shards until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -148,12 +149,7 @@
 }
 
 // hurry has the entry pinged at once.
-func (k *known) hurry() {
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
+func (k *known) hurry() { pause.Wake(k.wake) }
 
 // Caller returns the link to an entry at an address, nil if it is not known or
 // silent: a caller's request is not held while a dead link is dialled.
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
@@ -172,17 +173,10 @@
 // hurry has the next transaction written without waiting for more; the lock is held.
 func (o *Owner) hurry() {
 	o.urgent = true
-	kick(o.urgentWake)
+	pause.Wake(o.urgentWake)
 	o.kickCommit()
 }
 
-func (o *Owner) kickCommit() { kick(o.commitWake) }
+func (o *Owner) kickCommit() { pause.Wake(o.commitWake) }
 
-func (o *Owner) kickPlacement() { kick(o.placeWake) }
-
-func kick(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
+func (o *Owner) kickPlacement() { pause.Wake(o.placeWake) }
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/placement"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -70,7 +71,7 @@
 }
 
 // kick lets the session's loop look again.
-func (s *session) kick() { kick(s.wake) }
+func (s *session) kick() { pause.Wake(s.wake) }
 
 // usable tells whether new tasks may start at the worker.
 func (s *session) usable(now time.Duration) bool {
