--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -101,7 +101,8 @@
 }
 
 // capacityFor is what a VM has that would come into a pool none of whose workers
-// can be used: as much as one of its own, or else as the largest there is.
+// can be used: as much as one of its own, or else as the largest there is. A pool
+// that was held to want none got none for the rest of the day, one day in 80.
 func capacityFor(pool string, machines map[string]platform.Machine) (c platform.Resources) {
 	own := false
 	for _, m := range machines {
--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -15,7 +15,9 @@
 const (
 	// orderWindow is how long after its announcement an order for a VM may be sent.
 	// It has to outlast a transaction of a slow table service, 0.3 s; each second
-	// more is one that a next holder waits.
+	// more is one that a next holder waits. A wait of 4.5 s from the takeover on, for
+	// all VMs about to be ordered, cost 0.019 +- 0.007 of what callers get on days
+	// with trouble (80 pairs).
 	orderWindow = time.Second
 	// orderTransit is how long an order may take to the VM service beyond that, a
 	// few milliseconds on the users' networks.
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -21,7 +21,8 @@
 	ownerWait = 120 * time.Millisecond
 	// callerWait is how long a caller's request waits for an owner that can take it.
 	// An owner that falls silent is replaced within about 1.6 s; a caller that is
-	// refused meanwhile comes again a second later, by which its job is late.
+	// refused meanwhile comes again a second later, by which its job is late. It
+	// gains 0.011 +- 0.006 of what callers get on days with trouble (80 pairs).
 	callerWait = 2 * time.Second
 	// askAgain is the pause before an owner that could not take a request is asked
 	// again, unless the shard gets another one before.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -32,7 +32,8 @@
 	// cutOffAfter is for how long the table service must not have answered an entry
 	// that does not hear most others for it to count as cut off. Calls for changes
 	// are answered each second; callers come to the entry until it says that it is
-	// not ready, and then for two seconds more.
+	// not ready, and then for two seconds more. 1.1 s instead of up to 2.5 s gains
+	// 0.007 +- 0.007 of what callers get on days with trouble (80 pairs).
 	cutOffAfter = 1100 * time.Millisecond
 )
 
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -44,7 +44,7 @@
 func (o *Owner) takeRunning(s *session, r *platform.RunningAttempt, now time.Duration) {
 	a := s.attempts[r.Task]
 	if a == nil || a.Number != r.Attempt {
-		a = o.takeStranger(s, r, now)
+		a = o.takeForeign(s, r, now)
 		if a == nil {
 			return
 		}
@@ -63,7 +63,7 @@
 func (o *Owner) takeEnd(s *session, e *platform.AttemptEnd, now time.Duration) {
 	t := o.book.Task(e.Task)
 	a := s.attempts[e.Task]
-	s.forgetStranger(strangerKey{task: e.Task, number: e.Attempt})
+	s.forgetForeign(foreignKey{task: e.Task, number: e.Attempt})
 	o.cfg.Metrics.End(e.Reason)
 	ev := o.log.Info().Str("event", "attempt_ended").Str("task", e.Task).Int64("attempt", e.Attempt).
 		Str("boot", s.ref.Boot).Int64("end", e.Number).Str("reason", string(e.Reason))
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -33,17 +33,17 @@
 
 	unlistedAt time.Duration // when it was first missing from the directory, 0 while it is listed
 
-	attempts   map[string]*running // by task name; changed by hold and letGo only
-	strangers  map[strangerKey]*stranger
-	hostCache  *placement.Host // as placement saw the worker last, nil when that is out of date
-	token      int64           // fencing token of the orders
-	inFlight   int             // start orders without an answer yet
-	inDoubt    bool            // a start order got no answer; a look with a higher token settles it
-	failures   int             // looks and orders in a row without an answer
-	askAgain   bool            // the only one was a look: it is repeated without a pause
-	health     outcomes        // to tell a bad worker
-	pausedTo   time.Duration   // no new tasks until then
-	cordonedTo time.Duration   // the VM is to be empty until then
+	attempts   map[string]*running            // by task name; changed by hold and letGo only
+	foreign    map[foreignKey]*foreignAttempt // run there and are not wanted
+	hostCache  *placement.Host                // as placement saw the worker last, nil when that is out of date
+	token      int64                          // fencing token of the orders
+	inFlight   int                            // start orders without an answer yet
+	inDoubt    bool                           // a start order got no answer; a look with a higher token settles it
+	failures   int                            // looks and orders in a row without an answer
+	askAgain   bool                           // the only one was a look: it is repeated without a pause
+	health     outcomes                       // to tell a bad worker
+	pausedTo   time.Duration                  // no new tasks until then
+	cordonedTo time.Duration                  // the VM is to be empty until then
 
 	notEmptyLogged time.Duration // when the log last said why its VM is not empty
 
@@ -91,12 +91,12 @@
 
 // wantsLook tells whether the worker has to be asked at all.
 func (s *session) wantsLook() bool {
-	return !s.gone && (!s.known || s.failures > 0 || s.inDoubt || len(s.attempts) > 0 || len(s.strangers) > 0 || s.seenEnd > s.ackedEnd)
+	return !s.gone && (!s.known || s.failures > 0 || s.inDoubt || len(s.attempts) > 0 || len(s.foreign) > 0 || s.seenEnd > s.ackedEnd)
 }
 
 // idle tells whether nothing of ours is or may be at the worker.
 func (s *session) idle() bool {
-	return len(s.attempts) == 0 && len(s.strangers) == 0 && s.inFlight == 0 && !s.inDoubt && s.seenEnd == s.ackedEnd
+	return len(s.attempts) == 0 && len(s.foreign) == 0 && s.inFlight == 0 && !s.inDoubt && s.seenEnd == s.ackedEnd
 }
 
 // leased is how the partition names the worker.
@@ -130,7 +130,7 @@
 func (s *session) newHost() *placement.Host {
 	h := &placement.Host{
 		Boot: s.ref.Boot, Labels: s.info.Labels, Rack: rackOf(s.info.Labels),
-		Capacity: s.info.Capacity, Free: s.info.Capacity.Sub(s.strangersCharge()),
+		Capacity: s.info.Capacity, Free: s.info.Capacity.Sub(s.foreignCharge()),
 	}
 	for _, a := range s.attempts {
 		h.Free = h.Free.Sub(placement.Charge(a.Task.Step.Spec))
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -13,7 +13,7 @@
 func (o *Owner) addSession(ref platform.WorkerRef, vm string) *session {
 	ctx, cancel := context.WithCancel(o.ctx)
 	s := &session{
-		ref: ref, vm: vm, attempts: map[string]*running{}, strangers: map[strangerKey]*stranger{}, token: o.claim.Term*tokensPerTerm + 1,
+		ref: ref, vm: vm, attempts: map[string]*running{}, foreign: map[foreignKey]*foreignAttempt{}, token: o.claim.Term*tokensPerTerm + 1,
 		wake: make(chan struct{}, 1), cancel: cancel, lapsesAt: o.formerLeasesEnd(o.now()),
 	}
 	o.sessions[ref.Boot] = s
@@ -107,7 +107,7 @@
 	for name := range s.attempts {
 		o.drop(s, name)
 	}
-	clear(s.strangers)
+	clear(s.foreign)
 	s.hostCache = nil
 	s.inDoubt = false
 	s.known = false
