--- /dev/null
+++ b/_scripts/ablate.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Makes scratch copies of the committed code, each with one mechanism of decision
+# switched off, to be measured against the code as it is:
+#
+#   _scripts/ablate.sh DIR [NAME...]
+#
+# Copies come to DIR/NAME; without names, all of them. It fails for a mechanism
+# whose place in the code has changed, so that none is measured that is still on.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ $# -ge 1 ] || { sed -n '2,9p' "$0" >&2; exit 2; }
+dir=$1
+shift
+
+# Name, file and edit of each mechanism.
+mechanisms() {
+	cat <<'LIST'
+stragglers|pkg/shard/upkeep.go|/o.checkStragglers(now)/d
+penalty|pkg/shard/health.go|s/failurePenalty = 0.35/failurePenalty = 0.0/
+packing|pkg/placement/place.go|s/score := -float64(h.Free.CPU)/score := float64(h.Free.CPU)/
+late-jobs-last|pkg/placement/place.go|/cmp.Compare(a.late(now), b.late(now)),/d
+order-by-slack|pkg/placement/place.go|/cmp.Compare(a.late(now), b.late(now)),/d;/cmp.Compare(a.Deadline-a.Left, b.Deadline-b.Left),/d
+trend|pkg/fleetops/demand.go|s/return int(max(0, t.slope) \* trendAhead.Seconds())/return 0/
+arrivals|pkg/shard/load.go|/l.Arriving = o.arrivals.demand(now)/d
+headroom|pkg/fleetops/sizing.go|s/Headroom: 0.15, Reserve: 1/Headroom: 0.0, Reserve: 0/
+hedged-commits|pkg/shard/hedge.go|s/hedgesAtOnce = 3/hedgesAtOnce = 1/
+learned-durations|pkg/shard/estimate.go|s/if l == nil || l.seen/if true || l == nil || l.seen/
+waiting-for-owners|pkg/node/calls.go|s/callerWait = 2 \* time.Second/callerWait = ownerWait/
+room-soon|pkg/shard/evacuate.go|s/ \&\& !placement.Reserve(step, soon)//;s/hosts, soon := o.hostsToTry(now), o.hostsSoon(now)/hosts := o.hostsToTry(now)/
+LIST
+}
+
+wanted() { [ $# -eq 1 ] || [[ " ${*:2} " == *" $1 "* ]]; }
+
+mechanisms | while IFS='|' read -r name file edit; do
+	wanted "$name" "$@" || continue
+	git clone -q --shared . "$dir/$name"
+	sed -i "$edit" "$dir/$name/$file"
+	! git -C "$dir/$name" diff --quiet || { echo "$name: nothing to switch off in $file" >&2; exit 1; }
+	(cd "$dir/$name" && go build ./...)
+	echo "$dir/$name"
+done
