--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -103,11 +103,7 @@
 		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultDown })
 		time.Sleep(4 * time.Second)
 		c.Check(ready(), qt.IsTrue) // no other entry is known: this one is most of them
-		pingCtx, stopPings := context.WithCancel(context.Background())
-		stopPings() // the other two entries are never heard
-		for _, name := range []string{"e1", "e2"} {
-			listEntry(pingCtx, c, n, ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
-		}
+		listUnheard(c, n, "e1", "e2")
 		c.Check(ready(), qt.IsFalse)
 		rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultNone })
 		time.Sleep(2 * time.Second) // a call for changes is answered after its wait
@@ -126,11 +122,7 @@
 		n := newIdleNode(rows)
 		putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 1})
 		stop := begin(n.followCatalog)
-		pingCtx, stopPings := context.WithCancel(context.Background())
-		stopPings() // the other entries are never heard
-		for _, name := range []string{"e1", "e2"} {
-			listEntry(pingCtx, c, n, ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
-		}
+		listUnheard(c, n, "e1", "e2")
 		ready := func() bool { ok, _ := n.Ready(); return ok }
 		for range 20 { // the time of the cut between two calls for changes does not matter
 			time.Sleep(1700 * time.Millisecond)
@@ -143,6 +135,15 @@
 	})
 }
 
+// listUnheard lets n know other entries that it never hears.
+func listUnheard(c *qt.C, n *Node, names ...string) {
+	ctx, stopPings := context.WithCancel(context.Background())
+	stopPings()
+	for _, name := range names {
+		listEntry(ctx, c, n, ownership.Member{Name: name, Address: "127.0.0.1:1", Start: 1})
+	}
+}
+
 // TestDirectoryIsForOwners has an entry own nothing: it leaves the directory of
 // workers alone.
 func TestDirectoryIsForOwners(t *testing.T) {
