A copy of a task does not start at the worker where the task is

Change: placement passes over hosts where the task has an attempt; an attempt that is found beside a held one of the same task is not adopted but told to end, and charged. Ruled out: looks that overtake each other, leases that lapse, foreign attempts (none in the log of that worker).

--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -83,7 +83,10 @@
 			continue
 		}
 		for _, t := range c.Tasks {
-			h := best(&c, hosts)
+			h := best(&c, t, hosts)
+			if h == nil && len(t.Attempts) > 0 {
+				continue // a copy, which may not start everywhere
+			}
 			if h == nil {
 				break // the tasks of a step are alike
 			}
@@ -97,7 +100,7 @@
 // Reserve takes room for one more task of a step at the host that suits it most;
 // it reports whether there is one.
 func Reserve(s *jobs.StepRun, hosts []*Host) bool {
-	h := best(&Candidate{Step: s}, hosts)
+	h := best(&Candidate{Step: s}, nil, hosts)
 	if h == nil {
 		return false
 	}
@@ -106,11 +109,14 @@
 }
 
 // best returns the host that suits a task of the step most, nil if none has room.
-func best(c *Candidate, hosts []*Host) (chosen *Host) {
+// A copy goes to another host than the attempts that its task, nil for any, has:
+// beside its first attempt it was not charged there, and a worker that does not
+// reject what does not fit went over its capacity on 2 of 112 plays of a day.
+func best(c *Candidate, t *jobs.Task, hosts []*Host) (chosen *Host) {
 	s := c.Step
 	var top float64
 	for _, h := range hosts {
-		if !h.takes(s) || c.Allowed != nil && !c.Allowed(h.Boot) {
+		if !h.takes(s) || c.Allowed != nil && !c.Allowed(h.Boot) || runsAt(t, h.Boot) {
 			continue
 		}
 		if score := h.score(s); chosen == nil || score > top {
@@ -120,6 +126,11 @@
 	return chosen
 }
 
+// runsAt tells whether an attempt of a task is or may be at a boot.
+func runsAt(t *jobs.Task, boot string) bool {
+	return t != nil && slices.ContainsFunc(t.Attempts, func(a *jobs.Attempt) bool { return a.Boot == boot })
+}
+
 // score is higher for a host that suits the step better.
 func (h *Host) score(s *jobs.StepRun) float64 {
 	// The fullest host that has room, so that others stay empty and can leave the pool.
@@ -154,7 +165,7 @@
 
 func placeAll(c Candidate, hosts []*Host) (starts []Start) {
 	for _, t := range c.Tasks {
-		h := best(&c, hosts)
+		h := best(&c, nil, hosts)
 		if h == nil {
 			for _, s := range starts {
 				s.Host.unplace(c.Step)
--- a/pkg/shard/foreign.go
+++ b/pkg/shard/foreign.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	t := o.book.Task(r.Task)
-	wanted := t != nil && o.wants(t)
+	wanted := t != nil && o.wants(t) && s.attempts[r.Task] == nil // one attempt of a task is held here at a time
 	o.log.Info().Str("event", "attempt_found").Str("task", r.Task).Int64("attempt", r.Attempt).
 		Str("boot", s.ref.Boot).Bool("adopted", wanted).Send()
 	if wanted {
