Tests of cut-off entries share their set-up

Cause: both tests set a node up that follows a configuration, in the same lines. Change: one function does; every check of both stands as it was. Test files only, the played code is the same. Ruled out: sharing the set-up of the two tests of unknown outcomes in patience_test.go, which differ in what the second owner does.

--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -93,10 +93,7 @@
 func TestCutOffIsNotReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		rows := fake.NewRows(time.Millisecond, time.Second)
-		n := newIdleNode(rows)
-		putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 1})
-		stop := begin(n.followCatalog)
+		rows, n, stop := followingNode(c)
 		ready := func() bool { ok, _ := n.Ready(); return ok }
 		time.Sleep(time.Second)
 		c.Check(ready(), qt.IsTrue)
@@ -118,10 +115,7 @@
 func TestCutOffSoonNotReady(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		rows := fake.NewRows(time.Millisecond, time.Second)
-		n := newIdleNode(rows)
-		putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 1})
-		stop := begin(n.followCatalog)
+		rows, n, stop := followingNode(c)
 		listUnheard(c, n, "e1", "e2")
 		ready := func() bool { ok, _ := n.Ready(); return ok }
 		for range 20 { // the time of the cut between two calls for changes does not matter
@@ -135,6 +129,14 @@
 	})
 }
 
+// followingNode returns a node that follows a configuration, and the table service that holds it.
+func followingNode(c *qt.C) (rows *fake.Rows, n *Node, stop func() error) {
+	rows = fake.NewRows(time.Millisecond, time.Second)
+	n = newIdleNode(rows)
+	putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 1})
+	return rows, n, begin(n.followCatalog)
+}
+
 // listUnheard lets n know other entries that it never hears.
 func listUnheard(c *qt.C, n *Node, names ...string) {
 	ctx, stopPings := context.WithCancel(context.Background())
