Calls of an owner by a lean client; connections that fall silent; configuration on slow links

Cause: (1) an owner of 400 workers that starts 2,560 tasks a second took 430 to 480 us of a processor for each start, half of it net/http (two goroutines and fresh headers a connection) and encoding/json row by row. (2) A host's kept connections may fall silent together; each cost a time-out of its own.

Change: pkg/httpc, over fasthttp's codec, sends each request once over kept connections, ends with its context, and leaves out what was last heard before a request that is overdue or was lost. Answers are read as long as something comes.

Ruled out: fasthttp's own client (deadlines only, and no say over which kept connection is used); easyjson (generated code for reflection-free rows of mixed kinds has to be written by hand all the same).

Tests that failed first: a configuration of 480 KB on 250 KB a second; kept connections that fall silent.

--- /dev/null
+++ b/pkg/httpc/client_test.go
@@ -0,0 +1,131 @@
+package httpc_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/httpc"
+)
+
+// TestScripts plays each file of testdata against a server whose connections fall
+// silent, close or answer in pieces. It prints what calls come to and how many
+// connections the server has seen.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newServer(t)
+		c := httpc.New(httpc.WithMaxIdle(4))
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return run(t, s, c, d) })
+	})
+}
+
+// background holds the outcomes of calls that a script goes on beside.
+var background []chan string
+
+func run(t *testing.T, s *server, c *httpc.Client, d *datadriven.TestData) string {
+	arg := func(key, other string) string {
+		for _, a := range d.CmdArgs {
+			if a.Key == key && len(a.Vals) > 0 {
+				return a.Vals[0]
+			}
+		}
+		return other
+	}
+	within := func(key string) time.Duration {
+		got, err := time.ParseDuration(arg(key, "0s"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	switch d.Cmd {
+	case "answer":
+		s.set(strings.Split(d.Input, "\n"))
+		return ""
+	case "silence":
+		s.ln.Silence(1)
+		return ""
+	case "close":
+		s.closeAll()
+		return ""
+	case "pause":
+		time.Sleep(within("for"))
+		return ""
+	case "call":
+		r := httpc.Request{
+			Method: arg("method", "POST"), Host: s.address(), Path: "/path?a=b", Body: []byte(arg("body", "{}")),
+			Header: []httpc.Field{{Name: "Expect-Boot", Value: "b1"}}, Wait: within("wait"), Silence: within("silence"),
+		}
+		if r.Method == "GET" {
+			r.Body = nil
+		}
+		times, _ := strconv.Atoi(arg("times", "1"))
+		b := bounds{timeout: within("timeout"), cancelAfter: within("cancel"), late: within("late")}
+		call := func() string { return callTogether(c, r, times, b) }
+		if arg("background", "") != "" {
+			later := make(chan string, 1)
+			background = append(background, later)
+			go func() { later <- call() }()
+			return ""
+		}
+		return fmt.Sprintf("%s%d connections\n", call(), s.ln.Accepted())
+	case "await":
+		later := background[0]
+		background = background[1:]
+		return <-later
+	case "sent":
+		return s.received()
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+		return ""
+	}
+}
+
+// bounds are the times of a call.
+type bounds struct {
+	timeout, cancelAfter time.Duration
+	late                 time.Duration // what takes longer is told, 0 for nothing
+}
+
+// callTogether makes the same call several times at once and prints the outcomes.
+func callTogether(c *httpc.Client, r httpc.Request, times int, b bounds) string {
+	outcomes := make([]string, times)
+	var wg sync.WaitGroup
+	for i := range times {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), b.timeout)
+			defer cancel()
+			if b.cancelAfter > 0 {
+				time.AfterFunc(b.cancelAfter, cancel)
+			}
+			started := time.Now()
+			resp, err := c.Do(ctx, &r)
+			outcomes[i] = outcome(&resp, err)
+			if took := time.Since(started); b.late > 0 && took > b.late {
+				outcomes[i] += fmt.Sprintf("late: %v\n", took)
+			}
+		})
+	}
+	wg.Wait()
+	return strings.Join(outcomes, "")
+}
+
+// outcome prints an answer, or what is known of the request.
+func outcome(resp *httpc.Response, err error) string {
+	var notSent httpc.ErrNotSent
+	switch {
+	case err == nil:
+		return strings.TrimSpace(fmt.Sprintf("%d %s %s", resp.Status, resp.Body, resp.Get("Instance-Id"))) + "\n"
+	case errors.As(err, &notSent):
+		return "not sent\n"
+	default:
+		return "unknown\n"
+	}
+}
--- /dev/null
+++ b/pkg/httpc/host.go
@@ -0,0 +1,133 @@
+package httpc
+
+import (
+	"context"
+	"slices"
+	"syscall"
+	"time"
+)
+
+const (
+	// idleTimeout is how long a connection without requests is kept.
+	idleTimeout = 2 * time.Minute
+	// sweepInterval is the time between two looks for idle connections that are closed or old.
+	sweepInterval = 5 * time.Second
+	// overdue is how long after it was due an answer makes the kept connections of
+	// its host suspect that were last heard before its request was sent; hosts
+	// answer in milliseconds. A second try of a transaction, 250 ms after the
+	// first, goes out on a connection that has been heard since, or on a new one.
+	overdue = 200 * time.Millisecond
+)
+
+// host is what is kept for one address; the client's lock guards it.
+type host struct {
+	idle  []*conn // the one used last is last
+	calls []*conn // with a request under way
+	// suspectTo is a time up to which nothing heard counts: a request sent then
+	// has had no answer.
+	suspectTo time.Time
+}
+
+// take returns a kept connection to a host, or a new one.
+func (c *Client) take(ctx context.Context, name string) (*conn, error) {
+	if k := c.takeIdle(name); k != nil {
+		return k, nil
+	}
+	opened, err := c.dial(ctx, "tcp", name)
+	if err != nil {
+		return nil, err
+	}
+	k := &conn{Conn: opened, client: c, name: name, heardAt: time.Now()}
+	if s, ok := opened.(syscall.Conn); ok {
+		k.raw, _ = s.SyscallConn() // without it a closed connection is noticed when it is used
+	}
+	return k, nil
+}
+
+// takeIdle returns the kept connection of a host that was used last, nil if none is fit for use.
+func (c *Client) takeIdle(name string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[name]
+	if h == nil {
+		return nil
+	}
+	h.noteOverdue(time.Now())
+	for len(h.idle) > 0 {
+		k := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if k.heardAt.After(h.suspectTo) && !k.closed() {
+			k.kept = true
+			return k
+		}
+		_ = k.Close()
+	}
+	return nil
+}
+
+// noteOverdue puts kept connections in doubt while a request is without the answer that was due.
+func (h *host) noteOverdue(now time.Time) {
+	for _, k := range h.calls {
+		if now.Sub(k.dueAt) > overdue && k.sentAt.After(h.suspectTo) {
+			h.suspectTo = k.sentAt
+		}
+	}
+}
+
+// begin notes a request that is about to be sent.
+func (c *Client) begin(k *conn, wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[k.name]
+	if h == nil {
+		h = &host{}
+		c.hosts[k.name] = h
+	}
+	k.host = h
+	k.sentAt = time.Now()
+	k.dueAt = k.sentAt.Add(wait)
+	h.calls = append(h.calls, k)
+}
+
+// done notes the end of a request, and keeps its connection or closes it.
+func (c *Client) done(k *conn, keep bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	h := k.host
+	if at := slices.Index(h.calls, k); at >= 0 {
+		h.calls[at] = h.calls[len(h.calls)-1]
+		h.calls = h.calls[:len(h.calls)-1]
+	}
+	if err == nil {
+		k.heardAt = now
+	} else if silent(err) && k.sentAt.After(h.suspectTo) {
+		h.suspectTo = k.sentAt
+	}
+	if keep && err == nil && len(h.idle) < c.maxIdle {
+		h.idle = append(h.idle, k)
+	} else {
+		_ = k.Close()
+	}
+	if now.Sub(c.swept) > sweepInterval {
+		c.swept = now
+		c.sweep(now)
+	}
+}
+
+// sweep closes idle connections that the other side has closed or that are old,
+// so that those of workers that are gone hold no descriptors; the lock is held.
+func (c *Client) sweep(now time.Time) {
+	for name, h := range c.hosts {
+		h.idle = slices.DeleteFunc(h.idle, func(k *conn) bool {
+			old := now.Sub(k.heardAt) > idleTimeout || !k.heardAt.After(h.suspectTo) || k.closed()
+			if old {
+				_ = k.Close()
+			}
+			return old
+		})
+		if len(h.idle) == 0 && len(h.calls) == 0 {
+			delete(c.hosts, name)
+		}
+	}
+}
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -20,11 +20,16 @@
 	// for a while never answers the calls of that time, although their connections
 	// stand: the wait bounds for how long such a call hides what happens after it.
 	feedWait = time.Second
-	// feedTimeout is what a waiting call may take beyond its wait; the service
-	// answers in milliseconds, and up to 60 times slower in trouble.
-	feedTimeout = 700 * time.Millisecond
-	// readTimeout bounds one read.
+	// readTimeout bounds the read of one row.
 	readTimeout = 2 * time.Second
+	// longestRead bounds a call whose answer may be large, as long as it goes on
+	// coming: 480 KB of configuration take 2 s on a link of 2 Mbit/s that carries
+	// nothing else.
+	longestRead = 15 * time.Second
+	// peerCatalogAfter is how long an entry that the service answers waits for a
+	// configuration that a peer has already, before it asks the peer: both at once
+	// share the link, so that each takes twice as long.
+	peerCatalogAfter = 2500 * time.Millisecond
 	// retryFeed is the pause after a read that failed; half of it is random, so that entries do not come together.
 	retryFeed = 250 * time.Millisecond
 )
@@ -63,7 +68,7 @@
 
 func (n *Node) followOnce(ctx context.Context, f feed, after *int64) error {
 	if *after < 0 {
-		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		readCtx, cancel := context.WithTimeout(ctx, longestRead)
 		defer cancel()
 		version, err := f.list(readCtx)
 		if err == nil {
@@ -71,7 +76,7 @@
 		}
 		return err
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
+	waitCtx, cancel := context.WithTimeout(ctx, feedWait+longestRead)
 	defer cancel()
 	page, err := n.rows.FollowRows(waitCtx, f.table, *after, feedWait)
 	if err != nil {
@@ -143,7 +148,17 @@
 	}
 	n.asked = version
 	n.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	go n.fetchCatalogFrom(c, version)
+}
+
+func (n *Node) fetchCatalogFrom(c *peer.Caller, version int64) {
+	if n.rows.ok() {
+		time.Sleep(peerCatalogAfter)
+	}
+	if n.catalogVersion() >= version {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), longestRead)
 	defer cancel()
 	reply, err := c.Call(ctx, &schema.Call{Kind: schema.CallKindCatalog})
 	if err != nil || len(reply.Catalog) == 0 {
--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -188,3 +189,22 @@
 	_, ok := n.workers[boot]
 	return ok
 }
+
+// TestConfigurationOnSlowLink has a configuration of 480 KB come over a link of
+// 250 KB a second: it is in force after 2 s. It was given up after 1.7 s, and asked
+// for anew without end.
+func TestConfigurationOnSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rows := fake.NewRows(time.Millisecond, time.Second)
+		n := newIdleNode(rows)
+		stop := begin(n.followCatalog)
+		time.Sleep(2 * time.Second)
+		rows.SetRate(250 << 10)
+		padding := catalog.Queue{Name: strings.Repeat("q", 480<<10)}
+		putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 7, Queues: []catalog.Queue{padding}})
+		time.Sleep(3 * time.Second)
+		c.Check(n.catalogVersion(), qt.Equals, int64(7))
+		c.Check(stop(), qt.IsNil)
+	})
+}
--- a/pkg/platform/fake/rows.go
+++ b/pkg/platform/fake/rows.go
@@ -36,6 +36,7 @@
 
 	mu      sync.Mutex
 	fault   func(op RowOp, entry string) Fault
+	rate    int // bytes of values that a caller's link carries a second, 0 for no bound
 	rows    map[platform.RowKey]platform.Row
 	log     []platform.Row // changes in order of their versions
 	version int64
@@ -60,6 +61,13 @@
 	r.fault = f
 }
 
+// SetRate bounds the bytes of values that the link of a caller carries a second, 0 for no bound.
+func (r *Rows) SetRate(bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rate = bytes
+}
+
 // Forget drops the history of changes.
 func (r *Rows) Forget() {
 	r.mu.Lock()
@@ -142,9 +150,14 @@
 
 // ListRows implements platform.Rows.
 func (r *rowsView) ListRows(ctx context.Context, table, partition, from string) (page platform.RowPage, err error) {
-	if err := r.read(ctx, RowList); err != nil {
+	if err := r.read(ctx, RowList, 0); err != nil {
 		return page, err
 	}
+	page = r.list(table, partition, from)
+	return page, r.carry(ctx, RowList, page)
+}
+
+func (r *Rows) list(table, partition, from string) (page platform.RowPage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for k, row := range r.rows {
@@ -157,10 +170,30 @@
 		page.Rows, page.More = page.Rows[:maxListedRows], true
 	}
 	page.Version, page.Now = r.version, time.Since(r.start)
-	return page, nil
+	return page
 }
 
-func (r *rowsView) read(ctx context.Context, op RowOp) error {
+// carry takes the time that a page takes on the caller's link.
+func (r *Rows) carry(ctx context.Context, op RowOp, page platform.RowPage) error {
+	r.mu.Lock()
+	rate := r.rate
+	r.mu.Unlock()
+	if rate == 0 {
+		return nil
+	}
+	size := 0
+	for _, row := range page.Rows {
+		size += len(row.Value)
+	}
+	if err := pause.For(ctx, time.Duration(size)*time.Second/time.Duration(rate)); err != nil {
+		return platform.ErrUnknown{Op: string(op), Cause: err.Error()}
+	}
+	return nil
+}
+
+// read takes the time of a call and brings its fault about; an answer that is lost
+// is given up when nothing has come for as long as callers wait.
+func (r *rowsView) read(ctx context.Context, op RowOp, wait time.Duration) error {
 	fault := r.decide(op)
 	if err := pause.For(ctx, r.latency); err != nil {
 		return platform.ErrNotDone{Op: string(op), Cause: err.Error()}
@@ -169,15 +202,15 @@
 	case FaultDown:
 		return platform.ErrNotDone{Op: string(op), Cause: "the table service is down"}
 	case FaultLostBefore, FaultLostAfter:
-		<-ctx.Done()
-		return platform.ErrUnknown{Op: string(op), Cause: ctx.Err().Error()}
+		_ = pause.For(ctx, wait+platform.AnswerSilence)
+		return platform.ErrUnknown{Op: string(op), Cause: "no answer"}
 	}
 	return nil
 }
 
 // FollowRows implements platform.Rows.
 func (r *rowsView) FollowRows(ctx context.Context, table string, after int64, wait time.Duration) (page platform.RowPage, err error) {
-	if err := r.read(ctx, RowFollow); err != nil {
+	if err := r.read(ctx, RowFollow, wait); err != nil {
 		return page, err
 	}
 	end := time.NewTimer(wait)
@@ -197,7 +230,7 @@
 		page.Version, page.Now = r.version, time.Since(r.start)
 		r.mu.Unlock()
 		if len(page.Rows) > 0 {
-			return page, nil
+			return page, r.carry(ctx, RowFollow, page)
 		}
 		select {
 		case <-changed:
