Orders go to a worker two at a time; an owner at its limit starts no faster than it can

Cause: all orders for a worker went at once, each over a connection of its own (an eighth of an owner's processor time went into opening them); placement looked at each waiting task and each worker again for every start. And an owner at its own limit did not slow down: what it started waited in front of the limit beside renewals.

Change: orders wait for their turn at their worker, and a start that is no longer wanted is withdrawn unsent. Steps count their waiting tasks; a host that got a task of a step is tried first for the next; what no host has room for is not tried again in a pass. pkg/startrate bounds starts while even the fastest answer takes over 60 ms or none comes; looks are then rarer, and the fleet gives that pool no further VMs. A look that waits is not waited for when an order is in doubt.

--- a/pkg/fleetops/sizing.go
+++ b/pkg/fleetops/sizing.go
@@ -62,6 +62,9 @@
 	// Tasks wait only once there are too few VMs; the flow of jobs tells sooner.
 	need := max(share(l.Used, l.Waiting, l.VMCapacity), share(l.Arriving, platform.Resources{}, l.VMCapacity))
 	want := int(math.Ceil(need*(1+p.Headroom))) + p.Reserve
+	if l.AtLimit {
+		want = min(want, l.Workers) // its owner could not start anything on more
+	}
 	return max(want, l.Floor)
 }
 
--- a/pkg/jobs/book.go
+++ b/pkg/jobs/book.go
@@ -139,6 +139,9 @@
 }
 
 func (b *Book) attach(t *Task, a *Attempt) *Attempt {
+	if !t.Done && len(t.Attempts) == 0 {
+		t.Step.held++
+	}
 	t.Attempts = append(t.Attempts, a)
 	t.WantsCopy = false
 	return a
@@ -162,7 +165,11 @@
 // Drop notes that an attempt is not at its worker: it never started, or was lost with it.
 func (b *Book) Drop(a *Attempt) {
 	t := a.Task
+	had := len(t.Attempts)
 	t.Attempts = slices.DeleteFunc(t.Attempts, func(o *Attempt) bool { return o == a })
+	if had > 0 && len(t.Attempts) == 0 && !t.Done {
+		t.Step.held--
+	}
 	if a.Checkpoint != "" {
 		t.Checkpoint = a.Checkpoint
 	}
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -45,6 +45,7 @@
 
 	blockers int // unfinished steps that it waits for
 	done     int
+	held     int // tasks that are not done and have an attempt
 	waiters  []*StepRun
 }
 
@@ -104,6 +105,9 @@
 // Finished tells whether each task is done.
 func (s *StepRun) Finished() bool { return s.done == len(s.Tasks) }
 
+// Waiting counts the tasks that are neither done nor at a worker.
+func (s *StepRun) Waiting() int { return len(s.Tasks) - s.done - s.held }
+
 // Due is when the step's occurrence may start, in Unix time; 0 for at once.
 func (s *StepRun) Due() time.Duration {
 	if s.Job.Spec.Times == 0 {
@@ -154,6 +158,9 @@
 	}
 	t.Done = true
 	t.Step.done++
+	if len(t.Attempts) > 0 {
+		t.Step.held--
+	}
 	if !t.Step.Finished() {
 		return
 	}
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 // Weights of what speaks for a host; all are shares of a host's processors.
@@ -75,28 +76,69 @@
 	}
 }
 
-// Plan chooses hosts for the candidates, which are in order; it changes the hosts' free resources.
-func Plan(cs []Candidate, hosts []*Host) (starts []Start) {
-	for _, c := range cs {
+// Plan chooses hosts for the candidates, which are in order; it changes the hosts'
+// free resources. It ends once there are limit starts; a gang is planned whole.
+func Plan(cs []Candidate, hosts []*Host, limit int) (starts []Start) {
+	full := map[need]bool{} // what no host has room for any more
+	for i := range cs {
+		c := &cs[i]
+		if len(starts) >= limit {
+			return starts
+		}
 		if c.Step.Spec.Gang {
-			starts = append(starts, planGang(c, hosts)...)
+			starts = append(starts, planGang(*c, hosts)...)
 			continue
 		}
-		for _, t := range c.Tasks {
-			h := best(&c, t, hosts)
-			if h == nil && len(t.Attempts) > 0 {
-				continue // a copy, which may not start everywhere
-			}
-			if h == nil {
-				break // the tasks of a step are alike
-			}
-			h.place(c.Step)
-			starts = append(starts, Start{Task: t, Host: h})
+		if full[needOf(c.Step.Spec)] {
+			continue
+		}
+		more, roomLeft := planStep(c, hosts, limit-len(starts))
+		starts = append(starts, more...)
+		if !roomLeft && c.Allowed == nil && c.Step.Spec.MaxPerWorker == 0 {
+			full[needOf(c.Step.Spec)] = true
 		}
 	}
 	return starts
 }
 
+// need is what decides which hosts have room for a step, but for advice and limits a worker.
+type need struct {
+	charge platform.Resources
+	label  string
+}
+
+func needOf(st *jobs.Step) need { return need{charge: Charge(st), label: st.Label} }
+
+// planStep chooses hosts for a step's tasks; it reports whether the last one found room.
+func planStep(c *Candidate, hosts []*Host, limit int) (starts []Start, roomLeft bool) {
+	var last *Host
+	for _, t := range c.Tasks {
+		if len(starts) >= limit {
+			return starts, true
+		}
+		copied := len(t.Attempts) > 0
+		h := last
+		// A host that got a task is fuller than before, so that it suits the next
+		// one best as long as it has room; only long-running tasks keep apart.
+		if h == nil || copied || c.Step.Spec.LongRunning || !h.takes(c.Step) {
+			h = best(c, t, hosts)
+		}
+		if h == nil && copied {
+			continue // a copy, which may not start everywhere
+		}
+		if h == nil {
+			return starts, false // the tasks of a step are alike
+		}
+		h.place(c.Step)
+		starts = append(starts, Start{Task: t, Host: h})
+		last = h
+		if copied {
+			last = nil
+		}
+	}
+	return starts, true
+}
+
 // Reserve takes room for one more task of a step at the host that suits it most;
 // it reports whether there is one.
 func Reserve(s *jobs.StepRun, hosts []*Host) bool {
--- /dev/null
+++ b/pkg/placement/plan_test.go
@@ -0,0 +1,101 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// TestPlan compares the plan with one that looks at all hosts for each task, on
+// steps of all kinds.
+func TestPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.SliceOfN(rapid.Custom(drawHost), 1, 8).Draw(t, "hosts")
+		cs := rapid.SliceOfN(rapid.Custom(drawCandidate), 1, 8).Draw(t, "candidates")
+		for i := range hosts {
+			hosts[i].Boot = fmt.Sprintf("w%d", i)
+		}
+		got := names(Plan(cs, cloned(hosts), math.MaxInt))
+		want := names(planByLooking(cs, cloned(hosts)))
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
+
+// TestPlanLimit ends a plan at a number of starts.
+func TestPlanLimit(t *testing.T) {
+	h := &Host{Capacity: platform.Resources{CPU: 8000}, Free: platform.Resources{CPU: 8000}}
+	j := newJob(jobs.Step{Count: 6, Needs: platform.Resources{CPU: 1000}})
+	cs := []Candidate{{Step: j.Steps[0], Tasks: j.Steps[0].Tasks}}
+	qt.Check(t, Plan(cs, []*Host{h}, 4), qt.HasLen, 4)
+	qt.Check(t, Plan(cs, []*Host{h}, 0), qt.HasLen, 0)
+}
+
+func newJob(st jobs.Step) *jobs.Job {
+	b := jobs.NewBook(1)
+	b.Add("j", jobs.Record{Spec: jobs.Spec{Steps: []jobs.Step{st}}}, 0)
+	return b.Job("j")
+}
+
+func drawHost(t *rapid.T) *Host {
+	capacity := platform.Resources{CPU: 8000, MemoryMB: 100}
+	return &Host{
+		Rack: rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "rack"), Labels: []string{rapid.SampledFrom([]string{"big", "small"}).Draw(t, "label")},
+		Capacity: capacity, Free: platform.Resources{CPU: rapid.IntRange(0, 8).Draw(t, "free") * 1000, MemoryMB: rapid.IntRange(0, 100).Draw(t, "memory")},
+		Penalty: float64(rapid.IntRange(0, 2).Draw(t, "penalty")),
+	}
+}
+
+func drawCandidate(t *rapid.T) Candidate {
+	st := jobs.Step{
+		Count:       rapid.IntRange(1, 6).Draw(t, "count"),
+		Needs:       platform.Resources{CPU: rapid.IntRange(1, 4).Draw(t, "cpu") * 1000, MemoryMB: rapid.IntRange(0, 3).Draw(t, "mb") * 10},
+		LongRunning: rapid.Bool().Draw(t, "lasting"), MaxPerWorker: rapid.IntRange(0, 2).Draw(t, "apart"),
+		Label: rapid.SampledFrom([]string{"", "", "big"}).Draw(t, "needs"), DataRack: rapid.SampledFrom([]string{"", "r2"}).Draw(t, "data"),
+	}
+	s := newJob(st).Steps[0]
+	if rapid.Bool().Draw(t, "copies") {
+		s.Tasks[0].Attempts = []*jobs.Attempt{{Task: s.Tasks[0], Boot: "w0"}}
+	}
+	return Candidate{Step: s, Tasks: s.Tasks}
+}
+
+func cloned(hosts []*Host) (out []*Host) {
+	for _, h := range hosts {
+		c := *h
+		out = append(out, &c)
+	}
+	return out
+}
+
+// planByLooking chooses the best of all hosts for each task.
+func planByLooking(cs []Candidate, hosts []*Host) (starts []Start) {
+	for _, c := range cs {
+		for _, t := range c.Tasks {
+			h := best(&c, t, hosts)
+			if h == nil && len(t.Attempts) > 0 {
+				continue
+			}
+			if h == nil {
+				break
+			}
+			h.place(c.Step)
+			starts = append(starts, Start{Task: t, Host: h})
+		}
+	}
+	return starts
+}
+
+func names(starts []Start) (out []string) {
+	for _, s := range starts {
+		out = append(out, fmt.Sprintf("%p at %s", s.Task, s.Host.Boot))
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/shard/dispatch.go
@@ -0,0 +1,87 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// ordersPerWorker bounds the orders that are under way to one worker at once;
+// others wait their turn. Orders are answered within milliseconds, and each more
+// at once is one more connection to every worker: an owner of 400 workers that
+// starts 2,560 tasks a second spent an eighth of its processor time on opening them.
+const ordersPerWorker = 2
+
+// errWithdrawn reports a start that was not sent, because the reasons for it have gone.
+var errWithdrawn = errors.New("the start was withdrawn before it was sent")
+
+// dispatch is an order that waits for its turn at a worker, or is under way.
+type dispatch struct {
+	// send carries the order out; it is called without the lock.
+	send func(ctx context.Context) (clockMs int64, err error)
+	// answered takes the answer, or errWithdrawn; the lock is held.
+	answered func(clockMs int64, err error)
+	// start, for the start of an attempt, makes send when its turn has come, so that
+	// token and lease are those of that moment; it returns nil if the attempt is no
+	// longer wanted; the lock is held.
+	start func(now time.Duration) (send func(ctx context.Context) (clockMs int64, err error))
+}
+
+// dispatch has an order sent when its turn comes; the lock is held.
+func (o *Owner) dispatch(s *session, d *dispatch) {
+	s.orders = append(s.orders, d)
+	if s.senders >= ordersPerWorker {
+		return
+	}
+	s.senders++
+	o.wg.Go(func() { o.sendOrders(s) })
+}
+
+// sendOrders carries out the orders for a worker until none is left.
+func (o *Owner) sendOrders(s *session) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	defer func() { s.senders-- }()
+	for len(s.orders) > 0 {
+		d := s.orders[0]
+		s.orders[0] = nil
+		s.orders = s.orders[1:]
+		now := o.now()
+		if d.start != nil && o.mayStart(s, now) {
+			d.send = d.start(now)
+		}
+		if d.send == nil {
+			d.answered(0, errWithdrawn)
+			continue
+		}
+		o.sendOrder(s, d)
+	}
+	s.orders = nil
+}
+
+// mayStart tells whether a start that was decided some time ago may still be sent.
+func (o *Owner) mayStart(s *session, now time.Duration) bool {
+	return !o.over && !o.releasing && !s.gone && !s.inDoubt && s.failures == 0 && !s.draining && o.confirmed(now)
+}
+
+// sendOrder sends one order and passes its answer on; it lets the lock go meanwhile.
+func (o *Owner) sendOrder(s *session, d *dispatch) {
+	if d.start != nil {
+		s.inFlight++
+	}
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+	sentAt := o.now()
+	clockMs, err := d.send(ctx)
+	cancel()
+	o.mu.Lock()
+	if d.start != nil {
+		s.inFlight--
+	}
+	o.cfg.Metrics.Order(err)
+	o.rate.Note(o.now()-sentAt, !platform.IsUnknown(err))
+	d.answered(clockMs, err)
+}
--- /dev/null
+++ b/pkg/shard/dispatch_test.go
@@ -0,0 +1,55 @@
+package shard_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// countedWorkers notes how many starts are under way together.
+type countedWorkers struct {
+	platform.Workers
+
+	mu        sync.Mutex
+	now, most int
+}
+
+func (w *countedWorkers) StartAttempt(ctx context.Context, r platform.WorkerRef, o platform.StartOrder) (int64, error) {
+	w.mu.Lock()
+	w.now++
+	w.most = max(w.most, w.now)
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.now--
+	}()
+	return w.Workers.StartAttempt(ctx, r, o)
+}
+
+// TestOrdersInTurn has twenty tasks start at one worker: two orders at a time go to
+// it, over as many connections. All twenty went at once.
+func TestOrdersInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEstate(t)
+		defer e.close()
+		counted := &countedWorkers{}
+		e.breakWorkers = func(w platform.Workers) platform.Workers {
+			counted.Workers = w
+			return counted
+		}
+		e.addWorker("w1", "w1", "w1", "20000", "0")
+		e.own("a")
+		e.submit("a", "j1", "20x1000/1s")
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		qt.Check(t, counted.most, qt.Equals, 2)
+		qt.Check(t, e.workers.Running("w1"), qt.HasLen, 20)
+	})
+}
--- /dev/null
+++ b/pkg/shard/limit_test.go
@@ -0,0 +1,98 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// narrowLink passes the calls of an owner to its workers one after the other, each
+// taking a time of the link, as an owner's own processor or link does at its limit.
+type narrowLink struct {
+	platform.Workers
+
+	mu   sync.Mutex
+	cost time.Duration // of one call
+	free time.Time     // when the link is free
+}
+
+// pass waits until the link has carried a call.
+func (l *narrowLink) pass(ctx context.Context) error {
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(l.cost)
+	wait := l.free.Sub(now)
+	l.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return platform.ErrUnknown{Op: "call", Cause: "it waits in front of the link"}
+	case <-time.After(wait):
+		return nil
+	}
+}
+
+func (l *narrowLink) StartAttempt(ctx context.Context, w platform.WorkerRef, o platform.StartOrder) (int64, error) {
+	if err := l.pass(ctx); err != nil {
+		return 0, err
+	}
+	return l.Workers.StartAttempt(ctx, w, o)
+}
+
+func (l *narrowLink) RenewLeases(ctx context.Context, w platform.WorkerRef, o platform.RenewOrder) (platform.WorkerReport, error) {
+	if err := l.pass(ctx); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	return l.Workers.RenewLeases(ctx, w, o)
+}
+
+// TestOwnerAtItsLimit has an owner of 60 workers be able to make 150 calls a second,
+// a quarter of what its jobs ask for. It goes on at what it can carry: no lease runs
+// out, and of the 200 jobs all are done in time. Without a bound on its starts 260
+// 2,268 starts had no answer, and their looks waited behind others.
+func TestOwnerAtItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := newEstate(t)
+		defer e.close()
+		link := &narrowLink{cost: 6600 * time.Microsecond}
+		e.breakWorkers = func(w platform.Workers) platform.Workers {
+			link.Workers = w
+			return link
+		}
+		for i := range 60 {
+			e.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("w%d", i), fmt.Sprintf("w%d", i), "8000", "0")
+		}
+		e.own("a")
+		time.Sleep(3 * time.Second)
+		for i := range 200 {
+			go e.submit("a", fmt.Sprintf("%016x", i), "8x1000/800ms")
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(26 * time.Second)
+		synctest.Wait()
+		done := 0
+		for i := range 200 {
+			if state, _ := e.owners["a"].State(fmt.Sprintf("%016x", i)); state == "completed" {
+				done++
+			}
+		}
+		log := e.log.String()
+		t.Logf("%d jobs done, %s, %d leases lapsed, %d starts without an answer, at limit %d times", done, strings.TrimSpace(e.witness.report()),
+			strings.Count(log, "leases_lapsed"), strings.Count(log, "start_failed"), strings.Count(log, "owner_at_limit"))
+		c.Check(done, qt.Equals, 200)
+		c.Check(strings.Count(log, "leases_lapsed"), qt.Equals, 0)
+		c.Check(strings.Contains(log, "owner_at_limit"), qt.IsTrue)
+		c.Check(e.witness.report(), qt.Equals, "1600 starts, nothing broken\n")
+	})
+}
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -31,6 +31,8 @@
 	VMCapacity platform.Resources
 	// Floor is how many workers the long-running tasks need at least.
 	Floor int
+	// AtLimit tells that the owner cannot start tasks faster, however many workers it has.
+	AtLimit bool
 	// Light names the VMs without long-running tasks and with little work, the emptiest first.
 	Light []string
 }
@@ -69,6 +71,7 @@
 	}
 	slices.SortFunc(l.Light, func(a, b string) int { return cmp.Or(cmp.Compare(used[a], used[b]), cmp.Compare(a, b)) })
 	l.Floor = o.floor()
+	l.AtLimit = o.rate.AtLimit()
 	l.Arriving = o.arrivals.demand(now)
 	o.eachIdle(true, func(s *jobs.StepRun, idle []*jobs.Task) {
 		l.Tasks += len(idle)
@@ -114,5 +117,5 @@
 	}
 	o.log.Info().Str("event", "shard_load").Int("workers", l.Workers).Int("cpu", l.Capacity.CPU).Int("cpu_used", l.Used.CPU).
 		Int("cpu_waiting", l.Waiting.CPU).Int("cpu_arriving", l.Arriving.CPU).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
-		Int("tasks_waiting", l.Tasks).Int("jobs", len(o.book.Active())).Int("jobs_running", running).Send()
+		Int("tasks_waiting", l.Tasks).Int("jobs", len(o.book.Active())).Int("jobs_running", running).Bool("at_limit", l.AtLimit).Send()
 }
--- a/pkg/shard/look.go
+++ b/pkg/shard/look.go
@@ -18,6 +18,10 @@
 	// awaitOrders is the pause while orders are on their way that must be answered
 	// before a look can settle the doubt about another.
 	awaitOrders = 30 * time.Millisecond
+	// rareLook is the least time between two looks at a worker while the owner is at
+	// its own limit: they renew leases of 4 s in time, and leave to starts and
+	// confirmations what a look at each end takes.
+	rareLook = 600 * time.Millisecond
 	// ackPause is how long ends wait for their acknowledgement before the next look renews the leases anyway.
 	ackPause = 500 * time.Millisecond
 )
@@ -31,11 +35,15 @@
 		failures := s.failures
 		askAgain := s.askAgain
 		crowded := s.inDoubt && s.inFlight > 0
+		early := o.tooEarly(s)
 		o.mu.Unlock()
 		var pause time.Duration
 		switch {
 		case !wants:
 			pause = -1
+		case early > 0:
+			_ = s.rest(ctx, early, true)
+			continue
 		case failures > 0 && !askAgain:
 			pause = retryLook
 		case crowded:
@@ -53,6 +61,15 @@
 	}
 }
 
+// tooEarly is how long the next look at a worker is to wait because this owner is
+// at its limit; the lock is held.
+func (o *Owner) tooEarly(s *session) time.Duration {
+	if !o.rate.AtLimit() || !s.known || s.failures > 0 {
+		return 0
+	}
+	return s.lookedAt + rareLook - o.now()
+}
+
 // rest waits for a kick, at most for d if that is positive; it reports whether
 // a look is due rather than the reasons for one to be seen again.
 func (s *session) rest(ctx context.Context, d time.Duration, untilAcked bool) bool {
@@ -80,16 +97,24 @@
 		s.token++
 	}
 	sentAt := o.now()
+	s.lookedAt = sentAt
 	order := o.renewal(s, sentAt)
-	o.mu.Unlock()
 	lookCtx, cancel := context.WithTimeout(ctx, order.Wait+answerTimeout)
+	defer cancel()
+	if order.Wait > 0 {
+		s.interrupt = cancel
+	}
+	o.mu.Unlock()
 	report, err := o.cfg.Workers.RenewLeases(lookCtx, s.ref, order)
-	cancel()
 	if ctx.Err() != nil {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	s.interrupt = nil
+	if err != nil && errors.Is(lookCtx.Err(), context.Canceled) {
+		return // a doubt has arisen, which another look settles
+	}
 	o.cfg.Metrics.Look(err)
 	if err != nil {
 		o.lookFailed(s, err)
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -25,35 +25,26 @@
 	repeatStop = 1200 * time.Millisecond
 )
 
-// order sends the start of an attempt; the lock is held.
+// order has the start of an attempt sent; the lock is held.
 func (o *Owner) order(a *jobs.Attempt) {
 	s := o.sessions[a.Boot]
 	name := a.Task.Name()
 	r := &running{Attempt: a}
 	s.hold(name, r)
-	s.inFlight++
-	order := platform.StartOrder{
-		Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.Task.Checkpoint,
-		Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.lease(a.Since),
-	}
-	o.log.Info().Str("event", "start_ordered").Str("task", name).Int64("attempt", a.Number).
-		Str("boot", a.Boot).Int64("token", s.token).Int("at_worker", len(s.attempts)).Send()
-	o.send(func(ctx context.Context) (int64, error) { return o.cfg.Workers.StartAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
-		s.inFlight--
-		o.started(s, name, r, clockMs, err)
-	})
-}
-
-// send carries an order out in the background and passes its answer on under the lock.
-func (o *Owner) send(order func(context.Context) (clockMs int64, err error), answered func(clockMs int64, err error)) {
-	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
-		defer cancel()
-		clockMs, err := order(ctx)
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		o.cfg.Metrics.Order(err)
-		answered(clockMs, err)
+	o.dispatch(s, &dispatch{
+		start: func(now time.Duration) func(ctx context.Context) (int64, error) {
+			if o.unwanted(a) || a.Number <= a.Task.Step.BrokenRun {
+				return nil
+			}
+			order := platform.StartOrder{
+				Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.Task.Checkpoint,
+				Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.lease(now),
+			}
+			o.log.Info().Str("event", "start_ordered").Str("task", name).Int64("attempt", a.Number).
+				Str("boot", a.Boot).Int64("token", s.token).Int("at_worker", len(s.attempts)).Dur("queued", now-a.Since).Send()
+			return func(ctx context.Context) (int64, error) { return o.cfg.Workers.StartAttempt(ctx, s.ref, order) }
+		},
+		answered: func(clockMs int64, err error) { o.started(s, name, r, clockMs, err) },
 	})
 }
 
@@ -61,6 +52,10 @@
 func (o *Owner) started(s *session, name string, r *running, clockMs int64, err error) {
 	now := o.now()
 	current := s.attempts[name] == r
+	if errors.Is(err, errWithdrawn) {
+		o.startWithdrawn(s, name, r)
+		return
+	}
 	if err == nil {
 		s.noteClock(clockMs, now)
 		if current {
@@ -87,7 +82,7 @@
 		}
 	default:
 		s.health.unanswered(now)
-		s.inDoubt = true
+		s.doubt()
 		if current && r.confirmedAt == 0 {
 			r.Phase = jobs.PhaseInDoubt
 		}
@@ -98,6 +93,17 @@
 	s.kick()
 }
 
+// startWithdrawn forgets an attempt whose start was not sent; the lock is held.
+func (o *Owner) startWithdrawn(s *session, name string, r *running) {
+	if s.attempts[name] == r && r.confirmedAt == 0 {
+		o.log.Info().Str("event", "start_withdrawn").Str("task", name).Int64("attempt", r.Number).Str("boot", s.ref.Boot).Send()
+		o.drop(s, name)
+	}
+	if r.Task.Step.Spec.Gang {
+		o.breakGang(r.Task.Step, r.Number)
+	}
+}
+
 func (o *Owner) startRefused(s *session, name string, r *running, refused platform.ErrOrderRefused, now time.Duration) {
 	s.noteClock(refused.ClockMs, now)
 	switch refused.Reason {
@@ -196,12 +202,15 @@
 // sendStop sends the order to end an attempt, of which this owner need know nothing.
 func (o *Owner) sendStop(s *session, task string, attempt int64) {
 	order := platform.StopOrder{Task: task, Attempt: attempt, Token: s.token}
-	o.send(func(ctx context.Context) (int64, error) { return o.cfg.Workers.StopAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
-		s.noteClock(clockMs, o.now())
-		if err != nil {
-			o.log.Warn().Str("event", "stop_failed").Str("task", task).Str("boot", s.ref.Boot).Err(err).Send()
-		}
-		s.kick()
+	o.dispatch(s, &dispatch{
+		send: func(ctx context.Context) (int64, error) { return o.cfg.Workers.StopAttempt(ctx, s.ref, order) },
+		answered: func(clockMs int64, err error) {
+			s.noteClock(clockMs, o.now())
+			if err != nil {
+				o.log.Warn().Str("event", "stop_failed").Str("task", task).Str("boot", s.ref.Boot).Err(err).Send()
+			}
+			s.kick()
+		},
 	})
 }
 
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -10,10 +10,11 @@
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/startrate"
 )
 
-// takeoverRead bounds the reads of a takeover.
-const takeoverRead = 3 * time.Second
+// takeoverRead bounds the reads of a takeover, as long as something goes on coming.
+const takeoverRead = 15 * time.Second
 
 // Metrics counts what an owner does.
 type Metrics interface {
@@ -75,6 +76,7 @@
 	inOrder   []*session                // sessions by boot, nil when out of date
 	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
 	durations map[string]*learned       // by queue
+	rate      startrate.Rate            // of starts, while this owner is at its own limit
 	arrivals  arrivals                  // of jobs, which tell how much work is on its way
 	idleTasks bool                      // tasks wait for room, or for a time
 
--- a/pkg/shard/pace.go
+++ b/pkg/shard/pace.go
@@ -61,11 +61,14 @@
 	r.pace, r.pacedAt = percent, now
 	o.log.Info().Str("event", "pace_ordered").Str("task", name).Str("boot", s.ref.Boot).Int("percent", percent).Float64("tail_of_target", worst).Send()
 	order := platform.PaceOrder{Task: name, Attempt: r.Number, Percent: percent, Token: s.token}
-	o.send(func(ctx context.Context) (int64, error) { return o.cfg.Workers.PaceAttempt(ctx, s.ref, order) }, func(clockMs int64, err error) {
-		s.noteClock(clockMs, o.now())
-		if err != nil {
-			r.pace, r.pacedAt = 0, 0 // not known; the next report decides anew
-			o.log.Warn().Str("event", "pace_failed").Str("task", name).Str("boot", s.ref.Boot).Err(err).Send()
-		}
+	o.dispatch(s, &dispatch{
+		send: func(ctx context.Context) (int64, error) { return o.cfg.Workers.PaceAttempt(ctx, s.ref, order) },
+		answered: func(clockMs int64, err error) {
+			s.noteClock(clockMs, o.now())
+			if err != nil {
+				r.pace, r.pacedAt = 0, 0 // not known; the next report decides anew
+				o.log.Warn().Str("event", "pace_failed").Str("task", name).Str("boot", s.ref.Boot).Err(err).Send()
+			}
+		},
 	})
 }
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -59,7 +59,8 @@
 	for i := range candidates {
 		o.advised(&candidates[i], hosts, now)
 	}
-	starts := placement.Plan(candidates, hosts)
+	starts := placement.Plan(candidates, hosts, o.rate.Room(now))
+	o.rate.Spend(len(starts))
 	gangs := map[*jobs.StepRun][]string{}
 	for _, st := range starts {
 		if step := st.Task.Step; step.Spec.Gang {
@@ -137,7 +138,7 @@
 // idle returns the tasks of a step that may start now, with held also those that
 // must wait for the end of a takeover.
 func (o *Owner) idle(s *jobs.StepRun, withHeld bool) (tasks []*jobs.Task) {
-	if o.held && s.Job.Restored && !withHeld {
+	if o.held && s.Job.Restored && !withHeld || s.Waiting() == 0 && !s.Spec.Speculative {
 		return nil
 	}
 	for _, t := range s.Tasks {
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -37,6 +37,8 @@
 	foreign    map[foreignKey]*foreignAttempt // run there and are not wanted
 	hostCache  *placement.Host                // as placement saw the worker last, nil when that is out of date
 	token      int64                          // fencing token of the orders
+	orders     []*dispatch                    // that wait for their turn, in order
+	senders    int                            // goroutines that send them
 	inFlight   int                            // start orders without an answer yet
 	inDoubt    bool                           // a start order got no answer; a look with a higher token settles it
 	failures   int                            // looks and orders in a row without an answer
@@ -55,6 +57,9 @@
 	seenEnd  int64 // ends up to here were taken into account
 	ackedEnd int64 // ends up to here are kept
 
+	lookedAt  time.Duration // when the last look was sent
+	interrupt func()        // ends the look under way, nil if none waits for an end
+
 	wake   chan struct{}      // a look is due, or the reasons for one have changed
 	cancel context.CancelFunc // ends the session's loop
 }
@@ -73,6 +78,17 @@
 // kick lets the session's loop look again.
 func (s *session) kick() { pause.Wake(s.wake) }
 
+// doubt notes that an order may or may not have been carried out, so that the
+// worker gets no tasks until a look has settled it; a look that waits for an end
+// is not waited for, which would take up to a second.
+func (s *session) doubt() {
+	s.inDoubt = true
+	if s.interrupt != nil {
+		s.interrupt()
+		s.interrupt = nil
+	}
+}
+
 // usable tells whether new tasks may start at the worker.
 func (s *session) usable(now time.Duration) bool {
 	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo
--- a/pkg/shard/upkeep.go
+++ b/pkg/shard/upkeep.go
@@ -50,12 +50,23 @@
 	o.askMachines(now)
 	o.forgetFinals(now)
 	o.checkStragglers(now)
+	o.judgeRate(now)
 	o.logLoad(now)
 	if o.idleTasks || o.book.Timed() {
 		o.kickPlacement()
 	}
 }
 
+// judgeRate sees whether this owner has come to its own limit.
+func (o *Owner) judgeRate(now time.Duration) {
+	w, changed := o.rate.Judge(now)
+	if !changed {
+		return
+	}
+	o.log.Warn().Str("event", "owner_at_limit").Bool("at_limit", o.rate.AtLimit()).Float64("starts_per_s", o.rate.PerSecond()).
+		Dur("fastest_answer", w.Fastest).Int("answered", w.Answered).Int("lost", w.Lost).Send()
+}
+
 // forgetFinals removes jobs that callers no longer ask for.
 func (o *Owner) forgetFinals(now time.Duration) {
 	for len(o.finals) > 0 && now-o.finals[0].at > o.cfg.Retention {
--- /dev/null
+++ b/pkg/startrate/rate.go
@@ -0,0 +1,129 @@
+package startrate
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rateWindow is the time over which answers are judged.
+	rateWindow = 250 * time.Millisecond
+	// slowAnswer is how long the fastest answer to an order takes at an owner that is
+	// at its limit; workers answer within 4 ms, those of another zone included.
+	slowAnswer = 60 * time.Millisecond
+	// rateCut is the part of what was answered in a window that is started in the next
+	// one, when the answers were slow.
+	rateCut = 0.7
+	// rateGrowth is by how much the rate grows in a window whose answers were not
+	// slow, and rateRecovery where they were quick: after a cut the rate is back
+	// from the least to that of a busy pool within 2 s.
+	rateGrowth   = 1.25
+	rateRecovery = 2
+	// quickAnswer is how long the fastest answer takes at an owner that has room.
+	quickAnswer = slowAnswer / 3
+	// lostTogether is how many orders have to be without an answer in a window, and
+	// none with one, for the owner rather than a worker to be the cause.
+	lostTogether = 8
+	// leastRate is started a second in any case, so that the limit can be seen to be over.
+	leastRate = 20
+	// rateFree is how many times what is answered the rate must be to be lifted.
+	rateFree = 4
+	// rateBurst is the time of which starts may be made at once.
+	rateBurst = 200 * time.Millisecond
+)
+
+// Rate bounds the starts of an owner while it is at its own limit. The zero value
+// bounds nothing.
+type Rate struct {
+	limit float64 // starts a second, 0 for no bound
+	saved float64 // starts that may be made at once
+	savedAt,
+	windowAt time.Duration // when saved was last reckoned, when the present window began
+
+	window Window // that is not over yet
+}
+
+// Note takes what became of an order.
+func (r *Rate) Note(took time.Duration, answered bool) {
+	if !answered {
+		r.window.Lost++
+		return
+	}
+	r.window.Answered++
+	if r.window.Fastest == 0 || took < r.window.Fastest {
+		r.window.Fastest = max(took, 1)
+	}
+}
+
+// Spend notes starts that were decided.
+func (r *Rate) Spend(n int) {
+	r.saved -= float64(n)
+}
+
+// PerSecond is the bound in starts a second, 0 for none.
+func (r *Rate) PerSecond() float64 { return r.limit }
+
+// AtLimit tells whether the owner is held to a rate.
+func (r *Rate) AtLimit() bool { return r.limit > 0 }
+
+// Room is how many tasks may be started now.
+func (r *Rate) Room(now time.Duration) int {
+	if r.limit == 0 {
+		return math.MaxInt
+	}
+	r.saved = min(r.saved+r.limit*(now-r.savedAt).Seconds(), r.limit*rateBurst.Seconds())
+	r.savedAt = now
+	return int(max(0, r.saved))
+}
+
+// Window is what became of the orders of a time.
+type Window struct {
+	Fastest  time.Duration // answer, 0 for none
+	Answered int
+	Lost     int // orders without an answer
+}
+
+// Judge sees what the window that is over tells and returns it; changed tells
+// whether the owner has come to its limit, or has left it.
+func (r *Rate) Judge(now time.Duration) (w Window, changed bool) {
+	if r.windowAt == 0 {
+		r.windowAt = now
+	}
+	length := now - r.windowAt
+	if length < rateWindow {
+		return w, false
+	}
+	before := r.limit
+	w = r.window
+	r.limit = w.next(r.limit, length)
+	r.windowAt, r.window = now, Window{}
+	if before == 0 && r.limit > 0 {
+		r.saved, r.savedAt = 0, now
+	}
+	return w, (before == 0) != (r.limit == 0)
+}
+
+// next is the bound that follows from a window of some length and the present one.
+func (w *Window) next(limit float64, length time.Duration) float64 {
+	answered := float64(w.Answered) / length.Seconds()
+	switch {
+	case w.Fastest > slowAnswer:
+		return max(leastRate, rateCut*answered)
+	case w.Answered == 0 && w.Lost >= lostTogether:
+		lost := float64(w.Lost) / length.Seconds()
+		if limit > 0 {
+			lost = min(lost, limit)
+		}
+		return max(leastRate, rateCut*lost)
+	case w.Answered == 0 || limit == 0:
+		return limit // nothing is known, or nothing is to be lifted
+	}
+	growth := rateGrowth
+	if w.Fastest < quickAnswer {
+		growth = rateRecovery
+	}
+	if growth*limit > rateFree*max(answered, leastRate) {
+		return 0
+	}
+	return growth * limit
+}
--- /dev/null
+++ b/pkg/startrate/rate_test.go
@@ -0,0 +1,66 @@
+package startrate_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/gannetwell/gannetwell/pkg/startrate"
+)
+
+// TestRate plays testdata/rate: what became of the orders of windows of 250 ms, and
+// how many tasks may be started then.
+func TestRate(t *testing.T) {
+	var r startrate.Rate
+	var now time.Duration
+	datadriven.RunTest(t, "testdata/rate", func(t *testing.T, d *datadriven.TestData) (out string) {
+		arg := func(key string) string {
+			for _, a := range d.CmdArgs {
+				if a.Key == key {
+					return a.Vals[0]
+				}
+			}
+			return "0"
+		}
+		number := func(key string) int {
+			n, err := strconv.Atoi(arg(key))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return n
+		}
+		switch d.Cmd {
+		case "new":
+			r = startrate.Rate{}
+			return ""
+		case "windows":
+			fastest, err := time.ParseDuration(arg("fastest"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range number("count") {
+				answers := number("answered")
+				if most := number("demand"); most > 0 {
+					answers = min(most, r.Room(now))
+					r.Spend(answers)
+				}
+				now += 250 * time.Millisecond
+				for i := range answers {
+					r.Note(fastest+time.Duration(i)*time.Millisecond, true)
+				}
+				for range number("lost") {
+					r.Note(time.Second, false)
+				}
+				_, changed := r.Judge(now)
+				out += fmt.Sprintf("%d answered, at limit %v, changed %v, %.0f a second\n", answers, r.AtLimit(), changed, r.PerSecond())
+			}
+			return out
+		default:
+			t.Fatalf("unknown command %q", d.Cmd)
+			return ""
+		}
+	})
+}
