Pings become rare among many entries, and come at once when something is wrong; silent links

Cause: an entry among 97 sent and answered 34 pings a second (60 ms times the number of entries between two), more than half of what idle entries spend. All the same an owner was never confirmed by its peers at that size when the table service was away: their answers were up to 5.8 s old, 1.5 s is needed. An owner could be held for gone on answers of others that were just as old. A link that fell silent cost each call its whole time.

Change: the interval grows with the square of the number (19 s among 97, as before up to 30 entries); without the service, after its loss, and after a missed ping all are asked soon; an owner that leaves a ping unanswered for 0.5 s is checked with 12 others, most of which have to have answered since. An entry runs on as many processors as its share.

--- a/cmd/gannetwelld/cmds/serve.go
+++ b/cmd/gannetwelld/cmds/serve.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -65,6 +67,7 @@
 		_ = out.Close()
 	}()
 	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
+	runtime.GOMAXPROCS(processors(s.CpuShare))
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMb) * (1 << 20) * heapShare))
 	client := platform.New(s.Store.Address, s.Machines.Address, s.Advice)
@@ -77,6 +80,12 @@
 	return n.Run(node.Handlers{Callers: platform.Callers(n), Readiness: platform.Readiness(n)})
 }
 
+// processors is how many processors an entry runs on at once: no more than its
+// share. On more it is only throttled, and its scheduler spends time on passing
+// work between them: an owner of 400 workers took 321 us for each start on eight
+// processors and 235 us on two.
+func processors(share float64) int { return max(1, int(math.Ceil(share))) }
+
 // reload reads the settings again. An entry takes them at its start only, since
 // its addresses and limits are those of its process; a change is told, so that
 // someone restarts it.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -104,6 +104,7 @@
 		Start: now.UnixNano(), Share: s.CpuShare,
 	}
 	n.members = ownership.NewMembers(n.self, rows, log, now, local{n})
+	rows.onLost = n.members.Hurry
 	n.keeper = ownership.NewKeeper(n.identity(), n.members, n.openShard, log, now)
 	return n
 }
--- a/pkg/node/reach.go
+++ b/pkg/node/reach.go
@@ -15,6 +15,8 @@
 type reach struct {
 	platform.Rows
 	log zerolog.Logger
+	// onLost is told, without the lock, that the service has stopped answering.
+	onLost func()
 
 	mu    sync.Mutex
 	lost  bool
@@ -63,6 +65,7 @@
 	r.lost, r.since = lost, time.Now()
 	if lost {
 		r.log.Warn().Str("event", "store_lost").Err(err).Send()
+		go r.onLost()
 	} else {
 		r.log.Info().Str("event", "store_regained").Send()
 	}
--- a/pkg/ownership/judge.go
+++ b/pkg/ownership/judge.go
@@ -52,7 +52,7 @@
 		return VerdictAlive, "not asked yet"
 	}
 	m.noteMajority()
-	if m.majorityAt > 0 && m.now()-m.majorityAt >= silence {
+	if m.majorityAt > 0 && m.now()-m.majorityAt >= silence && m.othersAnswered(k) {
 		return VerdictGone, "not heard while most others are"
 	}
 	return VerdictSuspect, "few others are heard either"
@@ -77,6 +77,23 @@
 	}
 }
 
+// othersAnswered tells whether, of the others that were asked since an entry was
+// last heard, most have answered; the lock is held. Most entries are asked rarely: what one of them
+// said ten seconds ago does not show that this entry is not the one that is cut off.
+func (m *Members) othersAnswered(than *known) bool {
+	answered, missed := 0, 0
+	for _, p := range m.peers {
+		switch {
+		case p == than:
+		case p.heardAt > than.heardAt:
+			answered++
+		case p.missedAt > than.heardAt:
+			missed++
+		}
+	}
+	return answered > missed && 2*answered >= min(checkedPeers, len(m.peers)-1)
+}
+
 // HearMost tells whether most entries, this one among them, are heard.
 func (m *Members) HearMost() bool {
 	m.mu.Lock()
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -37,6 +37,9 @@
 	addedAt time.Duration // when its row was seen
 	heardAt time.Duration // last answer, 0 for never
 	refused bool          // nothing listened at its address at the last try
+	lost    bool          // it left the last ping unanswered
+
+	missedAt time.Duration // when a ping last failed, 0 for never
 
 	// As it said in its last answer.
 	sentAt    time.Duration // when the ping was sent that it answered
@@ -55,6 +58,7 @@
 
 	mu    sync.Mutex
 	peers map[string]*known // by name
+	owns  bool              // this entry owns a shard
 	// majorityAt is since when most entries are heard, 0 while they are not.
 	majorityAt time.Duration
 }
@@ -136,10 +140,11 @@
 
 func (m *Members) now() time.Duration { return time.Since(m.since) }
 
-// SetOwners tells which entries own a shard and are to be pinged often.
+// SetOwners tells which entries, this one among them, own a shard; those are pinged often.
 func (m *Members) SetOwners(names map[string]bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.owns = names[m.self.Name]
 	for name, k := range m.peers {
 		if names[name] && !k.owns {
 			k.hurry() // its last answer may be older than an owner's may be
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -15,19 +15,34 @@
 const (
 	// pingInterval is the time between two pings of an entry that owns a shard.
 	pingInterval = 400 * time.Millisecond
-	// pingSpacing times the number of entries is the interval for those that own
-	// none, so that the cost to each entry does not grow with their number.
-	pingSpacing = 60 * time.Millisecond
+	// pingSpacing times the square of the number of entries is the interval for
+	// those that own none: 3.7 s among 43, 19 s among 97. Their answers matter only
+	// when something is wrong, and then they are asked at once. At 60 ms times the
+	// number an entry among 97 sent and answered 34 pings a second.
+	pingSpacing = 2 * time.Millisecond
+	// longestPingInterval bounds that interval.
+	longestPingInterval = 20 * time.Second
+	// doubtSpacing times the number of entries is the interval while the table
+	// service does not answer this entry, or the other one was silent at the last
+	// ping: 2 s among 97.
+	doubtSpacing = 20 * time.Millisecond
+	// quietOwner is how long an owner may leave a ping unanswered before it is
+	// checked with checkedPeers others whether these answer.
+	quietOwner   = 500 * time.Millisecond
+	checkedPeers = 12
 	// pingTimeout bounds one ping.
 	pingTimeout = 900 * time.Millisecond
 	// silence is how long an owner may go unheard before it is held for gone.
 	silence = 1100 * time.Millisecond
 )
 
-// pingLoop pings an entry until ctx ends.
+// pingLoop pings an entry until ctx ends. A ping whose link broke says nothing of
+// the entry: it is pinged once more at once, by another link.
 func (m *Members) pingLoop(ctx context.Context, k *known) {
 	for ctx.Err() == nil {
-		m.ping(ctx, k)
+		if linkBroke := m.ping(ctx, k); linkBroke {
+			m.ping(ctx, k)
+		}
 		m.pause(ctx, k)
 	}
 }
@@ -45,24 +60,67 @@
 
 // interval is the time until the next ping of an entry.
 func (m *Members) interval(k *known) time.Duration {
+	reached := m.local.ReachesStore()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if k.owns {
+	switch {
+	case k.owns:
 		return pingInterval
+	case !reached && m.owns:
+		// Without the service the shards here are confirmed by what all others say.
+		return pingInterval
+	case !reached || k.lost:
+		return max(pingInterval, time.Duration(len(m.peers))*doubtSpacing)
+	default:
+		return m.calmInterval()
+	}
+}
+
+// calmInterval is the time between two pings of an entry that owns nothing while
+// nothing is wrong; the lock is held.
+func (m *Members) calmInterval() time.Duration {
+	n := time.Duration(len(m.peers))
+	return min(longestPingInterval, max(pingInterval, n*n*pingSpacing))
+}
+
+// Hurry has all entries pinged at once: what is known of them may be older than
+// what is to be decided on it.
+func (m *Members) Hurry() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.peers {
+		k.hurry()
 	}
-	return max(pingInterval, time.Duration(len(m.peers))*pingSpacing)
 }
 
-// ping asks an entry once and takes what it says.
-func (m *Members) ping(ctx context.Context, k *known) {
+// checkSome asks some others than an owner that is quiet; which ones is left to chance.
+func (m *Members) checkSome(quiet *known) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !quiet.owns {
+		return
+	}
+	asked := 0
+	for _, k := range m.peers { // in an order that differs each time
+		if k != quiet && asked < checkedPeers {
+			k.hurry()
+			asked++
+		}
+	}
+}
+
+// ping asks an entry once and takes what it says; it reports whether the link broke under it.
+func (m *Members) ping(ctx context.Context, k *known) (linkBroke bool) {
 	version := m.local.CatalogVersion()
 	sentAt := m.now()
 	pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	check := time.AfterFunc(quietOwner, func() { m.checkSome(k) })
 	reply, err := k.caller.Call(pingCtx, &schema.Call{Kind: schema.CallKindPing, CatalogVersion: int(version), OwnersVersion: int(m.local.OwnersVersion())})
 	timedOut := pingCtx.Err() != nil
+	check.Stop()
 	cancel()
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	m.mu.Lock()
 	before := m.alive(k)
@@ -71,6 +129,8 @@
 	} else {
 		var notSent peer.ErrNotSent
 		k.refused = errors.As(err, &notSent) && notSent.Refused
+		k.lost = timedOut
+		k.missedAt = m.now()
 		var lost peer.ErrLinkLost
 		if errors.As(err, &lost) && timedOut {
 			k.caller.Close() // a silent link is not waited for
@@ -86,7 +146,7 @@
 		m.local.EntryChanged()
 	}
 	if err != nil {
-		return
+		return !timedOut && errors.As(err, new(peer.ErrLinkLost))
 	}
 	for _, o := range reply.Owners {
 		m.local.OwnerNews(o.Pool, shard.OwnerRowOf(o))
@@ -94,11 +154,12 @@
 	if int64(reply.CatalogVersion) > version {
 		m.local.CatalogNewer(k.caller, int64(reply.CatalogVersion))
 	}
+	return false
 }
 
 // noteReply takes the answer to a ping that was sent at sentAt.
 func (k *known) noteReply(reply *schema.CallReply, sentAt, now time.Duration) {
-	k.heardAt, k.refused = now, false
+	k.heardAt, k.refused, k.lost = now, false, false
 	k.noteStore(reply.ReachesStore, now)
 	k.stopping = reply.Stopping
 	k.sentAt, k.seen = sentAt, int64(reply.OwnersVersion)
@@ -117,14 +178,14 @@
 	}
 }
 
-// alive tells whether an entry was heard of late; the lock is held.
+// alive tells whether an entry was heard of late; the lock is held. One that owns
+// nothing is asked rarely: it counts as heard until it leaves a ping unanswered.
 func (m *Members) alive(k *known) bool {
 	if k.refused || k.heardAt == 0 {
 		return false
 	}
-	limit := silence
-	if !k.owns {
-		limit += time.Duration(len(m.peers)) * pingSpacing
+	if k.owns {
+		return m.now()-k.heardAt < silence
 	}
-	return m.now()-k.heardAt < limit
+	return !k.lost && m.now()-k.heardAt < silence+m.calmInterval()
 }
--- a/pkg/peer/caller.go
+++ b/pkg/peer/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -38,9 +37,10 @@
 type Caller struct {
 	address string
 
-	mu      sync.Mutex
-	link    *callLink
-	dialing chan struct{} // closed when the dial under way has ended
+	mu       sync.Mutex
+	link     *callLink
+	dialing  chan struct{} // closed when the dial under way has ended
+	checking bool          // a link is being tried beside one that is quiet
 }
 
 // NewCaller returns a caller of the peer at a host:port.
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.call(ctx, q)
+	return l.call(ctx, q, func() { c.check(l) })
 }
 
 // Close closes the link; a later call opens another.
@@ -90,9 +90,7 @@
 	c.dialing = make(chan struct{})
 	c.mu.Unlock()
 
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	conn, err := dial.TCP(dialCtx, c.address)
-	cancel()
+	l, err := c.dial(ctx)
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -101,89 +99,17 @@
 	if err != nil {
 		return nil, ErrNotSent{Refused: dial.Refused(err), Cause: err}
 	}
-	c.link = newCallLink(conn)
-	return c.link, nil
+	c.link = l
+	return l, nil
 }
 
-// callLink is one open connection with the calls that wait on it.
-type callLink struct {
-	conn net.Conn
-
-	writeMu sync.Mutex
-	mu      sync.Mutex
-	nextID  int
-	waiting map[int]chan *schema.CallReply
-	err     error
-	done    chan struct{}
-}
-
-func newCallLink(conn net.Conn) *callLink {
-	l := &callLink{conn: conn, waiting: map[int]chan *schema.CallReply{}, done: make(chan struct{})}
-	go l.read()
-	return l
-}
-
-func (l *callLink) broken() bool {
-	select {
-	case <-l.done:
-		return true
-	default:
-		return false
-	}
-}
-
-func (l *callLink) fail(err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.err == nil {
-		l.err = err
-		close(l.done)
-		_ = l.conn.Close()
-	}
-}
-
-func (l *callLink) read() {
-	for {
-		reply := &schema.CallReply{}
-		if _, err := ReadFrame(l.conn, reply); err != nil {
-			l.fail(err)
-			return
-		}
-		l.mu.Lock()
-		got := l.waiting[reply.ID]
-		delete(l.waiting, reply.ID)
-		l.mu.Unlock()
-		if got != nil {
-			got <- reply
-		}
-	}
-}
-
-func (l *callLink) call(ctx context.Context, q *schema.Call) (*schema.CallReply, error) {
-	got := make(chan *schema.CallReply, 1)
-	l.mu.Lock()
-	l.nextID++
-	id := l.nextID
-	l.waiting[id] = got
-	l.mu.Unlock()
-	sent := *q
-	sent.ID = id
-	l.writeMu.Lock()
-	_ = l.conn.SetWriteDeadline(time.Now().Add(callWriteTimeout))
-	_, err := WriteFrame(l.conn, &sent)
-	l.writeMu.Unlock()
+// dial opens a link.
+func (c *Caller) dial(ctx context.Context) (*callLink, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := dial.TCP(ctx, c.address)
 	if err != nil {
-		l.fail(err)
-	}
-	select {
-	case reply := <-got:
-		return reply, nil
-	case <-l.done:
-		return nil, ErrLinkLost{Cause: l.err}
-	case <-ctx.Done():
-		l.mu.Lock()
-		delete(l.waiting, id)
-		l.mu.Unlock()
-		return nil, ErrLinkLost{Cause: ctx.Err()}
+		return nil, err
 	}
+	return newCallLink(conn), nil
 }
--- /dev/null
+++ b/pkg/peer/calllink.go
@@ -0,0 +1,110 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// callLink is one open connection with the calls that wait on it.
+type callLink struct {
+	conn net.Conn
+
+	writeMu sync.Mutex
+	mu      sync.Mutex
+	nextID  int
+	waiting map[int]chan *schema.CallReply
+	heardAt time.Time // when it was opened or something last came
+	askedAt time.Time // when the peer was last asked whether it is there
+	err     error
+	done    chan struct{}
+}
+
+func newCallLink(conn net.Conn) *callLink {
+	l := &callLink{conn: conn, waiting: map[int]chan *schema.CallReply{}, heardAt: time.Now(), done: make(chan struct{})}
+	go l.read()
+	return l
+}
+
+func (l *callLink) broken() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *callLink) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil {
+		l.err = err
+		close(l.done)
+		_ = l.conn.Close()
+	}
+}
+
+func (l *callLink) read() {
+	for {
+		reply := &schema.CallReply{}
+		if _, err := ReadFrame(l.conn, reply); err != nil {
+			l.fail(err)
+			return
+		}
+		l.mu.Lock()
+		l.heardAt = time.Now()
+		got := l.waiting[reply.ID]
+		delete(l.waiting, reply.ID)
+		l.mu.Unlock()
+		if got != nil {
+			got <- reply
+		}
+	}
+}
+
+// call sends a call and waits for its reply; it calls quiet now and then while
+// that does not come.
+func (l *callLink) call(ctx context.Context, q *schema.Call, quiet func()) (*schema.CallReply, error) {
+	id, got := l.send(q)
+	tick := time.NewTicker(quietAfter)
+	defer tick.Stop()
+	for {
+		select {
+		case reply := <-got:
+			return reply, nil
+		case <-l.done:
+			return nil, ErrLinkLost{Cause: l.err}
+		case <-ctx.Done():
+			l.mu.Lock()
+			delete(l.waiting, id)
+			l.mu.Unlock()
+			return nil, ErrLinkLost{Cause: ctx.Err()}
+		case <-tick.C:
+			quiet()
+		}
+	}
+}
+
+// send sends a call; its reply comes on the channel.
+func (l *callLink) send(q *schema.Call) (id int, got chan *schema.CallReply) {
+	got = make(chan *schema.CallReply, 1)
+	l.mu.Lock()
+	l.nextID++
+	id = l.nextID
+	l.waiting[id] = got
+	l.mu.Unlock()
+	sent := *q
+	sent.ID = id
+	l.writeMu.Lock()
+	_ = l.conn.SetWriteDeadline(time.Now().Add(callWriteTimeout))
+	_, err := WriteFrame(l.conn, &sent)
+	l.writeMu.Unlock()
+	if err != nil {
+		l.fail(err)
+	}
+	return id, got
+}
