A stopping entry answers what it still has before it ends; when to look at a worker is decided apart

Change: what callers wait for ends 0.5 s before a stopping entry closes its connections, with the answer that is true then. A feed is asked again at once only after it has waited for its answer.

--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -61,6 +61,8 @@
 // confirmAbsent asks the table itself before a job is said not to exist: the
 // owner that was asked may have been replaced without knowing it yet.
 func (n *Node) confirmAbsent(ctx context.Context, q *catalog.Queue, id string) schema.CallOutcome {
+	ctx, ended := n.untilEnd(ctx)
+	defer ended()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	found, err := shard.FindJob(ctx, n.rows, q.Pool, id)
@@ -101,12 +103,26 @@
 // another one soon, which the request waits for. Each request may be repeated: a
 // submission at any owner remains one job.
 func (n *Node) askForCaller(ctx context.Context, q *schema.Call) *schema.CallReply {
+	ctx, cancel := n.untilEnd(ctx)
+	defer cancel()
 	if !n.ownerMayFollow() {
 		return n.askWithin(ctx, q, ownerWait)
 	}
 	return n.askWithin(ctx, q, callerWait)
 }
 
+// untilEnd returns a context that ends also when a node that stops has to answer
+// what it was asked: a caller that is told that the outcome is unknown, or that there
+// was none, is better off than one whose connection closes.
+func (n *Node) untilEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(n.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func (n *Node) askWithin(ctx context.Context, q *schema.Call, patience time.Duration) *schema.CallReply {
 	ctx, cancel := context.WithTimeout(ctx, patience+forwardTimeout)
 	defer cancel()
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -48,6 +48,7 @@
 func (n *Node) follow(ctx context.Context, f feed) error {
 	after := int64(-1)
 	for ctx.Err() == nil && (f.wanted == nil || f.wanted()) {
+		started := time.Now()
 		err := n.followOnce(ctx, f, &after)
 		if ctx.Err() != nil {
 			return nil
@@ -61,8 +62,8 @@
 			after = -1
 			continue
 		}
-		if platform.IsUnknown(err) {
-			continue // it has waited for its answer
+		if time.Since(started) > platform.AnswerSilence {
+			continue // it has waited for an answer that did not come
 		}
 		_ = pause.For(ctx, retryFeed/2+rand.N(retryFeed))
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -31,6 +31,9 @@
 	noticeTime = 3500 * time.Millisecond
 	// finishTime bounds the requests that are still open when a node stops.
 	finishTime = 2 * time.Second
+	// answerTime is what the answers to open requests need at the end of that time,
+	// which are given up before their connections are closed.
+	answerTime = 500 * time.Millisecond
 	// endTime is what the process needs to end after that.
 	endTime = 400 * time.Millisecond
 	// cutOffAfter is for how long the table service must not have answered an entry
@@ -77,6 +80,9 @@
 	members *ownership.Members
 	keeper  *ownership.Keeper
 
+	ending    context.Context // ends when a node that stops waits no longer for what it was asked
+	endAnswer func()          // ends it
+
 	stop     chan struct{} // closed by Stop
 	stopOnce sync.Once
 	stopping atomic.Bool // a planned stop is under way
@@ -103,6 +109,7 @@
 		settings: s, since: now, log: log, metrics: newMetrics(), source: src, platform: services, rows: rows,
 		stop: make(chan struct{}), workers: map[string]platform.Worker{}, waves: map[int]fleetops.Wave{},
 	}
+	n.ending, n.endAnswer = context.WithCancel(context.Background())
 	n.self = ownership.Member{
 		Name: s.Name, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])), Zone: s.Zone,
 		Start: now.UnixNano(), Share: s.CpuShare,
@@ -217,6 +224,7 @@
 	}
 	finish, cancel := context.WithTimeout(ctx, finishTime)
 	defer cancel()
+	defer time.AfterFunc(finishTime-answerTime, n.endAnswer).Stop()
 	return errors.Wrap(callers.server.Shutdown(finish), "finish open requests")
 }
 
--- a/pkg/node/patience_test.go
+++ b/pkg/node/patience_test.go
@@ -159,3 +159,18 @@
 	time.AfterFunc(200*time.Millisecond, func() { own(c, n, second, 2) })
 	c.Check(n.Submit(ctx, waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
 }
+
+// TestEndOfStopEndsWait has a submission wait for an owner that does not answer when
+// the node's planned stop comes to its end: it is answered at once, as unknown. The
+// connection was closed without an answer.
+func TestEndOfStopEndsWait(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n := newIdleNode(fake.NewRows(time.Millisecond, time.Second))
+	own(c, n, peerEntry(ctx, c, n, "e1", silent), 1)
+	time.AfterFunc(200*time.Millisecond, n.endAnswer)
+	started := time.Now()
+	c.Check(n.Submit(ctx, waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
+	c.Check(time.Since(started) < time.Second, qt.IsTrue)
+}
--- a/pkg/shard/look.go
+++ b/pkg/shard/look.go
@@ -26,56 +26,52 @@
 	ackPause = 500 * time.Millisecond
 )
 
+// lookPlan is when a worker is to be looked at next.
+type lookPlan struct {
+	after time.Duration // 0 for at once, negative for not before something changes
+	// kicked tells whether a change brings the look about at once; else the plan is made anew.
+	kicked bool
+}
+
+// planLook decides when to look next; the lock is held.
+func (s *session) planLook(now time.Duration, atLimit bool) lookPlan {
+	unacked := s.seenEnd > s.ackedEnd
+	switch {
+	case !s.wantsLook():
+		return lookPlan{after: -1}
+	case s.failures > 0 && !s.askAgain:
+		return lookPlan{after: retryLook, kicked: true}
+	case atLimit && s.known && s.failures == 0 && now < s.lookedAt+rareLook:
+		return lookPlan{after: s.lookedAt + rareLook - now}
+	case s.inDoubt && s.inFlight > 0:
+		return lookPlan{after: awaitOrders, kicked: !unacked || s.failures > 0}
+	case unacked:
+		return lookPlan{after: ackPause, kicked: s.failures > 0}
+	default:
+		return lookPlan{}
+	}
+}
+
 // sessionLoop looks at a worker as long as there is something to see.
 func (o *Owner) sessionLoop(ctx context.Context, s *session) {
 	for ctx.Err() == nil {
 		o.mu.Lock()
-		wants := s.wantsLook()
-		unacked := s.seenEnd > s.ackedEnd
-		failures := s.failures
-		askAgain := s.askAgain
-		crowded := s.inDoubt && s.inFlight > 0
-		early := o.tooEarly(s)
+		plan := s.planLook(o.now(), o.rate.AtLimit())
 		o.mu.Unlock()
-		var pause time.Duration
-		switch {
-		case !wants:
-			pause = -1
-		case early > 0:
-			_ = s.rest(ctx, early, true)
-			continue
-		case failures > 0 && !askAgain:
-			pause = retryLook
-		case crowded:
-			pause = awaitOrders
-		case unacked:
-			pause = ackPause
-		}
-		if pause != 0 && !s.rest(ctx, pause, unacked && failures == 0) {
-			continue
+		if s.rest(ctx, plan) {
+			o.look(ctx, s)
 		}
-		if pause < 0 {
-			continue
-		}
-		o.look(ctx, s)
 	}
 }
 
-// tooEarly is how long the next look at a worker is to wait because this owner is
-// at its limit; the lock is held.
-func (o *Owner) tooEarly(s *session) time.Duration {
-	if !o.rate.AtLimit() || !s.known || s.failures > 0 {
-		return 0
+// rest waits as a plan says; it reports whether the look is due.
+func (s *session) rest(ctx context.Context, plan lookPlan) (due bool) {
+	if plan.after == 0 {
+		return true
 	}
-	return s.lookedAt + rareLook - o.now()
-}
-
-// rest waits for a kick, at most for d if that is positive; it reports whether
-// a look is due rather than the reasons for one to be seen again.
-func (s *session) rest(ctx context.Context, d time.Duration, untilAcked bool) bool {
 	var timer <-chan time.Time
-	if d > 0 {
-		t := time.NewTimer(d)
+	if plan.after > 0 {
+		t := time.NewTimer(plan.after)
 		defer t.Stop()
 		timer = t.C
 	}
@@ -85,13 +81,14 @@
 	case <-timer:
 		return true
 	case <-s.wake:
-		return !untilAcked
+		return plan.kicked
 	}
 }
 
 // look renews the leases at a worker and takes its report.
 func (o *Owner) look(ctx context.Context, s *session) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	settles := s.inDoubt && s.inFlight == 0
 	if settles {
 		s.token++
@@ -99,22 +96,10 @@
 	sentAt := o.now()
 	s.lookedAt = sentAt
 	order := o.renewal(s, sentAt)
-	lookCtx, cancel := context.WithTimeout(ctx, order.Wait+answerTimeout)
-	defer cancel()
-	if order.Wait > 0 {
-		s.interrupt = cancel
-	}
-	o.mu.Unlock()
-	report, err := o.cfg.Workers.RenewLeases(lookCtx, s.ref, order)
-	if ctx.Err() != nil {
+	report, err := o.sendLook(ctx, s, order)
+	if ctx.Err() != nil || errors.Is(err, errInterrupted) {
 		return
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	s.interrupt = nil
-	if err != nil && errors.Is(lookCtx.Err(), context.Canceled) {
-		return // a doubt has arisen, which another look settles
-	}
 	o.cfg.Metrics.Look(err)
 	if err != nil {
 		o.lookFailed(s, err)
@@ -132,6 +117,27 @@
 	o.kickPlacement()
 }
 
+// errInterrupted reports a look that was ended because a doubt has arisen, which another look settles.
+var errInterrupted = errors.New("the look was not waited for any longer")
+
+// sendLook sends a look and waits for its report; it lets the lock go meanwhile.
+func (o *Owner) sendLook(ctx context.Context, s *session, order platform.RenewOrder) (report platform.WorkerReport, err error) {
+	lookCtx, cancel := context.WithTimeout(ctx, order.Wait+answerTimeout)
+	defer cancel()
+	if order.Wait > 0 {
+		s.interrupt = cancel
+	}
+	o.mu.Unlock()
+	report, err = o.cfg.Workers.RenewLeases(lookCtx, s.ref, order)
+	interrupted := err != nil && errors.Is(lookCtx.Err(), context.Canceled)
+	o.mu.Lock()
+	s.interrupt = nil
+	if interrupted {
+		err = errInterrupted
+	}
+	return report, err
+}
+
 // renewal is the order to send with a look; the lock is held.
 func (o *Owner) renewal(s *session, now time.Duration) platform.RenewOrder {
 	order := platform.RenewOrder{Token: s.token, AckedEnd: s.ackedEnd}
