An entry hands a shard on to one that is much less burdened

Who owns a shard after a common start is left to which entries are heard first.

Change: in calm times an entry lets go of a shard, by the handover of a planned stop, in favour of one whose burden with it is 2.5 times lower. A row that names this very process without work of its own is claimed at once: no one else does, and its turn among 97 came after 33 s.

--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -47,6 +47,7 @@
 	}
 	heirs := k.members.Heirs()
 	load := k.load()
+	k.handOn(ctx, heirs, load, now)
 	for _, pool := range slices.Sorted(maps.Keys(k.shards)) {
 		s := k.shards[pool]
 		if !s.loaded || s.owner != nil || s.claiming || now < s.notBefore {
@@ -57,6 +58,9 @@
 			continue
 		}
 		rank := k.rank(pool, s.row, heirs, load)
+		if s.row.Entry == k.self.Entry && s.row.Start == k.self.Start {
+			rank = 0 // the row names this very process, which has ended its work: no other entry claims it
+		}
 		if now-s.gone < time.Duration(rank)*rankDelay {
 			continue
 		}
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -65,8 +65,10 @@
 	catalog  *catalog.Catalog
 	workers  []platform.Worker // current boots of all pools
 	stopping bool
-	changed  chan struct{} // closed and replaced whenever an owner changes
-	wake     chan struct{}
+	// handedOnAt is when this entry last let go of a shard that another should own.
+	handedOnAt time.Duration
+	changed    chan struct{} // closed and replaced whenever an owner changes
+	wake       chan struct{}
 }
 
 // NewKeeper returns a keeper that owns nothing yet.
--- a/pkg/ownership/rank.go
+++ b/pkg/ownership/rank.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
@@ -25,11 +23,7 @@
 func (k *Keeper) rank(pool string, row shard.OwnerRow, heirs []Member, load map[string]int) int {
 	order := slices.Clone(heirs)
 	slices.SortFunc(order, func(a, b Member) int {
-		return cmp.Or(
-			cmp.Compare(notNext(a, row), notNext(b, row)),
-			cmp.Compare(burden(a, load), burden(b, load)),
-			cmp.Compare(xxhash.Sum64String(pool+"/"+a.Name), xxhash.Sum64String(pool+"/"+b.Name)),
-		)
+		return cmp.Or(cmp.Compare(notNext(a, row), notNext(b, row)), byBurden(pool, load, a, b))
 	})
 	if len(order) > 0 {
 		load[order[0].Name]++
