--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -135,15 +135,27 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	m.note(k, reply, err, sentAt, timedOut)
+	if err != nil {
+		return !timedOut && errors.As(err, new(peer.ErrLinkLost))
+	}
+	for _, o := range reply.Owners {
+		m.local.OwnerNews(o.Pool, shard.OwnerRowOf(o))
+	}
+	if int64(reply.CatalogVersion) > version {
+		m.local.CatalogNewer(k.caller, int64(reply.CatalogVersion))
+	}
+	return false
+}
+
+// note takes the outcome of a ping, and tells when an entry was lost or regained.
+func (m *Members) note(k *known, reply *schema.CallReply, err error, sentAt time.Duration, timedOut bool) {
 	m.mu.Lock()
 	before := m.alive(k)
 	if err == nil {
 		k.noteReply(reply, sentAt, m.now())
 	} else {
-		var notSent peer.ErrNotSent
-		k.refused = errors.As(err, &notSent) && notSent.Refused
-		k.lost = timedOut
-		k.missedAt = m.now()
+		k.noteMiss(err, sentAt, m.now(), timedOut)
 	}
 	after, refused := m.alive(k), k.refused
 	m.noteMajority()
@@ -154,32 +166,36 @@
 	if before != after || refused {
 		m.local.EntryChanged()
 	}
-	if err != nil {
-		return !timedOut && errors.As(err, new(peer.ErrLinkLost))
-	}
-	for _, o := range reply.Owners {
-		m.local.OwnerNews(o.Pool, shard.OwnerRowOf(o))
-	}
-	if int64(reply.CatalogVersion) > version {
-		m.local.CatalogNewer(k.caller, int64(reply.CatalogVersion))
-	}
-	return false
 }
 
-// noteReply takes the answer to a ping that was sent at sentAt.
+// noteReply takes the answer to a ping that was sent at sentAt; one that comes after
+// the answer to a later ping is a sign of life and no more.
 func (k *known) noteReply(reply *schema.CallReply, sentAt, now time.Duration) {
-	k.heardAt, k.refused, k.lost = now, false, false
-	k.noteStore(reply.ReachesStore, now)
-	k.stopping = reply.Stopping
+	k.heardAt = now
 	if sentAt < k.sentAt {
-		return // a later ping was answered before
+		return
 	}
+	k.refused, k.lost = false, false
+	k.noteStore(reply.ReachesStore, now)
+	k.stopping = reply.Stopping
 	k.sentAt, k.seen = sentAt, int64(reply.OwnersVersion)
 	if reply.Claiming {
 		k.seen = -1
 	}
 }
 
+// noteMiss takes the lack of an answer to a ping that was sent at sentAt, unless a
+// later one was answered.
+func (k *known) noteMiss(err error, sentAt, now time.Duration, timedOut bool) {
+	if sentAt < k.sentAt {
+		return
+	}
+	var notSent peer.ErrNotSent
+	k.refused = errors.As(err, &notSent) && notSent.Refused
+	k.lost = timedOut
+	k.missedAt = now
+}
+
 // noteStore notes whether the table service answers the entry.
 func (k *known) noteStore(reaches bool, now time.Duration) {
 	switch {
