--- a/pkg/httpc/host.go
+++ b/pkg/httpc/host.go
@@ -17,9 +17,6 @@
 	// answer in milliseconds. A second try of a transaction, 250 ms after the
 	// first, goes out on a connection that has been heard since, or on a new one.
 	overdue = 200 * time.Millisecond
-	// fresh is how long after it was heard a kept connection is used without a look
-	// whether the other side has closed it, which is a system call.
-	fresh = 50 * time.Millisecond
 )
 
 // host is what is kept for one address; the client's lock guards it.
@@ -55,12 +52,11 @@
 	if h == nil {
 		return nil
 	}
-	now := time.Now()
-	h.noteOverdue(now)
+	h.noteOverdue(time.Now())
 	for len(h.idle) > 0 {
 		k := h.idle[len(h.idle)-1]
 		h.idle = h.idle[:len(h.idle)-1]
-		if k.heardAt.After(h.suspectTo) && (now.Sub(k.heardAt) < fresh || !k.closed()) {
+		if k.heardAt.After(h.suspectTo) && !k.closed() {
 			k.kept = true
 			return k
 		}
