One check that most entries are heard; one way to tell that an owner has changed

HearMost is heardMostFor(0) now, both wake by ownerChanged. Behaviour as before; tests of pkg/ownership pass.

--- a/pkg/ownership/handon.go
+++ b/pkg/ownership/handon.go
@@ -82,8 +82,7 @@
 	s.loaded = false
 	s.notBefore = k.now() + claimPause
 	s.row = shard.OwnerRow{}
-	close(k.changed)
-	k.changed = make(chan struct{})
+	k.ownerChanged()
 }
 
 // heardMostFor tells whether most entries have been heard for a time.
--- a/pkg/ownership/judge.go
+++ b/pkg/ownership/judge.go
@@ -102,12 +102,7 @@
 }
 
 // HearMost tells whether most entries, this one among them, are heard.
-func (m *Members) HearMost() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.noteMajority()
-	return m.majorityAt > 0
-}
+func (m *Members) HearMost() bool { return m.heardMostFor(0) }
 
 // storeAnswersMost tells whether the table service answers this entry and most
 // others but k, so that it is k's path to it that is broken; the lock is held. When
--- a/pkg/ownership/rows.go
+++ b/pkg/ownership/rows.go
@@ -48,6 +48,11 @@
 		owners[s.row.Entry] = true
 	}
 	k.members.SetOwners(owners)
+	k.ownerChanged()
+}
+
+// ownerChanged wakes those who wait for another owner of a shard; the lock is held.
+func (k *Keeper) ownerChanged() {
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
