Callers show the key of an account; a job belongs to its account

A job's record names its account: others neither see it nor cancel it nor take its ID; jobs without one (older records, open queues) stay open. Ruled out: 401 from entries that may be out of date; telling other accounts of an ID that is taken (refused as any submission may be).

--- /dev/null
+++ b/pkg/catalog/account.go
@@ -0,0 +1,92 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// Account is a client that hands in jobs.
+type Account struct {
+	Name string
+	Keys []Key
+	// Weight is how many jobs a second it has been promised, and its share when a pool is full.
+	Weight float64
+	// Limit bounds what it may have running over all workers, 0 for no limit.
+	Limit platform.Resources
+}
+
+// Key is the SHA-256 of a key that callers show. A key itself is not kept, so that it
+// stands in no log and no message, and the time of a comparison tells nothing of it.
+type Key [sha256.Size]byte
+
+// fingerprintBytes of a key's hash name it in logs and to operators.
+const fingerprintBytes = 4
+
+// KeyOf returns the hash of a key; that of the empty key is never a valid one.
+func KeyOf(key string) Key {
+	return sha256.Sum256([]byte(key))
+}
+
+// Fingerprint names the key without telling it, in hexadecimal digits.
+func (k Key) Fingerprint() string { return hex.EncodeToString(k[:fingerprintBytes]) }
+
+// CheckAccounts tells what is wrong with the accounts of a configuration.
+func CheckAccounts(accounts []Account) (err error) {
+	defer func() { err = errors.Wrap(err, "accounts") }()
+	names, owners, none := map[string]bool{}, map[Key]string{}, KeyOf("")
+	for i := range accounts {
+		a := &accounts[i]
+		switch {
+		case a.Name == "":
+			return errors.Errorf("account %d has no name", i)
+		case names[a.Name]:
+			return errors.Errorf("two accounts are named %s", a.Name)
+		case a.Weight < 0:
+			return errors.Errorf("account %s: the weight %g is negative", a.Name, a.Weight)
+		case a.Limit.CPU < 0 || a.Limit.MemoryMB < 0 || a.Limit.GPU < 0:
+			return errors.Errorf("account %s: the limit %+v is negative", a.Name, a.Limit)
+		}
+		names[a.Name] = true
+		for _, k := range a.Keys {
+			if k == none {
+				return errors.Errorf("account %s has an empty key", a.Name)
+			}
+			if other, ok := owners[k]; ok && other != a.Name {
+				return errors.Errorf("accounts %s and %s have the key %s", other, a.Name, k.Fingerprint())
+			}
+			owners[k] = a.Name
+		}
+	}
+	return nil
+}
+
+// indexAccounts makes keys and names searchable.
+func (c *Catalog) indexAccounts() {
+	c.byKey, c.byAccount = map[Key]*Account{}, map[string]*Account{}
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
+		c.byAccount[a.Name] = a
+		for _, k := range a.Keys {
+			c.byKey[k] = a
+		}
+	}
+}
+
+// Account returns an account by its name, nil if there is none.
+func (c *Catalog) Account(name string) *Account { return c.byAccount[name] }
+
+// Admit returns the account of a caller who shows a key, empty for none; ok is false
+// if the queue does not take the call.
+func (c *Catalog) Admit(q *Queue, key string) (account string, ok bool) {
+	if key == "" {
+		return "", q.Public
+	}
+	if a := c.byKey[KeyOf(key)]; a != nil {
+		return a.Name, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/pkg/catalog/account_test.go
@@ -0,0 +1,66 @@
+package catalog
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// TestAdmit looks keys up for open and closed queues.
+func TestAdmit(t *testing.T) {
+	c := qt.New(t)
+	cat := New(Catalog{
+		Queues: []Queue{{Name: "closed"}, {Name: "open", Public: true}},
+		Accounts: []Account{
+			{Name: "north", Keys: []Key{KeyOf("k1"), KeyOf("k2")}},
+			{Name: "south", Keys: []Key{KeyOf("k3")}},
+			{Name: "none"},
+		},
+	})
+	for _, test := range []struct {
+		queue, key, account string
+		ok                  bool
+	}{
+		{"closed", "k1", "north", true},
+		{"closed", "k2", "north", true},
+		{"closed", "k3", "south", true},
+		{"closed", "k4", "", false},
+		{"closed", "", "", false},
+		{"open", "k3", "south", true},
+		{"open", "", "", true},
+		{"open", "k4", "", false},
+	} {
+		account, ok := cat.Admit(cat.Queue(test.queue), test.key)
+		c.Check(account, qt.Equals, test.account, qt.Commentf("%+v", test))
+		c.Check(ok, qt.Equals, test.ok, qt.Commentf("%+v", test))
+	}
+	c.Check(cat.Account("none"), qt.IsNotNil)
+	c.Check(cat.Account("west"), qt.IsNil)
+}
+
+// TestCheckAccounts refuses what makes no sense, without telling a key.
+func TestCheckAccounts(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		accounts []Account
+		err      string
+	}{
+		{[]Account{{Name: "a", Keys: []Key{KeyOf("k")}}, {Name: "b"}}, ""},
+		{[]Account{{Name: "a", Keys: []Key{KeyOf("k"), KeyOf("k")}}}, ""},
+		{[]Account{{Name: "a"}, {}}, "accounts: account 1 has no name"},
+		{[]Account{{Name: "a"}, {Name: "a"}}, "accounts: two accounts are named a"},
+		{[]Account{{Name: "a", Keys: []Key{KeyOf("")}}}, "accounts: account a has an empty key"},
+		{[]Account{{Name: "a", Keys: []Key{KeyOf("k")}}, {Name: "b", Keys: []Key{KeyOf("k")}}}, "accounts: accounts a and b have the key 8254c329"},
+		{[]Account{{Name: "a", Weight: -1}}, "accounts: account a: the weight -1 is negative"},
+		{[]Account{{Name: "a", Limit: platform.Resources{MemoryMB: -1}}}, "accounts: account a: the limit .* is negative"},
+	} {
+		err := CheckAccounts(test.accounts)
+		if test.err == "" {
+			c.Check(err, qt.IsNil)
+			continue
+		}
+		c.Check(err, qt.ErrorMatches, test.err)
+	}
+}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -15,6 +15,7 @@
 	Priority    int  // 0 goes first
 	MaxAttempts int  // failed attempts of a task after which its job has failed
 	Advice      bool // the advice service says which workers may run a step
+	Public      bool // callers need no key
 
 	// A job should be done within TargetLatency and Stretch times its longest chain of work.
 	Stretch       float64
@@ -44,9 +45,13 @@
 	Queues  []Queue
 	Pools   []Pool
 	Limits  Limits
+	// Accounts are the clients that may hand in jobs.
+	Accounts []Account
 
-	byHost map[string][]*Queue // longest prefix first
-	byName map[string]*Queue
+	byHost    map[string][]*Queue // longest prefix first
+	byName    map[string]*Queue
+	byKey     map[Key]*Account
+	byAccount map[string]*Account
 }
 
 // New returns a catalog that can be searched.
@@ -66,6 +71,7 @@
 		list[at] = q
 		c.byHost[q.Host] = list
 	}
+	c.indexAccounts()
 	return &c
 }
 
--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -87,11 +87,19 @@
 // Record is what is kept of a job from its acceptance on.
 type Record struct {
 	Queue       string        `msgpack:"q"`
-	AcceptedAt  time.Duration `msgpack:"a"` // Unix time by the clock of the entry that took it
-	MaxAttempts int           `msgpack:"m"` // failed attempts of a task after which the job has failed
+	AcceptedAt  time.Duration `msgpack:"a"`           // Unix time by the clock of the entry that took it
+	MaxAttempts int           `msgpack:"m"`           // failed attempts of a task after which the job has failed
+	Account     string        `msgpack:"c,omitempty"` // client account that handed it in, empty for none
 	Spec        Spec          `msgpack:"s"`
 }
 
+// BelongsTo tells whether a client account may ask for the job and cancel it. A job
+// that was handed in without an account, or kept by a version that knew none, is
+// open to every caller whom its queue admits.
+func (r *Record) BelongsTo(account string) bool {
+	return r.Account == "" || r.Account == account
+}
+
 // Encode returns the record as bytes.
 func (r *Record) Encode() ([]byte, error) {
 	raw, err := msgpack.Marshal(r)
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -32,8 +32,8 @@
 )
 
 // Submit hands a job to the owner of its queue's shard.
-func (n *Node) Submit(ctx context.Context, q *catalog.Queue, id string, spec jobs.Spec) schema.CallOutcome {
-	record := jobs.Record{Queue: q.Name, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: q.MaxAttempts, Spec: spec}
+func (n *Node) Submit(ctx context.Context, q *catalog.Queue, account, id string, spec jobs.Spec) schema.CallOutcome {
+	record := jobs.Record{Queue: q.Name, Account: account, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: q.MaxAttempts, Spec: spec}
 	raw, err := record.Encode()
 	if err != nil {
 		n.log.Error().Str("event", "job_encode_failed").Str("job", id).Err(err).Send()
@@ -41,16 +41,16 @@
 	}
 	call := &schema.Call{Kind: schema.CallKindSubmit, Pool: q.Pool, Queue: q.Name, Job: id, Record: raw}
 	reply := n.askForCaller(ctx, call)
-	n.log.Info().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", q.Pool).
+	n.log.Info().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", q.Pool).Str("account", account).
 		Int64("catalog", n.catalogVersion()).Str("outcome", string(reply.Outcome)).Send()
 	return reply.Outcome
 }
 
 // State asks for the state of a job.
-func (n *Node) State(ctx context.Context, q *catalog.Queue, id string) (jobs.State, schema.CallOutcome) {
-	reply := n.askForCaller(ctx, &schema.Call{Kind: schema.CallKindState, Pool: q.Pool, Queue: q.Name, Job: id})
+func (n *Node) State(ctx context.Context, q *catalog.Queue, id string, by shard.Asker) (jobs.State, schema.CallOutcome) {
+	reply := n.askForCaller(ctx, callFor(schema.CallKindState, q, id, by))
 	if reply.Outcome == schema.CallOutcomeNotFound {
-		reply.Outcome = n.confirmAbsent(ctx, q, id)
+		reply.Outcome = n.confirmAbsent(ctx, q, id, by)
 	}
 	if reply.Outcome != schema.CallOutcomeOk {
 		n.log.Info().Str("event", "state_not_told").Str("request", id).Str("queue", q.Name).Str("outcome", string(reply.Outcome)).Send()
@@ -58,14 +58,19 @@
 	return jobs.State(reply.State), reply.Outcome
 }
 
+// callFor is a question about a job.
+func callFor(kind schema.CallKind, q *catalog.Queue, id string, by shard.Asker) *schema.Call {
+	return &schema.Call{Kind: kind, Pool: q.Pool, Queue: q.Name, Job: id, Account: by.Account, Operator: by.Operator}
+}
+
 // confirmAbsent asks the table itself before a job is said not to exist: the
 // owner that was asked may have been replaced without knowing it yet.
-func (n *Node) confirmAbsent(ctx context.Context, q *catalog.Queue, id string) schema.CallOutcome {
+func (n *Node) confirmAbsent(ctx context.Context, q *catalog.Queue, id string, by shard.Asker) schema.CallOutcome {
 	ctx, ended := n.untilEnd(ctx)
 	defer ended()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	found, err := shard.FindJob(ctx, n.rows, q.Pool, id)
+	found, err := shard.FindJob(ctx, n.rows, q.Pool, id, by)
 	switch {
 	case err != nil:
 		n.log.Warn().Str("event", "absence_not_confirmed").Str("request", id).Err(err).Send()
@@ -78,10 +83,10 @@
 }
 
 // Cancel ends a job.
-func (n *Node) Cancel(ctx context.Context, q *catalog.Queue, id string) schema.CallOutcome {
-	reply := n.askForCaller(ctx, &schema.Call{Kind: schema.CallKindCancel, Pool: q.Pool, Queue: q.Name, Job: id})
+func (n *Node) Cancel(ctx context.Context, q *catalog.Queue, id string, by shard.Asker) schema.CallOutcome {
+	reply := n.askForCaller(ctx, callFor(schema.CallKindCancel, q, id, by))
 	if reply.Outcome == schema.CallOutcomeNotFound {
-		reply.Outcome = n.confirmAbsent(ctx, q, id)
+		reply.Outcome = n.confirmAbsent(ctx, q, id, by)
 	}
 	n.log.Info().Str("event", "cancellation").Str("request", id).Str("queue", q.Name).Str("outcome", string(reply.Outcome)).Send()
 	return reply.Outcome
@@ -245,6 +250,10 @@
 	return n.answerLocal(ctx, o, q)
 }
 
+func askerOf(q *schema.Call) shard.Asker {
+	return shard.Asker{Account: q.Account, Operator: q.Operator}
+}
+
 // answerLocal answers a call from a shard of this entry.
 func (n *Node) answerLocal(ctx context.Context, o *shard.Owner, q *schema.Call) *schema.CallReply {
 	switch q.Kind {
@@ -256,10 +265,10 @@
 		}
 		return &schema.CallReply{Outcome: o.Submit(ctx, q.Job, record)}
 	case schema.CallKindState:
-		state, out := o.State(q.Job)
+		state, out := o.State(q.Job, askerOf(q))
 		return &schema.CallReply{Outcome: out, State: string(state)}
 	case schema.CallKindCancel:
-		return &schema.CallReply{Outcome: o.Cancel(ctx, q.Job)}
+		return &schema.CallReply{Outcome: o.Cancel(ctx, q.Job, askerOf(q))}
 	case schema.CallKindWaiting:
 		waiting, out := o.Waiting(q.Queue)
 		return &schema.CallReply{Outcome: out, Waiting: waiting}
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -126,21 +126,34 @@
 	}
 }
 
-// setCatalog puts a configuration in force unless a newer one is.
+// SetCatalog puts an encoded configuration in force unless a newer one is; an error
+// leaves the last good one.
+func (n *Node) SetCatalog(raw []byte) (err error) {
+	return n.takeCatalog(raw, "caller")
+}
+
+// setCatalog does what SetCatalog does with a configuration that came over a wire.
 func (n *Node) setCatalog(raw []byte, from string) {
+	if err := n.takeCatalog(raw, from); err != nil {
+		n.log.Error().Str("event", "catalog_malformed").Str("from", from).Err(err).Send()
+	}
+}
+
+func (n *Node) takeCatalog(raw []byte, from string) error {
 	c, err := n.source.DecodeCatalog(raw)
 	if err != nil {
-		n.log.Error().Str("event", "catalog_malformed").Str("from", from).Err(err).Send()
-		return
+		return err
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if old := n.catalog.Load(); old != nil && old.Version >= c.Version {
-		return
+		return nil
 	}
 	n.catalog.Store(&stored{Catalog: c, raw: raw})
 	n.keeper.SetCatalog(c)
-	n.log.Info().Str("event", "catalog").Int64("version", c.Version).Str("from", from).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).Send()
+	n.log.Info().Str("event", "catalog").Int64("version", c.Version).Str("from", from).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).
+		Int("accounts", len(c.Accounts)).Send()
+	return nil
 }
 
 // fetchCatalog asks a peer for a newer configuration than ours.
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -22,6 +22,7 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 	"github.com/gannetwell/gannetwell/service/client"
 )
 
@@ -173,7 +174,7 @@
 	for i := 1; i <= submitted; i++ {
 		id := fmt.Sprintf("%016x", i)
 		eventually(c, "job "+id+" is done", func() bool {
-			state, out := other.State(context.Background(), q, id)
+			state, out := other.State(context.Background(), q, id, shard.Asker{})
 			return out == schema.CallOutcomeOk && state == jobs.StateCompleted
 		})
 	}
@@ -207,7 +208,7 @@
 	spec := jobs.Spec{Text: "work", Steps: []jobs.Step{{Count: 3, Needs: platform.Resources{CPU: 500}}, {Count: 1, Needs: platform.Resources{CPU: 500}, After: []int{0}}}}
 	q := n.Catalog().Queue(testQueue)
 	eventually(c, "job "+id+" is taken", func() bool {
-		return n.Submit(context.Background(), q, id, spec) == schema.CallOutcomeOk
+		return n.Submit(context.Background(), q, "", id, spec) == schema.CallOutcomeOk
 	})
 }
 
--- a/pkg/node/patience_test.go
+++ b/pkg/node/patience_test.go
@@ -81,7 +81,7 @@
 			own(c, n, peerEntry(ctx, c, n, "e1", first), 1)
 			second := peerEntry(ctx, c, n, "e2", takes)
 			time.AfterFunc(600*time.Millisecond, func() { own(c, n, second, 2) })
-			c.Check(n.Submit(ctx, waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeOk)
+			c.Check(n.Submit(ctx, waitingQueue, "", "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeOk)
 		})
 	}
 }
@@ -98,7 +98,7 @@
 		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
 	})
 	time.AfterFunc(200*time.Millisecond, func() { own(c, n, second, 2) })
-	c.Check(n.Submit(ctx, waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
+	c.Check(n.Submit(ctx, waitingQueue, "", "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
 }
 
 // TestCallerGoneEndsWait has a caller leave while its submission waits for an owner:
@@ -117,7 +117,7 @@
 	}), 1)
 	callerCtx, leave := context.WithTimeout(ctx, 400*time.Millisecond)
 	defer leave()
-	c.Check(n.Submit(callerCtx, waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeRefused)
+	c.Check(n.Submit(callerCtx, waitingQueue, "", "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeRefused)
 	c.Check(asked.Load() <= 4, qt.IsTrue, qt.Commentf("asked %d times in 400 ms", asked.Load()))
 }
 
@@ -132,7 +132,7 @@
 		_, err := n.rows.ListRows(context.Background(), "any", "", "")
 		c.Assert(err, qt.IsNotNil)
 		began := time.Now()
-		c.Check(n.Submit(context.Background(), waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeRefused)
+		c.Check(n.Submit(context.Background(), waitingQueue, "", "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeRefused)
 		c.Check(time.Since(began) <= ownerWait, qt.IsTrue)
 	})
 }
@@ -157,7 +157,7 @@
 		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
 	})
 	time.AfterFunc(200*time.Millisecond, func() { own(c, n, second, 2) })
-	c.Check(n.Submit(ctx, waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
+	c.Check(n.Submit(ctx, waitingQueue, "", "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
 }
 
 // TestEndOfStopEndsWait has a submission wait for an owner that does not answer when
@@ -171,6 +171,6 @@
 	own(c, n, peerEntry(ctx, c, n, "e1", silent), 1)
 	time.AfterFunc(200*time.Millisecond, n.endAnswer)
 	started := time.Now()
-	c.Check(n.Submit(ctx, waitingQueue, "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
+	c.Check(n.Submit(ctx, waitingQueue, "", "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeUnknown)
 	c.Check(time.Since(started) < time.Second, qt.IsTrue)
 }
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -18,6 +18,9 @@
 
 // Call is a question over a link that carries many at once.
 type Call struct {
+	// Account is the client account that asks, empty for a caller without one.
+	Account string `json:"account" msgpack:"account"`
+
 	// CatalogVersion is the version that the sender has, 0 for none.
 	CatalogVersion int `json:"catalog_version" msgpack:"catalog_version"`
 
@@ -30,6 +33,9 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind CallKind `json:"kind" msgpack:"kind"`
 
+	// Operator tells that an operator asks, who may see the jobs of all accounts.
+	Operator bool `json:"operator" msgpack:"operator"`
+
 	// OwnersVersion is the highest version of an owner row that the sender has seen.
 	OwnersVersion int `json:"owners_version" msgpack:"owners_version"`
 
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -14,18 +14,33 @@
 // its outcome is told as unknown.
 const submitWait = 1500 * time.Millisecond
 
-// Submit keeps a job and starts it; it may be called again for the same ID.
+// Asker is who asks for a job.
+type Asker struct {
+	Account  string // client account, empty for none
+	Operator bool   // who may see the jobs of all accounts
+}
+
+// maySee tells whether the asker may learn of a job.
+func (a Asker) maySee(r *jobs.Record) bool { return a.Operator || r.BelongsTo(a.Account) }
+
+// Submit keeps a job and starts it; it may be called again for the same ID. An ID
+// under which another account has handed in a job is refused as any other submission
+// may be, so that an account does not learn of the jobs of others.
 func (o *Owner) Submit(ctx context.Context, id string, r jobs.Record) Outcome {
 	o.mu.Lock()
-	switch {
-	case o.over || o.releasing:
+	if o.over || o.releasing {
 		o.mu.Unlock()
 		return schema.CallOutcomeNotOwner
-	case o.book.Job(id) != nil:
+	}
+	if j := o.book.Job(id); j != nil {
 		o.mu.Unlock()
-		return schema.CallOutcomeOk
+		return o.submittedBefore(id, &j.Record, &r)
 	}
 	if s := o.pending[id]; s != nil {
+		if !s.record.BelongsTo(r.Account) {
+			o.mu.Unlock()
+			return o.submittedBefore(id, &s.record, &r)
+		}
 		s.waiting++ // its first arrival is on its way to the table
 		o.mu.Unlock()
 		return o.awaitSubmission(ctx, s)
@@ -48,6 +63,15 @@
 	return o.awaitSubmission(ctx, s)
 }
 
+// submittedBefore answers a submission whose ID is taken.
+func (o *Owner) submittedBefore(id string, first, r *jobs.Record) Outcome {
+	if first.BelongsTo(r.Account) {
+		return schema.CallOutcomeOk
+	}
+	o.log.Warn().Str("event", "submission_of_other_account").Str("request", id).Str("account", r.Account).Str("first", first.Account).Send()
+	return schema.CallOutcomeRefused
+}
+
 // awaitSubmission returns the outcome of a submission. One that has not been sent
 // to the table service in time is withdrawn, unless others wait for it too.
 func (o *Owner) awaitSubmission(ctx context.Context, s *submission) Outcome {
@@ -87,20 +111,12 @@
 }
 
 // Cancel ends a job.
-func (o *Owner) Cancel(ctx context.Context, id string) Outcome {
+func (o *Owner) Cancel(ctx context.Context, id string, by Asker) Outcome {
 	o.mu.Lock()
-	j := o.book.Job(id)
-	if o.over {
+	j, out := o.find(id, by)
+	if out != schema.CallOutcomeOk {
 		o.mu.Unlock()
-		return schema.CallOutcomeNotOwner
-	}
-	if j == nil {
-		_, arriving := o.pending[id]
-		o.mu.Unlock()
-		if arriving {
-			return schema.CallOutcomeUnknown
-		}
-		return schema.CallOutcomeNotFound
+		return out
 	}
 	if j.Kept.Final() {
 		o.mu.Unlock()
@@ -123,20 +139,28 @@
 }
 
 // State returns the state of a job that callers may be told.
-func (o *Owner) State(id string) (jobs.State, Outcome) {
+func (o *Owner) State(id string, by Asker) (jobs.State, Outcome) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	j, out := o.find(id, by)
+	if out != schema.CallOutcomeOk {
+		return "", out
+	}
+	return j.Kept, out
+}
+
+// find returns a job that the asker may see; one of another account is not there. The lock is held.
+func (o *Owner) find(id string, by Asker) (*jobs.Job, Outcome) {
 	if o.over {
-		return "", schema.CallOutcomeNotOwner
+		return nil, schema.CallOutcomeNotOwner
 	}
-	j := o.book.Job(id)
-	if j == nil {
-		if _, arriving := o.pending[id]; arriving {
-			return "", schema.CallOutcomeUnknown
-		}
-		return "", schema.CallOutcomeNotFound
+	if j := o.book.Job(id); j != nil && by.maySee(&j.Record) {
+		return j, schema.CallOutcomeOk
+	}
+	if s := o.pending[id]; s != nil && by.maySee(&s.record) {
+		return nil, schema.CallOutcomeUnknown
 	}
-	return j.Kept, schema.CallOutcomeOk
+	return nil, schema.CallOutcomeNotFound
 }
 
 // Waiting counts the jobs of a queue that have not begun.
--- a/pkg/shard/calls_test.go
+++ b/pkg/shard/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 	"strings"
 	"sync"
 	"testing"
@@ -23,9 +24,9 @@
 		defer e.close()
 		c.Assert(e.own("a"), qt.Equals, "term 1\n")
 		outcomes := make(chan string, 2)
-		go func() { outcomes <- e.submit("a", "j1", "1x1000/200ms") }()
+		go func() { outcomes <- e.submit("a", "", "j1", "1x1000/200ms") }()
 		time.Sleep(100 * time.Millisecond)
-		go func() { outcomes <- e.submit("a", "j1", "1x1000/200ms") }()
+		go func() { outcomes <- e.submit("a", "", "j1", "1x1000/200ms") }()
 		c.Check(<-outcomes, qt.Equals, "ok\n")
 		c.Check(<-outcomes, qt.Equals, "ok\n")
 		time.Sleep(5 * time.Second)
@@ -43,7 +44,7 @@
 		c.Assert(e.own("a"), qt.Equals, "term 1\n")
 		outcomes := make(chan string, 20)
 		for _, id := range []string{"j0", "j1", "j2", "j3", "j4", "j5", "j6", "j7", "j8", "j9"} {
-			go func() { outcomes <- e.submit("a", id, "1x100/100ms") }()
+			go func() { outcomes <- e.submit("a", "", id, "1x100/100ms") }()
 			time.Sleep(200 * time.Millisecond)
 		}
 		for range 10 {
@@ -70,7 +71,7 @@
 		for i := range jobCount {
 			id := fmt.Sprintf("%016x", i)
 			go func() {
-				out := e.submit("a", id, "1x50/1s")
+				out := e.submit("a", "", id, "1x50/1s")
 				mu.Lock()
 				defer mu.Unlock()
 				accepted[id] = out == "ok\n"
@@ -87,7 +88,7 @@
 		c.Assert(accepted, qt.HasLen, jobCount)
 		taken := 0
 		for id, ok := range accepted {
-			state, out := e.owners["b"].State(id)
+			state, out := e.owners["b"].State(id, shard.Asker{})
 			if ok {
 				taken++
 				c.Check(string(out)+" "+string(state), qt.Equals, "ok completed", qt.Commentf("job %s", id))
--- a/pkg/shard/dispatch_test.go
+++ b/pkg/shard/dispatch_test.go
@@ -46,7 +46,7 @@
 		}
 		e.addWorker("w1", "w1", "w1", "20000", "0")
 		e.own("a")
-		e.submit("a", "j1", "20x1000/1s")
+		e.submit("a", "", "j1", "20x1000/1s")
 		time.Sleep(200 * time.Millisecond)
 		synctest.Wait()
 		qt.Check(t, counted.most, qt.Equals, 2)
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -251,7 +251,7 @@
 	return fmt.Sprintf("term %d\n", o.Term())
 }
 
-func (e *estate) submit(entry, id, text string) string {
+func (e *estate) submit(entry, account, id, text string) string {
 	spec := jobs.Spec{Text: text}
 	for _, f := range strings.Fields(text) {
 		st, _ := parseStep(f)
@@ -264,7 +264,7 @@
 		e.witness.steps[id] = text
 		e.witness.copies[id] = strings.Contains(text, "copies")
 	})
-	out := e.owners[entry].Submit(context.Background(), id, jobs.Record{Queue: queue, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: maxAttempts, Spec: spec})
+	out := e.owners[entry].Submit(context.Background(), id, jobs.Record{Queue: queue, Account: account, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: maxAttempts, Spec: spec})
 	return string(out) + "\n"
 }
 
--- a/pkg/shard/limit_test.go
+++ b/pkg/shard/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 	"strings"
 	"sync"
 	"testing"
@@ -76,14 +77,14 @@
 		e.own("a")
 		time.Sleep(3 * time.Second)
 		for i := range 200 {
-			go e.submit("a", fmt.Sprintf("%016x", i), "8x1000/800ms")
+			go e.submit("a", "", fmt.Sprintf("%016x", i), "8x1000/800ms")
 			time.Sleep(20 * time.Millisecond)
 		}
 		time.Sleep(26 * time.Second)
 		synctest.Wait()
 		done := 0
 		for i := range 200 {
-			if state, _ := e.owners["a"].State(fmt.Sprintf("%016x", i)); state == "completed" {
+			if state, _ := e.owners["a"].State(fmt.Sprintf("%016x", i), shard.Asker{}); state == "completed" {
 				done++
 			}
 		}
--- a/pkg/shard/load_bench_test.go
+++ b/pkg/shard/load_bench_test.go
@@ -20,7 +20,7 @@
 			e.own("a")
 			time.Sleep(time.Second)
 			for i := range 510 {
-				go e.submit("a", fmt.Sprintf("%016x", i), "8x4100/640ms 8x4100/640ms<0")
+				go e.submit("a", "", fmt.Sprintf("%016x", i), "8x4100/640ms 8x4100/640ms<0")
 				time.Sleep(time.Second / 170)
 			}
 			time.Sleep(4 * time.Second)
--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 	"slices"
 	"strings"
 	"sync"
@@ -87,7 +88,7 @@
 	if m.e.owners[m.present] == nil {
 		return
 	}
-	out := schema.CallOutcome(strings.TrimSpace(m.e.submit(m.present, id, text)))
+	out := schema.CallOutcome(strings.TrimSpace(m.e.submit(m.present, "", id, text)))
 	m.e.locked(func() {
 		before, known := m.e.witness.refused[id]
 		m.e.witness.refused[id] = (before || !known) && (out == schema.CallOutcomeRefused || out == schema.CallOutcomeNotOwner)
@@ -103,8 +104,8 @@
 	}
 	id := fmt.Sprintf("%016x", rapid.IntRange(1, m.jobs).Draw(m.t, "job"))
 	job := m.e.owners[m.present]
-	state, _ := job.State(id)
-	if out := job.Cancel(context.Background(), id); out == schema.CallOutcomeOk && !state.Final() {
+	state, _ := job.State(id, shard.Asker{Operator: true})
+	if out := job.Cancel(context.Background(), id, shard.Asker{Operator: true}); out == schema.CallOutcomeOk && !state.Final() {
 		m.e.locked(func() { m.e.witness.cancelled[id] = time.Now() })
 	}
 }
@@ -195,7 +196,7 @@
 		m.t.Fatalf("broken: %s\n%s", strings.Join(broken, "\n"), m.e.log.String())
 	}
 	for id := range m.accepted {
-		state, out := m.e.owners[m.present].State(id)
+		state, out := m.e.owners[m.present].State(id, shard.Asker{Operator: true})
 		if out != schema.CallOutcomeOk || !state.Final() {
 			m.t.Fatalf("job %s is %s %s in the end\n%s", id, out, state, m.e.log.String())
 		}
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -89,8 +89,13 @@
 	return r, errors.Wrapf(err, "read owner of shard %s", pool)
 }
 
-// FindJob tells whether the partition of a shard holds a job.
-func FindJob(ctx context.Context, rows platform.Rows, pool, id string) (found bool, err error) {
+// FindJob tells whether the partition of a shard holds a job that the asker may see.
+func FindJob(ctx context.Context, rows platform.Rows, pool, id string, by Asker) (found bool, err error) {
+	defer func() { err = errors.Wrapf(err, "look for job %s", id) }()
 	r, err := ReadOne(ctx, rows, jobKey(pool, id))
-	return r.Version > 0, errors.Wrapf(err, "look for job %s", id)
+	if err != nil || r.Version == 0 {
+		return false, err
+	}
+	record, err := jobs.DecodeRecord(r.Value)
+	return err == nil && by.maySee(&record), err
 }
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
 // TestScripts plays each file of testdata in virtual time.
@@ -69,11 +70,11 @@
 		delete(e.owners, entry)
 		return ""
 	case "submit":
-		return e.submit(entry, arg("id", ""), strings.TrimSpace(d.Input))
+		return e.submit(entry, arg("account", ""), arg("id", ""), strings.TrimSpace(d.Input))
 	case "cancel":
-		return string(e.owners[entry].Cancel(context.Background(), arg("id", ""))) + "\n"
+		return string(e.owners[entry].Cancel(context.Background(), arg("id", ""), shard.Asker{Account: arg("account", "")})) + "\n"
 	case "state":
-		state, out := e.owners[entry].State(arg("id", ""))
+		state, out := e.owners[entry].State(arg("id", ""), shard.Asker{Account: arg("account", ""), Operator: arg("operator", "") != ""})
 		return fmt.Sprintf("%s %s\n", out, state)
 	case "waiting":
 		n, out := e.owners[entry].Waiting(queue)
