An account's limit holds over all pools: shares divided by one holder

Change: pkg/allowance. Each shard holds a share of each limit; the fleet's owner divides them with the loads that it asks for anyway. Shares are kept in the shard's partition beside the leased workers (one read at a takeover, written with other rows), and are used when granted. Placement takes starts out of a budget for each account; gangs, copies, restarts count, what is being stopped counts, and what a former owner may have left at workers not heard yet. Ruled out: a fixed split (a pool in its turn asks for most of the limit); allowances that expire (what runs does not); keeping a raised share before it is used (safe without).

--- /dev/null
+++ b/pkg/allowance/shard.go
@@ -0,0 +1,65 @@
+package allowance
+
+import "maps"
+
+// Shard holds the shares of one shard. It is not safe for concurrent use.
+type Shard struct {
+	kept Row // what the table service holds
+	next Row // what it is to hold
+}
+
+// NewShard returns the shares of a shard whose row is kept; the zero row is that of a new shard.
+func NewShard(kept Row) *Shard {
+	return &Shard{kept: kept, next: kept}
+}
+
+// Take takes a grant; it reports whether a row is to be kept. A share may fall below
+// what runs, which goes on: the holder counts it until it has ended.
+func (s *Shard) Take(g Grant) (changed bool) {
+	if g.Term < s.next.Term || g.Term == s.next.Term && g.Seq <= s.next.Seq {
+		return false // of a former holder, or late
+	}
+	claims := g.Term != s.next.Term
+	s.next.Term, s.next.Seq = g.Term, g.Seq
+	if len(g.Shares) == 0 {
+		return claims
+	}
+	s.next.Bound = true
+	s.next.Shares = maps.Clone(s.next.Shares)
+	if s.next.Shares == nil {
+		s.next.Shares = map[string]float64{}
+	}
+	maps.Copy(s.next.Shares, g.Shares)
+	return true
+}
+
+// Next is the row to be kept.
+func (s *Shard) Next() Row { return s.next }
+
+// Keep notes that the table service holds a row that Next has returned.
+func (s *Shard) Keep(r Row) { s.kept = r }
+
+// Bound tells whether limits bind here: some holder has granted shares.
+func (s *Shard) Bound() bool { return s.next.Bound }
+
+// Share is the part of an account's limit that may run here. One that was raised is
+// used before it is kept: whoever follows counts what runs, and the holder the higher
+// of that and the share.
+func (s *Shard) Share(account string) float64 { return s.next.Shares[account] }
+
+// Outstanding is the part that the shard may turn out to hold, whoever owns it next.
+func (s *Shard) Outstanding(account string) float64 {
+	return max(s.kept.Shares[account], s.next.Shares[account])
+}
+
+// Accounts calls f for each account that has a share here.
+func (s *Shard) Accounts(f func(account string)) {
+	for account := range s.next.Shares {
+		f(account)
+	}
+}
+
+// Report is what the holder is told, but for the accounts.
+func (s *Shard) Report() Report {
+	return Report{Term: s.kept.Term, Seq: s.kept.Seq, Bound: s.next.Bound}
+}
--- a/pkg/catalog/account.go
+++ b/pkg/catalog/account.go
@@ -90,3 +90,13 @@
 	}
 	return "", false
 }
+
+// LimitedAccounts returns the names of the accounts that have a limit.
+func (c *Catalog) LimitedAccounts() (names []string) {
+	for i := range c.Accounts {
+		if c.Accounts[i].Limit != (platform.Resources{}) {
+			names = append(names, c.Accounts[i].Name)
+		}
+	}
+	return names
+}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -100,3 +100,13 @@
 	}
 	return ""
 }
+
+// WorkingPools returns the names of the pools whose VMs are switched on.
+func (c *Catalog) WorkingPools() (names []string) {
+	for _, p := range c.Pools {
+		if !p.Spare {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -29,29 +30,43 @@
 // loads asks the owner of each shard how busy it is; pools whose owner does not answer are left out.
 func (r *Runner) loads(ctx context.Context) map[string]shard.Load {
 	r.mu.Lock()
-	pools := r.catalog.Pools
+	cat := r.catalog
 	r.mu.Unlock()
+	pools := cat.WorkingPools()
+	grants := r.limits.Plan(pools, cat.LimitedAccounts())
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	loads := map[string]shard.Load{}
-	for _, p := range pools {
-		if p.Spare {
-			continue
-		}
+	for _, pool := range pools {
 		wg.Go(func() {
-			l, ok := r.cfg.Load(ctx, p.Name)
+			l, ok := r.cfg.Load(ctx, pool, r.grantFor(pool, grants))
 			if !ok {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			loads[p.Name] = l
+			loads[pool] = l
 		})
 	}
 	wg.Wait()
+	for pool, l := range loads {
+		r.limits.Take(pool, l.Accounts)
+	}
 	return loads
 }
 
+// grantFor returns the shares that a pool's shard is to get, nil for none.
+func (r *Runner) grantFor(pool string, grants map[string]allowance.Grant) *allowance.Grant {
+	g, ok := grants[pool]
+	if !ok {
+		return nil
+	}
+	if len(g.Shares) > 0 {
+		r.log.Info().Str("event", "shares_granted").Str("shard", pool).Int64("seq", g.Seq).Int("accounts", len(g.Shares)).Send()
+	}
+	return &g
+}
+
 // rise is by how much a pool's demand will have grown when a VM that is moved now has arrived.
 func (r *Runner) rise(pool string, demand int) int {
 	now := r.now()
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
@@ -152,7 +153,9 @@
 	cat := catalog.New(catalog.Catalog{Pools: []catalog.Pool{{Name: "a"}, {Name: "b"}, {Name: "off", Spare: true}}})
 	return Open(context.Background(), Config{
 		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Since: since, Rows: rows, Machines: vms,
-		Empty: func(context.Context, string, string) bool { return true }, Load: s.load,
+		Empty: func(context.Context, string, string) bool { return true }, Load: func(ctx context.Context, pool string, _ *allowance.Grant) (shard.Load, bool) {
+			return s.load(ctx, pool)
+		},
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
 		Waves:  s.requested,
 		Pause:  pause, Sending: func() {}, OnOver: func(error) {},
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -22,6 +23,9 @@
 // it empty for some seconds; it reports whether nothing is left there.
 type Emptier func(ctx context.Context, pool, vm string) (empty bool)
 
+// Loader asks for the load of a pool's shard; grant goes with the question if it is not nil.
+type Loader func(ctx context.Context, pool string, grant *allowance.Grant) (l shard.Load, ok bool)
+
 // Config is what a Runner works with.
 type Config struct {
 	Self  shard.Identity
@@ -31,9 +35,9 @@
 	Rows     platform.Rows
 	Machines platform.Machines
 	Empty    Emptier
-	Load     func(ctx context.Context, pool string) (l shard.Load, ok bool) // of a pool's shard
-	Waves    func() []Wave                                                  // all requests for maintenance that are known by now
-	Report   func(wave int, completed bool) (platform.Row, error)           // makes the row that tells the operator of a wave
+	Load     Loader
+	Waves    func() []Wave                                        // all requests for maintenance that are known by now
+	Report   func(wave int, completed bool) (platform.Row, error) // makes the row that tells the operator of a wave
 
 	Pause time.Duration // between orders of two holders for a VM
 	Takes time.Duration // the maintenance of one VM
@@ -58,6 +62,7 @@
 	former      map[string]time.Duration // until when former holders may have sent orders for a VM, on the table service's clock
 	lastLoads   map[string]shard.Load    // by pool
 	trends      map[string]trend         // of demand, by pool
+	limits      *allowance.Holder        // divides accounts' limits among shards
 	surplus     map[string]int           // steps in a row with VMs left over, by pool
 	moves       map[string]*move         // by VM
 	announced   map[string]time.Duration // until when orders for a VM may be sent, as is kept, on the table service's clock
@@ -81,7 +86,7 @@
 	now := time.Since(cfg.Since)
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
-		done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
+		limits: allowance.NewHolder(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
 		formerKnown: c.Term == 1, former: map[string]time.Duration{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
 	}
@@ -150,6 +155,7 @@
 		if ctx.Err() == nil {
 			r.log.Warn().Str("event", "machines_not_listed").Err(err).Send()
 		}
+		r.loads(ctx) // accounts' limits go on being divided
 		return
 	}
 	r.takeWaves()
--- a/pkg/jobs/book.go
+++ b/pkg/jobs/book.go
@@ -17,12 +17,15 @@
 type Book struct {
 	term   int64
 	jobs   map[string]*Job
-	active []*Job // not final, in order of acceptance
-	ended  int    // jobs in active that have become final since it was tidied
+	active []*Job                        // not final, in order of acceptance
+	ended  int                           // jobs in active that have become final since it was tidied
+	held   map[string]platform.Resources // by client account: what attempts take or may take
 }
 
 // NewBook returns an empty book; attempt numbers rise with the term.
-func NewBook(term int64) *Book { return &Book{term: term, jobs: map[string]*Job{}} }
+func NewBook(term int64) *Book {
+	return &Book{term: term, jobs: map[string]*Job{}, held: map[string]platform.Resources{}}
+}
 
 // Add takes a job that was just accepted.
 func (b *Book) Add(id string, r Record, now time.Duration) {
@@ -50,6 +53,7 @@
 // Remove forgets a job.
 func (b *Book) Remove(id string) {
 	if j := b.jobs[id]; j != nil {
+		j.eachAttempt(b.Drop)
 		delete(b.jobs, id)
 		b.active = slices.DeleteFunc(b.active, func(o *Job) bool { return o == j })
 	}
@@ -144,9 +148,15 @@
 	}
 	t.Attempts = append(t.Attempts, a)
 	t.WantsCopy = false
+	j := t.Step.Job
+	b.held[j.Account] = b.held[j.Account].Add(t.Step.Spec.Needs)
 	return a
 }
 
+// Held is what the attempts of a client account's tasks take or may take, those that
+// are being stopped included.
+func (b *Book) Held(account string) platform.Resources { return b.held[account] }
+
 // MarkBegun notes that a worker has taken the attempt.
 func (b *Book) MarkBegun(a *Attempt) {
 	if a.Phase != PhaseStopped {
@@ -162,19 +172,40 @@
 	}
 }
 
+// EachHeld calls f for each client account whose tasks have attempts.
+func (b *Book) EachHeld(f func(account string)) {
+	for account := range b.held {
+		f(account)
+	}
+}
+
 // Drop notes that an attempt is not at its worker: it never started, or was lost with it.
 func (b *Book) Drop(a *Attempt) {
 	t := a.Task
-	had := len(t.Attempts)
-	t.Attempts = slices.DeleteFunc(t.Attempts, func(o *Attempt) bool { return o == a })
-	if had > 0 && len(t.Attempts) == 0 && !t.Done {
-		t.Step.held--
+	at := slices.Index(t.Attempts, a)
+	if at >= 0 {
+		t.Attempts = slices.Delete(t.Attempts, at, at+1)
+		b.release(t)
 	}
 	if a.Checkpoint != "" {
 		t.Checkpoint = a.Checkpoint
 	}
 }
 
+// release notes that a task has an attempt less.
+func (b *Book) release(t *Task) {
+	if len(t.Attempts) == 0 && !t.Done {
+		t.Step.held--
+	}
+	account := t.Step.Job.Account
+	left := b.held[account].Sub(t.Step.Spec.Needs)
+	if left == (platform.Resources{}) {
+		delete(b.held, account)
+		return
+	}
+	b.held[account] = left
+}
+
 // Effect tells what an end has changed.
 type Effect struct {
 	Keep     bool       // the job's progress has to be kept before the end is acknowledged
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -1,6 +1,11 @@
 package jobs
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
 
 // State is the state of a job as callers see it.
 type State string
@@ -30,7 +35,8 @@
 	AddedAt  time.Duration // on the owner's clock; before its start for a job of a former owner
 	Restored bool          // it was kept by a former owner
 
-	unfinished int // steps
+	unfinished int                // steps
+	leftOver   platform.Resources // what attempts of a final job took when a former owner kept it
 }
 
 // StepRun is a step of one occurrence.
@@ -183,3 +189,40 @@
 		return StateQueued
 	}
 }
+
+// eachAttempt calls f for each attempt of the job's tasks.
+func (j *Job) eachAttempt(f func(*Attempt)) {
+	for _, s := range j.Steps {
+		for _, t := range s.Tasks {
+			for _, a := range slices.Clone(t.Attempts) {
+				f(a)
+			}
+		}
+	}
+}
+
+// outstanding is what the attempts of the job's tasks take.
+func (j *Job) outstanding() (sum platform.Resources) {
+	j.eachAttempt(func(a *Attempt) { sum = sum.Add(a.Task.Step.Spec.Needs) })
+	return sum
+}
+
+// Unseen is what tasks of a restored job may take at workers that its present owner has
+// not heard yet. A former owner may have started tasks of steps whose predecessors are
+// not known to be done, since ends are kept after what follows has been started.
+func (j *Job) Unseen() (sum platform.Resources) {
+	if !j.Restored {
+		return sum
+	}
+	if j.State.Final() {
+		return j.leftOver
+	}
+	for _, s := range j.Steps {
+		for _, t := range s.Tasks {
+			if t.Idle() || s.Spec.Speculative && len(t.Attempts) < 2 {
+				sum = sum.Add(s.Spec.Needs)
+			}
+		}
+	}
+	return sum
+}
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -3,12 +3,16 @@
 import (
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 // Progress is what is kept of how far a job has come.
 type Progress struct {
 	State State          `msgpack:"s,omitempty"` // empty while it goes on
 	Steps []StepProgress `msgpack:"p,omitempty"`
+	// Out is what attempts of a final job still took, which were being stopped.
+	Out *platform.Resources `msgpack:"o,omitempty"`
 }
 
 // StepProgress is the part of one step in which something has happened.
@@ -37,6 +41,9 @@
 	p := Progress{}
 	if j.State.Final() {
 		p.State = j.State
+		if out := j.outstanding(); out != (platform.Resources{}) {
+			p.Out = &out
+		}
 		return p
 	}
 	for at, s := range j.Steps {
@@ -81,6 +88,9 @@
 func (j *Job) restore(p Progress) {
 	if p.State.Final() {
 		j.State, j.Kept, j.Begun = p.State, p.State, true
+		if p.Out != nil {
+			j.leftOver = *p.Out
+		}
 		return
 	}
 	for _, sp := range p.Steps {
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -273,7 +273,8 @@
 		waiting, out := o.Waiting(q.Queue)
 		return &schema.CallReply{Outcome: out, Waiting: waiting}
 	case schema.CallKindLoad:
-		l, ok := o.Load()
+		full := n.passGrant(o, q.Grant)
+		l, ok := o.Load(full)
 		raw, err := msgpack.Marshal(l)
 		if !ok || err != nil {
 			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -32,7 +32,7 @@
 		wg.Go(func() {
 			row, _, _ := n.keeper.Owner(pool)
 			st := api.ShardStatus{Pool: pool, Owner: row.Entry, Term: int(row.Term)}
-			if l, ok := n.loadOf(ctx, pool); ok {
+			if l, ok := n.loadOf(ctx, pool, nil); ok {
 				st.Loaded, st.Workers, st.TasksWaiting = true, l.Workers, l.Tasks
 				st.Cpu, st.CpuUsed, st.CpuWaiting = l.Capacity.CPU, l.Used.CPU, l.Waiting.CPU
 			}
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
@@ -84,11 +85,36 @@
 	return reply.Outcome == schema.CallOutcomeOk
 }
 
-// loadOf asks the owner of a pool's shard how busy it is.
-func (n *Node) loadOf(ctx context.Context, pool string) (l shard.Load, ok bool) {
+// passGrant gives the owner of a shard the shares that came with a question about load;
+// it reports whether all its accounts are to be reported.
+func (n *Node) passGrant(o *shard.Owner, raw []byte) (full bool) {
+	if len(raw) == 0 {
+		return false
+	}
+	var g allowance.Grant
+	if err := msgpack.Unmarshal(raw, &g); err != nil {
+		n.log.Error().Str("event", "grant_malformed").Err(err).Send()
+		return false
+	}
+	o.TakeGrant(g)
+	return g.Full
+}
+
+// loadOf asks the owner of a pool's shard how busy it is, and gives it shares of
+// accounts' limits if there are any to give.
+func (n *Node) loadOf(ctx context.Context, pool string, g *allowance.Grant) (l shard.Load, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, emptyTimeout)
 	defer cancel()
-	reply := n.ask(ctx, &schema.Call{Kind: schema.CallKindLoad, Pool: pool})
+	q := &schema.Call{Kind: schema.CallKindLoad, Pool: pool}
+	if g != nil {
+		raw, err := msgpack.Marshal(g)
+		if err != nil {
+			n.log.Error().Str("event", "grant_encode_failed").Str("pool", pool).Err(err).Send()
+			return l, false
+		}
+		q.Grant = raw
+	}
+	reply := n.ask(ctx, q)
 	if reply.Outcome != schema.CallOutcomeOk {
 		return l, false
 	}
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -35,6 +35,7 @@
 	Allowed  func(boot string) bool // which hosts the advice service lets run the step, nil for any
 	Lost     time.Duration          // when its job is of little use any more, 0 for never
 	Left     time.Duration          // estimated work of its job that is still to be done, one step after the other
+	Budget   *Budget                // of its client account, nil for no limit
 }
 
 // Start says that a task starts on a host.
@@ -129,6 +130,9 @@
 		if h == nil {
 			return starts, false // the tasks of a step are alike
 		}
+		if !c.Budget.take(c.Step.Spec, 1) {
+			return starts, true
+		}
 		h.place(c.Step)
 		starts = append(starts, Start{Task: t, Host: h})
 		last = h
@@ -195,6 +199,9 @@
 	if len(c.Tasks) != len(c.Step.Tasks) {
 		return nil // a former run has not ended everywhere
 	}
+	if !c.Budget.covers(c.Step.Spec, len(c.Tasks)) {
+		return nil
+	}
 	if c.Step.Spec.SameRack {
 		for _, group := range byRack(hosts) {
 			if starts := placeAll(c, group); starts != nil {
@@ -217,6 +224,7 @@
 		h.place(c.Step)
 		starts = append(starts, Start{Task: t, Host: h})
 	}
+	c.Budget.take(c.Step.Spec, len(starts))
 	return starts
 }
 
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -24,6 +24,10 @@
 	// CatalogVersion is the version that the sender has, 0 for none.
 	CatalogVersion int `json:"catalog_version" msgpack:"catalog_version"`
 
+	// Grant is the encoded shares of client accounts' limits that go with a question
+	// about load.
+	Grant []byte `json:"grant" msgpack:"grant"`
+
 	// ID pairs the reply with the call on its link.
 	ID int `json:"id" msgpack:"id"`
 
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -35,9 +36,10 @@
 type batch struct {
 	submissions []*submission
 	jobs        []*jobs.Job
-	states      []jobs.State // of jobs, as they are written
-	workers     []*session   // that become recorded
-	record      bool         // the record of leased workers is written
+	states      []jobs.State   // of jobs, as they are written
+	workers     []*session     // that become recorded
+	record      bool           // the record of leased workers is written
+	shares      *allowance.Row // of accounts' limits, as they are written, nil if they are not
 	acks        map[*session]int64
 	drops       []string
 	txn         platform.RowTxn
@@ -73,6 +75,9 @@
 			return nil, err
 		}
 	}
+	if err := o.putShares(b); err != nil {
+		return nil, err
+	}
 	o.urgent = len(o.queued) > 0
 	if b.empty() {
 		// Ends that changed nothing need no row.
@@ -184,6 +189,9 @@
 		s.recorded = true
 		s.kick()
 	}
+	if b.shares != nil {
+		o.accounts.shares.Keep(*b.shares)
+	}
 	o.acknowledge(b)
 	o.kickPlacement()
 }
@@ -212,6 +220,7 @@
 	if b.record {
 		o.workersChanged = true
 	}
+	o.accounts.changed = o.accounts.changed || b.shares != nil
 	if outcome == schema.CallOutcomeUnknown {
 		o.giveUp(err)
 		return
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -46,6 +47,7 @@
 	breakRows    func(platform.Rows) platform.Rows
 	breakWorkers func(platform.Workers) platform.Workers
 	asked        int // calls for advice
+	limits       []catalog.Account
 	owners       map[string]*shard.Owner
 	faults       map[string]fake.Fault // by "op entry" and "op boot entry", with * for any
 	faultTimes   map[string]int        // calls that a fault strikes, 0 and less for all
@@ -155,6 +157,8 @@
 		Version: 1,
 		Queues:  []catalog.Queue{{Name: queue, Pool: pool, MaxAttempts: maxAttempts, Stretch: 2, TargetLatency: time.Second, Advice: len(e.allowed) > 0}},
 		Pools:   []catalog.Pool{{Name: pool, RejectsOverload: true}},
+
+		Accounts: e.limits,
 	})
 }
 
@@ -262,12 +266,30 @@
 	}
 	e.locked(func() {
 		e.witness.steps[id] = text
+		if _, known := e.witness.accounts[id]; !known {
+			e.witness.accounts[id] = account
+		}
 		e.witness.copies[id] = strings.Contains(text, "copies")
 	})
 	out := e.owners[entry].Submit(context.Background(), id, jobs.Record{Queue: queue, Account: account, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: maxAttempts, Spec: spec})
 	return string(out) + "\n"
 }
 
+// limit gives an account a limit on its processors, in thousandths of a core; what the
+// witness allows is set apart, since shares may be lower.
+func (e *estate) limit(account string, cpu int) {
+	e.limits = slices.DeleteFunc(slices.Clone(e.limits), func(a catalog.Account) bool { return a.Name == account })
+	e.limits = append(e.limits, catalog.Account{Name: account, Limit: platform.Resources{CPU: cpu}})
+	for _, o := range e.owners {
+		o.SetCatalog(e.catalog())
+	}
+}
+
+// grant gives an owner a share of an account's limit, as the holder of a term does.
+func (e *estate) grant(entry string, term, seq int64, account string, share float64) {
+	e.owners[entry].TakeGrant(allowance.Grant{Term: term, Seq: seq, Shares: map[string]float64{account: share}})
+}
+
 type noMetrics struct{}
 
 func (noMetrics) Commit(time.Duration, error) {}
--- a/pkg/shard/foreign.go
+++ b/pkg/shard/foreign.go
@@ -11,10 +11,12 @@
 // foreignAttempt is an attempt that runs at a worker and belongs to no task that wants
 // it: it was told to end, and takes resources until its end is listed.
 type foreignAttempt struct {
-	charge     platform.Resources
-	unsized    bool          // what it takes is not known
-	foundAt    time.Duration // when the worker listed it first
-	orderedEnd time.Duration // when its end was last ordered
+	charge     platform.Resources // of the worker
+	account    string             // client account of its job, empty if that is not known
+	needs      platform.Resources // of the account's limit
+	unsized    bool               // what it takes is not known
+	foundAt    time.Duration      // when the worker listed it first
+	orderedEnd time.Duration      // when its end was last ordered
 }
 
 // foreignKey tells attempts of one task apart.
@@ -46,6 +48,7 @@
 	st := &foreignAttempt{foundAt: now, unsized: t == nil}
 	if t != nil {
 		st.charge = placement.Charge(t.Step.Spec)
+		st.account, st.needs = t.Step.Job.Account, t.Step.Spec.Needs
 	}
 	// Without its charge a worker that does not reject what does not fit was given
 	// 14 tasks beside one that was still ending, in 6 of 15 plays of a day on which
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/placement"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -35,17 +36,22 @@
 	AtLimit bool
 	// Light names the VMs without long-running tasks and with little work, the emptiest first.
 	Light []string
+	// Accounts is what client accounts hold and want of their limits.
+	Accounts allowance.Report
 }
 
-// Load sums the shard's workers and waiting tasks up; ok is false while they are not wholly known.
-func (o *Owner) Load() (l Load, ok bool) {
+// Load sums the shard's workers and waiting tasks up, with full those of all accounts;
+// ok is false while they are not wholly known.
+func (o *Owner) Load(full bool) (l Load, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.now()
 	if o.over || !o.confirmed(now) {
 		return l, false
 	}
-	return o.load(now), true
+	l = o.load(now)
+	l.Accounts = o.reportAccounts(full)
+	return l, true
 }
 
 func (o *Owner) load(now time.Duration) (l Load) {
@@ -73,11 +79,12 @@
 	l.Floor = o.floor()
 	l.AtLimit = o.rate.AtLimit()
 	l.Arriving = o.arrivals.demand(now)
+	demand := o.newDemand()
 	o.eachIdle(true, func(s *jobs.StepRun, idle []*jobs.Task) {
 		l.Tasks += len(idle)
-		for range idle {
-			l.Waiting = l.Waiting.Add(placement.Charge(s.Spec))
-		}
+		n := demand.startable(s, len(idle))
+		charge := placement.Charge(s.Spec)
+		l.Waiting = l.Waiting.Add(platform.Resources{CPU: n * charge.CPU, MemoryMB: n * charge.MemoryMB, GPU: n * charge.GPU})
 	})
 	return l
 }
--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -53,6 +53,7 @@
 			m.boot()
 		}
 		m.takeOver()
+		m.bind()
 		steps := rapid.IntRange(3, 14).Draw(t, "steps")
 		for range steps {
 			m.step()
@@ -62,6 +63,28 @@
 	}
 }
 
+// limited is an account whose jobs may have half of limitedCPU running in the pool.
+const (
+	limited    = "north"
+	limitedCPU = 6000
+)
+
+// bind gives the account a limit and the shard a share of it, which is kept from then on.
+func (m *machine) bind() {
+	m.e.limit(limited, limitedCPU)
+	m.e.grant(m.present, 1, 1, limited, 0.5)
+	time.Sleep(time.Second)
+	m.e.locked(func() { m.e.witness.allowed[limited] = limitedCPU / 2 })
+}
+
+// account is whose a job is: every other one is of the account with the limit.
+func account(id string) string {
+	if id[len(id)-1]%2 == 0 {
+		return limited
+	}
+	return ""
+}
+
 func (m *machine) step() {
 	kinds := []func(){m.submit, m.submit, m.submit, m.cancel, m.again, m.boot, m.crash, m.takeOver, m.usurp, m.orderFault, m.rowFault, m.heal, m.fail}
 	kinds[rapid.IntRange(0, len(kinds)-1).Draw(m.t, "kind")]()
@@ -88,7 +111,7 @@
 	if m.e.owners[m.present] == nil {
 		return
 	}
-	out := schema.CallOutcome(strings.TrimSpace(m.e.submit(m.present, "", id, text)))
+	out := schema.CallOutcome(strings.TrimSpace(m.e.submit(m.present, account(id), id, text)))
 	m.e.locked(func() {
 		before, known := m.e.witness.refused[id]
 		m.e.witness.refused[id] = (before || !known) && (out == schema.CallOutcomeRefused || out == schema.CallOutcomeNotOwner)
@@ -224,6 +247,9 @@
 		"transactions without preconditions": func(e *estate) {
 			e.breakRows = func(r platform.Rows) platform.Rows { return unconditional{r} }
 		},
+		"shares forgotten at a takeover": func(e *estate) {
+			e.breakRows = func(r platform.Rows) platform.Rows { return forgetful{r} }
+		},
 	} {
 		t.Run(name, func(t *testing.T) { qt.Assert(t, prop.Finds(t, property(plant)), qt.IsTrue) })
 	}
@@ -262,6 +288,15 @@
 	return r, err
 }
 
+// forgetful does not show the shares of accounts' limits.
+type forgetful struct{ platform.Rows }
+
+func (f forgetful) ListRows(ctx context.Context, table, partition, from string) (platform.RowPage, error) {
+	page, err := f.Rows.ListRows(ctx, table, partition, from)
+	page.Rows = slices.DeleteFunc(page.Rows, func(r platform.Row) bool { return r.Key == "shares" })
+	return page, err
+}
+
 // unconditional drops the preconditions of transactions.
 type unconditional struct{ platform.Rows }
 
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -72,6 +72,7 @@
 
 	catalog   *catalog.Catalog
 	book      *jobs.Book
+	accounts  accounts                  // their shares and limits
 	sessions  map[string]*session       // by boot
 	inOrder   []*session                // sessions by boot, nil when out of date
 	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
@@ -122,7 +123,7 @@
 	o = &Owner{
 		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
-		catalog: cat, book: k.book, sessions: map[string]*session{},
+		catalog: cat, book: k.book, accounts: newAccounts(k.shares), sessions: map[string]*session{},
 		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*learned{},
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
@@ -173,6 +174,7 @@
 func (o *Owner) SetCatalog(c *catalog.Catalog) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.accounts.departFrom(o.catalog, c)
 	o.catalog = c
 	o.kickPlacement()
 }
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -60,6 +60,7 @@
 		o.advised(&candidates[i], hosts, now)
 	}
 	starts := placement.Plan(candidates, hosts, o.rate.Room(now))
+	o.noteAtLimit(candidates, now)
 	o.rate.Spend(len(starts))
 	gangs := map[*jobs.StepRun][]string{}
 	for _, st := range starts {
@@ -110,11 +111,14 @@
 // candidates returns the steps with tasks that may start now, with what their order depends on.
 func (o *Owner) candidates(now time.Duration) (cs []placement.Candidate) {
 	left := map[*jobs.Job]time.Duration{}
+	budgets := o.newBudgets()
 	o.eachIdle(false, func(s *jobs.StepRun, idle []*jobs.Task) {
 		if _, ok := left[s.Job]; !ok {
 			left[s.Job] = o.workLeft(s.Job, now)
 		}
-		cs = append(cs, o.candidate(s, idle, left[s.Job], now))
+		c := o.candidate(s, idle, left[s.Job], now)
+		c.Budget = budgets.of(s.Job.Account)
+		cs = append(cs, c)
 	})
 	return cs
 }
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -35,6 +36,7 @@
 type kept struct {
 	book    *jobs.Book
 	workers []leasedWorker
+	shares  allowance.Row
 }
 
 // readKept reads the partition after the takeover, when no one else can write to it.
@@ -64,14 +66,22 @@
 		}
 		k.book.Restore(r.Key, record, byID[r.Key], now-ageOf(&record))
 	}
-	set, err := ReadOne(ctx, rows, workersKey(pool))
+	sets, err := readAll(ctx, rows, tableWorkers, pool)
 	if err != nil {
 		return k, err
 	}
-	if set.Version > 0 {
-		err = msgpack.Unmarshal(set.Value, &k.workers)
+	for _, r := range sets {
+		switch r.Key {
+		case singleKey:
+			err = msgpack.Unmarshal(r.Value, &k.workers)
+		case sharesKey:
+			err = msgpack.Unmarshal(r.Value, &k.shares)
+		}
+		if err != nil {
+			return k, errors.Wrapf(err, "decode row %s", r.Key)
+		}
 	}
-	return k, errors.Wrap(err, "decode leased workers")
+	return k, nil
 }
 
 // maxAge bounds how old a job may seem by clocks that differ; older ones are late anyway.
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -20,6 +20,10 @@
 // singleKey is the key of the one row in a table that has one row a partition.
 const singleKey = "row"
 
+// sharesKey is the key of the shares of accounts' limits, beside the leased workers, so
+// that a takeover reads both with one call.
+const sharesKey = "shares"
+
 // OwnerRow says who owns a shard.
 type OwnerRow struct {
 	Entry   string `msgpack:"e"` // empty when the last owner has let go
@@ -56,6 +60,10 @@
 	return platform.RowKey{Table: tableWorkers, Partition: pool, Key: singleKey}
 }
 
+func sharesRowKey(pool string) platform.RowKey {
+	return platform.RowKey{Table: tableWorkers, Partition: pool, Key: sharesKey}
+}
+
 func jobKey(pool, id string) platform.RowKey {
 	return platform.RowKey{Table: tableJob, Partition: pool, Key: id}
 }
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -126,6 +127,22 @@
 		return ""
 	case "empty":
 		return fmt.Sprintf("%v\n", e.owners[entry].Empty(arg("vm", "")))
+	case "limit":
+		cpu, _ := strconv.Atoi(arg("cpu", "0"))
+		e.limit(arg("account", ""), cpu)
+		return ""
+	case "allowed":
+		cpu, _ := strconv.Atoi(arg("cpu", "0"))
+		e.locked(func() { e.witness.allowed[arg("account", "")] = cpu })
+		return ""
+	case "grant":
+		term, _ := strconv.ParseInt(arg("term", "1"), 10, 64)
+		seq, _ := strconv.ParseInt(arg("seq", "1"), 10, 64)
+		share, _ := strconv.ParseFloat(arg("share", "0"), 64)
+		e.grant(entry, term, seq, arg("account", ""), share)
+		return ""
+	case "accounts":
+		return e.accounts(entry)
 	case "check":
 		return e.witness.report()
 	case "log":
@@ -135,3 +152,18 @@
 		return ""
 	}
 }
+
+// accounts says what an owner reports of client accounts.
+func (e *estate) accounts(entry string) string {
+	l, ok := e.owners[entry].Load(true)
+	if !ok {
+		return "not known\n"
+	}
+	var out strings.Builder
+	fmt.Fprintf(&out, "holder %d, grant %d, bound %v\n", l.Accounts.Term, l.Accounts.Seq, l.Accounts.Bound)
+	slices.SortFunc(l.Accounts.Accounts, func(a, b allowance.Use) int { return strings.Compare(a.Account, b.Account) })
+	for _, u := range l.Accounts.Accounts {
+		fmt.Fprintf(&out, "%s: running %.2f, wanted %.2f, step %.2f, share %.2f\n", u.Account, u.Running, u.Wanted, u.Step, u.Share)
+	}
+	return out.String()
+}
--- a/pkg/shard/witness_test.go
+++ b/pkg/shard/witness_test.go
@@ -25,6 +25,8 @@
 	steps     map[string]string    // texts of jobs that were submitted
 	cancelled map[string]time.Time // when a job's cancel was confirmed
 	copies    map[string]bool      // jobs whose tasks may run more than once at a time
+	accounts  map[string]string    // of jobs
+	allowed   map[string]int       // processors that an account may have running, in thousandths; others any
 	broken    []string
 	starts    int
 }
@@ -33,6 +35,7 @@
 	return &witness{
 		estate: e, running: map[string][]string{}, ended: map[string]bool{}, done: map[string]bool{}, failed: map[string]int{}, failures: map[string]int{},
 		refused: map[string]bool{}, steps: map[string]string{}, cancelled: map[string]time.Time{}, copies: map[string]bool{},
+		accounts: map[string]string{}, allowed: map[string]int{},
 	}
 }
 
@@ -63,6 +66,32 @@
 	}
 	w.checkOrder(task, job)
 	w.running[task] = append(w.running[task], boot)
+	w.checkLimit(task, w.accounts[job])
+}
+
+// checkLimit sees that what an account has running is within what it may.
+func (w *witness) checkLimit(task, account string) {
+	allowed, ok := w.allowed[account]
+	if !ok {
+		return
+	}
+	sum := 0
+	for other, boots := range w.running {
+		if job, _, _ := strings.Cut(other, "."); w.accounts[job] == account {
+			sum += len(boots) * w.needs(other)
+		}
+	}
+	if sum > allowed {
+		w.breaks("%s started with %d of %s running, which may have %d", task, sum, account, allowed)
+	}
+}
+
+// needs is the processors that a task asks for.
+func (w *witness) needs(task string) int {
+	parts := strings.Split(task, ".")
+	step, _ := strconv.Atoi(parts[2])
+	st, _ := parseStep(strings.Fields(w.steps[parts[0]])[step])
+	return st.Needs.CPU
 }
 
 // checkOrder sees that the steps before are done.
