After a planned handover only tasks that may be at a silent worker wait

Change: an owner that lets go names for each leased worker the tasks that may run there or have ended there without that being kept; the next owner holds back these alone, and passes on what it has not heard either. After a crash any task may be anywhere, as before. Orders without an answer at a worker that is silent no longer keep an owner from letting go with a narrowed record. Ruled out: starting all at once (breaks TWICE); a record of tasks by worker written with each start (a write for each of 200 starts a second).

--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -65,6 +65,7 @@
 	Attempts   []*Attempt
 	Took       time.Duration // of the attempt that was done
 	WantsCopy  bool          // another attempt is to start beside the one that runs
+	MaybeAt    int           // workers not heard since the takeover where an attempt may be
 
 	lastAttempt int64
 	name        string
--- a/pkg/shard/accounts.go
+++ b/pkg/shard/accounts.go
@@ -90,8 +90,16 @@
 			add(st.account, st.needs)
 		}
 	}
-	if o.held {
+	if o.heldAll {
 		o.book.All(func(j *jobs.Job) { add(j.Account, j.Unseen()) })
+		return sum
+	}
+	for _, s := range o.sessions {
+		for _, name := range s.former.tasks {
+			if t := o.book.Task(name); t != nil {
+				add(t.Step.Job.Account, t.Step.Spec.Needs)
+			}
+		}
 	}
 	return sum
 }
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -198,8 +198,7 @@
 
 func (o *Owner) acknowledge(b *batch) {
 	for s, n := range b.acks {
-		s.ackedEnd = max(s.ackedEnd, n)
-		s.kick()
+		s.acknowledge(n)
 	}
 }
 
--- a/pkg/shard/calls_test.go
+++ b/pkg/shard/calls_test.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"github.com/gannetwell/gannetwell/pkg/shard"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/shard"
+
 	qt "github.com/frankban/quicktest"
 
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
--- /dev/null
+++ b/pkg/shard/held.go
@@ -0,0 +1,69 @@
+package shard
+
+import "github.com/gannetwell/gannetwell/pkg/jobs"
+
+// former is what a former owner may have left at a worker, until the worker is heard,
+// has ended, or its leases have run out.
+type former struct {
+	open     bool
+	complete bool     // nothing but tasks is there
+	tasks    []string // names
+}
+
+// inherit begins to watch a worker that a former owner has recorded.
+//
+// Beside one dark rack, tasks that are known to be nowhere else waited for each worker
+// of it: a planned handover took 2.15 s instead of 0.04 s. An owner that lets go by plan
+// says which tasks may be at a worker, and only those wait. After a crash any may be, since
+// a start is not written anywhere.
+func (o *Owner) inherit(s *session, w leasedWorker) {
+	s.former = former{open: true, complete: w.Complete, tasks: w.Tasks}
+	o.held = true
+	o.heldAll = o.heldAll || !w.Complete
+	for _, name := range w.Tasks {
+		if t := o.book.Task(name); t != nil {
+			t.MaybeAt++
+		}
+	}
+}
+
+// closeFormer notes that nothing of a former owner is at a worker unseen any more.
+func (o *Owner) closeFormer(s *session) {
+	if !s.former.open {
+		return
+	}
+	for _, name := range s.former.tasks {
+		if t := o.book.Task(name); t != nil && t.MaybeAt > 0 {
+			t.MaybeAt--
+		}
+	}
+	s.former = former{}
+}
+
+// checkHeld sees whether tasks of a former owner may still be somewhere unseen.
+func (o *Owner) checkHeld() {
+	if !o.held {
+		return
+	}
+	now := o.now()
+	o.held, o.heldAll = false, false
+	for _, s := range o.sessions {
+		if s.known || now >= o.heldTo {
+			o.closeFormer(s)
+		}
+		if s.former.open {
+			o.held = true
+			o.heldAll = o.heldAll || !s.former.complete
+		}
+	}
+	if !o.held {
+		o.log.Info().Str("event", "takeover_complete").Dur("after", now-o.openedAt).Send()
+	}
+	o.kickPlacement()
+}
+
+// maybeElsewhere tells whether a task may be, or may have ended, at a worker that has
+// not been heard since the takeover.
+func (o *Owner) maybeElsewhere(t *jobs.Task) bool {
+	return t.MaybeAt > 0 || o.heldAll && t.Step.Job.Restored
+}
--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"github.com/gannetwell/gannetwell/pkg/shard"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/shard"
+
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
@@ -86,7 +87,7 @@
 }
 
 func (m *machine) step() {
-	kinds := []func(){m.submit, m.submit, m.submit, m.cancel, m.again, m.boot, m.crash, m.takeOver, m.usurp, m.orderFault, m.rowFault, m.heal, m.fail}
+	kinds := []func(){m.submit, m.submit, m.submit, m.cancel, m.again, m.boot, m.crash, m.takeOver, m.handOver, m.usurp, m.orderFault, m.rowFault, m.heal, m.fail}
 	kinds[rapid.IntRange(0, len(kinds)-1).Draw(m.t, "kind")]()
 }
 
@@ -158,6 +159,15 @@
 	m.follow()
 }
 
+// handOver has the present owner let go by plan.
+func (m *machine) handOver() {
+	if o := m.e.owners[m.present]; o != nil {
+		o.Release(context.Background(), "")
+		delete(m.e.owners, m.present)
+	}
+	m.follow()
+}
+
 // usurp lets another entry take over while the present owner goes on, as one
 // does that is cut off.
 func (m *machine) usurp() { m.follow() }
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -86,6 +86,7 @@
 	unconfirmed bool          // that was said in the log
 
 	held          bool          // a worker of a former owner has not been heard
+	heldAll       bool          // at one of them any task may be
 	heldTo        time.Duration // when its leases have run out
 	openedAt      time.Duration // when this entry took over
 	askedMachines time.Duration // when the VM list was last asked for, 0 for never
@@ -146,7 +147,7 @@
 	for _, w := range k.workers {
 		s := o.addSession(platform.WorkerRef{Boot: w.Boot, Address: w.Address}, w.VM)
 		s.recorded = true
-		o.held = true
+		o.inherit(s, w)
 	}
 	o.heldTo = o.formerLeasesEnd(now)
 	o.confirmedAt = now
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -142,10 +142,13 @@
 // idle returns the tasks of a step that may start now, with held also those that
 // must wait for the end of a takeover.
 func (o *Owner) idle(s *jobs.StepRun, withHeld bool) (tasks []*jobs.Task) {
-	if o.held && s.Job.Restored && !withHeld || s.Waiting() == 0 && !s.Spec.Speculative {
+	if s.Waiting() == 0 && !s.Spec.Speculative {
 		return nil
 	}
 	for _, t := range s.Tasks {
+		if !withHeld && o.maybeElsewhere(t) {
+			continue
+		}
 		if t.Idle() || t.WantsCopy && !t.Done && len(t.Attempts) == 1 {
 			tasks = append(tasks, t)
 		}
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -38,7 +38,7 @@
 	o.wg.Wait()
 	releaseCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	err := o.letGo(releaseCtx, next, quiet)
+	err := o.letGo(releaseCtx, next)
 	o.log.Info().Str("event", "shard_released").Str("next", next).Bool("quiet", quiet).Dur("took", o.now()-started).Err(err).Send()
 }
 
@@ -61,25 +61,25 @@
 		return false
 	}
 	for _, s := range o.sessions {
-		if s.inFlight > 0 || s.inDoubt {
+		// What becomes of an order to a worker that does not answer is not waited for:
+		// the next owner is told of it.
+		if s.failures == 0 && (s.inFlight > 0 || s.inDoubt) {
 			return false
 		}
 	}
 	return true
 }
 
-// letGo writes the owner row. When nothing was under way it also narrows the
-// record of leased workers to those where something runs or may run, so that the
-// next owner need not wait for the others. A worker that this owner has not heard
-// since it took over may run tasks of a former owner, who may renew there still.
-func (o *Owner) letGo(ctx context.Context, next string, quiet bool) error {
-	if !quiet {
-		return o.claim.Release(ctx, o.cfg.Rows, o.cfg.Pool, next)
-	}
+// letGo writes the owner row. It also narrows the record of leased workers to those
+// where something runs or may run, and says what, so that the next owner need not wait
+// for others. A worker that this owner has not heard since it took over may run tasks of
+// a former owner, who may renew there still. If a transaction is under way of which it
+// is not known whether it happens, the record stays as it was.
+func (o *Owner) letGo(ctx context.Context, next string) error {
 	var set []leasedWorker
 	for _, s := range o.sessions {
 		if s.recorded && (!s.known || !s.idle()) {
-			set = append(set, s.leased())
+			set = append(set, s.leasedInTheEnd())
 		}
 	}
 	raw, err := encode(set)
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -16,7 +16,7 @@
 	now := o.now()
 	for i := range r.Ended {
 		if e := &r.Ended[i]; e.Number > s.seenEnd {
-			s.seenEnd = e.Number
+			s.noteEnd(e.Number, e.Task)
 			o.takeEnd(s, e, now)
 		}
 	}
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -46,6 +46,10 @@
 	Boot    string `msgpack:"b"`
 	VM      string `msgpack:"v"`
 	Address string `msgpack:"a"`
+	// Complete tells that Tasks names all that may run there or may have ended there
+	// without that being kept; without it any task of the shard may.
+	Complete bool     `msgpack:"c,omitempty"`
+	Tasks    []string `msgpack:"t,omitempty"`
 }
 
 func ownerKey(pool string) platform.RowKey {
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,6 +31,7 @@
 	known    bool // it has listed what runs there since our first token reached it
 	draining bool
 	gone     bool // the boot has ended
+	former   former
 
 	unlistedAt time.Duration // when it was first missing from the directory, 0 while it is listed
 
@@ -56,6 +58,7 @@
 
 	seenEnd  int64 // ends up to here were taken into account
 	ackedEnd int64 // ends up to here are kept
+	unacked  []end // seen and not kept, in order
 
 	lookedAt  time.Duration // when the last look was sent
 	interrupt func()        // ends the look under way, nil if none waits for an end
@@ -64,6 +67,12 @@
 	cancel context.CancelFunc // ends the session's loop
 }
 
+// end is an end that a worker has listed.
+type end struct {
+	number int64
+	task   string
+}
+
 // running is an attempt at a worker.
 type running struct {
 	*jobs.Attempt
@@ -115,9 +124,46 @@
 	return len(s.attempts) == 0 && len(s.foreign) == 0 && s.inFlight == 0 && !s.inDoubt && s.seenEnd == s.ackedEnd
 }
 
-// leased is how the partition names the worker.
+// leased is how the partition names the worker while tasks may start there at any time.
 func (s *session) leased() leasedWorker {
-	return leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address}
+	w := leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address}
+	if s.former.open {
+		w.Complete, w.Tasks = s.former.complete, s.former.tasks // nothing was started there
+	}
+	return w
+}
+
+// leasedInTheEnd is how the partition names the worker once no task starts there any
+// more: with the tasks that may be there.
+func (s *session) leasedInTheEnd() leasedWorker {
+	w := s.leased()
+	if s.former.open {
+		return w
+	}
+	w.Complete = true
+	for name := range s.attempts {
+		w.Tasks = append(w.Tasks, name)
+	}
+	for key := range s.foreign {
+		w.Tasks = append(w.Tasks, key.task)
+	}
+	for _, e := range s.unacked {
+		w.Tasks = append(w.Tasks, e.task)
+	}
+	return w
+}
+
+// noteEnd notes an end that the worker has listed.
+func (s *session) noteEnd(number int64, task string) {
+	s.seenEnd = number
+	s.unacked = append(s.unacked, end{number: number, task: task})
+}
+
+// acknowledge notes that ends up to one are kept.
+func (s *session) acknowledge(number int64) {
+	s.ackedEnd = max(s.ackedEnd, number)
+	s.unacked = slices.DeleteFunc(s.unacked, func(e end) bool { return e.number <= s.ackedEnd })
+	s.kick()
 }
 
 // hold notes an attempt that is or may be at the worker.
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -77,24 +77,6 @@
 	}
 }
 
-// checkHeld sees whether tasks of a former owner may still be somewhere unseen.
-func (o *Owner) checkHeld() {
-	if !o.held {
-		return
-	}
-	now := o.now()
-	if now < o.heldTo {
-		for _, s := range o.sessions {
-			if s.recorded && !s.known && !s.gone {
-				return
-			}
-		}
-	}
-	o.held = false
-	o.log.Info().Str("event", "takeover_complete").Dur("after", now-o.openedAt).Send()
-	o.kickPlacement()
-}
-
 // expire frees the tasks of a silent worker once its leases have run out.
 func (o *Owner) expire(s *session) {
 	now := o.now()
@@ -128,6 +110,7 @@
 		o.drop(s, name)
 	}
 	s.gone = true
+	o.closeFormer(s)
 	s.cancel()
 	delete(o.sessions, s.ref.Boot)
 	o.inOrder = nil
