An order that did not reach its worker is no slow answer

Cause: beside a dark rack an owner counted as at its own limit: a connection that could not be opened within 350 ms was noted as one answer that took 350 ms, by which starts were cut to 20 a second for two seconds while the pool's VMs were at 12 to 30% of use. Change: only orders that a worker answered, or that got no answer, tell of the owner; one that did not reach its worker within its time counts as lost, one refused at once as nothing.

--- a/pkg/shard/dispatch.go
+++ b/pkg/shard/dispatch.go
@@ -82,6 +82,19 @@
 		s.inFlight--
 	}
 	o.cfg.Metrics.Order(err)
-	o.rate.Note(o.now()-sentAt, !platform.IsUnknown(err))
+	o.noteAnswer(o.now()-sentAt, err)
 	d.answered(clockMs, err)
 }
+
+// noteAnswer takes what an order tells of this owner's own speed. One that did not
+// reach its worker is no answer: beside a rack that had gone dark a connection that was
+// not opened within 350 ms counted as an answer that took as long, and held a pool of
+// 201 VMs to 20 starts a second for two seconds.
+func (o *Owner) noteAnswer(took time.Duration, err error) {
+	switch {
+	case !platform.IsNotDone(err):
+		o.rate.Note(took, !platform.IsUnknown(err))
+	case took >= orderTimeout:
+		o.rate.Note(took, false)
+	}
+}
--- a/pkg/shard/limit_test.go
+++ b/pkg/shard/limit_test.go
@@ -98,3 +98,67 @@
 		c.Check(e.witness.report(), qt.Equals, "1600 starts, nothing broken\n")
 	})
 }
+
+// darkRack passes no call to some workers: no connection to them can be opened.
+type darkRack struct {
+	platform.Workers
+
+	mu   sync.Mutex
+	dark map[string]bool // boots
+}
+
+func (d *darkRack) isDark(boot string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dark[boot]
+}
+
+func (d *darkRack) StartAttempt(ctx context.Context, w platform.WorkerRef, o platform.StartOrder) (int64, error) {
+	if d.isDark(w.Boot) {
+		<-ctx.Done()
+		return 0, platform.ErrNotDone{Op: "start", Cause: "no connection"}
+	}
+	return d.Workers.StartAttempt(ctx, w, o)
+}
+
+func (d *darkRack) RenewLeases(ctx context.Context, w platform.WorkerRef, o platform.RenewOrder) (platform.WorkerReport, error) {
+	if d.isDark(w.Boot) {
+		<-ctx.Done()
+		return platform.WorkerReport{}, platform.ErrNotDone{Op: "renew", Cause: "no connection"}
+	}
+	return d.Workers.RenewLeases(ctx, w, o)
+}
+
+// TestDarkRackIsNoLimit has twelve of 24 workers go dark while tasks are started. Their
+// owner is not at its limit: an order that did not reach its worker is no slow answer.
+// Counted as one, it held a pool of 201 VMs to 20 starts a second for two seconds.
+func TestDarkRackIsNoLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := newEstate(t)
+		defer e.close()
+		rack := &darkRack{dark: map[string]bool{}}
+		e.breakWorkers = func(w platform.Workers) platform.Workers {
+			rack.Workers = w
+			return rack
+		}
+		for i := range 24 {
+			e.addWorker(fmt.Sprintf("w%02d", i), fmt.Sprintf("w%02d", i), fmt.Sprintf("w%02d", i), "8000", "0")
+		}
+		e.own("a")
+		time.Sleep(3 * time.Second)
+		rack.mu.Lock()
+		for i := range 12 {
+			rack.dark[fmt.Sprintf("w%02d", i)] = true
+		}
+		rack.mu.Unlock()
+		for i := range 4 {
+			go e.submit("a", "", fmt.Sprintf("%016x", i), "1x6000/300ms")
+			time.Sleep(400 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		c.Check(strings.Contains(e.log.String(), "owner_at_limit"), qt.IsFalse)
+		c.Check(e.witness.report(), qt.Equals, "4 starts, nothing broken\n")
+	})
+}
