What an account sends beyond its promise waits behind what others were promised

Cause: a full pool was shared by slack alone, so an account that sends more than its weight pushed the others out. Change: an owner marks jobs that come beyond the account's jobs a second (a bucket of one second) in their record; in placement they come after those within a promise, for 10 s. Measured (TestExcess, pool of 21 VMs, one of twenty accounts sends five times its promise): jobs of the nineteen in time by slack 0.86, by weighted max-min of what runs 0.91, promised first 1.00 (1.00 without excess); all jobs of the one are done in the end. Ruled out: weighted max-min of what runs, the second way built, in the test. Weighted max-min among accounts that keep their promise is not built.

--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -90,6 +90,7 @@
 	AcceptedAt  time.Duration `msgpack:"a"`           // Unix time by the clock of the entry that took it
 	MaxAttempts int           `msgpack:"m"`           // failed attempts of a task after which the job has failed
 	Account     string        `msgpack:"c,omitempty"` // client account that handed it in, empty for none
+	Excess      bool          `msgpack:"e,omitempty"` // it came beyond what the account has been promised
 	Spec        Spec          `msgpack:"s"`
 }
 
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -36,6 +36,7 @@
 	Lost     time.Duration          // when its job is of little use any more, 0 for never
 	Left     time.Duration          // estimated work of its job that is still to be done, one step after the other
 	Budget   *Budget                // of its client account, nil for no limit
+	Excess   bool                   // its job came beyond what its account has been promised
 }
 
 // Start says that a task starts on a host.
@@ -50,6 +51,7 @@
 		return cmp.Or(
 			cmp.Compare(a.Priority, b.Priority),
 			cmp.Compare(b.serving(), a.serving()),
+			cmp.Compare(a.excess(), b.excess()),
 			cmp.Compare(a.late(now), b.late(now)),
 			cmp.Compare(a.Deadline-a.Left, b.Deadline-b.Left),
 		)
@@ -64,6 +66,17 @@
 	return 0
 }
 
+// excess puts what came beyond its account's promise behind what was promised to others.
+// With a pool full and one account of twenty sending five times its part, 0.86 of the
+// jobs of the nineteen are in time when all are ordered by slack, 0.91 when the account
+// with least running comes first, 1.00 with this (TestExcess).
+func (c *Candidate) excess() int {
+	if c.Excess {
+		return 1
+	}
+	return 0
+}
+
 // late puts jobs that can hardly be done in time behind those that can, and
 // those that are of little use any more behind all others.
 func (c *Candidate) late(now time.Duration) int {
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -49,6 +49,7 @@
 		o.mu.Unlock()
 		return schema.CallOutcomeRefused
 	}
+	r.Excess = o.beyondPromise(r.Account)
 	raw, err := r.Encode()
 	if err != nil {
 		o.mu.Unlock()
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -279,7 +279,7 @@
 // witness allows is set apart, since shares may be lower.
 func (e *estate) limit(account string, cpu int) {
 	e.limits = slices.DeleteFunc(slices.Clone(e.limits), func(a catalog.Account) bool { return a.Name == account })
-	e.limits = append(e.limits, catalog.Account{Name: account, Limit: platform.Resources{CPU: cpu}})
+	e.limits = append(e.limits, catalog.Account{Name: account, Weight: 1000, Limit: platform.Resources{CPU: cpu}})
 	for _, o := range e.owners {
 		o.SetCatalog(e.catalog())
 	}
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -15,6 +15,11 @@
 // lostFactor times its objective is when a job no longer counts as served.
 const lostFactor = 3
 
+// excessPatience is how long a job that came beyond its account's promise waits behind
+// those of others. Then it counts as theirs do, so that it is not starved; it is late by
+// then, and goes behind all that can still be in time.
+const excessPatience = 10 * time.Second
+
 // placeShare bounds placement to one part in so many of the time: each pass looks
 // at all workers and waiting tasks, and in a pool of 250 workers ends and starts
 // come by the hundred a second. What comes meanwhile is placed together.
@@ -169,5 +174,6 @@
 		c.Deadline = due + objective
 		c.Lost = due + lostFactor*objective
 	}
+	c.Excess = j.Excess && now-j.AddedAt < excessPatience
 	return c
 }
