--- a/cmd/gannetctl/cmds/cmds.go
+++ b/cmd/gannetctl/cmds/cmds.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -86,6 +87,7 @@
 		{name: "job", short: "Jobs of the job service", long: "Asks about jobs of the job service.", subs: jobCommands(c)},
 		{name: "pool", short: "Pools of the job service", long: "Asks about pools of the job service.", subs: poolCommands(c)},
 		{name: "owner", short: "Owners of shards", long: "Asks which entry owns what.", subs: ownerCommands(c)},
+		{name: "account", short: "Client accounts", long: "Asks what client accounts have been promised and what they have running.", subs: accountCommands(c)},
 		{name: "token", short: "Make an operator's token", long: "Prints a fresh token and the token_sha256 that settings keep of it.\n\nExample:\n  gannetctl token", data: &tokenCommand{console: c}},
 	}
 }
@@ -112,6 +114,16 @@
 	_, _ = fmt.Fprintf(c.stdout, format, args...)
 }
 
+// printJSON writes a value to the standard output, for programs.
+func (c *console) printJSON(v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	c.printf("%s\n", raw)
+	return nil
+}
+
 func newID() string {
 	raw := make([]byte, 12)
 	_, _ = rand.Read(raw) // never fails, it ends the process instead
--- a/cmd/gannetctl/cmds/jobs.go
+++ b/cmd/gannetctl/cmds/jobs.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -28,6 +31,13 @@
 	}
 }
 
+func accountCommands(c *console) []sub {
+	return []sub{
+		{name: "list", short: "List client accounts", long: "Lists the client accounts of the job service: what each has been promised in jobs a second, its limit in thousandths of a core and MB, and what runs, is wanted and may run, in parts of the limit and summed over the pools.\n\nExample:\n  gannetctl --entry http://10.1.0.9:9464 account list", data: &accountListCommand{console: c}},
+		{name: "show", short: "Show a client account", long: "Shows a client account: fingerprints of its keys, its limit, and what it has in each pool.\n\nExample:\n  gannetctl --entry http://10.1.0.9:9464 account show north", data: &accountShowCommand{console: c}},
+	}
+}
+
 type jobShowCommand struct {
 	console *console
 	Args    struct {
@@ -95,6 +105,78 @@
 	return nil
 }
 
+type accountListCommand struct {
+	console *console
+	JSON    bool `long:"json" description:"Print JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *accountListCommand) Execute([]string) error {
+	accounts, err := c.console.accounts()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.console.printJSON(accounts)
+	}
+	c.console.printf("%-16s %8s %10s %10s %8s %8s %8s\n", "ACCOUNT", "WEIGHT", "CPU", "MEMORY", "RUNNING", "WANTED", "SHARE")
+	for _, a := range accounts.Accounts {
+		sum := api.AccountInPool{}
+		for _, p := range a.Pools {
+			sum.Running += p.Running
+			sum.Wanted += p.Wanted
+			sum.Share += p.Share
+		}
+		c.console.printf("%-16s %8g %10d %10d %8.3f %8.3f %8.3f\n", a.Name, a.Weight, a.Cpu, a.MemoryMb, sum.Running, sum.Wanted, sum.Share)
+	}
+	return nil
+}
+
+type accountShowCommand struct {
+	console *console
+	JSON    bool `long:"json" description:"Print JSON"`
+	Args    struct {
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *accountShowCommand) Execute([]string) error {
+	accounts, err := c.console.accounts()
+	if err != nil {
+		return err
+	}
+	at := slices.IndexFunc(accounts.Accounts, func(a api.AccountStatus) bool { return a.Name == c.Args.Name })
+	if at < 0 {
+		return cli.Exit(cli.ExitFailed, errors.Errorf("there is no account %s in version %d of the configuration", c.Args.Name, accounts.CatalogVersion))
+	}
+	a := accounts.Accounts[at]
+	if c.JSON {
+		return c.console.printJSON(a)
+	}
+	c.console.printf("account %s, keys %s\npromised %g jobs a second, limit %d thousandths of a core, %d MB, %d accelerators\n",
+		a.Name, strings.Join(a.Keys, " "), a.Weight, a.Cpu, a.MemoryMb, a.Gpu)
+	c.console.printf("%-16s %8s %8s %8s\n", "POOL", "RUNNING", "WANTED", "SHARE")
+	for _, p := range a.Pools {
+		share := fmt.Sprintf("%.3f", p.Share)
+		if !p.Bound {
+			share = "any"
+		}
+		c.console.printf("%-16s %8.3f %8.3f %8s\n", p.Pool, p.Running, p.Wanted, share)
+	}
+	return nil
+}
+
+// accounts asks an entry for the client accounts.
+func (c *console) accounts() (accounts api.Accounts, err error) {
+	cl, err := c.client()
+	if err != nil {
+		return accounts, err
+	}
+	accounts, err = cl.Accounts(context.Background())
+	return accounts, exitOf(err)
+}
+
 // shards asks an entry who owns each shard and how busy it is.
 func (c *console) shards() (shards []api.ShardStatus, err error) {
 	cl, err := c.client()
--- /dev/null
+++ b/pkg/node/accounts.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/gannetwell/gannetwell/pkg/allowance"
+	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/service/api"
+)
+
+// accountStatus tells operators what client accounts have been promised and have running.
+func (n *Node) accountStatus(c echo.Context) error {
+	cat := n.Catalog()
+	if cat == nil {
+		return c.JSON(http.StatusServiceUnavailable, api.Error{Message: "the configuration is not known yet"})
+	}
+	pools := n.accountsInPools(c.Request().Context(), cat)
+	answer := api.Accounts{CatalogVersion: int(cat.Version), Accounts: []api.AccountStatus{}}
+	for i := range cat.Accounts {
+		answer.Accounts = append(answer.Accounts, statusOf(&cat.Accounts[i], pools))
+	}
+	slices.SortFunc(answer.Accounts, func(a, b api.AccountStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return c.JSON(http.StatusOK, answer)
+}
+
+func statusOf(a *catalog.Account, pools map[string][]api.AccountInPool) api.AccountStatus {
+	st := api.AccountStatus{
+		Name: a.Name, Keys: []string{}, Weight: a.Weight, Cpu: a.Limit.CPU, MemoryMb: a.Limit.MemoryMB, Gpu: a.Limit.GPU,
+		Pools: pools[a.Name],
+	}
+	for _, k := range a.Keys {
+		st.Keys = append(st.Keys, k.Fingerprint())
+	}
+	if st.Pools == nil {
+		st.Pools = []api.AccountInPool{}
+	}
+	slices.SortFunc(st.Pools, func(a, b api.AccountInPool) int { return cmp.Compare(a.Pool, b.Pool) })
+	return st
+}
+
+// accountsInPools asks the owner of each pool's shard for all its accounts, by name.
+func (n *Node) accountsInPools(ctx context.Context, cat *catalog.Catalog) map[string][]api.AccountInPool {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	all := map[string][]api.AccountInPool{}
+	for _, pool := range cat.WorkingPools() {
+		wg.Go(func() {
+			l, ok := n.loadOf(ctx, pool, &allowance.Grant{Full: true}) // of no holder: it grants nothing
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, u := range l.Accounts.Accounts {
+				all[u.Account] = append(all[u.Account], api.AccountInPool{
+					Pool: pool, Bound: l.Accounts.Bound, Running: u.Running, Wanted: u.Wanted, Share: u.Share,
+				})
+			}
+		})
+	}
+	wg.Wait()
+	return all
+}
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -32,6 +32,8 @@
 const (
 	testPool  = "scoring"
 	testQueue = "score-now"
+	// testAccount may have two tasks running at once.
+	testAccount = "north"
 )
 
 // services is the platform as one entry reaches it.
@@ -132,6 +134,9 @@
 	putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{
 		Version: 7, Queues: []catalog.Queue{{Name: testQueue, Pool: testPool, MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}},
 		Pools: []catalog.Pool{{Name: testPool, RejectsOverload: true}},
+		Accounts: []catalog.Account{{
+			Name: testAccount, Keys: []catalog.Key{catalog.KeyOf("k")}, Weight: 1000, Limit: platform.Resources{CPU: 1000},
+		}},
 	})
 	nodes := map[string]*Node{}
 	ended := map[string]chan error{}
@@ -174,7 +179,7 @@
 	for i := 1; i <= submitted; i++ {
 		id := fmt.Sprintf("%016x", i)
 		eventually(c, "job "+id+" is done", func() bool {
-			state, out := other.State(context.Background(), q, id, shard.Asker{})
+			state, out := other.State(context.Background(), q, id, shard.Asker{Account: testAccount})
 			return out == schema.CallOutcomeOk && state == jobs.StateCompleted
 		})
 	}
@@ -208,7 +213,7 @@
 	spec := jobs.Spec{Text: "work", Steps: []jobs.Step{{Count: 3, Needs: platform.Resources{CPU: 500}}, {Count: 1, Needs: platform.Resources{CPU: 500}, After: []int{0}}}}
 	q := n.Catalog().Queue(testQueue)
 	eventually(c, "job "+id+" is taken", func() bool {
-		return n.Submit(context.Background(), q, "", id, spec) == schema.CallOutcomeOk
+		return n.Submit(context.Background(), q, testAccount, id, spec) == schema.CallOutcomeOk
 	})
 }
 
@@ -233,6 +238,16 @@
 		}
 		return false
 	})
+	eventually(c, "the account's limit is divided", func() bool {
+		accounts, err := cl.Accounts(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(accounts.Accounts, qt.HasLen, 1)
+		a := accounts.Accounts[0]
+		c.Check(a.Name, qt.Equals, testAccount)
+		c.Check(a.Keys, qt.DeepEquals, []string{catalog.KeyOf("k").Fingerprint()})
+		c.Check(a.Cpu, qt.Equals, 1000)
+		return len(a.Pools) == 1 && a.Pools[0].Bound && a.Pools[0].Share > 0.99
+	})
 	resp, err := http.Get(s.URL + "/metrics")
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = resp.Body.Close() }()
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -21,6 +21,7 @@
 		return c.JSON(http.StatusOK, api.Shards{Shards: n.shardStatus(c.Request().Context())})
 	})
 	e.GET(api.PathJobs+"/:queue/:id", n.jobStatus)
+	e.GET(api.PathAccounts, n.accountStatus)
 	return e
 }
 
--- a/pkg/shard/accounts.go
+++ b/pkg/shard/accounts.go
@@ -63,7 +63,8 @@
 }
 
 func newAccounts(kept allowance.Row) accounts {
-	return accounts{shares: allowance.NewShard(kept), departed: map[string]platform.Resources{}, logged: map[string]time.Duration{},
+	return accounts{
+		shares: allowance.NewShard(kept), departed: map[string]platform.Resources{}, logged: map[string]time.Duration{},
 		promised: map[string]*promise{},
 	}
 }
--- a/service/api/convert.go
+++ b/service/api/convert.go
@@ -9,16 +9,17 @@
 
 // The paths of the interface; those with a parameter end in a slash.
 const (
-	PathRows    = "/v1/rows"
-	PathShards  = "/v1/shards" // of the job service
-	PathJobs    = "/v1/jobs"   // of the job service
-	PathEdits   = "/v1/edits"
-	PathStatus  = "/v1/status"
-	PathAudit   = "/v1/audit"
-	PathExplain = "/v1/explain/"
-	PathMetrics = "/metrics"
-	PathHealth  = "/healthz"
-	PathReady   = "/readyz"
+	PathRows     = "/v1/rows"
+	PathShards   = "/v1/shards"   // of the job service
+	PathJobs     = "/v1/jobs"     // of the job service
+	PathAccounts = "/v1/accounts" // of the job service
+	PathEdits    = "/v1/edits"
+	PathStatus   = "/v1/status"
+	PathAudit    = "/v1/audit"
+	PathExplain  = "/v1/explain/"
+	PathMetrics  = "/metrics"
+	PathHealth   = "/healthz"
+	PathReady    = "/readyz"
 )
 
 var null = json.RawMessage("null")
--- a/service/api/types.go
+++ b/service/api/types.go
@@ -4,6 +4,58 @@
 
 import "encoding/json"
 
+// AccountInPool tells what an account has in one pool, in parts of its limit.
+type AccountInPool struct {
+	// Bound tells that the shard keeps to shares of limits.
+	Bound bool `json:"bound"`
+
+	// Pool names the shard.
+	Pool string `json:"pool"`
+
+	// Running is what runs or may run.
+	Running float64 `json:"running"`
+
+	// Share is what may run there.
+	Share float64 `json:"share"`
+
+	// Wanted is that and what waits.
+	Wanted float64 `json:"wanted"`
+}
+
+// AccountStatus tells what a client account has been promised and what it has
+// running.
+type AccountStatus struct {
+	// CPU is its limit in thousandths of a core, 0 for none.
+	Cpu int `json:"cpu"`
+
+	// GPU is its limit of accelerators, 0 for none.
+	Gpu int `json:"gpu"`
+
+	// Keys are fingerprints of its keys.
+	Keys []string `json:"keys"`
+
+	// MemoryMb is its limit in MB, 0 for none.
+	MemoryMb int `json:"memory_mb"`
+
+	// Name is the account's, which stays when its keys change.
+	Name string `json:"name"`
+
+	// Pools tells of the shards that have answered.
+	Pools []AccountInPool `json:"pools"`
+
+	// Weight is how many jobs a second it has been promised.
+	Weight float64 `json:"weight"`
+}
+
+// Accounts is the answer to GET /v1/accounts.
+type Accounts struct {
+	// Accounts are all client accounts, by name.
+	Accounts []AccountStatus `json:"accounts"`
+
+	// CatalogVersion is the version of the configuration at the entry that was asked.
+	CatalogVersion int `json:"catalog_version"`
+}
+
 // Audit is the answer to GET /v1/audit, the newest entry first.
 type Audit struct {
 	// Complete tells that the whole trail was searched or the limit was reached.
--- a/service/client/jobs.go
+++ b/service/client/jobs.go
@@ -18,3 +18,9 @@
 	err = c.call(ctx, api.PathJobs+"/"+url.PathEscape(queue)+"/"+url.PathEscape(id), nil, nil, &job)
 	return job, err
 }
+
+// Accounts returns what client accounts have been promised and what they have running.
+func (c *Client) Accounts(ctx context.Context) (accounts api.Accounts, err error) {
+	err = c.call(ctx, api.PathAccounts, nil, nil, &accounts)
+	return accounts, err
+}
