--- a/pkg/node/admit.go
+++ b/pkg/node/admit.go
@@ -28,6 +28,7 @@
 	default:
 		a = AdmissionUnknownKey
 	}
+	n.metrics.keys.WithLabelValues(string(a)).Inc()
 	fingerprint := ""
 	if key != "" {
 		fingerprint = catalog.KeyOf(key).Fingerprint()
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,8 +24,20 @@
 	orders   *prometheus.CounterVec
 	ends     *prometheus.CounterVec
 	jobs     *prometheus.CounterVec
+	keys     *prometheus.CounterVec
+	heldBack *prometheus.CounterVec
+
+	mu       sync.Mutex
+	accounts map[string]bool // that have a label of their own
 }
 
+// maxAccountLabels bounds the accounts that figures are kept of by name, above the 320
+// teams that the service is designed for; others are counted together.
+const maxAccountLabels = 400
+
+// otherAccounts is the label of accounts beyond maxAccountLabels.
+const otherAccounts = "other accounts"
+
 func newMetrics() *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
@@ -36,8 +49,13 @@
 		orders: counter("gannetwell_orders_total", "Starts and stops ordered at workers by outcome."),
 		ends:   counter("gannetwell_ends_total", "Ends of attempts by reason."),
 		jobs:   counter("gannetwell_jobs_total", "Jobs by what became of them."),
+		keys:   counter("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer."),
+		heldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gannetwell_account_at_limit_total", Help: "Seconds in which a shard held tasks of a client account back for its limit.",
+		}, []string{"account"}),
+		accounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.jobs, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.jobs, m.keys, m.heldBack, collectors.NewGoCollector())
 	return m
 }
 
@@ -66,6 +84,24 @@
 // Job implements shard.Metrics.
 func (m *metrics) Job(event string) { m.jobs.WithLabelValues(event).Inc() }
 
+// AccountAtLimit implements shard.Metrics.
+func (m *metrics) AccountAtLimit(account string) {
+	m.heldBack.WithLabelValues(m.accountLabel(account)).Inc()
+}
+
+// accountLabel returns the label of an account.
+func (m *metrics) accountLabel(account string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[account] {
+		if len(m.accounts) >= maxAccountLabels {
+			return otherAccounts
+		}
+		m.accounts[account] = true
+	}
+	return account
+}
+
 // outcome names an error for a label.
 func outcome(err error) string {
 	var refused platform.ErrOrderRefused
--- a/pkg/shard/accounts.go
+++ b/pkg/shard/accounts.go
@@ -182,6 +182,7 @@
 			continue
 		}
 		o.accounts.logged[account] = now
+		o.cfg.Metrics.AccountAtLimit(account)
 		o.log.Info().Str("event", "account_at_limit").Str("account", account).Float64("share", o.accounts.shares.Share(account)).
 			Int("limit_cpu", b.Limit.CPU).Int("limit_memory_mb", b.Limit.MemoryMB).Int("cpu_left", b.Left.CPU).Int("memory_left_mb", b.Left.MemoryMB).
 			Str("job", cs[i].Step.Job.ID).Send()
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -297,3 +297,4 @@
 func (noMetrics) Order(error)                 {}
 func (noMetrics) End(platform.EndReason)      {}
 func (noMetrics) Job(string)                  {}
+func (noMetrics) AccountAtLimit(string)       {}
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -28,6 +28,8 @@
 	End(reason platform.EndReason)
 	// Job counts what became of a job.
 	Job(event string)
+	// AccountAtLimit counts a second in which tasks of a client account were held back for its limit.
+	AccountAtLimit(account string)
 }
 
 // Config is what an owner works with.
