--- /dev/null
+++ b/pkg/fleet/health.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+)
+
+// health records VMs that failed and VMs that came back.
+func (d *decider) health() {
+	for _, name := range d.names {
+		vm, o := d.vm(name), d.Observed[name]
+		switch {
+		case vm.Phase == schema.PhaseActive && d.badFor(o, d.limits.DownAfter):
+			vm.Phase = schema.PhaseDown
+			d.edit(ActionDown, name, vm, "its backend server does not answer probes",
+				fmt.Sprintf("probes fail since %s; the platform's list says %q", o.Since.UTC().Format(time.RFC3339), o.Listed))
+		case vm.Phase == schema.PhaseDown:
+			d.repair(name, vm, o)
+		}
+	}
+}
+
+// badFor tells that a VM's health has been bad for so long.
+func (d *decider) badFor(o Observation, age time.Duration) bool {
+	return o.Health == HealthBad && !o.Since.IsZero() && d.Now.Sub(o.Since) >= age
+}
+
+// lose takes a VM out of its maintenance that does not come through it.
+func (d *decider) lose(name string, vm schema.VM, reason string) {
+	vm.Phase, vm.Wave = schema.PhaseDown, ""
+	d.edit(ActionDown, name, vm, reason, "the VM gives no status, probes fail or it does not return")
+}
+
+// repair returns a VM that is well again, reboots one that stays down and then gives its place to another.
+func (d *decider) repair(name string, vm schema.VM, o Observation) {
+	live := o.Status != nil && o.Status.State == platform.VMLive
+	leaving := o.Status != nil && o.Status.State == platform.VMLeaving
+	pending := vm.Operation != "" && (live || leaving) && o.Status.Operation != vm.Operation
+	age := d.phaseAge(vm)
+	switch {
+	case pending && o.Status.Boot == vm.OperationBoot:
+		// A call for this reboot may still be under way: only after it is the VM safe to use.
+		vm.Phase = schema.PhaseRebooting
+		d.edit(ActionReboot, name, vm, "its reboot has not been carried out yet", statusEvidence(o))
+	case leaving:
+		d.effect(Action{Kind: EffectUndrain, VM: name, Reason: "the VM is down in the table, where only its own word brings it back"})
+	case live && o.Health == HealthGood:
+		vm.Phase = schema.PhaseActive
+		d.edit(ActionUp, name, vm, "its backend server answers probes again", statusEvidence(o))
+	case vm.Pool != "" && age >= d.limits.ReplaceAfter:
+		pool := vm.Pool
+		vm.Pool = ""
+		d.edit(ActionReplace, name, vm, fmt.Sprintf("down for %s: pool %q gets another VM", age.Round(time.Second), pool), statusEvidence(o))
+	case live && age >= d.limits.RepairAfter && o.Status.InFlight == 0:
+		// Somebody who does not know that the VM is down may still reach it: what
+		// it works on runs out first.
+		vm.Phase = schema.PhaseRebooting
+		vm.Operation = operationID(name, "repair", d.Table.VMs[name].Version)
+		vm.OperationBoot = o.Status.Boot
+		d.edit(ActionReboot, name, vm, fmt.Sprintf("down for %s: a reboot may repair it", age.Round(time.Second)), statusEvidence(o))
+	}
+}
+
+// operationID is the same for every process that decides on the same row.
+func operationID(vm, why string, version int) string {
+	return fmt.Sprintf("%s-%s-%d", vm, why, version)
+}
+
+func statusEvidence(o Observation) string {
+	if o.Status == nil {
+		return "the VM gives no status"
+	}
+	return fmt.Sprintf("the VM says: state %s, boot %d, last operation %q, %d in flight",
+		o.Status.State, o.Status.Boot, o.Status.Operation, o.Status.InFlight)
+}
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
@@ -225,67 +224,3 @@
 	}
 	return &schema.CallReply{Outcome: schema.CallOutcomeUnknown}
 }
-
-// answerPeer answers a call of another entry.
-func (n *Node) answerPeer(ctx context.Context, q *schema.Call) *schema.CallReply {
-	switch q.Kind {
-	case schema.CallKindPing:
-		version, claiming := n.keeper.Seen()
-		return &schema.CallReply{
-			Outcome: schema.CallOutcomeOk, CatalogVersion: int(n.catalogVersion()),
-			ReachesStore: n.rows.ok(), Start: int(n.self.Start),
-			OwnersVersion: int(version), Claiming: claiming, Stopping: n.stopping.Load(), Owners: n.keeper.News(int64(q.OwnersVersion)),
-		}
-	case schema.CallKindCatalog:
-		if c := n.catalog.Load(); c != nil {
-			return &schema.CallReply{Outcome: schema.CallOutcomeOk, CatalogVersion: int(c.Version), Catalog: c.raw}
-		}
-		return &schema.CallReply{Outcome: schema.CallOutcomeNotFound}
-	}
-	_, local, _ := n.keeper.Owner(q.Pool)
-	o, ok := local.(*shard.Owner)
-	if !ok {
-		return &schema.CallReply{Outcome: schema.CallOutcomeNotOwner}
-	}
-	return n.answerLocal(ctx, o, q)
-}
-
-func askerOf(q *schema.Call) shard.Asker {
-	return shard.Asker{Account: q.Account, Operator: q.Operator}
-}
-
-// answerLocal answers a call from a shard of this entry.
-func (n *Node) answerLocal(ctx context.Context, o *shard.Owner, q *schema.Call) *schema.CallReply {
-	switch q.Kind {
-	case schema.CallKindSubmit:
-		record, err := jobs.DecodeRecord(q.Record)
-		if err != nil {
-			n.log.Error().Str("event", "submission_malformed").Str("request", q.Job).Err(err).Send()
-			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
-		}
-		return &schema.CallReply{Outcome: o.Submit(ctx, q.Job, record)}
-	case schema.CallKindState:
-		state, out := o.State(q.Job, askerOf(q))
-		return &schema.CallReply{Outcome: out, State: string(state)}
-	case schema.CallKindCancel:
-		return &schema.CallReply{Outcome: o.Cancel(ctx, q.Job, askerOf(q))}
-	case schema.CallKindWaiting:
-		waiting, out := o.Waiting(q.Queue)
-		return &schema.CallReply{Outcome: out, Waiting: waiting}
-	case schema.CallKindLoad:
-		full := n.passGrant(o, q.Grant)
-		l, ok := o.Load(full)
-		raw, err := msgpack.Marshal(l)
-		if !ok || err != nil {
-			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
-		}
-		return &schema.CallReply{Outcome: schema.CallOutcomeOk, Load: raw}
-	case schema.CallKindEmpty:
-		if o.Empty(q.VM) {
-			return &schema.CallReply{Outcome: schema.CallOutcomeOk}
-		}
-		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
-	default:
-		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
-	}
-}
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -175,6 +175,14 @@
 	return ""
 }
 
+// addWorkers adds n workers alike, w0 and so on.
+func (e *estate) addWorkers(n int, cpu string) {
+	for i := range n {
+		name := fmt.Sprintf("w%d", i)
+		e.addWorker(name, name, name, cpu, "0")
+	}
+}
+
 // ListMachines implements platform.Machines; a script that sets no machine gets those of the directory.
 func (e *estate) ListMachines(context.Context) (list []platform.Machine, err error) {
 	e.mu.Lock()
--- a/pkg/shard/limit_test.go
+++ b/pkg/shard/limit_test.go
@@ -72,9 +72,7 @@
 			link.Workers = w
 			return link
 		}
-		for i := range 60 {
-			e.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("w%d", i), fmt.Sprintf("w%d", i), "8000", "0")
-		}
+		e.addWorkers(60, "8000")
 		e.own("a")
 		time.Sleep(3 * time.Second)
 		for i := range 200 {
@@ -142,14 +140,12 @@
 			rack.Workers = w
 			return rack
 		}
-		for i := range 24 {
-			e.addWorker(fmt.Sprintf("w%02d", i), fmt.Sprintf("w%02d", i), fmt.Sprintf("w%02d", i), "8000", "0")
-		}
+		e.addWorkers(24, "8000")
 		e.own("a")
 		time.Sleep(3 * time.Second)
 		rack.mu.Lock()
 		for i := range 12 {
-			rack.dark[fmt.Sprintf("w%02d", i)] = true
+			rack.dark[fmt.Sprintf("w%d", i)] = true
 		}
 		rack.mu.Unlock()
 		for i := range 4 {
