What an owner named when it let go holds for the next term only

The second owner after a planned handover started other tasks at the workers that the record named, wrote no record, and was cut off; the third took the record's word that nothing else was there. Change: the record carries the term of the owner that let go, and is believed by the owner of the next term only. Ruled out: believing it while ordinary transactions rewrite the record (not all owners do). Measured: script release_then_crash fails on the version before (j2 at two workers at once), passes now.

--- a/pkg/shard/held.go
+++ b/pkg/shard/held.go
@@ -15,12 +15,16 @@
 // Beside one dark rack, tasks that are known to be nowhere else waited for each worker
 // of it: a planned handover took 2.15 s instead of 0.04 s. An owner that lets go by plan
 // says which tasks may be at a worker, and only those wait. After a crash any may be, since
-// a start is not written anywhere.
+// a start is not written anywhere: the word of an owner two terms ago says nothing of what
+// the last one has started.
 func (o *Owner) inherit(s *session, w leasedWorker) {
-	s.former = former{open: true, complete: w.Complete, tasks: w.Tasks}
+	s.former = former{open: true}
+	if w.LetGo > 0 && w.LetGo == o.claim.Term-1 {
+		s.former.complete, s.former.tasks = true, w.Tasks
+	}
 	o.held = true
-	o.heldAll = o.heldAll || !w.Complete
-	for _, name := range w.Tasks {
+	o.heldAll = o.heldAll || !s.former.complete
+	for _, name := range s.former.tasks {
 		if t := o.book.Task(name); t != nil {
 			t.MaybeAt++
 		}
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -79,7 +79,7 @@
 	var set []leasedWorker
 	for _, s := range o.sessions {
 		if s.recorded && (!s.known || !s.idle()) {
-			set = append(set, s.leasedInTheEnd())
+			set = append(set, s.leasedInTheEnd(o.claim.Term))
 		}
 	}
 	raw, err := encode(set)
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -126,21 +126,22 @@
 
 // leased is how the partition names the worker while tasks may start there at any time.
 func (s *session) leased() leasedWorker {
-	w := leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address}
-	if s.former.open {
-		w.Complete, w.Tasks = s.former.complete, s.former.tasks // nothing was started there
-	}
-	return w
+	return leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address}
 }
 
-// leasedInTheEnd is how the partition names the worker once no task starts there any
-// more: with the tasks that may be there.
-func (s *session) leasedInTheEnd() leasedWorker {
+// leasedInTheEnd is how the owner of a term names the worker once no task starts there
+// any more: with the tasks that may be there. One that it has not heard has what the
+// owner before has named, or any.
+func (s *session) leasedInTheEnd(term int64) leasedWorker {
 	w := s.leased()
+	if s.former.open && !s.former.complete {
+		return w
+	}
+	w.LetGo = term
 	if s.former.open {
+		w.Tasks = s.former.tasks
 		return w
 	}
-	w.Complete = true
 	for name := range s.attempts {
 		w.Tasks = append(w.Tasks, name)
 	}
