A call that is given up is not carried out by the system later

The holder had given the calls up; closing a connection leaves what it has not carried to the system, which goes on sending it. Change: connections whose call was given up are reset (pkg/httpc). Ruled out: a longer distance between holders: 12 s would stop the fleet's work after each takeover. Measured: TestGivenUpIsNotSent: a host that begins to read after the caller has given up reads 250,098 bytes of 250,000 of a body and its header before, not all of it now.

--- a/pkg/httpc/client_test.go
+++ b/pkg/httpc/client_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -10,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
 	"github.com/gannetwell/gannetwell/pkg/httpc"
@@ -129,3 +132,30 @@
 		return "unknown\n"
 	}
 }
+
+// TestGivenUpIsNotSent gives up a request of which the host has read nothing yet. What
+// the host reads later is not the whole request.
+func TestGivenUpIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		k, err := ln.Accept()
+		if err == nil {
+			_ = k.(*net.TCPConn).SetReadBuffer(4096)
+			accepted <- k
+		}
+	}()
+	const length = 250_000
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = httpc.New().Do(ctx, &httpc.Request{Method: "POST", Host: ln.Addr().String(), Path: "/", Body: make([]byte, length)})
+	c.Assert(err, qt.IsNotNil)
+	k := <-accepted
+	defer func() { _ = k.Close() }()
+	_ = k.SetReadDeadline(time.Now().Add(10 * time.Second))
+	got, _ := io.Copy(io.Discard, k)
+	c.Check(got < length, qt.IsTrue, qt.Commentf("the host has read %d bytes", got))
+}
--- a/pkg/httpc/conn.go
+++ b/pkg/httpc/conn.go
@@ -79,6 +79,18 @@
 	return n > 0, err
 }
 
+// abort closes the connection and drops what it has not carried yet. After a mere close
+// the system goes on sending: a request that was given up while its zone was cut off
+// would reach its host once the cut is over, seconds later and behind those that a
+// successor sent meanwhile. Of 250 KB that a host did not read before its caller
+// gave up it read all afterwards, none now (TestGivenUpIsNotSent).
+func (k *conn) abort() {
+	if t, ok := k.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = t.SetLinger(0) // fails on a connection that is closed already
+	}
+	_ = k.Close()
+}
+
 // Read implements io.Reader; each byte that comes puts the end of patience off.
 func (k *conn) Read(p []byte) (n int, err error) {
 	n, err = k.Conn.Read(p)
--- a/pkg/httpc/host.go
+++ b/pkg/httpc/host.go
@@ -104,9 +104,12 @@
 	} else if silent(err) && k.sentAt.After(h.suspectTo) {
 		h.suspectTo = k.sentAt
 	}
-	if keep && err == nil && len(h.idle) < c.maxIdle {
+	switch {
+	case err != nil:
+		k.abort()
+	case keep && len(h.idle) < c.maxIdle:
 		h.idle = append(h.idle, k)
-	} else {
+	default:
 		_ = k.Close()
 	}
 	if now.Sub(c.swept) > sweepInterval {
