Revert: callers come back later the longer the table service is away

Change: Retry-After is a second again. Conclusion: the arithmetic of TestRetryAfterOutage is not what callers get: most of those lost are not lost by their number of tries.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,8 @@
 )
 
 const (
+	// RetryAfter is when a caller that was refused should come again; HTTP has whole seconds.
+	RetryAfter = time.Second
 	// noticeTime is how long after it has ceased to be ready a node that stops goes on
 	// taking requests: the balancer asks each second and wants two answers, and a
 	// request on a kept connection may wait for half a second in front of a link that
--- a/pkg/node/reach.go
+++ b/pkg/node/reach.go
@@ -81,16 +81,6 @@
 	return time.Since(r.since)
 }
 
-// lostFor is for how long calls have not been answered, 0 while they are.
-func (r *reach) lostFor() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.lost {
-		return 0
-	}
-	return time.Since(r.since)
-}
-
 // silentFor is how long ago a call was last answered.
 func (r *reach) silentFor() time.Duration {
 	r.mu.Lock()
--- a/pkg/ownership/judge.go
+++ b/pkg/ownership/judge.go
@@ -125,27 +125,6 @@
 	return m.local.ReachesStore() && 2*reached > heard
 }
 
-// StoreLostByMost tells whether the table service answers neither this entry nor most
-// of the others that are heard.
-func (m *Members) StoreLostByMost() bool {
-	if m.local.ReachesStore() {
-		return false
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	lost, heard := 0, 0
-	for _, p := range m.peers {
-		if !m.alive(p) {
-			continue
-		}
-		heard++
-		if p.storeLost > 0 {
-			lost++
-		}
-	}
-	return 2*lost > heard
-}
-
 // Heirs returns the entries that may take a shard over, this one among them:
 // they were heard of late, reach the table service and are not stopping. When the
 // service has just come back, the others have not said yet that it answers them:
