Orders of waves and moves go out together, beside what is kept of waves

Change: a step plans waves and moves first, announces and sends all orders together, and keeps the progress of waves beside that. Ruled out: announcing orders for VMs in advance (a next holder would wait longer for them).

--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -50,10 +50,10 @@
 	return open
 }
 
-// advance takes one wave one step further.
-func (r *Runner) advance(ctx context.Context, w *wave, machines map[string]platform.Machine) error {
+// advance takes one wave one step further and returns the orders that are due.
+func (r *Runner) advance(ctx context.Context, w *wave, machines map[string]platform.Machine) (due []vmOrder, err error) {
 	if err := r.loadProgress(ctx, w); err != nil || w.completed {
-		return err
+		return nil, err
 	}
 	r.observe(w, machines)
 	if r.mayOrder(ctx) {
@@ -64,8 +64,7 @@
 			r.setPhase(w, v, PhaseEmptying, "a place in the wave is free")
 		}
 	}
-	r.maintain(ctx, w, machines)
-	return r.keepProgress(ctx, w)
+	return r.maintenanceDue(w, machines), nil
 }
 
 // observe takes the list of VMs into account.
@@ -90,9 +89,8 @@
 	}
 }
 
-// maintain has VMs emptied and orders the maintenance of those that are.
-func (r *Runner) maintain(ctx context.Context, w *wave, machines map[string]platform.Machine) {
-	var due []vmOrder
+// maintenanceDue returns the orders for the VMs of a wave that are to be emptied and maintained.
+func (r *Runner) maintenanceDue(w *wave, machines map[string]platform.Machine) (due []vmOrder) {
 	for _, v := range w.vms {
 		m := machines[v.Name]
 		unanswered := v.Phase == PhaseOrdered && v.confirmedAt == 0 && m.State == platform.MachineUp && m.Boot == v.Boot
@@ -100,7 +98,7 @@
 			due = append(due, vmOrder{vm: v.Name, pool: m.Pool, send: func(ctx context.Context) { r.sendMaintenance(ctx, w, v, m) }})
 		}
 	}
-	r.orderAll(ctx, due)
+	return due
 }
 
 // sendMaintenance orders the maintenance of a VM.
