--- a/pkg/shard/load_bench_test.go
+++ b/pkg/shard/load_bench_test.go
@@ -5,25 +5,47 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/allowance"
+	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 // BenchmarkBusyOwner has one owner carry a pool of 250 workers through three
-// seconds of 170 jobs a second, as a pool of the grown deployments in its turn.
+// seconds of 170 jobs a second, as a pool of the grown deployments in its turn, handed
+// in for no account, or evenly for a number of accounts whose limits do not bind. Limits
+// cost nothing that shows: 0.34, 0.31, 0.32 and 0.30 s for none, 20, 200 and 2,000 accounts,
+// on 2 processors; beside other work all four take up to twice as long.
 func BenchmarkBusyOwner(b *testing.B) {
-	for range b.N {
-		synctest.Test(new(testing.T), func(*testing.T) {
-			e := newEstate(b)
-			defer e.close()
-			for i := range 250 {
-				e.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("w%d", i), fmt.Sprintf("w%d", i), "32000", "0")
-			}
-			e.own("a")
-			time.Sleep(time.Second)
-			for i := range 510 {
-				go e.submit("a", "", fmt.Sprintf("%016x", i), "8x4100/640ms 8x4100/640ms<0")
-				time.Sleep(time.Second / 170)
+	for _, accounts := range []int{0, 20, 200, 2000} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			for range b.N {
+				synctest.Test(new(testing.T), func(*testing.T) { busyOwner(b, accounts) })
 			}
-			time.Sleep(4 * time.Second)
 		})
 	}
 }
+
+func busyOwner(b *testing.B, accounts int) {
+	e := newEstate(b)
+	defer e.close()
+	e.addWorkers(250, "32000")
+	shares := map[string]float64{}
+	for i := range accounts {
+		name := fmt.Sprintf("account-%d", i)
+		e.limits = append(e.limits, catalog.Account{Name: name, Weight: 1000, Limit: platform.Resources{CPU: 1 << 30, MemoryMB: 1 << 30}})
+		shares[name] = 1
+	}
+	e.own("a")
+	e.owners["a"].TakeGrant(allowance.Grant{Term: 1, Seq: 1, Shares: shares})
+	time.Sleep(time.Second)
+	for i := range 510 {
+		account := ""
+		if accounts > 0 {
+			account = fmt.Sprintf("account-%d", i%accounts)
+		}
+		go e.submit("a", account, fmt.Sprintf("%016x", i), "8x4100/640ms 8x4100/640ms<0")
+		time.Sleep(time.Second / 170)
+	}
+	time.Sleep(4 * time.Second)
+}
