A busy directory is read without pauses, and passed on once an answer

Owners learned of workers that leave up to 5 s late, and of new ones as late. Each row was passed on by itself, for which all owners went through all workers. Change: no pause after an answer of 400 rows and more; workers are passed on once an answer. Ruled out: processor time (the busiest entry used 46.7% of a core).

--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -37,7 +37,9 @@
 	return nil
 }
 
-// workerFeed is the directory of workers as this node follows it.
+// workerFeed is the directory of workers as this node follows it. Owners go through all
+// workers when they are passed on: once for an answer, not for each of its rows. Among 3,000
+// workers, which write 2,000 rows a second, that is 6 million of them a second.
 func (n *Node) workerFeed() feed {
 	return feed{
 		table: n.source.WorkerTable, pace: workersPace,
@@ -46,8 +48,8 @@
 			n.mu.Lock()
 			n.decodeWorker(n.workers, r)
 			n.mu.Unlock()
-			n.passWorkers()
 		},
+		applied: n.passWorkers,
 	}
 }
 
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -30,6 +30,11 @@
 	// configuration that a peer has already, before it asks the peer: both at once
 	// share the link, so that each takes twice as long.
 	peerCatalogAfter = 2500 * time.Millisecond
+	// fullPage is how many changed rows in one answer tell that more wait: the service
+	// gives 500 at once. A follower that pauses after each full page reads 1,250 a second
+	// at most; 3,000 workers write 2,000, so that an owner of 750 of them started tasks on
+	// workers up to 5 s after they had said that they leave, and found new ones as late.
+	fullPage = 400
 	// retryFeed is the pause after a read that was refused; half of it is random, so that entries do not come together.
 	retryFeed = 250 * time.Millisecond
 )
@@ -39,7 +44,9 @@
 	table string
 	list  func(ctx context.Context) (version int64, err error) // reads the whole table
 	apply func(r platform.Row)
-	pace  time.Duration // least time between two calls, 0 for none
+	// applied is called after the rows of each answer, nil for nothing.
+	applied func()
+	pace    time.Duration // least time between two calls, 0 for none
 	// wanted tells whether to go on, nil for always.
 	wanted func() bool
 }
@@ -49,12 +56,14 @@
 	after := int64(-1)
 	for ctx.Err() == nil && (f.wanted == nil || f.wanted()) {
 		started := time.Now()
-		err := n.followOnce(ctx, f, &after)
+		rows, err := n.followOnce(ctx, f, &after)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err == nil {
-			_ = pause.For(ctx, f.pace)
+			if rows < fullPage {
+				_ = pause.For(ctx, f.pace)
+			}
 			continue
 		}
 		if errors.As(err, new(platform.ErrHistoryGone)) {
@@ -70,7 +79,8 @@
 	return nil
 }
 
-func (n *Node) followOnce(ctx context.Context, f feed, after *int64) error {
+// followOnce reads the table, or what has changed in it since; it returns the number of changed rows.
+func (n *Node) followOnce(ctx context.Context, f feed, after *int64) (rows int, err error) {
 	if *after < 0 {
 		readCtx, cancel := context.WithTimeout(ctx, longestRead)
 		defer cancel()
@@ -78,19 +88,22 @@
 		if err == nil {
 			*after = version
 		}
-		return err
+		return 0, err
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, feedWait+longestRead)
 	defer cancel()
 	page, err := n.rows.FollowRows(waitCtx, f.table, *after, feedWait)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	for _, r := range page.Rows {
 		f.apply(r)
 	}
+	if len(page.Rows) > 0 && f.applied != nil {
+		f.applied()
+	}
 	*after = max(*after, page.Version)
-	return nil
+	return len(page.Rows), nil
 }
 
 // listAll reads all rows of a table without partitions.
