--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -50,10 +50,10 @@
 	return open
 }
 
-// advance takes one wave one step further and returns the orders that are due.
-func (r *Runner) advance(ctx context.Context, w *wave, machines map[string]platform.Machine) (due []vmOrder, err error) {
+// advance takes one wave one step further.
+func (r *Runner) advance(ctx context.Context, w *wave, machines map[string]platform.Machine) error {
 	if err := r.loadProgress(ctx, w); err != nil || w.completed {
-		return nil, err
+		return err
 	}
 	r.observe(w, machines)
 	if r.mayOrder(ctx) {
@@ -64,7 +64,8 @@
 			r.setPhase(w, v, PhaseEmptying, "a place in the wave is free")
 		}
 	}
-	return r.maintenanceDue(w, machines), nil
+	r.maintain(ctx, w, machines)
+	return r.keepProgress(ctx, w)
 }
 
 // observe takes the list of VMs into account.
@@ -89,8 +90,9 @@
 	}
 }
 
-// maintenanceDue returns the orders for the VMs of a wave that are to be emptied and maintained.
-func (r *Runner) maintenanceDue(w *wave, machines map[string]platform.Machine) (due []vmOrder) {
+// maintain has VMs emptied and orders the maintenance of those that are.
+func (r *Runner) maintain(ctx context.Context, w *wave, machines map[string]platform.Machine) {
+	var due []vmOrder
 	for _, v := range w.vms {
 		m := machines[v.Name]
 		unanswered := v.Phase == PhaseOrdered && v.confirmedAt == 0 && m.State == platform.MachineUp && m.Boot == v.Boot
@@ -98,7 +100,7 @@
 			due = append(due, vmOrder{vm: v.Name, pool: m.Pool, send: func(ctx context.Context) { r.sendMaintenance(ctx, w, v, m) }})
 		}
 	}
-	return due
+	r.orderAll(ctx, due)
 }
 
 // sendMaintenance orders the maintenance of a VM.
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -25,25 +25,26 @@
 	up      time.Duration // when it was first seen up in its new pool
 }
 
-// resize plans moves of VMs to where they are needed and returns the orders that are due.
-func (r *Runner) resize(ctx context.Context, machines map[string]platform.Machine) (due []vmOrder) {
+// resize moves VMs to where they are needed.
+func (r *Runner) resize(ctx context.Context, machines map[string]platform.Machine) {
 	loads := r.loads(ctx)
 	r.lastLoads = loads
 	r.settleMoves(machines)
 	if !r.mayOrder(ctx) {
-		return nil
+		return
 	}
 	pools := r.poolStates(machines, loads)
 	for _, m := range r.policy.PlanMoves(pools) {
 		r.moves[m.VM] = &move{Move: m, since: r.now()}
 		r.log.Info().Str("event", "move_planned").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Str("why", m.Why).Send()
 	}
+	var due []vmOrder
 	for vm, m := range r.moves {
 		if m.ordered == 0 {
 			due = append(due, vmOrder{vm: vm, pool: m.From, send: func(ctx context.Context) { r.sendMove(ctx, m) }})
 		}
 	}
-	return due
+	r.orderAll(ctx, due)
 }
 
 // settleMoves forgets moves that are over.
--- a/pkg/fleetops/progress.go
+++ b/pkg/fleetops/progress.go
@@ -54,11 +54,8 @@
 	return nil
 }
 
-// progress returns what lasts of a wave, and whether the wave is finished; orders for
-// its VMs may be under way.
-func (r *Runner) progress(w *wave) (k kept, finished bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// progress returns what lasts of a wave, and whether the wave is finished.
+func (w *wave) progress() (k kept, finished bool) {
 	finished = true
 	for _, v := range w.vms {
 		if v.Phase == PhaseDone || v.Phase == PhaseGone {
@@ -72,10 +69,10 @@
 
 // keepProgress writes what is done, and reports to the operator.
 func (r *Runner) keepProgress(ctx context.Context, w *wave) error {
-	if !w.loaded || !w.changed {
+	if !w.changed {
 		return nil
 	}
-	k, finished := r.progress(w)
+	k, finished := w.progress()
 	raw, err := msgpack.Marshal(k)
 	if err != nil {
 		return errors.Wrap(err, "encode progress of wave")
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -159,29 +159,12 @@
 		return
 	}
 	r.takeWaves()
-	waves := r.openWaves()
-	var due []vmOrder
-	for _, w := range waves {
-		orders, err := r.advance(ctx, w, machines)
-		r.noteWaveStep(ctx, w, err)
-		due = append(due, orders...)
-	}
-	due = append(due, r.resize(ctx, machines)...)
-	// What was done is kept beside the orders: with a table service that takes 0.6 s for
-	// a transaction, moves that waited for what the waves order and keep came 2.5 s late.
-	var keeping sync.WaitGroup
-	for _, w := range waves {
-		keeping.Go(func() { r.noteWaveStep(ctx, w, r.keepProgress(ctx, w)) })
-	}
-	r.orderAll(ctx, due)
-	keeping.Wait()
-}
-
-// noteWaveStep says in the log that a step of a wave has failed.
-func (r *Runner) noteWaveStep(ctx context.Context, w *wave, err error) {
-	if err != nil && ctx.Err() == nil {
-		r.log.Warn().Str("event", "wave_step_failed").Int("wave", w.ID).Err(err).Send()
+	for _, w := range r.openWaves() {
+		if err := r.advance(ctx, w, machines); err != nil && ctx.Err() == nil {
+			r.log.Warn().Str("event", "wave_step_failed").Int("wave", w.ID).Err(err).Send()
+		}
 	}
+	r.resize(ctx, machines)
 }
 
 // listMachines returns the VMs by name.
