--- a/_scripts/ablate.sh
+++ b/_scripts/ablate.sh
@@ -26,6 +26,9 @@
 hedged-commits|pkg/shard/hedge.go|s/hedgesAtOnce = 3/hedgesAtOnce = 1/
 learned-durations|pkg/shard/estimate.go|s/if l == nil || l.seen/if true || l == nil || l.seen/
 waiting-for-owners|pkg/node/calls.go|s/callerWait = 2 \* time.Second/callerWait = ownerWait/
+handover-names-tasks|pkg/shard/held.go|s/if w.LetGo > 0 \&\& w.LetGo == o.claim.Term-1/if false/
+promised-first|pkg/placement/place.go|/cmp.Compare(a.excess(), b.excess()),/d
+orders-not-sent|pkg/shard/dispatch.go|s/case !platform.IsNotDone(err):/case true:/
 room-soon|pkg/shard/evacuate.go|s/ \&\& !placement.Reserve(step, soon)//;s/hosts, soon := o.hostsToTry(now), o.hostsSoon(now)/hosts := o.hostsToTry(now)/
 LIST
 }
