--- /dev/null
+++ b/pkg/allowance/divide_test.go
@@ -0,0 +1,72 @@
+package allowance
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+// TestDivide plays testdata/divide: a line a shard with what runs, is wanted and the
+// least step, and the shares that come of it.
+func TestDivide(t *testing.T) {
+	datadriven.RunTest(t, "testdata/divide", func(t *testing.T, d *datadriven.TestData) string {
+		var uses []Use
+		for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+			var v [3]float64
+			for i, f := range strings.Fields(line) {
+				x, err := strconv.ParseFloat(f, 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				v[i] = x
+			}
+			uses = append(uses, Use{Running: v[0], Wanted: v[1], Step: v[2]})
+		}
+		var out strings.Builder
+		for _, share := range Divide(uses) {
+			fmt.Fprintf(&out, "%.3f\n", share)
+		}
+		return out.String()
+	})
+}
+
+// TestDivideProperties divides among any shards: never more than the whole limit unless
+// more runs already, never less than what runs, and no shard that wants gets less than
+// it could have while another has more than it wants.
+func TestDivideProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var uses []Use
+		running := 0.0
+		for range rapid.IntRange(1, 8).Draw(t, "shards") {
+			u := Use{Running: rapid.Float64Range(0, 0.6).Draw(t, "running")}
+			if rapid.Bool().Draw(t, "waits") {
+				u.Step = rapid.Float64Range(0.0001, 0.5).Draw(t, "step")
+				u.Wanted = u.Running + u.Step*float64(rapid.IntRange(1, 20).Draw(t, "tasks"))
+			}
+			running += u.Running
+			uses = append(uses, u)
+		}
+		sum, spare, short := 0.0, 0.0, 0.0
+		for i, share := range Divide(uses) {
+			u := &uses[i]
+			sum += share
+			if share < u.Running-rounding {
+				t.Fatalf("shard %d gets %f, and %f runs there", i, share, u.Running)
+			}
+			spare = max(spare, share-u.want())
+			if u.Step > 0 && share < u.Running+u.Step-rounding {
+				short = max(short, 1/u.Step)
+			}
+		}
+		if sum > max(1, running)+rounding {
+			t.Fatalf("shares sum to %f, %f runs: %+v", sum, running, uses)
+		}
+		if short > 0 && spare > 1/short+rounding {
+			t.Fatalf("a shard has %f to spare while another cannot start a task of %f: %+v", spare, 1/short, uses)
+		}
+	})
+}
