Keys are asked for only where the deployment has accounts

Change: the catalog tells whether the configuration has accounts at all; without them every caller is let in, whatever the header says. A configuration whose accounts are all gone still asks for keys.

--- a/pkg/catalog/account_test.go
+++ b/pkg/catalog/account_test.go
@@ -12,7 +12,8 @@
 func TestAdmit(t *testing.T) {
 	c := qt.New(t)
 	cat := New(Catalog{
-		Queues: []Queue{{Name: "closed"}, {Name: "open", Public: true}},
+		KeysNeeded: true,
+		Queues:     []Queue{{Name: "closed"}, {Name: "open", Public: true}},
 		Accounts: []Account{
 			{Name: "north", Keys: []Key{KeyOf("k1"), KeyOf("k2")}},
 			{Name: "south", Keys: []Key{KeyOf("k3")}},
@@ -37,6 +38,12 @@
 		c.Check(ok, qt.Equals, test.ok, qt.Commentf("%+v", test))
 	}
 	c.Check(cat.Account("none"), qt.IsNotNil)
+	without := New(Catalog{Queues: cat.Queues})
+	for _, key := range []string{"", "k1"} {
+		account, ok := without.Admit(without.Queue("closed"), key)
+		c.Check(account, qt.Equals, "")
+		c.Check(ok, qt.IsTrue)
+	}
 	c.Check(cat.Account("west"), qt.IsNil)
 }
 
