gannetctl prints jobs, pools and owners as JSON too

Change: one flag for the commands of the job service; script of what gannetctl shows of it. Measured: the script. The daemon is not touched.

--- a/cmd/gannetctl/cmds/cmds_test.go
+++ b/cmd/gannetctl/cmds/cmds_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -22,6 +24,7 @@
 	"github.com/gannetwell/gannetwell/pkg/replica"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/table"
+	"github.com/gannetwell/gannetwell/service/api"
 	"github.com/gannetwell/gannetwell/service/server"
 )
 
@@ -45,6 +48,28 @@
 	return ages.ReplaceAllString(s, "AGO")
 }
 
+// withJobService answers for the job service too, which has two accounts and one pool.
+func withJobService(h http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", h)
+	answer := func(path string, v any) {
+		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(v) })
+	}
+	answer("GET "+api.PathShards, api.Shards{Shards: []api.ShardStatus{
+		{Pool: "scoring", Owner: "e1", Term: 3, Loaded: true, Workers: 8, Cpu: 256000, CpuUsed: 80000, CpuWaiting: 1000, TasksWaiting: 1},
+		{Pool: "booking"},
+	}})
+	answer("GET "+api.PathJobs+"/score-now/1", api.JobStatus{Queue: "score-now", ID: "1", Outcome: "ok", State: "running", Pool: "scoring", Owner: "e1"})
+	answer("GET "+api.PathJobs+"/score-now/2", api.JobStatus{Queue: "score-now", ID: "2", Outcome: "not_found", Pool: "scoring"})
+	answer("GET "+api.PathAccounts, api.Accounts{CatalogVersion: 7, Accounts: []api.AccountStatus{
+		{Name: "north", Keys: []string{"90706fbf"}, Weight: 5, Cpu: 4000, MemoryMb: 100, Pools: []api.AccountInPool{
+			{Pool: "booking", Bound: true, Running: 0.25, Wanted: 0.75, Share: 0.5}, {Pool: "scoring", Running: 0.125, Wanted: 0.125},
+		}},
+		{Name: "south", Keys: []string{}, Weight: 1.5, Pools: []api.AccountInPool{}},
+	}})
+	return mux
+}
+
 // TestScripts runs each file of testdata against an entry of its own. The
 // commands are: run, a command line, its standard input after a line "---"; and
 // file, which writes its input to a file; and fault, which puts a fault in the way of every commit.
@@ -53,9 +78,9 @@
 		dir := t.TempDir()
 		store := fake.New()
 		r := replica.New(store.View("z"))
-		s := httptest.NewServer(server.New(r, explain.New(r, blind{}), server.WithAccounts([]schema.Account{
+		s := httptest.NewServer(withJobService(server.New(r, explain.New(r, blind{}), server.WithAccounts([]schema.Account{
 			{Name: "maria", Role: schema.RoleEdit, TokenSha256: server.HashToken("tok")},
-		})))
+		}))))
 		defer s.Close()
 		t.Setenv("GANNETWELL_ENTRY", s.URL)
 		t.Setenv("GANNETWELL_TOKEN", "tok")
--- a/cmd/gannetctl/cmds/jobs.go
+++ b/cmd/gannetctl/cmds/jobs.go
@@ -38,9 +38,15 @@
 	}
 }
 
+// asJSON is the flag of commands whose answer programs may read.
+type asJSON struct {
+	JSON bool `long:"json" description:"Print JSON"`
+}
+
 type jobShowCommand struct {
 	console *console
-	Args    struct {
+	asJSON
+	Args struct {
 		Queue string `positional-arg-name:"QUEUE"`
 		ID    string `positional-arg-name:"ID"`
 	} `positional-args:"yes" required:"yes"`
@@ -56,18 +62,31 @@
 	if err != nil {
 		return exitOf(err)
 	}
+	if err := c.print(job); err != nil {
+		return err
+	}
+	if job.Outcome != "ok" {
+		return cli.Exit(cli.ExitFailed, errors.Errorf("the job's state is %s", job.Outcome))
+	}
+	return nil
+}
+
+func (c *jobShowCommand) print(job api.JobStatus) error {
+	if c.JSON {
+		return c.console.printJSON(job)
+	}
 	owner := job.Owner
 	if owner == "" {
 		owner = "nobody"
 	}
 	c.console.printf("job %s of queue %s: %s %s\npool %s, owned by %s\n", job.ID, job.Queue, job.Outcome, job.State, job.Pool, owner)
-	if job.Outcome != "ok" {
-		return cli.Exit(cli.ExitFailed, errors.Errorf("the job's state is %s", job.Outcome))
-	}
 	return nil
 }
 
-type poolListCommand struct{ console *console }
+type poolListCommand struct {
+	console *console
+	asJSON
+}
 
 // Execute implements flags.Commander.
 func (c *poolListCommand) Execute([]string) error {
@@ -75,6 +94,9 @@
 	if err != nil {
 		return err
 	}
+	if c.JSON {
+		return c.console.printJSON(shards)
+	}
 	c.console.printf("%-16s %8s %10s %10s %10s %8s\n", "POOL", "WORKERS", "CPU", "USED", "WAITING", "TASKS")
 	for _, s := range shards {
 		if !s.Loaded {
@@ -86,7 +108,10 @@
 	return nil
 }
 
-type ownerListCommand struct{ console *console }
+type ownerListCommand struct {
+	console *console
+	asJSON
+}
 
 // Execute implements flags.Commander.
 func (c *ownerListCommand) Execute([]string) error {
@@ -94,6 +119,9 @@
 	if err != nil {
 		return err
 	}
+	if c.JSON {
+		return c.console.printJSON(shards)
+	}
 	c.console.printf("%-16s %6s  %s\n", "POOL", "TERM", "OWNER")
 	for _, s := range shards {
 		owner := s.Owner
@@ -107,7 +135,7 @@
 
 type accountListCommand struct {
 	console *console
-	JSON    bool `long:"json" description:"Print JSON"`
+	asJSON
 }
 
 // Execute implements flags.Commander.
@@ -134,8 +162,8 @@
 
 type accountShowCommand struct {
 	console *console
-	JSON    bool `long:"json" description:"Print JSON"`
-	Args    struct {
+	asJSON
+	Args struct {
 		Name string `positional-arg-name:"NAME"`
 	} `positional-args:"yes" required:"yes"`
 }
