--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -61,7 +61,7 @@
 		if s.row.Entry == k.self.Entry && s.row.Start == k.self.Start {
 			rank = 0 // the row names this very process, which has ended its work: no other entry claims it
 		}
-		if k.waited(s, now) < time.Duration(rank)*rankDelay {
+		if now-s.gone < time.Duration(rank)*rankDelay {
 			continue
 		}
 		s.claiming = true
@@ -71,15 +71,6 @@
 	}
 }
 
-// waited is for how long a shard's owner has been gone and a claim could be written: the
-// ranks count from when both hold. Counted from the owner's end alone, they had passed for
-// all entries when the table service came back after an outage of 5 s with single answers
-// in between: the first to try was the twelfth in rank, whose link of 10 Mbit/s made its
-// takeover 1.95 s long, with 110 idle VMs in that pool.
-func (k *Keeper) waited(s *state, now time.Duration) time.Duration {
-	return min(now-s.gone, k.members.local.StoreAnsweredFor())
-}
-
 // confirmOwned tells our owners until when the other entries saw no later owner; the lock is held.
 func (k *Keeper) confirmOwned() {
 	at, ok := k.members.ConfirmedAt(k.seenVersion())
