An account that left the configuration is divided as long as it has work

Cause: by reading: the holder planned for accounts of the configuration only, so that the shares of one that left stood still; tasks that waited in a shard with a small share would have waited for good. Change: accounts that shards report work of are planned for too. Measured: TestDeparted: the shard that wants 0.9 of the limit keeps a share of 0.05 before, gets it now.

--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -113,6 +113,8 @@
 }
 
 // Plan returns the grants that shards are to get; accounts are those that have a limit.
+// One that has left the configuration is divided for as long as it has work: its shares
+// would else stay where its last work was, and tasks that wait elsewhere would wait for good.
 func (h *Holder) Plan(shards, accounts []string) map[string]Grant {
 	grants := map[string]Grant{}
 	if !h.allKnown(shards) {
@@ -124,7 +126,7 @@
 		return grants
 	}
 	shares := map[string]map[string]float64{}
-	for _, account := range accounts {
+	for _, account := range h.withWork(shards, accounts) {
 		h.planAccount(account, shards, func(shard string, share float64) {
 			if shares[shard] == nil {
 				shares[shard] = map[string]float64{}
@@ -141,6 +143,24 @@
 	return grants
 }
 
+// withWork returns the accounts, and others that shards report work of.
+func (h *Holder) withWork(shards, accounts []string) []string {
+	named := make(map[string]bool, len(accounts))
+	for _, account := range accounts {
+		named[account] = true
+	}
+	all := slices.Clone(accounts)
+	for _, s := range shards {
+		for account, u := range h.book(s).uses {
+			if !named[account] && u.want() > 0 {
+				named[account] = true
+				all = append(all, account)
+			}
+		}
+	}
+	return all
+}
+
 func (h *Holder) allKnown(shards []string) bool {
 	return !slices.ContainsFunc(shards, func(s string) bool { return !h.book(s).known })
 }
