An owner row that differs from what was seen is read again

All entries claimed the shard with the row of an owner before, were told that it is another one, and waited for the feed: no owner from 41 s on. Change: after a claim that failed the row is read again. Measured: TestRowReadAfterClaim fails before (not to be read again), passes now.

--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -131,11 +131,12 @@
 		s.notBefore = k.now() + claimPause
 		k.log.Warn().Str("event", "shard_claim_failed").Str("pool", pool).Err(err).Send()
 		if errors.As(err, new(platform.ErrConflict)) || errors.As(err, new(shard.ErrNotOwner)) || platform.IsNotDone(err) {
-			s.inDoubt = false // the feed brings the row
-		}
-		if s.inDoubt {
-			s.loaded = false // the claim may have happened: read the row again
+			s.inDoubt = false
 		}
+		// The claim may have happened, or the row is another one than we have seen. The
+		// feed need not bring it: a history that was forgotten had it, and all entries
+		// claimed a shard in vain for 30 s, each with the row of an owner before.
+		s.loaded = false
 		return
 	}
 	s.inDoubt = false
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -102,6 +102,27 @@
 	})
 }
 
+// TestRowReadAfterClaim has a claim fail since the owner row is another one than was
+// seen: the row is read again, as the feed may have lost it.
+func TestRowReadAfterClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		u := newOutage()
+		k := u.keepers[0]
+		k.open = func(context.Context, string, int64, *catalog.Catalog, Events) (Work, error) {
+			return nil, errors.Wrap(shard.ErrNotOwner{}, "take over")
+		}
+		u.entries[0].back = time.Now()
+		c.Check(k.Unread(), qt.HasLen, 0)
+		for range 6 {
+			k.evaluate(context.Background())
+			synctest.Wait()
+			time.Sleep(rankDelay)
+		}
+		c.Check(k.Unread(), qt.DeepEquals, []string{"p"})
+	})
+}
+
 // TestClaimAfterRestart has all entries start at the same time and find shards of
 // which former owners were lost with them: one is claimed 300 ms after the start,
 // 600 ms when each waited longer for the others to register. After the loss of all
