Owners say which attempts went with a worker, and how long they had run

Cause: of the thirteen attempts that went with a worker in the incident the log named none, so that tasks that bring workers down could not be told from those beside them. Change: a line attempt_lost for each, with cause, time run and whether its start was answered, and the counter gannetwell_attempts_lost_total; nothing is decided by it. A start refused by another boot is dropped before that boot's end, as it never ran there (same outcome).

--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
 // metricsPort is where figures are served, as the deploy file says.
@@ -23,6 +24,7 @@
 	looks    *prometheus.CounterVec
 	orders   *prometheus.CounterVec
 	ends     *prometheus.CounterVec
+	lost     *prometheus.CounterVec
 	jobs     *prometheus.CounterVec
 	keys     *prometheus.CounterVec
 	heldBack *prometheus.CounterVec
@@ -48,6 +50,7 @@
 		looks:  counter("gannetwell_looks_total", "Renewals of leases at workers by outcome."),
 		orders: counter("gannetwell_orders_total", "Starts and stops ordered at workers by outcome."),
 		ends:   counter("gannetwell_ends_total", "Ends of attempts by reason."),
+		lost:   counter("gannetwell_attempts_lost_total", "Attempts that went with their worker, by how it was lost."),
 		jobs:   counter("gannetwell_jobs_total", "Jobs by what became of them."),
 		keys:   counter("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer."),
 		heldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -55,7 +58,7 @@
 		}, []string{"account"}),
 		accounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.jobs, m.keys, m.heldBack, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.lost, m.jobs, m.keys, m.heldBack, collectors.NewGoCollector())
 	return m
 }
 
@@ -81,6 +84,9 @@
 // End implements shard.Metrics.
 func (m *metrics) End(reason platform.EndReason) { m.ends.WithLabelValues(string(reason)).Inc() }
 
+// AttemptLost implements shard.Metrics.
+func (m *metrics) AttemptLost(kind shard.Loss) { m.lost.WithLabelValues(string(kind)).Inc() }
+
 // Job implements shard.Metrics.
 func (m *metrics) Job(event string) { m.jobs.WithLabelValues(event).Inc() }
 
--- a/pkg/shard/look.go
+++ b/pkg/shard/look.go
@@ -157,7 +157,7 @@
 	if s.failures > 0 {
 		o.log.Info().Str("event", "worker_regained").Str("boot", s.ref.Boot).Int("failures", s.failures).Send()
 	}
-	s.failures = 0
+	s.failures, s.silentAt = 0, 0
 	s.noteClock(report.ClockMs, o.now())
 	o.takeReport(s, report, sentAt)
 }
@@ -174,7 +174,7 @@
 		o.outranked(s)
 		return
 	}
-	s.failures++
+	s.unanswered(o.now())
 	s.askAgain = s.failures == 1
 	if s.failures == 1 {
 		o.log.Warn().Str("event", "worker_lost").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Err(err).Send()
--- /dev/null
+++ b/pkg/shard/lost.go
@@ -0,0 +1,47 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+)
+
+// Loss is how attempts went with their worker.
+type Loss string
+
+// The kinds of losses.
+const (
+	LossEnded  Loss = "worker_ended"  // the boot has ended
+	LossLapsed Loss = "leases_lapsed" // it does not answer, and its leases have run out
+)
+
+// lose forgets what was at a worker that is lost, and says of each attempt how long it
+// had run: a worker goes with a dozen attempts, and when one of them has brought it down
+// nothing else tells which.
+func (o *Owner) lose(s *session, kind Loss) {
+	now := o.now()
+	for name, r := range s.attempts {
+		if r.sent() {
+			o.cfg.Metrics.AttemptLost(kind)
+			o.log.Info().Str("event", "attempt_lost").Str("task", name).Int64("attempt", r.Number).Str("boot", s.ref.Boot).
+				Str("cause", string(kind)).Dur("ran", s.ranFor(r, now)).Bool("begun", r.confirmedAt > 0).Send()
+		}
+		o.drop(s, name)
+	}
+}
+
+// sent tells whether the worker may have been given the attempt.
+func (r *running) sent() bool { return r.sentAt > 0 || r.confirmedAt > 0 }
+
+// ranFor is how long an attempt had run when its worker was last heard, 0 for one
+// that had no answer.
+func (s *session) ranFor(r *running, now time.Duration) time.Duration {
+	if r.Phase == jobs.PhaseOrdered || r.Phase == jobs.PhaseInDoubt {
+		return 0
+	}
+	end := now
+	if s.silentAt > 0 {
+		end = s.silentAt
+	}
+	return max(0, end-r.confirmedAt)
+}
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -36,6 +36,7 @@
 			if o.unwanted(a) || a.Number <= a.Task.Step.BrokenRun {
 				return nil
 			}
+			r.sentAt = now
 			order := platform.StartOrder{
 				Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.Task.Checkpoint,
 				Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.lease(now),
@@ -71,11 +72,14 @@
 	var other platform.ErrOtherBoot
 	switch {
 	case errors.As(err, &other):
+		if current && r.confirmedAt == 0 {
+			o.drop(s, name) // it has not started there
+		}
 		o.bootEnded(s, "another boot answers at its address")
 	case errors.As(err, &refused):
 		o.startRefused(s, name, r, refused, now)
 	case platform.IsNotDone(err):
-		s.failures++
+		s.unanswered(now)
 		s.askAgain = false // what did not reach the worker is not sent again at once
 		if current && r.confirmedAt == 0 {
 			o.drop(s, name)
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -26,6 +26,8 @@
 	Order(err error)
 	// End counts an end that a worker reports.
 	End(reason platform.EndReason)
+	// AttemptLost counts an attempt that went with its worker.
+	AttemptLost(kind Loss)
 	// Job counts what became of a job.
 	Job(event string)
 	// AccountAtLimit counts a second in which tasks of a client account were held back for its limit.
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -44,6 +44,7 @@
 	inFlight   int                            // start orders without an answer yet
 	inDoubt    bool                           // a start order got no answer; a look with a higher token settles it
 	failures   int                            // looks and orders in a row without an answer
+	silentAt   time.Duration                  // when the first of them was noticed, 0 while there is none
 	askAgain   bool                           // the only one was a look: it is repeated without a pause
 	health     outcomes                       // to tell a bad worker
 	pausedTo   time.Duration                  // no new tasks until then
@@ -76,6 +77,7 @@
 // running is an attempt at a worker.
 type running struct {
 	*jobs.Attempt
+	sentAt      time.Duration // when the start was last sent, 0 before
 	confirmedAt time.Duration // when the worker said that it has it, 0 before
 	orderedEnd  time.Duration // when its end was last ordered, 0 for never
 	seenAt      time.Duration // when the worker last reported it
@@ -98,6 +100,14 @@
 	}
 }
 
+// unanswered notes that the worker did not answer.
+func (s *session) unanswered(now time.Duration) {
+	if s.failures == 0 {
+		s.silentAt = now
+	}
+	s.failures++
+}
+
 // usable tells whether new tasks may start at the worker.
 func (s *session) usable(now time.Duration) bool {
 	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -86,9 +86,7 @@
 	if len(s.attempts) > 0 {
 		o.log.Warn().Str("event", "leases_lapsed").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Send()
 	}
-	for name := range s.attempts {
-		o.drop(s, name)
-	}
+	o.lose(s, LossLapsed)
 	clear(s.foreign)
 	s.hostCache = nil
 	s.inDoubt = false
@@ -106,9 +104,7 @@
 		return
 	}
 	o.log.Info().Str("event", "worker_ended").Str("boot", s.ref.Boot).Str("vm", s.vm).Str("why", why).Int("attempts", len(s.attempts)).Send()
-	for name := range s.attempts {
-		o.drop(s, name)
-	}
+	o.lose(s, LossEnded)
 	s.gone = true
 	o.closeFormer(s)
 	s.cancel()
