A task that brings its workers down, as a failing test

Cause: reproduced as supposed: nothing counts the workers lost under a task. Change: the stand-in's tasks can bring their worker down, before or some time after the start is answered; the worker is back after 3 s as another boot.

--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -47,9 +47,24 @@
 	a.timer = time.AfterFunc(duration, func() { w.finish(b, o.Task, a, reason) })
 	b.running[o.Task] = a
 	w.witness.Started(b.info.Boot, o.Task, o.Attempt)
+	switch {
+	case work.Crashes && work.CrashAfter == 0:
+		w.bringDown(b, o.Task)
+	case work.Crashes:
+		time.AfterFunc(work.CrashAfter, func() { w.crash(b, o.Task, a) })
+	}
 	return nil
 }
 
+// crash has an attempt that runs still bring its worker down.
+func (w *Workers) crash(b *boot, task string, a *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b.running[task] == a {
+		w.bringDown(b, task)
+	}
+}
+
 func (w *Workers) finish(b *boot, task string, a *attempt, reason platform.EndReason) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/platform/fake/orders.go
+++ b/pkg/platform/fake/orders.go
@@ -60,7 +60,11 @@
 	defer v.w.mu.Unlock()
 	b := v.w.boots[ref.Boot]
 	if b != nil && !b.dead {
-		return do(b)
+		err := do(b)
+		if b.dead {
+			return platform.ErrUnknown{Op: "order", Cause: "connection was closed"}
+		}
+		return err
 	}
 	for _, other := range v.w.boots {
 		if !other.dead && other.info.Address == ref.Address {
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -16,6 +16,9 @@
 	Needs    platform.Resources
 	Duration time.Duration // 0 to run until it is stopped
 	Fails    bool          // at its end
+	Crashes  bool          // it brings the worker down
+	// CrashAfter is how long after its start it does so; with 0 the start gets no answer.
+	CrashAfter time.Duration
 }
 
 // Witness is told what workers do; a test checks its promises by it.
@@ -25,6 +28,8 @@
 	Acked(boot, task string, reason platform.EndReason)
 	// Overfilled tells of a start for which the boot, which does not reject it, has no room.
 	Overfilled(boot, task string)
+	// BroughtDown tells of a task that has brought the boot down.
+	BroughtDown(boot, task string)
 }
 
 // Workers is a stand-in of the workers of a deployment.
@@ -38,7 +43,9 @@
 	mu    sync.Mutex
 	fault func(op OrderOp, boot, entry string) Fault
 	stall func(boot, task string) bool
-	boots map[string]*boot
+	// crashed is told of boots that a task has brought down.
+	crashed func(info platform.Worker)
+	boots   map[string]*boot
 	// takesAll has workers start what does not fit, as those do that do not guard their capacity.
 	takesAll bool
 }
@@ -67,6 +74,7 @@
 	return &Workers{
 		latency: latency, lateBy: lateBy, stopTime: stopTime, work: work, witness: w,
 		fault: func(OrderOp, string, string) Fault { return FaultNone }, boots: map[string]*boot{},
+		crashed: func(platform.Worker) {},
 	}
 }
 
@@ -84,6 +92,13 @@
 	w.takesAll = on
 }
 
+// SetCrashed names what is told of each boot that a task has brought down.
+func (w *Workers) SetCrashed(f func(info platform.Worker)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashed = f
+}
+
 // Boot starts a worker, in place of an earlier boot at the same address.
 func (w *Workers) Boot(info platform.Worker, drift float64) {
 	w.mu.Lock()
@@ -106,6 +121,17 @@
 	w.end(w.boots[name])
 }
 
+// bringDown ends a boot that one of its tasks has brought down; calls under way there end at once.
+func (w *Workers) bringDown(b *boot, task string) {
+	if b.dead {
+		return
+	}
+	w.witness.BroughtDown(b.info.Boot, task)
+	w.end(b)
+	close(b.changed)
+	go w.crashed(b.info)
+}
+
 func (w *Workers) end(b *boot) {
 	if b.dead {
 		return
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -48,10 +49,14 @@
 	breakWorkers func(platform.Workers) platform.Workers
 	asked        int // calls for advice
 	limits       []catalog.Account
+	ownersMu     sync.Mutex // guards changes of owners
 	owners       map[string]*shard.Owner
-	faults       map[string]fake.Fault // by "op entry" and "op boot entry", with * for any
-	faultTimes   map[string]int        // calls that a fault strikes, 0 and less for all
-	failing      map[string]int        // failures that a task has left
+	closed       bool
+	faults       map[string]fake.Fault    // by "op entry" and "op boot entry", with * for any
+	faultTimes   map[string]int           // calls that a fault strikes, 0 and less for all
+	failing      map[string]int           // failures that a task has left
+	crashing     map[string]time.Duration // tasks that bring their worker down, and how long after their start
+	boots        int                      // that were started after a crash
 	log          bytes.Buffer
 	out          io.Writer // to log
 }
@@ -63,21 +68,39 @@
 }
 
 func newEstate(t fataler) *estate {
-	e := &estate{t: t, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, faultTimes: map[string]int{}, failing: map[string]int{}}
+	e := &estate{t: t, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, faultTimes: map[string]int{}, failing: map[string]int{}, crashing: map[string]time.Duration{}}
 	e.witness = newWitness(e)
 	e.out = zerolog.SyncWriter(&e.log)
 	e.rows = fake.NewRows(4*time.Millisecond, 3*time.Second)
 	e.rows.SetFault(func(op fake.RowOp, entry string) fake.Fault { return e.fault("rows", string(op), entry) })
 	e.workers = fake.NewWorkers(time.Millisecond, 3*time.Second, 50*time.Millisecond, e.work, e.witness)
 	e.workers.SetFault(func(op fake.OrderOp, boot, entry string) fake.Fault { return e.fault(string(op), boot, entry) })
+	e.workers.SetCrashed(func(w platform.Worker) { time.AfterFunc(backAfter, func() { e.boot(w) }) })
 	return e
 }
 
+// backAfter is how long a worker that was brought down stays away.
+const backAfter = 3 * time.Second
+
+// boot starts the next boot of a worker that was brought down.
+func (e *estate) boot(w platform.Worker) {
+	e.locked(func() {
+		if e.closed {
+			return
+		}
+		e.boots++
+		name, _, _ := strings.Cut(w.Boot, "-")
+		w.Boot = fmt.Sprintf("%s-%d", name, e.boots)
+	})
+	e.start(w, 0)
+}
+
 func (e *estate) close() {
-	for _, o := range e.owners {
+	e.locked(func() { e.closed = true })
+	for _, o := range e.owned() {
 		o.Close()
 	}
-	for _, w := range e.listed {
+	for _, w := range e.directory() {
 		e.workers.Crash(w.Boot)
 	}
 }
@@ -117,6 +140,7 @@
 		e.failing[task]--
 		w.Fails = true
 	}
+	w.CrashAfter, w.Crashes = e.crashing[task]
 	return w
 }
 
@@ -166,13 +190,18 @@
 	n, _ := strconv.Atoi(cpu)
 	slow, _ := strconv.ParseFloat(drift, 64)
 	w := platform.Worker{Boot: boot, VM: vm, Pool: pool, Address: address, Capacity: platform.Resources{CPU: n, MemoryMB: 1 << 20}}
-	e.workers.Boot(w, slow)
+	e.start(w, slow)
+	return ""
+}
+
+// start boots a worker and lists it in place of the one that its VM had.
+func (e *estate) start(w platform.Worker, drift float64) {
+	e.workers.Boot(w, drift)
 	e.locked(func() {
-		e.listed = slices.DeleteFunc(e.listed, func(o platform.Worker) bool { return o.VM == vm })
+		e.listed = slices.DeleteFunc(slices.Clone(e.listed), func(o platform.Worker) bool { return o.VM == w.VM })
 		e.listed = append(e.listed, w)
 	})
 	e.publish()
-	return ""
 }
 
 // addWorkers adds n workers alike, w0 and so on.
@@ -222,15 +251,43 @@
 // relist puts the row of an ended boot in place of the present one of its VM, as
 // a directory that is out of date does.
 func (e *estate) relist(boot, vm, address string) string {
-	e.listed = slices.DeleteFunc(e.listed, func(w platform.Worker) bool { return w.VM == vm })
-	e.listed = append(e.listed, platform.Worker{Boot: boot, VM: vm, Pool: pool, Address: address, Capacity: platform.Resources{CPU: 1}})
+	e.locked(func() {
+		e.listed = slices.DeleteFunc(slices.Clone(e.listed), func(w platform.Worker) bool { return w.VM == vm })
+		e.listed = append(e.listed, platform.Worker{Boot: boot, VM: vm, Pool: pool, Address: address, Capacity: platform.Resources{CPU: 1}})
+	})
 	return ""
 }
 
+// publish shows the directory to all owners.
 func (e *estate) publish() {
-	for _, o := range e.owners {
-		o.SetWorkers(e.listed)
+	listed := e.directory()
+	for _, o := range e.owned() {
+		o.SetWorkers(listed)
+	}
+}
+
+// directory returns the boots that are listed.
+func (e *estate) directory() (listed []platform.Worker) {
+	e.locked(func() { listed = e.listed })
+	return listed
+}
+
+// owned returns the owners that there are.
+func (e *estate) owned() []*shard.Owner {
+	e.ownersMu.Lock()
+	defer e.ownersMu.Unlock()
+	return slices.Collect(maps.Values(e.owners))
+}
+
+// setOwner notes the owner that an entry has become, nil for none.
+func (e *estate) setOwner(entry string, o *shard.Owner) {
+	e.ownersMu.Lock()
+	defer e.ownersMu.Unlock()
+	if o == nil {
+		delete(e.owners, entry)
+		return
 	}
+	e.owners[entry] = o
 }
 
 func (e *estate) own(entry string) string {
@@ -255,11 +312,11 @@
 		StoreSteady: func() time.Duration { return time.Since(e.since) },
 		OnOver:      func(error) {}, Sending: func() {},
 	}
-	o, err := shard.Open(context.Background(), cfg, row.Version, e.catalog(), e.listed)
+	o, err := shard.Open(context.Background(), cfg, row.Version, e.catalog(), e.directory())
 	if err != nil {
 		return err.Error() + "\n"
 	}
-	e.owners[entry] = o
+	e.setOwner(entry, o)
 	return fmt.Sprintf("term %d\n", o.Term())
 }
 
--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -154,7 +154,7 @@
 func (m *machine) takeOver() {
 	if o := m.e.owners[m.present]; o != nil {
 		o.Close()
-		delete(m.e.owners, m.present)
+		m.e.setOwner(m.present, nil)
 	}
 	m.follow()
 }
@@ -163,7 +163,7 @@
 func (m *machine) handOver() {
 	if o := m.e.owners[m.present]; o != nil {
 		o.Release(context.Background(), "")
-		delete(m.e.owners, m.present)
+		m.e.setOwner(m.present, nil)
 	}
 	m.follow()
 }
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -46,15 +46,18 @@
 		e.workers.SetTakesAll(true)
 		return ""
 	case "unlist":
-		e.listed = slices.DeleteFunc(e.listed, func(w platform.Worker) bool { return w.Boot == arg("boot", "") })
+		e.locked(func() {
+			e.listed = slices.DeleteFunc(slices.Clone(e.listed), func(w platform.Worker) bool { return w.Boot == arg("boot", "") })
+		})
 		e.publish()
 		return ""
 	case "drain":
-		for i := range e.listed {
-			if e.listed[i].Boot == arg("boot", "") {
-				e.listed[i].Draining = true
+		e.locked(func() {
+			e.listed = slices.Clone(e.listed)
+			for i := range e.listed {
+				e.listed[i].Draining = e.listed[i].Draining || e.listed[i].Boot == arg("boot", "")
 			}
-		}
+		})
 		e.publish()
 		return ""
 	case "crash":
@@ -64,11 +67,11 @@
 		return e.own(entry)
 	case "kill":
 		e.owners[entry].Close()
-		delete(e.owners, entry)
+		e.setOwner(entry, nil)
 		return ""
 	case "release":
 		e.owners[entry].Release(context.Background(), "")
-		delete(e.owners, entry)
+		e.setOwner(entry, nil)
 		return ""
 	case "submit":
 		return e.submit(entry, arg("account", ""), arg("id", ""), strings.TrimSpace(d.Input))
@@ -80,6 +83,13 @@
 	case "waiting":
 		n, out := e.owners[entry].Waiting(queue)
 		return fmt.Sprintf("%s %d\n", out, n)
+	case "crashes":
+		after, err := time.ParseDuration(arg("after", "10ms"))
+		if err != nil {
+			e.t.Fatal(err)
+		}
+		e.locked(func() { e.crashing[arg("task", "")] = after })
+		return ""
 	case "fail":
 		times, _ := strconv.Atoi(arg("times", "1"))
 		e.locked(func() { e.failing[arg("task", "")] = times })
@@ -106,7 +116,7 @@
 		return ""
 	case "running":
 		var out strings.Builder
-		for _, w := range e.listed {
+		for _, w := range e.directory() {
 			if w.Draining && len(e.workers.Running(w.Boot)) == 0 {
 				continue
 			}
@@ -145,6 +155,8 @@
 		return e.accounts(entry)
 	case "check":
 		return e.witness.report()
+	case "promises":
+		return e.witness.promises()
 	case "log":
 		return e.log.String()
 	default:
--- a/pkg/shard/witness_test.go
+++ b/pkg/shard/witness_test.go
@@ -13,6 +13,10 @@
 // cancelBound is how long after a confirmed cancel a task may still start.
 const cancelBound = 3 * time.Second
 
+// mostDown is how many workers a task may bring down: two more than the three after
+// which callers count on its being given up.
+const mostDown = 5
+
 // witness holds the promises against what workers do and callers were told.
 type witness struct {
 	estate    *estate
@@ -27,6 +31,7 @@
 	copies    map[string]bool      // jobs whose tasks may run more than once at a time
 	accounts  map[string]string    // of jobs
 	allowed   map[string]int       // processors that an account may have running, in thousandths; others any
+	down      map[string]int       // workers that a task has brought down
 	broken    []string
 	starts    int
 }
@@ -35,7 +40,7 @@
 	return &witness{
 		estate: e, running: map[string][]string{}, ended: map[string]bool{}, done: map[string]bool{}, failed: map[string]int{}, failures: map[string]int{},
 		refused: map[string]bool{}, steps: map[string]string{}, cancelled: map[string]time.Time{}, copies: map[string]bool{},
-		accounts: map[string]string{}, allowed: map[string]int{},
+		accounts: map[string]string{}, allowed: map[string]int{}, down: map[string]int{},
 	}
 }
 
@@ -58,6 +63,9 @@
 	if w.failed[task] >= maxAttempts {
 		w.breaks("%s attempt %d started at %s after %d failures", task, attempt, boot, w.failed[task])
 	}
+	if w.down[task] >= mostDown {
+		w.breaks("%s attempt %d started at %s after it had brought %d workers down", task, attempt, boot, w.down[task])
+	}
 	if w.refused[job] {
 		w.breaks("%s started at %s though its job was refused", task, boot)
 	}
@@ -133,6 +141,13 @@
 	w.breaks("%s started at %s, which has no room for it", task, boot)
 }
 
+// BroughtDown implements fake.Witness.
+func (w *witness) BroughtDown(_, task string) {
+	w.estate.mu.Lock()
+	defer w.estate.mu.Unlock()
+	w.down[task]++
+}
+
 // Acked implements fake.Witness.
 func (w *witness) Acked(_, task string, reason platform.EndReason) {
 	w.estate.mu.Lock()
@@ -153,3 +168,13 @@
 	}
 	return strings.Join(w.broken, "\n") + "\n"
 }
+
+// promises tells whether all promises were kept, however many starts that took.
+func (w *witness) promises() string {
+	w.estate.mu.Lock()
+	defer w.estate.mu.Unlock()
+	if len(w.broken) == 0 {
+		return "kept\n"
+	}
+	return strings.Join(w.broken, "\n") + "\n"
+}
