A task that brings its workers down is told from those beside it, and given up

Cause: an attempt that went with its worker was dropped as if it had never been started, so that its task was started again without end, each time with a dozen others that did nothing. Class: a failure that strikes the one who would report it was not counted at all.

Change: pkg/blame decides, pure: a lost worker is counted against what had run there for less than 10 s. After one loss a task starts where no other such task starts until it has run longer than it had then, which clears it; after two it starts on trial, at a worker where nothing else starts meanwhile and all else has run for 0.5 s; lost on trial, its job fails. Losses are kept with the job's progress, from the second call that the worker leaves unanswered on, and taken back if that boot answers again; a trial waits until they are kept. Workers that were draining, cordoned or unlisted before count for nothing.

Ruled out: giving up after three losses whoever caused them (16 to 31 ordinary jobs of 600 failed in TestStorm); a trial after the first loss (91 to 339 in time).

--- /dev/null
+++ b/pkg/blame/loss.go
@@ -0,0 +1,118 @@
+package blame
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Within is how long an attempt may have run when its worker is lost and still be
+	// counted the loss: a task that brings its worker down does so within moments of its
+	// start, and one that has run for days has seen many workers go.
+	Within = 10 * time.Second
+	// watchSlack is how much longer than before a lost worker an attempt has to run to be
+	// cleared. Workers were lost within 10 ms of the start that brought them down.
+	watchSlack = 200 * time.Millisecond
+	// trialAfter is the number of losses from which a task is started on trial only. With 1
+	// a task costs two workers in place of three, and ordinary jobs in time fall from 448 to
+	// 496 of 600 to 91 to 339, since each of them waits for a worker of its own (TestStorm).
+	trialAfter = 2
+	// mostLosses is the number of losses at which a task is given up without a trial that
+	// proves it. Callers are promised at most two starts more after three such losses.
+	mostLosses = 5
+)
+
+// Loss is a worker that was lost with an attempt of a task.
+type Loss struct {
+	Attempt int64         `msgpack:"n"`
+	Boot    string        `msgpack:"b"`
+	Ran     time.Duration `msgpack:"r,omitempty"` // how long the attempt had run, 0 if its start was not answered
+	Trial   bool          `msgpack:"t,omitempty"` // nothing else was started there at that time
+	Sure    bool          `msgpack:"s,omitempty"` // the boot has ended, it is not only silent
+}
+
+// Verdict is how a task may be started.
+type Verdict string
+
+// The verdicts.
+const (
+	Clear   Verdict = "clear"    // anywhere
+	Watched Verdict = "watched"  // where no other watched task starts
+	OnTrial Verdict = "on_trial" // where nothing else starts
+	Guilty  Verdict = "guilty"   // nowhere any more
+)
+
+// Losses are what speaks against a task.
+type Losses []Loss
+
+// Verdict tells how the task may be started. A gang is started as a whole, so that its
+// tasks are never on trial.
+func (ls Losses) Verdict(gang bool) Verdict {
+	proven := slices.ContainsFunc(ls, func(l Loss) bool { return l.Trial && l.Sure })
+	switch {
+	case proven && len(ls) > trialAfter || len(ls) >= mostLosses:
+		return Guilty
+	case len(ls) >= trialAfter && !gang:
+		return OnTrial
+	case len(ls) > 0:
+		return Watched
+	default:
+		return Clear
+	}
+}
+
+// WatchFor is how long an attempt has to run to clear its task.
+func (ls Losses) WatchFor() (d time.Duration) {
+	for _, l := range ls {
+		d = max(d, l.Ran)
+	}
+	return d + watchSlack
+}
+
+// With returns the losses with one more, the same if that attempt is counted already.
+func (ls Losses) With(l Loss) Losses {
+	if slices.ContainsFunc(ls, func(o Loss) bool { return o.Attempt == l.Attempt }) {
+		return ls
+	}
+	return append(slices.Clip(ls), l)
+}
+
+// Without returns the losses but those of a boot, which turned out to be alive.
+func (ls Losses) Without(boot string) Losses {
+	return slices.DeleteFunc(slices.Clone(ls), func(l Loss) bool { return l.Boot == boot })
+}
+
+// Confirmed returns the losses with those of a boot made sure: it has ended.
+func (ls Losses) Confirmed(boot string) Losses {
+	sure := slices.Clone(ls)
+	for i := range sure {
+		sure[i].Sure = sure[i].Sure || sure[i].Boot == boot
+	}
+	return sure
+}
+
+// At tells whether a boot is among the lost workers.
+func (ls Losses) At(boot string) bool {
+	return slices.ContainsFunc(ls, func(l Loss) bool { return l.Boot == boot })
+}
+
+// Attempt is an attempt that was at a worker when it was lost.
+type Attempt struct {
+	Ran   time.Duration
+	Trial bool // its worker was kept for it
+}
+
+// Counted tells of each attempt at a lost worker whether the loss counts against its task:
+// on trial that one alone, else each that had not run for long.
+func Counted(attempts []Attempt) []bool {
+	counted := make([]bool, len(attempts))
+	for i, a := range attempts {
+		if a.Trial {
+			clear(counted)
+			counted[i] = true
+			return counted
+		}
+		counted[i] = a.Ran < Within
+	}
+	return counted
+}
--- /dev/null
+++ b/pkg/blame/loss_test.go
@@ -0,0 +1,82 @@
+package blame
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// TestVerdict names what each history of losses leads to.
+func TestVerdict(t *testing.T) {
+	shared, trial := Loss{}, Loss{Trial: true, Sure: true}
+	unsure := Loss{Trial: true}
+	for _, tc := range []struct {
+		name   string
+		losses Losses
+		want   Verdict
+		gang   Verdict
+	}{
+		{"none", nil, Clear, Clear},
+		{"one", Losses{shared}, Watched, Watched},
+		{"two", Losses{shared, shared}, OnTrial, Watched},
+		{"the third on trial", Losses{shared, shared, trial}, Guilty, Guilty},
+		{"a trial's worker only silent", Losses{shared, shared, unsure}, OnTrial, Watched},
+		{"a trial alone", Losses{trial}, Watched, Watched},
+		{"four without proof", Losses{shared, shared, unsure, unsure}, OnTrial, Watched},
+		{"five without proof", Losses{shared, shared, shared, shared, shared}, Guilty, Guilty},
+	} {
+		qt.Check(t, tc.losses.Verdict(false), qt.Equals, tc.want, qt.Commentf(tc.name))
+		qt.Check(t, tc.losses.Verdict(true), qt.Equals, tc.gang, qt.Commentf("gang: "+tc.name))
+	}
+}
+
+// TestCounted sees that a trial takes the whole blame, and that what has run for long takes none.
+func TestCounted(t *testing.T) {
+	qt.Check(t, Counted([]Attempt{{Ran: 0}, {Ran: Within}, {Ran: time.Second}}), qt.DeepEquals, []bool{true, false, true})
+	qt.Check(t, Counted([]Attempt{{Ran: 0}, {Trial: true}, {Ran: time.Second}}), qt.DeepEquals, []bool{false, true, false})
+	qt.Check(t, Counted(nil), qt.HasLen, 0)
+}
+
+// TestLosses draws losses that are counted, made sure and taken back in any order and
+// compares with a map.
+func TestLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ls Losses
+		model := map[int64]Loss{}
+		boots := []string{"a", "b", "c"}
+		for range rapid.IntRange(0, 12).Draw(t, "steps") {
+			boot := rapid.SampledFrom(boots).Draw(t, "boot")
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				l := Loss{Attempt: int64(rapid.IntRange(1, 4).Draw(t, "attempt")), Boot: boot}
+				if _, known := model[l.Attempt]; !known {
+					model[l.Attempt] = l
+				}
+				ls = ls.With(l)
+			case 1:
+				for n, l := range model {
+					l.Sure = l.Sure || l.Boot == boot
+					model[n] = l
+				}
+				ls = ls.Confirmed(boot)
+			case 2:
+				for n, l := range model {
+					if l.Boot == boot {
+						delete(model, n)
+					}
+				}
+				ls = ls.Without(boot)
+			}
+			if len(ls) != len(model) {
+				t.Fatalf("%d losses, want %d", len(ls), len(model))
+			}
+			for _, l := range ls {
+				if model[l.Attempt] != l {
+					t.Fatalf("loss %v, want %v", l, model[l.Attempt])
+				}
+			}
+		}
+	})
+}
--- a/pkg/jobs/book.go
+++ b/pkg/jobs/book.go
@@ -276,12 +276,18 @@
 	return true
 }
 
+// GiveUp ends the job of a task that brings its workers down; it reports whether the job
+// was not final before.
+func (b *Book) GiveUp(t *Task) bool { return b.final(t.Step.Job, StateFailed) }
+
 // Cancel ends a job; it reports whether the job was not final before.
-func (b *Book) Cancel(j *Job) bool {
+func (b *Book) Cancel(j *Job) bool { return b.final(j, StateCancelled) }
+
+func (b *Book) final(j *Job, state State) bool {
 	if j.State.Final() {
 		return false
 	}
-	j.State = StateCancelled
+	j.State = state
 	b.ended++
 	return true
 }
--- /dev/null
+++ b/pkg/jobs/evidence.go
@@ -0,0 +1,22 @@
+package jobs
+
+import "github.com/gannetwell/gannetwell/pkg/blame"
+
+// SetLosses notes what speaks against a task; it has to be kept before the task may be
+// started on trial.
+func (t *Task) SetLosses(ls blame.Losses) {
+	t.Losses = ls
+	t.Step.Job.evidence++
+}
+
+// Verdict tells how the task may be started, by the workers that were lost with it.
+func (t *Task) Verdict() blame.Verdict { return t.Losses.Verdict(t.Step.Spec.Gang) }
+
+// Evidence counts the changes of what speaks against the job's tasks.
+func (j *Job) Evidence() int { return j.evidence }
+
+// KeepEvidence notes that the changes up to a number are kept.
+func (j *Job) KeepEvidence(n int) { j.evidenceKept = max(j.evidenceKept, n) }
+
+// EvidenceKept tells whether a next owner would know all that speaks against the job's tasks.
+func (j *Job) EvidenceKept() bool { return j.evidenceKept == j.evidence }
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/blame"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -35,6 +36,9 @@
 	AddedAt  time.Duration // on the owner's clock; before its start for a job of a former owner
 	Restored bool          // it was kept by a former owner
 
+	evidence     int // changes of what speaks against tasks
+	evidenceKept int // of those, the last one that is kept
+
 	unfinished int                // steps
 	leftOver   platform.Resources // what attempts of a final job took when a former owner kept it
 }
@@ -65,6 +69,7 @@
 	Attempts   []*Attempt
 	Took       time.Duration // of the attempt that was done
 	WantsCopy  bool          // another attempt is to start beside the one that runs
+	Losses     blame.Losses  // workers that were lost with it, as long as it is not cleared
 	MaybeAt    int           // workers not heard since the takeover where an attempt may be
 
 	lastAttempt int64
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/blame"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -22,6 +23,8 @@
 	Failed      map[int][]int64 `msgpack:"f,omitempty"` // numbers of failed attempts, by task
 	Checkpoints map[int]string  `msgpack:"c,omitempty"` // by task
 	GangFailed  []int64         `msgpack:"g,omitempty"`
+
+	Losses map[int]blame.Losses `msgpack:"l,omitempty"` // by task
 }
 
 // Encode returns the progress as bytes.
@@ -73,6 +76,13 @@
 			sp.Failed[i] = t.Failed
 			ok = true
 		}
+		if len(t.Losses) > 0 {
+			if sp.Losses == nil {
+				sp.Losses = map[int]blame.Losses{}
+			}
+			sp.Losses[i] = t.Losses
+			ok = true
+		}
 		if t.Checkpoint != "" {
 			if sp.Checkpoints == nil {
 				sp.Checkpoints = map[int]string{}
@@ -101,6 +111,7 @@
 		s.GangFailed = sp.GangFailed
 		for i, t := range s.Tasks {
 			t.Failed = sp.Failed[i]
+			t.Losses = sp.Losses[i]
 			t.Checkpoint = sp.Checkpoints[i]
 			if i/8 < len(sp.Done) && sp.Done[i/8]&(1<<(i%8)) != 0 {
 				j.finishTask(t)
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -36,6 +36,7 @@
 	Lost     time.Duration          // when its job is of little use any more, 0 for never
 	Left     time.Duration          // estimated work of its job that is still to be done, one step after the other
 	Budget   *Budget                // of its client account, nil for no limit
+	Watched  bool                   // workers were lost with its one task, so that it keeps away from others like it
 	Excess   bool                   // its job came beyond what its account has been promised
 }
 
@@ -108,7 +109,7 @@
 		}
 		more, roomLeft := planStep(c, hosts, limit-len(starts))
 		starts = append(starts, more...)
-		if !roomLeft && c.Allowed == nil && c.Step.Spec.MaxPerWorker == 0 {
+		if !roomLeft && c.Allowed == nil && !c.Watched && c.Step.Spec.MaxPerWorker == 0 {
 			full[needOf(c.Step.Spec)] = true
 		}
 	}
@@ -147,6 +148,9 @@
 			return starts, true
 		}
 		h.place(c.Step)
+		if c.Watched {
+			h.Watching++
+		}
 		starts = append(starts, Start{Task: t, Host: h})
 		last = h
 		if copied {
@@ -175,6 +179,9 @@
 	s := c.Step
 	var top float64
 	for _, h := range hosts {
+		if c.Watched && h.Watching > 0 {
+			continue
+		}
 		if !h.takes(s) || c.Allowed != nil && !c.Allowed(h.Boot) || runsAt(t, h.Boot) {
 			continue
 		}
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -61,6 +61,9 @@
 		Label: rapid.SampledFrom([]string{"", "", "big"}).Draw(t, "needs"), DataRack: rapid.SampledFrom([]string{"", "r2"}).Draw(t, "data"),
 	}
 	s := newJob(st).Steps[0]
+	if st.Count == 1 && rapid.Bool().Draw(t, "watched") {
+		return Candidate{Step: s, Tasks: s.Tasks, Watched: true}
+	}
 	if rapid.Bool().Draw(t, "copies") {
 		s.Tasks[0].Attempts = []*jobs.Attempt{{Task: s.Tasks[0], Boot: "w0"}}
 	}
@@ -87,6 +90,9 @@
 				break
 			}
 			h.place(c.Step)
+			if c.Watched {
+				h.Watching++
+			}
 			starts = append(starts, Start{Task: t, Host: h})
 		}
 	}
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -21,6 +21,9 @@
 	CrashAfter time.Duration
 }
 
+// EndCrashed is told to the witness of an attempt that went with its boot; no worker reports it.
+const EndCrashed platform.EndReason = "crashed"
+
 // Witness is told what workers do; a test checks its promises by it.
 type Witness interface {
 	Started(boot, task string, attempt int64)
@@ -139,7 +142,7 @@
 	b.dead = true
 	for task, a := range b.running {
 		a.timer.Stop()
-		w.witness.Ended(b.info.Boot, task, a.number, "crashed")
+		w.witness.Ended(b.info.Boot, task, a.number, EndCrashed)
 	}
 	b.running = map[string]*attempt{}
 }
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -37,6 +37,7 @@
 	submissions []*submission
 	jobs        []*jobs.Job
 	states      []jobs.State   // of jobs, as they are written
+	evidence    []int          // of jobs, what speaks against their tasks as it is written
 	workers     []*session     // that become recorded
 	record      bool           // the record of leased workers is written
 	shares      *allowance.Row // of accounts' limits, as they are written, nil if they are not
@@ -141,6 +142,7 @@
 		delete(o.dirty, j)
 		b.jobs = append(b.jobs, j)
 		b.states = append(b.states, j.State)
+		b.evidence = append(b.evidence, j.Evidence())
 		b.put(progressKey(o.cfg.Pool, j.ID), raw)
 	}
 	return nil
@@ -179,6 +181,7 @@
 		s.settle(schema.CallOutcomeOk)
 	}
 	for i, j := range b.jobs {
+		j.KeepEvidence(b.evidence[i])
 		if b.states[i].Final() {
 			j.Kept = b.states[i]
 			o.finals = append(o.finals, finalJob{id: j.ID, at: now})
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -108,16 +108,9 @@
 // such tasks was not empty for 7 to 17 s in a pool in demand, and its wave late.
 func (o *Owner) hostsSoon(now time.Duration) (hosts []*placement.Host) {
 	for _, s := range o.sessionsInOrder() {
-		if !s.usable(now) {
-			continue
-		}
-		h := s.newHost()
-		for _, r := range s.attempts {
-			if !r.Task.Step.Spec.LongRunning {
-				h.Free = h.Free.Add(placement.Charge(r.Task.Step.Spec))
-			}
+		if s.open(now) {
+			hosts = append(hosts, s.hostSoon())
 		}
-		hosts = append(hosts, h)
 	}
 	return hosts
 }
--- a/pkg/shard/held.go
+++ b/pkg/shard/held.go
@@ -61,6 +61,9 @@
 		}
 	}
 	if !o.held {
+		for t := range o.suspects {
+			o.giveUpGuilty(t)
+		}
 		o.log.Info().Str("event", "takeover_complete").Dur("after", now-o.openedAt).Send()
 	}
 	o.kickPlacement()
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -70,7 +70,7 @@
 			cpu += charge.CPU
 			lasting = lasting || a.Task.Step.Spec.LongRunning
 		}
-		if !lasting && float64(cpu) <= lightShare*float64(s.info.Capacity.CPU) {
+		if !lasting && s.trial == nil && float64(cpu) <= lightShare*float64(s.info.Capacity.CPU) {
 			used[s.vm] = cpu
 			l.Light = append(l.Light, s.vm)
 		}
--- a/pkg/shard/look.go
+++ b/pkg/shard/look.go
@@ -148,6 +148,9 @@
 	}
 	if s.known && !s.inDoubt && s.seenEnd == s.ackedEnd && s.failures == 0 && order.LeaseUntil > 0 {
 		order.Wait = lookWait
+		if s.watches() {
+			order.Wait = watchLook
+		}
 	}
 	return order
 }
@@ -158,6 +161,9 @@
 		o.log.Info().Str("event", "worker_regained").Str("boot", s.ref.Boot).Int("failures", s.failures).Send()
 	}
 	s.failures, s.silentAt = 0, 0
+	if s.blamed || !s.known {
+		o.pardon(s)
+	}
 	s.noteClock(report.ClockMs, o.now())
 	o.takeReport(s, report, sentAt)
 }
@@ -179,5 +185,8 @@
 	if s.failures == 1 {
 		o.log.Warn().Str("event", "worker_lost").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Err(err).Send()
 	}
+	if s.failures >= blameAfter {
+		o.blame(s)
+	}
 	o.expire(s)
 }
--- a/pkg/shard/lost.go
+++ b/pkg/shard/lost.go
@@ -19,6 +19,7 @@
 // had run: a worker goes with a dozen attempts, and when one of them has brought it down
 // nothing else tells which.
 func (o *Owner) lose(s *session, kind Loss) {
+	o.blame(s)
 	now := o.now()
 	for name, r := range s.attempts {
 		if r.sent() {
@@ -28,6 +29,8 @@
 		}
 		o.drop(s, name)
 	}
+	o.judge(s, kind)
+	s.trial = nil
 }
 
 // sent tells whether the worker may have been given the attempt.
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -134,6 +134,9 @@
 func (o *Owner) begun(s *session, r *running, now time.Duration) {
 	if r.confirmedAt == 0 {
 		r.confirmedAt = now
+		if len(r.Task.Losses) > 0 {
+			s.lookAgain()
+		}
 	}
 	if r.Phase != jobs.PhaseStopped {
 		o.book.MarkBegun(r.Attempt)
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -81,6 +81,7 @@
 	inOrder   []*session                // sessions by boot, nil when out of date
 	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
 	durations map[string]*learned       // by queue
+	suspects  map[*jobs.Task]struct{}   // that lost workers are counted against
 	rate      startrate.Rate            // of starts, while this owner is at its own limit
 	arrivals  arrivals                  // of jobs, which tell how much work is on its way
 	idleTasks bool                      // tasks wait for room, or for a time
@@ -129,7 +130,7 @@
 		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
 		catalog: cat, book: k.book, accounts: newAccounts(k.shares), sessions: map[string]*session{},
-		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*learned{},
+		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*learned{}, suspects: map[*jobs.Task]struct{}{},
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
@@ -157,6 +158,7 @@
 	o.confirmedAt = now
 	o.openedAt = now
 	o.arrivals.since = now
+	o.restoreSuspects()
 	o.setWorkers(workers)
 	o.log.Info().Str("event", "shard_owned").Int("jobs", jobCount).Int("active", len(o.book.Active())).
 		Int("workers", len(o.sessions)).Int("leased", len(k.workers)).Send()
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/blame"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/placement"
@@ -54,16 +55,22 @@
 	if !o.confirmed(now) {
 		return
 	}
-	candidates := o.candidates(now)
-	o.idleTasks = len(candidates) > 0
-	if len(candidates) == 0 {
+	o.clearSuspects()
+	o.endTrials(now)
+	candidates, onTrial := o.candidates(now)
+	o.idleTasks = len(candidates)+len(onTrial) > 0
+	if !o.idleTasks {
 		return
 	}
 	placement.Sort(candidates, now)
 	hosts := o.hosts(now)
-	for i := range candidates {
-		o.advised(&candidates[i], hosts, now)
+	for _, cs := range [][]placement.Candidate{candidates, onTrial} {
+		for i := range cs {
+			o.advised(&cs[i], hosts, now)
+		}
 	}
+	o.startTrials(onTrial, now)
+	hosts = o.hosts(now)
 	starts := placement.Plan(candidates, hosts, o.rate.Room(now))
 	o.noteAtLimit(candidates, now)
 	o.rate.Spend(len(starts))
@@ -86,7 +93,7 @@
 // on chance. What is placed on them is to be ordered before the lock is let go.
 func (o *Owner) hosts(now time.Duration) (hosts []*placement.Host) {
 	for _, s := range o.sessionsInOrder() {
-		if s.usable(now) {
+		if s.open(now) {
 			hosts = append(hosts, s.host(now))
 		}
 	}
@@ -97,7 +104,7 @@
 // not be ordered: what they are charged with is not kept.
 func (o *Owner) hostsToTry(now time.Duration) (hosts []*placement.Host) {
 	for _, s := range o.sessionsInOrder() {
-		if s.usable(now) {
+		if s.open(now) {
 			hosts = append(hosts, s.newHost())
 		}
 	}
@@ -113,8 +120,9 @@
 	return o.inOrder
 }
 
-// candidates returns the steps with tasks that may start now, with what their order depends on.
-func (o *Owner) candidates(now time.Duration) (cs []placement.Candidate) {
+// candidates returns the steps with tasks that may start now, with what their order depends
+// on; apart from them the tasks that may be started on trial only, one in each.
+func (o *Owner) candidates(now time.Duration) (cs, onTrial []placement.Candidate) {
 	left := map[*jobs.Job]time.Duration{}
 	budgets := o.newBudgets()
 	o.eachIdle(false, func(s *jobs.StepRun, idle []*jobs.Task) {
@@ -123,9 +131,31 @@
 		}
 		c := o.candidate(s, idle, left[s.Job], now)
 		c.Budget = budgets.of(s.Job.Account)
-		cs = append(cs, c)
+		if len(o.suspects) == 0 || s.Spec.Gang {
+			cs = append(cs, c)
+			return
+		}
+		var clean []*jobs.Task
+		for _, t := range idle {
+			one := c
+			one.Tasks = []*jobs.Task{t}
+			switch t.Verdict() {
+			case blame.Clear:
+				clean = append(clean, t)
+			case blame.Watched:
+				one.Watched = true
+				cs = append(cs, one)
+			case blame.OnTrial:
+				onTrial = append(onTrial, one)
+			case blame.Guilty: // it is given up once its last worker is known to be lost
+			}
+		}
+		if len(clean) > 0 {
+			c.Tasks = clean
+			cs = append(cs, c)
+		}
 	})
-	return cs
+	return cs, onTrial
 }
 
 // eachIdle calls f for each step with tasks that may start, in order of
@@ -154,7 +184,7 @@
 		if !withHeld && o.maybeElsewhere(t) {
 			continue
 		}
-		if t.Idle() || t.WantsCopy && !t.Done && len(t.Attempts) == 1 {
+		if t.Idle() || t.WantsCopy && !t.Done && len(t.Attempts) == 1 && len(t.Losses) == 0 {
 			tasks = append(tasks, t)
 		}
 	}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -47,6 +47,8 @@
 	silentAt   time.Duration                  // when the first of them was noticed, 0 while there is none
 	askAgain   bool                           // the only one was a look: it is repeated without a pause
 	health     outcomes                       // to tell a bad worker
+	blamed     bool                           // its loss was counted against what is there
+	trial      *trial                         // what it is kept for, nil for nothing
 	pausedTo   time.Duration                  // no new tasks until then
 	cordonedTo time.Duration                  // the VM is to be empty until then
 
@@ -94,6 +96,11 @@
 // is not waited for, which would take up to a second.
 func (s *session) doubt() {
 	s.inDoubt = true
+	s.lookAgain()
+}
+
+// lookAgain ends a look that waits for an end, so that another one follows at once.
+func (s *session) lookAgain() {
 	if s.interrupt != nil {
 		s.interrupt()
 		s.interrupt = nil
@@ -113,6 +120,9 @@
 	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo
 }
 
+// open tells whether any task may start at the worker.
+func (s *session) open(now time.Duration) bool { return s.usable(now) && s.trial == nil }
+
 // leaves tells whether the worker is about to leave without having said so: its
 // entry is gone from the directory. Entries also lapse while the table service is
 // away; they are back a moment after it answers again.
@@ -208,6 +218,20 @@
 	for _, a := range s.attempts {
 		h.Free = h.Free.Sub(placement.Charge(a.Task.Step.Spec))
 		h.Count(a.Task.Step)
+		if len(a.Task.Losses) > 0 {
+			h.Watching++
+		}
+	}
+	return h
+}
+
+// hostSoon describes the worker as it will be when what comes to an end there has ended.
+func (s *session) hostSoon() *placement.Host {
+	h := s.newHost()
+	for _, r := range s.attempts {
+		if !r.Task.Step.Spec.LongRunning {
+			h.Free = h.Free.Add(placement.Charge(r.Task.Step.Spec))
+		}
 	}
 	return h
 }
--- /dev/null
+++ b/pkg/shard/storm_test.go
@@ -0,0 +1,198 @@
+package shard_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+// A pool in its turn, of 30 workers with twelve tasks or so on each, and jobs among the
+// others that have a task which brings down the worker that starts it.
+const (
+	stormWorkers  = 30
+	stormJobs     = 600
+	stormCrashers = 20
+	stormLasting  = 8
+	stormLength   = 15 * time.Second
+	stormWatched  = 60 * time.Second // from the first job to the end
+	stormInTime   = 3 * time.Second  // for jobs of 1.3 s of work
+	stormPoll     = 10 * time.Millisecond
+)
+
+// storm is what came of it.
+type storm struct {
+	inTime, late, open, wronglyFailed int // jobs without a crashing task
+	down                              []int
+	caughtAfter                       []time.Duration // from the submission of a crashing task to its job's end, by job
+	uncaught                          int
+	lasting                           int // long-running tasks at work in the end
+}
+
+// playStorm plays one; replaced is when another entry takes the shard over, 0 for never.
+func playStorm(t fataler, seed uint64, replaced time.Duration) (got storm) {
+	rnd := rand.New(rand.NewPCG(seed, seed))
+	e := newEstate(t)
+	defer e.close()
+	e.addWorkers(stormWorkers, "32000")
+	e.own("a")
+	time.Sleep(time.Second)
+	plan := planStorm(e, rnd)
+	start := time.Now()
+	open := map[string]stormJob{}
+	owner := "a"
+	for now := time.Duration(0); now < stormWatched; now = time.Since(start) {
+		for len(plan) > 0 && plan[0].at <= now {
+			s := plan[0]
+			plan = plan[1:]
+			open[s.id] = s
+			go e.submit(owner, "", s.id, s.text)
+		}
+		time.Sleep(stormPoll)
+		if replaced > 0 && now > replaced && owner == "a" {
+			e.owners["a"].Close()
+			e.setOwner("a", nil)
+			owner = "b"
+			e.own("b")
+		}
+		for id, s := range open {
+			state, _ := e.owners[owner].State(id, shard.Asker{Operator: true})
+			if state.Final() {
+				delete(open, id)
+				got.ended(s, state, time.Since(start)-s.at)
+			}
+		}
+	}
+	synctest.Wait()
+	for _, s := range open {
+		switch s.kind {
+		case crashing:
+			got.uncaught++
+		case ordinary:
+			got.open++
+		}
+	}
+	got.down = slices.Collect(maps.Values(e.witness.down))
+	for i := range stormLasting {
+		for k := range 5 {
+			got.lasting += len(e.witness.running[fmt.Sprintf("c%015x.0.0.%d", i, k)])
+		}
+	}
+	if kept := e.witness.promises(); kept != "kept\n" {
+		t.Fatalf("broken: %s", kept)
+	}
+	return got
+}
+
+// stormKind is what kind of job one is.
+type stormKind string
+
+const (
+	ordinary stormKind = "ordinary"
+	lasting  stormKind = "lasting"
+	crashing stormKind = "crashing"
+)
+
+type stormJob struct {
+	at   time.Duration
+	id   string
+	text string
+	kind stormKind
+}
+
+// planStorm returns the jobs in the order in which they come.
+func planStorm(e *estate, rnd *rand.Rand) (plan []stormJob) {
+	for i := range stormJobs {
+		at := time.Duration(i) * stormLength / stormJobs
+		plan = append(plan, stormJob{at: at, id: fmt.Sprintf("a%015x", i), text: "6x2300/640ms 6x2300/640ms<0", kind: ordinary})
+	}
+	for i := range stormLasting {
+		plan = append(plan, stormJob{at: time.Second, id: fmt.Sprintf("c%015x", i), text: "5x2300/0s+apart:2", kind: lasting})
+	}
+	for i := range stormCrashers {
+		id := fmt.Sprintf("b%015x", i)
+		e.crashing[id+".0.0.0"] = time.Duration(rnd.IntN(3)) * 5 * time.Millisecond
+		at := time.Duration(rnd.Int64N(int64(stormLength / 3)))
+		plan = append(plan, stormJob{at: at, id: id, text: "1x2300/640ms", kind: crashing})
+	}
+	slices.SortStableFunc(plan, func(a, b stormJob) int { return cmp.Compare(a.at, b.at) })
+	return plan
+}
+
+// ended notes the end of a job.
+func (s *storm) ended(j stormJob, state jobs.State, took time.Duration) {
+	switch {
+	case j.kind == crashing:
+		s.caughtAfter = append(s.caughtAfter, took)
+	case state != jobs.StateCompleted:
+		s.wronglyFailed++
+	case took <= stormInTime:
+		s.inTime++
+	default:
+		s.late++
+	}
+}
+
+// lost is how many workers were brought down.
+func (s *storm) lost() (sum int) {
+	for _, n := range s.down {
+		sum += n
+	}
+	return sum
+}
+
+func (s *storm) String() string {
+	slices.Sort(s.caughtAfter)
+	caught := time.Duration(0)
+	if len(s.caughtAfter) > 0 {
+		caught = s.caughtAfter[len(s.caughtAfter)/2]
+	}
+	return fmt.Sprintf("in time %d, late %d, open %d, wrongly failed %d; workers lost %d, most by one task %d; caught %d of %d, half within %s; long-running tasks at work %d",
+		s.inTime, s.late, s.open, s.wronglyFailed, s.lost(), slices.Max(append(s.down, 0)), len(s.caughtAfter), len(s.caughtAfter)+s.uncaught, caught.Round(100*time.Millisecond), s.lasting)
+}
+
+// BenchmarkStorm states what callers get of it and what it costs in workers, for a seed.
+//
+// Of 600 ordinary jobs, over seeds 0 to 3 (1 and 3 with the owner replaced after 7 s): when
+// losses are not counted, 435 to 473 are in time and 38 to 58 not done within a minute, 248 to
+// 272 workers are lost, up to 17 by one task. Given up after three losses whoever caused them:
+// 447 to 482 in time, 16 to 31 ordinary jobs failed, 49 to 58 workers lost. On trial after one
+// loss: 91 to 339 in time, 39 or 40 workers lost. As it is, three plays each: 448 to 496 in
+// time, none failed, 59 or 60 workers lost, at most three by one task.
+func BenchmarkStorm(b *testing.B) {
+	for i := range b.N {
+		synctest.Test(new(testing.T), func(*testing.T) {
+			got := playStorm(b, uint64(i), 0)
+			b.ReportMetric(float64(got.inTime), "in-time")
+			b.ReportMetric(float64(got.wronglyFailed), "wrongly-failed")
+			b.ReportMetric(float64(got.open), "not-done")
+			b.ReportMetric(float64(got.lost()), "workers-lost")
+		})
+	}
+}
+
+// TestStorm has twenty jobs with a crashing task among six hundred others.
+func TestStorm(t *testing.T) {
+	for seed := range uint64(4) {
+		replaced := time.Duration(seed%2) * 7 * time.Second
+		t.Run(fmt.Sprintf("seed=%d,replaced=%s", seed, replaced), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := playStorm(t, seed, replaced)
+				t.Log(&got)
+				qt.Check(t, got.wronglyFailed, qt.Equals, 0)
+				qt.Check(t, got.open, qt.Equals, 0)
+				qt.Check(t, got.uncaught, qt.Equals, 0)
+				qt.Check(t, got.lasting, qt.Equals, 5*stormLasting)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/shard/suspects.go
@@ -0,0 +1,146 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/blame"
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+)
+
+// blameAfter is how many calls in a row a worker leaves unanswered before its loss is
+// counted against what is there. It is not certain then, and taken back if the boot
+// answers again; but a worker that was brought down is known to have ended only when its
+// next boot answers, 3 s later, and an owner that goes meanwhile takes what it knows along.
+const blameAfter = 2
+
+// blame counts the loss of a worker against the tasks there.
+func (o *Owner) blame(s *session) {
+	if s.blamed || s.leavesByPlan() {
+		return
+	}
+	s.blamed = true
+	now := o.now()
+	var at []*running
+	var attempts []blame.Attempt
+	for _, r := range s.attempts {
+		if r.sent() {
+			at = append(at, r)
+			attempts = append(attempts, blame.Attempt{Ran: s.ranFor(r, now), Trial: s.tries(r)})
+		}
+	}
+	for i, counted := range blame.Counted(attempts) {
+		if counted {
+			o.countLoss(s, at[i], attempts[i])
+		}
+	}
+}
+
+// leavesByPlan tells whether a worker was about to go before it fell silent, so that its
+// loss says nothing of its tasks.
+func (s *session) leavesByPlan() bool {
+	return s.draining || s.cordonedTo > s.silentAt || s.unlistedAt > 0 && s.unlistedAt < s.silentAt
+}
+
+func (o *Owner) countLoss(s *session, r *running, a blame.Attempt) {
+	t := r.Task
+	t.SetLosses(t.Losses.With(blame.Loss{Attempt: r.Number, Boot: s.ref.Boot, Ran: a.Ran, Trial: a.Trial}))
+	o.suspects[t] = struct{}{}
+	o.log.Info().Str("event", "loss_counted").Str("task", t.Name()).Int64("attempt", r.Number).Str("boot", s.ref.Boot).
+		Dur("ran", a.Ran).Bool("trial", a.Trial).Int("losses", len(t.Losses)).Str("verdict", string(t.Verdict())).Send()
+	o.keep(t.Step.Job, true)
+}
+
+// pardon takes back the losses of a boot that is alive.
+func (o *Owner) pardon(s *session) {
+	s.blamed = false
+	for t := range o.suspects {
+		if !t.Losses.At(s.ref.Boot) {
+			continue
+		}
+		t.SetLosses(t.Losses.Without(s.ref.Boot))
+		o.log.Info().Str("event", "loss_taken_back").Str("task", t.Name()).Str("boot", s.ref.Boot).Int("losses", len(t.Losses)).Send()
+		o.keep(t.Step.Job, false)
+	}
+}
+
+// judge gives up the tasks at a lost boot that are known to bring workers down.
+func (o *Owner) judge(s *session, kind Loss) {
+	for t := range o.suspects {
+		if !t.Losses.At(s.ref.Boot) {
+			continue
+		}
+		if kind == LossEnded {
+			t.SetLosses(t.Losses.Confirmed(s.ref.Boot))
+			o.keep(t.Step.Job, false)
+		}
+		o.giveUpGuilty(t)
+	}
+}
+
+// giveUpGuilty ends the job of a task that is known to bring its workers down.
+func (o *Owner) giveUpGuilty(t *jobs.Task) {
+	j := t.Step.Job
+	if t.Verdict() != blame.Guilty || !o.book.GiveUp(t) {
+		return
+	}
+	boots := zerolog.Arr()
+	for _, l := range t.Losses {
+		boots.Str(l.Boot)
+	}
+	o.cfg.Metrics.Job("given_up")
+	o.log.Warn().Str("event", "task_given_up").Str("task", t.Name()).Str("queue", j.Queue).Str("account", j.Account).
+		Array("workers_lost", boots).Str("why", "its workers are lost moments after its starts").Send()
+	o.jobEnded(j)
+}
+
+// restoreSuspects finds the tasks that former owners have counted losses of.
+func (o *Owner) restoreSuspects() {
+	for _, j := range o.book.Active() {
+		for _, s := range j.Steps {
+			for _, t := range s.Tasks {
+				if len(t.Losses) > 0 {
+					o.suspects[t] = struct{}{}
+				}
+			}
+		}
+	}
+}
+
+// clearSuspects clears the tasks that have run for longer than they had when a worker was
+// lost, as far as their worker has said so.
+func (o *Owner) clearSuspects() {
+	for t := range o.suspects {
+		if t.Done || t.Step.Job.State.Final() || len(t.Losses) == 0 {
+			delete(o.suspects, t)
+			continue
+		}
+		for _, a := range t.Attempts {
+			r := o.running(a)
+			if r == nil || r.confirmedAt == 0 || r.seenAt-r.confirmedAt < t.Losses.WatchFor() {
+				continue
+			}
+			o.log.Info().Str("event", "task_cleared").Str("task", t.Name()).Int64("attempt", r.Number).Str("boot", a.Boot).
+				Dur("ran", r.seenAt-r.confirmedAt).Int("losses", len(t.Losses)).Send()
+			t.Losses = nil // a next owner that does not know only watches it once more
+			delete(o.suspects, t)
+			o.sessions[a.Boot].hostCache = nil
+			break
+		}
+	}
+}
+
+// watches tells whether a watched task runs at a worker that may still bring it down.
+func (s *session) watches() bool {
+	for _, r := range s.attempts {
+		if len(r.Task.Losses) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// watchLook is how long a look at a worker with a watched task waits for an end, so that
+// the task is cleared soon after it has run for long enough.
+const watchLook = 200 * time.Millisecond
