An entry of another writer costs that entry alone

Cause: one row of the directory with a number for its value made the whole answer malformed, so that an entry read nothing of the table any more; a row without an address or with an unknown state counted as a worker, draining for good. Change: rows of an answer are read one by one; a worker's row in which a field is of another type, or one that is needed is missing or makes no sense, names no worker until it can be read again; a line and gannetwell_rows_malformed_total once for each version.

--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -56,7 +56,11 @@
 // loadWorkers reads the whole directory of workers.
 func (n *Node) loadWorkers(ctx context.Context) (version int64, err error) {
 	all := map[string]platform.Worker{}
-	version, err = n.listAll(ctx, n.source.WorkerTable, func(r platform.Row) { n.decodeWorker(all, r) })
+	version, err = n.listAll(ctx, n.source.WorkerTable, func(r platform.Row) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.decodeWorker(all, r)
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -67,20 +71,34 @@
 	return version, nil
 }
 
-// decodeWorker takes a row of the directory into all; a row that cannot be read changes nothing.
+// decodeWorker takes a row of the directory into all. A row that names no worker costs that
+// worker alone, until a row of it can be read again; it is said once for each version.
 func (n *Node) decodeWorker(all map[string]platform.Worker, r platform.Row) {
 	if r.Removed {
 		delete(all, r.Key)
+		delete(n.badWorkers, r.Key)
 		return
 	}
 	w, err := n.source.DecodeWorker(r.Key, r.Value)
 	if err != nil {
-		n.log.Error().Str("event", "worker_row_malformed").Str("boot", r.Key).Err(err).Send()
+		delete(all, r.Key)
+		n.noteBadWorker(r, err)
 		return
 	}
+	delete(n.badWorkers, r.Key)
 	all[r.Key] = w
 }
 
+// noteBadWorker says that a row of the directory names no worker.
+func (n *Node) noteBadWorker(r platform.Row, err error) {
+	if n.badWorkers[r.Key] == r.Version {
+		return
+	}
+	n.badWorkers[r.Key] = r.Version
+	n.metrics.badRow(n.source.WorkerTable)
+	n.log.Error().Str("event", "worker_row_malformed").Str("boot", r.Key).Int64("version", r.Version).Err(err).Send()
+}
+
 func (n *Node) passWorkers() { n.keeper.SetWorkers(n.allWorkers()) }
 
 // allWorkers returns the directory's current boots of all pools.
--- a/pkg/node/directory_test.go
+++ b/pkg/node/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +63,32 @@
 		c.Check(took <= workersPace, qt.IsTrue, qt.Commentf("took %v", took))
 	})
 }
+
+// TestBadDirectoryRow has a worker's row overwritten by one that can't be read, and written
+// well again: it names no worker meanwhile, the other rows hold.
+func TestBadDirectoryRow(t *testing.T) {
+	c := qt.New(t)
+	n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{}, source(), testLog())
+	boots := func() (out []string) {
+		for boot := range n.workers {
+			out = append(out, boot)
+		}
+		slices.Sort(out)
+		return out
+	}
+	feed := n.workerFeed()
+	row := func(key, value string, version int64) platform.Row {
+		return platform.Row{RowKey: platform.RowKey{Key: key}, Value: []byte(value), Version: version}
+	}
+	feed.apply(row("a", `{"Boot":"a"}`, 1))
+	feed.apply(row("b", `{"Boot":"b"}`, 2))
+	feed.apply(row("c", `}`, 3))
+	c.Check(boots(), qt.DeepEquals, []string{"a", "b"})
+	feed.apply(row("a", `{"Boot":7}`, 4))
+	c.Check(boots(), qt.DeepEquals, []string{"b"})
+	feed.apply(row("a", `{"Boot":"a"}`, 5))
+	c.Check(boots(), qt.DeepEquals, []string{"a", "b"})
+	feed.apply(row("c", "", 6))
+	feed.apply(platform.Row{RowKey: platform.RowKey{Key: "c"}, Removed: true, Version: 7})
+	c.Check(n.badWorkers, qt.HasLen, 0)
+}
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -27,6 +27,7 @@
 	lost     *prometheus.CounterVec
 	jobs     *prometheus.CounterVec
 	keys     *prometheus.CounterVec
+	badRows  *prometheus.CounterVec
 	heldBack *prometheus.CounterVec
 
 	mu       sync.Mutex
@@ -53,12 +54,15 @@
 		lost:   counter("gannetwell_attempts_lost_total", "Attempts that went with their worker, by how it was lost."),
 		jobs:   counter("gannetwell_jobs_total", "Jobs by what became of them."),
 		keys:   counter("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer."),
+		badRows: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gannetwell_rows_malformed_total", Help: "Rows that could not be read, by table.",
+		}, []string{"table"}),
 		heldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gannetwell_account_at_limit_total", Help: "Seconds in which a shard held tasks of a client account back for its limit.",
 		}, []string{"account"}),
 		accounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.lost, m.jobs, m.keys, m.heldBack, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.lost, m.jobs, m.keys, m.badRows, m.heldBack, collectors.NewGoCollector())
 	return m
 }
 
@@ -95,6 +99,9 @@
 	m.heldBack.WithLabelValues(m.accountLabel(account)).Inc()
 }
 
+// badRow counts a row that could not be read.
+func (m *metrics) badRow(table string) { m.badRows.WithLabelValues(table).Inc() }
+
 // accountLabel returns the label of an account.
 func (m *metrics) accountLabel(account string) string {
 	m.mu.Lock()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -91,8 +91,10 @@
 
 	mu      sync.Mutex
 	workers map[string]platform.Worker // by boot
-	waves   map[int]fleetops.Wave      // by ID
-	asked   int64                      // newest configuration version that a peer is being asked for
+	// badWorkers are the versions of rows in the directory that name no worker, by boot.
+	badWorkers map[string]int64
+	waves      map[int]fleetops.Wave // by ID
+	asked      int64                 // newest configuration version that a peer is being asked for
 }
 
 // stored is a configuration with the bytes it was read from, which peers may ask for.
@@ -107,7 +109,7 @@
 	rows := &reach{Rows: services, log: log, since: now, heard: now}
 	n := &Node{
 		settings: s, since: now, log: log, metrics: newMetrics(), source: src, platform: services, rows: rows,
-		stop: make(chan struct{}), workers: map[string]platform.Worker{}, waves: map[int]fleetops.Wave{},
+		stop: make(chan struct{}), workers: map[string]platform.Worker{}, badWorkers: map[string]int64{}, waves: map[int]fleetops.Wave{},
 	}
 	n.ending, n.endAnswer = context.WithCancel(context.Background())
 	n.self = ownership.Member{
