A row of a shard that can't be read costs that row alone

Change: a job one of whose rows can't be read is left out and answered as unknown (its tasks may be done, so it must not begin again); without the record of workers all tasks wait until the leases have run out; an owner row that can't be read is taken for none, and the commit row tells the term. Left as it was: without the shares of accounts' limits the shard is not taken over, since nothing could be started safely.

--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -95,7 +95,7 @@
 		return
 	}
 	n.badWorkers[r.Key] = r.Version
-	n.metrics.badRow(n.source.WorkerTable)
+	n.metrics.RowMalformed(n.source.WorkerTable)
 	n.log.Error().Str("event", "worker_row_malformed").Str("boot", r.Key).Int64("version", r.Version).Err(err).Send()
 }
 
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -99,8 +99,8 @@
 	m.heldBack.WithLabelValues(m.accountLabel(account)).Inc()
 }
 
-// badRow counts a row that could not be read.
-func (m *metrics) badRow(table string) { m.badRows.WithLabelValues(table).Inc() }
+// RowMalformed implements shard.Metrics.
+func (m *metrics) RowMalformed(table string) { m.badRows.WithLabelValues(table).Inc() }
 
 // accountLabel returns the label of an account.
 func (m *metrics) accountLabel(account string) string {
--- a/pkg/ownership/rows.go
+++ b/pkg/ownership/rows.go
@@ -12,8 +12,8 @@
 	if r.Version > 0 && !r.Removed {
 		var err error
 		if row, err = shard.DecodeOwner(r.Value); err != nil {
-			k.log.Error().Str("event", "owner_row_malformed").Str("pool", pool).Err(err).Send()
-			return
+			row = shard.OwnerRow{} // it names no owner; a claim has to expect its version
+			k.log.Error().Str("event", "owner_row_malformed").Str("pool", pool).Int64("version", r.Version).Err(err).Send()
 		}
 	}
 	k.mu.Lock()
--- a/pkg/platform/fake/rows.go
+++ b/pkg/platform/fake/rows.go
@@ -75,6 +75,22 @@
 	r.log, r.forgot = nil, r.version
 }
 
+// Corrupt puts bytes into a row that is there, as another writer may; its version rises.
+func (r *Rows) Corrupt(key platform.RowKey, value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row, ok := r.rows[key]
+	if !ok {
+		return
+	}
+	r.version++
+	row.Value, row.Version = slices.Clone(value), r.version
+	r.rows[key] = row
+	r.log = append(r.log, row)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // As returns the table service as one entry reaches it.
 func (r *Rows) As(entry string) platform.Rows { return &rowsView{Rows: r, entry: entry} }
 
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -36,6 +36,10 @@
 		o.mu.Unlock()
 		return o.submittedBefore(id, &j.Record, &r)
 	}
+	if o.unread[id] {
+		o.mu.Unlock()
+		return schema.CallOutcomeUnknown
+	}
 	if s := o.pending[id]; s != nil {
 		if !s.record.BelongsTo(r.Account) {
 			o.mu.Unlock()
@@ -161,6 +165,9 @@
 	if s := o.pending[id]; s != nil && by.maySee(&s.record) {
 		return nil, schema.CallOutcomeUnknown
 	}
+	if o.unread[id] {
+		return nil, schema.CallOutcomeUnknown
+	}
 	return nil, schema.CallOutcomeNotFound
 }
 
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -362,5 +362,6 @@
 func (noMetrics) Order(error)                 {}
 func (noMetrics) End(platform.EndReason)      {}
 func (noMetrics) AttemptLost(shard.Loss)      {}
+func (noMetrics) RowMalformed(string)         {}
 func (noMetrics) Job(string)                  {}
 func (noMetrics) AccountAtLimit(string)       {}
--- a/pkg/shard/held.go
+++ b/pkg/shard/held.go
@@ -50,7 +50,10 @@
 		return
 	}
 	now := o.now()
-	o.held, o.heldAll = false, false
+	// Without the record any worker of a former owner may run any task until its leases
+	// have run out, wherever it is.
+	o.blind = o.blind && now < o.heldTo
+	o.held, o.heldAll = o.blind, o.blind
 	for _, s := range o.sessions {
 		if s.known || now >= o.heldTo {
 			o.closeFormer(s)
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -28,6 +28,8 @@
 	End(reason platform.EndReason)
 	// AttemptLost counts an attempt that went with its worker.
 	AttemptLost(kind Loss)
+	// RowMalformed counts a row that could not be read.
+	RowMalformed(table string)
 	// Job counts what became of a job.
 	Job(event string)
 	// AccountAtLimit counts a second in which tasks of a client account were held back for its limit.
@@ -76,6 +78,8 @@
 
 	catalog   *catalog.Catalog
 	book      *jobs.Book
+	unread    map[string]bool           // IDs of jobs that are kept and can't be read
+	blind     bool                      // the record of a former owner's workers could not be read
 	accounts  accounts                  // their shares and limits
 	sessions  map[string]*session       // by boot
 	inOrder   []*session                // sessions by boot, nil when out of date
@@ -122,14 +126,17 @@
 		return nil, err
 	}
 	now := time.Since(cfg.Since)
-	k, err := readKept(ctx, cfg.Rows, cfg.Pool, c.Term, now)
+	k, err := readKept(ctx, cfg.Rows, cfg.Pool, c.Term, now, func(e errMalformedRow) {
+		cfg.Metrics.RowMalformed(e.key.Table)
+		cfg.Log.Error().Str("event", "row_malformed").Str("pool", cfg.Pool).Str("table", e.key.Table).Str("key", e.key.Key).Err(e.cause).Send()
+	})
 	if err != nil {
 		return nil, err
 	}
 	o = &Owner{
 		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
-		catalog: cat, book: k.book, accounts: newAccounts(k.shares), sessions: map[string]*session{},
+		catalog: cat, book: k.book, unread: k.unreadable, blind: k.blind, accounts: newAccounts(k.shares), sessions: map[string]*session{},
 		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*learned{}, suspects: map[*jobs.Task]struct{}{},
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
@@ -155,6 +162,8 @@
 		o.inherit(s, w)
 	}
 	o.heldTo = o.formerLeasesEnd(now)
+	o.held = o.held || k.blind
+	o.heldAll = o.heldAll || k.blind
 	o.confirmedAt = now
 	o.openedAt = now
 	o.arrivals.since = now
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -34,14 +34,30 @@
 
 // kept is what a shard's partition holds.
 type kept struct {
-	book    *jobs.Book
-	workers []leasedWorker
-	shares  allowance.Row
+	book       *jobs.Book
+	unreadable map[string]bool // IDs of jobs one of whose rows can't be read
+	workers    []leasedWorker
+	blind      bool // the record of workers can't be read: any may hold a lease
+	shares     allowance.Row
 }
 
-// readKept reads the partition after the takeover, when no one else can write to it.
-func readKept(ctx context.Context, rows platform.Rows, pool string, term int64, now time.Duration) (k kept, err error) {
+// errMalformedRow reports a row that another writer has left, or that is damaged.
+type errMalformedRow struct {
+	key   platform.RowKey
+	cause error
+}
+
+// Error names the row.
+func (e errMalformedRow) Error() string {
+	return "row " + e.key.Table + "/" + e.key.Key + " can't be read: " + e.cause.Error()
+}
+
+// readKept reads the partition after the takeover, when no one else can write to it. A
+// job one of whose rows can't be read is left out, and with it nothing else: malformed is
+// told of each. Without the shares of accounts' limits nothing could be started safely.
+func readKept(ctx context.Context, rows platform.Rows, pool string, term int64, now time.Duration, malformed func(errMalformedRow)) (k kept, err error) {
 	defer func() { err = errors.Wrapf(err, "read shard %s", pool) }()
+	k.book, k.unreadable = jobs.NewBook(term), map[string]bool{}
 	records, err := readAll(ctx, rows, tableJob, pool)
 	if err != nil {
 		return k, err
@@ -54,34 +70,45 @@
 	for _, r := range progress {
 		p, err := jobs.DecodeProgress(r.Value)
 		if err != nil {
-			return k, errors.Wrapf(err, "job %s", r.Key)
+			// Its tasks may be done: it must not begin again.
+			k.unreadable[r.Key] = true
+			malformed(errMalformedRow{key: r.RowKey, cause: err})
 		}
 		byID[r.Key] = p
 	}
-	k.book = jobs.NewBook(term)
 	for _, r := range records {
 		record, err := jobs.DecodeRecord(r.Value)
 		if err != nil {
-			return k, errors.Wrapf(err, "job %s", r.Key)
+			k.unreadable[r.Key] = true
+			malformed(errMalformedRow{key: r.RowKey, cause: err})
+		}
+		if !k.unreadable[r.Key] {
+			k.book.Restore(r.Key, record, byID[r.Key], now-ageOf(&record))
 		}
-		k.book.Restore(r.Key, record, byID[r.Key], now-ageOf(&record))
 	}
+	return k, k.readWorkers(ctx, rows, pool, malformed)
+}
+
+// readWorkers reads the record of leased workers, and the shares beside it.
+func (k *kept) readWorkers(ctx context.Context, rows platform.Rows, pool string, malformed func(errMalformedRow)) error {
 	sets, err := readAll(ctx, rows, tableWorkers, pool)
 	if err != nil {
-		return k, err
+		return err
 	}
 	for _, r := range sets {
 		switch r.Key {
 		case singleKey:
-			err = msgpack.Unmarshal(r.Value, &k.workers)
+			if err := msgpack.Unmarshal(r.Value, &k.workers); err != nil {
+				k.workers, k.blind = nil, true
+				malformed(errMalformedRow{key: r.RowKey, cause: err})
+			}
 		case sharesKey:
-			err = msgpack.Unmarshal(r.Value, &k.shares)
-		}
-		if err != nil {
-			return k, errors.Wrapf(err, "decode row %s", r.Key)
+			if err := msgpack.Unmarshal(r.Value, &k.shares); err != nil {
+				return errMalformedRow{key: r.RowKey, cause: err}
+			}
 		}
 	}
-	return k, nil
+	return nil
 }
 
 // maxAge bounds how old a job may seem by clocks that differ; older ones are late anyway.
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -90,6 +90,9 @@
 		}
 		e.locked(func() { e.crashing[arg("task", "")] = after })
 		return ""
+	case "corrupt":
+		e.rows.Corrupt(platform.RowKey{Table: arg("table", ""), Partition: pool, Key: arg("key", "row")}, []byte("\xc1 not ours"))
+		return ""
 	case "fail":
 		times, _ := strconv.Atoi(arg("times", "1"))
 		e.locked(func() { e.failing[arg("task", "")] = times })
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -77,7 +78,7 @@
 	}
 	var old OwnerRow
 	if owner.Version > 0 {
-		if old, err = DecodeOwner(owner.Value); err != nil {
+		if old, err = formerOwner(owner, commit); err != nil {
 			return c, err
 		}
 	}
@@ -109,6 +110,19 @@
 	return c, nil
 }
 
+// formerOwner reads the owner row. If another writer has spoilt it the commit row, which
+// each takeover writes beside it, tells the term, above which all that follows has to be.
+func formerOwner(owner, commit platform.Row) (old OwnerRow, err error) {
+	if old, err = DecodeOwner(owner.Value); err == nil {
+		return old, nil
+	}
+	var c commitRow
+	if commitErr := msgpack.Unmarshal(commit.Value, &c); commitErr != nil || c.Term == 0 {
+		return OwnerRow{}, err
+	}
+	return OwnerRow{Entry: c.Entry, Start: c.Start, Term: c.Term}, nil
+}
+
 // ownTakeover tells whether a conflict is with an earlier try of the same takeover, and its version.
 func ownTakeover(err error, pool string, self Identity, term int64) (version int64, ok bool) {
 	var conflict platform.ErrConflict
