The size of a pool goes by what a whole VM has room for

Cause: rooms of workers change now, and the pool's size was worked out from the room of whichever worker came last in a map: one that had shrunk made the pool order VMs as if all were as small. Change: the largest room of the pool counts. The stand-in's workers change their room, also below what runs, guarding or not; the directory tells of it 1.5 s later. That nothing starts beyond a room that has shrunk, and nothing is stopped for it, held before.

--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -29,7 +29,9 @@
 		if !w.takesAll {
 			return platform.ErrOrderRefused{Reason: platform.RefusedRoom, ClockMs: b.clock()}
 		}
-		w.witness.Overfilled(b.info.Boot, o.Task)
+		if !b.fitsOfLate(work.Needs) {
+			w.witness.Overfilled(b.info.Boot, o.Task)
+		}
 	}
 	b.free = b.free.Sub(work.Needs)
 	duration := work.Duration
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -68,6 +68,7 @@
 	lease   int64            // deadline by the worker's clock
 	lapse   *time.Timer
 	free    platform.Resources
+	rooms   []formerRoom // it had, in order
 	changed chan struct{}
 }
 
@@ -117,6 +118,42 @@
 	}
 }
 
+// roomNoticed is how long after its room has shrunk a start may still count on the room
+// before: the directory tells of it with the next heartbeat, and owners may read it late.
+const roomNoticed = 4500 * time.Millisecond
+
+// SetRoom changes what a boot has room for; what runs there runs on.
+func (w *Workers) SetRoom(name string, room platform.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.boots[name]
+	if b == nil || b.dead {
+		return
+	}
+	b.rooms = append(b.rooms, formerRoom{room: b.info.Capacity, until: time.Now()})
+	b.free = b.free.Add(room).Sub(b.info.Capacity)
+	b.info.Capacity = room
+}
+
+// formerRoom is what a boot had room for until a time.
+type formerRoom struct {
+	room  platform.Resources
+	until time.Time
+}
+
+// fitsOfLate tells whether a start fits what the boot has room for, or had a moment ago.
+func (b *boot) fitsOfLate(needs platform.Resources) bool {
+	if needs.Fits(b.free) {
+		return true
+	}
+	for _, f := range b.rooms {
+		if time.Since(f.until) <= roomNoticed && needs.Fits(b.free.Add(f.room).Sub(b.info.Capacity)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Crash ends a boot; what ran there is gone.
 func (w *Workers) Crash(name string) {
 	w.mu.Lock()
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -258,6 +258,26 @@
 	return ""
 }
 
+// heartbeat is how long after a change of its room a worker's row tells of it.
+const heartbeat = 1500 * time.Millisecond
+
+// resize changes what a worker has room for; the directory tells of it with the next heartbeat.
+func (e *estate) resize(boot string, cpu int) {
+	room := platform.Resources{CPU: cpu, MemoryMB: 1 << 20}
+	e.workers.SetRoom(boot, room)
+	time.AfterFunc(heartbeat, func() {
+		e.locked(func() {
+			e.listed = slices.Clone(e.listed)
+			for i := range e.listed {
+				if e.listed[i].Boot == boot {
+					e.listed[i].Capacity = room
+				}
+			}
+		})
+		e.publish()
+	})
+}
+
 // publish shows the directory to all owners.
 func (e *estate) publish() {
 	listed := e.directory()
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -28,7 +28,7 @@
 	Waiting  platform.Resources // of tasks that could start at once if there were room
 	Tasks    int                // that wait so
 	Arriving platform.Resources // that jobs hold on average if they go on to arrive as of late
-	// VMCapacity is what one of the workers has; those of a pool are alike.
+	// VMCapacity is what one of the workers has when it is whole: the largest of them.
 	VMCapacity platform.Resources
 	// Floor is how many workers the long-running tasks need at least.
 	Floor int
@@ -61,7 +61,10 @@
 			continue
 		}
 		l.Workers++
-		l.VMCapacity = s.info.Capacity
+		// What is ordered is whole; a VM whose room has shrunk tells nothing of it.
+		if s.info.Capacity.CPU > l.VMCapacity.CPU {
+			l.VMCapacity = s.info.Capacity
+		}
 		l.Capacity = l.Capacity.Add(s.info.Capacity)
 		lasting, cpu := false, 0
 		for _, a := range s.attempts {
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -90,6 +90,13 @@
 		}
 		e.locked(func() { e.crashing[arg("task", "")] = after })
 		return ""
+	case "room":
+		cpu, _ := strconv.Atoi(arg("cpu", "0"))
+		e.resize(arg("boot", ""), cpu)
+		return ""
+	case "load":
+		l, ok := e.owners[entry].Load(false)
+		return fmt.Sprintf("%v: %d workers, room %d, of one %d, used %d, waiting %d\n", ok, l.Workers, l.Capacity.CPU, l.VMCapacity.CPU, l.Used.CPU, l.Waiting.CPU)
 	case "corrupt":
 		e.rows.Corrupt(platform.RowKey{Table: arg("table", ""), Partition: pool, Key: arg("key", "row")}, []byte("\xc1 not ours"))
 		return ""
