Rights and beliefs expire while the machine is suspended

Cause: all of them went by the steady clock, which stands still in a suspension: an owner that woke after 9 s held itself for confirmed a moment ago, and started a task that ran elsewhere. Change: pkg/elapsed adds suspensions, read from the boot clock; owners, the keeper of shards, members, the fleet's holder and the reach of the table service go by it.

--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -152,7 +153,7 @@
 	}
 	cat := catalog.New(catalog.Catalog{Pools: []catalog.Pool{{Name: "a"}, {Name: "b"}, {Name: "off", Spare: true}}})
 	return Open(context.Background(), Config{
-		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Since: since, Rows: rows, Machines: vms,
+		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Clock: elapsed.New(elapsed.WithOrigin(since)), Rows: rows, Machines: vms,
 		Empty: func(context.Context, string, string) bool { return true }, Load: func(ctx context.Context, pool string, _ *allowance.Grant) (shard.Load, bool) {
 			return s.load(ctx, pool)
 		},
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -30,7 +31,7 @@
 type Config struct {
 	Self  shard.Identity
 	Log   zerolog.Logger
-	Since time.Time // origin of the runner's clock
+	Clock *elapsed.Clock // of the entry, by which rights and beliefs expire
 
 	Rows     platform.Rows
 	Machines platform.Machines
@@ -79,11 +80,11 @@
 
 // Open takes the work over, if its owner row still has the version seen.
 func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog) (r *Runner, err error) {
-	c, err := shard.TakeOver(ctx, cfg.Rows, Partition, cfg.Self, seen, cfg.Sending)
+	c, err := shard.TakeOver(ctx, cfg.Rows, cfg.Clock, Partition, cfg.Self, seen, cfg.Sending)
 	if err != nil {
 		return nil, err
 	}
-	now := time.Since(cfg.Since)
+	now := cfg.Clock.Now()
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		limits: allowance.NewHolder(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
@@ -134,7 +135,7 @@
 	r.log.Info().Str("event", "maintenance_released").Err(err).Send()
 }
 
-func (r *Runner) now() time.Duration { return time.Since(r.cfg.Since) }
+func (r *Runner) now() time.Duration { return r.cfg.Clock.Now() }
 
 func (r *Runner) run(ctx context.Context) {
 	defer close(r.done)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
@@ -69,7 +70,7 @@
 type Node struct {
 	settings schema.ServiceSettings
 	self     ownership.Member
-	since    time.Time // origin of the clocks of this entry's shards
+	clock    *elapsed.Clock // of this entry
 	log      zerolog.Logger
 	metrics  *metrics
 
@@ -105,20 +106,20 @@
 
 // New returns a node that is not running yet.
 func New(s schema.ServiceSettings, services Services, src Source, log zerolog.Logger) *Node {
-	now := time.Now()
-	rows := &reach{Rows: services, log: log, since: now, heard: now}
+	clock := elapsed.New()
+	rows := &reach{Rows: services, log: log, clock: clock}
 	n := &Node{
-		settings: s, since: now, log: log, metrics: newMetrics(), source: src, platform: services, rows: rows,
+		settings: s, clock: clock, log: log, metrics: newMetrics(), source: src, platform: services, rows: rows,
 		stop: make(chan struct{}), workers: map[string]platform.Worker{}, badWorkers: map[string]int64{}, waves: map[int]fleetops.Wave{},
 	}
 	n.ending, n.endAnswer = context.WithCancel(context.Background())
 	n.self = ownership.Member{
 		Name: s.Name, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])), Zone: s.Zone,
-		Start: now.UnixNano(), Share: s.CpuShare,
+		Start: time.Now().UnixNano(), Share: s.CpuShare,
 	}
-	n.members = ownership.NewMembers(n.self, rows, log, now, local{n})
+	n.members = ownership.NewMembers(n.self, rows, log, clock, local{n})
 	rows.onLost = n.members.Hurry
-	n.keeper = ownership.NewKeeper(n.identity(), n.members, n.openShard, log, now)
+	n.keeper = ownership.NewKeeper(n.identity(), n.members, n.openShard, log, clock)
 	return n
 }
 
--- a/pkg/node/reach.go
+++ b/pkg/node/reach.go
@@ -8,20 +8,22 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 // reach passes calls to the table service on and remembers whether it answers this node.
 type reach struct {
 	platform.Rows
-	log zerolog.Logger
+	log   zerolog.Logger
+	clock *elapsed.Clock
 	// onLost is told, without the lock, that the service has stopped answering.
 	onLost func()
 
 	mu    sync.Mutex
 	lost  bool
-	since time.Time // when lost last changed
-	heard time.Time // when a call was last answered
+	since time.Duration // when lost last changed
+	heard time.Duration // when a call was last answered
 }
 
 // CommitRows implements platform.Rows.
@@ -57,12 +59,12 @@
 	defer r.mu.Unlock()
 	lost := err != nil
 	if !lost {
-		r.heard = time.Now()
+		r.heard = r.clock.Now()
 	}
 	if lost == r.lost {
 		return
 	}
-	r.lost, r.since = lost, time.Now()
+	r.lost, r.since = lost, r.clock.Now()
 	if lost {
 		r.log.Warn().Str("event", "store_lost").Err(err).Send()
 		go r.onLost()
@@ -78,14 +80,14 @@
 	if r.lost {
 		return 0
 	}
-	return time.Since(r.since)
+	return r.clock.Now() - r.since
 }
 
 // silentFor is how long ago a call was last answered.
 func (r *reach) silentFor() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.heard)
+	return r.clock.Now() - r.heard
 }
 
 // ok tells whether the last call was answered.
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -35,7 +35,7 @@
 		}
 	}
 	o, err := shard.Open(ctx, shard.Config{
-		Pool: pool, Self: n.identity(), Since: n.since, Retention: seconds(n.settings.Timing.RetentionS),
+		Pool: pool, Self: n.identity(), Clock: n.clock, Retention: seconds(n.settings.Timing.RetentionS),
 		Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
 		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, Sending: events.Sending, OnOver: events.Over,
 	}, seen, cat, n.allWorkers())
@@ -48,7 +48,7 @@
 // openFleet begins the work of moving and maintaining VMs.
 func (n *Node) openFleet(ctx context.Context, seen int64, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
 	r, err := fleetops.Open(ctx, fleetops.Config{
-		Self: n.identity(), Log: n.log, Since: n.since,
+		Self: n.identity(), Log: n.log, Clock: n.clock,
 		Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves,
 		Pause: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, Takes: seconds(n.settings.Timing.MaintenanceS),
 		Sending: events.Sending, OnOver: events.Over,
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
@@ -44,7 +45,7 @@
 	time.Sleep(time.Minute)
 	for _, self := range names {
 		l := &there{}
-		m := NewMembers(Member{Name: self, Share: 1}, nil, zerolog.Nop(), since, l)
+		m := NewMembers(Member{Name: self, Share: 1}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)), l)
 		m.majorityAt = 1
 		for _, other := range names {
 			if other != self {
@@ -69,7 +70,7 @@
 		u.claims <- self
 		return nil, errors.New("another entry was first")
 	}
-	k := NewKeeper(shard.Identity{Entry: self, Start: 1}, m, open, zerolog.Nop(), since)
+	k := NewKeeper(shard.Identity{Entry: self, Start: 1}, m, open, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)))
 	k.catalog = catalog.New(catalog.Catalog{})
 	k.shards["p"] = &state{row: shard.OwnerRow{Entry: "lost", Start: 1, Term: 1}, version: 1, loaded: true}
 	return k
@@ -132,7 +133,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		since := time.Now()
 		l := &there{back: since}
-		m := NewMembers(Member{Name: "e1", Share: 1, Start: 2}, nil, zerolog.Nop(), since, l)
+		m := NewMembers(Member{Name: "e1", Share: 1, Start: 2}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)), l)
 		m.peers["e2"] = peerHeard("e2", 0)
 		m.peers["e2"].Start = 2
 		u := &outage{claims: make(chan string, 10)}
--- a/pkg/ownership/handon_test.go
+++ b/pkg/ownership/handon_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -59,7 +60,7 @@
 		c := qt.New(t)
 		since := time.Now()
 		time.Sleep(time.Minute)
-		m := NewMembers(Member{Name: "me", Share: 0.2}, nil, zerolog.Nop(), since, &there{back: since})
+		m := NewMembers(Member{Name: "me", Share: 0.2}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)), &there{back: since})
 		m.majorityAt = 1
 		for i := range 96 {
 			name := fmt.Sprintf("e%d", i)
@@ -72,7 +73,7 @@
 			claims <- struct{}{}
 			return nil, errors.New("another entry was first")
 		}
-		k := NewKeeper(shard.Identity{Entry: "me", Start: 3}, m, open, zerolog.Nop(), since)
+		k := NewKeeper(shard.Identity{Entry: "me", Start: 3}, m, open, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)))
 		k.catalog = catalog.New(catalog.Catalog{})
 		w := &released{to: make(chan string, 1)}
 		row := shard.OwnerRow{Entry: "me", Start: 3, Term: 1}
--- a/pkg/ownership/judge_test.go
+++ b/pkg/ownership/judge_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -42,7 +43,7 @@
 			h.reaches = h.answered > 0
 		}
 		since := time.Now().Add(-time.Minute)
-		m := NewMembers(Member{Name: "me", Start: 1}, nil, zerolog.Nop(), since, h)
+		m := NewMembers(Member{Name: "me", Start: 1}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)), h)
 		for _, line := range strings.Split(d.Input, "\n") {
 			addPeer(m, strings.Fields(line))
 		}
@@ -57,7 +58,7 @@
 			return fmt.Sprintf("%v\n", m.Caller(row.Entry, row.Address) != nil)
 		}
 		suspected, _ := time.ParseDuration(args["suspected"])
-		k := NewKeeper(shard.Identity{Entry: "me", Start: 1}, m, nil, zerolog.Nop(), since)
+		k := NewKeeper(shard.Identity{Entry: "me", Start: 1}, m, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)))
 		s := &state{row: row, loaded: true, rowAt: m.now() - rowAge}
 		if suspected > 0 {
 			s.suspect = m.now() - suspected
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -58,7 +59,7 @@
 	members *Members
 	open    Opener
 	log     zerolog.Logger
-	since   time.Time
+	clock   *elapsed.Clock
 
 	mu       sync.Mutex
 	shards   map[string]*state
@@ -72,15 +73,15 @@
 }
 
 // NewKeeper returns a keeper that owns nothing yet.
-func NewKeeper(self shard.Identity, m *Members, open Opener, log zerolog.Logger, since time.Time) *Keeper {
+func NewKeeper(self shard.Identity, m *Members, open Opener, log zerolog.Logger, clock *elapsed.Clock) *Keeper {
 	return &Keeper{
-		self: self, members: m, open: open, log: log, since: since,
+		self: self, members: m, open: open, log: log, clock: clock,
 		shards:  map[string]*state{},
 		changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
 
-func (k *Keeper) now() time.Duration { return time.Since(k.since) }
+func (k *Keeper) now() time.Duration { return k.clock.Now() }
 
 // Kick has the claims gone through soon.
 func (k *Keeper) Kick() { pause.Wake(k.wake) }
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -53,7 +54,7 @@
 	self  Member
 	rows  platform.Rows
 	log   zerolog.Logger
-	since time.Time
+	clock *elapsed.Clock
 	local Local
 
 	mu    sync.Mutex
@@ -82,8 +83,8 @@
 }
 
 // NewMembers returns the other entries, none at first.
-func NewMembers(self Member, rows platform.Rows, log zerolog.Logger, since time.Time, local Local) *Members {
-	return &Members{self: self, rows: rows, log: log, since: since, local: local, peers: map[string]*known{}}
+func NewMembers(self Member, rows platform.Rows, log zerolog.Logger, clock *elapsed.Clock, local Local) *Members {
+	return &Members{self: self, rows: rows, log: log, clock: clock, local: local, peers: map[string]*known{}}
 }
 
 // Register writes this entry's row.
@@ -138,7 +139,7 @@
 	delete(m.peers, k.Name)
 }
 
-func (m *Members) now() time.Duration { return time.Since(m.since) }
+func (m *Members) now() time.Duration { return m.clock.Now() }
 
 // SetOwners tells which entries, this one among them, own a shard; those are pinged often.
 func (m *Members) SetOwners(names map[string]bool) {
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -226,7 +226,9 @@
 		return k.heardAt
 	}
 	if at := k.caller.Heard(); !at.IsZero() {
-		return max(k.heardAt, at.Sub(m.since))
+		// By the steady clock: after a suspension this looks younger than it is, which only
+		// puts a takeover off.
+		return max(k.heardAt, m.now()-time.Since(at))
 	}
 	return k.heardAt
 }
--- a/pkg/ownership/ping_test.go
+++ b/pkg/ownership/ping_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
@@ -18,7 +19,7 @@
 func TestNewOwnerIsPinged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		m := NewMembers(Member{Name: "me"}, nil, zerolog.Nop(), time.Now(), here{reaches: true})
+		m := NewMembers(Member{Name: "me"}, nil, zerolog.Nop(), elapsed.New(), here{reaches: true})
 		for i := range 42 {
 			name := fmt.Sprintf("e%d", i)
 			m.peers[name] = &known{Member: Member{Name: name}, wake: make(chan struct{}, 1)}
@@ -41,7 +42,7 @@
 // others are asked at once, so that it is known whether they answer.
 func TestQuietOwnerIsChecked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := NewMembers(Member{Name: "me"}, nil, zerolog.Nop(), time.Now(), here{reaches: true})
+		m := NewMembers(Member{Name: "me"}, nil, zerolog.Nop(), elapsed.New(), here{reaches: true})
 		for i := range 96 {
 			name := fmt.Sprintf("e%d", i)
 			m.peers[name] = &known{Member: Member{Name: name}, wake: make(chan struct{}, 1)}
@@ -60,7 +61,7 @@
 // that owns a shard hears from all others that no later owner is known to them,
 // often enough to go on giving leases. Before, it asked each of them every 5.8 s.
 func TestConfirmationAmongMany(t *testing.T) {
-	m := NewMembers(Member{Name: "me"}, nil, zerolog.Nop(), time.Now(), here{})
+	m := NewMembers(Member{Name: "me"}, nil, zerolog.Nop(), elapsed.New(), here{})
 	for i := range 96 {
 		name := fmt.Sprintf("e%d", i)
 		m.peers[name] = &known{Member: Member{Name: name}, wake: make(chan struct{}, 1)}
--- a/pkg/ownership/slow_test.go
+++ b/pkg/ownership/slow_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
@@ -27,7 +28,7 @@
 	}, zerolog.Nop())
 	go func() { _ = slow.Serve(ctx) }()
 
-	m := NewMembers(Member{Name: "me"}, nil, zerolog.Nop(), time.Now().Add(-time.Minute), here{reaches: true})
+	m := NewMembers(Member{Name: "me"}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(time.Now().Add(-time.Minute))), here{reaches: true})
 	k := &known{
 		Member: Member{Name: "o", Address: ln.Addr().String()}, caller: peer.NewCaller(ln.Addr().String()),
 		wake: make(chan struct{}, 1), owns: true, heardAt: m.now(),
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -86,12 +86,12 @@
 func (o *Owner) settle(ctx context.Context, b *batch) (version int64, err error) {
 	inDoubt := false
 	for {
-		t := commitHedged(ctx, o.cfg.Rows, b.txn, o.commitPace.hedge(), o.noteCommit)
+		t := commitHedged(ctx, o.cfg.Rows, o.cfg.Clock, b.txn, o.commitPace.hedge(), o.noteCommit)
 		var conflict platform.ErrConflict
 		switch {
 		case t.err == nil:
 			o.setTrouble(false, nil)
-			o.Confirm(t.sentAt.Sub(o.cfg.Since))
+			o.Confirm(t.sentAt)
 			return t.version, nil
 		case errors.As(t.err, &conflict):
 			return o.resolveConflict(conflict, b)
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
@@ -49,7 +50,8 @@
 	breakWorkers func(platform.Workers) platform.Workers
 	asked        int // calls for advice
 	limits       []catalog.Account
-	ownersMu     sync.Mutex // guards changes of owners
+	suspendable  map[string]*entryMachine // by entry, of those that may be suspended
+	ownersMu     sync.Mutex               // guards changes of owners
 	owners       map[string]*shard.Owner
 	closed       bool
 	faults       map[string]fake.Fault    // by "op entry" and "op boot entry", with * for any
@@ -68,7 +70,7 @@
 }
 
 func newEstate(t fataler) *estate {
-	e := &estate{t: t, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, faultTimes: map[string]int{}, failing: map[string]int{}, crashing: map[string]time.Duration{}}
+	e := &estate{t: t, suspendable: map[string]*entryMachine{}, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, faultTimes: map[string]int{}, failing: map[string]int{}, crashing: map[string]time.Duration{}}
 	e.witness = newWitness(e)
 	e.out = zerolog.SyncWriter(&e.log)
 	e.rows = fake.NewRows(4*time.Millisecond, 3*time.Second)
@@ -318,6 +320,10 @@
 	if e.breakWorkers != nil {
 		workers = e.breakWorkers(workers)
 	}
+	clock := elapsed.New(elapsed.WithOrigin(e.since))
+	if m := e.suspendable[entry]; m != nil {
+		rows, workers, clock = suspendedRows{rows, m}, suspendedWorkers{workers, m}, m.clock()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	row, err := shard.ReadOwner(ctx, rows, pool)
@@ -328,7 +334,7 @@
 	cfg := shard.Config{
 		Pool: pool, Self: shard.Identity{Entry: entry, Start: e.starts, Address: entry},
 		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: noMetrics{}, Retention: time.Hour,
-		Log: zerolog.New(e.out).With().Str("entry", entry).Logger(), Since: e.since,
+		Log: zerolog.New(e.out).With().Str("entry", entry).Logger(), Clock: clock,
 		StoreSteady: func() time.Duration { return time.Since(e.since) },
 		OnOver:      func(error) {}, Sending: func() {},
 	}
--- a/pkg/shard/hedge.go
+++ b/pkg/shard/hedge.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -26,7 +27,7 @@
 
 // try is one sending of a transaction and its outcome.
 type try struct {
-	sentAt  time.Time
+	sentAt  time.Duration // on the entry's clock
 	took    time.Duration
 	version int64
 	err     error
@@ -56,15 +57,15 @@
 // without an answer; the first definite answer counts. The error is a
 // platform.ErrConflict also when an earlier try of ours has happened: the caller
 // tells that by the rows in it.
-func commitHedged(ctx context.Context, rows platform.Rows, txn platform.RowTxn, after time.Duration, note func(took time.Duration, err error)) (t try) {
+func commitHedged(ctx context.Context, rows platform.Rows, clock *elapsed.Clock, txn platform.RowTxn, after time.Duration, note func(took time.Duration, err error)) (t try) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	results := make(chan try, hedgesAtOnce)
 	send := func() {
-		sent := try{sentAt: time.Now()}
+		sent := try{sentAt: clock.Now()}
 		go func() {
 			sent.version, sent.err = rows.CommitRows(ctx, txn)
-			sent.took = time.Since(sent.sentAt)
+			sent.took = clock.Now() - sent.sentAt
 			results <- sent
 		}()
 	}
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/startrate"
@@ -40,8 +41,8 @@
 type Config struct {
 	Pool      string
 	Self      Identity
-	Since     time.Time     // origin of the owner's clock
-	Retention time.Duration // how long final jobs can be asked for
+	Clock     *elapsed.Clock // of the entry, by which rights and beliefs expire
+	Retention time.Duration  // how long final jobs can be asked for
 
 	Rows     platform.Rows
 	Workers  platform.Workers
@@ -121,11 +122,11 @@
 func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog, workers []platform.Worker) (o *Owner, err error) {
 	ctx, done := context.WithTimeout(ctx, takeoverRead)
 	defer done()
-	c, err := TakeOver(ctx, cfg.Rows, cfg.Pool, cfg.Self, seen, cfg.Sending)
+	c, err := TakeOver(ctx, cfg.Rows, cfg.Clock, cfg.Pool, cfg.Self, seen, cfg.Sending)
 	if err != nil {
 		return nil, err
 	}
-	now := time.Since(cfg.Since)
+	now := cfg.Clock.Now()
 	k, err := readKept(ctx, cfg.Rows, cfg.Pool, c.Term, now, func(e errMalformedRow) {
 		cfg.Metrics.RowMalformed(e.key.Table)
 		cfg.Log.Error().Str("event", "row_malformed").Str("pool", cfg.Pool).Str("table", e.key.Table).Str("key", e.key.Key).Err(e.cause).Send()
@@ -178,7 +179,7 @@
 	o.kickPlacement()
 }
 
-func (o *Owner) now() time.Duration { return time.Since(o.cfg.Since) }
+func (o *Owner) now() time.Duration { return o.cfg.Clock.Now() }
 
 // Term is the term of ownership.
 func (o *Owner) Term() int64 { return o.claim.Term }
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -63,6 +63,15 @@
 	case "crash":
 		e.workers.Crash(arg("boot", ""))
 		return ""
+	case "suspendable":
+		e.suspendable[entry] = newEntryMachine(e.since, arg("clock", "") == "steady")
+		return ""
+	case "suspend":
+		e.suspendable[entry].suspend()
+		return ""
+	case "wake":
+		e.suspendable[entry].wake()
+		return ""
 	case "own":
 		return e.own(entry)
 	case "kill":
--- /dev/null
+++ b/pkg/shard/suspend_test.go
@@ -0,0 +1,111 @@
+package shard_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// entryMachine is an entry's machine, which can be suspended: its steady clock stands still
+// meanwhile, and none of its calls goes out.
+type entryMachine struct {
+	since  time.Time
+	steady bool // it has no clock but the steady one, to show that this is found
+
+	mu    sync.Mutex
+	from  time.Time // of the present suspension
+	total time.Duration
+	awake chan struct{} // closed while it runs
+}
+
+func newEntryMachine(since time.Time, steady bool) *entryMachine {
+	m := &entryMachine{since: since, steady: steady, awake: make(chan struct{})}
+	close(m.awake)
+	return m
+}
+
+func (m *entryMachine) clock() *elapsed.Clock {
+	return elapsed.New(elapsed.WithSource(
+		func() time.Duration { return time.Since(m.since) - m.suspended() },
+		func() time.Duration {
+			if m.steady {
+				return 0
+			}
+			return m.suspended()
+		}))
+}
+
+// suspended is for how long the machine was suspended so far.
+func (m *entryMachine) suspended() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.from.IsZero() {
+		return m.total
+	}
+	return m.total + time.Since(m.from)
+}
+
+func (m *entryMachine) suspend() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.from, m.awake = time.Now(), make(chan struct{})
+}
+
+func (m *entryMachine) wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.total += time.Since(m.from)
+	m.from = time.Time{}
+	close(m.awake)
+}
+
+// call carries a call out. What a suspended machine would have sent is not sent: its
+// process does nothing until it wakes.
+func (m *entryMachine) call(do func() error) error {
+	m.mu.Lock()
+	awake, asleep := m.awake, !m.from.IsZero()
+	m.mu.Unlock()
+	if asleep {
+		<-awake // also beyond the end of ctx, whose timer stands still as well
+		return platform.ErrNotDone{Op: "call", Cause: "the machine was suspended"}
+	}
+	return do()
+}
+
+type suspendedRows struct {
+	platform.Rows
+	m *entryMachine
+}
+
+func (r suspendedRows) CommitRows(ctx context.Context, txn platform.RowTxn) (version int64, err error) {
+	err = r.m.call(func() error { version, err = r.Rows.CommitRows(ctx, txn); return err })
+	return version, err
+}
+
+func (r suspendedRows) ListRows(ctx context.Context, table, partition, from string) (page platform.RowPage, err error) {
+	err = r.m.call(func() error { page, err = r.Rows.ListRows(ctx, table, partition, from); return err })
+	return page, err
+}
+
+type suspendedWorkers struct {
+	platform.Workers
+	m *entryMachine
+}
+
+func (w suspendedWorkers) StartAttempt(ctx context.Context, ref platform.WorkerRef, o platform.StartOrder) (clock int64, err error) {
+	err = w.m.call(func() error { clock, err = w.Workers.StartAttempt(ctx, ref, o); return err })
+	return clock, err
+}
+
+func (w suspendedWorkers) StopAttempt(ctx context.Context, ref platform.WorkerRef, o platform.StopOrder) (clock int64, err error) {
+	err = w.m.call(func() error { clock, err = w.Workers.StopAttempt(ctx, ref, o); return err })
+	return clock, err
+}
+
+func (w suspendedWorkers) RenewLeases(ctx context.Context, ref platform.WorkerRef, o platform.RenewOrder) (report platform.WorkerReport, err error) {
+	err = w.m.call(func() error { report, err = w.Workers.RenewLeases(ctx, ref, o); return err })
+	return report, err
+}
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -64,7 +65,7 @@
 // TakeOver writes this entry into the owner row, provided the row still has the
 // version that the decision to take over was made on. It calls sending before
 // the transaction is sent; an error without that call had no effect.
-func TakeOver(ctx context.Context, rows platform.Rows, pool string, self Identity, seen int64, sending func()) (c Claim, err error) {
+func TakeOver(ctx context.Context, rows platform.Rows, clock *elapsed.Clock, pool string, self Identity, seen int64, sending func()) (c Claim, err error) {
 	defer func() { err = errors.Wrapf(err, "take over shard %s", pool) }()
 	started := time.Now()
 	owner, err := ReadOne(ctx, rows, ownerKey(pool))
@@ -99,7 +100,7 @@
 		Put:    []platform.Row{{RowKey: ownerKey(pool), Value: ownerRaw}, {RowKey: commitKey(pool), Value: commitRaw}},
 	}
 	sending()
-	t := commitHedged(ctx, rows, txn, pace.hedge(), func(time.Duration, error) {})
+	t := commitHedged(ctx, rows, clock, txn, pace.hedge(), func(time.Duration, error) {})
 	if version, ok := ownTakeover(t.err, pool, self, c.Term); ok {
 		t.version, t.err = version, nil
 	}
