--- a/_scripts/matrix.sh
+++ b/_scripts/matrix.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# Plays each day of platform/days on a site of the users' bench, one after the other:
+# Plays each day of deploy/days on a site of the users' bench, one after the other:
 #   _scripts/matrix.sh BENCH SITE [WHY]
 # and prints what broke, what the day was worth and how often shards changed hands.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bench=$1 site=$2 why=${3:-"matrix of own days"}
 printf '%-14s %-8s %-8s %-9s %s\n' day worth served takeovers broken
-for day in platform/days/*.toml; do
+for day in deploy/days/*.toml; do
   out=$(mktemp)
   "$bench" run "$site" "$day" --log front --why "$why" > "$out" 2>&1 || true
   name=$(basename "$day" .toml)
