Gangs are put on trial as a whole; crashing tasks of all kinds beside replaced owners

Cause: TestCrashes: two gangs shared their worker five times in a row, and the one that had done nothing was given up too, since gangs had no trials. Change: a trial may take several workers, which are kept for all members; a loss on trial is counted against all that is on trial at that worker, and nothing else. TestCrashes plays crashing tasks alone, in wide steps, long-running, with copies and in gangs while owners are replaced and orders and transactions lost or late; it finds an owner that does not know what former ones have counted.

--- a/pkg/blame/loss.go
+++ b/pkg/blame/loss.go
@@ -45,14 +45,13 @@
 // Losses are what speaks against a task.
 type Losses []Loss
 
-// Verdict tells how the task may be started. A gang is started as a whole, so that its
-// tasks are never on trial.
-func (ls Losses) Verdict(gang bool) Verdict {
+// Verdict tells how the task may be started.
+func (ls Losses) Verdict() Verdict {
 	proven := slices.ContainsFunc(ls, func(l Loss) bool { return l.Trial && l.Sure })
 	switch {
 	case proven && len(ls) > trialAfter || len(ls) >= mostLosses:
 		return Guilty
-	case len(ls) >= trialAfter && !gang:
+	case len(ls) >= trialAfter:
 		return OnTrial
 	case len(ls) > 0:
 		return Watched
@@ -103,16 +102,12 @@
 }
 
 // Counted tells of each attempt at a lost worker whether the loss counts against its task:
-// on trial that one alone, else each that had not run for long.
+// what is on trial there alone, else each that had not run for long.
 func Counted(attempts []Attempt) []bool {
 	counted := make([]bool, len(attempts))
+	trial := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.Trial })
 	for i, a := range attempts {
-		if a.Trial {
-			clear(counted)
-			counted[i] = true
-			return counted
-		}
-		counted[i] = a.Ran < Within
+		counted[i] = a.Trial || !trial && a.Ran < Within
 	}
 	return counted
 }
--- a/pkg/blame/loss_test.go
+++ b/pkg/blame/loss_test.go
@@ -16,19 +16,17 @@
 		name   string
 		losses Losses
 		want   Verdict
-		gang   Verdict
 	}{
-		{"none", nil, Clear, Clear},
-		{"one", Losses{shared}, Watched, Watched},
-		{"two", Losses{shared, shared}, OnTrial, Watched},
-		{"the third on trial", Losses{shared, shared, trial}, Guilty, Guilty},
-		{"a trial's worker only silent", Losses{shared, shared, unsure}, OnTrial, Watched},
-		{"a trial alone", Losses{trial}, Watched, Watched},
-		{"four without proof", Losses{shared, shared, unsure, unsure}, OnTrial, Watched},
-		{"five without proof", Losses{shared, shared, shared, shared, shared}, Guilty, Guilty},
+		{"none", nil, Clear},
+		{"one", Losses{shared}, Watched},
+		{"two", Losses{shared, shared}, OnTrial},
+		{"the third on trial", Losses{shared, shared, trial}, Guilty},
+		{"a trial's worker only silent", Losses{shared, shared, unsure}, OnTrial},
+		{"a trial alone", Losses{trial}, Watched},
+		{"four without proof", Losses{shared, shared, unsure, unsure}, OnTrial},
+		{"five without proof", Losses{shared, shared, shared, shared, shared}, Guilty},
 	} {
-		qt.Check(t, tc.losses.Verdict(false), qt.Equals, tc.want, qt.Commentf(tc.name))
-		qt.Check(t, tc.losses.Verdict(true), qt.Equals, tc.gang, qt.Commentf("gang: "+tc.name))
+		qt.Check(t, tc.losses.Verdict(), qt.Equals, tc.want, qt.Commentf(tc.name))
 	}
 }
 
@@ -36,6 +34,7 @@
 func TestCounted(t *testing.T) {
 	qt.Check(t, Counted([]Attempt{{Ran: 0}, {Ran: Within}, {Ran: time.Second}}), qt.DeepEquals, []bool{true, false, true})
 	qt.Check(t, Counted([]Attempt{{Ran: 0}, {Trial: true}, {Ran: time.Second}}), qt.DeepEquals, []bool{false, true, false})
+	qt.Check(t, Counted([]Attempt{{Trial: true}, {Ran: 0}, {Trial: true}}), qt.DeepEquals, []bool{true, false, true})
 	qt.Check(t, Counted(nil), qt.HasLen, 0)
 }
 
--- a/pkg/jobs/evidence.go
+++ b/pkg/jobs/evidence.go
@@ -10,7 +10,21 @@
 }
 
 // Verdict tells how the task may be started, by the workers that were lost with it.
-func (t *Task) Verdict() blame.Verdict { return t.Losses.Verdict(t.Step.Spec.Gang) }
+func (t *Task) Verdict() blame.Verdict { return t.Losses.Verdict() }
+
+// Verdict tells how the step's tasks may be started together: as the worst of them may.
+func (s *StepRun) Verdict() blame.Verdict {
+	var all blame.Losses
+	for _, t := range s.Tasks {
+		switch v := t.Verdict(); {
+		case v == blame.Guilty:
+			return v
+		case len(t.Losses) > len(all):
+			all = t.Losses
+		}
+	}
+	return all.Verdict()
+}
 
 // Evidence counts the changes of what speaks against the job's tasks.
 func (j *Job) Evidence() int { return j.evidence }
--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -209,11 +209,15 @@
 	m.e.locked(func() { m.e.failing[task] = times })
 }
 
-// ruin hands a job in one of whose tasks brings down each worker that starts it.
+// ruin hands a job in one of whose tasks brings down each worker that starts it: alone, beside
+// others of its step, long-running, with copies, or a member of a gang.
 func (m *machine) ruin() {
 	after := rapid.SampledFrom([]time.Duration{0, 10 * time.Millisecond, 150 * time.Millisecond}).Draw(m.t, "after")
-	m.e.locked(func() { m.e.crashing[fmt.Sprintf("%016x.0.0.0", m.jobs+1)] = after })
-	m.submit()
+	texts := []string{"1x1000/300ms", "3x1000/700ms 2x1500/300ms<0", "1x1000/0s", "2x1000/800ms+copies", "2x1000/400ms+gang"}
+	m.jobs++
+	id := fmt.Sprintf("%016x", m.jobs)
+	m.e.locked(func() { m.e.crashing[id+".0.0.0"] = after })
+	m.send(id, texts[rapid.IntRange(0, len(texts)-1).Draw(m.t, "text")])
 }
 
 // resize changes what a worker has room for, also below what runs there.
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -121,7 +121,7 @@
 }
 
 // candidates returns the steps with tasks that may start now, with what their order depends
-// on; apart from them the tasks that may be started on trial only, one in each.
+// on; apart from them what may be started on trial only: one task in each, or a gang.
 func (o *Owner) candidates(now time.Duration) (cs, onTrial []placement.Candidate) {
 	left := map[*jobs.Job]time.Duration{}
 	budgets := o.newBudgets()
@@ -131,33 +131,51 @@
 		}
 		c := o.candidate(s, idle, left[s.Job], now)
 		c.Budget = budgets.of(s.Job.Account)
-		if len(o.suspects) == 0 || s.Spec.Gang {
+		if len(o.suspects) == 0 {
 			cs = append(cs, c)
 			return
 		}
-		var clean []*jobs.Task
-		for _, t := range idle {
-			one := c
-			one.Tasks = []*jobs.Task{t}
-			switch t.Verdict() {
-			case blame.Clear:
-				clean = append(clean, t)
-			case blame.Watched:
-				one.Watched = true
-				cs = append(cs, one)
-			case blame.OnTrial:
-				onTrial = append(onTrial, one)
-			case blame.Guilty: // it is given up once its last worker is known to be lost
-			}
-		}
-		if len(clean) > 0 {
-			c.Tasks = clean
-			cs = append(cs, c)
-		}
+		free, trials := sortOut(c)
+		cs, onTrial = append(cs, free...), append(onTrial, trials...)
 	})
 	return cs, onTrial
 }
 
+// sortOut divides a step's tasks by how they may start. The tasks of a gang start together:
+// they are on trial together, and not watched.
+func sortOut(c placement.Candidate) (free, onTrial []placement.Candidate) {
+	if c.Step.Spec.Gang {
+		switch c.Step.Verdict() {
+		case blame.OnTrial:
+			return nil, []placement.Candidate{c}
+		case blame.Guilty:
+			return nil, nil
+		default:
+			return []placement.Candidate{c}, nil
+		}
+	}
+	clean := c
+	clean.Tasks = nil
+	for _, t := range c.Tasks {
+		one := c
+		one.Tasks = []*jobs.Task{t}
+		switch t.Verdict() {
+		case blame.Clear:
+			clean.Tasks = append(clean.Tasks, t)
+		case blame.Watched:
+			one.Watched = true
+			free = append(free, one)
+		case blame.OnTrial:
+			onTrial = append(onTrial, one)
+		case blame.Guilty: // it is given up once its last worker is known to be lost
+		}
+	}
+	if len(clean.Tasks) > 0 {
+		free = append(free, clean)
+	}
+	return free, onTrial
+}
+
 // eachIdle calls f for each step with tasks that may start, in order of
 // acceptance; with held also those that must wait for the end of a takeover.
 func (o *Owner) eachIdle(withHeld bool, f func(s *jobs.StepRun, idle []*jobs.Task)) {
--- a/pkg/shard/trial.go
+++ b/pkg/shard/trial.go
@@ -1,7 +1,7 @@
 package shard
 
 import (
-	"cmp"
+	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/blame"
@@ -19,52 +19,92 @@
 	trialPatience = 5 * time.Second
 )
 
-// trial is what a worker is kept for: while it lasts, nothing else starts there.
+// trial is what a worker is kept for: while it lasts, nothing else starts there. A gang may
+// take several workers.
 type trial struct {
-	task    *jobs.Task
-	since   time.Duration
-	attempt *jobs.Attempt // nil until it is started
+	tasks    []*jobs.Task
+	since    time.Duration
+	attempts []*jobs.Attempt // of them at this worker, none until they are started
 }
 
-// tries tells whether an attempt is the trial that its worker is kept for.
-func (s *session) tries(r *running) bool { return s.trial != nil && s.trial.attempt == r.Attempt }
+// tries tells whether an attempt is on trial at the worker.
+func (s *session) tries(r *running) bool {
+	return s.trial != nil && slices.Contains(s.trial.attempts, r.Attempt)
+}
 
-// startTrials keeps workers for the candidates, each one task that may be started on trial
-// only, and starts those whose workers are ready.
+// startTrials keeps workers for the candidates, which may be started on trial only, and
+// starts those whose workers are ready.
 func (o *Owner) startTrials(cs []placement.Candidate, now time.Duration) {
 	for i := range cs {
 		c := &cs[i]
-		t := c.Tasks[0]
-		s := o.keptFor(t)
-		if s == nil {
-			s = o.keepWorker(c, now)
+		kept := o.keptFor(c.Tasks[0])
+		if roomSoon(kept, c.Step) < len(c.Tasks) {
+			if s := o.keepWorker(c, len(kept) == 0, now); s != nil {
+				kept = append(kept, s)
+			}
 		}
 		// What speaks against the task has to outlast this owner before it strikes again.
-		if s == nil || !s.quiet(now) || !t.Step.Job.EvidenceKept() {
+		if len(kept) == 0 || !allQuiet(kept, now) || !c.Step.Job.EvidenceKept() {
 			continue
 		}
-		if len(placement.Plan([]placement.Candidate{*c}, []*placement.Host{s.host(now)}, 1)) == 0 {
-			continue
+		var hosts []*placement.Host
+		for _, s := range kept {
+			hosts = append(hosts, s.host(now))
+		}
+		if starts := placement.Plan([]placement.Candidate{*c}, hosts, len(c.Tasks)); len(starts) == len(c.Tasks) {
+			o.beginTrial(c, starts, kept, now)
 		}
-		s.trial.attempt = o.book.Begin(t, s.ref.Boot, now)
-		o.log.Info().Str("event", "trial_started").Str("task", t.Name()).Int64("attempt", s.trial.attempt.Number).
-			Str("boot", s.ref.Boot).Int("losses", len(t.Losses)).Int("beside", len(s.attempts)).Dur("kept", now-s.trial.since).Send()
-		o.order(s.trial.attempt)
 	}
 }
 
-// keptFor returns the worker that is kept for a task, nil if there is none.
-func (o *Owner) keptFor(t *jobs.Task) *session {
-	for _, s := range o.sessions {
-		if s.trial != nil && s.trial.task == t {
-			return s
+// beginTrial starts what was planned, and gives free the workers that it does not need.
+func (o *Owner) beginTrial(c *placement.Candidate, starts []placement.Start, kept []*session, now time.Duration) {
+	var attempts []*jobs.Attempt
+	if c.Step.Spec.Gang {
+		boots := make([]string, 0, len(starts))
+		for _, st := range starts {
+			boots = append(boots, st.Host.Boot)
+		}
+		attempts = o.book.BeginGang(c.Step, boots, now)
+	} else {
+		attempts = []*jobs.Attempt{o.book.Begin(starts[0].Task, starts[0].Host.Boot, now)}
+	}
+	for _, a := range attempts {
+		s := o.sessions[a.Boot]
+		s.trial.attempts = append(s.trial.attempts, a)
+		o.log.Info().Str("event", "trial_started").Str("task", a.Task.Name()).Int64("attempt", a.Number).Str("boot", a.Boot).
+			Int("losses", len(a.Task.Losses)).Int("beside", len(s.attempts)).Dur("kept", now-s.trial.since).Send()
+		o.order(a)
+	}
+	for _, s := range kept {
+		if len(s.trial.attempts) == 0 {
+			s.trial = nil
 		}
 	}
-	return nil
 }
 
-// keepWorker keeps the worker for a trial that has least to lose, nil if there is none.
-func (o *Owner) keepWorker(c *placement.Candidate, now time.Duration) (chosen *session) {
+// keptFor returns the workers that are kept for a trial, by its first task.
+func (o *Owner) keptFor(t *jobs.Task) (kept []*session) {
+	for _, s := range o.sessionsInOrder() {
+		if s.trial != nil && s.trial.tasks[0] == t {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// roomSoon is how many tasks of a step workers have room for once what comes to an end there
+// has ended.
+func roomSoon(ss []*session, step *jobs.StepRun) (n int) {
+	for _, s := range ss {
+		n += s.hostSoon().Room(step)
+	}
+	return n
+}
+
+// keepWorker keeps the worker for a trial that has least to lose, nil if there is none. Only
+// the first one of a trial counts against the part of the workers that may be kept.
+func (o *Owner) keepWorker(c *placement.Candidate, first bool, now time.Duration) (chosen *session) {
 	usable, kept := 0, 0
 	for _, s := range o.sessionsInOrder() {
 		if !s.usable(now) {
@@ -78,20 +118,25 @@
 		if s.hostSoon().Room(c.Step) == 0 || c.Allowed != nil && !c.Allowed(s.ref.Boot) {
 			continue
 		}
-		if chosen == nil || cmp.Compare(len(s.attempts), len(chosen.attempts)) < 0 {
+		if chosen == nil || len(s.attempts) < len(chosen.attempts) {
 			chosen = s
 		}
 	}
-	if chosen == nil || kept >= max(1, usable/trialPart) {
+	if chosen == nil || first && kept >= max(1, usable/trialPart) {
 		return nil
 	}
-	chosen.trial = &trial{task: c.Tasks[0], since: now}
+	chosen.trial = &trial{tasks: c.Tasks, since: now}
 	return chosen
 }
 
-// quiet tells whether a trial may start: what else is there has run for a while.
+// allQuiet tells whether a trial may start at workers that are kept for it.
+func allQuiet(ss []*session, now time.Duration) bool {
+	return !slices.ContainsFunc(ss, func(s *session) bool { return !s.quiet(now) })
+}
+
+// quiet tells whether what else is at a worker has run for a while.
 func (s *session) quiet(now time.Duration) bool {
-	if !s.usable(now) || s.trial.attempt != nil || s.inFlight > 0 || len(s.orders) > 0 {
+	if !s.usable(now) || len(s.trial.attempts) > 0 || s.inFlight > 0 || len(s.orders) > 0 {
 		return false
 	}
 	for _, r := range s.attempts {
@@ -112,9 +157,16 @@
 }
 
 func (o *Owner) trialOver(s *session, now time.Duration) bool {
-	t := s.trial.task
-	if s.trial.attempt == nil {
-		return !s.usable(now) || !t.Idle() || t.Verdict() != blame.OnTrial || t.Step.Job.State.Final() || now-s.trial.since > trialPatience
+	if len(s.trial.attempts) > 0 {
+		return !slices.ContainsFunc(s.trial.attempts, func(a *jobs.Attempt) bool {
+			return o.running(a) != nil && len(a.Task.Losses) > 0
+		})
+	}
+	started := slices.ContainsFunc(s.trial.tasks, func(t *jobs.Task) bool { return !t.Idle() })
+	step, verdict := s.trial.tasks[0].Step, s.trial.tasks[0].Verdict()
+	if step.Spec.Gang {
+		verdict = step.Verdict()
 	}
-	return o.running(s.trial.attempt) == nil || len(t.Losses) == 0
+	wanted := verdict == blame.OnTrial && !step.Job.State.Final()
+	return started || !wanted || !s.usable(now) || now-s.trial.since > trialPatience
 }
