--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -87,7 +87,7 @@
 }
 
 func (m *machine) step() {
-	kinds := []func(){m.submit, m.submit, m.submit, m.cancel, m.again, m.boot, m.crash, m.takeOver, m.handOver, m.usurp, m.orderFault, m.rowFault, m.heal, m.fail, m.ruin, m.resize}
+	kinds := []func(){m.submit, m.submit, m.submit, m.cancel, m.again, m.boot, m.crash, m.takeOver, m.handOver, m.usurp, m.orderFault, m.rowFault, m.heal, m.fail, m.ruin, m.resize, m.doze}
 	kinds[rapid.IntRange(0, len(kinds)-1).Draw(m.t, "kind")]()
 }
 
@@ -175,6 +175,7 @@
 func (m *machine) follow() {
 	m.entries++
 	name := fmt.Sprintf("e%d", m.entries)
+	m.e.suspendable[name] = newEntryMachine(m.e.since, m.e.steadyOnly)
 	if strings.HasPrefix(m.e.own(name), "term") {
 		m.present = name
 	}
@@ -230,6 +231,28 @@
 	m.e.resize(boot, rapid.SampledFrom([]int{0, 500, 2000, 4000, 6000}).Draw(m.t, "cpu"))
 }
 
+// doze suspends the machine of the present owner for 1 to 20 s; another may follow it
+// meanwhile, and one worker may be reached by the first one only.
+func (m *machine) doze() {
+	if m.e.owners[m.present] == nil {
+		return
+	}
+	sleeper := m.e.suspendable[m.present]
+	sleeper.suspend()
+	time.Sleep(time.Duration(rapid.IntRange(1, 10_000).Draw(m.t, "before")) * time.Millisecond)
+	if rapid.Bool().Draw(m.t, "followed") {
+		m.follow()
+		if listed := m.e.directory(); len(listed) > 0 && rapid.Bool().Draw(m.t, "unreached") {
+			boot := listed[rapid.IntRange(0, len(listed)-1).Draw(m.t, "worker")].Boot
+			for _, op := range []fake.OrderOp{fake.OrderStart, fake.OrderStop, fake.OrderRenew} {
+				m.e.locked(func() { m.e.faults[string(op)+" "+boot+" "+m.present] = fake.FaultLostBefore })
+			}
+		}
+	}
+	time.Sleep(time.Duration(rapid.IntRange(1, 10_000).Draw(m.t, "after")) * time.Millisecond)
+	sleeper.wake()
+}
+
 // settle ends all faults and sees that each accepted job has become final and that no promise was broken.
 func (m *machine) settle() {
 	m.heal()
--- a/pkg/shard/suspend_test.go
+++ b/pkg/shard/suspend_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/gannetwell/gannetwell/internal/prop"
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -109,3 +115,40 @@
 	err = w.m.call(func() error { report, err = w.Workers.RenewLeases(ctx, ref, o); return err })
 	return report, err
 }
+
+// dozes suspends owners of a pool in which tasks wait for room, while others take the shard
+// over that do not reach all of its workers.
+func dozes(steadyOnly bool) func(*rapid.T) {
+	return func(t *rapid.T) {
+		e := newEstate(t)
+		defer e.close()
+		e.steadyOnly = steadyOnly
+		m := &machine{t: t, e: e, accepted: map[string]bool{}}
+		for range rapid.IntRange(1, 2).Draw(t, "workers") {
+			m.boots++
+			name := fmt.Sprintf("w%d", m.boots)
+			e.addWorker(name, name, name, "1000", "0")
+		}
+		m.takeOver()
+		for range rapid.IntRange(1, 3).Draw(t, "dozes") {
+			for range rapid.IntRange(2, 4).Draw(t, "jobs") {
+				m.jobs++
+				text := rapid.SampledFrom([]string{"1x1000/400ms", "1x1000/900ms", "1x1000/9s"}).Draw(t, "text")
+				m.send(fmt.Sprintf("%016x", m.jobs), text)
+			}
+			time.Sleep(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond)
+			m.doze()
+			m.boot()
+			time.Sleep(time.Duration(rapid.IntRange(1, 3000).Draw(t, "awake")) * time.Millisecond)
+		}
+		m.settle()
+	}
+}
+
+// TestSuspended holds the promises over owners whose machines are suspended.
+func TestSuspended(t *testing.T) { prop.Check(t, dozes(false)) }
+
+// TestSuspendedFindsPlanted shows that it finds owners that know the steady clock only.
+func TestSuspendedFindsPlanted(t *testing.T) {
+	qt.Assert(t, prop.Finds(t, dozes(true)), qt.IsTrue)
+}
