A lost worker whose row has gone first is no planned leave

Cause: TestCrashes with workers that fall silent and are back after 1 s: 56 workers lost to one task. The new boot's row replaced the old one before its silence was noticed, which counted as leaving by plan, so that the loss was held against nobody. Change: a worker has left by plan if it has answered after its row went.

--- a/pkg/platform/fake/orders.go
+++ b/pkg/platform/fake/orders.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -49,7 +51,7 @@
 		return lost()
 	}
 	err := v.apply(ref, do)
-	if fault == FaultLostAfter {
+	if fault == FaultLostAfter || v.w.silentIn(ref, err) {
 		return lost()
 	}
 	return err
@@ -74,6 +76,17 @@
 	return platform.ErrNotDone{Op: "order", Cause: "connection refused"}
 }
 
+// silentIn tells whether a call that ended so gets no answer, since its worker is dark.
+func (w *Workers) silentIn(ref platform.WorkerRef, err error) bool {
+	if err == nil || errors.As(err, new(platform.ErrOtherBoot)) {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.boots[ref.Boot]
+	return w.dark && b != nil && b.dead
+}
+
 // admit checks an order's token.
 func (b *boot) admit(token int64) error {
 	if token < b.token {
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -46,6 +46,8 @@
 	mu    sync.Mutex
 	fault func(op OrderOp, boot, entry string) Fault
 	stall func(boot, task string) bool
+	// dark has calls to boots that have ended go unanswered; else they are refused.
+	dark bool
 	// crashed is told of boots that a task has brought down.
 	crashed func(info platform.Worker)
 	boots   map[string]*boot
@@ -96,6 +98,13 @@
 	w.takesAll = on
 }
 
+// SetDark has workers that end fall silent, as those do that lose their power.
+func (w *Workers) SetDark(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dark = on
+}
+
 // SetCrashed names what is told of each boot that a task has brought down.
 func (w *Workers) SetCrashed(f func(info platform.Worker)) {
 	w.mu.Lock()
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -59,6 +59,7 @@
 	faultTimes   map[string]int           // calls that a fault strikes, 0 and less for all
 	failing      map[string]int           // failures that a task has left
 	crashing     map[string]time.Duration // tasks that bring their worker down, and how long after their start
+	backAfter    time.Duration            // how long a worker that was brought down stays away
 	boots        int                      // that were started after a crash
 	log          bytes.Buffer
 	out          io.Writer // to log
@@ -71,19 +72,19 @@
 }
 
 func newEstate(t fataler) *estate {
-	e := &estate{t: t, suspendable: map[string]*entryMachine{}, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, faultTimes: map[string]int{}, failing: map[string]int{}, crashing: map[string]time.Duration{}}
+	e := &estate{t: t, backAfter: usualBackAfter, suspendable: map[string]*entryMachine{}, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, faultTimes: map[string]int{}, failing: map[string]int{}, crashing: map[string]time.Duration{}}
 	e.witness = newWitness(e)
 	e.out = zerolog.SyncWriter(&e.log)
 	e.rows = fake.NewRows(4*time.Millisecond, 3*time.Second)
 	e.rows.SetFault(func(op fake.RowOp, entry string) fake.Fault { return e.fault("rows", string(op), entry) })
 	e.workers = fake.NewWorkers(time.Millisecond, 3*time.Second, 50*time.Millisecond, e.work, e.witness)
 	e.workers.SetFault(func(op fake.OrderOp, boot, entry string) fake.Fault { return e.fault(string(op), boot, entry) })
-	e.workers.SetCrashed(func(w platform.Worker) { time.AfterFunc(backAfter, func() { e.boot(w) }) })
+	e.workers.SetCrashed(func(w platform.Worker) { time.AfterFunc(e.backAfter, func() { e.boot(w) }) })
 	return e
 }
 
-// backAfter is how long a worker that was brought down stays away.
-const backAfter = 3 * time.Second
+// usualBackAfter is how long a worker that was brought down stays away.
+const usualBackAfter = 3 * time.Second
 
 // boot starts the next boot of a worker that was brought down.
 func (e *estate) boot(w platform.Worker) {
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -92,6 +92,16 @@
 	case "waiting":
 		n, out := e.owners[entry].Waiting(queue)
 		return fmt.Sprintf("%s %d\n", out, n)
+	case "back":
+		after, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			e.t.Fatal(err)
+		}
+		e.backAfter = after
+		return ""
+	case "dark":
+		e.workers.SetDark(true)
+		return ""
 	case "crashes":
 		after, err := time.ParseDuration(arg("after", "10ms"))
 		if err != nil {
--- a/pkg/shard/suspects.go
+++ b/pkg/shard/suspects.go
@@ -37,11 +37,11 @@
 	}
 }
 
-// leavesByPlan tells whether a worker was about to go before it fell silent, so that its
-// loss says nothing of its tasks.
+// leavesByPlan tells whether a worker was about to go before it was lost, so that its loss
+// says nothing of its tasks. One that leaves without a word answers after its row has gone;
+// the row of one that was brought down may go before its silence is noticed.
 func (s *session) leavesByPlan(now time.Duration) bool {
-	lost := s.lostAt(now)
-	return s.draining || s.cordonedTo > lost || s.unlistedAt > 0 && s.unlistedAt < lost
+	return s.draining || s.cordonedTo > s.lostAt(now) || s.unlistedAt > 0 && s.clockAt > s.unlistedAt
 }
 
 func (o *Owner) countLoss(s *session, r *running, a blame.Attempt) {
