A start that may bring its worker down is noted before it is sent

Cause: TestCrashes with workers that fall silent and stay away for 1 to 6 s: owners that were gone before they had kept a loss hid it, one after the other, and a task brought down six workers and more; a handover by plan counted one lost worker twice, and a job was given up after one. Change: the loss of a task that something is known against, or that may have been at a worker lost unheard, is kept before its start is sent and taken back when the attempt ends otherwise; that a worker was lost unheard is kept beside the record of workers; four unproven losses end a job (five before); a trial needs two workers that certainly had the task; a boot is counted once. Ruled out: two certain losses for the bound too (six workers lost at once where all of them fall silent); letting all suspects start while the table service is away (hidden twice).

--- a/pkg/blame/loss.go
+++ b/pkg/blame/loss.go
@@ -10,6 +10,10 @@
 	// counted the loss: a task that brings its worker down does so within moments of its
 	// start, and one that has run for days has seen many workers go.
 	Within = 10 * time.Second
+	// soon is how long an attempt may have run for a loss to speak strongly against its task.
+	// Workers were brought down within 10 ms; those that go for other causes go with attempts
+	// of any age.
+	soon = 200 * time.Millisecond
 	// watchSlack is how much longer than before a lost worker an attempt has to run to be
 	// cleared. Workers were lost within 10 ms of the start that brought them down.
 	watchSlack = 200 * time.Millisecond
@@ -18,8 +22,12 @@
 	// 496 of 600 to 91 to 339, since each of them waits for a worker of its own (TestStorm).
 	trialAfter = 2
 	// mostLosses is the number of losses at which a task is given up without a trial that
-	// proves it. Callers are promised at most two starts more after three such losses.
-	mostLosses = 5
+	// proves it. Callers are promised at most two starts more after three workers, one of
+	// which may have been lost without any owner's knowing.
+	mostLosses = 4
+	// leastFirm is how many workers certainly had the task when they were lost for a trial to
+	// prove it: callers are promised two. A start that timed out may never have arrived.
+	leastFirm = 2
 )
 
 // Loss is a worker that was lost with an attempt of a task.
@@ -29,6 +37,10 @@
 	Ran     time.Duration `msgpack:"r,omitempty"` // how long the attempt had run, 0 if its start was not answered
 	Trial   bool          `msgpack:"t,omitempty"` // nothing else was started there at that time
 	Sure    bool          `msgpack:"s,omitempty"` // the boot has ended, it is not only silent
+	Firm    bool          `msgpack:"f,omitempty"` // the worker certainly had the attempt
+	// Ahead is noted before the start is sent: the attempt counts for a next owner that does
+	// not hear the boot any more, and for nothing while this one knows of it.
+	Ahead bool `msgpack:"a,omitempty"`
 }
 
 // Verdict is how a task may be started.
@@ -47,13 +59,23 @@
 
 // Verdict tells how the task may be started.
 func (ls Losses) Verdict() Verdict {
-	proven := slices.ContainsFunc(ls, func(l Loss) bool { return l.Trial && l.Sure })
+	n, firm, proven := 0, 0, false
+	for _, l := range ls {
+		if l.Ahead {
+			continue
+		}
+		n++
+		if l.Firm {
+			firm++
+		}
+		proven = proven || l.Trial && l.Sure
+	}
 	switch {
-	case proven && len(ls) > trialAfter || len(ls) >= mostLosses:
+	case proven && n > trialAfter && firm >= leastFirm || n >= mostLosses:
 		return Guilty
-	case len(ls) >= trialAfter:
+	case n >= trialAfter:
 		return OnTrial
-	case len(ls) > 0:
+	case n > 0:
 		return Watched
 	default:
 		return Clear
@@ -70,10 +92,37 @@
 
 // With returns the losses with one more, the same if that attempt is counted already.
 func (ls Losses) With(l Loss) Losses {
-	if slices.ContainsFunc(ls, func(o Loss) bool { return o.Attempt == l.Attempt }) {
+	at := slices.IndexFunc(ls, func(o Loss) bool { return o.Attempt == l.Attempt })
+	switch {
+	case at < 0:
+		return append(slices.Clip(ls), l)
+	case !ls[at].Ahead:
 		return ls
 	}
-	return append(slices.Clip(ls), l)
+	with := slices.Clone(ls)
+	with[at] = l
+	return with
+}
+
+// Happened returns the losses with all that was noted ahead counted: the owner that did so
+// has gone, and the boots that are alive are yet to be heard.
+func (ls Losses) Happened() Losses {
+	counted := slices.Clone(ls)
+	for i := range counted {
+		counted[i].Ahead = false
+	}
+	return counted
+}
+
+// NotAhead returns the losses without what was noted ahead of an attempt, which has ended
+// otherwise or has not started.
+func (ls Losses) NotAhead(attempt int64) Losses {
+	return slices.DeleteFunc(slices.Clone(ls), func(l Loss) bool { return l.Ahead && l.Attempt == attempt })
+}
+
+// IsAhead tells whether a loss was noted ahead of an attempt.
+func (ls Losses) IsAhead(attempt int64) bool {
+	return slices.ContainsFunc(ls, func(l Loss) bool { return l.Ahead && l.Attempt == attempt })
 }
 
 // Without returns the losses but those of a boot, which turned out to be alive.
@@ -90,6 +139,11 @@
 	return sure
 }
 
+// Strong tells whether a worker was lost right after a start of the task.
+func (ls Losses) Strong() bool {
+	return slices.ContainsFunc(ls, func(l Loss) bool { return l.Ran < soon })
+}
+
 // At tells whether a boot is among the lost workers.
 func (ls Losses) At(boot string) bool {
 	return slices.ContainsFunc(ls, func(l Loss) bool { return l.Boot == boot })
--- a/pkg/blame/loss_test.go
+++ b/pkg/blame/loss_test.go
@@ -10,8 +10,8 @@
 
 // TestVerdict names what each history of losses leads to.
 func TestVerdict(t *testing.T) {
-	shared, trial := Loss{}, Loss{Trial: true, Sure: true}
-	unsure := Loss{Trial: true}
+	shared, trial := Loss{Firm: true}, Loss{Trial: true, Sure: true}
+	unsure, ahead, loose := Loss{Trial: true}, Loss{Ahead: true}, Loss{}
 	for _, tc := range []struct {
 		name   string
 		losses Losses
@@ -23,8 +23,12 @@
 		{"the third on trial", Losses{shared, shared, trial}, Guilty},
 		{"a trial's worker only silent", Losses{shared, shared, unsure}, OnTrial},
 		{"a trial alone", Losses{trial}, Watched},
-		{"four without proof", Losses{shared, shared, unsure, unsure}, OnTrial},
-		{"five without proof", Losses{shared, shared, shared, shared, shared}, Guilty},
+		{"four without proof", Losses{shared, shared, unsure, unsure}, Guilty},
+		{"three and one noted ahead", Losses{shared, shared, unsure, ahead}, OnTrial},
+		{"a trial after starts that may not have arrived", Losses{loose, shared, trial}, OnTrial},
+		{"three that may not have arrived", Losses{loose, loose, loose}, OnTrial},
+		{"four that may not have arrived", Losses{loose, loose, loose, loose}, Guilty},
+		{"noted ahead only", Losses{ahead, ahead}, Clear},
 	} {
 		qt.Check(t, tc.losses.Verdict(), qt.Equals, tc.want, qt.Commentf(tc.name))
 	}
--- a/pkg/jobs/evidence.go
+++ b/pkg/jobs/evidence.go
@@ -32,5 +32,9 @@
 // KeepEvidence notes that the changes up to a number are kept.
 func (j *Job) KeepEvidence(n int) { j.evidenceKept = max(j.evidenceKept, n) }
 
-// EvidenceKept tells whether a next owner would know all that speaks against the job's tasks.
-func (j *Job) EvidenceKept() bool { return j.evidenceKept == j.evidence }
+// EvidenceKept tells whether a next owner would know what spoke against the job's tasks when
+// Evidence was n.
+func (j *Job) EvidenceKept(n int) bool { return j.evidenceKept >= n }
+
+// Suspect tells whether the task may not start just anywhere.
+func (t *Task) Suspect() bool { return len(t.Losses) > 0 && t.Verdict() != blame.Clear }
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -111,7 +111,7 @@
 		s.GangFailed = sp.GangFailed
 		for i, t := range s.Tasks {
 			t.Failed = sp.Failed[i]
-			t.Losses = sp.Losses[i]
+			t.Losses = sp.Losses[i].Happened()
 			t.Checkpoint = sp.Checkpoints[i]
 			if i/8 < len(sp.Done) && sp.Done[i/8]&(1<<(i%8)) != 0 {
 				j.finishTask(t)
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/allowance"
@@ -166,6 +167,25 @@
 	}
 	b.put(workersKey(o.cfg.Pool), raw)
 	b.record = true
+	return o.putUnheard(b)
+}
+
+// putUnheard keeps that a worker was lost before an owner has heard it, for as long as a job
+// of that time goes on.
+func (o *Owner) putUnheard(b *batch) error {
+	if !o.unheard {
+		return nil
+	}
+	if !slices.ContainsFunc(o.book.Active(), func(j *jobs.Job) bool { return j.Restored }) {
+		o.unheard = false
+		b.txn.Remove = append(b.txn.Remove, unheardRowKey(o.cfg.Pool))
+		return nil
+	}
+	raw, err := encode(unheardRow{Term: o.claim.Term})
+	if err != nil {
+		return err
+	}
+	b.put(unheardRowKey(o.cfg.Pool), raw)
 	return nil
 }
 
@@ -182,6 +202,7 @@
 	}
 	for i, j := range b.jobs {
 		j.KeepEvidence(b.evidence[i])
+		o.sendNoted(j)
 		if b.states[i].Final() {
 			j.Kept = b.states[i]
 			o.finals = append(o.finals, finalJob{id: j.ID, at: now})
--- a/pkg/shard/crash_test.go
+++ b/pkg/shard/crash_test.go
@@ -26,6 +26,8 @@
 		for range 4 {
 			m.boot()
 		}
+		e.backAfter = rapid.SampledFrom([]time.Duration{time.Second, usualBackAfter, 6 * time.Second}).Draw(t, "back after")
+		e.workers.SetDark(rapid.Bool().Draw(t, "dark"))
 		m.takeOver()
 		for range rapid.IntRange(1, 2).Draw(t, "crashing") {
 			m.ruin()
--- a/pkg/shard/held.go
+++ b/pkg/shard/held.go
@@ -36,6 +36,9 @@
 	if !s.former.open {
 		return
 	}
+	if !s.known {
+		o.lostUnheard(s)
+	}
 	for _, name := range s.former.tasks {
 		if t := o.book.Task(name); t != nil && t.MaybeAt > 0 {
 			t.MaybeAt--
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -31,6 +31,15 @@
 	name := a.Task.Name()
 	r := &running{Attempt: a}
 	s.hold(name, r)
+	if o.noteAhead(s, r) {
+		return // it is sent once that is kept
+	}
+	o.sendStart(s, name, r)
+}
+
+// sendStart has a start sent when its turn comes; the lock is held.
+func (o *Owner) sendStart(s *session, name string, r *running) {
+	a := r.Attempt
 	o.dispatch(s, &dispatch{
 		start: func(now time.Duration) func(ctx context.Context) (int64, error) {
 			if o.unwanted(a) || a.Number <= a.Task.Step.BrokenRun {
@@ -89,6 +98,7 @@
 		s.doubt()
 		if current && r.confirmedAt == 0 {
 			r.Phase = jobs.PhaseInDoubt
+			r.cut = now-r.sentAt < orderTimeout
 		}
 	}
 	if r.Task.Step.Spec.Gang {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -87,6 +87,8 @@
 	advices   map[*jobs.StepRun]*advice // of steps whose queue has advice
 	durations map[string]*learned       // by queue
 	suspects  map[*jobs.Task]struct{}   // that lost workers are counted against
+	noted     map[*jobs.Job][]noted     // starts that are sent once what is noted ahead is kept
+	unheard   bool                      // a former owner's worker was lost before this one heard it
 	rate      startrate.Rate            // of starts, while this owner is at its own limit
 	arrivals  arrivals                  // of jobs, which tell how much work is on its way
 	idleTasks bool                      // tasks wait for room, or for a time
@@ -137,8 +139,8 @@
 	o = &Owner{
 		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, chain: c.chain,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
-		catalog: cat, book: k.book, unread: k.unreadable, blind: k.blind, accounts: newAccounts(k.shares), sessions: map[string]*session{},
-		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*learned{}, suspects: map[*jobs.Task]struct{}{},
+		catalog: cat, book: k.book, unread: k.unreadable, blind: k.blind, unheard: k.unheard, accounts: newAccounts(k.shares), sessions: map[string]*session{},
+		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*learned{}, suspects: map[*jobs.Task]struct{}{}, noted: map[*jobs.Job][]noted{},
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -37,6 +37,7 @@
 	book       *jobs.Book
 	unreadable map[string]bool // IDs of jobs one of whose rows can't be read
 	workers    []leasedWorker
+	unheard    bool // a worker was lost before any owner after its last one has heard it
 	blind      bool // the record of workers can't be read: any may hold a lease
 	shares     allowance.Row
 }
@@ -103,6 +104,8 @@
 				k.workers, k.blind = nil, true
 				malformed(errMalformedRow{key: r.RowKey, cause: err})
 			}
+		case unheardKey:
+			k.unheard = true // whatever it says
 		case sharesKey:
 			if err := msgpack.Unmarshal(r.Value, &k.shares); err != nil {
 				return errMalformedRow{key: r.RowKey, cause: err}
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -74,6 +74,7 @@
 	var attempt *jobs.Attempt
 	if a != nil && a.Number == e.Attempt {
 		attempt = a.Attempt
+		o.forgetAhead(attempt)
 		s.letGo(e.Task)
 		if e.Reason == platform.EndDone {
 			o.learn(a, now)
@@ -110,6 +111,7 @@
 // drop forgets an attempt that is not at the worker, or no longer.
 func (o *Owner) drop(s *session, name string) {
 	if a := s.attempts[name]; a != nil {
+		o.forgetAhead(a.Attempt)
 		s.letGo(name)
 		o.book.Drop(a.Attempt)
 		o.kickPlacement()
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -24,6 +24,15 @@
 // that a takeover reads both with one call.
 const sharesKey = "shares"
 
+// unheardKey is the key, beside the leased workers, of the row that says that a worker was
+// lost before any owner after its last one has heard it.
+const unheardKey = "unheard"
+
+// unheardRow is what it says.
+type unheardRow struct {
+	Term int64 `msgpack:"t"` // of the owner that found it
+}
+
 // OwnerRow says who owns a shard.
 type OwnerRow struct {
 	Entry   string `msgpack:"e"` // empty when the last owner has let go
@@ -69,6 +78,10 @@
 	return platform.RowKey{Table: tableWorkers, Partition: pool, Key: sharesKey}
 }
 
+func unheardRowKey(pool string) platform.RowKey {
+	return platform.RowKey{Table: tableWorkers, Partition: pool, Key: unheardKey}
+}
+
 func jobKey(pool, id string) platform.RowKey {
 	return platform.RowKey{Table: tableJob, Partition: pool, Key: id}
 }
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -80,6 +80,7 @@
 type running struct {
 	*jobs.Attempt
 	sentAt      time.Duration // when the start was last sent, 0 before
+	cut         bool          // the worker's end cut its answer off
 	confirmedAt time.Duration // when the worker said that it has it, 0 before
 	orderedEnd  time.Duration // when its end was last ordered, 0 for never
 	seenAt      time.Duration // when the worker last reported it
@@ -218,7 +219,7 @@
 	for _, a := range s.attempts {
 		h.Free = h.Free.Sub(placement.Charge(a.Task.Step.Spec))
 		h.Count(a.Task.Step)
-		if len(a.Task.Losses) > 0 {
+		if a.Task.Suspect() {
 			h.Watching++
 		}
 	}
--- a/pkg/shard/suspects.go
+++ b/pkg/shard/suspects.go
@@ -46,10 +46,10 @@
 
 func (o *Owner) countLoss(s *session, r *running, a blame.Attempt) {
 	t := r.Task
-	t.SetLosses(t.Losses.With(blame.Loss{Attempt: r.Number, Boot: s.ref.Boot, Ran: a.Ran, Trial: a.Trial}))
+	t.SetLosses(t.Losses.With(blame.Loss{Attempt: r.Number, Boot: s.ref.Boot, Ran: a.Ran, Trial: a.Trial, Firm: r.confirmedAt > 0 || r.cut}))
 	o.suspects[t] = struct{}{}
 	o.log.Info().Str("event", "loss_counted").Str("task", t.Name()).Int64("attempt", r.Number).Str("boot", s.ref.Boot).
-		Dur("ran", a.Ran).Bool("trial", a.Trial).Int("losses", len(t.Losses)).Str("verdict", string(t.Verdict())).Send()
+		Dur("ran", a.Ran).Bool("trial", a.Trial).Bool("firm", r.confirmedAt > 0 || r.cut).Int("losses", len(t.Losses)).Str("verdict", string(t.Verdict())).Send()
 	o.keep(t.Step.Job, true)
 }
 
@@ -124,7 +124,8 @@
 			}
 			o.log.Info().Str("event", "task_cleared").Str("task", t.Name()).Int64("attempt", r.Number).Str("boot", a.Boot).
 				Dur("ran", r.seenAt-r.confirmedAt).Int("losses", len(t.Losses)).Send()
-			t.Losses = nil // a next owner that does not know only watches it once more
+			t.SetLosses(nil)
+			o.keep(t.Step.Job, false)
 			delete(o.suspects, t)
 			o.sessions[a.Boot].hostCache = nil
 			break
@@ -135,7 +136,7 @@
 // watches tells whether a watched task runs at a worker that may still bring it down.
 func (s *session) watches() bool {
 	for _, r := range s.attempts {
-		if len(r.Task.Losses) > 0 {
+		if r.Task.Suspect() {
 			return true
 		}
 	}
--- a/pkg/shard/trial.go
+++ b/pkg/shard/trial.go
@@ -46,8 +46,7 @@
 				kept = append(kept, s)
 			}
 		}
-		// What speaks against the task has to outlast this owner before it strikes again.
-		if len(kept) == 0 || !allQuiet(kept, now) || !c.Step.Job.EvidenceKept() {
+		if len(kept) == 0 || !allQuiet(kept, now) {
 			continue
 		}
 		var hosts []*placement.Host
