A kind of loss is called so, apart from a loss of pkg/blame

Cause: read as a newcomer, shard.Loss and blame.Loss were two things of one name. Change: a rename, no behaviour. Measured: tests of pkg/shard and pkg/node pass.

--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -89,7 +89,7 @@
 func (m *metrics) End(reason platform.EndReason) { m.ends.WithLabelValues(string(reason)).Inc() }
 
 // AttemptLost implements shard.Metrics.
-func (m *metrics) AttemptLost(kind shard.Loss) { m.lost.WithLabelValues(string(kind)).Inc() }
+func (m *metrics) AttemptLost(kind shard.LossKind) { m.lost.WithLabelValues(string(kind)).Inc() }
 
 // Job implements shard.Metrics.
 func (m *metrics) Job(event string) { m.jobs.WithLabelValues(event).Inc() }
--- a/pkg/shard/lost.go
+++ b/pkg/shard/lost.go
@@ -6,19 +6,19 @@
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 )
 
-// Loss is how attempts went with their worker.
-type Loss string
+// LossKind is how attempts went with their worker.
+type LossKind string
 
 // The kinds of losses.
 const (
-	LossEnded  Loss = "worker_ended"  // the boot has ended
-	LossLapsed Loss = "leases_lapsed" // it does not answer, and its leases have run out
+	LossEnded  LossKind = "worker_ended"  // the boot has ended
+	LossLapsed LossKind = "leases_lapsed" // it does not answer, and its leases have run out
 )
 
 // lose forgets what was at a worker that is lost, and says of each attempt how long it
 // had run: a worker goes with a dozen attempts, and when one of them has brought it down
 // nothing else tells which.
-func (o *Owner) lose(s *session, kind Loss) {
+func (o *Owner) lose(s *session, kind LossKind) {
 	o.blame(s)
 	now := o.now()
 	for name, r := range s.attempts {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -28,7 +28,7 @@
 	// End counts an end that a worker reports.
 	End(reason platform.EndReason)
 	// AttemptLost counts an attempt that went with its worker.
-	AttemptLost(kind Loss)
+	AttemptLost(kind LossKind)
 	// RowMalformed counts a row that could not be read.
 	RowMalformed(table string)
 	// Job counts what became of a job.
--- a/pkg/shard/suspects.go
+++ b/pkg/shard/suspects.go
@@ -67,7 +67,7 @@
 }
 
 // judge gives up the tasks at a lost boot that are known to bring workers down.
-func (o *Owner) judge(s *session, kind Loss) {
+func (o *Owner) judge(s *session, kind LossKind) {
 	for t := range o.suspects {
 		if !t.Losses.At(s.ref.Boot) {
 			continue
