A gang may start as the worst of its tasks may, not as the one with most losses

Since losses right after a start weigh more than later ones, the task with most losses need not be the worst: a gang of which one task had two early losses and another two late ones was not put on trial, or was, by the order of its tasks. Change: verdicts are ordered, and a step takes the worst. Measured: TestStepVerdict fails on the code before ('watched' for 'on_trial'), passes now; tests of pkg/jobs, pkg/blame and pkg/shard pass.

--- a/pkg/blame/loss.go
+++ b/pkg/blame/loss.go
@@ -20,9 +20,9 @@
 	// cleared. Workers were lost within 10 ms of the start that brought them down.
 	watchSlack = 200 * time.Millisecond
 	// trialAfter is the number of strong losses from which a task is started on trial only;
-	// of others it takes one more. With 1
-	// a task costs two workers in place of three, and ordinary jobs in time fall from 448 to
-	// 496 of 600 to 91 to 339, since each of them waits for a worker of its own (TestStorm).
+	// of others it takes one more. With 1 a task costs two workers in place of three, and
+	// ordinary jobs in time fall from 448 to 496 of 600 to 91 to 339, since each of them waits
+	// for a worker of its own (TestStorm).
 	trialAfter = 2
 	// mostLosses is the number of losses at which a task is given up without a trial that
 	// proves it. Callers are promised at most two starts more after three workers, one of
@@ -60,6 +60,17 @@
 	Guilty  Verdict = "guilty"   // nowhere any more
 )
 
+// severity orders the verdicts.
+var severity = []Verdict{Clear, Watched, OnTrial, Guilty}
+
+// Worse returns the one of two verdicts that allows less.
+func Worse(a, b Verdict) Verdict {
+	if slices.Index(severity, b) > slices.Index(severity, a) {
+		return b
+	}
+	return a
+}
+
 // Losses are what speaks against a task.
 type Losses []Loss
 
--- a/pkg/jobs/evidence.go
+++ b/pkg/jobs/evidence.go
@@ -12,18 +12,16 @@
 // Verdict tells how the task may be started, by the workers that were lost with it.
 func (t *Task) Verdict() blame.Verdict { return t.Losses.Verdict() }
 
+// Suspect tells whether the task may not start just anywhere.
+func (t *Task) Suspect() bool { return len(t.Losses) > 0 && t.Verdict() != blame.Clear }
+
 // Verdict tells how the step's tasks may be started together: as the worst of them may.
 func (s *StepRun) Verdict() blame.Verdict {
-	var all blame.Losses
+	worst := blame.Clear
 	for _, t := range s.Tasks {
-		switch v := t.Verdict(); {
-		case v == blame.Guilty:
-			return v
-		case len(t.Losses) > len(all):
-			all = t.Losses
-		}
+		worst = blame.Worse(worst, t.Verdict())
 	}
-	return all.Verdict()
+	return worst
 }
 
 // Evidence counts the changes of what speaks against the job's tasks.
@@ -35,6 +33,3 @@
 // EvidenceKept tells whether a next owner would know what spoke against the job's tasks when
 // Evidence was n.
 func (j *Job) EvidenceKept(n int) bool { return j.evidenceKept >= n }
-
-// Suspect tells whether the task may not start just anywhere.
-func (t *Task) Suspect() bool { return len(t.Losses) > 0 && t.Verdict() != blame.Clear }
--- /dev/null
+++ b/pkg/jobs/evidence_test.go
@@ -0,0 +1,33 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/blame"
+)
+
+// TestStepVerdict sees that a step may start as the worst of its tasks may, whichever of
+// them has more losses.
+func TestStepVerdict(t *testing.T) {
+	soon, late := blame.Loss{Firm: true}, blame.Loss{Firm: true, Ran: time.Second}
+	proof := blame.Loss{Trial: true, Sure: true}
+	for _, tc := range []struct {
+		name          string
+		first, second blame.Losses
+		want          blame.Verdict
+	}{
+		{"none", nil, nil, blame.Clear},
+		{"one soon after its start", nil, blame.Losses{soon}, blame.Watched},
+		{"as many later ones", blame.Losses{late, late}, blame.Losses{soon, soon}, blame.OnTrial},
+		{"more later ones", blame.Losses{late, late}, blame.Losses{soon}, blame.Watched},
+		{"one given up", blame.Losses{late, late, late}, blame.Losses{soon, soon, proof}, blame.Guilty},
+	} {
+		for _, order := range [][2]blame.Losses{{tc.first, tc.second}, {tc.second, tc.first}} {
+			s := &StepRun{Tasks: []*Task{{Losses: order[0]}, {Losses: order[1]}}}
+			qt.Check(t, s.Verdict(), qt.Equals, tc.want, qt.Commentf(tc.name))
+		}
+	}
+}
