Hosts are gathered once a pass where nothing is on trial; one set-up for three machines

Cause: found by reading the diff: each pass of placement went through all workers twice, for trials that are hardly ever there, and three state machines were set up alike. Change: the hosts are gathered again only after trials were planned; newMachine. Behaviour is the same.

--- a/pkg/shard/crash_test.go
+++ b/pkg/shard/crash_test.go
@@ -17,12 +17,9 @@
 // again, and orders and transactions are lost or late.
 func crashes(plant func(*estate)) func(*rapid.T) {
 	return func(t *rapid.T) {
-		e := newEstate(t)
+		m := newMachine(t, plant)
+		e := m.e
 		defer e.close()
-		if plant != nil {
-			plant(e)
-		}
-		m := &machine{t: t, e: e, accepted: map[string]bool{}}
 		for range 4 {
 			m.boot()
 		}
--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -40,15 +40,22 @@
 
 var rowFaults = []fake.Fault{fake.FaultDown, fake.FaultLostBefore, fake.FaultLostAfter, fake.FaultLate}
 
+// newMachine returns a machine over an estate of its own, in which plant, unless it is nil,
+// breaks something.
+func newMachine(t *rapid.T, plant func(*estate)) *machine {
+	e := newEstate(t)
+	if plant != nil {
+		plant(e)
+	}
+	return &machine{t: t, e: e, accepted: map[string]bool{}}
+}
+
 // property plays one drawn course of events and holds the promises against it.
 func property(plant func(*estate)) func(*rapid.T) {
 	return func(t *rapid.T) {
-		e := newEstate(t)
+		m := newMachine(t, plant)
+		e := m.e
 		defer e.close()
-		if plant != nil {
-			plant(e)
-		}
-		m := &machine{t: t, e: e, accepted: map[string]bool{}}
 		e.workers.SetTakesAll(rapid.Bool().Draw(t, "takes all"))
 		for range 3 {
 			m.boot()
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -69,8 +69,10 @@
 			o.advised(&cs[i], hosts, now)
 		}
 	}
-	o.startTrials(onTrial, now)
-	hosts = o.hosts(now)
+	if len(onTrial) > 0 {
+		o.startTrials(onTrial, now)
+		hosts = o.hosts(now) // without those that are kept for trials
+	}
 	starts := placement.Plan(candidates, hosts, o.rate.Room(now))
 	o.noteAtLimit(candidates, now)
 	o.rate.Spend(len(starts))
--- a/pkg/shard/suspend_test.go
+++ b/pkg/shard/suspend_test.go
@@ -120,10 +120,9 @@
 // over that do not reach all of its workers.
 func dozes(steadyOnly bool) func(*rapid.T) {
 	return func(t *rapid.T) {
-		e := newEstate(t)
+		m := newMachine(t, func(e *estate) { e.steadyOnly = steadyOnly })
+		e := m.e
 		defer e.close()
-		e.steadyOnly = steadyOnly
-		m := &machine{t: t, e: e, accepted: map[string]bool{}}
 		for range rapid.IntRange(1, 2).Draw(t, "workers") {
 			m.boots++
 			name := fmt.Sprintf("w%d", m.boots)
