The right of a replaced owner ends before its successor starts what it may start too

Cause: an owner may act for 1.5 s after its successor's takeover, which starts work as soon as it has heard the workers. Tokens alone part the two, and a worker that starts again has forgotten them.

Change: until the predecessor's right has run out the successor starts nothing that was kept before the takeover, then looks at each worker of that time once more, at once. There is no wait where the predecessor has let go, or its process has ended: its entry was started anew, or nothing listened at its address at two tries in a row, 0.1 s apart; once may be a moment's. What is left of a right stands in the owner row, so that an owner that follows soon after waits for the one before it, too. A start that is under way is given up when the right ends; ownership is confirmed from before the takeover was sent, not from its answer. Courses' logs tell times and what workers did.

Ruled out: reading the row before each start (a call a start); waiting without the second look (fails: a worker heard before its next boot began counts as heard).

TestReplacedOwnerAfterEnd fails still: its log, now with times, shows one owner only and another cause.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
 const (
@@ -210,7 +211,7 @@
 	now := r.now()
 	if !r.formerKnown || now < r.first {
 		// We do not know a former holder's orders ourselves: the next one reads what we have read.
-		return r.claim.Release(ctx, r.cfg.Rows, Partition, next)
+		return r.claim.Release(ctx, r.cfg.Rows, Partition, shard.Successor{Entry: next})
 	}
 	orders := map[string]time.Duration{}
 	for vm, until := range r.announcedWith(nil) {
@@ -227,5 +228,5 @@
 	if err != nil {
 		return err
 	}
-	return r.claim.ReleaseWith(ctx, r.cfg.Rows, Partition, next, txn)
+	return r.claim.ReleaseWith(ctx, r.cfg.Rows, Partition, shard.Successor{Entry: next}, txn)
 }
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -23,7 +23,7 @@
 }
 
 // openShard begins the work of a shard that falls to this entry.
-func (n *Node) openShard(ctx context.Context, pool string, seen int64, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
+func (n *Node) openShard(ctx context.Context, pool string, seen shard.Seen, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
 	if pool == fleetops.Partition {
 		return n.openFleet(ctx, seen, cat, events)
 	}
@@ -37,7 +37,7 @@
 	o, err := shard.Open(ctx, shard.Config{
 		Pool: pool, Self: n.identity(), Clock: n.clock, Retention: seconds(n.settings.Timing.RetentionS), LongestLease: time.Duration(n.settings.Timing.MaxLeaseMs) * time.Millisecond,
 		Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
-		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, Sending: events.Sending, OnOver: events.Over,
+		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, HasEnded: n.members.HasEnded, Sending: events.Sending, OnOver: events.Over,
 	}, seen, cat, n.allWorkers())
 	if err != nil {
 		return nil, err // no typed nil in the interface
@@ -46,7 +46,7 @@
 }
 
 // openFleet begins the work of moving and maintaining VMs.
-func (n *Node) openFleet(ctx context.Context, seen int64, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
+func (n *Node) openFleet(ctx context.Context, seen shard.Seen, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
 	r, err := fleetops.Open(ctx, fleetops.Config{
 		Self: n.identity(), Log: n.log, Clock: n.clock,
 		Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves,
--- a/pkg/ownership/judge.go
+++ b/pkg/ownership/judge.go
@@ -65,6 +65,19 @@
 	return VerdictSuspect, "few others are heard either"
 }
 
+// HasEnded tells whether the process of the owner in a row is known to have ended: it has let go,
+// its entry was started anew, or nothing has listened at its address at two tries in a row. An
+// address that refuses once may be full, or its machine on the way to be cut off.
+func (m *Members) HasEnded(o shard.OwnerRow) bool {
+	if o.Entry == "" || o.Entry == m.self.Name {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.peers[o.Entry]
+	return k != nil && (k.Start != o.Start || k.refusals >= certainlyRefused)
+}
+
 // noteMajority notes since when most entries are heard; the lock is held. This
 // entry counts for itself; of two halves that do not hear each other neither has
 // a majority. After a cut the others are heard again one by one: until that is
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -38,7 +38,9 @@
 	addedAt time.Duration // when its row was seen
 	heardAt time.Duration // last answer, 0 for never
 	refused bool          // nothing listened at its address at the last try
-	lost    bool          // it left the last ping unanswered
+	// refusals counts the tries in a row of which that is true.
+	refusals int
+	lost     bool // it left the last ping unanswered
 
 	missedAt time.Duration // when a ping last failed, 0 for never
 
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -32,6 +32,11 @@
 	checkedPeers = 12
 	// pingTimeout bounds one ping.
 	pingTimeout = 900 * time.Millisecond
+	// certainlyRefused is how many tries in a row nothing has listened at an address when its
+	// process has certainly ended.
+	certainlyRefused = 2
+	// refusedAgain is the time between two such tries.
+	refusedAgain = 100 * time.Millisecond
 	// silence is how long an owner may go unheard before it is held for gone.
 	silence = 1100 * time.Millisecond
 )
@@ -77,6 +82,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
+	case k.refused && k.refusals < certainlyRefused:
+		return refusedAgain
 	case k.owns:
 		return pingInterval
 	case !reached && m.owns:
@@ -175,7 +182,7 @@
 	if sentAt < k.sentAt {
 		return
 	}
-	k.refused, k.lost = false, false
+	k.refused, k.refusals, k.lost = false, 0, false
 	k.noteStore(reply.ReachesStore, now)
 	k.stopping = reply.Stopping
 	k.sentAt, k.seen = sentAt, int64(reply.OwnersVersion)
@@ -192,6 +199,11 @@
 	}
 	var notSent peer.ErrNotSent
 	k.refused = errors.As(err, &notSent) && notSent.Refused
+	if k.refused {
+		k.refusals++
+	} else {
+		k.refusals = 0
+	}
 	k.lost = timedOut
 	k.missedAt = now
 }
--- a/pkg/shard/dispatch.go
+++ b/pkg/shard/dispatch.go
@@ -72,9 +72,14 @@
 	if d.start != nil {
 		s.inFlight++
 	}
-	o.mu.Unlock()
-	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	sentAt := o.now()
+	wait := orderTimeout
+	if d.start != nil {
+		// What is under way when the right to start it runs out is given up with it.
+		wait = min(wait, o.confirmedAt+ConfirmedFor-sentAt)
+	}
+	o.mu.Unlock()
+	ctx, cancel := context.WithTimeout(o.ctx, wait)
 	clockMs, err := d.send(ctx)
 	cancel()
 	o.mu.Lock()
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -387,11 +387,12 @@
 	cfg := shard.Config{
 		Pool: pool, Self: shard.Identity{Entry: entry, Start: e.starts, Address: entry},
 		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: noMetrics{}, Retention: time.Hour, LongestLease: fake.LongestLease,
-		Log: zerolog.New(e.out).With().Str("entry", entry).Logger(), Clock: clock,
+		Log: zerolog.New(e.out).With().Str("entry", entry).Logger().Hook(e), Clock: clock,
 		StoreSteady: func() time.Duration { return time.Since(e.since) },
+		HasEnded:    e.hasEnded,
 		OnOver:      func(error) {}, Sending: func() {},
 	}
-	o, err := shard.Open(context.Background(), cfg, row.Version, e.catalog(), e.directory())
+	o, err := shard.Open(context.Background(), cfg, shard.Seen{Version: row.Version}, e.catalog(), e.directory())
 	if err != nil {
 		return err.Error() + "\n"
 	}
@@ -399,6 +400,22 @@
 	return fmt.Sprintf("term %d\n", o.Term())
 }
 
+// Run implements zerolog.Hook: each line tells when it was written.
+func (e *estate) Run(ev *zerolog.Event, _ zerolog.Level, _ string) { ev.Dur("at", time.Since(e.since)) }
+
+// did writes to the log what a worker did with a task, whoever knows of it.
+func (e *estate) did(what, boot, task string, attempt int64) {
+	l := zerolog.New(e.out).Hook(e)
+	l.Info().Str("entry", "worker").Str("event", what).Str("boot", boot).Str("task", task).Int64("attempt", attempt).Send()
+}
+
+// hasEnded tells whether the owner in a row has ended: its entry owns nothing.
+func (e *estate) hasEnded(row shard.OwnerRow) bool {
+	e.ownersMu.Lock()
+	defer e.ownersMu.Unlock()
+	return e.owners[row.Entry] == nil
+}
+
 func (e *estate) submit(entry, account, id, text string) string {
 	spec := jobs.Spec{Text: text}
 	for _, f := range strings.Fields(text) {
--- a/pkg/shard/held.go
+++ b/pkg/shard/held.go
@@ -6,13 +6,14 @@
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 )
 
-// former is what a former owner may have left at a worker, until the worker is heard,
-// has ended, or its leases have run out.
+// former is what a former owner may have left at a worker, until the worker is heard after the
+// last moment at which one could start something there, has ended, or its leases have run out.
 type former struct {
 	open     bool
 	complete bool     // nothing but tasks is there
 	tasks    []string // names
 
+	from  time.Duration // from when on no former owner starts anything there
 	until time.Duration // when its leases there have run out
 }
 
@@ -24,7 +25,7 @@
 // a start is not written anywhere: the word of an owner two terms ago says nothing of what
 // the last one has started.
 func (o *Owner) inherit(s *session, w leasedWorker) {
-	s.former = former{open: true, until: o.heldTo}
+	s.former = former{open: true, from: o.alone, until: o.heldTo}
 	if w.LetGo > 0 && w.LetGo == o.claim.Term-1 {
 		s.former.complete, s.former.tasks = true, w.Tasks
 	}
@@ -64,7 +65,7 @@
 	o.blind = o.blind && now < o.heldTo
 	o.held, o.heldAll = o.blind, o.blind
 	for _, s := range o.sessionsInOrder() {
-		if s.known || now >= s.former.until {
+		if s.heardAlone() || now >= s.former.until {
 			o.closeFormer(s)
 		}
 		if s.former.open {
--- a/pkg/shard/lease.go
+++ b/pkg/shard/lease.go
@@ -8,7 +8,9 @@
 	// worker that falls silent have to wait before they start elsewhere.
 	leaseLength = 4 * time.Second
 	// maxClockDrift is how much slower than ours a worker's clock may run.
-	maxClockDrift = 0.02
+	maxClockDrift = maxClockDriftPerMille / 1000.0
+	// maxClockDriftPerMille is the same in thousandths.
+	maxClockDriftPerMille = 20
 	// lapseSlack covers the rounding of clocks to milliseconds and late timers.
 	lapseSlack = 150 * time.Millisecond
 )
--- a/pkg/shard/look.go
+++ b/pkg/shard/look.go
@@ -36,7 +36,7 @@
 // planLook decides when to look next; the lock is held.
 func (s *session) planLook(now time.Duration, atLimit bool) lookPlan {
 	switch {
-	case !s.wantsLook():
+	case !s.wantsLook(now):
 		return lookPlan{after: -1}
 	case s.failures > 0 && !s.askAgain:
 		return lookPlan{after: retryLook, kicked: true}
@@ -120,6 +120,7 @@
 	}
 	o.cfg.Metrics.Look(nil)
 	s.ends.tell(order.AckedEnd)
+	s.heardAt = sentAt
 	o.lookAnswered(s, &report, sentAt)
 	if settles && order.Token == s.token {
 		o.settled(s, sentAt)
@@ -127,6 +128,8 @@
 	if !s.known && order.LeaseUntil > 0 {
 		s.known = true
 		o.log.Debug().Str("event", "worker_known").Str("boot", s.ref.Boot).Int("running", len(s.attempts)).Send()
+	}
+	if s.former.open {
 		o.checkHeld()
 	}
 	o.kickPlacement()
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -48,6 +48,10 @@
 
 	LongestLease time.Duration // that workers grant
 
+	// HasEnded tells whether the process of the owner in a row is known to have ended; nil
+	// knows of none.
+	HasEnded func(OwnerRow) bool
+
 	Rows     platform.Rows
 	Workers  platform.Workers
 	Machines platform.Machines
@@ -107,6 +111,7 @@
 	heldAll       bool          // at one of them any task may be
 	heldTo        time.Duration // when its leases have run out
 	openedAt      time.Duration // when this entry took over
+	alone         time.Duration // from when on no owner before can act any more
 	askedMachines time.Duration // when the VM list was last asked for, 0 for never
 
 	pending        map[string]*submission       // by job ID, until their row is written or refused
@@ -127,15 +132,15 @@
 
 // Open takes the shard over, if its owner row still has the version seen, reads
 // what is kept and starts to own it.
-func Open(ctx context.Context, cfg Config, seen int64, cat *catalog.Catalog, workers []platform.Worker) (o *Owner, err error) {
+func Open(ctx context.Context, cfg Config, seen Seen, cat *catalog.Catalog, workers []platform.Worker) (o *Owner, err error) {
 	ctx, done := context.WithTimeout(ctx, takeoverRead)
 	defer done()
-	c, err := TakeOver(ctx, cfg.Rows, cfg.Clock, cfg.Pool, cfg.Self, seen, cfg.Sending)
+	c, err := TakeOver(ctx, cfg.Rows, cfg.Clock, cfg.Pool, cfg.Self, seen, cfg.HasEnded, cfg.Sending)
 	if err != nil {
 		return nil, err
 	}
-	now := cfg.Clock.Now()
-	k, err := readKept(ctx, cfg.Rows, cfg.Pool, c.Term, now, func(e errMalformedRow) {
+	openedAt := cfg.Clock.Now()
+	k, err := readKept(ctx, cfg.Rows, cfg.Pool, c.Term, openedAt, func(e errMalformedRow) {
 		cfg.Metrics.RowMalformed(e.key.Table)
 		cfg.Log.Error().Str("event", "row_malformed").Str("pool", cfg.Pool).Str("table", e.key.Table).Str("key", e.key.Key).Err(e.cause).Send()
 	})
@@ -151,7 +156,8 @@
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
-	o.start(k, workers, now)
+	o.openedAt, o.confirmedAt, o.alone = openedAt, c.at, openedAt+c.left
+	o.start(k, workers, cfg.Clock.Now())
 	return o, nil
 }
 
@@ -174,8 +180,6 @@
 	}
 	o.held = o.held || k.blind
 	o.heldAll = o.heldAll || k.blind
-	o.confirmedAt = now
-	o.openedAt = now
 	o.arrivals.since = now
 	o.restoreSuspects()
 	o.setWorkers(workers)
@@ -188,6 +192,10 @@
 	o.wg.Go(func() { o.commitLoop(o.ctx) })
 	o.wg.Go(func() { o.placeLoop(o.ctx) })
 	o.wg.Go(func() { o.upkeepLoop(o.ctx) })
+	if o.held && o.alone > now {
+		o.wg.Go(o.awaitPredecessor)
+	}
+	o.askOwnership(now)
 	o.kickPlacement()
 }
 
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -78,7 +78,7 @@
 func (o *Owner) letGo(ctx context.Context, next string) error {
 	var set []leasedWorker
 	for _, s := range o.sessionsInOrder() {
-		if s.recorded && (!s.known || !s.idle()) {
+		if s.recorded && (!s.known || s.former.open || !s.idle()) {
 			set = append(set, s.leasedInTheEnd(o.claim.Term))
 		}
 	}
@@ -99,9 +99,10 @@
 		}
 		txn.Put = append(txn.Put, platform.Row{RowKey: unheardRowKey(o.cfg.Pool), Value: unheard})
 	}
-	err = o.claim.ReleaseWith(ctx, o.cfg.Rows, o.cfg.Pool, next, txn)
+	to := Successor{Entry: next, Left: max(0, o.alone-o.now())}
+	err = o.claim.ReleaseWith(ctx, o.cfg.Rows, o.cfg.Pool, to, txn)
 	if errors.As(err, new(platform.ErrConflict)) {
-		return o.claim.Release(ctx, o.cfg.Rows, o.cfg.Pool, next)
+		return o.claim.Release(ctx, o.cfg.Rows, o.cfg.Pool, to)
 	}
 	return err
 }
--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -76,6 +76,7 @@
 	left := s.former
 	if next.former.open {
 		left.complete = left.complete && next.former.complete
+		left.from = max(left.from, next.former.from)
 		left.tasks = append(left.tasks, next.former.tasks...)
 	}
 	left.until = next.lapsesAt
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -26,9 +26,10 @@
 	vm     string
 	info   platform.Worker // as last seen in the directory
 
-	listed   bool // it is in the directory
-	recorded bool // the partition names it, so that a next owner will ask it
-	known    bool // it has listed what runs there since our first token reached it
+	listed   bool          // it is in the directory
+	recorded bool          // the partition names it, so that a next owner will ask it
+	known    bool          // it has listed what runs there since our first token reached it
+	heardAt  time.Duration // when the last look was sent that it has answered
 	draining bool
 	gone     bool // the boot has ended
 	former   former
@@ -130,8 +131,8 @@
 }
 
 // wantsLook tells whether the worker has to be asked at all.
-func (s *session) wantsLook() bool {
-	return !s.gone && (!s.known || s.failures > 0 || s.inDoubt || len(s.attempts) > 0 || len(s.foreign) > 0 || s.ends.open() || s.ends.held)
+func (s *session) wantsLook(now time.Duration) bool {
+	return !s.gone && (!s.known || s.former.open && now >= s.former.from || s.failures > 0 || s.inDoubt || len(s.attempts) > 0 || len(s.foreign) > 0 || s.ends.open() || s.ends.held)
 }
 
 // idle tells whether nothing of ours is or may be at the worker.
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -29,19 +29,29 @@
 // Claim is a shard that this process has just become the owner of.
 type Claim struct {
 	Term         int64
-	OwnerVersion int64 // of the owner row
-	chain        int64 // version of the commit row
+	OwnerVersion int64         // of the owner row
+	chain        int64         // version of the commit row
+	at           time.Duration // before it was written
+	former       OwnerRow      // that it has replaced
+	left         time.Duration // how long after it was written an owner before may act still
+	earlier      time.Duration // the same, of those before the former owner
 }
 
-// Release lets go of the owner row; next names who should take over, if not empty.
-func (c Claim) Release(ctx context.Context, rows platform.Rows, pool, next string) (err error) {
-	return c.ReleaseWith(ctx, rows, pool, next, platform.RowTxn{})
+// Successor is what an owner that lets go tells of the next one.
+type Successor struct {
+	Entry string        // who should take over, empty for any
+	Left  time.Duration // how long an owner before may act still
+}
+
+// Release lets go of the owner row.
+func (c Claim) Release(ctx context.Context, rows platform.Rows, pool string, to Successor) (err error) {
+	return c.ReleaseWith(ctx, rows, pool, to, platform.RowTxn{})
 }
 
 // ReleaseWith lets go of the owner row in a transaction that does more.
-func (c Claim) ReleaseWith(ctx context.Context, rows platform.Rows, pool, next string, txn platform.RowTxn) (err error) {
+func (c Claim) ReleaseWith(ctx context.Context, rows platform.Rows, pool string, to Successor, txn platform.RowTxn) (err error) {
 	defer func() { err = errors.Wrapf(err, "release shard %s", pool) }()
-	raw, err := encode(OwnerRow{Term: c.Term, Next: next})
+	raw, err := encode(OwnerRow{Term: c.Term, Next: to.Entry, Left: to.Left})
 	if err != nil {
 		return err
 	}
@@ -64,8 +74,9 @@
 
 // TakeOver writes this entry into the owner row, provided the row still has the
 // version that the decision to take over was made on. It calls sending before
-// the transaction is sent; an error without that call had no effect.
-func TakeOver(ctx context.Context, rows platform.Rows, clock *elapsed.Clock, pool string, self Identity, seen int64, sending func()) (c Claim, err error) {
+// the transaction is sent; an error without that call had no effect. What has ended tells whether
+// the process of the owner in a row is known to have ended; nil knows of none.
+func TakeOver(ctx context.Context, rows platform.Rows, clock *elapsed.Clock, pool string, self Identity, seen Seen, ended func(OwnerRow) bool, sending func()) (c Claim, err error) {
 	defer func() { err = errors.Wrapf(err, "take over shard %s", pool) }()
 	started := time.Now()
 	owner, err := ReadOne(ctx, rows, ownerKey(pool))
@@ -83,11 +94,13 @@
 			return c, err
 		}
 	}
-	if owner.Version != seen {
+	if owner.Version != seen.Version {
 		return c, ErrNotOwner{Owner: old}
 	}
 	c.Term = old.Term + 1
-	ownerRaw, err := encode(OwnerRow{Entry: self.Entry, Start: self.Start, Address: self.Address, Term: c.Term})
+	c.former, c.earlier = old, max(0, old.Left-seen.Age)
+	c.left = leftOf(old, seen.Age, ended)
+	ownerRaw, err := encode(OwnerRow{Entry: self.Entry, Start: self.Start, Address: self.Address, Term: c.Term, Left: c.left})
 	if err != nil {
 		return c, err
 	}
@@ -100,6 +113,7 @@
 		Put:    []platform.Row{{RowKey: ownerKey(pool), Value: ownerRaw}, {RowKey: commitKey(pool), Value: commitRaw}},
 	}
 	sending()
+	c.at = clock.Now()
 	t := commitHedged(ctx, rows, clock, txn, pace.hedge(), func(time.Duration, error) {})
 	if version, ok := ownTakeover(t.err, pool, self, c.Term); ok {
 		t.version, t.err = version, nil
