A worker's clock of 0 is a clock

Cause: 0 stood for an answer without a clock. A boot says 0 in its first millisecond, so that a start that reached it then was not seen to have reached another boot, and its end was acknowledged with those of the boot before.

Change: platform.NoClock, -1, stands for none; the adapter tells the two apart (TestClockOfAnswer). Sought elsewhere, a number whose 0 means none and which may be 0: ends, attempts and terms count from 1, born and leases are never 0.

--- a/pkg/platform/workers.go
+++ b/pkg/platform/workers.go
@@ -111,9 +111,12 @@
 	Checkpoint string
 }
 
+// NoClock stands for the clock of a worker that did not say; one that has just started says 0.
+const NoClock int64 = -1
+
 // WorkerReport is what a worker says of itself.
 type WorkerReport struct {
-	ClockMs   int64 // the worker's steady clock
+	ClockMs   int64 // the worker's steady clock, NoClock if it did not say
 	Born      int64 // when the boot that answers started, in Unix milliseconds, 0 if it does not say
 	Remaining time.Duration
 	Draining  bool
@@ -138,7 +141,7 @@
 // ErrOrderRefused reports an order that the worker did not carry out.
 type ErrOrderRefused struct {
 	Reason  RefusalReason
-	ClockMs int64 // the worker's clock, 0 if it did not say
+	ClockMs int64 // the worker's clock, NoClock if it did not say
 }
 
 // Error gives the reason.
--- a/pkg/shard/dispatch.go
+++ b/pkg/shard/dispatch.go
@@ -92,7 +92,7 @@
 	d.answered(err)
 }
 
-// clockOf is the worker's clock in the answer to an order, 0 for none.
+// clockOf is the worker's clock in the answer to an order, platform.NoClock for none.
 func clockOf(ms int64, err error) int64 {
 	var refused platform.ErrOrderRefused
 	switch {
@@ -101,7 +101,7 @@
 	case errors.As(err, &refused):
 		return refused.ClockMs
 	default:
-		return 0
+		return platform.NoClock
 	}
 }
 
--- a/pkg/shard/lease.go
+++ b/pkg/shard/lease.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
 
 // Leases.
 const (
@@ -39,7 +43,7 @@
 
 // noteClock takes the worker's clock from an answer.
 func (s *session) noteClock(ms int64, now time.Duration) {
-	if ms > 0 && ms >= s.clockMs {
+	if ms != platform.NoClock && ms >= s.clockMs {
 		s.clockMs, s.clockAt = ms, now
 	}
 }
--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -134,9 +134,11 @@
 // clockRounding is what the rounding of two clocks to milliseconds may hide, in milliseconds.
 const clockRounding = 2
 
-// takeClock takes the clock in the answer to an order; 0 for none.
+// takeClock takes the clock in the answer to an order, if there is one. A clock of 0 is one: taken for
+// none, a start that reached the next boot in its first millisecond was not noticed, and its end
+// acknowledged unseen (TestStartInFirstMillisecond).
 func (o *Owner) takeClock(s *session, ms int64, sentAt time.Duration) {
-	if ms == 0 {
+	if ms == platform.NoClock {
 		return
 	}
 	if s.fellBack(ms, sentAt) {
