Losses prove nothing while their workers are only silent; a next owner knows of a trial

Cause: four losses of any kind were taken for proof, also of workers that went on working behind lost answers. And a trial was the knowledge of one owner: the next one adopted the attempt, kept nothing else from its worker, and counted what happened there as the fourth loss.

Change: a task is given up without a trial when four workers have certainly ended; with four losses of any kind it is held until it is known what became of them, so that it starts no more than before. Losses at boots that the record names no more are made sure at a takeover, else a task could be held for ever. When a worker is heard, the start of a task that has other losses is noted ahead again, and a trial goes on.

As strict: the count of starts is bounded by the same four.

--- a/pkg/blame/loss.go
+++ b/pkg/blame/loss.go
@@ -24,9 +24,12 @@
 	// ordinary jobs in time fall from 448 to 496 of 600 to 91 to 339, since each of them waits
 	// for a worker of its own (TestStorm).
 	trialAfter = 2
-	// mostLosses is the number of losses at which a task is given up without a trial that
-	// proves it. Callers are promised at most two starts more after three workers, one of
-	// which may have been lost without any owner's knowing.
+	// mostLosses is the number of workers that have certainly ended at which a task is given up
+	// without a trial that proves it, and of losses of any kind at which it starts no more until that
+	// is known. Callers are promised at most two starts more after three workers, one of which
+	// may have been lost without any owner's knowing. Taken for proof whatever became of the
+	// workers, four losses gave up a job that had done nothing while workers were only silent
+	// (TestInnocentBesideSilence).
 	mostLosses = 4
 	// leastFirm is how many workers certainly had the task when they were lost for a trial to
 	// prove it: callers are promised two. A start that timed out may never have arrived.
@@ -57,11 +60,12 @@
 	Clear   Verdict = "clear"    // anywhere
 	Watched Verdict = "watched"  // where no other watched task starts
 	OnTrial Verdict = "on_trial" // where nothing else starts
+	Held    Verdict = "held"     // nowhere until it is known what became of its workers
 	Guilty  Verdict = "guilty"   // nowhere any more
 )
 
 // severity orders the verdicts.
-var severity = []Verdict{Clear, Watched, OnTrial, Guilty}
+var severity = []Verdict{Clear, Watched, OnTrial, Held, Guilty}
 
 // Worse returns the one of two verdicts that allows less.
 func Worse(a, b Verdict) Verdict {
@@ -76,12 +80,15 @@
 
 // Verdict tells how the task may be started.
 func (ls Losses) Verdict() Verdict {
-	n, firm, strong, proven := 0, 0, 0, false
+	n, sure, firm, strong, proven := 0, 0, 0, 0, false
 	for _, l := range ls {
 		if l.Ahead {
 			continue
 		}
 		n++
+		if l.Sure {
+			sure++
+		}
 		if l.Firm {
 			firm++
 		}
@@ -91,8 +98,10 @@
 		proven = proven || l.Trial && l.Sure
 	}
 	switch {
-	case proven && n > trialAfter && firm >= leastFirm || n >= mostLosses:
+	case proven && n > trialAfter && firm >= leastFirm || sure >= mostLosses:
 		return Guilty
+	case n >= mostLosses:
+		return Held
 	case strong >= trialAfter || n > trialAfter:
 		return OnTrial
 	case strong > 0 || n >= trialAfter:
@@ -150,6 +159,17 @@
 	return slices.DeleteFunc(slices.Clone(ls), func(l Loss) bool { return l.Boot == boot })
 }
 
+// HeardWith returns the losses but those of a boot, which is alive, with that of an attempt there noted
+// ahead again, as at its start: were it only taken back, the start would be unknown to a next owner.
+func (ls Losses) HeardWith(boot string, attempt int64) Losses {
+	return append(ls.Without(boot), Loss{Attempt: attempt, Boot: boot, Trial: ls.OnTrialAt(boot, attempt), Ahead: true})
+}
+
+// OnTrialAt tells whether an attempt was on trial at a boot.
+func (ls Losses) OnTrialAt(boot string, attempt int64) bool {
+	return slices.ContainsFunc(ls, func(l Loss) bool { return l.Boot == boot && l.Attempt == attempt && l.Trial })
+}
+
 // WithoutAttempt returns the losses but that of an attempt, which was not at the lost boot.
 func (ls Losses) WithoutAttempt(attempt int64) Losses {
 	return slices.DeleteFunc(slices.Clone(ls), func(l Loss) bool { return l.Attempt == attempt })
--- a/pkg/shard/foreign.go
+++ b/pkg/shard/foreign.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
@@ -43,6 +44,9 @@
 	if wanted {
 		a := &running{Attempt: o.book.Adopt(t, r.Attempt, s.ref.Boot, now), confirmedAt: now}
 		s.hold(r.Task, a)
+		if s.trial != nil && slices.Contains(s.trial.tasks, t) {
+			s.trial.attempts = append(s.trial.attempts, a.Attempt)
+		}
 		return a
 	}
 	st := &foreignAttempt{foundAt: now, unsized: t == nil}
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -154,7 +154,7 @@
 		switch c.Step.Verdict() {
 		case blame.OnTrial:
 			return nil, []placement.Candidate{c}
-		case blame.Guilty:
+		case blame.Held, blame.Guilty:
 			return nil, nil
 		default:
 			return []placement.Candidate{c}, nil
@@ -173,6 +173,7 @@
 			free = append(free, one)
 		case blame.OnTrial:
 			onTrial = append(onTrial, one)
+		case blame.Held: // until its workers are heard again or known to have ended
 		case blame.Guilty: // it is given up once its last worker is known to be lost
 		}
 	}
--- a/pkg/shard/suspects.go
+++ b/pkg/shard/suspects.go
@@ -10,6 +10,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/blame"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 // blameAfter is how many calls in a row a worker leaves unanswered before its loss is
@@ -56,19 +57,38 @@
 	o.keep(t.Step.Job, true)
 }
 
-// pardon takes back the losses of a boot that is alive.
-func (o *Owner) pardon(s *session) {
+// pardon takes back the losses of a boot that is alive, as its report shows. A start of a task that
+// has others, which runs there still, is noted ahead again; if it was on trial, the worker is kept
+// for it again. A next owner that knew of neither started a crashing task beside the one on trial,
+// and gave up its job, which had done nothing (TestInnocentOnTrialAtTakeover).
+func (o *Owner) pardon(s *session, r *platform.WorkerReport) {
 	s.blamed = false
 	for _, t := range o.suspectsInOrder() {
 		if !t.Losses.At(s.ref.Boot) {
 			continue
 		}
-		t.SetLosses(t.Losses.Without(s.ref.Boot))
+		left := t.Losses.Without(s.ref.Boot)
+		if n, runs := runningThere(r, t.Name()); runs && (len(left) > 0 || o.unheard && t.Step.Job.Restored) {
+			if s.trial == nil && t.Losses.OnTrialAt(s.ref.Boot, n) {
+				s.trial = &trial{tasks: []*jobs.Task{t}, since: o.now()}
+			}
+			left = t.Losses.HeardWith(s.ref.Boot, n)
+		}
+		t.SetLosses(left)
 		o.log.Info().Str("event", "loss_taken_back").Str("task", t.Name()).Str("boot", s.ref.Boot).Int("losses", len(t.Losses)).Send()
 		o.keep(t.Step.Job, false)
 	}
 }
 
+// runningThere is the number of the attempt of a task that a report lists as running.
+func runningThere(r *platform.WorkerReport, task string) (number int64, runs bool) {
+	at := slices.IndexFunc(r.Running, func(a platform.RunningAttempt) bool { return a.Task == task })
+	if at < 0 {
+		return 0, false
+	}
+	return r.Running[at].Attempt, true
+}
+
 // judge gives up the tasks at a lost boot that are known to bring workers down.
 func (o *Owner) judge(s *session, kind LossKind) {
 	for _, t := range o.suspectsInOrder() {
@@ -122,12 +142,26 @@
 			for _, t := range s.Tasks {
 				if len(t.Losses) > 0 {
 					o.suspects[t] = struct{}{}
+					o.confirmUnrecorded(t)
 				}
 			}
 		}
 	}
 }
 
+// confirmUnrecorded makes sure of the losses at boots that the record of workers does not name any
+// more: it names each to which a start was sent until that has ended or nothing of ours is there.
+func (o *Owner) confirmUnrecorded(t *jobs.Task) {
+	if o.blind {
+		return
+	}
+	for _, l := range t.Losses {
+		if !l.Sure && o.sessions[l.Boot] == nil {
+			t.SetLosses(t.Losses.Confirmed(l.Boot))
+		}
+	}
+}
+
 // clearSuspects clears the tasks that have run for longer than they had when a worker was
 // lost, as far as their worker has said so.
 func (o *Owner) clearSuspects() {
