A planned handover keeps what was counted and is not kept yet

A loss that was counted 7 ms before was not kept, and the narrowed record named its worker no more. With the one start that may be unknown by design there were two.

Change: the transaction that lets go keeps the progress that is not kept yet; where it does not fit, or an earlier transaction is in doubt, the row that says that a worker was lost unheard goes with it.

--- a/pkg/shard/innocent_test.go
+++ b/pkg/shard/innocent_test.go
@@ -22,5 +22,10 @@
 // the next, then loss_counted with trial false and the verdict guilty.
 func TestInnocentOnTrialAtTakeover(t *testing.T) { prop.Once(t, 14215917, restarts(nil)) }
 
-// TestMostWorkersDown: a task brought six workers down, one more than callers are promised.
+// TestMostWorkersDown: a task brought six workers down, one more than callers are promised. The first
+// of them was counted while its owner was handing the shard over by plan. It had waited for the silent
+// worker until it could wait no longer, and let go 7 ms after the loss was counted and before that was
+// kept; its record named the worker no more. The next owner was gone before it had kept the second
+// loss, so that two starts were unknown. Evidence: loss_counted at 1,083 ms and shard_released with quiet
+// false at 1,090, then loss_counted with losses 1 by the third owner, after three workers.
 func TestMostWorkersDown(t *testing.T) { prop.Once(t, 190819, crashes(nil)) }
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -70,12 +70,35 @@
 	return true
 }
 
-// letGo writes the owner row. It also narrows the record of leased workers to those
-// where something runs or may run, and says what, so that the next owner need not wait
-// for others. A worker that this owner has not heard since it took over may run tasks of
-// a former owner, who may renew there still. If a transaction is under way of which it
-// is not known whether it happens, the record stays as it was.
-func (o *Owner) letGo(ctx context.Context, next string) error {
+// letGo writes the owner row, and with it what the next owner has to know. If a transaction is under
+// way of which it is not known whether it happens, the record of leased workers stays as it was.
+func (o *Owner) letGo(ctx context.Context, next string) (err error) {
+	to := Successor{Entry: next, Left: max(0, o.alone-o.now())}
+	unkept := o.unheard || len(o.dirty) > 0
+	txn, err := o.lastTxn()
+	if err != nil {
+		return err
+	}
+	err = o.claim.ReleaseWith(ctx, o.cfg.Rows, o.cfg.Pool, to, txn)
+	if !errors.As(err, new(platform.ErrConflict)) {
+		return err
+	}
+	txn = platform.RowTxn{}
+	if unkept {
+		if err := o.putUnheardRow(&txn); err != nil {
+			return err
+		}
+	}
+	return o.claim.ReleaseWith(ctx, o.cfg.Rows, o.cfg.Pool, to, txn)
+}
+
+// lastTxn narrows the record of leased workers to those where something runs or may run, and says
+// what, so that the next owner need not wait for others. A worker that this owner has not heard since
+// it took over may run tasks of a former owner, who may renew there still. It also keeps the
+// progress that is not kept yet, losses above all: a handover that waits for a silent worker as long
+// as it may can end right after that was counted, and the record names the worker no more. Such a
+// loss was forgotten, and a task brought six workers down (TestMostWorkersDown).
+func (o *Owner) lastTxn() (txn platform.RowTxn, err error) {
 	var set []leasedWorker
 	for _, s := range o.sessionsInOrder() {
 		if s.recorded && (!s.known || s.former.open || !s.idle()) {
@@ -84,25 +107,28 @@
 	}
 	raw, err := encode(set)
 	if err != nil {
-		return err
+		return txn, err
 	}
-	txn := platform.RowTxn{
-		Expect: []platform.Row{{RowKey: commitKey(o.cfg.Pool), Version: o.chain}},
-		Put:    []platform.Row{{RowKey: workersKey(o.cfg.Pool), Value: raw}},
+	b := &batch{}
+	b.txn.Expect = []platform.Row{{RowKey: commitKey(o.cfg.Pool), Version: o.chain}}
+	b.put(workersKey(o.cfg.Pool), raw)
+	if err := o.putProgress(b); err != nil {
+		return txn, err
 	}
-	if o.unheard {
+	if o.unheard || len(o.dirty) > 0 {
 		// The record that would have told of it may be on its way still. Forgotten, it hid a
 		// second loss: a task was started after it had brought five workers down (TestRestarts).
-		unheard, err := encode(unheardRow{Term: o.claim.Term})
-		if err != nil {
-			return err
-		}
-		txn.Put = append(txn.Put, platform.Row{RowKey: unheardRowKey(o.cfg.Pool), Value: unheard})
+		err = o.putUnheardRow(&b.txn)
 	}
-	to := Successor{Entry: next, Left: max(0, o.alone-o.now())}
-	err = o.claim.ReleaseWith(ctx, o.cfg.Rows, o.cfg.Pool, to, txn)
-	if errors.As(err, new(platform.ErrConflict)) {
-		return o.claim.Release(ctx, o.cfg.Rows, o.cfg.Pool, to)
+	return b.txn, err
+}
+
+// putUnheardRow keeps that a worker may have been lost of which the next owner knows nothing.
+func (o *Owner) putUnheardRow(txn *platform.RowTxn) error {
+	raw, err := encode(unheardRow{Term: o.claim.Term})
+	if err != nil {
+		return err
 	}
-	return err
+	txn.Put = append(txn.Put, platform.Row{RowKey: unheardRowKey(o.cfg.Pool), Value: raw})
+	return nil
 }
