A former owner that can be reached stands down when it is told to

Symptom: what was kept before a takeover waits 1.56 s for a predecessor that is known to be there: one that is cut off from the table service only.

Change: the successor sends its owner row with a call stand_down; the other ends its work for the shard and answers when that has ended.

--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -20,6 +21,12 @@
 			ReachesStore: n.rows.ok(), Start: int(n.self.Start),
 			OwnersVersion: int(version), Claiming: claiming, Stopping: n.stopping.Load(), Owners: n.keeper.News(int64(q.OwnersVersion)),
 		}
+	case schema.CallKindStandDown:
+		row := platform.Row{Value: q.OwnerRow, Version: int64(q.OwnersVersion)}
+		if n.keeper.StandDown(ctx, q.Pool, row) {
+			return &schema.CallReply{Outcome: schema.CallOutcomeOk}
+		}
+		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
 	case schema.CallKindCatalog:
 		if c := n.catalog.Load(); c != nil {
 			return &schema.CallReply{Outcome: schema.CallOutcomeOk, CatalogVersion: int(c.Version), Catalog: c.raw}
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -11,6 +11,7 @@
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
+	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -37,7 +38,7 @@
 	o, err := shard.Open(ctx, shard.Config{
 		Pool: pool, Self: n.identity(), Clock: n.clock, Retention: seconds(n.settings.Timing.RetentionS), LongestLease: time.Duration(n.settings.Timing.MaxLeaseMs) * time.Millisecond,
 		Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
-		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, HasEnded: n.members.HasEnded, Sending: events.Sending, OnOver: events.Over,
+		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, HasEnded: n.members.HasEnded, StandDown: n.standDown, Sending: events.Sending, OnOver: events.Over,
 	}, seen, cat, n.allWorkers())
 	if err != nil {
 		return nil, err // no typed nil in the interface
@@ -45,6 +46,21 @@
 	return o, nil
 }
 
+// standDown tells the process of a shard's former owner that it was replaced, and whether it does no
+// more work for the shard.
+func (n *Node) standDown(ctx context.Context, former shard.OwnerRow, newer platform.Row) (stands bool) {
+	caller := n.members.Caller(former.Entry, former.Address)
+	if caller == nil {
+		return false
+	}
+	reply, err := caller.Call(ctx, &schema.Call{Kind: schema.CallKindStandDown, Pool: newer.Partition, OwnerRow: newer.Value, OwnersVersion: int(newer.Version)})
+	if err != nil {
+		n.log.Debug().Str("event", "predecessor_not_reached").Str("pool", newer.Partition).Str("entry", former.Entry).Err(err).Send()
+		return false
+	}
+	return reply.Outcome == schema.CallOutcomeOk
+}
+
 // openFleet begins the work of moving and maintaining VMs.
 func (n *Node) openFleet(ctx context.Context, seen shard.Seen, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
 	r, err := fleetops.Open(ctx, fleetops.Config{
--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -145,7 +145,7 @@
 		s.notBefore = k.now() + claimPause
 	}
 	if over || k.stopping || s.version > o.RowVersion() {
-		go o.Close()
+		s.end(o)
 		return
 	}
 	s.owner = o
@@ -162,7 +162,7 @@
 	if s == nil || s.owner == nil {
 		return
 	}
-	go s.owner.Close()
+	s.end(s.owner)
 	s.owner = nil
 	s.loaded = false
 	s.notBefore = k.now() + claimPause
--- a/pkg/ownership/keeper.go
+++ b/pkg/ownership/keeper.go
@@ -51,6 +51,18 @@
 	claiming  bool          // a takeover is under way here
 	inDoubt   bool          // its transaction was sent and the outcome is not known
 	notBefore time.Duration // no claim before
+
+	ended chan struct{} // closed when the last work of this entry for the shard has ended, nil if there was none
+}
+
+// end ends the work of this entry for the shard, which it is told to give up.
+func (s *state) end(o Work) {
+	ended := make(chan struct{})
+	s.ended = ended
+	go func() {
+		defer close(ended)
+		o.Close()
+	}()
 }
 
 // Keeper owns the shards that fall to this entry.
--- a/pkg/ownership/rows.go
+++ b/pkg/ownership/rows.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"context"
+
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -30,12 +32,33 @@
 	if s.owner != nil && row.Term > s.owner.Term() {
 		o := s.owner
 		s.owner = nil
-		go o.Close()
+		s.end(o)
 		k.log.Warn().Str("event", "shard_lost").Str("pool", pool).Str("owner", row.Entry).Int64("term", row.Term).Send()
 	}
 	k.Kick()
 }
 
+// StandDown takes the row of a later owner, and reports whether this entry does no more work for the
+// shard: what it did has ended, and it is not about to begin.
+func (k *Keeper) StandDown(ctx context.Context, pool string, r platform.Row) (stands bool) {
+	k.ApplyOwner(pool, r)
+	k.mu.Lock()
+	s := k.shards[pool]
+	busy, ended := s.owner != nil || s.claiming || s.version < r.Version, s.ended
+	k.mu.Unlock()
+	if busy {
+		return false
+	}
+	if ended != nil {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // setRow notes an owner row; the lock is held.
 func (k *Keeper) setRow(pool string, s *state, row shard.OwnerRow, version int64) {
 	s.row, s.version, s.loaded = row, version, true
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -40,6 +40,10 @@
 	// Operator tells that an operator asks, who may see the jobs of all accounts.
 	Operator bool `json:"operator" msgpack:"operator"`
 
+	// OwnerRow is the row of the sender as the shard's owner, of the version
+	// owners_version; empty but for stand_down.
+	OwnerRow []byte `json:"owner_row" msgpack:"owner_row"`
+
 	// OwnersVersion is the highest version of an owner row that the sender has seen.
 	OwnersVersion int `json:"owners_version" msgpack:"owners_version"`
 
@@ -63,6 +67,7 @@
 const CallKindEmpty CallKind = "empty"
 const CallKindLoad CallKind = "load"
 const CallKindPing CallKind = "ping"
+const CallKindStandDown CallKind = "stand_down"
 const CallKindState CallKind = "state"
 const CallKindSubmit CallKind = "submit"
 const CallKindWaiting CallKind = "waiting"
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -51,6 +51,9 @@
 	// HasEnded tells whether the process of the owner in a row is known to have ended; nil
 	// knows of none.
 	HasEnded func(OwnerRow) bool
+	// StandDown tells the process of the owner in a row that it was replaced, by a row that is
+	// newer, and whether it does no more work for the shard; nil can tell none.
+	StandDown func(ctx context.Context, former OwnerRow, newer platform.Row) (stands bool)
 
 	Rows     platform.Rows
 	Workers  platform.Workers
--- a/pkg/shard/predecessor.go
+++ b/pkg/shard/predecessor.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"context"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -15,7 +16,8 @@
 // overlap. Until its predecessor's right has run out the successor starts nothing that the other
 // may start too, which is what was kept before the takeover; then each worker is asked once more,
 // so that what was started there in the meantime is known. There is nothing to wait for where the
-// predecessor has let go, or its process has ended.
+// predecessor has let go, its process has ended, or it is told that it was replaced and says that
+// it has stopped, as one does that is cut off from the table service only.
 
 const (
 	// rightLasts is how long by our clock a right of ConfirmedFor may last by another's.
@@ -23,6 +25,11 @@
 	// formerPoll is how often it is looked whether the predecessor's process has ended: no part of
 	// upkeepInterval, so that the two do not come together and the order of the log repeats.
 	formerPoll = 47 * time.Millisecond
+	// standDownTimeout bounds one try to tell the predecessor that it was replaced; entries answer
+	// each other in milliseconds, from another region in a few hundredths of a second.
+	standDownTimeout = 400 * time.Millisecond
+	// standDownAgain is the pause after a try that failed.
+	standDownAgain = 100 * time.Millisecond
 )
 
 // Seen is the owner row that the decision to take a shard over was made on.
@@ -44,10 +51,11 @@
 
 // awaitPredecessor has all workers of its time asked when no owner before this one can act any more.
 func (o *Owner) awaitPredecessor() {
-	for o.now() < o.alone && pause.For(o.ctx, min(formerPoll, o.alone-o.now())) == nil {
-		if o.claim.earlier <= o.now()-o.openedAt && o.cfg.HasEnded != nil && o.cfg.HasEnded(o.claim.former) {
-			break
-		}
+	ctx, done := context.WithTimeout(o.ctx, o.alone-o.now())
+	defer done()
+	why := "its right has run out"
+	if pause.For(ctx, o.claim.earlier) == nil {
+		why = o.watchPredecessor(ctx)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -55,7 +63,7 @@
 		return
 	}
 	now := o.now()
-	o.log.Info().Str("event", "predecessor_done").Str("entry", o.claim.former.Entry).Bool("ended", now < o.alone).Dur("after", now-o.openedAt).Send()
+	o.log.Info().Str("event", "predecessor_done").Str("entry", o.claim.former.Entry).Str("why", why).Dur("after", now-o.openedAt).Send()
 	o.alone = now
 	for _, s := range o.sessionsInOrder() {
 		if s.former.open {
@@ -66,6 +74,43 @@
 	}
 }
 
+// watchPredecessor waits until the former owner does no more work, or ctx ends, and tells which.
+func (o *Owner) watchPredecessor(ctx context.Context) (why string) {
+	stands := make(chan struct{})
+	if o.cfg.StandDown != nil {
+		o.wg.Go(func() { o.standDown(ctx, stands) })
+	}
+	for {
+		if o.cfg.HasEnded != nil && o.cfg.HasEnded(o.claim.former) {
+			return "its process has ended"
+		}
+		poll := time.NewTimer(formerPoll)
+		select {
+		case <-stands:
+			poll.Stop()
+			return "it has said so"
+		case <-poll.C:
+		case <-ctx.Done():
+			poll.Stop()
+			return "its right has run out"
+		}
+	}
+}
+
+// standDown tells the former owner that it was replaced, until it says that it does no more work.
+func (o *Owner) standDown(ctx context.Context, stands chan<- struct{}) {
+	for pause.For(ctx, 0) == nil {
+		callCtx, done := context.WithTimeout(ctx, standDownTimeout)
+		stood := o.cfg.StandDown(callCtx, o.claim.former, o.claim.row)
+		done()
+		if stood {
+			close(stands)
+			return
+		}
+		_ = pause.For(ctx, standDownAgain) // the loop sees an end of ctx
+	}
+}
+
 // awaited tells whether tasks wait for the next answer of a worker, since it shows what former owners
 // have started there. A look that waits for an end took 1.0 s longer to close a takeover (logs of a
 // day with a zone cut off).
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -33,6 +33,7 @@
 	chain        int64         // version of the commit row
 	at           time.Duration // before it was written
 	former       OwnerRow      // that it has replaced
+	row          platform.Row  // of the owner, as it was written
 	left         time.Duration // how long after it was written an owner before may act still
 	earlier      time.Duration // the same, of those before the former owner
 }
@@ -125,6 +126,7 @@
 		return c, t.err
 	}
 	c.OwnerVersion, c.chain = t.version, t.version
+	c.row = platform.Row{RowKey: ownerKey(pool), Value: ownerRaw, Version: t.version}
 	return c, nil
 }
 
