--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -30,6 +30,7 @@
 	keys     *prometheus.CounterVec
 	badRows  *prometheus.CounterVec
 	heldBack *prometheus.CounterVec
+	waited   *prometheus.HistogramVec
 
 	mu       sync.Mutex
 	accounts map[string]bool // that have a label of their own
@@ -64,9 +65,13 @@
 		heldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gannetwell_account_at_limit_total", Help: "Seconds in which a shard held tasks of a client account back for its limit.",
 		}, []string{"account"}),
+		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "gannetwell_predecessor_wait_seconds", Help: "Time after a takeover in which the owner before could act still, by how that ended.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 10),
+		}, []string{"end"}),
 		accounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.passed, m.lost, m.jobs, m.keys, m.badRows, m.heldBack, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.passed, m.lost, m.jobs, m.keys, m.badRows, m.heldBack, m.waited, collectors.NewGoCollector())
 	return m
 }
 
@@ -98,6 +103,11 @@
 // AttemptLost implements shard.Metrics.
 func (m *metrics) AttemptLost(kind shard.LossKind) { m.lost.WithLabelValues(string(kind)).Inc() }
 
+// PredecessorDone implements shard.Metrics.
+func (m *metrics) PredecessorDone(end shard.PredecessorEnd, waited time.Duration) {
+	m.waited.WithLabelValues(string(end)).Observe(waited.Seconds())
+}
+
 // Job implements shard.Metrics.
 func (m *metrics) Job(event string) { m.jobs.WithLabelValues(event).Inc() }
 
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -29,6 +29,8 @@
 	End(reason platform.EndReason)
 	// EndPassedOver counts an end that a worker lists though it was told to forget it.
 	EndPassedOver()
+	// PredecessorDone counts a wait for the owner before, and how long it took.
+	PredecessorDone(end PredecessorEnd, waited time.Duration)
 	// AttemptLost counts an attempt that was lost, without an end that counts.
 	AttemptLost(kind LossKind)
 	// RowMalformed counts a row that could not be read.
--- a/pkg/shard/predecessor.go
+++ b/pkg/shard/predecessor.go
@@ -32,6 +32,16 @@
 	standDownAgain = 100 * time.Millisecond
 )
 
+// PredecessorEnd is how it is known that an owner before can act no more.
+type PredecessorEnd string
+
+// The ends of predecessors.
+const (
+	PredecessorLapsed    PredecessorEnd = "right_lapsed"  // its right has run out
+	PredecessorEnded     PredecessorEnd = "process_ended" // its process has ended
+	PredecessorStoodDown PredecessorEnd = "stood_down"    // it was told that it was replaced, and has said that it stopped
+)
+
 // Seen is the owner row that the decision to take a shard over was made on.
 type Seen struct {
 	Version int64
@@ -53,9 +63,9 @@
 func (o *Owner) awaitPredecessor() {
 	ctx, done := context.WithTimeout(o.ctx, o.alone-o.now())
 	defer done()
-	why := "its right has run out"
+	end := PredecessorLapsed
 	if pause.For(ctx, o.claim.earlier) == nil {
-		why = o.watchPredecessor(ctx)
+		end = o.watchPredecessor(ctx)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -63,7 +73,8 @@
 		return
 	}
 	now := o.now()
-	o.log.Info().Str("event", "predecessor_done").Str("entry", o.claim.former.Entry).Str("why", why).Dur("after", now-o.openedAt).Send()
+	o.cfg.Metrics.PredecessorDone(end, now-o.openedAt)
+	o.log.Info().Str("event", "predecessor_done").Str("entry", o.claim.former.Entry).Str("end", string(end)).Dur("after", now-o.openedAt).Send()
 	o.alone = now
 	for _, s := range o.sessionsInOrder() {
 		if s.former.open {
@@ -74,25 +85,25 @@
 	}
 }
 
-// watchPredecessor waits until the former owner does no more work, or ctx ends, and tells which.
-func (o *Owner) watchPredecessor(ctx context.Context) (why string) {
+// watchPredecessor waits until the former owner does no more work, or ctx ends with its right.
+func (o *Owner) watchPredecessor(ctx context.Context) PredecessorEnd {
 	stands := make(chan struct{})
 	if o.cfg.StandDown != nil {
 		o.wg.Go(func() { o.standDown(ctx, stands) })
 	}
 	for {
 		if o.cfg.HasEnded != nil && o.cfg.HasEnded(o.claim.former) {
-			return "its process has ended"
+			return PredecessorEnded
 		}
 		poll := time.NewTimer(formerPoll)
 		select {
 		case <-stands:
 			poll.Stop()
-			return "it has said so"
+			return PredecessorStoodDown
 		case <-poll.C:
 		case <-ctx.Done():
 			poll.Stop()
-			return "its right has run out"
+			return PredecessorLapsed
 		}
 	}
 }
