--- a/pkg/shard/crash_test.go
+++ b/pkg/shard/crash_test.go
@@ -20,9 +20,7 @@
 		m := newMachine(t, plant)
 		e := m.e
 		defer e.close()
-		for range 4 {
-			m.boot()
-		}
+		m.bootAll(4)
 		e.backAfter = rapid.SampledFrom([]time.Duration{time.Second, usualBackAfter, 6 * time.Second}).Draw(t, "back after")
 		e.workers.SetDark(rapid.Bool().Draw(t, "dark"))
 		m.takeOver()
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -89,24 +89,6 @@
 // usualBackAfter is how long a worker that was brought down stays away.
 const usualBackAfter = 3 * time.Second
 
-// boot starts the next boot of a worker that was brought down.
-func (e *estate) boot(w platform.Worker) {
-	e.locked(func() {
-		if e.closed {
-			return
-		}
-		if e.sameID {
-			id, _ := platform.SplitBoot(w.Boot)
-			w.Boot = platform.BootOf(id, time.Now().UnixMilli())
-			return
-		}
-		e.boots++
-		name, _, _ := strings.Cut(w.Boot, "-")
-		w.Boot = fmt.Sprintf("%s-%d", name, e.boots)
-	})
-	e.start(w, 0)
-}
-
 func (e *estate) close() {
 	e.locked(func() { e.closed = true })
 	for _, o := range e.owned() {
@@ -198,71 +180,6 @@
 	})
 }
 
-func (e *estate) addWorker(boot, vm, address, cpu, drift string) string {
-	n, _ := strconv.Atoi(cpu)
-	slow, _ := strconv.ParseFloat(drift, 64)
-	if e.sameID {
-		boot = platform.BootOf(boot, time.Now().UnixMilli())
-	}
-	w := platform.Worker{Boot: boot, VM: vm, Pool: pool, Address: address, Capacity: platform.Resources{CPU: n, MemoryMB: 1 << 20}}
-	e.start(w, slow)
-	return ""
-}
-
-// start boots a worker and lists it in place of the one that its VM had.
-func (e *estate) start(w platform.Worker, drift float64) {
-	e.workers.Boot(w, drift)
-	e.list(w)
-}
-
-// list lists a worker in place of the one that its VM had.
-func (e *estate) list(w platform.Worker) {
-	e.locked(func() {
-		e.listed = slices.DeleteFunc(slices.Clone(e.listed), func(o platform.Worker) bool { return o.VM == w.VM })
-		e.listed = append(e.listed, w)
-	})
-	e.publish()
-}
-
-// restart has a worker of the directory end and start again under its ID, at its address. Its
-// connections are closed, or fall silent; its row follows after listAfter.
-func (e *estate) restart(id string, silent bool, listAfter time.Duration) {
-	listed := e.directory()
-	at := slices.IndexFunc(listed, func(w platform.Worker) bool { return isWorker(w, id) })
-	if at < 0 {
-		e.t.Fatalf("worker %s is not listed", id)
-	}
-	w := listed[at]
-	if !silent {
-		e.workers.Reset(e.workers.Present(id))
-	}
-	w.Boot = platform.BootOf(id, time.Now().Add(-e.clockBack).UnixMilli())
-	e.workers.Boot(w, 0)
-	time.AfterFunc(listAfter, func() { e.relistRestarted(w) })
-}
-
-// isWorker tells whether a row of the directory is of a worker, whichever boot.
-func isWorker(w platform.Worker, id string) bool {
-	worker, _ := platform.SplitBoot(w.Boot)
-	return worker == id
-}
-
-// relistRestarted lists a boot that has started again, unless it has ended meanwhile.
-func (e *estate) relistRestarted(w platform.Worker) {
-	id, _ := platform.SplitBoot(w.Boot)
-	if e.workers.Present(id) == w.Boot {
-		e.list(w)
-	}
-}
-
-// addWorkers adds n workers alike, w0 and so on.
-func (e *estate) addWorkers(n int, cpu string) {
-	for i := range n {
-		name := fmt.Sprintf("w%d", i)
-		e.addWorker(name, name, name, cpu, "0")
-	}
-}
-
 // ListMachines implements platform.Machines; a script that sets no machine gets those of the directory.
 func (e *estate) ListMachines(context.Context) (list []platform.Machine, err error) {
 	e.mu.Lock()
@@ -300,50 +217,6 @@
 	return permits, time.Second, nil
 }
 
-// relist puts the row of an ended boot in place of the present one of its VM, as
-// a directory that is out of date does.
-func (e *estate) relist(boot, vm, address string) string {
-	e.locked(func() {
-		e.listed = slices.DeleteFunc(slices.Clone(e.listed), func(w platform.Worker) bool { return w.VM == vm })
-		e.listed = append(e.listed, platform.Worker{Boot: boot, VM: vm, Pool: pool, Address: address, Capacity: platform.Resources{CPU: 1}})
-	})
-	return ""
-}
-
-// heartbeat is how long after a change of its room a worker's row tells of it.
-const heartbeat = 1500 * time.Millisecond
-
-// resize changes what a worker has room for; the directory tells of it with the next heartbeat.
-func (e *estate) resize(boot string, cpu int) {
-	room := platform.Resources{CPU: cpu, MemoryMB: 1 << 20}
-	e.workers.SetRoom(boot, room)
-	time.AfterFunc(heartbeat, func() {
-		e.locked(func() {
-			e.listed = slices.Clone(e.listed)
-			for i := range e.listed {
-				if e.listed[i].Boot == boot {
-					e.listed[i].Capacity = room
-				}
-			}
-		})
-		e.publish()
-	})
-}
-
-// publish shows the directory to all owners.
-func (e *estate) publish() {
-	listed := e.directory()
-	for _, o := range e.owned() {
-		o.SetWorkers(listed)
-	}
-}
-
-// directory returns the boots that are listed.
-func (e *estate) directory() (listed []platform.Worker) {
-	e.locked(func() { listed = e.listed })
-	return listed
-}
-
 // owned returns the owners that there are.
 func (e *estate) owned() []*shard.Owner {
 	e.ownersMu.Lock()
--- /dev/null
+++ b/pkg/shard/planted_test.go
@@ -0,0 +1,61 @@
+package shard_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// The services below are broken on purpose, to show that drawn courses find owners that are.
+
+// unfenced gives all orders the same token.
+type unfenced struct{ platform.Workers }
+
+func (u unfenced) StartAttempt(ctx context.Context, w platform.WorkerRef, o platform.StartOrder) (int64, error) {
+	o.Token = 1
+	return u.Workers.StartAttempt(ctx, w, o)
+}
+
+func (u unfenced) RenewLeases(ctx context.Context, w platform.WorkerRef, o platform.RenewOrder) (platform.WorkerReport, error) {
+	o.Token = 1
+	return u.Workers.RenewLeases(ctx, w, o)
+}
+
+// hasty acknowledges every end that it has seen.
+type hasty struct {
+	platform.Workers
+	mu   sync.Mutex
+	last map[string]int64
+}
+
+func (h *hasty) RenewLeases(ctx context.Context, w platform.WorkerRef, o platform.RenewOrder) (platform.WorkerReport, error) {
+	h.mu.Lock()
+	o.AckedEnd = max(o.AckedEnd, h.last[w.Boot])
+	h.mu.Unlock()
+	r, err := h.Workers.RenewLeases(ctx, w, o)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range r.Ended {
+		h.last[w.Boot] = max(h.last[w.Boot], e.Number)
+	}
+	return r, err
+}
+
+// forgetful does not show the shares of accounts' limits.
+type forgetful struct{ platform.Rows }
+
+func (f forgetful) ListRows(ctx context.Context, table, partition, from string) (platform.RowPage, error) {
+	page, err := f.Rows.ListRows(ctx, table, partition, from)
+	page.Rows = slices.DeleteFunc(page.Rows, func(r platform.Row) bool { return r.Key == "shares" })
+	return page, err
+}
+
+// unconditional drops the preconditions of transactions.
+type unconditional struct{ platform.Rows }
+
+func (u unconditional) CommitRows(ctx context.Context, txn platform.RowTxn) (int64, error) {
+	txn.Expect = nil
+	return u.Rows.CommitRows(ctx, txn)
+}
--- a/pkg/shard/restart_test.go
+++ b/pkg/shard/restart_test.go
@@ -26,9 +26,7 @@
 		e := m.e
 		defer e.close()
 		e.sameID = true
-		for range 3 {
-			m.boot()
-		}
+		m.bootAll(3)
 		e.backAfter = rapid.SampledFrom([]time.Duration{0, 50 * time.Millisecond, time.Second, 6 * time.Second}).Draw(t, "back after")
 		e.workers.SetDark(rapid.Bool().Draw(t, "dark"))
 		m.takeOver()
--- a/pkg/shard/short_test.go
+++ b/pkg/shard/short_test.go
@@ -17,9 +17,7 @@
 		e := m.e
 		defer e.close()
 		e.sameID = true
-		for range 3 {
-			m.boot()
-		}
+		m.bootAll(3)
 		e.workers.SetShortLists(rapid.IntRange(2, 5).Draw(t, "short every"))
 		m.takeOver()
 		kinds := []func(){m.short, m.submit, m.submit, m.cancel, m.restart, m.takeOver, m.handOver, m.rowFault, m.heal, m.fail}
