--- a/pkg/shard/doc.go
+++ b/pkg/shard/doc.go
@@ -6,7 +6,8 @@
 // version of the partition's commit row, which every transaction and every
 // takeover rewrites; and each order to a worker carries a fencing token made of
 // the owner's term, which workers compare. A worker that starts again has forgotten
-// them: it is fenced anew before anything starts there.
+// them; so that this does no harm, what was kept before a takeover waits until no
+// former owner can act any more, which does rest on clocks (predecessor.go).
 //
 // Before an answer goes out, what it promises is kept: a job before its
 // submission is confirmed, an end before it is acknowledged to the worker, a
