A job that ends before all workers were heard counts against its limit until they are

Symptom: an account has 4000 of 3000 running (TestLimitOfCancelledJob, testdata/limit_counts_cancelled).

Cause: what tasks may take unseen was reckoned for jobs that go on; of final ones only what a former owner had kept as left over counted.

Change: a job that its present owner has ended counts as one that goes on until the takeover is complete, and what is kept of a final job includes what may run unseen.

--- a/pkg/jobs/book.go
+++ b/pkg/jobs/book.go
@@ -276,6 +276,11 @@
 	return true
 }
 
+// AllSeen notes that all workers were heard at which tasks of restored jobs may be.
+func (b *Book) AllSeen() {
+	b.All(func(j *Job) { j.seen = true })
+}
+
 // GiveUp ends the job of a task that brings its workers down; it reports whether the job
 // was not final before.
 func (b *Book) GiveUp(t *Task) bool { return b.final(t.Step.Job, StateFailed) }
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -40,7 +40,9 @@
 	evidenceKept int // of those, the last one that is kept
 
 	unfinished int                // steps
-	leftOver   platform.Resources // what attempts of a final job took when a former owner kept it
+	leftOver   platform.Resources // what attempts of a final job may have taken when a former owner kept it
+	over       bool               // a former owner kept that it is final
+	seen       bool               // its present owner has heard all workers that may have its tasks
 }
 
 // StepRun is a step of one occurrence.
@@ -208,8 +210,9 @@
 	}
 }
 
-// outstanding is what the attempts of the job's tasks take.
-func (j *Job) outstanding() (sum platform.Resources) {
+// outstanding is what the attempts of the job's tasks take, or may take unseen.
+func (j *Job) outstanding() platform.Resources {
+	sum := j.Unseen()
 	j.eachAttempt(func(a *Attempt) { sum = sum.Add(a.Task.Step.Spec.Needs) })
 	return sum
 }
@@ -217,11 +220,14 @@
 // Unseen is what tasks of a restored job may take at workers that its present owner has
 // not heard yet. A former owner may have started tasks of steps whose predecessors are
 // not known to be done, since ends are kept after what follows has been started.
+// A job that its present owner has ended meanwhile counts as one that goes on: the tasks of a
+// cancelled one were not counted, and its account had 4000 of 3000 thousandths of a core running
+// (testdata/limit_counts_cancelled).
 func (j *Job) Unseen() (sum platform.Resources) {
-	if !j.Restored {
+	switch {
+	case !j.Restored || j.seen:
 		return sum
-	}
-	if j.State.Final() {
+	case j.over:
 		return j.leftOver
 	}
 	for _, s := range j.Steps {
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -97,7 +97,7 @@
 // restore applies kept progress to a job that was just laid out.
 func (j *Job) restore(p Progress) {
 	if p.State.Final() {
-		j.State, j.Kept, j.Begun = p.State, p.State, true
+		j.State, j.Kept, j.Begun, j.over = p.State, p.State, true, true
 		if p.Out != nil {
 			j.leftOver = *p.Out
 		}
--- a/pkg/shard/held.go
+++ b/pkg/shard/held.go
@@ -74,12 +74,18 @@
 		}
 	}
 	if !o.held {
-		o.giveUpRestored()
+		o.allHeard()
 		o.log.Info().Str("event", "takeover_complete").Dur("after", now-o.openedAt).Send()
 	}
 	o.kickPlacement()
 }
 
+// allHeard does what waits until all workers of former owners were heard or have ended.
+func (o *Owner) allHeard() {
+	o.book.AllSeen()
+	o.giveUpRestored()
+}
+
 // maybeElsewhere tells whether a task may be, or may have ended, at a worker that has
 // not been heard since the takeover.
 func (o *Owner) maybeElsewhere(t *jobs.Task) bool {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -192,7 +192,7 @@
 		Int("workers", len(o.sessions)).Int("leased", len(k.workers)).Send()
 	o.checkHeld()
 	if !o.held {
-		o.giveUpRestored()
+		o.allHeard()
 	}
 	o.wg.Go(func() { o.commitLoop(o.ctx) })
 	o.wg.Go(func() { o.placeLoop(o.ctx) })
