An entry that takes its own shard over again waits until its work before has ended

Cause: found by reading: a row that names this very process counts as that of an owner that has ended, while calls of that one may still be given up.

Change: the claim waits for it, as the answer to stand_down does.

Measured: tests of pkg/ownership and pkg/node pass; the case was not seen.

--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -108,8 +108,10 @@
 // claim takes a shard over.
 func (k *Keeper) claim(ctx context.Context, pool string, s *state, seen shard.Seen) {
 	k.mu.Lock()
-	cat := k.catalog
+	cat, ended := k.catalog, s.ended
 	k.mu.Unlock()
+	// Work of ours before this counts as ended for the one that follows; a ctx that ends fails the claim.
+	awaitEnd(ctx, ended)
 	over := false // the owner gave up before it was installed here
 	o, err := k.open(ctx, pool, seen, cat, Events{
 		Sending: func() {
--- a/pkg/ownership/rows.go
+++ b/pkg/ownership/rows.go
@@ -46,17 +46,20 @@
 	s := k.shards[pool]
 	busy, ended := s.owner != nil || s.claiming || s.version < r.Version, s.ended
 	k.mu.Unlock()
-	if busy {
-		return false
+	return !busy && awaitEnd(ctx, ended)
+}
+
+// awaitEnd waits until work of this entry has ended, if there was any; it reports whether it has.
+func awaitEnd(ctx context.Context, ended <-chan struct{}) bool {
+	if ended == nil {
+		return true
 	}
-	if ended != nil {
-		select {
-		case <-ended:
-		case <-ctx.Done():
-			return false
-		}
+	select {
+	case <-ended:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return true
 }
 
 // setRow notes an owner row; the lock is held.
