--- a/pkg/shard/machine_test.go
+++ b/pkg/shard/machine_test.go
@@ -58,6 +58,14 @@
 	return &machine{t: t, e: e, accepted: map[string]bool{}}
 }
 
+// newRestartingMachine returns a machine with three workers that keep their IDs when they start again.
+func newRestartingMachine(t *rapid.T, plant func(*estate)) *machine {
+	m := newMachine(t, plant)
+	m.e.sameID = true
+	m.bootAll(3)
+	return m
+}
+
 // property plays one drawn course of events and holds the promises against it.
 func property(plant func(*estate)) func(*rapid.T) {
 	return func(t *rapid.T) {
--- a/pkg/shard/restart_test.go
+++ b/pkg/shard/restart_test.go
@@ -22,11 +22,9 @@
 // down, orders are lost or late, and the owner is replaced.
 func restarts(plant func(*estate)) func(*rapid.T) {
 	return func(t *rapid.T) {
-		m := newMachine(t, plant)
+		m := newRestartingMachine(t, plant)
 		e := m.e
 		defer e.close()
-		e.sameID = true
-		m.bootAll(3)
 		e.backAfter = rapid.SampledFrom([]time.Duration{0, 50 * time.Millisecond, time.Second, 6 * time.Second}).Draw(t, "back after")
 		e.workers.SetDark(rapid.Bool().Draw(t, "dark"))
 		m.takeOver()
--- a/pkg/shard/rivals_test.go
+++ b/pkg/shard/rivals_test.go
@@ -18,11 +18,9 @@
 // both owners are there, and that worker has seen neither's token.
 func rivals(plant func(*estate)) func(*rapid.T) {
 	return func(t *rapid.T) {
-		m := newMachine(t, plant)
+		m := newRestartingMachine(t, plant)
 		e := m.e
 		defer e.close()
-		e.sameID = true
-		m.bootAll(3)
 		m.takeOver()
 		m.rest(1, 1000, "quiet")
 		for range rapid.IntRange(1, 2).Draw(t, "takeovers") {
--- a/pkg/shard/short_test.go
+++ b/pkg/shard/short_test.go
@@ -13,11 +13,9 @@
 // not is told by one list.
 func shortLists(plant func(*estate)) func(*rapid.T) {
 	return func(t *rapid.T) {
-		m := newMachine(t, plant)
+		m := newRestartingMachine(t, plant)
 		e := m.e
 		defer e.close()
-		e.sameID = true
-		m.bootAll(3)
 		e.workers.SetShortLists(rapid.IntRange(2, 5).Draw(t, "short every"))
 		m.takeOver()
 		kinds := []func(){m.short, m.submit, m.submit, m.cancel, m.restart, m.takeOver, m.handOver, m.rowFault, m.heal, m.fail}
