A zone that the operator takes out of use gets no more tasks

Change: each entry follows these rows, which are in force for as long as they are there; a list that lacks one ends it, since the history of changes may be forgotten. An entry that has not read them takes no shard over. An owner asks at each placement and once more before a start is sent, so that what waits for its turn is withdrawn. What runs in the zone is demand all the same, its workers are no supply: the pool grows in other zones before tasks wait. No VM of the zone is moved; waves go on there. Long-running tasks move within the limits on missing ones, all of a zone against one account of the room elsewhere. With all zones out, submissions are refused at once. A row that can't be read costs itself alone.

Ruled out: telling owners of each change by a call of its own: one that takes over would not know until it came. Handing zones on with pings: an owner that the table service turns away is replaced within 3 s, the bound is 5 s.

Tests: zone_out and zone_out_long_running, drawn courses (TestEvacuations) with zones out during takeovers, handovers, usurpations, outages and late orders; they find an owner that is told nothing and one that is told at its takeover only.

--- a/cmd/gannetwelld/cmds/serve.go
+++ b/cmd/gannetwelld/cmds/serve.go
@@ -74,7 +74,7 @@
 	n := node.New(s, client, node.Source{
 		CatalogTable: platform.TableOperator, CatalogKey: platform.KeyCatalog, WorkerTable: platform.TableWorkers,
 		DecodeCatalog: platform.DecodeCatalog, DecodeWorker: platform.DecodeWorker,
-		DecodeWave: platform.DecodeWave, EncodeWave: platform.EncodeWaveReport,
+		DecodeEvacuation: platform.DecodeEvacuation, DecodeWave: platform.DecodeWave, EncodeWave: platform.EncodeWaveReport,
 	}, log)
 	handleSignals(n.Stop, func() { c.reload(s, log) })
 	return n.Run(node.Handlers{Callers: platform.Callers(n), Readiness: platform.Readiness(n)})
--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -134,7 +134,7 @@
 func (r *Runner) countMoves(pools map[string]*PoolState, machines map[string]platform.Machine) (leaving map[string]int) {
 	leaving = map[string]int{}
 	for vm, m := range r.moves {
-		if s := pools[m.To]; s != nil {
+		if s := pools[m.To]; s != nil && !r.cfg.Evacuated(machines[vm].Zone) {
 			s.Supply++
 		}
 		if machines[vm].Pool == m.From {
@@ -149,8 +149,8 @@
 func (r *Runner) countMachines(pools map[string]*PoolState, machines map[string]platform.Machine) {
 	for vm, m := range machines {
 		s := pools[m.Pool]
-		if s == nil || m.State == platform.MachineDown || r.moves[vm] != nil {
-			continue
+		if s == nil || m.State == platform.MachineDown || r.moves[vm] != nil || r.cfg.Evacuated(m.Zone) {
+			continue // nothing will start there
 		}
 		if m.State == platform.MachineMoving {
 			s.Supply++ // by an order of a former holder
@@ -169,7 +169,7 @@
 func (r *Runner) idle(s *PoolState, machines map[string]platform.Machine, leaving int) (idle []string) {
 	for _, vm := range s.Load.Light {
 		m, ok := machines[vm]
-		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || r.inWave(vm) != "" || !r.mayOrderFor(vm) {
+		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || r.inWave(vm) != "" || !r.mayOrderFor(vm) || r.cfg.Evacuated(m.Zone) {
 			continue
 		}
 		if leaving+len(idle) >= r.policy.mayLeave(s.Supply) {
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -95,6 +95,7 @@
 	mu    sync.Mutex
 	need  map[string]int // VMs that a pool's tasks fill
 	dark  string         // pool none of whose workers can be used; its tasks wait
+	out   string         // zone that is out of use
 	waves []Wave
 	// rowsOf and vmsOf are how an entry reaches the services, nil for no faults.
 	rowsOf func(entry string, rows platform.Rows) platform.Rows
@@ -107,6 +108,12 @@
 	return s.waves
 }
 
+func (s *site) evacuated(zone string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out != "" && zone == s.out
+}
+
 func (s *site) load(_ context.Context, pool string) (l shard.Load, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,7 +126,7 @@
 	s.vms.mu.Lock()
 	defer s.vms.mu.Unlock()
 	for _, m := range s.vms.list {
-		if m.Pool != pool {
+		if m.Pool != pool || s.out != "" && m.Zone == s.out {
 			continue
 		}
 		if l.Workers++; l.Workers > s.need[pool] {
@@ -158,7 +165,7 @@
 			return s.load(ctx, pool)
 		},
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
-		Waves:  s.requested,
+		Waves:  s.requested, Evacuated: s.evacuated,
 		Pause:  pause, Sending: func() {}, OnOver: func(error) {},
 	}, shard.Seen{Version: seen.Version}, cat)
 }
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -37,8 +37,10 @@
 	Machines platform.Machines
 	Empty    Emptier
 	Load     Loader
-	Waves    func() []Wave                                        // all requests for maintenance that are known by now
-	Report   func(wave int, completed bool) (platform.Row, error) // makes the row that tells the operator of a wave
+	Waves    func() []Wave // all requests for maintenance that are known by now
+	// Evacuated tells whether the operator has taken an availability zone out of use; nil for none.
+	Evacuated func(zone string) bool
+	Report    func(wave int, completed bool) (platform.Row, error) // makes the row that tells the operator of a wave
 
 	Pause time.Duration // between orders of two holders for a VM
 	Takes time.Duration // the maintenance of one VM
@@ -84,6 +86,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if cfg.Evacuated == nil {
+		cfg.Evacuated = func(string) bool { return false }
+	}
 	now := cfg.Clock.Now()
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -38,6 +38,11 @@
 		n.log.Error().Str("event", "job_encode_failed").Str("job", id).Err(err).Send()
 		return schema.CallOutcomeRefused
 	}
+	if n.nowhereToStart() {
+		n.log.Warn().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", q.Pool).Str("account", account).
+			Str("outcome", string(schema.CallOutcomeRefused)).Str("why", "all zones are out of use").Send()
+		return schema.CallOutcomeRefused
+	}
 	call := &schema.Call{Kind: schema.CallKindSubmit, Pool: q.Pool, Queue: q.Name, Job: id, Record: raw}
 	reply := n.askForCaller(ctx, call)
 	n.log.Info().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", q.Pool).Str("account", account).
--- /dev/null
+++ b/pkg/node/evacuation_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/ownership"
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+	"github.com/gannetwell/gannetwell/pkg/schema"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+// TestEvacuationRows takes zones out of use and back by rows of the operator's, by changes and by
+// lists that lack a row, whose removal the history no longer tells; rows that can't be read cost
+// themselves alone.
+func TestEvacuationRows(t *testing.T) {
+	c := qt.New(t)
+	rows := fake.NewRows(time.Microsecond, time.Second)
+	n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{Rows: rows.As("e0")}, source(), testLog())
+	operator := rows.As("operator")
+	key := func(zone string) platform.RowKey { return platform.RowKey{Table: "operator", Key: "out/" + zone} }
+	list := func() {
+		_, err := n.listOperator(context.Background())
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(n.evacuations.read(), qt.IsFalse)
+	putJSON(c, operator, "operator", "out/north", struct{}{})
+	list()
+	c.Check(n.evacuations.read(), qt.IsTrue)
+	c.Check(n.evacuations.has("north"), qt.IsTrue)
+	c.Check(n.evacuations.has("south"), qt.IsFalse)
+
+	n.applyOperator(platform.Row{RowKey: key("south"), Value: []byte("{}")})
+	n.applyOperator(platform.Row{RowKey: key("west"), Value: []byte("}")})
+	c.Check(n.evacuations.all(), qt.HasLen, 2)
+	n.applyOperator(platform.Row{RowKey: key("south"), Removed: true})
+	n.applyOperator(platform.Row{RowKey: key("west"), Removed: true})
+	c.Check(n.evacuations.has("south"), qt.IsFalse)
+
+	_, err := operator.CommitRows(context.Background(), platform.RowTxn{Remove: []platform.RowKey{key("north")}})
+	c.Assert(err, qt.IsNil)
+	list()
+	c.Check(n.evacuations.all(), qt.HasLen, 0)
+}
+
+// TestWorkNeedsOperatorsRows: an entry that does not know yet which zones are out of use begins no work.
+func TestWorkNeedsOperatorsRows(t *testing.T) {
+	c := qt.New(t)
+	n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{}, source(), testLog())
+	for _, pool := range []string{testPool, fleetops.Partition} {
+		_, err := n.openShard(context.Background(), pool, shard.Seen{}, nil, ownership.Events{})
+		c.Check(err, qt.ErrorIs, errOperatorUnread)
+	}
+}
+
+// TestNowhereToStart refuses submissions at once while all zones are out of use.
+func TestNowhereToStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{}, source(), testLog())
+		n.applyOperator(platform.Row{RowKey: platform.RowKey{Key: "out/" + n.self.Zone}, Value: []byte("{}")})
+		began := time.Now()
+		out := n.Submit(context.Background(), &catalog.Queue{Name: testQueue, Pool: testPool}, "", "0000000000000001", jobs.Spec{})
+		c.Check(out, qt.Equals, schema.CallOutcomeRefused)
+		c.Check(time.Since(began), qt.Equals, time.Duration(0))
+	})
+}
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -114,15 +114,14 @@
 func (n *Node) followCatalog(ctx context.Context) error {
 	return n.follow(ctx, feed{
 		table: n.source.CatalogTable,
-		list: func(ctx context.Context) (int64, error) {
-			return n.listAll(ctx, n.source.CatalogTable, n.applyOperator)
-		},
+		list:  n.listOperator,
 		apply: n.applyOperator,
 	})
 }
 
 // applyOperator takes a row that the operator wrote.
 func (n *Node) applyOperator(r platform.Row) {
+	n.applyEvacuation(r)
 	if r.Removed {
 		return
 	}
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -31,6 +31,7 @@
 	badRows  *prometheus.CounterVec
 	heldBack *prometheus.CounterVec
 	waited   *prometheus.HistogramVec
+	zonesOut prometheus.Gauge
 
 	mu       sync.Mutex
 	accounts map[string]bool // that have a label of their own
@@ -69,9 +70,12 @@
 			Name: "gannetwell_predecessor_wait_seconds", Help: "Time after a takeover in which the owner before could act still, by how that ended.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 10),
 		}, []string{"end"}),
+		zonesOut: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "gannetwell_zones_out", Help: "Availability zones that the operator has taken out of use.",
+		}),
 		accounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.passed, m.lost, m.jobs, m.keys, m.badRows, m.heldBack, m.waited, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.looks, m.orders, m.ends, m.passed, m.lost, m.jobs, m.keys, m.badRows, m.heldBack, m.waited, m.zonesOut, collectors.NewGoCollector())
 	return m
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -54,6 +54,9 @@
 	DecodeWorker  func(id string, raw []byte) (platform.Worker, error)
 	// DecodeWave reads a row of CatalogTable; ok is false if it is no request for maintenance.
 	DecodeWave func(key string, raw []byte) (w fleetops.Wave, ok bool, err error)
+	// DecodeEvacuation reads a row of CatalogTable that takes an availability zone out of use while it
+	// is there; ok is false if it is of another kind.
+	DecodeEvacuation func(key string, raw []byte) (zone string, ok bool, err error)
 	// EncodeWave makes the row that tells the operator how far a wave has come.
 	EncodeWave func(wave int, completed bool) (platform.Row, error)
 }
@@ -88,7 +91,8 @@
 	stopOnce sync.Once
 	stopping atomic.Bool // a planned stop is under way
 
-	catalog atomic.Pointer[stored]
+	catalog     atomic.Pointer[stored]
+	evacuations evacuations
 
 	mu      sync.Mutex
 	workers map[string]platform.Worker // by boot
@@ -111,6 +115,7 @@
 	n := &Node{
 		settings: s, clock: clock, log: log, metrics: newMetrics(), source: src, platform: services, rows: rows,
 		stop: make(chan struct{}), workers: map[string]platform.Worker{}, badWorkers: map[string]int64{}, waves: map[int]fleetops.Wave{},
+		evacuations: evacuations{rows: map[string]evacuation{}},
 	}
 	n.ending, n.endAnswer = context.WithCancel(context.Background())
 	n.self = ownership.Member{
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -84,6 +84,13 @@
 			return w, json.Unmarshal(raw, &w)
 		},
 		DecodeWave: func(string, []byte) (fleetops.Wave, bool, error) { return fleetops.Wave{}, false, nil },
+		DecodeEvacuation: func(key string, raw []byte) (zone string, ok bool, err error) {
+			zone, ok = strings.CutPrefix(key, "out/")
+			if ok && !json.Valid(raw) {
+				return "", true, errors.New("no JSON")
+			}
+			return zone, ok, nil
+		},
 		EncodeWave: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
 	}
 }
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -19,12 +19,18 @@
 // emptyTimeout bounds one call that asks a shard's owner to empty a VM.
 const emptyTimeout = 600 * time.Millisecond
 
+// errOperatorUnread refuses work that would not know which zones are out of use.
+var errOperatorUnread = errors.New("what the operator has written was not read yet")
+
 func (n *Node) identity() shard.Identity {
 	return shard.Identity{Entry: n.self.Name, Start: n.self.Start, Address: n.self.Address}
 }
 
 // openShard begins the work of a shard that falls to this entry.
 func (n *Node) openShard(ctx context.Context, pool string, seen shard.Seen, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
+	if !n.evacuations.read() {
+		return nil, errOperatorUnread
+	}
 	if pool == fleetops.Partition {
 		return n.openFleet(ctx, seen, cat, events)
 	}
@@ -38,7 +44,7 @@
 	o, err := shard.Open(ctx, shard.Config{
 		Pool: pool, Self: n.identity(), Clock: n.clock, Retention: seconds(n.settings.Timing.RetentionS), LongestLease: time.Duration(n.settings.Timing.MaxLeaseMs) * time.Millisecond,
 		Rows: n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
-		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, HasEnded: n.members.HasEnded, StandDown: n.standDown, Sending: events.Sending, OnOver: events.Over,
+		Metrics: n.metrics, Log: n.log, StoreSteady: n.rows.okFor, HasEnded: n.members.HasEnded, StandDown: n.standDown, Evacuated: n.evacuations.has, Sending: events.Sending, OnOver: events.Over,
 	}, seen, cat, n.allWorkers())
 	if err != nil {
 		return nil, err // no typed nil in the interface
@@ -65,7 +71,7 @@
 func (n *Node) openFleet(ctx context.Context, seen shard.Seen, cat *catalog.Catalog, events ownership.Events) (ownership.Work, error) {
 	r, err := fleetops.Open(ctx, fleetops.Config{
 		Self: n.identity(), Log: n.log, Clock: n.clock,
-		Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves,
+		Rows: n.rows, Machines: n.platform, Empty: n.emptyVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves, Evacuated: n.evacuations.has,
 		Pause: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, Takes: seconds(n.settings.Timing.MaintenanceS),
 		Sending: events.Sending, OnOver: events.Over,
 	}, seen, cat)
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,6 +103,19 @@
 	return err
 }
 
+// Zones returns the availability zones that have entries, each once.
+func (m *Members) Zones() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	zones := []string{m.self.Zone}
+	for _, k := range m.peers {
+		if !slices.Contains(zones, k.Zone) {
+			zones = append(zones, k.Zone)
+		}
+	}
+	return zones
+}
+
 // Apply takes a row of the member table.
 func (m *Members) Apply(ctx context.Context, r platform.Row) {
 	if r.Key == m.self.Name {
--- a/pkg/shard/directory_test.go
+++ b/pkg/shard/directory_test.go
@@ -43,6 +43,7 @@
 
 // start boots a worker and lists it in place of the one that its VM had.
 func (e *estate) start(w platform.Worker, drift float64) {
+	w.Zone = e.zones.of(w.VM)
 	e.workers.Boot(w, drift)
 	e.list(w)
 }
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -63,6 +63,7 @@
 	boots        int                      // that were started after a crash
 	clockBack    time.Duration            // how far the clock by which workers say when they start is behind
 	sameID       bool                     // workers say when they start, and start again under their ID
+	zones        zones // that workers are in
 	standDown    func(ctx context.Context, former shard.OwnerRow, newer platform.Row) bool
 	log          bytes.Buffer
 	out          io.Writer // to log
@@ -263,7 +264,7 @@
 		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: noMetrics{}, Retention: time.Hour, LongestLease: fake.LongestLease,
 		Log: zerolog.New(e.out).With().Str("entry", entry).Logger().Hook(e), Clock: clock,
 		StoreSteady: func() time.Duration { return time.Since(e.since) },
-		HasEnded:    e.hasEnded, StandDown: e.standDown,
+		HasEnded:    e.hasEnded, StandDown: e.standDown, Evacuated: e.zones.toldTo(entry),
 		OnOver: func(error) {}, Sending: func() {},
 	}
 	o, err := shard.Open(context.Background(), cfg, shard.Seen{Version: row.Version}, e.catalog(), e.directory())
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -40,7 +40,7 @@
 			o.log.Info().Str("event", "worker_cordoned").Str("boot", s.ref.Boot).Str("vm", vm).Int("attempts", len(s.attempts)).Send()
 		}
 		s.cordonedTo = now + cordonTime
-		waits := o.evacuate(s, true, "its VM is to be empty")
+		waits := o.evacuate(s, o.newElsewhere(now), true, "its VM is to be empty")
 		if !s.idle() {
 			empty = false
 			o.logNotEmpty(s, waits, now)
@@ -77,12 +77,28 @@
 		Int("failures", s.failures).Send()
 }
 
+// elsewhere is the room for tasks that are to leave their workers.
+type elsewhere struct {
+	owner *Owner
+	now   time.Duration
+	// hosts and soon are the workers as they are and as they will be, nil until asked for.
+	hosts, soon []*placement.Host
+}
+
+func (o *Owner) newElsewhere(now time.Duration) *elsewhere { return &elsewhere{owner: o, now: now} }
+
+// reserve takes room for one more task of a step; it reports whether there is any.
+func (e *elsewhere) reserve(step *jobs.StepRun) bool {
+	if e.hosts == nil {
+		e.hosts, e.soon = e.owner.hostsToTry(e.now), e.owner.hostsSoon(e.now)
+	}
+	return placement.Reserve(step, e.hosts) || placement.Reserve(step, e.soon)
+}
+
 // evacuate ends the long-running tasks at a worker that have room elsewhere, so
 // that they start there; others are left to finish. With limited, no more tasks
 // of a step are away than it allows. It tells what the tasks wait for.
-func (o *Owner) evacuate(s *session, limited bool, why string) (w waits) {
-	now := o.now()
-	hosts, soon := o.hostsToTry(now), o.hostsSoon(now)
+func (o *Owner) evacuate(s *session, room *elsewhere, limited bool, why string) (w waits) {
 	for _, r := range byName(s.attempts) {
 		step := r.Task.Step
 		switch {
@@ -90,9 +106,9 @@
 			w.stopping++
 		case !step.Spec.LongRunning:
 			w.finishing++
-		case limited && step.Spec.Limited && (o.held || now-o.openedAt < evacuateAfter || !o.mayMiss(step, r.Task)):
+		case limited && step.Spec.Limited && (o.held || room.now-o.openedAt < evacuateAfter || !o.mayMiss(step, r.Task)):
 			w.limited++
-		case !placement.Reserve(step, hosts) && !placement.Reserve(step, soon):
+		case !room.reserve(step):
 			w.noRoom++
 		default:
 			o.stop(s, r, why)
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -60,12 +60,16 @@
 		if !s.serviceable(now) {
 			continue
 		}
-		l.Workers++
 		// What is ordered is whole; a VM whose room has shrunk tells nothing of it.
 		if s.info.Capacity.CPU > l.VMCapacity.CPU {
 			l.VMCapacity = s.info.Capacity
 		}
-		l.Capacity = l.Capacity.Add(s.info.Capacity)
+		if !s.evacuated() {
+			// What runs in a zone that is out of use is demand all the same: what follows it
+			// starts elsewhere.
+			l.Workers++
+			l.Capacity = l.Capacity.Add(s.info.Capacity)
+		}
 		lasting, cpu := false, 0
 		for _, a := range s.attempts {
 			charge := placement.Charge(a.Task.Step.Spec)
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -41,10 +41,17 @@
 	entry := arg("entry", "a")
 	switch d.Cmd {
 	case "worker":
+		e.zones.put(arg("vm", arg("boot", "")), arg("zone", ""))
 		return e.addWorker(arg("boot", ""), arg("vm", arg("boot", "")), arg("address", arg("boot", "")), arg("cpu", "4000"), arg("drift", "0"))
 	case "publish": // as each change of any row does
 		e.publish()
 		return ""
+	case "zone-out":
+		e.zones.takeOut(arg("zone", ""))
+		return ""
+	case "zone-back":
+		e.zones.takeBack(arg("zone", ""))
+		return ""
 	case "leave-out":
 		end, _ := strconv.ParseInt(arg("end", "0"), 10, 64)
 		times, _ := strconv.Atoi(arg("times", "1"))
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -52,6 +52,7 @@
 	trial      *trial                         // what it is kept for, nil for nothing
 	pausedTo   time.Duration                  // no new tasks until then
 	cordonedTo time.Duration                  // the VM is to be empty until then
+	zoneOut    func(zone string) bool         // tells whether a zone is out of use
 
 	notEmptyLogged time.Duration // when the log last said why its VM is not empty
 
@@ -113,9 +114,12 @@
 
 // usable tells whether new tasks may start at the worker.
 func (s *session) usable(now time.Duration) bool {
-	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo
+	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo && !s.evacuated()
 }
 
+// evacuated tells whether the worker's zone is out of use, so that nothing starts there.
+func (s *session) evacuated() bool { return s.zoneOut(s.info.Zone) }
+
 // open tells whether any task may start at the worker.
 func (s *session) open(now time.Duration) bool { return s.usable(now) && s.trial == nil }
 
