No single job stops a pool: what can't be kept is refused when it is handed in

Cause: a submission was checked for its steps (256) and the tasks of one step (4,096) and nothing else. 256 steps of 4,096 tasks took 188 MB at the owner; a step that waits 100,000 times for the same one made a record of 100,050 bytes, which no row takes.

The entry knows the longest row that the platform takes (store.row_bytes) and refuses with 413 what is longer, or whose failed attempts could not be kept, before any owner sees it.

--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
+	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -38,10 +40,10 @@
 		n.log.Error().Str("event", "job_encode_failed").Str("job", id).Err(err).Send()
 		return schema.CallOutcomeRefused
 	}
-	if n.nowhereToStart() {
+	if out, why := n.refuseAtOnce(&record, raw); out != schema.CallOutcomeOk {
 		n.log.Warn().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", q.Pool).Str("account", account).
-			Str("outcome", string(schema.CallOutcomeRefused)).Str("why", "all zones are out of use").Send()
-		return schema.CallOutcomeRefused
+			Int("bytes", len(raw)).Str("outcome", string(out)).Str("why", why).Send()
+		return out
 	}
 	call := &schema.Call{Kind: schema.CallKindSubmit, Pool: q.Pool, Queue: q.Name, Job: id, Record: raw}
 	reply := n.askForCaller(ctx, call)
@@ -50,6 +52,17 @@
 	return reply.Outcome
 }
 
+// refuseAtOnce tells what is wrong with a submission that no owner could take.
+func (n *Node) refuseAtOnce(r *jobs.Record, raw []byte) (out schema.CallOutcome, why string) {
+	if err := r.CheckSize(raw, cmp.Or(n.settings.Store.RowBytes, platform.UsualRowBytes)); err != nil {
+		return schema.CallOutcomeTooLarge, err.Error()
+	}
+	if n.nowhereToStart() {
+		return schema.CallOutcomeRefused, "all zones are out of use"
+	}
+	return schema.CallOutcomeOk, ""
+}
+
 // State asks for the state of a job.
 func (n *Node) State(ctx context.Context, q *catalog.Queue, id string, by shard.Asker) (jobs.State, schema.CallOutcome) {
 	reply := n.askForCaller(ctx, callFor(schema.CallKindState, q, id, by))
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -78,6 +78,7 @@
 const CallOutcomeNotOwner CallOutcome = "not_owner"
 const CallOutcomeOk CallOutcome = "ok"
 const CallOutcomeRefused CallOutcome = "refused"
+const CallOutcomeTooLarge CallOutcome = "too_large"
 const CallOutcomeUnknown CallOutcome = "unknown"
 
 // CallReply answers a Call.
@@ -668,6 +669,9 @@
 
 	// PartitionWritesPerS is how many transactions a second one partition takes.
 	PartitionWritesPerS float64 `json:"partition_writes_per_s" msgpack:"partition_writes_per_s"`
+
+	// RowBytes is the longest value that a row may have, in bytes.
+	RowBytes int `json:"row_bytes" msgpack:"row_bytes"`
 }
 
 // TLS names the files of a listener's certificate; they are read again when they
