--- a/cmd/gannetctl/cmds/cmds.go
+++ b/cmd/gannetctl/cmds/cmds.go
@@ -88,6 +88,7 @@
 		{name: "pool", short: "Pools of the job service", long: "Asks about pools of the job service.", subs: poolCommands(c)},
 		{name: "owner", short: "Owners of shards", long: "Asks which entry owns what.", subs: ownerCommands(c)},
 		{name: "account", short: "Client accounts", long: "Asks what client accounts have been promised and what they have running.", subs: accountCommands(c)},
+		{name: "zone", short: "Availability zones", long: "Asks which zones are out of use.", subs: zoneCommands(c)},
 		{name: "token", short: "Make an operator's token", long: "Prints a fresh token and the token_sha256 that settings keep of it.\n\nExample:\n  gannetctl token", data: &tokenCommand{console: c}},
 	}
 }
--- a/cmd/gannetctl/cmds/cmds_test.go
+++ b/cmd/gannetctl/cmds/cmds_test.go
@@ -61,6 +61,9 @@
 	}})
 	answer("GET "+api.PathJobs+"/score-now/1", api.JobStatus{Queue: "score-now", ID: "1", Outcome: "ok", State: "running", Pool: "scoring", Owner: "e1"})
 	answer("GET "+api.PathJobs+"/score-now/2", api.JobStatus{Queue: "score-now", ID: "2", Outcome: "not_found", Pool: "scoring"})
+	answer("GET "+api.PathZones, api.Zones{Zones: []api.ZoneStatus{
+		{Zone: "hall-a", OutForS: 12.3, Workers: 20, Tasks: 7, Complete: true}, {Zone: "hall-b", OutForS: 3, Workers: 4},
+	}})
 	answer("GET "+api.PathAccounts, api.Accounts{CatalogVersion: 7, Accounts: []api.AccountStatus{
 		{Name: "north", Keys: []string{"90706fbf"}, Weight: 5, Cpu: 4000, MemoryMb: 100, Pools: []api.AccountInPool{
 			{Pool: "booking", Bound: true, Running: 0.25, Wanted: 0.75, Share: 0.5}, {Pool: "scoring", Running: 0.125, Wanted: 0.125},
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -22,28 +22,69 @@
 	})
 	e.GET(api.PathJobs+"/:queue/:id", n.jobStatus)
 	e.GET(api.PathAccounts, n.accountStatus)
+	e.GET(api.PathZones, func(c echo.Context) error {
+		return c.JSON(http.StatusOK, api.Zones{Zones: n.zoneStatus(c.Request().Context())})
+	})
 	return e
 }
 
 // shardStatus tells who owns each shard and how busy it is.
 func (n *Node) shardStatus(ctx context.Context) (all []api.ShardStatus) {
+	for _, pool := range n.keeper.Shards() {
+		row, _, _ := n.keeper.Owner(pool)
+		all = append(all, api.ShardStatus{Pool: pool, Owner: row.Entry, Term: int(row.Term)})
+	}
+	loads := n.loadsOf(ctx, n.keeper.Shards())
+	for i := range all {
+		if l, ok := loads[all[i].Pool]; ok {
+			st := &all[i]
+			st.Loaded, st.Workers, st.TasksWaiting = true, l.Workers, l.Tasks
+			st.Cpu, st.CpuUsed, st.CpuWaiting = l.Capacity.CPU, l.Used.CPU, l.Waiting.CPU
+		}
+	}
+	slices.SortFunc(all, func(a, b api.ShardStatus) int { return cmp.Compare(a.Pool, b.Pool) })
+	return all
+}
+
+// loadsOf asks the owners of shards how busy they are; those that don't answer are left out.
+func (n *Node) loadsOf(ctx context.Context, pools []string) map[string]shard.Load {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, pool := range n.keeper.Shards() {
+	loads := map[string]shard.Load{}
+	for _, pool := range pools {
 		wg.Go(func() {
-			row, _, _ := n.keeper.Owner(pool)
-			st := api.ShardStatus{Pool: pool, Owner: row.Entry, Term: int(row.Term)}
-			if l, ok := n.loadOf(ctx, pool, nil); ok {
-				st.Loaded, st.Workers, st.TasksWaiting = true, l.Workers, l.Tasks
-				st.Cpu, st.CpuUsed, st.CpuWaiting = l.Capacity.CPU, l.Used.CPU, l.Waiting.CPU
+			l, ok := n.loadOf(ctx, pool, nil)
+			if !ok {
+				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			all = append(all, st)
+			loads[pool] = l
 		})
 	}
 	wg.Wait()
-	slices.SortFunc(all, func(a, b api.ShardStatus) int { return cmp.Compare(a.Pool, b.Pool) })
+	return loads
+}
+
+// zoneStatus tells which zones are out of use, and what runs there still.
+func (n *Node) zoneStatus(ctx context.Context) []api.ZoneStatus {
+	all := []api.ZoneStatus{}
+	out := n.evacuations.all()
+	cat := n.Catalog()
+	if len(out) == 0 || cat == nil {
+		return all
+	}
+	pools := cat.WorkingPools()
+	loads := n.loadsOf(ctx, pools)
+	for zone, since := range out {
+		st := api.ZoneStatus{Zone: zone, OutForS: (n.clock.Now() - since).Seconds(), Complete: len(loads) == len(pools)}
+		for _, l := range loads {
+			st.Workers += l.ZonesOut[zone].Workers
+			st.Tasks += l.ZonesOut[zone].Tasks
+		}
+		all = append(all, st)
+	}
+	slices.SortFunc(all, func(a, b api.ZoneStatus) int { return cmp.Compare(a.Zone, b.Zone) })
 	return all
 }
 
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -21,6 +21,12 @@
 // lostAfter is how many looks in a row a worker may leave unanswered and still count.
 const lostAfter = 2
 
+// ZoneLoad is what a zone has that is out of use.
+type ZoneLoad struct {
+	Workers int
+	Tasks   int // that run there still
+}
+
 // tightVMs bounds the VMs that Load.Tight names: only the next to be maintained matter.
 const tightVMs = 8
 
@@ -43,6 +49,9 @@
 	// Tight names the VMs whose tasks are slowest to move away, since few of their step may be
 	// missing at a time: those with most of them first, tightVMs at the most.
 	Tight []string
+	// ZonesOut tells of the workers in zones that are out of use, which count for nothing else above
+	// but Used, by zone.
+	ZonesOut map[string]ZoneLoad
 	// Accounts is what client accounts hold and want of their limits.
 	Accounts allowance.Report
 }
@@ -71,9 +80,10 @@
 		if s.info.Capacity.CPU > l.VMCapacity.CPU {
 			l.VMCapacity = s.info.Capacity
 		}
-		if !s.evacuated() {
-			// What runs in a zone that is out of use is demand all the same: what follows it
-			// starts elsewhere.
+		if s.evacuated() {
+			// What runs there is demand all the same: what follows it starts elsewhere.
+			l.noteZoneOut(s)
+		} else {
 			l.Workers++
 			l.Capacity = l.Capacity.Add(s.info.Capacity)
 		}
@@ -107,6 +117,17 @@
 	return l
 }
 
+// noteZoneOut counts a worker in a zone that is out of use.
+func (l *Load) noteZoneOut(s *session) {
+	if l.ZonesOut == nil {
+		l.ZonesOut = map[string]ZoneLoad{}
+	}
+	z := l.ZonesOut[s.info.Zone]
+	z.Workers++
+	z.Tasks += len(s.attempts)
+	l.ZonesOut[s.info.Zone] = z
+}
+
 // tightest returns the VMs with most limited tasks, by their number.
 func tightest(limited map[string]int) []string {
 	vms := slices.SortedFunc(maps.Keys(limited), func(a, b string) int { return cmp.Or(cmp.Compare(limited[b], limited[a]), cmp.Compare(a, b)) })
--- a/service/api/convert.go
+++ b/service/api/convert.go
@@ -13,6 +13,7 @@
 	PathShards   = "/v1/shards"   // of the job service
 	PathJobs     = "/v1/jobs"     // of the job service
 	PathAccounts = "/v1/accounts" // of the job service
+	PathZones    = "/v1/zones"    // of the job service
 	PathEdits    = "/v1/edits"
 	PathStatus   = "/v1/status"
 	PathAudit    = "/v1/audit"
--- a/service/api/types.go
+++ b/service/api/types.go
@@ -337,3 +337,27 @@
 	// VMListAgeMs is the age of the platform's VM list in milliseconds, -1 for none.
 	VMListAgeMs int `json:"vm_list_age_ms"`
 }
+
+// ZoneStatus tells of an availability zone that the operator has taken out of use.
+type ZoneStatus struct {
+	// Complete tells that the owners of all pools have answered.
+	Complete bool `json:"complete"`
+
+	// OutForS is for how long the entry that was asked has known of it, in seconds.
+	OutForS float64 `json:"out_for_s"`
+
+	// Tasks run there still.
+	Tasks int `json:"tasks"`
+
+	// Workers are there that get no tasks.
+	Workers int `json:"workers"`
+
+	// Zone names it.
+	Zone string `json:"zone"`
+}
+
+// Zones is the answer to GET /v1/zones.
+type Zones struct {
+	// Zones are those out of use, by name.
+	Zones []ZoneStatus `json:"zones"`
+}
--- a/service/client/jobs.go
+++ b/service/client/jobs.go
@@ -13,6 +13,12 @@
 	return shards, err
 }
 
+// Zones returns the availability zones that are out of use, and what runs there still.
+func (c *Client) Zones(ctx context.Context) (zones api.Zones, err error) {
+	err = c.call(ctx, api.PathZones, nil, nil, &zones)
+	return zones, err
+}
+
 // Job returns what callers are told of a job, and who answers for it.
 func (c *Client) Job(ctx context.Context, queue, id string) (job api.JobStatus, err error) {
 	err = c.call(ctx, api.PathJobs+"/"+url.PathEscape(queue)+"/"+url.PathEscape(id), nil, nil, &job)
