--- a/pkg/jobs/occurrence.go
+++ b/pkg/jobs/occurrence.go
@@ -12,7 +12,7 @@
 	layOutAhead = 5 * time.Second
 	// openTasks bounds the tasks of a job that are laid out at once, so that one whose occurrences
 	// are due faster than they are done takes no more memory than others. Those beyond it wait.
-	openTasks = 2 * maxTasks
+	openTasks = maxTasks / 2
 )
 
 // occurrence is one of the times that a job's steps run, laid out.
@@ -38,10 +38,14 @@
 	if j.Spec.Times == 0 || j.State.Final() {
 		return
 	}
-	if slices.ContainsFunc(j.open, j.isOver) {
-		j.open = slices.DeleteFunc(j.open, j.isOver)
-		j.gather()
-	}
+	before := len(j.open)
+	j.open = slices.DeleteFunc(j.open, j.isOver)
+	changed := len(j.open) < before
+	defer func() {
+		if changed {
+			j.gather()
+		}
+	}()
 	for j.next < j.Spec.Occurrences() && j.Spec.due(j.next) <= wall+layOutAhead {
 		if end := j.finished.endOf(j.next); end > j.next {
 			j.next = end
@@ -50,8 +54,9 @@
 		if !j.mayOpen(openTasks) {
 			return
 		}
-		j.layOut(j.next)
+		j.add(j.next)
 		j.next++
+		changed = true
 	}
 }
 
@@ -75,6 +80,13 @@
 
 // layOut makes the steps and tasks of an occurrence, unless they are there.
 func (j *Job) layOut(number int) *occurrence {
+	o := j.add(number)
+	j.gather()
+	return o
+}
+
+// add does what layOut does, and leaves it to the caller to gather the steps.
+func (j *Job) add(number int) *occurrence {
 	at, there := j.find(number)
 	if there {
 		return j.open[at]
@@ -95,7 +107,6 @@
 		o.steps = append(o.steps, s)
 	}
 	j.open = slices.Insert(j.open, at, o)
-	j.gather()
 	return o
 }
 
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -108,6 +108,7 @@
 	for i := range p.Steps {
 		j.restoreStep(&p.Steps[i])
 	}
+	j.gather()
 	j.Kept = j.visible()
 	j.State = j.visible()
 }
@@ -118,7 +119,7 @@
 	if sp.At < 0 || sp.At/width >= j.Spec.Occurrences() || j.finished.has(sp.At/width) {
 		return
 	}
-	s := j.layOut(sp.At / width).steps[sp.At%width]
+	s := j.add(sp.At / width).steps[sp.At%width]
 	s.GangFailed = sp.GangFailed
 	for i, t := range s.Tasks {
 		if failed, ok := sp.Failed[i]; ok {
