A scheduled job lays out no more occurrences than can be kept

Found by FuzzSubmission (kept in its corpus): a job of 1,000 times two tasks in a queue that allows 35 attempts had 2,000 tasks laid out, whose failed attempts take 720,896 bytes in the worst case; 524,288 can be kept, so that it would have failed for that. What is laid out now follows from what can be kept of one occurrence, with as many again for those that a former owner has started.

--- a/pkg/jobs/encode.go
+++ b/pkg/jobs/encode.go
@@ -63,20 +63,29 @@
 	if len(record) > limit {
 		return ErrTooLarge{What: "the job", Bytes: len(record), Limit: limit}
 	}
-	// Of each task the numbers of all its failed attempts have to be kept.
-	worst, most := r.Spec.tasks()*(taskBytes+r.MaxAttempts*attemptBytes), maxParts*limit*3/4
-	if worst > most {
+	if worst, most := r.occurrenceBytes(), keepable(limit); worst > most {
 		return ErrTooLarge{What: fmt.Sprintf("a job of %d tasks with %d attempts each", r.Spec.tasks(), r.MaxAttempts), Bytes: worst, Limit: most}
 	}
 	return nil
 }
 
 const (
-	// taskBytes and attemptBytes are the most that a task's progress takes, and each failed attempt more.
+	// stepBytes, taskBytes and attemptBytes are the most that is kept in any case of a step, of each
+	// of its tasks, and of each failed attempt.
+	stepBytes    = 40
 	taskBytes    = 8
 	attemptBytes = 9
 )
 
+// occurrenceBytes is the most that is kept in any case of one occurrence.
+func (r *Record) occurrenceBytes() int {
+	return len(r.Spec.Steps)*stepBytes + r.Spec.tasks()*(taskBytes+stepBytes/partTasks+max(1, r.MaxAttempts)*attemptBytes)
+}
+
+// keepable is how much of a job can be kept in rows of a limited length, with room to spare for how
+// it falls into rows.
+func keepable(limit int) int { return maxParts * limit * 3 / 4 }
+
 // encode returns the progress as the values of as many rows as it takes.
 func (p *Progress) encode(limit int) (rows [][]byte, err error) {
 	whole, err := p.marshal()
--- a/pkg/jobs/occurrence.go
+++ b/pkg/jobs/occurrence.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 const (
@@ -15,6 +17,14 @@
 	openTasks = maxTasks / 2
 )
 
+// mostOpen is how many occurrences are laid out by their times: no more than can be kept if twice as
+// many are, with those that a former owner has started.
+func (r *Record) mostOpen() int {
+	byTasks := openTasks / max(1, r.Spec.tasks())
+	byBytes := keepable(platform.UsualRowBytes) / 2 / max(1, r.occurrenceBytes())
+	return max(1, min(byTasks, byBytes))
+}
+
 // occurrence is one of the times that a job's steps run, laid out.
 type occurrence struct {
 	number     int
@@ -51,7 +61,7 @@
 			j.next = end
 			continue
 		}
-		if !j.mayOpen(openTasks) {
+		if len(j.open) >= j.mostOpen() {
 			return
 		}
 		j.add(j.next)
@@ -73,11 +83,6 @@
 	return true
 }
 
-// mayOpen tells whether one more occurrence may be laid out, with a bound on the tasks.
-func (j *Job) mayOpen(bound int) bool {
-	return len(j.open) == 0 || (len(j.open)+1)*j.Spec.tasks() <= bound
-}
-
 // layOut makes the steps and tasks of an occurrence, unless they are there.
 func (j *Job) layOut(number int) *occurrence {
 	o := j.add(number)
@@ -146,7 +151,7 @@
 	if at, there := j.find(id.Occurrence); there {
 		return j.open[at].steps[id.Step].Tasks[id.Index]
 	}
-	if !j.Restored || j.finished.has(id.Occurrence) || !j.mayOpen(2*openTasks) {
+	if !j.Restored || j.finished.has(id.Occurrence) || len(j.open) >= 2*j.mostOpen() {
 		return nil
 	}
 	return j.layOut(id.Occurrence).steps[id.Step].Tasks[id.Index]
