Long-running tasks of a zone that is out of use stay there

Nothing is sent to the zone either way.

What is decided about room elsewhere is made only when a task asks for it: emptying a VM without such tasks went through all workers twice, four times a second for each VM.

--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -40,7 +40,7 @@
 			o.log.Info().Str("event", "worker_cordoned").Str("boot", s.ref.Boot).Str("vm", vm).Int("attempts", len(s.attempts)).Send()
 		}
 		s.cordonedTo = now + cordonTime
-		waits := o.evacuate(s, o.newElsewhere(now), true, "its VM is to be empty")
+		waits := o.evacuate(s, true, "its VM is to be empty")
 		if !s.idle() {
 			empty = false
 			o.logNotEmpty(s, waits, now)
@@ -77,7 +77,8 @@
 		Int("failures", s.failures).Send()
 }
 
-// elsewhere is the room for tasks that are to leave their workers.
+// elsewhere is the room for tasks that are to leave their worker. Most workers that are to be empty
+// have none that moves, and there is no need to go through all others.
 type elsewhere struct {
 	owner *Owner
 	now   time.Duration
@@ -85,8 +86,6 @@
 	hosts, soon []*placement.Host
 }
 
-func (o *Owner) newElsewhere(now time.Duration) *elsewhere { return &elsewhere{owner: o, now: now} }
-
 // reserve takes room for one more task of a step; it reports whether there is any.
 func (e *elsewhere) reserve(step *jobs.StepRun) bool {
 	if e.hosts == nil {
@@ -98,7 +97,8 @@
 // evacuate ends the long-running tasks at a worker that have room elsewhere, so
 // that they start there; others are left to finish. With limited, no more tasks
 // of a step are away than it allows. It tells what the tasks wait for.
-func (o *Owner) evacuate(s *session, room *elsewhere, limited bool, why string) (w waits) {
+func (o *Owner) evacuate(s *session, limited bool, why string) (w waits) {
+	room := &elsewhere{owner: o, now: o.now()}
 	for _, r := range byName(s.attempts) {
 		step := r.Task.Step
 		switch {
--- a/pkg/shard/upkeep.go
+++ b/pkg/shard/upkeep.go
@@ -33,7 +33,6 @@
 	defer o.mu.Unlock()
 	now := o.now()
 	o.askOwnership(now)
-	zoneRoom := o.newElsewhere(now) // for all workers of zones that are out of use
 	for _, s := range o.sessionsInOrder() {
 		o.expire(s)
 		o.repeatStops(s, now)
@@ -41,13 +40,10 @@
 			o.record.note(s.worker)
 			o.kickCommit()
 		}
-		switch {
-		case s.draining:
-			o.evacuate(s, o.newElsewhere(now), false, "its worker is leaving")
-		case s.leaves(now, o.cfg.StoreSteady()):
-			o.evacuate(s, o.newElsewhere(now), true, "its worker is no longer listed")
-		case s.evacuated():
-			o.evacuate(s, zoneRoom, true, "its zone is out of use")
+		if s.draining {
+			o.evacuate(s, false, "its worker is leaving")
+		} else if s.leaves(now, o.cfg.StoreSteady()) {
+			o.evacuate(s, true, "its worker is no longer listed")
 		}
 	}
 	o.checkHeld()
