Feeds of entries and owners wait for 4 s a call; one feed a second is enough to notice silence

The second was chosen since a service that has fallen silent never answers the calls of that time.

Change: the feed of the operator's rows goes on each second. When it has no answer, the calls of the other two are given up and sent again, each second until the service answers.

--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -20,6 +20,10 @@
 	// for a while never answers the calls of that time, although their connections
 	// stand: the wait bounds for how long such a call hides what happens after it.
 	feedWait = time.Second
+	// calmWait is how long a call for changes of entries or owners waits. Of three feeds that an
+	// entry asks anew each second one is enough to notice that the service has fallen silent;
+	// then the calls of the others are given up and sent again.
+	calmWait = 4 * time.Second
 	// readTimeout bounds the read of one row.
 	readTimeout = 2 * time.Second
 	// longestRead bounds a call whose answer may be large, as long as it goes on
@@ -47,6 +51,8 @@
 	// applied is called after the rows of each answer, nil for nothing.
 	applied func()
 	pace    time.Duration // least time between two calls, 0 for none
+	// calm has its calls wait for longer as long as the service answers.
+	calm bool
 	// wanted tells whether to go on, nil for always.
 	wanted func() bool
 }
@@ -90,9 +96,16 @@
 		}
 		return 0, err
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, feedWait+longestRead)
+	wait := feedWait
+	if f.calm && n.rows.ok() {
+		wait = calmWait
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, wait+longestRead)
 	defer cancel()
-	page, err := n.rows.FollowRows(waitCtx, f.table, *after, feedWait)
+	if f.calm {
+		defer n.rows.whenLost(cancel)()
+	}
+	page, err := n.rows.FollowRows(waitCtx, f.table, *after, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -204,7 +217,7 @@
 	apply := func(r platform.Row) { n.members.Apply(ctx, r) }
 	registered := false
 	return n.follow(ctx, feed{
-		table: ownership.TableMember,
+		table: ownership.TableMember, calm: true,
 		list: func(ctx context.Context) (int64, error) {
 			if !registered {
 				if err := n.members.Register(ctx); err != nil {
@@ -223,7 +236,7 @@
 func (n *Node) followOwners(ctx context.Context) error {
 	go n.readOwners(ctx)
 	return n.follow(ctx, feed{
-		table: shard.TableOwner,
+		table: shard.TableOwner, calm: true,
 		list: func(ctx context.Context) (int64, error) {
 			page, err := n.rows.ListRows(ctx, shard.TableOwner, "", "")
 			return page.Version, err
--- a/pkg/node/reach.go
+++ b/pkg/node/reach.go
@@ -24,6 +24,26 @@
 	lost  bool
 	since time.Duration // when lost last changed
 	heard time.Duration // when a call was last answered
+
+	doubters map[int]func() // called once the service has stopped answering
+	doubts   int            // that were ever there
+}
+
+// whenLost has f called when the service stops answering, unless forget was called before.
+func (r *reach) whenLost(f func()) (forget func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.doubters == nil {
+		r.doubters = map[int]func(){}
+	}
+	r.doubts++
+	id := r.doubts
+	r.doubters[id] = f
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.doubters, id)
+	}
 }
 
 // CommitRows implements platform.Rows.
@@ -67,6 +87,9 @@
 	r.lost, r.since = lost, r.clock.Now()
 	if lost {
 		r.log.Warn().Str("event", "store_lost").Err(err).Send()
+		for _, f := range r.doubters {
+			f()
+		}
 		go r.onLost()
 	} else {
 		r.log.Info().Str("event", "store_regained").Send()
