Progress of a wave and the announcement of orders fit into rows at twice the fleet

Cause: the names of the VMs that are done of a wave were one row, which ends at some 8,000 VMs; so was the announcement of the VMs that orders bind for, at some 2,500.

Change: progress is a bit for each VM in the order of the request, with a hash of the list that it goes by; names that an earlier version has kept are read. An earlier version does not read the bits, and has VMs maintained again.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -25,6 +25,13 @@
 	orderTransit = 250 * time.Millisecond
 )
 
+// announcedBytes bounds the row that names all VMs for which orders bind, some 2,500 of them, below
+// the longest that the table service takes; orderBytes is what one takes beside its VM's name.
+const (
+	announcedBytes = 60_000
+	orderBytes     = 18
+)
+
 // announcement names the VMs for which this holder may have given orders of
 // late, or is about to, with the time until when. It is kept before the orders
 // are sent, under the condition that this entry still owns the work: what a new
@@ -185,7 +192,14 @@
 		}
 	}
 	until := r.clock.latest(now) + orderWindow
+	room := announcedBytes
+	for vm := range next {
+		room -= len(vm) + orderBytes
+	}
 	for _, vm := range vms {
+		if room -= len(vm) + orderBytes; room < 0 {
+			break // their turn comes with a later step
+		}
 		next[vm] = until
 	}
 	return next
--- a/pkg/fleetops/progress.go
+++ b/pkg/fleetops/progress.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -14,9 +15,33 @@
 // tableProgress holds what is done of each wave, and the announcement of orders.
 const tableProgress = "maintenance"
 
-// kept is what lasts of a wave.
+// kept is what lasts of a wave: the VMs that are done or gone.
 type kept struct {
-	Done []string `msgpack:"d"` // VMs that are done or gone
+	Names []string `msgpack:"d,omitempty"` // as earlier versions keep them
+	// Bits are a bit for each VM in the order of the request, whose VMs List is a hash of. Names of
+	// 8,000 VMs were more than a row takes.
+	Bits []byte `msgpack:"b,omitempty"`
+	List uint64 `msgpack:"l,omitempty"`
+}
+
+// done tells whether a VM of the wave is done or gone, by its name and place in the request.
+func (k *kept) done(list uint64) func(name string, at int) bool {
+	names := make(map[string]bool, len(k.Names))
+	for _, name := range k.Names {
+		names[name] = true
+	}
+	return func(name string, at int) bool {
+		return names[name] || k.List == list && at/8 < len(k.Bits) && k.Bits[at/8]&(1<<(at%8)) != 0
+	}
+}
+
+// list is a hash of the VMs that a wave is requested for.
+func (w *Wave) list() uint64 {
+	h := xxhash.New()
+	for _, vm := range w.VMs {
+		_, _ = h.WriteString(vm + "\n") // never fails
+	}
+	return h.Sum64()
 }
 
 func progressKey(id int) platform.RowKey {
@@ -40,16 +65,13 @@
 			return errors.Wrap(err, "decode progress of wave")
 		}
 	}
-	done := make(map[string]bool, len(k.Done))
-	for _, name := range k.Done {
-		done[name] = true
-	}
-	for _, v := range w.vms {
-		if done[v.Name] {
-			v.Phase = PhaseDone
+	done, any := k.done(w.list()), false
+	for at, v := range w.vms {
+		if done(v.Name, at) {
+			v.Phase, any = PhaseDone, true
 		}
 	}
-	if len(k.Done) > 0 {
+	if any {
 		w.begun -= w.Within / 2 // a former owner began it, it is not known when
 	}
 	w.loaded, w.changed = true, true
@@ -59,9 +81,10 @@
 // progress returns what lasts of a wave, and whether the wave is finished.
 func (w *wave) progress() (k kept, finished bool) {
 	finished = true
-	for _, v := range w.vms {
+	k.Bits, k.List = make([]byte, (len(w.vms)+7)/8), w.list()
+	for at, v := range w.vms {
 		if v.Phase == PhaseDone || v.Phase == PhaseGone {
-			k.Done = append(k.Done, v.Name)
+			k.Bits[at/8] |= 1 << (at % 8)
 		} else {
 			finished = false
 		}
