--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -2,12 +2,10 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
-	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
 // Bounds of a transaction, below the table service's own of 100 entries and 1 MB.
@@ -199,27 +197,6 @@
 	o.jobEnded(j)
 }
 
-// putWorkers adds what has changed in the record of workers that may hold a lease.
-func (o *Owner) putWorkers(b *batch) (err error) {
-	b.leased = &[recordParts][]leasedWorker{}
-	for _, s := range o.sessionsInOrder() {
-		part := partOf(s.worker)
-		if !o.record.changed[part] || s.gone || s.cordonedTo > o.now() && s.idle() {
-			continue // it is named already, or cannot hold a lease
-		}
-		b.leased[part] = append(b.leased[part], s.leased())
-		if !s.recorded {
-			b.workers = append(b.workers, s)
-		}
-	}
-	if b.parts, err = o.record.put(b, o.cfg.Pool, b.leased); err != nil {
-		return err
-	}
-	o.record.begin(b.parts)
-	b.record = true
-	return o.putUnheard(b)
-}
-
 // putUnheard keeps that a worker was lost before an owner has heard it, for as long as a job
 // of that time goes on.
 func (o *Owner) putUnheard(b *batch) error {
@@ -238,80 +215,3 @@
 	b.put(unheardRowKey(o.cfg.Pool), raw)
 	return nil
 }
-
-// batchKept applies a transaction that happened.
-func (o *Owner) batchKept(b *batch, version int64) {
-	o.chain, o.seq = version, b.seq
-	now := o.now()
-	for _, s := range b.submissions {
-		delete(o.pending, s.id)
-		o.book.Add(s.id, s.record, now)
-		o.noteArrival(&s.record, now)
-		o.cfg.Metrics.Job("accepted")
-		s.settle(schema.CallOutcomeOk)
-	}
-	for i, j := range b.jobs {
-		j.KeepEvidence(b.evidence[i])
-		o.sendNoted(j)
-		if b.states[i].Final() {
-			j.Kept = b.states[i]
-			o.finals = append(o.finals, finalJob{id: j.ID, at: now})
-		}
-		o.answerWaiters(j)
-	}
-	o.record.settle(b, true)
-	for _, s := range b.workers {
-		s.recorded = true
-		s.kick()
-	}
-	if b.shares != nil {
-		o.accounts.shares.Keep(*b.shares)
-	}
-	o.acknowledge(b)
-	o.failSetApart()
-	o.kickPlacement()
-}
-
-func (o *Owner) acknowledge(b *batch) {
-	for s, n := range b.acks {
-		s.acknowledge(n)
-	}
-}
-
-// batchFailed undoes a batch that did not happen, or whose outcome stays unknown because the shard is given up.
-func (o *Owner) batchFailed(b *batch, err error) {
-	outcome := schema.CallOutcomeUnknown
-	if platform.IsNotDone(err) {
-		outcome = schema.CallOutcomeRefused
-	}
-	for _, s := range b.submissions {
-		delete(o.pending, s.id)
-		s.settle(outcome)
-	}
-	o.putBack(b)
-	if outcome == schema.CallOutcomeUnknown {
-		o.giveUp(err)
-		return
-	}
-	o.refuseQueued()
-	time.AfterFunc(retryCommit, o.kickCommit)
-}
-
-// putBack has what a batch did not keep written again, submissions apart.
-func (o *Owner) putBack(b *batch) {
-	for _, j := range b.jobs {
-		o.dirty[j] = struct{}{}
-	}
-	o.drops = append(o.drops, b.drops...)
-	o.record.settle(b, false)
-	o.accounts.changed = o.accounts.changed || b.shares != nil
-}
-
-// refuseQueued answers the submissions that were not yet sent to the table service.
-func (o *Owner) refuseQueued() {
-	for _, s := range o.queued {
-		delete(o.pending, s.id)
-		s.settle(schema.CallOutcomeRefused)
-	}
-	o.queued = nil
-}
--- a/pkg/shard/record.go
+++ b/pkg/shard/record.go
@@ -86,6 +86,27 @@
 	return parts, nil
 }
 
+// putWorkers adds what has changed in the record of workers that may hold a lease.
+func (o *Owner) putWorkers(b *batch) (err error) {
+	b.leased = &[recordParts][]leasedWorker{}
+	for _, s := range o.sessionsInOrder() {
+		part := partOf(s.worker)
+		if !o.record.changed[part] || s.gone || s.cordonedTo > o.now() && s.idle() {
+			continue // it is named already, or cannot hold a lease
+		}
+		b.leased[part] = append(b.leased[part], s.leased())
+		if !s.recorded {
+			b.workers = append(b.workers, s)
+		}
+	}
+	if b.parts, err = o.record.put(b, o.cfg.Pool, b.leased); err != nil {
+		return err
+	}
+	o.record.begin(b.parts)
+	b.record = true
+	return o.putUnheard(b)
+}
+
 // begin notes that the parts that have changed are in a transaction under way.
 func (r *record) begin(parts []int) {
 	for _, i := range parts {
--- a/pkg/shard/record_test.go
+++ b/pkg/shard/record_test.go
@@ -18,6 +18,15 @@
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
+// ownedEstate is a deployment with one worker, w1, and an owner, a, that has heard it.
+func ownedEstate(t *testing.T) *estate {
+	e := newEstate(t)
+	e.addWorker("w1", "w1", "w1", "4000", "0")
+	qt.Assert(t, e.own("a"), qt.Equals, "term 1\n")
+	time.Sleep(time.Second)
+	return e
+}
+
 // stateOf is the state of a job as an owner tells it.
 func (e *estate) stateOf(entry, id string) string {
 	return strings.TrimSpace(e.state(entry, id, shard.Asker{Operator: true}))
@@ -40,11 +49,8 @@
 func TestEarlierRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		e := newEstate(t)
+		e := ownedEstate(t)
 		defer e.close()
-		e.addWorker("w1", "w1", "w1", "4000", "0")
-		c.Assert(e.own("a"), qt.Equals, "term 1\n")
-		time.Sleep(time.Second)
 		c.Assert(e.submit("a", "", "j1", "1x1000/0s"), qt.Equals, "ok\n")
 		time.Sleep(time.Second)
 		e.owners["a"].Close()
@@ -77,11 +83,8 @@
 func TestEarlierVersionTakesOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		e := newEstate(t)
+		e := ownedEstate(t)
 		defer e.close()
-		e.addWorker("w1", "w1", "w1", "4000", "0")
-		c.Assert(e.own("a"), qt.Equals, "term 1\n")
-		time.Sleep(time.Second)
 		page, err := e.rows.As("earlier").ListRows(context.Background(), "workers", pool, "row")
 		c.Assert(err, qt.IsNil)
 		c.Assert(page.Rows, qt.Not(qt.HasLen), 0)
@@ -127,11 +130,8 @@
 func TestRefusedTransaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		e := newEstate(t)
+		e := ownedEstate(t)
 		defer e.close()
-		e.addWorker("w1", "w1", "w1", "4000", "0")
-		c.Assert(e.own("a"), qt.Equals, "term 1\n")
-		time.Sleep(time.Second)
 		taken := make(chan string, 3)
 		for i, id := range []string{"j1", "j2", "j3"} {
 			go func() { taken <- e.submit("a", "", id, "1x1000/300ms") }()
