What a former holder had down counts for the wave that its announcement names

Cause: a VM that was down counted as ordered if no other open wave named it. A wave whose row was removed while it was under way is not known to an entry that starts later: the VM might have been down for that one, and this wave would have been reported as completed without it.

Change: the announcement of orders names the wave; a VM counts if it is down and was announced for the wave itself. 24 bytes beside a VM's name in place of 18, so that 1,900 orders bind at a time.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -25,11 +25,11 @@
 	orderTransit = 250 * time.Millisecond
 )
 
-// announcedBytes bounds the row that names all VMs for which orders bind, some 2,500 of them, below
+// announcedBytes bounds the row that names all VMs for which orders bind, some 1,900 of them, below
 // the longest that the table service takes; orderBytes is what one takes beside its VM's name.
 const (
 	announcedBytes = 60_000
-	orderBytes     = 18
+	orderBytes     = 24
 )
 
 // announcement names the VMs for which this holder may have given orders of
@@ -45,7 +45,8 @@
 // announcedOrder is the announcement of orders for one VM.
 type announcedOrder struct {
 	VM    string        `msgpack:"v"`
-	Until time.Duration `msgpack:"u"` // no order for it is sent later, on the table service's clock
+	Until time.Duration `msgpack:"u"`           // no order for it is sent later, on the table service's clock
+	Wave  int           `msgpack:"w,omitempty"` // that it is maintained for, 0 for a move
 }
 
 var announcementKey = platform.RowKey{Table: tableProgress, Partition: Partition, Key: "orders"}
@@ -89,6 +90,7 @@
 	var longest time.Duration
 	for _, o := range a.Orders {
 		r.former[o.VM] = o.Until
+		r.formerWaves[o.VM] = o.Wave
 		longest = max(longest, o.Until+orderTransit+r.cfg.Pause-r.clock.earliest(now))
 	}
 	r.log.Info().Str("event", "maintenance_waits").Int("vms", len(a.Orders)).Int64("former_term", a.Term).
@@ -205,12 +207,30 @@
 	return next
 }
 
+// wavesUnderWay returns the waves for which VMs are being emptied or maintained, by VM.
+func (r *Runner) wavesUnderWay() map[string]int {
+	waves := map[string]int{}
+	for _, w := range r.openWaves() {
+		for _, v := range w.vms {
+			if v.Phase == PhaseEmptying || v.Phase == PhaseOrdered {
+				waves[v.Name] = w.ID
+			}
+		}
+	}
+	return waves
+}
+
 // announcementTxn is the transaction that keeps an announcement; its
 // preconditions are the caller's to add.
 func (r *Runner) announcementTxn(orders map[string]time.Duration) (txn platform.RowTxn, err error) {
 	a := announcement{Term: r.claim.Term}
+	waves := r.wavesUnderWay()
 	for _, vm := range slices.Sorted(maps.Keys(orders)) {
-		a.Orders = append(a.Orders, announcedOrder{VM: vm, Until: orders[vm]})
+		wave, ours := waves[vm]
+		if !ours && r.moves[vm] == nil {
+			wave = r.formerWaves[vm]
+		}
+		a.Orders = append(a.Orders, announcedOrder{VM: vm, Until: orders[vm], Wave: wave})
 	}
 	raw, err := msgpack.Marshal(a)
 	if err != nil {
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -87,20 +86,13 @@
 			r.setPhase(w, v, PhaseGone, "the VM is no longer listed")
 		case v.Phase == PhaseOrdered && v.back(m, r.now(), r.cfg.Takes):
 			r.setPhase(w, v, PhaseDone, "it is up again")
-		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && r.onlyWave(w, v.Name):
+		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && w.ID != 0 && r.formerWaves[v.Name] == w.ID:
 			v.Worker, v.confirmedAt = m.Worker, r.now()
 			r.setPhase(w, v, PhaseOrdered, "a former holder has ordered it")
 		}
 	}
 }
 
-// onlyWave tells whether no other open wave names a VM that is to be maintained.
-func (r *Runner) onlyWave(w *wave, vm string) bool {
-	return !slices.ContainsFunc(r.openWaves(), func(other *wave) bool {
-		return other != w && slices.ContainsFunc(other.vms, func(v *VM) bool { return v.Name == vm && v.Phase != PhaseDone })
-	})
-}
-
 func (r *Runner) setPhase(w *wave, v *VM, p Phase, why string) {
 	r.log.Info().Str("event", "maintenance").Int("wave", w.ID).Str("vm", v.Name).Str("from", string(v.Phase)).Str("to", string(p)).Str("why", why).Send()
 	v.Phase = p
--- a/pkg/fleetops/progress.go
+++ b/pkg/fleetops/progress.go
@@ -65,13 +65,13 @@
 			return errors.Wrap(err, "decode progress of wave")
 		}
 	}
-	done, any := k.done(w.list()), false
+	done, begun := k.done(w.list()), false
 	for at, v := range w.vms {
 		if done(v.Name, at) {
-			v.Phase, any = PhaseDone, true
+			v.Phase, begun = PhaseDone, true
 		}
 	}
-	if any {
+	if begun {
 		w.begun -= w.Within / 2 // a former owner began it, it is not known when
 	}
 	w.loaded, w.changed = true, true
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -63,6 +63,7 @@
 	formerKnown bool                     // what former holders announced was read
 	first       time.Duration            // no orders before, 0 unless that was malformed
 	former      map[string]time.Duration // until when former holders may have sent orders for a VM, on the table service's clock
+	formerWaves map[string]int           // the waves that they maintained those VMs for, 0 for moves
 	lastLoads   map[string]shard.Load    // by pool
 	trends      map[string]trend         // of demand, by pool
 	limits      *allowance.Holder        // divides accounts' limits among shards
@@ -94,7 +95,7 @@
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		limits: allowance.NewHolder(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
-		formerKnown: c.Term == 1, former: map[string]time.Duration{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
+		formerKnown: c.Term == 1, former: map[string]time.Duration{}, formerWaves: map[string]int{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
 	}
 	r.learnFormer(ctx)
 	runCtx, cancel := context.WithCancel(context.Background())
