--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -135,7 +135,7 @@
 func (r *Runner) countMoves(pools map[string]*PoolState, machines map[string]platform.Machine) (leaving map[string]int) {
 	leaving = map[string]int{}
 	for vm, m := range r.moves {
-		if s := pools[m.To]; s != nil && !r.cfg.Evacuated(machines[vm].Zone) {
+		if s := pools[m.To]; s != nil && !r.cfg.ZoneOut(machines[vm].Zone) {
 			s.Supply++
 		}
 		if machines[vm].Pool == m.From {
@@ -150,7 +150,7 @@
 func (r *Runner) countMachines(pools map[string]*PoolState, machines map[string]platform.Machine, held map[string]Phase) {
 	for vm, m := range machines {
 		s := pools[m.Pool]
-		if s == nil || m.State == platform.MachineDown || r.moves[vm] != nil || r.cfg.Evacuated(m.Zone) {
+		if s == nil || m.State == platform.MachineDown || r.moves[vm] != nil || r.cfg.ZoneOut(m.Zone) {
 			continue // nothing will start there
 		}
 		if m.State == platform.MachineMoving {
@@ -169,7 +169,7 @@
 func (r *Runner) idle(s *PoolState, machines map[string]platform.Machine, held map[string]Phase, leaving int) (idle []string) {
 	for _, vm := range s.Load.Light {
 		m, ok := machines[vm]
-		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || held[vm] != "" || !r.mayOrderFor(vm) || r.cfg.Evacuated(m.Zone) {
+		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || held[vm] != "" || !r.mayOrderFor(vm) || r.cfg.ZoneOut(m.Zone) {
 			continue
 		}
 		if leaving+len(idle) >= r.policy.mayLeave(s.Supply) {
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -165,7 +165,7 @@
 			return s.load(ctx, pool)
 		},
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
-		Waves:  s.requested, Evacuated: s.evacuated,
+		Waves:  s.requested, ZoneOut: s.evacuated,
 		Pause: pause, Sending: func() {}, OnOver: func(error) {},
 	}, shard.Seen{Version: seen.Version}, cat)
 }
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -62,7 +62,7 @@
 			m.up = now
 		case m.ordered > 0 && now-m.ordered > moveSettles:
 			why = "it has taken too long"
-		case m.ordered == 0 && r.cfg.Evacuated(listed.Zone):
+		case m.ordered == 0 && r.cfg.ZoneOut(listed.Zone):
 			why = "its zone is out of use"
 		case m.ordered == 0 && now-m.since > moveGiveUp:
 			why = "the VM did not become empty in time"
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -38,9 +38,9 @@
 	Empty    Emptier
 	Load     Loader
 	Waves    func() []Wave // all requests for maintenance that are known by now
-	// Evacuated tells whether the operator has taken an availability zone out of use; nil for none.
-	Evacuated func(zone string) bool
-	Report    func(wave int, completed bool) (platform.Row, error) // makes the row that tells the operator of a wave
+	// ZoneOut tells whether the operator has taken an availability zone out of use; nil for none.
+	ZoneOut func(zone string) bool
+	Report  func(wave int, completed bool) (platform.Row, error) // makes the row that tells the operator of a wave
 
 	Pause time.Duration // between orders of two holders for a VM
 	Takes time.Duration // the maintenance of one VM
@@ -87,8 +87,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if cfg.Evacuated == nil {
-		cfg.Evacuated = func(string) bool { return false }
+	if cfg.ZoneOut == nil {
+		cfg.ZoneOut = func(string) bool { return false }
 	}
 	now := cfg.Clock.Now()
 	r = &Runner{
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -264,7 +264,7 @@
 		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: noMetrics{}, Retention: time.Hour, LongestLease: fake.LongestLease,
 		Log: zerolog.New(e.out).With().Str("entry", entry).Logger().Hook(e), Clock: clock,
 		StoreSteady: func() time.Duration { return time.Since(e.since) },
-		HasEnded:    e.hasEnded, StandDown: e.standDown, Evacuated: e.zones.toldTo(entry),
+		HasEnded:    e.hasEnded, StandDown: e.standDown, ZoneOut: e.zones.toldTo(entry),
 		OnOver: func(error) {}, Sending: func() {},
 	}
 	o, err := shard.Open(context.Background(), cfg, shard.Seen{Version: row.Version}, e.catalog(), e.directory())
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -80,7 +80,7 @@
 		if s.info.Capacity.CPU > l.VMCapacity.CPU {
 			l.VMCapacity = s.info.Capacity
 		}
-		if s.evacuated() {
+		if s.outOfUse() {
 			// What runs there is demand all the same: what follows it starts elsewhere.
 			l.noteZoneOut(s)
 		} else {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -68,8 +68,8 @@
 
 	StoreSteady func() time.Duration // for how long the table service has answered this entry, 0 while it does not
 
-	// Evacuated tells whether the operator has taken an availability zone out of use; nil for none.
-	Evacuated func(zone string) bool
+	// ZoneOut tells whether the operator has taken an availability zone out of use; nil for none.
+	ZoneOut func(zone string) bool
 
 	Sending func()      // called before the takeover's transaction is sent
 	OnOver  func(error) // called once when the shard is given up
@@ -149,8 +149,8 @@
 	if cfg.RowBytes == 0 {
 		cfg.RowBytes = platform.UsualRowBytes
 	}
-	if cfg.Evacuated == nil {
-		cfg.Evacuated = func(string) bool { return false }
+	if cfg.ZoneOut == nil {
+		cfg.ZoneOut = func(string) bool { return false }
 	}
 	c, err := TakeOver(ctx, cfg.Rows, cfg.Clock, cfg.Pool, cfg.Self, seen, cfg.HasEnded, cfg.Sending)
 	if err != nil {
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -114,11 +114,11 @@
 
 // usable tells whether new tasks may start at the worker.
 func (s *session) usable(now time.Duration) bool {
-	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo && !s.evacuated()
+	return s.listed && s.recorded && s.known && !s.draining && !s.gone && !s.inDoubt && s.failures == 0 && now >= s.pausedTo && now >= s.cordonedTo && !s.outOfUse()
 }
 
-// evacuated tells whether the worker's zone is out of use, so that nothing starts there.
-func (s *session) evacuated() bool { return s.zoneOut(s.info.Zone) }
+// outOfUse tells whether the worker's zone is out of use, so that nothing starts there.
+func (s *session) outOfUse() bool { return s.zoneOut(s.info.Zone) }
 
 // open tells whether any task may start at the worker.
 func (s *session) open(now time.Duration) bool { return s.usable(now) && s.trial == nil }
