--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 	"github.com/gannetwell/gannetwell/service/api"
 )
@@ -53,7 +54,7 @@
 	loads := map[string]shard.Load{}
 	for _, pool := range pools {
 		wg.Go(func() {
-			l, ok := n.loadOf(ctx, pool, nil)
+			l, ok := n.loadOf(ctx, pool, fleetops.LoadQuery{})
 			if !ok {
 				return
 			}
