Taken back: long-running tasks keep away from VMs that a wave is about to empty

Conclusion: tasks crowd onto the VMs that the wave has done, which wins nothing for the wave and loses where the pool is full. What holds the last VMs is the one place a step has for a task that is away.

--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -27,22 +27,8 @@
 	slope  float64 // thousandths of a core a second, smoothed
 }
 
-// leaving returns the VMs that waves have still to empty, by pool.
-func (r *Runner) leaving(machines map[string]platform.Machine) map[string][]string {
-	vms := map[string][]string{}
-	for _, w := range r.openWaves() {
-		for _, v := range w.vms {
-			if pool := machines[v.Name].Pool; w.loaded && (v.Phase == PhaseWaiting || v.Phase == PhaseEmptying) {
-				vms[pool] = append(vms[pool], v.Name)
-			}
-		}
-	}
-	return vms
-}
-
-// loads asks the owner of each shard how busy it is, and tells it which of its VMs are to leave;
-// pools whose owner does not answer are left out.
-func (r *Runner) loads(ctx context.Context, leaving map[string][]string) map[string]shard.Load {
+// loads asks the owner of each shard how busy it is; pools whose owner does not answer are left out.
+func (r *Runner) loads(ctx context.Context) map[string]shard.Load {
 	r.mu.Lock()
 	cat := r.catalog
 	r.mu.Unlock()
@@ -53,7 +39,7 @@
 	loads := map[string]shard.Load{}
 	for _, pool := range pools {
 		wg.Go(func() {
-			l, ok := r.cfg.Load(ctx, pool, LoadQuery{Grant: r.grantFor(pool, grants), Leaving: leaving[pool]})
+			l, ok := r.cfg.Load(ctx, pool, r.grantFor(pool, grants))
 			if !ok {
 				return
 			}
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -92,10 +93,9 @@
 	rows *fake.Rows
 
 	mu    sync.Mutex
-	need  map[string]int                 // VMs that a pool's tasks fill
-	dark  string                         // pool none of whose workers can be used; its tasks wait
-	out   string                         // zone that is out of use
-	asked func(pool string, q LoadQuery) // is told of each question about load
+	need  map[string]int // VMs that a pool's tasks fill
+	dark  string         // pool none of whose workers can be used; its tasks wait
+	out   string         // zone that is out of use
 	waves []Wave
 	// rowsOf and vmsOf are how an entry reaches the services, nil for no faults.
 	rowsOf func(entry string, rows platform.Rows) platform.Rows
@@ -161,10 +161,7 @@
 	cat := catalog.New(catalog.Catalog{Pools: []catalog.Pool{{Name: "a"}, {Name: "b"}, {Name: "off", Spare: true}}})
 	return Open(context.Background(), Config{
 		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Clock: elapsed.New(elapsed.WithOrigin(since)), Rows: rows, Machines: vms,
-		Empty: func(context.Context, string, string) bool { return true }, Load: func(ctx context.Context, pool string, q LoadQuery) (shard.Load, bool) {
-			if s.asked != nil {
-				s.asked(pool, q)
-			}
+		Empty: func(context.Context, string, string) bool { return true }, Load: func(ctx context.Context, pool string, _ *allowance.Grant) (shard.Load, bool) {
 			return s.load(ctx, pool)
 		},
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -24,14 +24,8 @@
 // it empty for some seconds; it reports whether nothing is left there.
 type Emptier func(ctx context.Context, pool, vm string) (empty bool)
 
-// Loader asks for the load of a pool's shard.
-type Loader func(ctx context.Context, pool string, q LoadQuery) (l shard.Load, ok bool)
-
-// LoadQuery is what a question about load tells the owner of the shard.
-type LoadQuery struct {
-	Grant   *allowance.Grant // shares of accounts' limits, nil for none
-	Leaving []string         // VMs of the pool that a wave is about to empty
-}
+// Loader asks for the load of a pool's shard; grant goes with the question if it is not nil.
+type Loader func(ctx context.Context, pool string, grant *allowance.Grant) (l shard.Load, ok bool)
 
 // Config is what a Runner works with.
 type Config struct {
@@ -168,11 +162,11 @@
 		if ctx.Err() == nil {
 			r.log.Warn().Str("event", "machines_not_listed").Err(err).Send()
 		}
-		r.loads(ctx, nil) // accounts' limits go on being divided
+		r.loads(ctx) // accounts' limits go on being divided
 		return
 	}
+	r.lastLoads = r.loads(ctx)
 	r.takeWaves()
-	r.lastLoads = r.loads(ctx, r.leaving(machines))
 	mayOrder := r.mayOrder(ctx)
 	// Waves choose before moves do: a VM that has just become idle is maintained rather than
 	// moved to where it is in use again.
--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -80,25 +80,3 @@
 		})
 	}
 }
-
-// TestLeavingIsTold has the owner of a pool told which of its VMs a wave has still to empty.
-func TestLeavingIsTold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		s := &site{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{"a": 3, "b": 0}}
-		for _, vm := range []string{"v1", "v2", "v3", "v4"} {
-			s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Pool: "a", State: platform.MachineUp, Worker: vm})
-		}
-		s.waves = []Wave{{ID: 1, VMs: []string{"v1", "v2"}, Within: time.Hour, MaxDown: 1}}
-		var told []string
-		s.asked = func(pool string, q LoadQuery) {
-			if pool == "a" {
-				told = q.Leaving
-			}
-		}
-		r := s.open(c, "e", time.Now())
-		time.Sleep(time.Second)
-		r.Close()
-		c.Check(told, qt.DeepEquals, []string{"v1", "v2"})
-	})
-}
--- a/pkg/node/accounts.go
+++ b/pkg/node/accounts.go
@@ -11,7 +11,6 @@
 
 	"github.com/gannetwell/gannetwell/pkg/allowance"
 	"github.com/gannetwell/gannetwell/pkg/catalog"
-	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/service/api"
 )
 
@@ -52,7 +51,7 @@
 	all := map[string][]api.AccountInPool{}
 	for _, pool := range cat.WorkingPools() {
 		wg.Go(func() {
-			l, ok := n.loadOf(ctx, pool, fleetops.LoadQuery{Grant: &allowance.Grant{Full: true}}) // of no holder: it grants nothing
+			l, ok := n.loadOf(ctx, pool, &allowance.Grant{Full: true}) // of no holder: it grants nothing
 			if !ok {
 				return
 			}
--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -65,9 +65,6 @@
 		return &schema.CallReply{Outcome: out, Waiting: waiting}
 	case schema.CallKindLoad:
 		full := n.passGrant(o, q.Grant)
-		if len(q.Leaving) > 0 {
-			o.SetLeaving(q.Leaving)
-		}
 		l, ok := o.Load(full)
 		raw, err := msgpack.Marshal(l)
 		if !ok || err != nil {
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -9,7 +9,6 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 	"github.com/gannetwell/gannetwell/service/api"
 )
@@ -54,7 +53,7 @@
 	loads := map[string]shard.Load{}
 	for _, pool := range pools {
 		wg.Go(func() {
-			l, ok := n.loadOf(ctx, pool, fleetops.LoadQuery{})
+			l, ok := n.loadOf(ctx, pool, nil)
 			if !ok {
 				return
 			}
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -123,13 +123,14 @@
 	return g.Full
 }
 
-// loadOf asks the owner of a pool's shard how busy it is, and tells it what goes with the question.
-func (n *Node) loadOf(ctx context.Context, pool string, about fleetops.LoadQuery) (l shard.Load, ok bool) {
+// loadOf asks the owner of a pool's shard how busy it is, and gives it shares of
+// accounts' limits if there are any to give.
+func (n *Node) loadOf(ctx context.Context, pool string, g *allowance.Grant) (l shard.Load, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, emptyTimeout)
 	defer cancel()
-	q := &schema.Call{Kind: schema.CallKindLoad, Pool: pool, Leaving: about.Leaving}
-	if about.Grant != nil {
-		raw, err := msgpack.Marshal(about.Grant)
+	q := &schema.Call{Kind: schema.CallKindLoad, Pool: pool}
+	if g != nil {
+		raw, err := msgpack.Marshal(g)
 		if err != nil {
 			n.log.Error().Str("event", "grant_encode_failed").Str("pool", pool).Err(err).Send()
 			return l, false
--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -19,8 +19,7 @@
 	Free     platform.Resources
 	Penalty  float64 // 0 for a worker without findings, higher for one that does badly
 
-	Leaving  bool // its VM is about to be emptied: long-running tasks would move again
-	Watching int  // watched tasks here that are not cleared yet
+	Watching int // watched tasks here that are not cleared yet
 
 	lasting int                   // long-running tasks that are here
 	perStep map[*jobs.StepRun]int // tasks of a step that are here
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -17,9 +17,6 @@
 	spreadWeight = 1.5
 	// togetherWeight keeps long-running tasks of different steps on few workers, so that the others can leave the pool.
 	togetherWeight = 1.0
-	// leavingWeight keeps long-running tasks from VMs that are about to be emptied, though they share
-	// a worker with one or two others of their step for it.
-	leavingWeight = 4.0
 )
 
 // Under overload the job with least slack is the one that is about to be late;
@@ -212,9 +209,6 @@
 		if h.lasting > 0 {
 			score += togetherWeight
 		}
-		if h.Leaving {
-			score -= leavingWeight
-		}
 	}
 	return score
 }
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -37,10 +37,6 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind CallKind `json:"kind" msgpack:"kind"`
 
-	// Leaving names the pool's VMs that a wave is about to empty, in a question about
-	// load.
-	Leaving []string `json:"leaving" msgpack:"leaving"`
-
 	// Operator tells that an operator asks, who may see the jobs of all accounts.
 	Operator bool `json:"operator" msgpack:"operator"`
 
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -10,9 +10,6 @@
 const (
 	// cordonTime is how long a VM stays without new tasks after it was last asked to be empty.
 	cordonTime = 4 * time.Second
-	// leavingTime is how long a VM counts as one that a wave is about to empty after the holder of
-	// the wave last said so, which asks four times a second.
-	leavingTime = 1500 * time.Millisecond
 	// fullPercent is the progress of a long-running task that serves.
 	fullPercent = 100
 	// evacuateAfter is how long a new owner takes no task away where a step limits
@@ -59,19 +56,6 @@
 	return empty
 }
 
-// SetLeaving takes the names of the VMs that a wave is about to empty: long-running tasks start
-// elsewhere if they can. Without it they moved from one VM of a wave to the next, up to three times
-// in 20 s, and took the places of those that waited to move away.
-func (o *Owner) SetLeaving(vms []string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	until := o.now() + leavingTime
-	o.leaving = make(map[string]time.Duration, len(vms))
-	for _, vm := range vms {
-		o.leaving[vm] = until
-	}
-}
-
 // waits counts the tasks at a worker that is to be empty by what they wait for.
 type waits struct {
 	finishing int // they come to an end
@@ -141,7 +125,7 @@
 func (o *Owner) hostsSoon(now time.Duration) (hosts []*placement.Host) {
 	for _, s := range o.sessionsInOrder() {
 		if s.open(now) {
-			hosts = append(hosts, o.marked(s, s.hostSoon(), now))
+			hosts = append(hosts, s.hostSoon())
 		}
 	}
 	return hosts
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -111,7 +111,6 @@
 	rate      startrate.Rate            // of starts, while this owner is at its own limit
 	arrivals  arrivals                  // of jobs, which tell how much work is on its way
 	idleTasks bool                      // tasks wait for room, or for a time
-	leaving   map[string]time.Duration  // until when VMs count as ones that a wave is about to empty
 
 	confirmedAt time.Duration // when this entry certainly was the owner
 	asking      bool          // the owner row is being read
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -100,7 +100,7 @@
 func (o *Owner) hosts(now time.Duration) (hosts []*placement.Host) {
 	for _, s := range o.sessionsInOrder() {
 		if s.open(now) {
-			hosts = append(hosts, o.marked(s, s.host(now), now))
+			hosts = append(hosts, s.host(now))
 		}
 	}
 	return hosts
@@ -111,18 +111,12 @@
 func (o *Owner) hostsToTry(now time.Duration) (hosts []*placement.Host) {
 	for _, s := range o.sessionsInOrder() {
 		if s.open(now) {
-			hosts = append(hosts, o.marked(s, s.newHost(), now))
+			hosts = append(hosts, s.newHost())
 		}
 	}
 	return hosts
 }
 
-// marked notes at a host whether its VM is about to be emptied.
-func (o *Owner) marked(s *session, h *placement.Host, now time.Duration) *placement.Host {
-	h.Leaving = now < o.leaving[s.vm]
-	return h
-}
-
 // sessionsInOrder returns the sessions by boot; they are sorted again only after
 // one has come or gone, since each pass of placement asks for them.
 func (o *Owner) sessionsInOrder() []*session {
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -198,9 +198,6 @@
 	case "allow":
 		e.allowed = append(e.allowed, arg("boot", ""))
 		return ""
-	case "leaving":
-		e.owners[entry].SetLeaving(strings.Split(arg("vms", ""), "+"))
-		return ""
 	case "empty":
 		return fmt.Sprintf("%v\n", e.owners[entry].Empty(arg("vm", "")))
 	case "limit":
