Jobs that run at set times are laid out when they are due

Change: each placement and each takeover lays out what is due; advice of steps that are over is forgotten.

Tests: testdata/scheduled (four times through a takeover), and scheduled jobs in TestEvacuations, which has them end; both never end without the call.

--- a/pkg/jobs/occurrence.go
+++ b/pkg/jobs/occurrence.go
@@ -43,14 +43,18 @@
 }
 
 // Advance lays out the occurrences that are due by a time since 1970, or will be in a moment, and
-// forgets those that are over. What it returns of a task or step before is not to be used after it.
-func (j *Job) Advance(wall time.Duration) {
+// forgets those that are over, whose steps it returns: no task of theirs is found by its name any more.
+func (j *Job) Advance(wall time.Duration) (over []*StepRun) {
 	if j.Spec.Times == 0 || j.State.Final() {
-		return
+		return nil
+	}
+	for _, o := range j.open {
+		if j.isOver(o) {
+			over = append(over, o.steps...)
+		}
 	}
-	before := len(j.open)
 	j.open = slices.DeleteFunc(j.open, j.isOver)
-	changed := len(j.open) < before
+	changed := len(over) > 0
 	defer func() {
 		if changed {
 			j.gather()
@@ -62,12 +66,13 @@
 			continue
 		}
 		if len(j.open) >= j.mostOpen() {
-			return
+			return over
 		}
 		j.add(j.next)
 		j.next++
 		changed = true
 	}
+	return over
 }
 
 // isOver tells whether nothing of an occurrence is or may be at a worker any more.
--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -64,6 +64,7 @@
 	clockBack    time.Duration            // how far the clock by which workers say when they start is behind
 	sameID       bool                     // workers say when they start, and start again under their ID
 	zones        zones                    // that workers are in
+	schedule     schedule                 // of the next job that is handed in
 	standDown    func(ctx context.Context, former shard.OwnerRow, newer platform.Row) bool
 	log          bytes.Buffer
 	out          io.Writer // to log
@@ -291,8 +292,17 @@
 	return e.owners[row.Entry] == nil
 }
 
+// schedule is when a job runs: some times, the first of them after an interval.
+type schedule struct {
+	times    int
+	interval time.Duration
+}
+
 func (e *estate) submit(entry, account, id, text string) string {
-	spec := jobs.Spec{Text: text}
+	spec := jobs.Spec{Text: text, Times: e.schedule.times, Interval: e.schedule.interval}
+	if spec.Times > 0 {
+		spec.FirstDue = time.Duration(time.Now().UnixNano()) + spec.Interval
+	}
 	for _, f := range strings.Fields(text) {
 		st, _ := parseStep(f)
 		spec.Steps = append(spec.Steps, st)
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -189,6 +189,7 @@
 			o.finals = append(o.finals, finalJob{id: j.ID, at: now})
 		}
 	})
+	o.layOutDue() // a former owner may have started what is due
 	o.heldTo = o.formerLeasesEnd(now)
 	for _, w := range k.workers {
 		if o.sessions[w.Boot] != nil {
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -55,6 +55,7 @@
 	if !o.confirmed(now) {
 		return
 	}
+	o.layOutDue()
 	o.clearSuspects()
 	o.endTrials(now)
 	candidates, onTrial := o.candidates(now)
@@ -95,6 +96,16 @@
 	}
 }
 
+// layOutDue lays out what is due of jobs that run at set times, and forgets what is over of them.
+func (o *Owner) layOutDue() {
+	wall := time.Duration(time.Now().UnixNano())
+	for _, j := range o.book.Active() {
+		for _, s := range j.Advance(wall) {
+			delete(o.advices, s)
+		}
+	}
+}
+
 // hosts returns the workers that may get tasks, in an order that does not depend
 // on chance. What is placed on them is to be ordered before the lock is let go.
 func (o *Owner) hosts(now time.Duration) (hosts []*placement.Host) {
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -115,6 +115,9 @@
 		e.setOwner(entry, nil)
 		return ""
 	case "submit":
+		times, _ := strconv.Atoi(arg("times", "0"))
+		interval, _ := time.ParseDuration(arg("interval", "0s"))
+		e.schedule = schedule{times: times, interval: interval}
 		return e.submit(entry, arg("account", ""), arg("id", ""), strings.TrimSpace(d.Input))
 	case "cancel":
 		return string(e.owners[entry].Cancel(context.Background(), arg("id", ""), shard.Asker{Account: arg("account", "")})) + "\n"
--- a/pkg/shard/witness_test.go
+++ b/pkg/shard/witness_test.go
@@ -118,12 +118,13 @@
 		w.breaks("%s started though no such job was submitted", task)
 		return
 	}
+	occurrence := strings.Split(task, ".")[1]
 	step, _ := strconv.Atoi(strings.Split(task, ".")[2])
 	st, _ := parseStep(strings.Fields(text)[step])
 	for _, a := range st.After {
 		before, _ := parseStep(strings.Fields(text)[a])
 		for i := range before.Count {
-			if name := fmt.Sprintf("%s.0.%d.%d", job, a, i); !w.ended[name] {
+			if name := fmt.Sprintf("%s.%s.%d.%d", job, occurrence, a, i); !w.ended[name] {
 				w.breaks("%s started before %s was done", task, name)
 			}
 		}
--- a/pkg/shard/zones_test.go
+++ b/pkg/shard/zones_test.go
@@ -82,7 +82,8 @@
 }
 
 // evacuations plays zones that are taken out of use and back, one or both, while the owner is
-// replaced, handed over or usurped, orders and transactions are lost or late, and workers crash.
+// replaced, handed over or usurped, orders and transactions are lost or late, and workers crash;
+// some jobs run at set times.
 func evacuations(plant func(*estate)) func(*rapid.T) {
 	return func(t *rapid.T) {
 		m := newMachine(t, plant)
@@ -93,7 +94,7 @@
 		}
 		m.bootAll(4)
 		m.takeOver()
-		kinds := []func(){m.submit, m.submit, m.lasting, m.takeZoneOut, m.takeZoneOut, m.takeZoneBack, m.crash, m.takeOver, m.handOver, m.usurp, m.orderFault, m.rowFault, m.heal}
+		kinds := []func(){m.submit, m.scheduled, m.lasting, m.takeZoneOut, m.takeZoneOut, m.takeZoneBack, m.crash, m.takeOver, m.handOver, m.usurp, m.orderFault, m.rowFault, m.heal}
 		for range rapid.IntRange(4, 16).Draw(t, "steps") {
 			kinds[rapid.IntRange(0, len(kinds)-1).Draw(t, "kind")]()
 			m.rest(1, 1500, "pause")
@@ -105,6 +106,13 @@
 	}
 }
 
+// scheduled hands in a job that runs at set times.
+func (m *machine) scheduled() {
+	m.e.schedule = schedule{times: rapid.IntRange(1, 5).Draw(m.t, "times"), interval: time.Duration(rapid.IntRange(100, 1500).Draw(m.t, "interval")) * time.Millisecond}
+	m.submit()
+	m.e.schedule = schedule{}
+}
+
 // lasting hands in a long-running task, which starts again wherever it ends, and is cancelled in the end.
 func (m *machine) lasting() {
 	m.jobs++
