--- a/pkg/jobs/encode.go
+++ b/pkg/jobs/encode.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 
@@ -167,15 +168,7 @@
 	if len(p.Over) == 0 && p.Parts == 0 {
 		return msgpack.Marshal(p)
 	}
-	return msgpack.Marshal(&markedRow{Format: formatParts, Progress: p})
-}
-
-// markedRow is a row of progress behind the number of its format.
-type markedRow struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an instruction to the library
-
-	Format   int
-	Progress *Progress
+	return msgpack.Marshal([]any{formatParts, p})
 }
 
 // DecodeProgress reads one row of a job's progress.
@@ -184,14 +177,18 @@
 	if len(raw) == 0 || raw[0] != msgpcode.FixedArrayLow|2 {
 		return p, msgpack.Unmarshal(raw, &p)
 	}
-	row := markedRow{Progress: &p}
-	if err := msgpack.Unmarshal(raw, &row); err != nil {
-		return Progress{}, err
+	d := msgpack.NewDecoder(bytes.NewReader(raw))
+	if _, err := d.DecodeArrayLen(); err != nil {
+		return p, err
+	}
+	format, err := d.DecodeInt()
+	if err != nil {
+		return p, err
 	}
-	if row.Format != formatParts || row.Progress == nil {
-		return Progress{}, errors.Errorf("format %d is not known", row.Format)
+	if format != formatParts {
+		return p, errors.Errorf("format %d is not known", format)
 	}
-	return *row.Progress, nil
+	return p, d.Decode(&p)
 }
 
 // Join puts the further rows of a progress behind its first one.
