--- a/pkg/shard/record_test.go
+++ b/pkg/shard/record_test.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/internal/prop"
+	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -151,3 +152,31 @@
 		c.Check(e.witness.promises(), qt.Equals, "kept\n")
 	})
 }
+
+// TestJobThatCannotBeLaidOut has an earlier version accept 256 steps of 4,096 tasks, which took 188 MB and
+// a third of a second of each owner in turn. A takeover sets the job apart: its state is not told, no
+// task of it starts, and the pool's other jobs go on.
+func TestJobThatCannotBeLaidOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := ownedEstate(t)
+		defer e.close()
+		c.Assert(e.submit("a", "", "j1", "1x1000/5s"), qt.Equals, "ok\n")
+		e.owners["a"].Close()
+		e.setOwner("a", nil)
+		wide := jobs.Record{Queue: queue, MaxAttempts: maxAttempts, Spec: jobs.Spec{Steps: slices.Repeat([]jobs.Step{{Count: 4096}}, 256)}}
+		raw, err := wide.Encode()
+		c.Assert(err, qt.IsNil)
+		_, err = e.rows.As("earlier").CommitRows(context.Background(), platform.RowTxn{Put: []platform.Row{
+			{RowKey: platform.RowKey{Table: "job", Partition: pool, Key: "wide"}, Value: raw},
+		}})
+		c.Assert(err, qt.IsNil)
+		c.Assert(e.own("b"), qt.Equals, "term 2\n")
+		time.Sleep(10 * time.Second)
+		c.Check(e.stateOf("b", "j1"), qt.Equals, "ok completed")
+		c.Check(e.stateOf("b", "wide"), qt.Equals, "unknown")
+		c.Check(e.submit("b", "", "j2", "1x1000/1s"), qt.Equals, "ok\n")
+		c.Check(strings.Contains(e.log.String(), "row_malformed"), qt.IsTrue)
+		c.Check(e.witness.promises(), qt.Equals, "kept\n")
+	})
+}
