--- a/pkg/node/calm_test.go
+++ b/pkg/node/calm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,10 +22,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		rows := fake.NewRows(time.Millisecond, time.Second)
-		calls := 0
+		var calls atomic.Int64
 		rows.SetFault(func(op fake.RowOp, _ string) fake.Fault {
 			if op == fake.RowFollow {
-				calls++
+				calls.Add(1)
 			}
 			return fake.FaultNone
 		})
@@ -33,7 +34,7 @@
 			defer func(stop func() error) { c.Check(stop(), qt.IsNil) }(begin(feed))
 		}
 		time.Sleep(time.Minute)
-		c.Check(calls <= 100, qt.IsTrue, qt.Commentf("%d calls", calls))
+		c.Check(calls.Load() <= 100, qt.IsTrue, qt.Commentf("%d calls", calls.Load()))
 	})
 }
 
