--- a/pkg/shard/record_test.go
+++ b/pkg/shard/record_test.go
@@ -144,6 +144,7 @@
 		for range 3 {
 			c.Check(<-taken, qt.Equals, "ok\n")
 		}
+		synctest.Wait()
 		c.Check(strings.Count(e.log.String(), "transaction_refused"), qt.Equals, 1)
 		time.Sleep(2 * time.Second)
 		for _, id := range []string{"j1", "j2", "j3"} {
@@ -176,6 +177,7 @@
 		c.Check(e.stateOf("b", "j1"), qt.Equals, "ok completed")
 		c.Check(e.stateOf("b", "wide"), qt.Equals, "unknown")
 		c.Check(e.submit("b", "", "j2", "1x1000/1s"), qt.Equals, "ok\n")
+		synctest.Wait()
 		c.Check(strings.Contains(e.log.String(), "row_malformed"), qt.IsTrue)
 		c.Check(e.witness.promises(), qt.Equals, "kept\n")
 	})
