--- a/pkg/shard/estate_test.go
+++ b/pkg/shard/estate_test.go
@@ -66,10 +66,30 @@
 	zones        zones                    // that workers are in
 	schedule     schedule                 // of the next job that is handed in
 	standDown    func(ctx context.Context, former shard.OwnerRow, newer platform.Row) bool
-	log          bytes.Buffer
+	log          sharedLog
 	out          io.Writer // to log
 }
 
+// sharedLog is what owners have written, which a test may read while they go on.
+type sharedLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *sharedLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+// String returns all lines.
+func (l *sharedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // fataler ends a test.
 type fataler interface {
 	Fatal(args ...any)
@@ -79,7 +99,7 @@
 func newEstate(t fataler) *estate {
 	e := &estate{t: t, backAfter: usualBackAfter, suspendable: map[string]*entryMachine{}, since: time.Now(), owners: map[string]*shard.Owner{}, faults: map[string]fake.Fault{}, faultTimes: map[string]int{}, failing: map[string]int{}, crashing: map[string]time.Duration{}}
 	e.witness = newWitness(e)
-	e.out = zerolog.SyncWriter(&e.log)
+	e.out = &e.log
 	e.rows = fake.NewRows(4*time.Millisecond, 3*time.Second)
 	e.rows.SetFault(func(op fake.RowOp, entry string) fake.Fault { return e.fault("rows", string(op), entry) })
 	e.workers = fake.NewWorkers(time.Millisecond, 3*time.Second, 50*time.Millisecond, e.work, e.witness)
