All rows of a job's progress are removed with the job; less work for each placement

Cause: after a takeover an owner knew only the rows that the first one counts. A job whose progress had taken up more, before it ended or before it shrank, left up to seven rows of 65,536 bytes each behind for ever.

Change: the rows that are there are counted when they are read; what those beyond the count say is passed over as before. Besides, with no change of behaviour: what is over of a scheduled job is asked once a pass, and how many occurrences may be laid out is reckoned once; a batch that is full encodes no further progress; one check of the tasks of a job serves submissions and takeovers.

TestFurtherRowsAreKnown fails before (1, 2, 1 rows known of 4).

--- a/pkg/jobs/encode.go
+++ b/pkg/jobs/encode.go
@@ -191,7 +191,8 @@
 	return p, d.Decode(&p)
 }
 
-// Join puts the further rows of a progress behind its first one.
+// Join puts the further rows of a progress behind its first one. There may be more, of a time when it
+// took up more: what they say is out of date, and they are counted only.
 func (p *Progress) Join(further []Progress) error {
 	if len(further) < p.Parts-1 {
 		return errors.Errorf("%d of %d rows of a job's progress are there", 1+len(further), p.Parts)
@@ -199,6 +200,7 @@
 	for i := range p.Parts - 1 {
 		p.Steps = append(p.Steps, further[i].Steps...)
 	}
+	p.Parts = 1 + len(further)
 	return nil
 }
 
--- a/pkg/jobs/encode_test.go
+++ b/pkg/jobs/encode_test.go
@@ -90,6 +90,25 @@
 	qt.Check(t, p.Join([]Progress{{}, {}}), qt.IsNil)
 }
 
+// TestFurtherRowsAreKnown: rows of a time when progress took up more are known after a takeover, of a
+// job that goes on and of one that has ended, so that they are removed with the job. What they say is
+// out of date.
+func TestFurtherRowsAreKnown(t *testing.T) {
+	c := qt.New(t)
+	stale := Progress{Steps: []StepProgress{{Done: []byte{1}}}}
+	for _, p := range []Progress{{State: StateCompleted}, {Parts: 2}, {}} {
+		further := []Progress{stale, stale, stale}
+		if p.Parts > 1 {
+			further[0] = Progress{}
+		}
+		c.Assert(p.Join(further), qt.IsNil)
+		c.Check(p.Steps, qt.HasLen, 0)
+		b := NewBook(2)
+		b.Restore("j", Record{Spec: Spec{Steps: []Step{{Count: 1}}}}, p, 0)
+		c.Check(b.Job("j").Rows(), qt.Equals, 4)
+	}
+}
+
 // oldProgress is a job's progress as versions before occurrences were laid out by their times read it.
 type oldProgress struct {
 	State State          `msgpack:"s,omitempty"`
--- a/pkg/jobs/occurrence.go
+++ b/pkg/jobs/occurrence.go
@@ -48,24 +48,26 @@
 	if j.Spec.Times == 0 || j.State.Final() {
 		return nil
 	}
-	for _, o := range j.open {
-		if j.isOver(o) {
-			over = append(over, o.steps...)
+	j.open = slices.DeleteFunc(j.open, func(o *occurrence) bool {
+		if !o.over() {
+			return false
 		}
-	}
-	j.open = slices.DeleteFunc(j.open, j.isOver)
+		over = append(over, o.steps...)
+		return true
+	})
 	changed := len(over) > 0
 	defer func() {
 		if changed {
 			j.gather()
 		}
 	}()
+	most := j.mostOpen()
 	for j.next < j.Spec.Occurrences() && j.Spec.due(j.next) <= wall+layOutAhead {
 		if end := j.finished.endOf(j.next); end > j.next {
 			j.next = end
 			continue
 		}
-		if len(j.open) >= j.mostOpen() {
+		if len(j.open) >= most {
 			return over
 		}
 		j.add(j.next)
@@ -75,8 +77,8 @@
 	return over
 }
 
-// isOver tells whether nothing of an occurrence is or may be at a worker any more.
-func (j *Job) isOver(o *occurrence) bool {
+// over tells whether all of the occurrence is done, and nothing of it is or may be at a worker any more.
+func (o *occurrence) over() bool {
 	if o.unfinished > 0 {
 		return false
 	}
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -93,6 +93,7 @@
 
 // restore applies kept progress to a new job.
 func (j *Job) restore(p Progress) {
+	j.parts = max(j.parts, p.Parts)
 	if p.State.Final() {
 		j.State, j.Kept, j.Begun, j.over = p.State, p.State, true, true
 		if p.Out != nil {
@@ -100,7 +101,6 @@
 		}
 		return
 	}
-	j.parts = max(j.parts, p.Parts)
 	if j.Spec.Times > 0 && p.Over.valid(j.Spec.Times) {
 		j.finished = p.Over
 		j.Begun = len(p.Over) > 0
--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -73,10 +73,7 @@
 			return errors.Wrapf(err, "step %d", i)
 		}
 	}
-	if n := s.tasks(); n > maxTasks {
-		return errors.Errorf("%d tasks in all steps, at most %d are taken", n, maxTasks)
-	}
-	return nil
+	return s.Holdable()
 }
 
 // Holdable tells whether a job that was accepted by whatever version can be laid out.
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -162,6 +162,9 @@
 // failed, which can.
 func (o *Owner) putProgress(b *batch) {
 	for _, j := range byID(o.dirty) {
+		if !b.room() {
+			break
+		}
 		rows, err := j.Progress().Encode(o.cfg.RowBytes)
 		if err != nil {
 			o.failUnkept(j, err)
