Store a failed task's checkpoint before its end is acknowledged

Cause: EndAttempt overwrote the mark that the checkpoint had set with whether the failure counts as an attempt, never so for a long-running task. Change: either reason marks the progress as to be stored. Before: TestFailedEndPersistsCheckpoint fails; after: passes, unchanged.

--- a/pkg/jobs/registry.go
+++ b/pkg/jobs/registry.go
@@ -234,7 +234,8 @@
 		e.MustPersist = true
 		reg.markDone(t, &e)
 	case platform.EndFailed:
-		e.MustPersist = reg.recordFailure(t, number)
+		counted := reg.recordFailure(t, number)
+		e.MustPersist = e.MustPersist || counted
 	}
 	if j.State.Final() {
 		e.JobEnded = true
