An end that waits behind a gap keeps its attempt from being settled or lost

Cause: resolveUnknownStarts did not look at ends that wait for the next report, and a boot that ended dropped them. Change: such an attempt stays in doubt until its end is applied; the ends that wait are applied when their boot has ended.

--- a/pkg/shard/ends.go
+++ b/pkg/shard/ends.go
@@ -40,6 +40,17 @@
 // hasUnstored reports whether applied ends are not stored yet.
 func (e *endTracker) hasUnstored() bool { return e.applied > e.stored }
 
+// awaitsApplication reports whether the end of an attempt was reported and is not applied yet.
+func (e *endTracker) awaitsApplication(task string, attempt int64) bool {
+	return slices.ContainsFunc(e.deferred, func(x platform.AttemptEnd) bool { return x.Task == task && x.Attempt == attempt })
+}
+
+// takeDeferred removes and returns the ends reported behind a gap, in order.
+func (e *endTracker) takeDeferred() (deferred []platform.AttemptEnd) {
+	deferred, e.deferred = e.deferred, nil
+	return deferred
+}
+
 // ackDue reports whether stored ends are not acknowledged yet.
 func (e *endTracker) ackDue() bool { return e.stored > e.acknowledged }
 
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// applyDeferredEnds applies the ends that a boot reported behind a gap, once it has ended: no report
+// can list the missing ones any more.
+func (o *Owner) applyDeferredEnds(s *session) {
+	deferred := s.ends.takeDeferred()
+	for i := range deferred {
+		s.ends.markApplied(deferred[i].Seq, deferred[i].Task)
+		o.applyEnd(s, &deferred[i], o.now())
+	}
+}
+
 // applyEnd applies one reported end.
 func (o *Owner) applyEnd(s *session, e *platform.AttemptEnd, now time.Duration) {
 	t := o.registry.Task(e.Task)
@@ -144,6 +154,10 @@
 		if a.Phase != jobs.PhaseInDoubt || a.startConfirmedAt > 0 {
 			continue
 		}
+		if s.ends.awaitsApplication(name, a.Number) {
+			s.outcomeUnknown = true
+			continue
+		}
 		// One report is enough for an unanswered start, so that its task is not delayed. Two are
 		// needed if the start may have reached the next boot.
 		if a.countedLostBoot != "" && !a.markMissing() {
--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -39,6 +39,7 @@
 	}
 	next.token = max(next.token, s.token+1) // invalidates orders still on their way
 	next.earlierLeasesUntil = o.otherBootLeasesEnd(o.now())
+	o.applyDeferredEnds(s)
 	o.countLosses(s)
 	o.transferAttempts(s, next)
 	o.transferFormer(s, next)
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -139,6 +139,7 @@
 		return
 	}
 	o.log.Info().Str("event", "worker_ended").Str("boot", s.ref.Boot).Str("vm", s.vm).Str("why", why).Int("attempts", len(s.attempts)).Send()
+	o.applyDeferredEnds(s)
 	o.handleLoss(s, LossEnded)
 	s.ended = true
 	o.resolveFormer(s)
