Test entries listen on addresses of their own process

Cause: the port of metrics is fixed, and the entries of pkg/node's tests listened on 127.0.0.11 to 127.0.0.13 in each test process; two runs at the same time failed with 'address already in use' (TestCluster, twice in this work, while another run held 127.0.0.11:9464). Change: the loopback address depends on the process ID. The checks are the same. After: two runs of the package at the same time, beside a third process that held the old address, both passed (go test -count=1 ./pkg/node, twice in parallel).

--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -154,7 +155,7 @@
 	ended := map[string]chan error{}
 	for i := range 3 {
 		name := fmt.Sprintf("e%d", i)
-		n := newTestNode(c, name, fmt.Sprintf("127.0.0.%d", 11+i), services{Rows: rows.As(name), Workers: workers.As(name), workers: boots})
+		n := newTestNode(c, name, loopback(11+i), services{Rows: rows.As(name), Workers: workers.As(name), workers: boots})
 		nodes[name] = n
 		done := make(chan error, 1)
 		ended[name] = done
@@ -223,6 +224,13 @@
 	return New(testSettings(name, ip, ports[0], ports[1], ports[2]), s, source(), testLog())
 }
 
+// loopback returns a loopback address of this process, which ends in n: the port of metrics is
+// fixed, so test processes that run at the same time must not share addresses.
+func loopback(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid%256, n)
+}
+
 // testSettings returns an entry's settings with its ports for peers, callers and readiness.
 func testSettings(name, ip string, peers, callers, readiness int) schema.ServiceSettings {
 	return schema.ServiceSettings{
--- a/pkg/node/recover_test.go
+++ b/pkg/node/recover_test.go
@@ -22,7 +22,7 @@
 // a planned stop.
 func TestStopAnswersOpenRequests(t *testing.T) {
 	c := qt.New(t)
-	n := newTestNode(c, "e0", "127.0.0.21", services{Rows: fake.NewRows(time.Millisecond, time.Second).As("e0")})
+	n := newTestNode(c, "e0", loopback(21), services{Rows: fake.NewRows(time.Millisecond, time.Second).As("e0")})
 	arrived, release := make(chan struct{}), make(chan struct{})
 	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(arrived)
@@ -58,7 +58,7 @@
 	c := qt.New(t)
 	rows := fake.NewRows(time.Millisecond, time.Second)
 	putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{Version: 1})
-	n := newTestNode(c, "e0", "127.0.0.22", services{Rows: rows.As("e0")})
+	n := newTestNode(c, "e0", loopback(22), services{Rows: rows.As("e0")})
 	hello := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") })
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(Handlers{JobAPI: hello, Readiness: http.NotFoundHandler()}) }()
