--- a/pkg/catalog/account.go
+++ b/pkg/catalog/account.go
@@ -104,3 +104,13 @@
 	}
 	return names
 }
+
+// AccountsWithoutWeight returns the names of the accounts that have no promised rate.
+func (c *Catalog) AccountsWithoutWeight() (names []string) {
+	for i := range c.Accounts {
+		if c.Accounts[i].Weight <= 0 {
+			names = append(names, c.Accounts[i].Name)
+		}
+	}
+	return names
+}
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/peer"
@@ -36,6 +37,8 @@
 	fullPageRows = 400
 	// feedRetryDelay is the base of the pause after a failed poll, which has random jitter.
 	feedRetryDelay = 250 * time.Millisecond
+	// maxLoggedAccounts bounds the accounts that one log line names.
+	maxLoggedAccounts = 10
 )
 
 // feed describes how a table is followed.
@@ -141,6 +144,7 @@
 	}
 	w, ok, err := n.source.DecodeWave(r.Key, r.Value)
 	if err != nil {
+		n.metrics.RowMalformed(n.source.CatalogTable)
 		n.log.Error().Str("event", "wave_malformed").Str("key", r.Key).Err(err).Send()
 	}
 	if ok && err == nil {
@@ -176,9 +180,20 @@
 	n.ownership.SetCatalog(c)
 	n.log.Info().Str("event", "catalog").Int64("version", c.Version).Str("from", from).Int("queues", len(c.Queues)).Int("pools", len(c.Pools)).
 		Int("accounts", len(c.Accounts)).Send()
+	n.logWithoutWeight(c)
 	return nil
 }
 
+// logWithoutWeight names accounts that have no guaranteed rate: all their jobs count as exceeding it.
+func (n *Node) logWithoutWeight(c *catalog.Catalog) {
+	names := c.AccountsWithoutWeight()
+	if len(names) == 0 {
+		return
+	}
+	n.log.Info().Str("event", "accounts_without_weight").Int64("version", c.Version).
+		Strs("accounts", names[:min(len(names), maxLoggedAccounts)]).Int("count", len(names)).Send()
+}
+
 // fetchCatalog asks a peer for a newer configuration, once per version.
 func (n *Node) fetchCatalog(c *peer.Caller, version int64) {
 	n.mu.Lock()
