--- a/_scripts/ablate.sh
+++ b/_scripts/ablate.sh
@@ -29,7 +29,7 @@
 handover-names-tasks|pkg/shard/inherited.go|s/if w.ReleaseTerm > 0 \&\& w.ReleaseTerm == o.claim.Term-1/if false/
 promised-first|pkg/placement/place.go|/cmp.Compare(a.excessRank(), b.excessRank()),/d
 orders-not-sent|pkg/shard/dispatch.go|s/case !platform.IsNotDone(err):/case true:/
-room-soon|pkg/shard/evacuate.go|s/ \&\& !placement.Reserve(step, soon)//;s/hosts, soon := o.hostsToTry(now), o.hostsSoon(now)/hosts := o.hostsToTry(now)/
+room-soon|pkg/shard/evacuate.go|s/ || placement.Reserve(step, e.future)//
 LIST
 }
 
--- a/pkg/platform/rest/rest_test.go
+++ b/pkg/platform/rest/rest_test.go
@@ -35,19 +35,19 @@
 		return err
 	}
 	for _, tc := range []struct {
-		fault        fake.Fault
-		call         func(*rest.Client) error
-		is           func(error) bool
-		name         string
-		took, effect bool
+		fault  fake.Fault
+		call   func(*rest.Client) error
+		is     func(error) bool
+		name   string
+		effect bool
 	}{
-		{fake.FaultNone, write, func(err error) bool { return err == nil }, "write", true, true},
-		{fake.FaultDown, write, platform.IsNotDone, "write", false, false},
-		{fake.FaultLostBefore, write, platform.IsUnknown, "write", false, false},
-		{fake.FaultLostAfter, write, platform.IsUnknown, "write", false, true},
-		{fake.FaultDown, read, platform.IsNotDone, "read", false, false},
-		{fake.FaultLostBefore, read, platform.IsNotDone, "read", false, false},
-		{fake.FaultLostAfter, read, platform.IsNotDone, "read", false, false},
+		{fake.FaultNone, write, func(err error) bool { return err == nil }, "write", true},
+		{fake.FaultDown, write, platform.IsNotDone, "write", false},
+		{fake.FaultLostBefore, write, platform.IsUnknown, "write", false},
+		{fake.FaultLostAfter, write, platform.IsUnknown, "write", true},
+		{fake.FaultDown, read, platform.IsNotDone, "read", false},
+		{fake.FaultLostBefore, read, platform.IsNotDone, "read", false},
+		{fake.FaultLostAfter, read, platform.IsNotDone, "read", false},
 	} {
 		t.Run(tc.name+" "+string(tc.fault), func(t *testing.T) {
 			p, c := start(t)
