One accept loop for both servers of peers

Cause: Server and CallServer each had the same loop and the same set of open connections. CallServer's kept a connection open that was accepted just as ctx ended, after the others had been closed.

--- a/pkg/peer/callserver.go
+++ b/pkg/peer/callserver.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -20,56 +19,24 @@
 
 // CallServer answers the calls of peers, concurrently on each link.
 type CallServer struct {
-	ln      net.Listener
+	links   *links
 	handler CallHandler
 	log     zerolog.Logger
-
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
 }
 
 // NewCallServer returns a server that accepts links at ln.
 func NewCallServer(ln net.Listener, h CallHandler, log zerolog.Logger) *CallServer {
-	return &CallServer{ln: ln, handler: h, log: log, conns: map[net.Conn]struct{}{}}
+	return &CallServer{links: newLinks(ln, 0), handler: h, log: log}
 }
 
 // Serve accepts links until ctx ends, then closes them all.
 func (s *CallServer) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.closeAll)
-	defer stop()
-	for {
-		conn, err := s.ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Wrap(err, "accept link")
-		}
-		s.mu.Lock()
-		s.conns[conn] = struct{}{}
-		s.mu.Unlock()
-		go s.serveLink(ctx, conn)
-	}
-}
-
-func (s *CallServer) closeAll() {
-	_ = s.ln.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
+	return s.links.serve(ctx, func(conn net.Conn) { s.serveLink(ctx, conn) })
 }
 
 func (s *CallServer) serveLink(ctx context.Context, conn net.Conn) {
 	var writeMu sync.Mutex
 	slots := make(chan struct{}, maxCalls)
-	defer func() {
-		_ = conn.Close()
-		s.mu.Lock()
-		delete(s.conns, conn)
-		s.mu.Unlock()
-	}()
 	for {
 		q := &schema.Call{}
 		if _, err := ReadFrame(conn, q); err != nil {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,15 +22,11 @@
 
 // Server accepts links of peers and answers their requests.
 type Server struct {
-	ln      net.Listener
+	links   *links
 	secret  string
 	handler Handler
 	log     zerolog.Logger
 	onBytes func(sent, received int)
-
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
 }
 
 // ServerOption configures a [Server].
@@ -49,9 +44,8 @@
 // authenticates peers.
 func NewServer(ln net.Listener, secret string, h Handler, opts ...ServerOption) *Server {
 	s := &Server{
-		ln: ln, secret: secret, handler: h,
+		links: newLinks(ln, maxLinks), secret: secret, handler: h,
 		log: zerolog.Nop(), onBytes: func(int, int) {},
-		conns: map[net.Conn]struct{}{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -61,53 +55,8 @@
 
 // Serve accepts links until ctx ends, then closes them all and waits for their goroutines.
 func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.closeAll)
-	defer stop()
-	defer s.wg.Wait()
-	for {
-		conn, err := s.ln.Accept()
-		if err != nil {
-			s.closeAll()
-			if ctx.Err() != nil {
-				return nil
-			}
-			return err
-		}
-		if !s.track(ctx, conn) {
-			_ = conn.Close()
-			continue
-		}
-		s.wg.Go(func() {
-			defer s.untrack(conn)
-			s.serveLink(ctx, conn)
-		})
-	}
-}
-
-func (s *Server) track(ctx context.Context, conn net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if ctx.Err() != nil || len(s.conns) >= maxLinks {
-		return false
-	}
-	s.conns[conn] = struct{}{}
-	return true
-}
-
-func (s *Server) untrack(conn net.Conn) {
-	s.mu.Lock()
-	delete(s.conns, conn)
-	s.mu.Unlock()
-	_ = conn.Close()
-}
-
-func (s *Server) closeAll() {
-	_ = s.ln.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
+	defer s.links.wait()
+	return s.links.serve(ctx, func(conn net.Conn) { s.serveLink(ctx, conn) })
 }
 
 func (s *Server) serveLink(ctx context.Context, conn net.Conn) {
