Decode for how long a worker is slow, and count such workers

A worker's row says for how long it runs tasks slowly. The field was only checked for its type. It is now part of the worker, with the worker's clock when the row was written: the row may be old when it is read.

A cold worker's row changes with each heartbeat. Rows that differ only by the time passed are not passed to owners, so a zone that comes back doesn't have them go through all workers more often.

--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -13,6 +14,9 @@
 // change with every heartbeat. Workers announce a shutdown seconds ahead.
 const workerPollInterval = 400 * time.Millisecond
 
+// coldEndTolerance is by how much rows of a cold worker may differ in when it will be warm.
+const coldEndTolerance = 200 * time.Millisecond
+
 // followWorkers follows the worker directory while this entry owns a shard; only owners need it,
 // and its traffic grows with the number of workers.
 func (n *Node) followWorkers(ctx context.Context) error {
@@ -43,10 +47,10 @@
 		list: n.loadWorkers,
 		apply: func(r platform.Row) {
 			n.mu.Lock()
-			n.decodeWorker(n.workers, r)
-			n.mu.Unlock()
+			defer n.mu.Unlock()
+			n.workersChanged = n.decodeWorker(n.workers, r) || n.workersChanged
 		},
-		onBatch: n.publishWorkers,
+		onBatch: n.publishChangedWorkers,
 	}
 }
 
@@ -68,22 +72,39 @@
 	return version, nil
 }
 
-// decodeWorker applies a directory row to all. A malformed row removes its worker until a valid row
-// follows, and is logged once per version.
-func (n *Node) decodeWorker(all map[string]platform.Worker, r platform.Row) {
+// decodeWorker applies a directory row to all; changed is false if the row tells owners nothing new. A
+// malformed row removes its worker until a valid row follows, and is logged once per version.
+func (n *Node) decodeWorker(all map[string]platform.Worker, r platform.Row) (changed bool) {
 	if r.Removed {
 		delete(all, r.Key)
 		delete(n.malformedWorkers, r.Key)
-		return
+		return true
 	}
 	w, err := n.source.DecodeWorker(r.Key, r.Value)
 	if err != nil {
 		delete(all, r.Key)
 		n.recordMalformedWorker(r, err)
-		return
+		return true
 	}
 	delete(n.malformedWorkers, r.Key)
+	if old, ok := all[r.Key]; ok && onlyCoolsDown(old, w) {
+		return false
+	}
 	all[r.Key] = w
+	return true
+}
+
+// onlyCoolsDown reports whether a later row of a cold worker differs only in the time that has passed.
+func onlyCoolsDown(old, w platform.Worker) bool {
+	if min(old.ColdLeft, w.ColdLeft) == 0 || old.ClockMs == platform.ClockUnknown || w.ClockMs == platform.ClockUnknown {
+		return false
+	}
+	end := func(w platform.Worker) time.Duration { return time.Duration(w.ClockMs)*time.Millisecond + w.ColdLeft }
+	if (end(w) - end(old)).Abs() > coldEndTolerance {
+		return false
+	}
+	w.ColdLeft, w.ClockMs = old.ColdLeft, old.ClockMs
+	return reflect.DeepEqual(old, w)
 }
 
 func (n *Node) recordMalformedWorker(r platform.Row, err error) {
@@ -95,7 +116,28 @@
 	n.log.Error().Str("event", "worker_row_malformed").Str("boot", r.Key).Int64("version", r.Version).Err(err).Send()
 }
 
-func (n *Node) publishWorkers() { n.ownership.SetWorkers(n.allWorkers()) }
+func (n *Node) publishWorkers() {
+	workers := n.allWorkers()
+	cold := 0
+	for i := range workers {
+		if workers[i].ColdLeft > 0 {
+			cold++
+		}
+	}
+	n.metrics.coldWorkers.Set(float64(cold))
+	n.ownership.SetWorkers(workers)
+}
+
+// publishChangedWorkers publishes the workers if a row since the last call has changed one.
+func (n *Node) publishChangedWorkers() {
+	n.mu.Lock()
+	changed := n.workersChanged
+	n.workersChanged = false
+	n.mu.Unlock()
+	if changed {
+		n.publishWorkers()
+	}
+}
 
 // allWorkers returns the current boots of all pools.
 func (n *Node) allWorkers() []platform.Worker {
--- a/pkg/node/directory_test.go
+++ b/pkg/node/directory_test.go
@@ -64,6 +64,31 @@
 	})
 }
 
+// TestCoolingDown checks that the rows in which a cold worker counts down don't reach the owners, and
+// that all others do.
+func TestCoolingDown(t *testing.T) {
+	c := qt.New(t)
+	n := New(testSettings("e0", "127.0.0.1", 1, 2, 3), services{}, source(), testLog())
+	feed := n.workerFeed()
+	for _, tc := range []struct {
+		row  string
+		want bool
+	}{
+		{`{"Boot":"a","ColdLeft":4000000000,"ClockMs":1000}`, true},
+		{`{"Boot":"a","ColdLeft":2560000000,"ClockMs":2460}`, false},
+		{`{"Boot":"a","ColdLeft":1000000000,"ClockMs":3900}`, false},
+		{`{"Boot":"a","ColdLeft":900000000,"ClockMs":4000,"Draining":true}`, true},
+		{`{"Boot":"a","ColdLeft":4000000000,"ClockMs":4500,"Draining":true}`, true},
+		{`{"Boot":"a","ColdLeft":3000000000,"ClockMs":-1,"Draining":true}`, true},
+		{`{"Boot":"a","ClockMs":8500,"Draining":true}`, true},
+		{`{"Boot":"a","ClockMs":8600,"Draining":true}`, true},
+	} {
+		n.workersChanged = false
+		feed.apply(platform.Row{RowKey: platform.RowKey{Key: "a"}, Value: []byte(tc.row)})
+		c.Check(n.workersChanged, qt.Equals, tc.want, qt.Commentf("%s", tc.row))
+	}
+}
+
 // TestBadDirectoryRow checks that a malformed directory row removes only its own worker, until a
 // valid row follows.
 func TestBadDirectoryRow(t *testing.T) {
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -32,6 +32,7 @@
 	atLimit         *prometheus.CounterVec
 	predecessorWait *prometheus.HistogramVec
 	evacuatedZones  prometheus.Gauge
+	coldWorkers     prometheus.Gauge
 
 	mu               sync.Mutex
 	labelledAccounts map[string]bool // accounts with a label of their own
@@ -73,9 +74,12 @@
 		evacuatedZones: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gannetwell_zones_out", Help: "Availability zones that the operator has taken out of use.",
 		}),
+		coldWorkers: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "gannetwell_workers_cold", Help: "Workers that say that they are slow after a start; known to entries that own a shard.",
+		}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, m.coldWorkers, collectors.NewGoCollector())
 	return m
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -93,8 +93,9 @@
 	catalog     atomic.Pointer[storedCatalog]
 	evacuations evacuations
 
-	mu      sync.Mutex
-	workers map[string]platform.Worker // by boot
+	mu             sync.Mutex
+	workers        map[string]platform.Worker // by boot
+	workersChanged bool                       // since they were last passed to the owners
 	// malformedWorkers holds the version of each malformed directory row, by boot.
 	malformedWorkers map[string]int64
 	waves            map[int]fleetops.Wave // by ID
--- a/pkg/platform/workers.go
+++ b/pkg/platform/workers.go
@@ -39,6 +39,11 @@
 	Draining bool // it will shut down and must get no new tasks
 	Capacity Resources
 	Labels   []string
+
+	// ColdLeft is how much longer it runs tasks slowly, counted from when its entry was written, 0 for a
+	// worker at full speed.
+	ColdLeft time.Duration
+	ClockMs  int64 // its clock when the entry was written, or [ClockUnknown]; valid with ColdLeft
 }
 
 // WorkerRef addresses one boot of a worker.
