Prefer warm workers, and judge tasks on cold ones by their speed

Nothing knew that a worker is slow after a start. Placement prefers a warm worker where one has room. Learned durations leave out tasks that ran on a cold one; their speed is learned from them, and used in the expected time of a step and in the search for stragglers. While it is unknown, a task on a cold worker is not compared with others, and counts as stalled only after a longer time. Idle cold VMs are the first to leave a pool. Scripts and the drawn evacuations have cold workers; the scripts fail without the change.

--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -18,6 +18,7 @@
 	Capacity platform.Resources
 	Free     platform.Resources
 	Penalty  float64 // subtracted from the score; 0 for a healthy worker
+	Cold     bool    // it runs tasks slowly for now
 
 	SuspectedTasks int // tasks here that are suspected of crashing their worker
 
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -17,6 +17,8 @@
 	spreadWeight = 1.5
 	// packWeight keeps long-running tasks of different steps on few workers, so that others can leave the pool.
 	packWeight = 1.0
+	// coldWeight has warm workers chosen first, but for tasks whose data is in the rack of a cold one.
+	coldWeight = 3.0
 )
 
 // Margin on the remaining work of a job when it is compared with the deadline, so that resources
@@ -199,6 +201,9 @@
 func (h *Host) score(s *jobs.StepRun) float64 {
 	// Fill hosts one by one, so that others stay empty and can leave the pool.
 	score := -float64(h.Free.CPU)/float64(max(h.Capacity.CPU, 1)) - h.Penalty
+	if h.Cold {
+		score -= coldWeight
+	}
 	if s.Spec.DataRack != "" && s.Spec.DataRack == h.Rack {
 		score += dataRackWeight
 	}
@@ -246,7 +251,7 @@
 	return starts
 }
 
-// byRack groups hosts by rack, the rack with most free CPU first.
+// byRack groups hosts by rack, the rack with most free CPU on warm hosts first.
 func byRack(hosts []*Host) (groups [][]*Host) {
 	at := map[string]int{}
 	for _, h := range hosts {
@@ -260,7 +265,9 @@
 	}
 	free := func(g []*Host) (n int) {
 		for _, h := range g {
-			n += h.Free.CPU
+			if !h.Cold {
+				n += h.Free.CPU
+			}
 		}
 		return n
 	}
--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -15,8 +15,29 @@
 	timer      *time.Timer
 	stopping   bool
 	started    time.Time
-	duration   time.Duration // 0 to run until stopped
+	duration   time.Duration // at normal speed, 0 to run until stopped
 	stallAfter time.Duration // run time at which progress stops, 0 for never
+	coldUntil  time.Time     // it runs at coldSpeed until then
+	coldSpeed  float64
+}
+
+// worked returns how long the work that the attempt has done takes at normal speed.
+func (a *attempt) worked() time.Duration {
+	now := time.Now()
+	lost := time.Duration(0)
+	if slow := min(now.Sub(a.started), a.coldUntil.Sub(a.started)); slow > 0 {
+		lost = time.Duration(float64(slow) * (1 - a.coldSpeed))
+	}
+	return now.Sub(a.started) - lost
+}
+
+// runTime returns how long the attempt takes from its start.
+func (a *attempt) runTime(work time.Duration) time.Duration {
+	slow := a.coldUntil.Sub(a.started)
+	if slow <= 0 {
+		return work
+	}
+	return min(time.Duration(float64(work)/a.coldSpeed), work+time.Duration(float64(slow)*(1-a.coldSpeed)))
 }
 
 // startAttempt carries out a start order whose token and lease are valid. The caller holds mu.
@@ -45,10 +66,16 @@
 	if work.Fails {
 		reason = platform.EndFailed
 	}
-	a := &attempt{number: o.Attempt, needs: work.Needs, started: time.Now(), duration: work.Duration}
+	a := &attempt{
+		number: o.Attempt, needs: work.Needs, started: time.Now(), duration: work.Duration,
+		coldUntil: b.coldUntil, coldSpeed: b.coldSpeed,
+	}
 	if w.stalls(b, o.Task) {
 		a.stallAfter = work.Duration / 4
 	}
+	if duration != forever {
+		duration = a.runTime(duration)
+	}
 	a.timer = time.AfterFunc(duration, func() { w.finish(b, o.Task, a, reason) })
 	b.running[o.Task] = a
 	w.observer.Started(b.info.Boot, o.Task, o.Attempt)
@@ -97,7 +124,7 @@
 	if a.duration == 0 {
 		return 100
 	}
-	ran := time.Since(a.started)
+	ran := a.worked()
 	if a.stallAfter > 0 {
 		ran = min(ran, a.stallAfter)
 	}
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -74,6 +74,8 @@
 	bootedAtMs     int64               // Unix milliseconds, 0 if unknown
 	start          time.Time
 	drift          float64 // fraction by which its clock runs slow, 0.02 for 2%
+	coldUntil      time.Time
+	coldSpeed      float64 // of tasks started before coldUntil, as a fraction of the normal speed
 	dead           bool
 	token          int64
 	running        map[string]*attempt
@@ -294,6 +296,19 @@
 	return tasks
 }
 
+// SetCold makes a boot run tasks that start from now on slowly for a time, at a fraction of their normal
+// speed. It returns the boot's clock.
+func (w *Workers) SetCold(name string, left time.Duration, speed float64) (clockMs int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.lookup(name)
+	if b == nil {
+		return platform.ClockUnknown
+	}
+	b.coldUntil, b.coldSpeed = time.Now().Add(left), speed
+	return b.clock()
+}
+
 // clock returns the worker's clock in ms.
 func (b *boot) clock() int64 {
 	return int64(float64(time.Since(b.start).Milliseconds()) * (1 - b.drift))
--- a/pkg/shard/directory_test.go
+++ b/pkg/shard/directory_test.go
@@ -126,6 +126,21 @@
 	})
 }
 
+// cold makes a worker run tasks at a fraction of their normal speed for a time, as its directory row
+// says.
+func (e *testCluster) cold(worker string, left time.Duration, speed float64) {
+	clockMs := e.workers.SetCold(worker, left, speed)
+	e.locked(func() {
+		e.listed = slices.Clone(e.listed)
+		for i := range e.listed {
+			if isWorker(e.listed[i], worker) {
+				e.listed[i].ColdLeft, e.listed[i].ClockMs = left, clockMs
+			}
+		}
+	})
+	e.publish()
+}
+
 // publish sends the directory to all owners.
 func (e *testCluster) publish() {
 	listed := e.directory()
--- a/pkg/shard/estimate.go
+++ b/pkg/shard/estimate.go
@@ -45,18 +45,27 @@
 	return time.Duration(ds.mean * float64(time.Second))
 }
 
-// recordDuration records the duration of a completed task.
-func (o *Owner) recordDuration(a *workerAttempt, now time.Duration) {
+// recordDuration records the duration of a task that has completed at a worker. The means leave out
+// tasks that ran on it while it was cold.
+func (o *Owner) recordDuration(s *session, a *workerAttempt, now time.Duration) {
 	step := a.Task.Step
 	if step.Spec.LongRunning || a.startConfirmedAt == 0 || a.Checkpoint != "" {
 		return
 	}
 	ds := o.durations[step.Job.Queue]
+	ran := now - a.startConfirmedAt
+	if cold := s.cold.overlap(a.startConfirmedAt, now); cold > 0 {
+		o.observeCold(ds, step.Spec.Estimate, ran, cold)
+		if speed, known := o.coldSpeed.get(); known {
+			a.Task.Duration = workDone(ran, cold, speed)
+		}
+		return
+	}
 	if ds == nil {
 		ds = &durationStats{}
 		o.durations[step.Job.Queue] = ds
 	}
-	a.Task.Duration = now - a.startConfirmedAt
+	a.Task.Duration = ran
 	ds.add(a.Task.Duration, step.Spec.Estimate)
 }
 
@@ -98,12 +107,13 @@
 }
 
 // remainingStepTime returns the remaining time of a step: all of it while a task waits, else
-// that of the task started last.
+// that of the task that ends last.
 func (o *Owner) remainingStepTime(j *jobs.Job, s *jobs.StepRun, now time.Duration) time.Duration {
 	if s.Finished() {
 		return 0
 	}
 	whole := o.expectedStepTime(j, s.Spec)
+	speed, known := o.coldSpeed.get()
 	var last time.Duration
 	for _, t := range s.Tasks {
 		if t.Done {
@@ -112,7 +122,11 @@
 		if len(t.Attempts) == 0 {
 			return whole
 		}
-		last = max(last, t.Attempts[0].OrderedAt)
+		started := t.Attempts[0].OrderedAt
+		if w := o.sessions[t.Attempts[0].Boot]; known && w != nil {
+			started += coldDelay(whole, w.cold.overlap(started, w.cold.until), speed)
+		}
+		last = max(last, started)
 	}
 	return max(0, whole-(now-last))
 }
--- a/pkg/shard/lease.go
+++ b/pkg/shard/lease.go
@@ -44,8 +44,13 @@
 
 // noteClock records the worker's clock from an answer.
 func (s *session) noteClock(ms int64, now time.Duration) {
-	if ms != platform.ClockUnknown && ms >= s.clockMs {
-		s.clockMs, s.clockAt = ms, now
+	if ms == platform.ClockUnknown || ms < s.clockMs {
+		return
+	}
+	first := s.clockAt == 0
+	s.clockMs, s.clockAt = ms, now
+	if first {
+		s.updateCold()
 	}
 }
 
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -45,7 +45,8 @@
 	Floor int
 	// AtLimit reports that the owner's CPU or network link is saturated, so that more workers don't help.
 	AtLimit bool
-	// Light names the VMs without long-running tasks and with little work, the least busy first.
+	// Light names the VMs without long-running tasks and with little work, the least busy first and of
+	// those the cold ones.
 	Light []string
 	// Tight names the VMs that take longest to empty because few tasks of their steps may be
 	// missing at a time: those with most such tasks first, at most maxSlowVMs.
@@ -72,7 +73,7 @@
 }
 
 func (o *Owner) load(now time.Duration) (l Load) {
-	used, limited := map[string]int{}, map[string]int{}
+	used, limited, cold := map[string]int{}, map[string]int{}, map[string]bool{}
 	for _, s := range o.sessions {
 		if !s.serviceable(now) {
 			continue
@@ -99,12 +100,14 @@
 			}
 		}
 		if !longRunning && s.trial == nil && float64(cpu) <= maxLightShare*float64(s.info.Capacity.CPU) {
-			used[s.vm] = cpu
+			used[s.vm], cold[s.vm] = cpu, s.cold.contains(now)
 			l.Light = append(l.Light, s.vm)
 		}
 	}
 	l.Tight = slowestVMs(limited)
-	slices.SortFunc(l.Light, func(a, b string) int { return cmp.Or(cmp.Compare(used[a], used[b]), cmp.Compare(a, b)) })
+	slices.SortFunc(l.Light, func(a, b string) int {
+		return cmp.Or(cmp.Compare(used[a], used[b]), trueFirst(cold[a], cold[b]), cmp.Compare(a, b))
+	})
 	l.Floor = o.minWorkers()
 	l.AtLimit = o.rate.Limiting()
 	l.Arriving = o.arrivals.demand(now)
@@ -118,6 +121,18 @@
 	return l
 }
 
+// trueFirst compares two flags; true comes first.
+func trueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // noteEvacuatedZone counts a worker in a zone that is out of use.
 func (l *Load) noteEvacuatedZone(s *session) {
 	if l.ZonesOut == nil {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -96,15 +96,16 @@
 
 	catalog          *catalog.Catalog
 	registry         *jobs.Registry
-	unreadableJobs   map[string]bool               // IDs of stored jobs that could not be decoded
-	recordUnreadable bool                          // the stored record of leased workers could not be decoded
-	accounts         accounts                      // quota shares and limits of client accounts
-	sessions         map[string]*session           // by boot; each tracks the attempts, leases and orders at one boot of a worker
-	currentSessions  map[string]*session           // latest boot of each worker, by worker ID
-	endedBootTokens  map[string]int64              // last token of workers whose boot has ended, by worker ID, if it was raised above firstToken
-	sortedSessions   []*session                    // sessions by boot, nil when stale
-	advices          map[*jobs.StepRun]*advice     // of the advice service, on steps whose queue requires it
-	durations        map[string]*durationStats     // by queue
+	unreadableJobs   map[string]bool           // IDs of stored jobs that could not be decoded
+	recordUnreadable bool                      // the stored record of leased workers could not be decoded
+	accounts         accounts                  // quota shares and limits of client accounts
+	sessions         map[string]*session       // by boot; each tracks the attempts, leases and orders at one boot of a worker
+	currentSessions  map[string]*session       // latest boot of each worker, by worker ID
+	endedBootTokens  map[string]int64          // last token of workers whose boot has ended, by worker ID, if it was raised above firstToken
+	sortedSessions   []*session                // sessions by boot, nil when stale
+	advices          map[*jobs.StepRun]*advice // of the advice service, on steps whose queue requires it
+	durations        map[string]*durationStats // by queue
+	coldSpeed        coldSpeed
 	suspects         map[*jobs.Task]struct{}       // tasks with worker losses counted against them
 	deferredStarts   map[*jobs.Job][]deferredStart // starts to be sent once the provisional loss of their worker is stored
 	unreportedLoss   bool                          // a former owner's worker was lost before it reported to this owner
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -121,7 +121,7 @@
 		o.dropProvisionalLoss(attempt)
 		s.removeAttempt(e.Task)
 		if e.Reason == platform.EndDone {
-			o.recordDuration(a, now)
+			o.recordDuration(s, a, now)
 		}
 	}
 	s.health.noteEnd(e.Reason, now)
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -46,6 +46,14 @@
 	case "publish": // the directory sends the whole list after any change
 		e.publish()
 		return ""
+	case "cold":
+		left, err := time.ParseDuration(arg("left", "0s"))
+		if err != nil {
+			e.t.Fatal(err)
+		}
+		speed, _ := strconv.ParseFloat(arg("speed", "1"), 64)
+		e.cold(arg("boot", ""), left, speed)
+		return ""
 	case "zone-out":
 		e.zones.evacuate(arg("zone", ""))
 		return ""
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -25,6 +25,10 @@
 	vm     string
 	info   platform.Worker // latest directory entry
 
+	infoReadAt time.Duration // when that entry was first read
+	cold       coldPeriod    // the latest
+	coldLogged bool
+
 	listed         bool          // it is in the directory
 	recorded       bool          // the stored record names it, so that the next owner contacts it
 	attemptsKnown  bool          // it has reported its attempts since our first token reached it
@@ -195,6 +199,7 @@
 		s.hostCache = s.newHost()
 	}
 	s.hostCache.Penalty = s.health.penalty(now)
+	s.hostCache.Cold = s.cold.contains(now)
 	return s.hostCache
 }
 
--- a/pkg/shard/straggler.go
+++ b/pkg/shard/straggler.go
@@ -72,14 +72,20 @@
 	if ran < minStragglerRuntime {
 		return 0, false
 	}
-	total := r.projectedDuration()
-	remaining = max(0, total-ran)
+	speed, speedKnown := o.coldSpeed.get()
+	total := s.projectedWork(r, speed)
+	remaining = max(0, total-workDone(ran, s.coldTime(r), speed))
 	// A task that is slow at each worker has more work, so the thresholds double with each
 	// replacement.
 	thresholdFactor := time.Duration(1) << min(r.Task.Replaced, maxThresholdDoublings)
-	if r.reportedAt-r.ProgressAt > thresholdFactor*stallTimeout {
+	coldLeft := s.cold.overlap(r.reportedAt, s.cold.until)
+	if o.progressTime(s, r) > thresholdFactor*stallTimeout {
 		return remaining, true
 	}
+	if coldLeft > 0 && !speedKnown {
+		return remaining, false // it can't be compared with tasks elsewhere
+	}
+	remaining += coldDelay(remaining, coldLeft, speed)
 	if float64(remaining) <= restartGainFactor*float64(restartCost) {
 		return remaining, false // too short to restart, however fast the others are
 	}
@@ -87,15 +93,33 @@
 	return remaining, float64(total) > siblingFactor*float64(typical) && float64(remaining) > restartGainFactor*float64(typical+restartCost)
 }
 
-// projectedDuration returns how long the attempt takes in total at its present speed.
-func (r *workerAttempt) projectedDuration() time.Duration {
-	return time.Duration(float64(r.reportedAt-r.startConfirmedAt) * 100 / (float64(r.Percent) + roundingPercent))
+// progressTime returns how long an attempt has made no progress, not counting what a cold worker may
+// explain.
+func (o *Owner) progressTime(s *session, r *workerAttempt) time.Duration {
+	speed, known := o.coldSpeed.get()
+	if !known {
+		speed = toleratedColdSpeed
+	}
+	return workDone(r.reportedAt-r.ProgressAt, s.cold.overlap(r.ProgressAt, r.reportedAt), speed)
+}
+
+// coldTime returns for how long an attempt has run while the worker was cold.
+func (s *session) coldTime(r *workerAttempt) time.Duration {
+	return s.cold.overlap(r.startConfirmedAt, r.reportedAt)
+}
+
+// projectedWork returns how long the attempt takes in total at its present speed, without what it lost
+// while the worker was cold.
+func (s *session) projectedWork(r *workerAttempt, speed float64) time.Duration {
+	done := workDone(r.reportedAt-r.startConfirmedAt, s.coldTime(r), speed)
+	return time.Duration(float64(done) * 100 / (float64(r.Percent) + roundingPercent))
 }
 
 // typicalDuration returns the median duration of the step's tasks at other workers, or a
 // generous estimate if there are too few.
 func (o *Owner) typicalDuration(s *session, r *workerAttempt) time.Duration {
 	step := r.Task.Step
+	speed, _ := o.coldSpeed.get()
 	var totals []time.Duration
 	for i := 0; i < len(step.Tasks); i += 1 + (len(step.Tasks)-1)/maxSiblings {
 		t := step.Tasks[i]
@@ -105,7 +129,7 @@
 			totals = append(totals, t.Duration)
 		case len(t.Attempts) > 0 && t.Attempts[0].Boot != s.ref.Boot:
 			if other := o.findAttempt(t.Attempts[0]); other != nil && other.Percent >= minSiblingPercent {
-				totals = append(totals, other.projectedDuration())
+				totals = append(totals, o.sessions[other.Boot].projectedWork(other, speed))
 			}
 		}
 	}
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -78,7 +78,11 @@
 		}
 		return nil
 	}
+	coldChanged := w.ColdLeft != s.info.ColdLeft || w.ColdLeft > 0 && w.ClockMs != s.info.ClockMs
 	s.listed, s.info, s.vm, s.unlistedAt = true, w, w.VM, 0
+	if coldChanged {
+		o.noteCold(s, o.now())
+	}
 	s.hostCache = nil
 	if w.Draining && !s.draining {
 		s.draining = true
--- a/pkg/shard/zones_test.go
+++ b/pkg/shard/zones_test.go
@@ -82,7 +82,7 @@
 }
 
 // evacuations evacuates and restores zones while the owner is replaced, calls are
-// lost or late, and workers crash; some jobs are scheduled.
+// lost or late, and workers crash or turn cold; some jobs are scheduled.
 func evacuations(inject func(*testCluster)) func(*rapid.T) {
 	return func(t *rapid.T) {
 		m := newScenario(t, inject)
@@ -93,7 +93,7 @@
 		}
 		m.bootAll(4)
 		m.takeOver()
-		kinds := []func(){m.submit, m.submitScheduled, m.submitLongRunning, m.takeZoneOut, m.takeZoneOut, m.takeZoneBack, m.crash, m.takeOver, m.handOver, m.startConcurrentOwner, m.orderFault, m.rowFault, m.clearFaults}
+		kinds := []func(){m.submit, m.submitScheduled, m.submitLongRunning, m.takeZoneOut, m.takeZoneOut, m.takeZoneBack, m.turnCold, m.crash, m.takeOver, m.handOver, m.startConcurrentOwner, m.orderFault, m.rowFault, m.clearFaults}
 		for range rapid.IntRange(4, 16).Draw(t, "steps") {
 			kinds[rapid.IntRange(0, len(kinds)-1).Draw(t, "kind")]()
 			m.pause(1, 1500, "pause")
@@ -128,6 +128,17 @@
 	m.e.zones.restore(rapid.SampledFrom([]string{"z1", "z2"}).Draw(m.t, "zone"))
 }
 
+// turnCold makes a listed worker slow for a time.
+func (m *scenario) turnCold() {
+	listed := m.e.directory()
+	if len(listed) == 0 {
+		return
+	}
+	boot := listed[rapid.IntRange(0, len(listed)-1).Draw(m.t, "worker")].Boot
+	left := time.Duration(rapid.IntRange(1, 5000).Draw(m.t, "cold for")) * time.Millisecond
+	m.e.cold(boot, left, float64(rapid.IntRange(1, 10).Draw(m.t, "tenths of its speed"))/10)
+}
+
 // TestEvacuations checks that nothing starts in evacuated zones.
 func TestEvacuations(t *testing.T) { prop.Check(t, evacuations(nil)) }
 
