Move idle VMs of a zone out of use to the spare pool

VMs of an evacuated zone stayed in their pools and were paid for. The idle ones now move to the spare pool by degrees, once their pool has had more of them than it lacks for 1.5 s, and are used again when the zone is back. VMs of an open wave stay until they are maintained. Nothing is stored: the next holder goes by the list of VMs.

--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -96,6 +96,7 @@
 	need          map[string]int // demand in VMs, by pool
 	unusablePool  string         // pool without usable workers, whose tasks wait
 	evacuatedZone string         // zone that is evacuated
+	evacuatedIdle bool           // the evacuated VMs have no work
 	waves         []Wave
 	// rowsOf and vmsOf wrap the services as seen by an entry; nil for no faults.
 	rowsOf func(entry string, rows platform.Rows) platform.Rows
@@ -126,7 +127,13 @@
 	s.vms.mu.Lock()
 	defer s.vms.mu.Unlock()
 	for _, m := range s.vms.list {
-		if m.Pool != pool || s.evacuatedZone != "" && m.Zone == s.evacuatedZone {
+		if m.Pool != pool {
+			continue
+		}
+		if s.evacuatedZone != "" && m.Zone == s.evacuatedZone {
+			if s.evacuatedIdle {
+				l.Light = append(l.Light, m.VM)
+			}
 			continue
 		}
 		if l.Workers++; l.Workers > s.need[pool] {
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -19,6 +19,7 @@
 // move is the execution state of a planned move.
 type move struct {
 	Move
+	evacuated bool          // its VM's zone was evacuated when it was planned
 	plannedAt time.Duration // on the entry's clock, as the other times
 	orderedAt time.Duration // 0 while the VM is being drained
 	upAt      time.Duration // when the VM was first seen up in its new pool
@@ -26,8 +27,11 @@
 
 // planMoves adds the moves that bring the pools closer to their target sizes.
 func (r *Runner) planMoves(machines map[string]platform.Machine) {
-	for _, m := range r.policy.PlanMoves(r.poolStates(machines, r.lastLoads)) {
-		r.moves[m.VM] = &move{Move: m, plannedAt: r.now()}
+	pools := r.poolStates(machines, r.lastLoads)
+	planned := r.policy.PlanMoves(pools)
+	planned = append(planned, r.planEvacuated(pools, planned, machines)...)
+	for _, m := range planned {
+		r.moves[m.VM] = &move{Move: m, evacuated: r.cfg.ZoneEvacuated(machines[m.VM].Zone), plannedAt: r.now()}
 		r.log.Info().Str("event", "move_planned").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Str("why", m.Reason).Send()
 	}
 }
@@ -61,8 +65,8 @@
 			m.upAt = now
 		case m.orderedAt > 0 && now-m.orderedAt > moveTimeout:
 			reason = "the move timed out"
-		case m.orderedAt == 0 && r.cfg.ZoneEvacuated(listed.Zone):
-			reason = "the VM's zone is evacuated"
+		case m.orderedAt == 0 && r.cfg.ZoneEvacuated(listed.Zone) != m.evacuated:
+			reason = "the VM's zone was evacuated or is back"
 		case m.orderedAt == 0 && now-m.plannedAt > drainTimeout:
 			reason = "the VM was not drained in time"
 		}
--- a/pkg/fleetops/plan_test.go
+++ b/pkg/fleetops/plan_test.go
@@ -13,13 +13,15 @@
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
-// Runs the planning scripts in testdata: moves between pools and the VMs that a wave selects.
+// Runs the planning scripts in testdata: moves between pools, also of evacuated VMs, and the VMs that a wave selects.
 func TestPlans(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "moves":
 				return planMoves(d.Input)
+			case "evacuated":
+				return planEvacuated(d.Input)
 			case "wave":
 				maxDown := 0
 				d.ScanArgs(t, "max", &maxDown)
@@ -75,6 +77,28 @@
 	return out.String()
 }
 
+func planEvacuated(input string) string {
+	var pools []EvacuatedPool
+	spare := ""
+	for _, line := range strings.Split(input, "\n") {
+		name, v := fields(line)
+		if _, ok := v["spare"]; ok {
+			spare = name
+			continue
+		}
+		p := EvacuatedPool{Name: name, VMs: number(v["vms"]), Deficit: number(v["deficit"]), SurplusSteps: number(v["steps"])}
+		if v["idle"] != "" {
+			p.Movable = strings.Split(v["idle"], ",")
+		}
+		pools = append(pools, p)
+	}
+	var out strings.Builder
+	for _, m := range DefaultSizing.PlanEvacuatedMoves(pools, spare) {
+		fmt.Fprintf(&out, "%s: %s -> %s\n", m.VM, m.From, m.To)
+	}
+	return out.String()
+}
+
 func planWave(input string, maxDown int, elapsed time.Duration) string {
 	w := Wave{MaxDown: maxDown, Within: 60 * time.Second}
 	light, recent, tight, former := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -71,6 +71,7 @@
 	trends            map[string]trend         // of demand, by pool
 	quotas            *quota.Allocator         // divides account quotas among shards
 	surplus           map[string]int           // consecutive steps with surplus VMs, by pool
+	evacuatedSurplus  map[string]int           // consecutive steps with movable VMs in evacuated zones, by pool
 	moves             map[string]*move         // by VM
 	announced         map[string]time.Duration // by VM: until when orders may be sent, as persisted, on the table service's clock
 
@@ -98,7 +99,7 @@
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		quotas: quota.NewAllocator(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
-		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
+		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, evacuatedSurplus: map[string]int{}, trends: map[string]trend{},
 		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
 	}
 	r.loadFormerOrders(ctx)
--- a/pkg/fleetops/zone_test.go
+++ b/pkg/fleetops/zone_test.go
@@ -1,6 +1,7 @@
 package fleetops
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,3 +38,51 @@
 		r.Close()
 	})
 }
+
+// The idle VMs of an evacuated zone go to the spare pool, but for as many as their pool lacks. The next
+// holder goes on with it, and they are used again when the zone is back.
+func TestIdleVMsOfEvacuatedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{"a": 3}, evacuatedZone: "north", evacuatedIdle: true}
+		for vm, zone := range map[string]string{"v1": "north", "v2": "north", "v3": "north", "v4": "south", "v5": "south", "v6": "south"} {
+			s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Zone: zone, Pool: "a", State: platform.MachineUp, Worker: vm})
+		}
+		first := s.open(c, "e", time.Now())
+		time.Sleep(time.Second)
+		c.Check(s.vms.firstOrders("e"), qt.HasLen, 0, qt.Commentf("moved at once"))
+		first.Close()
+		r := s.open(c, "f", time.Now())
+		defer r.Close()
+		time.Sleep(10 * time.Second)
+		c.Check(s.poolOf("v1", "v2", "v3"), qt.DeepEquals, map[string]int{"a": 2, "off": 1})
+
+		s.setNeed("a", 2)
+		time.Sleep(10 * time.Second)
+		c.Check(s.poolOf("v1", "v2", "v3"), qt.DeepEquals, map[string]int{"a": 1, "off": 2})
+
+		s.setEvacuated("")
+		s.setNeed("a", 5)
+		time.Sleep(10 * time.Second)
+		c.Check(s.poolOf("v1", "v2", "v3"), qt.DeepEquals, map[string]int{"a": 3})
+	})
+}
+
+// poolOf counts VMs by their pool.
+func (s *testFleet) poolOf(vms ...string) map[string]int {
+	s.vms.mu.Lock()
+	defer s.vms.mu.Unlock()
+	pools := map[string]int{}
+	for _, m := range s.vms.list {
+		if slices.Contains(vms, m.VM) {
+			pools[m.Pool]++
+		}
+	}
+	return pools
+}
+
+func (s *testFleet) setEvacuated(zone string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuatedZone = zone
+}
