--- a/pkg/fleetops/zone_test.go
+++ b/pkg/fleetops/zone_test.go
@@ -1,13 +1,16 @@
 package fleetops
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 )
@@ -68,6 +71,25 @@
 	})
 }
 
+// A move that was not ordered yet is given up when its VM's zone is evacuated, or is back if the move was
+// planned for that reason.
+func TestMovesOfZones(t *testing.T) {
+	c := qt.New(t)
+	out := map[string]bool{"north": true}
+	r := &Runner{cfg: Config{Clock: elapsed.New(), ZoneEvacuated: func(zone string) bool { return out[zone] }}, log: zerolog.Nop(), moves: map[string]*move{}}
+	machines := map[string]platform.Machine{}
+	for vm, zone := range map[string]string{"n1": "north", "n2": "north", "s1": "south", "s2": "south"} {
+		machines[vm] = platform.Machine{VM: vm, Zone: zone, Pool: "a", State: platform.MachineUp}
+		r.moves[vm] = &move{Move: Move{VM: vm, From: "a", To: "off"}, evacuated: out[zone], plannedAt: r.now()}
+	}
+	r.moves["n2"].orderedAt, r.moves["s2"].orderedAt = 1, 1
+	r.finishMoves(machines)
+	c.Check(r.moves, qt.HasLen, 4)
+	out = map[string]bool{"south": true}
+	r.finishMoves(machines)
+	c.Check(slices.Sorted(maps.Keys(r.moves)), qt.DeepEquals, []string{"n2", "s2"})
+}
+
 // poolOf counts VMs by their pool.
 func (s *testFleet) poolOf(vms ...string) map[string]int {
 	s.vms.mu.Lock()
