Claim a shard whose owner ended in a planned stop that could not write its row

Answers to pings now say that all owners of a stopping entry have ended; that counts as gone at once and ends the wait for the predecessor. The start time in an answer shows a restart before the new process can register, and such a process is no candidate: it has no configuration. Two refused connections in a row count as gone without a majority of others, as they already did for the wait after a takeover. Tests: owner_status, TestClaimAfterStopInOutage, TestUnregisteredIsNoCandidate, TestReleased, TestHasEnded; pkg/ownership passes, pkg/node not run whole here (its tests use fixed ports, and another run on this machine held them).

--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -19,7 +19,7 @@
 		return &schema.CallReply{
 			Outcome: schema.CallOutcomeOk, CatalogVersion: int(n.catalogVersion()),
 			ReachesStore: n.rows.reachable(), Start: int(n.self.Start),
-			OwnersVersion: int(version), Claiming: inDoubt, Stopping: n.stopping.Load(), Owners: n.ownership.RowsSince(int64(q.OwnersVersion)),
+			OwnersVersion: int(version), Claiming: inDoubt, Stopping: n.stopping.Load(), Released: n.ownership.Released(), Owners: n.ownership.RowsSince(int64(q.OwnersVersion)),
 		}
 	case schema.CallKindStandDown:
 		row := platform.Row{Value: q.OwnerRow, Version: int64(q.OwnersVersion)} // here the version of this row only
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
+	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
@@ -102,6 +103,69 @@
 	})
 }
 
+// TestClaimAfterStopInOutage guards against a shard without an owner after an outage: its owner ended
+// in a planned stop, its row could not be written, and its process still answers.
+func TestClaimAfterStopInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		o := newClaimCluster()
+		for i, mgr := range o.managers {
+			p := memberHeard("lost", mgr.now())
+			p.recordReply(&schema.CallReply{Start: 1, Stopping: true, Released: true}, mgr.now(), mgr.now())
+			mgr.members.peers["lost"] = p
+			o.entries[i].storeSince = time.Now()
+		}
+		c.Check(o.runPass(), qt.HasLen, 1)
+	})
+}
+
+// TestUnregisteredIsNoCandidate guards against waiting for the claim of a process that started during
+// an outage, since it could neither register nor read the configuration.
+func TestUnregisteredIsNoCandidate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		o := newClaimCluster()
+		m := o.managers[0].members
+		c.Check(m.Candidates(), qt.HasLen, 5)
+		m.peers["e2"].processStart = 2
+		c.Check(m.Candidates(), qt.HasLen, 4)
+		m.peers["e2"].Start = 2 // it has registered
+		c.Check(m.Candidates(), qt.HasLen, 5)
+	})
+}
+
+// releasingOwner is an owner whose release takes a while.
+type releasingOwner struct{ LocalOwner }
+
+func (releasingOwner) Release(context.Context, string) { time.Sleep(time.Second) }
+
+// TestReleased checks that an entry reports its owners as ended only once each of them has, also one
+// whose claim was in progress when the planned stop began.
+func TestReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		mgr := newClaimCluster().managers[0]
+		mgr.shards["p"].owner = releasingOwner{}
+		c.Check(mgr.Released(), qt.IsFalse, qt.Commentf("not stopping"))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			mgr.Release(context.Background())
+		}()
+		synctest.Wait()
+		c.Check(mgr.Released(), qt.IsFalse, qt.Commentf("the release is in progress"))
+		<-done
+		c.Check(mgr.Released(), qt.IsTrue)
+		mgr.shards["q"] = &shardState{claiming: true}
+		c.Check(mgr.Released(), qt.IsFalse, qt.Commentf("a claim is in progress"))
+		closed := make(chan struct{})
+		mgr.shards["q"] = &shardState{closed: closed}
+		c.Check(mgr.Released(), qt.IsFalse, qt.Commentf("an owner is closing"))
+		close(closed)
+		c.Check(mgr.Released(), qt.IsTrue)
+	})
+}
+
 // TestRowReadAfterClaim checks that the owner row is read again after a claim failed because the
 // row has changed, since the feed may have lost that change.
 func TestRowReadAfterClaim(t *testing.T) {
--- a/pkg/ownership/ended_test.go
+++ b/pkg/ownership/ended_test.go
@@ -39,4 +39,10 @@
 	other.recordFailure(peer.ErrNotSent{}, time.Hour+4, time.Hour+4, true)
 	other.recordFailure(refused, time.Hour+5, time.Hour+5, false)
 	c.Check(m.HasEnded(row), qt.IsFalse, qt.Commentf("not refused in between"))
+	other.recordReply(&schema.CallReply{Stopping: true}, time.Hour+6, time.Hour+6)
+	c.Check(m.HasEnded(row), qt.IsFalse, qt.Commentf("stopping"))
+	other.recordReply(&schema.CallReply{Stopping: true, Released: true}, time.Hour+7, time.Hour+7)
+	c.Check(m.HasEnded(row), qt.IsTrue, qt.Commentf("its owners have ended"))
+	other.recordReply(&schema.CallReply{Start: 2}, time.Hour+8, time.Hour+8)
+	c.Check(m.HasEnded(row), qt.IsTrue, qt.Commentf("another process answers"))
 }
--- a/pkg/ownership/liveness.go
+++ b/pkg/ownership/liveness.go
@@ -44,8 +44,12 @@
 	switch {
 	case p == nil:
 		return OwnerSuspect, "not listed"
-	case p.Start != o.Start:
+	case p.hasRestarted(o):
 		return OwnerGone, "restarted"
+	case p.released:
+		return OwnerGone, "ended in a planned stop"
+	case p.consecutiveRefusals >= refusalsUntilEnded:
+		return OwnerGone, "refuses connections"
 	case m.now()-since < newOwnerGracePeriod && !p.refused:
 		return OwnerAlive, "its owner row is new"
 	case m.alive(p) && p.storeLostSince > 0 && m.now()-p.storeLostSince > storeLossTimeout && m.mostOthersReachStore(p):
@@ -63,7 +67,8 @@
 }
 
 // HasEnded reports whether the owner in a row is known to have ended: the row names no owner or
-// this entry, its entry has restarted, or refusalsUntilEnded consecutive connections were refused.
+// this entry, its entry has restarted or has ended its owners in a planned stop, or
+// refusalsUntilEnded consecutive connections were refused.
 func (m *Members) HasEnded(o shard.OwnerRow) bool {
 	if o.Entry == "" || o.Entry == m.self.Name {
 		return true
@@ -71,9 +76,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[o.Entry]
-	return p != nil && (p.Start != o.Start || p.consecutiveRefusals >= refusalsUntilEnded)
+	return p != nil && (p.hasRestarted(o) || p.released || p.consecutiveRefusals >= refusalsUntilEnded)
 }
 
+// hasRestarted reports whether the entry's process is another than that of the owner in a row. While
+// the table service is away, a new process can't register, but its answers show its start time.
+func (p *memberState) hasRestarted(o shard.OwnerRow) bool {
+	return p.Start != o.Start || p.processStart != 0 && p.processStart != o.Start
+}
+
+// registered reports whether the process that answers is the one that is registered. Another one
+// may not have read the configuration yet.
+func (p *memberState) registered() bool { return p.processStart == 0 || p.processStart == p.Start }
+
 // updateMajority updates since when most entries, this one included, are alive. The caller holds
 // mu. After a partition heals the others are heard again one by one, so a majority has to last
 // before silence counts against a single entry.
@@ -132,8 +147,8 @@
 	return m.local.ReachesStore() && 2*reached > heard
 }
 
-// Candidates returns the entries that may take over a shard, this one included: alive, not
-// stopping, and reaching the table service. Shortly after the service has recovered its reported
+// Candidates returns the entries that may take over a shard, this one included: alive, registered,
+// not stopping, and reaching the table service. Shortly after the service has recovered its reported
 // state is ignored; otherwise each entry would consider itself the only candidate.
 func (m *Members) Candidates() []Member {
 	storeRecovering := m.local.StoreUptime() < storeRecoveryTime
@@ -141,7 +156,7 @@
 	defer m.mu.Unlock()
 	all := []Member{m.self}
 	for _, p := range m.peers {
-		if m.alive(p) && !p.stopping && (p.storeLostSince == 0 || storeRecovering) {
+		if m.alive(p) && p.registered() && !p.stopping && (p.storeLostSince == 0 || storeRecovering) {
 			all = append(all, p.Member)
 		}
 	}
--- a/pkg/ownership/liveness_test.go
+++ b/pkg/ownership/liveness_test.go
@@ -70,7 +70,8 @@
 	})
 }
 
-// addPeer adds a member from "NAME heard=AGE [refused] [nostore=AGE] [start=N]".
+// addPeer adds a member from "NAME heard=AGE [refused] [refusals=N] [nostore=AGE] [start=N]
+// [answers=N] [released]"; answers is the start time in its last answer.
 func addPeer(m *Members, words []string) {
 	p := &memberState{Member: Member{Name: words[0], Address: words[0], Start: 1}, caller: peer.NewCaller(words[0]), cancel: func() {}}
 	for _, w := range words[1:] {
@@ -86,6 +87,14 @@
 		case "start":
 			n, _ := strconv.Atoi(value)
 			p.Start = int64(n)
+		case "answers":
+			n, _ := strconv.Atoi(value)
+			p.processStart = int64(n)
+		case "released":
+			p.stopping, p.released = true, true
+		case "refusals":
+			n, _ := strconv.Atoi(value)
+			p.refused, p.consecutiveRefusals = n > 0, n
 		}
 	}
 	p.owns = true
--- a/pkg/ownership/manager.go
+++ b/pkg/ownership/manager.go
@@ -86,6 +86,8 @@
 	catalog  *catalog.Catalog
 	workers  []platform.Worker // of all pools, one for the current boot of each VM
 	stopping bool
+	// releaseDone is set when Release has handed over the shards or failed to.
+	releaseDone bool
 	// rebalancedAt is when this entry last handed over a shard to balance the load.
 	rebalancedAt time.Duration
 	changed      chan struct{} // closed and replaced whenever an owner changes
@@ -171,7 +173,8 @@
 	return owns, mgr.changed
 }
 
-// Release hands over all local shards in a planned stop; no shard is claimed from then on.
+// Release hands over all local shards in a planned stop; no shard is claimed from then on. Their
+// owners have ended when it returns, whether or not their rows could be written.
 func (mgr *Manager) Release(ctx context.Context) {
 	mgr.mu.Lock()
 	mgr.stopping = true
@@ -188,6 +191,25 @@
 		wg.Go(func() { o.Release(ctx, next[i%len(next)]) })
 	}
 	wg.Wait()
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	mgr.releaseDone = true
+}
+
+// Released reports whether all local owners have ended in a planned stop, so that the shards of
+// rows which still name this entry may be claimed at once.
+func (mgr *Manager) Released() bool {
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	if !mgr.releaseDone {
+		return false
+	}
+	for _, s := range mgr.shards {
+		if s.claiming || !isClosed(s.closed) {
+			return false
+		}
+	}
+	return true
 }
 
 // Shards returns the names of all known shards.
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -48,6 +48,8 @@
 	answeredPingAt time.Duration // when that ping was sent
 	ownersVersion  int64         // highest version of an owner row it has seen, -1 while it has a takeover in doubt
 	stopping       bool          // in a planned stop, so not a candidate
+	released       bool          // all its owners have ended in that stop
+	processStart   int64         // start time of the process that answered, 0 if unknown
 	storeLostSince time.Duration // when it was first seen without the table service, 0 if it reaches it
 }
 
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -181,7 +181,7 @@
 	}
 	p.refused, p.consecutiveRefusals, p.pingTimedOut = false, 0, false
 	p.recordStoreState(reply.ReachesStore, now)
-	p.stopping = reply.Stopping
+	p.stopping, p.released, p.processStart = reply.Stopping, reply.Released, int64(reply.Start)
 	p.answeredPingAt, p.ownersVersion = sentAt, int64(reply.OwnersVersion)
 	if reply.Claiming {
 		p.ownersVersion = -1
--- a/pkg/ownership/rows.go
+++ b/pkg/ownership/rows.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// isClosed reports whether the channel is closed, nil counting as closed.
+func isClosed(closed <-chan struct{}) bool {
+	if closed == nil {
+		return true
+	}
+	select {
+	case <-closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // setRow stores an owner row and updates which entries own shards. The caller holds mu.
 func (mgr *Manager) setRow(pool string, s *shardState, row shard.OwnerRow, version int64) {
 	s.row, s.version, s.loaded = row, version, true
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -113,6 +113,9 @@
 	// ReachesStore reports whether the table service answers the sender.
 	ReachesStore bool `json:"reaches_store" msgpack:"reaches_store"`
 
+	// Released reports whether the sender's owners have all ended in a planned stop.
+	Released bool `json:"released" msgpack:"released"`
+
 	// Start distinguishes successive processes of the sending entry.
 	Start int `json:"start" msgpack:"start"`
 
