--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -124,6 +124,7 @@
 	n.members = ownership.NewMembers(n.self, rows, log, clock, local{n})
 	rows.onLost = n.members.PingAll
 	n.ownership = ownership.NewManager(n.identity(), n.members, n.openShard, log, clock)
+	rows.onRegained = n.ownership.Wake
 	return n
 }
 
@@ -209,6 +210,7 @@
 	actor(n.followMembers)
 	actor(n.watchSuspensions)
 	actor(n.followOwners)
+	actor(n.watchRecovery)
 	actor(func(ctx context.Context) error { return n.plannedStop(ctx, jobAPI) })
 	return g.Run()
 }
--- a/pkg/node/storemonitor.go
+++ b/pkg/node/storemonitor.go
@@ -19,6 +19,8 @@
 	clock *elapsed.Clock
 	// onLost is called, without mu held, when the service stops answering.
 	onLost func()
+	// onRegained is called, without mu held, when the service answers again.
+	onRegained func()
 
 	mu         sync.Mutex
 	lost       bool
@@ -94,6 +96,7 @@
 		go r.onLost()
 	} else {
 		r.log.Info().Str("event", "store_regained").Send()
+		go r.onRegained()
 	}
 }
 
--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -8,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -38,17 +40,19 @@
 	mgr.mu.Lock()
 	defer mgr.mu.Unlock()
 	now := mgr.now()
+	mgr.mayClaimFirst = false
 	if mgr.stopping || now < startupClaimDelay || mgr.catalog == nil {
 		return
 	}
 	mgr.confirmOwned()
+	candidates := mgr.members.Candidates()
+	counts := mgr.shardCounts()
 	if !mgr.members.local.ReachesStore() {
+		mgr.mayClaimFirst = mgr.isFirstCandidate(candidates, counts)
 		return // a claim could not be committed
 	}
-	candidates := mgr.members.Candidates()
-	counts := mgr.shardCounts()
 	mgr.rebalance(ctx, candidates, counts, now)
-	for _, pool := range slices.Sorted(maps.Keys(mgr.shards)) {
+	for _, pool := range mgr.claimOrder() {
 		s := mgr.shards[pool]
 		if !s.loaded || s.owner != nil || s.claiming || now < s.notBefore {
 			continue
@@ -58,9 +62,6 @@
 			continue
 		}
 		rank := mgr.rankAndAssign(pool, s.row, candidates, counts)
-		if s.row.Entry == mgr.self.Entry && s.row.Start == mgr.self.Start {
-			rank = 0 // the row names this process, so no other entry claims the shard
-		}
 		if now-s.goneSince < time.Duration(rank)*claimStagger {
 			continue
 		}
@@ -71,6 +72,48 @@
 	}
 }
 
+// claimOrder returns the names of the shards, that of the fleet operations first: pools wait for the
+// VMs that it moves. The caller holds mu.
+func (mgr *Manager) claimOrder() []string {
+	names := slices.Sorted(maps.Keys(mgr.shards))
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(claimPriority(a), claimPriority(b))
+	})
+	return names
+}
+
+// claimPriority is 0 for the shard that is claimed first and 1 for all others.
+func claimPriority(name string) int {
+	if name == fleetops.Partition {
+		return 0
+	}
+	return 1
+}
+
+// isFirstCandidate reports whether this entry is the first candidate for a shard whose owner is
+// gone. The caller holds mu.
+func (mgr *Manager) isFirstCandidate(candidates []Member, counts map[string]int) (first bool) {
+	for _, pool := range mgr.claimOrder() {
+		s := mgr.shards[pool]
+		if !s.loaded || s.owner != nil {
+			continue
+		}
+		if status, _ := mgr.members.OwnerStatus(s.row, s.rowSeenAt); status != OwnerGone {
+			continue
+		}
+		first = mgr.rankAndAssign(pool, s.row, candidates, counts) == 0 || first
+	}
+	return first
+}
+
+// MayClaimFirst reports whether the table service does not answer and this entry is the first
+// candidate for a shard without an owner, as of the last pass.
+func (mgr *Manager) MayClaimFirst() bool {
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	return mgr.mayClaimFirst
+}
+
 // confirmOwned confirms the local owners: while no entry has seen a newer owner row, none of them
 // was replaced. The caller holds mu.
 func (mgr *Manager) confirmOwned() {
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -119,6 +120,52 @@
 	})
 }
 
+// TestMayClaimFirst checks that only the first candidate for a shard without an owner watches for the
+// end of an outage, and that no claim's delay has begun before.
+func TestMayClaimFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		o := newClaimCluster()
+		watching := func() (names []string) {
+			o.runPass()
+			for _, mgr := range o.managers {
+				if mgr.MayClaimFirst() {
+					names = append(names, mgr.self.Entry)
+				}
+			}
+			return names
+		}
+		first := watching()
+		c.Check(first, qt.HasLen, 1)
+		time.Sleep(3 * claimStagger)
+		for _, e := range o.entries {
+			e.storeSince = time.Now()
+		}
+		c.Check(o.runPass(), qt.DeepEquals, first)
+		c.Check(watching(), qt.HasLen, 0)
+
+		for i, e := range o.entries {
+			e.storeSince = time.Time{}
+			o.managers[i].shards["p"].loaded = true // read again after the failed claim
+		}
+		c.Check(watching(), qt.DeepEquals, first, qt.Commentf("the service is away again"))
+		for _, mgr := range o.managers {
+			mgr.members.peers["lost"] = memberHeard("lost", mgr.now())
+		}
+		c.Check(watching(), qt.HasLen, 0, qt.Commentf("the owner is alive"))
+	})
+}
+
+// TestFleetFirst checks that the shard of the fleet operations is claimed before those of pools.
+func TestFleetFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mgr := newClaimCluster().managers[0]
+		mgr.addShard("a")
+		mgr.addShard(fleetops.Partition)
+		qt.Check(t, mgr.claimOrder(), qt.DeepEquals, []string{fleetops.Partition, "a", "p"})
+	})
+}
+
 // TestUnregisteredIsNoCandidate guards against waiting for the claim of a process that started during
 // an outage, since it could neither register nor read the configuration.
 func TestUnregisteredIsNoCandidate(t *testing.T) {
--- a/pkg/ownership/manager.go
+++ b/pkg/ownership/manager.go
@@ -86,6 +86,8 @@
 	catalog  *catalog.Catalog
 	workers  []platform.Worker // of all pools, one for the current boot of each VM
 	stopping bool
+	// mayClaimFirst is the result of MayClaimFirst.
+	mayClaimFirst bool
 	// releaseDone is set when Release has handed over the shards or failed to.
 	releaseDone bool
 	// rebalancedAt is when this entry last handed over a shard to balance the load.
--- a/pkg/ownership/rank.go
+++ b/pkg/ownership/rank.go
@@ -28,6 +28,9 @@
 	if len(order) > 0 {
 		counts[order[0].Name]++
 	}
+	if row.Entry == mgr.self.Entry && row.Start == mgr.self.Start {
+		return 0 // the row names this process, so no other entry claims the shard
+	}
 	return slices.IndexFunc(order, func(m Member) bool { return m.Name == mgr.self.Entry })
 }
 
