A submission that can't be stored counts as arriving work of its pool

While the table service is away, jobs are refused, and the demand was known only once they were accepted. Each refused job now counts once, however often its caller tries, for 1.5 s after the last try or until it is accepted; at most 4,096 are remembered. Load.Arriving includes them, shard_load counts them as jobs_refused, and gannetwell_jobs_total counts refused jobs.

--- a/pkg/shard/arrivals.go
+++ b/pkg/shard/arrivals.go
@@ -11,10 +11,22 @@
 // a pool.
 const arrivalWindow = 800 * time.Millisecond
 
-// arrivals tracks the work of recently accepted jobs.
+const (
+	// refusedRetryTime is the time in which the callers of refused submissions retry.
+	refusedRetryTime = time.Second
+	// refusedDemandTime is how long after its last refusal a submission counts: the time in which its
+	// caller retries and some delay.
+	refusedDemandTime = refusedRetryTime + 500*time.Millisecond
+	// maxRefusedJobs bounds the refused submissions that are remembered.
+	maxRefusedJobs = 4096
+)
+
+// arrivals tracks the work of recently accepted jobs, and of submissions that were refused because
+// they could not be stored and will be repeated.
 type arrivals struct {
-	since  time.Duration // from when on jobs could be accepted
-	recent []arrival     // of the last window, in order
+	since   time.Duration      // from when on jobs could be accepted
+	recent  []arrival          // of the last window, in order
+	refused map[string]arrival // by job ID, at the time of the last refusal
 }
 
 // arrival is the work of one job: the resources of its tasks times their duration in seconds.
@@ -24,13 +36,38 @@
 	memoryMB float64
 }
 
-// add records the work of one job.
-func (a *arrivals) add(at time.Duration, cpu, memoryMB float64) {
-	a.recent = append(a.recent, arrival{at: at, cpu: cpu, memoryMB: memoryMB})
+// add records an accepted job.
+func (a *arrivals) add(id string, j arrival) {
+	delete(a.refused, id)
+	a.recent = append(a.recent, j)
+}
+
+// addRefused records a refused submission; added reports whether it is the first of its job.
+func (a *arrivals) addRefused(id string, j arrival) (added bool) {
+	if _, known := a.refused[id]; !known {
+		if a.forgetRefused(j.at); len(a.refused) >= maxRefusedJobs {
+			return false
+		}
+		added = true
+	}
+	if a.refused == nil {
+		a.refused = map[string]arrival{}
+	}
+	a.refused[id] = j
+	return added
+}
+
+// forgetRefused forgets the submissions that have not been repeated in time.
+func (a *arrivals) forgetRefused(now time.Duration) {
+	for id, j := range a.refused {
+		if now-j.at > refusedDemandTime {
+			delete(a.refused, id)
+		}
+	}
 }
 
 // demand returns the resources that arriving jobs will hold on average if they keep arriving
-// as in the last window.
+// as in the last window, and refused ones arrive within refusedRetryTime.
 func (a *arrivals) demand(now time.Duration) (r platform.Resources) {
 	drop := 0
 	for drop < len(a.recent) && now-a.recent[drop].at > arrivalWindow {
@@ -43,24 +80,50 @@
 		memoryMB += j.memoryMB
 	}
 	window := min(arrivalWindow, max(now-a.since, arrivalWindow/4)).Seconds()
+	r = platform.Resources{CPU: int(cpu / window), MemoryMB: int(memoryMB / window)}
+	return r.Add(a.refusedDemand(now))
+}
+
+// refusedDemand returns the part of demand that refused submissions make up.
+func (a *arrivals) refusedDemand(now time.Duration) platform.Resources {
+	a.forgetRefused(now)
+	var cpu, memoryMB float64
+	for _, j := range a.refused {
+		cpu += j.cpu
+		memoryMB += j.memoryMB
+	}
+	window := refusedRetryTime.Seconds()
 	return platform.Resources{CPU: int(cpu / window), MemoryMB: int(memoryMB / window)}
 }
 
-// noteArrival records an accepted job. Scheduled jobs and long-running or filler tasks do not
-// count, since they don't arrive at a steady rate.
-func (o *Owner) noteArrival(j *jobs.Record, now time.Duration) {
-	if j.Spec.Times > 0 {
-		return
+// noteArrival records an accepted job.
+func (o *Owner) noteArrival(id string, r *jobs.Record, now time.Duration) {
+	o.arrivals.add(id, o.expectedWork(r, now))
+}
+
+// noteRefused records a submission that was refused because it could not be stored. The lock is held.
+func (o *Owner) noteRefused(id string, r *jobs.Record) {
+	now := o.now()
+	if o.arrivals.addRefused(id, o.expectedWork(r, now)) {
+		o.cfg.Metrics.Job("refused")
 	}
-	var cpu, memoryMB float64
-	for i := range j.Spec.Steps {
-		st := &j.Spec.Steps[i]
+}
+
+// expectedWork returns the work of a job that arrives now. Scheduled jobs and long-running or filler
+// tasks do not count, since they don't arrive at a steady rate.
+func (o *Owner) expectedWork(r *jobs.Record, now time.Duration) arrival {
+	j := arrival{at: now}
+	if r.Spec.Times > 0 {
+		return j
+	}
+	for i := range r.Spec.Steps {
+		st := &r.Spec.Steps[i]
 		if st.LongRunning || st.Filler {
 			continue
 		}
-		s := o.durations[j.Queue].expected(st.Estimate).Seconds() * float64(st.Count)
-		cpu += s * float64(st.Needs.CPU)
-		memoryMB += s * float64(st.Needs.MemoryMB)
+		s := o.durations[r.Queue].expected(st.Estimate).Seconds() * float64(st.Count)
+		j.cpu += s * float64(st.Needs.CPU)
+		j.memoryMB += s * float64(st.Needs.MemoryMB)
 	}
-	o.arrivals.add(now, cpu, memoryMB)
+	return j
 }
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -49,6 +49,7 @@
 		return o.awaitSubmission(ctx, s)
 	}
 	if o.commitsFailing {
+		o.noteRefused(id, &r)
 		o.mu.Unlock()
 		return schema.CallOutcomeRefused
 	}
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -169,6 +169,6 @@
 		}
 	}
 	o.log.Info().Str("event", "shard_load").Int("workers", l.Workers).Int("cpu", l.Capacity.CPU).Int("cpu_used", l.Used.CPU).
-		Int("cpu_waiting", l.Waiting.CPU).Int("cpu_arriving", l.Arriving.CPU).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
+		Int("cpu_waiting", l.Waiting.CPU).Int("cpu_arriving", l.Arriving.CPU).Int("jobs_refused", len(o.arrivals.refused)).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
 		Int("tasks_waiting", l.Tasks).Int("jobs", len(o.registry.Active())).Int("jobs_running", running).Bool("at_limit", l.AtLimit).Send()
 }
--- a/pkg/shard/outcome.go
+++ b/pkg/shard/outcome.go
@@ -14,7 +14,7 @@
 	for _, s := range b.submissions {
 		delete(o.pending, s.id)
 		o.registry.Add(s.id, s.record, now)
-		o.noteArrival(&s.record, now)
+		o.noteArrival(s.id, &s.record, now)
 		o.cfg.Metrics.Job("accepted")
 		s.resolve(schema.CallOutcomeOk)
 	}
@@ -54,6 +54,9 @@
 	}
 	for _, s := range b.submissions {
 		delete(o.pending, s.id)
+		if outcome == schema.CallOutcomeRefused {
+			o.noteRefused(s.id, &s.record)
+		}
 		s.resolve(outcome)
 	}
 	o.requeue(b)
@@ -79,6 +82,7 @@
 func (o *Owner) refuseQueued() {
 	for _, s := range o.queued {
 		delete(o.pending, s.id)
+		o.noteRefused(s.id, &s.record)
 		s.resolve(schema.CallOutcomeRefused)
 	}
 	o.queued = nil
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -153,6 +153,9 @@
 	case "load":
 		l, ok := e.owners[entry].Load(false)
 		return fmt.Sprintf("%v: %d workers, room %d, of one %d, used %d, waiting %d\n", ok, l.Workers, l.Capacity.CPU, l.VMCapacity.CPU, l.Used.CPU, l.Waiting.CPU)
+	case "arriving":
+		l, ok := e.owners[entry].Load(false)
+		return fmt.Sprintf("%v: %d\n", ok, l.Arriving.CPU)
 	case "corrupt":
 		e.rows.Corrupt(platform.RowKey{Table: arg("table", ""), Partition: pool, Key: arg("key", "row")}, []byte("\xc1 not ours"))
 		return ""
