A call that waited for a silent owner is sent to the new one

While the table service is away, a call waits only 120 ms for another owner, but one that was already sent to a silent owner waited for it up to 1.8 s, and its outcome was left unknown when the new owner appeared. The call now goes to the new owner, as it does while the service answers. TestNewOwnerAfterOutage fails without the change (unknown instead of ok).

--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -142,7 +142,8 @@
 	}
 }
 
-// callOwnerWithin retries a call, also at new owners, until it is answered or maxWait is over.
+// callOwnerWithin retries a call until it is answered or maxWait is over, and at a new owner also
+// later.
 func (n *Node) callOwnerWithin(ctx context.Context, q *schema.Call, maxWait time.Duration) *schema.CallReply {
 	ctx, cancel := context.WithTimeout(ctx, maxWait+forwardTimeout)
 	defer cancel()
@@ -155,6 +156,9 @@
 			return reply
 		}
 		unknown = unknown || reply.Outcome == schema.CallOutcomeUnknown
+		if n.hasNewOwner(q.Pool, row.Term) && ctx.Err() == nil {
+			continue
+		}
 		if n.shouldRetry(reply, maxWait) && n.waitBeforeRetry(ctx, q.Pool, row.Term, time.Until(deadline)) {
 			continue
 		}
@@ -183,6 +187,12 @@
 	return n.newOwnerExpected()
 }
 
+// hasNewOwner reports whether the shard has an owner of a later term.
+func (n *Node) hasNewOwner(pool string, term int64) bool {
+	row, _, _ := n.ownership.Owner(pool)
+	return row.Entry != "" && row.Term > term
+}
+
 // newOwnerExpected reports whether a shard without an owner should soon get one that this entry can
 // reach.
 func (n *Node) newOwnerExpected() bool { return n.rows.reachable() && !n.isolated() }
--- a/pkg/node/ownerwait_test.go
+++ b/pkg/node/ownerwait_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// TestNewOwnerAfterOutage guards against leaving the outcome of a submission unknown although a new
+// owner accepts it: it was sent to a silent owner while the table service was away.
+func TestNewOwnerAfterOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	rows := fake.NewRows(time.Millisecond, time.Second)
+	rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultDown })
+	n := newIdleNode(rows)
+	setOwner(c, n, peerEntry(ctx, c, n, "e1", neverAnswer), 1)
+	second := peerEntry(ctx, c, n, "e2", accept)
+	_, err := n.rows.ListRows(ctx, "any", "", "")
+	c.Assert(err, qt.IsNotNil)
+	time.AfterFunc(600*time.Millisecond, func() { setOwner(c, n, second, 2) })
+	c.Check(n.Submit(ctx, submitQueue, "", "0000000000000001", jobs.Spec{}), qt.Equals, schema.CallOutcomeOk)
+}
+
 // TestUnknownStaysUnknown guards against reporting a submission as refused when an earlier owner
 // may have accepted it.
 func TestUnknownStaysUnknown(t *testing.T) {
