A process claims nothing before it has heard the others after registering

The delay before the first claim now counts from the registration, which waits for the table service, not from the start of the process. TestNoClaimBeforeOthersHeard.

--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -16,8 +16,8 @@
 
 // Timing of claims.
 const (
-	// startupClaimDelay lets entries that start together register before any of them claims a shard
-	// that has no owner.
+	// startupClaimDelay lets entries that start together register, and hear each other, before any of
+	// them claims a shard that has no owner.
 	startupClaimDelay = 250 * time.Millisecond
 	// claimStagger is the delay between the claims of consecutive candidates for a shard.
 	claimStagger = 350 * time.Millisecond
@@ -41,7 +41,7 @@
 	defer mgr.mu.Unlock()
 	now := mgr.now()
 	mgr.mayClaimFirst = false
-	if mgr.stopping || now < startupClaimDelay || mgr.catalog == nil {
+	if mgr.stopping || mgr.members.sinceRegistration() < startupClaimDelay || mgr.catalog == nil {
 		return
 	}
 	mgr.confirmOwned()
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -181,6 +181,33 @@
 	})
 }
 
+// TestNoClaimBeforeOthersHeard guards against claims by all processes that started during an outage:
+// they have heard nobody yet when they register, so each would be the only candidate.
+func TestNoClaimBeforeOthersHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		o := newClaimCluster()
+		for i, mgr := range o.managers {
+			o.entries[i].storeSince = time.Now()
+			mgr.members.registeredAt = mgr.now()
+			for _, p := range mgr.members.peers {
+				p.heardAt = 0
+			}
+		}
+		c.Check(o.runPass(), qt.HasLen, 0)
+		time.Sleep(startupClaimDelay)
+		for _, mgr := range o.managers {
+			for name, p := range mgr.members.peers {
+				if name != "lost" {
+					p.heardAt = mgr.now()
+				}
+			}
+			mgr.members.peers["lost"].processStart = 2
+		}
+		c.Check(o.runPass(), qt.HasLen, 1)
+	})
+}
+
 // releasingOwner is an owner whose release takes a while.
 type releasingOwner struct{ LocalOwner }
 
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -64,6 +64,8 @@
 	mu    sync.Mutex
 	peers map[string]*memberState // by name
 	owns  bool                    // this entry owns a shard
+	// registeredAt is when this entry's own row was written, 0 if it was not.
+	registeredAt time.Duration
 	// majoritySince is since when most entries are alive, 0 if they are not.
 	majoritySince time.Duration
 }
@@ -102,7 +104,20 @@
 	_, err = m.rows.CommitRows(ctx, platform.RowTxn{Put: []platform.Row{{
 		RowKey: platform.RowKey{Table: TableMember, Key: m.self.Name}, Value: raw,
 	}}})
-	return err
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.registeredAt = m.now()
+	return nil
+}
+
+// sinceRegistration returns how long ago this entry registered, or started if it has not.
+func (m *Members) sinceRegistration() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now() - m.registeredAt
 }
 
 // Zones returns the availability zones that have an entry.
