--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -67,7 +67,8 @@
 		}
 		s.claiming = true // the event tells the start of the claim; a failure has its own
 		mgr.log.Info().Str("event", "shard_claimed").Str("pool", pool).Str("former", s.row.Entry).Int64("version", s.version).
-			Str("why", why).Int("rank", rank).Int("alive", len(candidates)).Send()
+			Str("why", why).Int("rank", rank).Int("alive", len(candidates)).Dur("heard_ago", mgr.members.heardAgo(s.row.Entry)).
+			Dur("store_up", mgr.members.local.StoreUptime()).Send()
 		go mgr.claim(ctx, pool, s, shard.ObservedOwner{Version: s.version, Age: now - s.rowSeenAt})
 	}
 }
--- a/pkg/ownership/liveness.go
+++ b/pkg/ownership/liveness.go
@@ -66,6 +66,17 @@
 	return OwnerSuspect, "silent, as are many others"
 }
 
+// heardAgo returns the time since an entry last answered, 0 if it is unknown or never did.
+func (m *Members) heardAgo(name string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[name]
+	if p == nil || p.heardAt == 0 {
+		return 0
+	}
+	return m.now() - p.heardAt
+}
+
 // HasEnded reports whether the owner in a row is known to have ended: the row names no owner or
 // this entry, its entry has restarted or has ended its owners in a planned stop, or
 // refusalsUntilEnded consecutive connections were refused.
