--- a/pkg/fleetops/zones.go
+++ b/pkg/fleetops/zones.go
@@ -50,13 +50,14 @@
 	for _, m := range planned {
 		arriving[m.To]++
 	}
+	inWaves := r.awaitingMaintenance()
 	var evacuated []EvacuatedPool
 	for _, s := range pools {
 		if s.Spare {
 			continue
 		}
 		p := EvacuatedPool{
-			Name: s.Name, VMs: vms[s.Name], Movable: r.idleEvacuated(s.Load.Light, s.Name, machines),
+			Name: s.Name, VMs: vms[s.Name], Movable: r.idleEvacuated(s.Load.Light, s.Name, machines, inWaves),
 			Deficit: r.policy.TargetSize(s.Load) - s.Supply - arriving[s.Name],
 		}
 		if p.surplus() == 0 {
@@ -86,34 +87,35 @@
 	return vms
 }
 
-// idleEvacuated returns those of a pool's light VMs that are in an evacuated zone and may be moved.
-func (r *Runner) idleEvacuated(light []string, pool string, machines map[string]platform.Machine) (idle []string) {
+// idleEvacuated returns those of a pool's light VMs that are in an evacuated zone and may be moved. The
+// VMs in inWaves stay until they are maintained.
+func (r *Runner) idleEvacuated(light []string, pool string, machines map[string]platform.Machine, inWaves map[string]bool) (idle []string) {
 	for _, vm := range light {
-		if r.movableEvacuated(vm, pool, machines) {
+		if !inWaves[vm] && r.movableEvacuated(vm, pool, machines) {
 			idle = append(idle, vm)
 		}
 	}
 	return idle
 }
 
-// movableEvacuated reports whether a VM of a pool is in an evacuated zone and may be moved. A wave's VMs
-// stay until they are maintained.
+// movableEvacuated reports whether a VM of a pool is in an evacuated zone and may be moved.
 func (r *Runner) movableEvacuated(vm, pool string, machines map[string]platform.Machine) bool {
 	m, ok := machines[vm]
 	if !ok || m.Pool != pool || m.State != platform.MachineUp || !r.cfg.ZoneEvacuated(m.Zone) {
 		return false
 	}
-	return r.moves[vm] == nil && r.mayOrderFor(vm) && !r.inOpenWave(vm)
+	return r.moves[vm] == nil && r.mayOrderFor(vm)
 }
 
-// inOpenWave reports whether a wave has yet to maintain a VM.
-func (r *Runner) inOpenWave(vm string) bool {
+// awaitingMaintenance returns the VMs that open waves have yet to maintain.
+func (r *Runner) awaitingMaintenance() map[string]bool {
+	vms := map[string]bool{}
 	for _, w := range r.openWaves() {
 		for _, v := range w.vms {
-			if v.Name == vm && v.Phase != PhaseDone && v.Phase != PhaseGone {
-				return true
+			if v.Phase != PhaseDone && v.Phase != PhaseGone {
+				vms[v.Name] = true
 			}
 		}
 	}
-	return false
+	return vms
 }
