--- a/pkg/catalog/account.go
+++ b/pkg/catalog/account.go
@@ -13,7 +13,7 @@
 type Account struct {
 	Name string
 	Keys []KeyHash
-	// Weight is the promised rate in jobs per second, and the account's share of a full pool.
+	// Weight is the guaranteed rate in jobs per second, and the account's share of a full pool.
 	Weight float64
 	// Limit bounds the resources of its running tasks over all workers, zero for no limit.
 	Limit platform.Resources
@@ -105,7 +105,7 @@
 	return names
 }
 
-// AccountsWithoutWeight returns the names of the accounts that have no promised rate.
+// AccountsWithoutWeight returns the names of the accounts that have no guaranteed rate.
 func (c *Catalog) AccountsWithoutWeight() (names []string) {
 	for i := range c.Accounts {
 		if c.Accounts[i].Weight <= 0 {
