--- a/pkg/ownership/liveness.go
+++ b/pkg/ownership/liveness.go
@@ -48,8 +48,6 @@
 		return OwnerGone, "restarted"
 	case p.released:
 		return OwnerGone, "ended in a planned stop"
-	case p.consecutiveRefusals >= refusalsUntilEnded:
-		return OwnerGone, "refuses connections"
 	case m.now()-since < newOwnerGracePeriod && !p.refused:
 		return OwnerAlive, "its owner row is new"
 	case m.alive(p) && p.storeLostSince > 0 && m.now()-p.storeLostSince > storeLossTimeout && m.mostOthersReachStore(p):
