Refused connections end the wait for a predecessor only if its zone is heard

At 33.69 the new owner of yeye62c logged predecessor_done with process_ended for front-hall-b-2, which went on to start tasks until 35 s. A refusal now counts when another entry of the zone has answered since, and the zone's entries are pinged at the first refusal. TestHasEnded has the cases; the one with two refusals and nothing else is now that the process has not ended, which is stricter.

--- a/pkg/ownership/liveness.go
+++ b/pkg/ownership/liveness.go
@@ -76,8 +76,8 @@
 }
 
 // HasEnded reports whether the owner in a row is known to have ended: the row names no owner or
-// this entry, its entry has restarted or has ended its owners in a planned stop, or
-// refusalsUntilEnded consecutive connections were refused.
+// this entry, its entry has restarted or has ended its owners in a planned stop, or it refuses
+// connections.
 func (m *Members) HasEnded(o shard.OwnerRow) bool {
 	if o.Entry == "" || o.Entry == m.self.Name {
 		return true
@@ -85,7 +85,25 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[o.Entry]
-	return p != nil && (p.hasRestarted(o) || p.released || p.consecutiveRefusals >= refusalsUntilEnded)
+	return p != nil && (p.hasRestarted(o) || p.released || m.refusesConnections(p))
+}
+
+// refusesConnections reports whether refusalsUntilEnded consecutive connections to an entry were
+// refused while another entry of its zone answered: a zone that is cut off may refuse all connections
+// while its processes run. The caller holds mu.
+func (m *Members) refusesConnections(p *memberState) bool {
+	if p.consecutiveRefusals < refusalsUntilEnded {
+		return false
+	}
+	if m.self.Zone == p.Zone {
+		return true // no zone boundary in between
+	}
+	for _, other := range m.peers {
+		if other != p && other.Zone == p.Zone && !other.refused && other.answeredPingAt > p.refusedSince {
+			return true
+		}
+	}
+	return false
 }
 
 // hasRestarted reports whether the entry's process is another than that of the owner in a row. While
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -40,6 +40,7 @@
 	heardAt             time.Duration // last answer, 0 for never
 	refused             bool          // the last connection attempt was refused
 	consecutiveRefusals int           // refused connection attempts in a row
+	refusedSince        time.Duration // when the first of these was made
 	pingTimedOut        bool          // the last ping timed out
 
 	failedAt time.Duration // last failed ping, 0 for never
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// pingZone pings the other entries of an entry's zone, which show whether the zone is cut off. The
+// caller holds mu.
+func (m *Members) pingZone(p *memberState) {
+	for _, other := range m.peers {
+		if other != p && other.Zone == p.Zone {
+			other.pingNow()
+		}
+	}
+}
+
 // ping pings an entry once and processes its answer; linkBroke reports that the connection failed
 // before the timeout.
 func (m *Members) ping(ctx context.Context, p *memberState) (linkBroke bool) {
@@ -162,6 +172,9 @@
 		p.recordFailure(err, sentAt, m.now(), timedOut)
 	}
 	after, refused := m.alive(p), p.refused
+	if p.consecutiveRefusals == 1 {
+		m.pingZone(p)
+	}
 	m.updateMajority()
 	m.mu.Unlock()
 	if before != after {
@@ -196,6 +209,9 @@
 	var notSent peer.ErrNotSent
 	p.refused = errors.As(err, &notSent) && notSent.Refused
 	if p.refused {
+		if p.consecutiveRefusals == 0 {
+			p.refusedSince = sentAt
+		}
 		p.consecutiveRefusals++
 	} else {
 		p.consecutiveRefusals = 0
