--- a/pkg/shard/cold.go
+++ b/pkg/shard/cold.go
@@ -13,6 +13,8 @@
 	coldDecay = 0.95
 	// minColdSpeed bounds the estimate.
 	minColdSpeed = 0.05
+	// harmlessColdSpeed is the known speed from which cold workers are used like others.
+	harmlessColdSpeed = 0.95
 	// toleratedColdSpeed is the speed down to which a task on a slow worker is not taken for stalled
 	// while the speed is unknown.
 	toleratedColdSpeed = 0.25
@@ -90,6 +92,12 @@
 	return min(1, max(minColdSpeed, c.done/c.ran)), true
 }
 
+// slow reports whether others are to be preferred to cold workers.
+func (c *coldSpeed) slow() bool {
+	speed, known := c.get()
+	return !known || speed < harmlessColdSpeed
+}
+
 // workDone returns the work of a task that ran for a time, of which it was on a cold worker for some.
 func workDone(ran, cold time.Duration, speed float64) time.Duration {
 	return ran - cold + time.Duration(float64(cold)*speed)
--- a/pkg/shard/cold_test.go
+++ b/pkg/shard/cold_test.go
@@ -77,16 +77,19 @@
 		speed, known := cs.get()
 		c.Check(speed, qt.Equals, 1.0)
 		c.Check(known, qt.IsFalse)
+		c.Check(cs.slow(), qt.IsTrue)
 		cs.observe(4*time.Second, time.Second)
 	}
 	speed, known := cs.get()
 	c.Check(known, qt.IsTrue)
+	c.Check(cs.slow(), qt.IsTrue)
 	c.Check(speed > 0.24 && speed < 0.26, qt.IsTrue, qt.Commentf("%v", speed))
 	for range 200 {
 		cs.observe(time.Second, 2*time.Second)
 	}
 	speed, _ = cs.get()
 	c.Check(speed, qt.Equals, 1.0)
+	c.Check(cs.slow(), qt.IsFalse)
 	for range 200 {
 		cs.observe(time.Second, 0)
 	}
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -108,9 +108,12 @@
 // hosts returns placement's view of the workers that accept tasks, by boot. The hosts are cached
 // and planning changes them, so planned starts must be dispatched before the lock is released.
 func (o *Owner) hosts(now time.Duration) (hosts []*placement.Host) {
+	coldIsSlow := o.coldSpeed.slow()
 	for _, s := range o.sessionsByBoot() {
 		if s.acceptsTasks(now) {
-			hosts = append(hosts, s.host(now))
+			h := s.host(now)
+			h.Cold = coldIsSlow && s.cold.contains(now)
+			hosts = append(hosts, h)
 		}
 	}
 	return hosts
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -199,7 +199,6 @@
 		s.hostCache = s.newHost()
 	}
 	s.hostCache.Penalty = s.health.penalty(now)
-	s.hostCache.Cold = s.cold.contains(now)
 	return s.hostCache
 }
 
