A step's free place goes to the VM of the lowest rank, then the one drained longest

Which task of a step with limited missing ones was stopped next depended on whichever VM the fleet's owner asked about first. The owner of a pool now remembers which VMs it was asked to drain, since when and with which rank, and gives free places in that order on each periodic check. A VM that can't use a place, as no other worker has room for its task, doesn't hold it back.

--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -73,7 +73,7 @@
 		}
 		return &schema.CallReply{Outcome: schema.CallOutcomeOk, Load: raw}
 	case schema.CallKindEmpty:
-		if o.DrainVM(q.VM) {
+		if o.DrainVM(q.VM, q.Rank) {
 			return &schema.CallReply{Outcome: schema.CallOutcomeOk}
 		}
 		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -55,11 +55,18 @@
 	// Queue is the job's queue.
 	Queue string `json:"queue" msgpack:"queue"`
 
+	// Rank orders the VMs being drained; those of a lower rank go first.
+	Rank int `json:"rank" msgpack:"rank"`
+
 	// Record is the encoded job record of a submission.
 	Record []byte `json:"record" msgpack:"record"`
 
 	// VM is the VM to drain.
 	VM string `json:"vm" msgpack:"vm"`
+
+	// WaveVMs are the VMs of the pool that open waves will still drain, sent with
+	// calls for the load.
+	WaveVMs []string `json:"wave_vms" msgpack:"wave_vms"`
 }
 
 type CallKind string
--- a/pkg/shard/checks.go
+++ b/pkg/shard/checks.go
@@ -41,11 +41,10 @@
 			o.requestCommit()
 		}
 		if s.draining {
-			o.evacuate(s, false, "its worker is draining")
-		} else if s.leaving(now, o.cfg.StoreUptime()) {
-			o.evacuate(s, true, "its worker is no longer listed")
+			o.evacuate(s, &spareRoom{owner: o, now: now}, limitsIgnored, "its worker is draining")
 		}
 	}
+	o.moveLimitedTasks(now)
 	o.resolveFormerWorkers()
 	o.checkVMList(now)
 	o.removeExpiredJobs(now)
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -17,29 +17,38 @@
 	evacuationDelay = 2500 * time.Millisecond
 )
 
+// limitPolicy says which tasks of steps that limit missing ones are moved.
+type limitPolicy string
+
+const (
+	limitsIgnored  limitPolicy = "ignored"  // all: their worker is about to end
+	limitsKept     limitPolicy = "kept"     // as far as the steps' limits allow
+	limitsDeferred limitPolicy = "deferred" // none: moveLimitedTasks chooses among all drained VMs
+)
+
 // DrainVM keeps new tasks away from a VM and moves its tasks away, as far as the steps' limits
-// on missing tasks allow. It reports whether the VM is empty; the caller repeats it until then.
-func (o *Owner) DrainVM(vm string) (empty bool) {
+// on missing tasks allow; VMs of a lower rank go first. It reports whether the VM is empty; the
+// caller repeats it until then.
+func (o *Owner) DrainVM(vm string, rank int) (empty bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.now()
 	if o.closed || !o.ownershipConfirmed(now) {
 		return false
 	}
+	if o.cordon(vm, rank, now) {
+		o.moveLimitedTasks(now)
+	}
 	empty = true
 	for _, s := range o.sessionsByBoot() {
 		if s.vm != vm {
 			continue
 		}
-		if s.former.pending || o.formerWorkersPending && !s.attemptsKnown {
-			empty = false // tasks of former owners may be there
+		if o.mayHoldFormerTasks(s) {
+			empty = false
 			continue
 		}
-		if s.cordonedUntil < now {
-			o.log.Info().Str("event", "worker_cordoned").Str("boot", s.ref.Boot).Str("vm", vm).Int("attempts", len(s.attempts)).Send()
-		}
-		s.cordonedUntil = now + cordonDuration
-		waits := o.evacuate(s, true, "its VM is being drained")
+		waits := o.evacuate(s, &spareRoom{owner: o, now: now}, limitsDeferred, "its VM is being drained")
 		if !s.idle() {
 			empty = false
 			o.logNotEmpty(s, waits, now)
@@ -55,6 +64,26 @@
 	return empty
 }
 
+// mayHoldFormerTasks reports whether tasks of former owners may be at a worker.
+func (o *Owner) mayHoldFormerTasks(s *session) bool {
+	return s.former.pending || o.formerWorkersPending && !s.attemptsKnown
+}
+
+// cordon keeps new tasks away from a VM; it reports whether the VM was not being drained before.
+func (o *Owner) cordon(vm string, rank int, now time.Duration) (added bool) {
+	for _, s := range o.sessionsByBoot() {
+		if s.vm != vm || o.mayHoldFormerTasks(s) {
+			continue
+		}
+		if !s.drained(now) {
+			s.drain.since, added = now, true
+			o.log.Info().Str("event", "worker_cordoned").Str("boot", s.ref.Boot).Str("vm", vm).Int("rank", rank).Int("attempts", len(s.attempts)).Send()
+		}
+		s.drain.rank, s.cordonedUntil = rank, now+cordonDuration
+	}
+	return added
+}
+
 // waitCounts counts the tasks at a worker being emptied by what they wait for.
 type waitCounts struct {
 	finishing int // their own end
@@ -93,10 +122,8 @@
 }
 
 // evacuate stops the long-running tasks at a worker that have room elsewhere, so that they
-// restart there; others are left to finish. With limited, it respects the number of tasks of
-// a step that may be missing. It returns what the tasks wait for.
-func (o *Owner) evacuate(s *session, limited bool, why string) (w waitCounts) {
-	room := &spareRoom{owner: o, now: o.now()}
+// restart there; others are left to finish. It returns what the tasks wait for.
+func (o *Owner) evacuate(s *session, room *spareRoom, limits limitPolicy, why string) (w waitCounts) {
 	for _, r := range sortedByKey(s.attempts) {
 		step := r.Task.Step
 		switch {
@@ -104,7 +131,7 @@
 			w.stopping++
 		case !step.Spec.LongRunning:
 			w.finishing++
-		case limited && step.Spec.HasMaxUnavailable && (o.formerWorkersPending || room.now-o.tookOverAt < evacuationDelay || !o.withinMaxUnavailable(step, r.Task)):
+		case step.Spec.HasMaxUnavailable && !o.mayStopLimited(r.Task, limits, room.now):
 			w.limited++
 		case !room.reserve(step):
 			w.noRoom++
@@ -116,6 +143,18 @@
 	return w
 }
 
+// mayStopLimited reports whether a task whose step limits missing ones may be stopped now.
+func (o *Owner) mayStopLimited(t *jobs.Task, limits limitPolicy, now time.Duration) bool {
+	switch limits {
+	case limitsIgnored:
+		return true
+	case limitsDeferred:
+		return false
+	default:
+		return !o.formerWorkersPending && now-o.tookOverAt >= evacuationDelay && o.withinMaxUnavailable(t.Step, t)
+	}
+}
+
 // futureHosts returns the workers that accept tasks as they will be once their finite tasks
 // have ended. In a full pool this is the only room for a long-running task, which is placed
 // before others.
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -51,6 +51,7 @@
 	trial           *trial                         // trial that it is reserved for, nil for none
 	pausedUntil     time.Duration                  // accepts no new tasks until then
 	cordonedUntil   time.Duration                  // its VM is being emptied until then
+	drain           drain                          // the last request to empty its VM
 	zoneEvacuated   func(zone string) bool         // reports whether a zone is out of use
 
 	notEmptyLoggedAt time.Duration // when the log last said why its VM is not empty
