Waves follow a plan of their steps' places, and say when they can't end in time

VMs stayed in emptying for 10 to 24 s, as busy VMs began at half of a wave's time at the latest and then all at once, whatever places the steps of their tasks had. The owners of pools now report the steps with limited tasks on VMs of open waves. From these, the wave's limit and the pools' shares PlanWave works out the least time for the wave and what it results from. SelectVMs begins VMs of scarce steps at once, drains a VM with limited tasks only if it uses a place that would stay unused, and counts it for the wave and its pool only once its limited tasks are gone. The wave's limit is kept when orders are sent. Long-running tasks prefer VMs that no open wave will drain.

wave_at_risk in the log, gannetwell_waves_at_risk and gannetwell_wave_vms, gannetctl wave list.

--- a/cmd/gannetctl/cmds/cmds_test.go
+++ b/cmd/gannetctl/cmds/cmds_test.go
@@ -66,6 +66,11 @@
 	serveJSON("GET "+api.PathZones, api.Zones{Zones: []api.ZoneStatus{
 		{Zone: "hall-a", OutForS: 12.3, Workers: 20, Tasks: 7, Complete: true}, {Zone: "hall-b", OutForS: 3, Workers: 4},
 	}})
+	serveJSON("GET "+api.PathWaves, api.Waves{Complete: true, Waves: []api.WaveStatus{
+		{Wave: 7, Waiting: 40, Draining: 12, Down: 3, Done: 14, ElapsedS: 8.2, WithinS: 26, NeedsS: 21.4, Limit: "step", LimitOf: "j1.0.0", AtRisk: true},
+		{Wave: 8, Waiting: 1, WithinS: 60, NeedsS: -1, Limit: "max_down", AtRisk: true},
+		{Wave: 9, Draining: 1, WithinS: 60, NeedsS: 5, Limit: "round"},
+	}})
 	serveJSON("GET "+api.PathAccounts, api.Accounts{CatalogVersion: 7, Accounts: []api.AccountStatus{
 		{Name: "north", Keys: []string{"90706fbf"}, Weight: 5, Cpu: 4000, MemoryMb: 100, Pools: []api.AccountInPool{
 			{Pool: "booking", Bound: true, Running: 0.25, Wanted: 0.75, Share: 0.5}, {Pool: "scoring", Running: 0.125, Wanted: 0.125},
--- a/cmd/gannetctl/cmds/wave.go
+++ b/cmd/gannetctl/cmds/wave.go
@@ -19,6 +19,7 @@
 		{name: "resume", short: "Resume a paused wave", long: "Goes on with a paused wave.\n\nExample:\n  gannetctl wave resume kernel-update --reason 'exam is over'", data: setState(schema.WaveStateRunning)},
 		{name: "abort", short: "End a wave early", long: "Like pause, but for good.\n\nExample:\n  gannetctl wave abort kernel-update --reason 'bad image'", data: setState(schema.WaveStateAborted)},
 		{name: "status", short: "Show waves and their progress", long: "Shows every wave with its progress.\n\nExample:\n  gannetctl wave status", data: &waveStatusCommand{console: c}},
+		{name: "list", short: "List the job service's open waves", long: "Lists the open maintenance waves of the job service, the next deadline first: VMs that wait, are being drained, are down and are done, the time since the request, the time allowed, the least time that is still needed, and the limit that this results from: max_down, pool, step or round.\n\nExample:\n  gannetctl --entry http://10.1.0.9:9464 wave list", data: &waveListCommand{console: c}},
 	}
 }
 
--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -41,7 +41,7 @@
 	loads := map[string]shard.Load{}
 	for _, pool := range pools {
 		wg.Go(func() {
-			l, ok := r.cfg.Load(ctx, pool, r.grantFor(pool, grants))
+			l, ok := r.cfg.Load(ctx, pool, r.grantFor(pool, grants), r.waveVMs[pool])
 			if !ok {
 				return
 			}
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -161,7 +161,7 @@
 	cat := catalog.New(catalog.Catalog{Pools: []catalog.Pool{{Name: "a"}, {Name: "b"}, {Name: "off", Spare: true}}})
 	return Open(context.Background(), Config{
 		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Clock: elapsed.New(elapsed.WithOrigin(since)), Rows: rows, Machines: vms,
-		Drain: func(context.Context, string, string) bool { return true }, Load: func(ctx context.Context, pool string, _ *quota.Grant) (shard.Load, bool) {
+		Drain: func(context.Context, string, string, int) bool { return true }, Load: func(ctx context.Context, pool string, _ *quota.Grant, _ []string) (shard.Load, bool) {
 			return s.load(ctx, pool)
 		},
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -1,7 +1,10 @@
 package fleetops
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -14,10 +17,12 @@
 	vms       []*VM
 	startedAt time.Duration // when this entry first saw the request, or an estimate if a former holder started the wave
 
-	loaded        bool // the progress of former holders was read
-	changed       bool // the progress differs from what is stored
-	startReported bool // the operator was told that the wave started
-	completed     bool // all VMs are done or gone and the operator was told
+	loaded        bool          // the progress of former holders was read
+	changed       bool          // the progress differs from what is stored
+	startReported bool          // the operator was told that the wave started
+	loggedStatus  WaveStatus    // as last logged
+	riskLoggedAt  time.Duration // when, 0 for never
+	completed     bool          // all VMs are done or gone and the operator was told
 }
 
 // acceptWaves adds newly requested waves, including those requested during the takeover.
@@ -30,15 +35,28 @@
 			continue
 		}
 		state := &wave{Wave: w, startedAt: r.now()}
-		for _, vm := range w.VMs {
-			state.vms = append(state.vms, &VM{Name: vm, Phase: PhaseWaiting})
-		}
+		state.vms = r.newVMs(w)
 		r.waves[w.ID] = state
 		r.log.Info().Str("event", "wave_requested").Int("wave", w.ID).Int("vms", len(w.VMs)).Int("max_down", w.MaxDown).Dur("within", w.Within).Send()
 	}
 }
 
-// openWaves returns the waves that are not known to be completed.
+// newVMs returns the VMs of a requested wave. A VM that is named again counts as gone there.
+func (r *Runner) newVMs(w Wave) (vms []*VM) {
+	seen := map[string]bool{}
+	for _, name := range w.VMs {
+		v := &VM{Name: name, Phase: PhaseWaiting}
+		if seen[name] {
+			r.log.Warn().Str("event", "wave_vm_repeated").Int("wave", w.ID).Str("vm", name).Send()
+			v.Phase = PhaseGone
+		}
+		seen[name] = true
+		vms = append(vms, v)
+	}
+	return vms
+}
+
+// openWaves returns the waves that are not known to be completed, the next deadline first.
 func (r *Runner) openWaves() (open []*wave) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -47,6 +65,9 @@
 			open = append(open, w)
 		}
 	}
+	slices.SortFunc(open, func(a, b *wave) int {
+		return cmp.Or(cmp.Compare(a.startedAt+a.Within, b.startedAt+b.Within), cmp.Compare(a.ID, b.ID))
+	})
 	return open
 }
 
@@ -100,13 +121,23 @@
 	}
 }
 
-// waveOrders returns the maintenance orders to send for a wave.
-func (r *Runner) waveOrders(w *wave, machines map[string]platform.Machine) (due []vmOrder) {
+// waveOrders returns the maintenance orders to send for a wave. Its VMs have the given rank.
+func (r *Runner) waveOrders(w *wave, machines map[string]platform.Machine, rank int) (due []vmOrder) {
+	free := w.MaxDown - countDown(w.vms, r.newView(w, machines))
 	for _, v := range w.vms {
 		m := machines[v.Name]
 		unanswered := v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineUp && m.Worker == v.Worker
 		if v.Phase == PhaseDraining || unanswered { // resend an unanswered order, which may be lost
-			due = append(due, vmOrder{vm: v.Name, pool: m.Pool, send: func(ctx context.Context) { r.sendMaintenance(ctx, w, v, m) }})
+			due = append(due, vmOrder{
+				vm: v.Name, pool: m.Pool, rank: rank,
+				admit: func() bool {
+					if !unanswered {
+						free--
+					}
+					return unanswered || free >= 0
+				},
+				send: func(ctx context.Context) { r.sendMaintenance(ctx, w, v, m) },
+			})
 		}
 	}
 	return due
@@ -145,11 +176,44 @@
 
 // newView returns the input of SelectVMs.
 func (r *Runner) newView(w *wave, machines map[string]platform.Machine) View {
-	recent, former := map[string]bool{}, map[string]bool{}
+	view := View{
+		Machines: machines, Spare: r.sparePool(), Elapsed: r.now() - w.startedAt,
+		RecentlyOrdered: map[string]bool{}, OrderedByFormer: map[string]bool{}, InOtherWave: map[string]bool{},
+	}
 	for vm := range r.formerOrders {
-		recent[vm], former[vm] = !r.mayOrderFor(vm), true
+		view.RecentlyOrdered[vm], view.OrderedByFormer[vm] = !r.mayOrderFor(vm), true
+	}
+	for vm, wave := range r.activeWaves() {
+		view.InOtherWave[vm] = wave != w.ID
+	}
+	view.Light = vmSet(r.lastLoads, func(l shard.Load) []string { return l.Light })
+	view.SlowToDrain = vmSet(r.lastLoads, func(l shard.Load) []string { return l.Tight })
+	for _, pool := range slices.Sorted(maps.Keys(r.limited)) {
+		view.Limited = append(view.Limited, r.limited[pool]...)
+		view.Draining = append(view.Draining, r.lastLoads[pool].Draining...)
+	}
+	return view
+}
+
+// noteLimitedSteps keeps the steps with limited tasks that the pools' owners last reported.
+func (r *Runner) noteLimitedSteps() {
+	for pool, l := range r.lastLoads {
+		r.limited[pool] = l.Limited
+	}
+}
+
+// maxWaveVMs bounds the VMs of waves named to the owner of a pool.
+const maxWaveVMs = 1000
+
+// noteWaveVMs determines the VMs that open waves will drain, by pool.
+func (r *Runner) noteWaveVMs(waves []*wave, machines map[string]platform.Machine) {
+	r.waveVMs = map[string][]string{}
+	for _, w := range waves {
+		for _, v := range w.vms {
+			pool := machines[v.Name].Pool
+			if (v.Phase == PhaseWaiting || v.Phase == PhaseDraining) && len(r.waveVMs[pool]) < maxWaveVMs {
+				r.waveVMs[pool] = append(r.waveVMs[pool], v.Name)
+			}
+		}
 	}
-	light := vmSet(r.lastLoads, func(l shard.Load) []string { return l.Light })
-	slowToDrain := vmSet(r.lastLoads, func(l shard.Load) []string { return l.Tight })
-	return View{Machines: machines, Spare: r.sparePool(), Light: light, SlowToDrain: slowToDrain, RecentlyOrdered: recent, OrderedByFormer: former, Elapsed: r.now() - w.startedAt}
 }
--- a/pkg/fleetops/orders.go
+++ b/pkg/fleetops/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,7 +53,10 @@
 type vmOrder struct {
 	vm   string
 	pool string // current pool of the VM
-	send func(ctx context.Context)
+	rank int    // order in which VMs get free places of their tasks' steps, lowest first
+	// admit reports whether the order may be sent now that the VM is drained; nil for always.
+	admit func() bool
+	send  func(ctx context.Context)
 }
 
 // sendOrders drains VMs, then announces and sends their orders. Only drained VMs are announced, so
@@ -62,7 +66,7 @@
 	var draining, sending sync.WaitGroup
 	for _, o := range orders {
 		draining.Go(func() {
-			if o.pool == r.sparePool() || r.cfg.Drain(ctx, o.pool, o.vm) {
+			if o.pool == r.sparePool() || r.cfg.Drain(ctx, o.pool, o.vm, o.rank) {
 				drained <- o
 			}
 		})
@@ -71,7 +75,8 @@
 		draining.Wait()
 		close(drained)
 	}()
-	for batch := nextBatch(drained); len(batch) > 0; batch = nextBatch(drained) {
+	for batch, ok := nextBatch(drained); ok; batch, ok = nextBatch(drained) {
+		batch = slices.DeleteFunc(batch, func(o vmOrder) bool { return o.admit != nil && !o.admit() })
 		r.announceBatch(ctx, batch)
 		for _, o := range batch {
 			if !r.maySend(o.vm) {
@@ -88,12 +93,12 @@
 	sending.Wait()
 }
 
-// nextBatch returns the next order and those that follow within batchWindow, or none when the
+// nextBatch returns the next order and those that follow within batchWindow; ok is false when the
 // channel is closed.
-func nextBatch(orders <-chan vmOrder) (batch []vmOrder) {
+func nextBatch(orders <-chan vmOrder) (batch []vmOrder, ok bool) {
 	o, ok := <-orders
 	if !ok {
-		return nil
+		return nil, false
 	}
 	batch = append(batch, o)
 	t := time.NewTimer(batchWindow)
@@ -102,11 +107,11 @@
 		select {
 		case o, ok := <-orders:
 			if !ok {
-				return batch
+				return batch, true
 			}
 			batch = append(batch, o)
 		case <-t.C:
-			return batch
+			return batch, true
 		}
 	}
 }
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -22,12 +22,12 @@
 const Partition = "~maintenance"
 
 // Drainer has the owner of a pool's shard move the tasks off a VM and start no others there for
-// some seconds. It reports whether the VM is drained.
-type Drainer func(ctx context.Context, pool, vm string) (drained bool)
+// some seconds; VMs of a lower rank get free places first. It reports whether the VM is drained.
+type Drainer func(ctx context.Context, pool, vm string, rank int) (drained bool)
 
 // Loader requests the load of a pool's shard; ok is false if its owner does not answer. If grant is
-// not nil, it is sent with the request.
-type Loader func(ctx context.Context, pool string, grant *quota.Grant) (l shard.Load, ok bool)
+// not nil, it is sent with the request, as are the VMs that open waves will drain.
+type Loader func(ctx context.Context, pool string, grant *quota.Grant, waveVMs []string) (l shard.Load, ok bool)
 
 // Config holds the settings and dependencies of a Runner.
 type Config struct {
@@ -45,6 +45,8 @@
 	ZoneEvacuated func(zone string) bool
 	Report        func(wave int, completed bool) (platform.Row, error) // encodes the row that reports a wave to the operator
 
+	OnWaves func([]WaveStatus) // called with the progress of the open waves; nil for none
+
 	OrderGap        time.Duration // minimum time between orders of two holders for a VM, required by the VM service
 	MaintenanceTime time.Duration // how long the maintenance of a VM takes
 
@@ -63,16 +65,18 @@
 
 	// Used by the run loop only.
 	clock             tableClock
-	formerOrdersKnown bool                     // the former holders' announcement was read
-	noOrdersBefore    time.Duration            // set if that announcement was malformed
-	formerOrders      map[string]time.Duration // by VM: until when former holders may have sent orders, on the table service's clock
-	formerWaves       map[string]int           // by VM: the wave of those orders, 0 for a move
-	lastLoads         map[string]shard.Load    // by pool
-	trends            map[string]trend         // of demand, by pool
-	quotas            *quota.Allocator         // divides account quotas among shards
-	surplus           map[string]int           // consecutive steps with surplus VMs, by pool
-	moves             map[string]*move         // by VM
-	announced         map[string]time.Duration // by VM: until when orders may be sent, as persisted, on the table service's clock
+	formerOrdersKnown bool                           // the former holders' announcement was read
+	noOrdersBefore    time.Duration                  // set if that announcement was malformed
+	formerOrders      map[string]time.Duration       // by VM: until when former holders may have sent orders, on the table service's clock
+	formerWaves       map[string]int                 // by VM: the wave of those orders, 0 for a move
+	lastLoads         map[string]shard.Load          // by pool
+	limited           map[string][]shard.LimitedStep // as last reported, by pool
+	waveVMs           map[string][]string            // VMs that open waves will drain, by pool
+	trends            map[string]trend               // of demand, by pool
+	quotas            *quota.Allocator               // divides account quotas among shards
+	surplus           map[string]int                 // consecutive steps with surplus VMs, by pool
+	moves             map[string]*move               // by VM
+	announced         map[string]time.Duration       // by VM: until when orders may be sent, as persisted, on the table service's clock
 
 	announcedVersion int64 // version of the announcement row as last read or written, 0 for none
 
@@ -81,6 +85,7 @@
 	gaveUp      bool
 	catalog     *catalog.Catalog
 	waves       map[int]*wave            // by ID
+	waveStatus  []WaveStatus             // of the open waves
 	lastOrder   map[string]time.Duration // when this holder last sent an order, by VM
 }
 
@@ -94,11 +99,15 @@
 	if cfg.ZoneEvacuated == nil {
 		cfg.ZoneEvacuated = func(string) bool { return false }
 	}
+	if cfg.OnWaves == nil {
+		cfg.OnWaves = func([]WaveStatus) {}
+	}
 	now := cfg.Clock.Now()
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		quotas: quota.NewAllocator(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
-		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
+		limited: map[string][]shard.LimitedStep{},
+		policy:  DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
 		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
 	}
 	r.loadFormerOrders(ctx)
@@ -136,6 +145,7 @@
 func (r *Runner) Close() {
 	r.cancel()
 	<-r.done
+	r.cfg.OnWaves(nil)
 }
 
 // Release stops the run loop and releases the owner row to the entry next, empty for any.
@@ -174,16 +184,19 @@
 	mayOrder := r.mayOrder(ctx)
 	// Waves go first, so that a VM that just became idle is maintained rather than moved.
 	waves := r.loadedWaves(ctx)
+	r.noteLimitedSteps()
 	for _, w := range waves {
 		r.drainNext(w, machines, mayOrder)
 	}
+	r.noteWaveVMs(waves, machines)
+	r.reportWaves(waves, machines)
 	r.finishMoves(machines)
 	if mayOrder {
 		r.planMoves(machines)
 	}
 	orders := r.moveOrders(mayOrder)
-	for _, w := range waves {
-		orders = append(orders, r.waveOrders(w, machines)...)
+	for rank, w := range waves {
+		orders = append(orders, r.waveOrders(w, machines, rank)...)
 	}
 	r.sendOrders(ctx, orders)
 	for _, w := range waves {
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
 // maxPoolShare is the fraction of a pool's VMs that a wave may drain or take down at once, so that
@@ -100,19 +101,22 @@
 	SlowToDrain     map[string]bool             // VMs that take longest to drain, from shard.Load.Tight
 	RecentlyOrdered map[string]bool             // VMs whose orders must wait, since a former holder may have sent one recently
 	OrderedByFormer map[string]bool             // VMs that a former holder may have ordered, so that they may be done already
+	Limited         []shard.LimitedStep         // steps that limit missing tasks, of all pools
+	Draining        []string                    // VMs that the pools' owners drain, in the order in which they get free places
+	InOtherWave     map[string]bool             // VMs that another wave drains or maintains
 	Elapsed         time.Duration               // time since the wave started
 }
 
 // waveCounts counts VMs for the limits on a wave.
 type waveCounts struct {
-	active       int            // VMs of the wave that are being drained or down
+	active       int            // VMs of the wave that are being drained or down, without those whose tasks wait for places of their steps
 	activeInPool map[string]int // the same by pool
 	slowDrains   map[string]int // VMs being drained that take longest, by pool
 	waiting      map[string]int // VMs of the wave that wait, by pool
 	poolSize     map[string]int // all VMs, by pool
 }
 
-func countVMs(vms []*VM, view View) waveCounts {
+func countVMs(vms []*VM, view View, p *WavePlan) waveCounts {
 	counts := waveCounts{activeInPool: map[string]int{}, slowDrains: map[string]int{}, waiting: map[string]int{}, poolSize: map[string]int{}}
 	for _, m := range view.Machines {
 		counts.poolSize[m.Pool]++
@@ -121,15 +125,17 @@
 		m := view.Machines[v.Name]
 		switch v.Phase {
 		case PhaseDraining, PhaseOrdered:
-			counts.active++
-			counts.activeInPool[m.Pool]++
+			if v.Phase == PhaseOrdered || !p.limited(v.Name) {
+				counts.active++
+				counts.activeInPool[m.Pool]++
+			}
 			if v.Phase == PhaseDraining && view.SlowToDrain[v.Name] {
 				counts.slowDrains[m.Pool]++
 			}
 		case PhaseWaiting:
 			counts.waiting[m.Pool]++
-			if m.State == platform.MachineMaintenance || view.RecentlyOrdered[v.Name] {
-				counts.active++ // ordered by a former holder
+			if orderedByFormer(view, v.Name) {
+				counts.active++
 				counts.activeInPool[m.Pool]++
 			}
 		}
@@ -150,38 +156,33 @@
 }
 
 // SelectVMs returns the VMs of a wave to drain next, within the wave's limit and the share of each
-// pool. Spare VMs go first, then VMs with little work, and busy VMs only when the wave is
-// urgent. One VM per pool among those that take longest to drain starts right away, since it may
-// need the whole wave.
+// pool. Spare VMs go first, then VMs with little work, and busy VMs only when the wave is urgent or
+// the plan says so. A VM whose tasks wait for places of their steps is drained only if it uses one
+// that would stay unused, and then takes no place of its pool or the wave. One VM per pool among
+// those that take longest to drain starts right away, since it may need the whole wave.
 func SelectVMs(w Wave, vms []*VM, view View) (next []*VM) {
-	machines, spare, light := view.Machines, view.Spare, view.Light
-	counts := countVMs(vms, view)
+	plan := PlanWave(w, vms, view)
+	counts := countVMs(vms, view, &plan)
 	isUrgent := w.urgent(len(vms), view.Elapsed)
-	waiting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.Phase != PhaseWaiting })
-	slices.SortStableFunc(waiting, func(a, b *VM) int {
-		return cmp.Or(
-			cmp.Compare(disruption(machines[a.Name], spare, light), disruption(machines[b.Name], spare, light)),
-			compareBools(view.OrderedByFormer[a.Name], view.OrderedByFormer[b.Name]),
-			compareBools(!view.SlowToDrain[a.Name], !view.SlowToDrain[b.Name]),
-			cmp.Compare(counts.waiting[machines[b.Name].Pool], counts.waiting[machines[a.Name].Pool]),
-		)
-	})
-	for _, v := range waiting {
-		m, ok := machines[v.Name]
-		if counts.active >= w.MaxDown {
-			break
-		}
-		if !ok || m.State != platform.MachineUp || view.RecentlyOrdered[v.Name] {
+	for _, v := range waitingInOrder(vms, view, &plan, counts) {
+		m, ok := view.Machines[v.Name]
+		if !ok || m.State != platform.MachineUp || view.RecentlyOrdered[v.Name] || view.InOtherWave[v.Name] {
 			continue
 		}
-		if !isUrgent && disruption(m, spare, light) == disruptionHigh && (!view.SlowToDrain[v.Name] || counts.slowDrains[m.Pool] > 0) {
+		early := plan.mustBegin(v.Name, w.Within-view.Elapsed) || view.SlowToDrain[v.Name] && counts.slowDrains[m.Pool] == 0
+		if !isUrgent && !early && disruption(m, view.Spare, view.Light) == disruptionHigh {
 			continue
 		}
-		if m.Pool != spare && counts.activeInPool[m.Pool] >= max(minConcurrent, int(maxPoolShare*float64(counts.poolSize[m.Pool]))) {
+		if !plan.limited(v.Name) {
+			if counts.active >= w.MaxDown || m.Pool != view.Spare && counts.activeInPool[m.Pool] >= maxActive(counts.poolSize[m.Pool]) {
+				continue
+			}
+			counts.active++
+			counts.activeInPool[m.Pool]++
+		} else if !plan.hasPlace(v.Name) {
 			continue
 		}
-		counts.active++
-		counts.activeInPool[m.Pool]++
+		plan.begin(v.Name)
 		if view.SlowToDrain[v.Name] {
 			counts.slowDrains[m.Pool]++
 		}
@@ -189,3 +190,24 @@
 	}
 	return next
 }
+
+// waitingInOrder returns the VMs that wait, in the order in which they are to be drained.
+func waitingInOrder(vms []*VM, view View, p *WavePlan, counts waveCounts) []*VM {
+	machines := view.Machines
+	drained := map[string]bool{}
+	for _, vm := range view.Draining {
+		drained[vm] = true
+	}
+	waiting := slices.DeleteFunc(slices.Clone(vms), func(v *VM) bool { return v.Phase != PhaseWaiting })
+	slices.SortStableFunc(waiting, func(a, b *VM) int {
+		return cmp.Or(
+			cmp.Compare(disruption(machines[a.Name], view.Spare, view.Light), disruption(machines[b.Name], view.Spare, view.Light)),
+			compareBools(view.OrderedByFormer[a.Name], view.OrderedByFormer[b.Name]),
+			compareBools(!drained[a.Name], !drained[b.Name]), // a former holder began them
+			cmp.Compare(p.leads[b.Name], p.leads[a.Name]),
+			compareBools(!view.SlowToDrain[a.Name], !view.SlowToDrain[b.Name]),
+			cmp.Compare(counts.waiting[machines[b.Name].Pool], counts.waiting[machines[a.Name].Pool]),
+		)
+	})
+	return waiting
+}
--- /dev/null
+++ b/pkg/fleetops/waveplan.go
@@ -0,0 +1,178 @@
+package fleetops
+
+import (
+	"math"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
+)
+
+// planMargin is the multiple of the least time for VMs that is kept in reserve, for VMs, racks and
+// owners that are lost meanwhile.
+const planMargin = 2
+
+// unreachable is the time for a wave that a limit of 0 blocks.
+const unreachable = time.Duration(math.MaxInt64)
+
+// Bottleneck is a limit that decides when a wave ends.
+type Bottleneck string
+
+// The limits on a wave.
+const (
+	BottleneckNone    Bottleneck = ""
+	BottleneckRound   Bottleneck = "round"    // the time to drain and maintain one VM
+	BottleneckMaxDown Bottleneck = "max_down" // the VMs of the wave that may be down at once
+	BottleneckPool    Bottleneck = "pool"     // the VMs of a pool that may be drained or down at once
+	BottleneckStep    Bottleneck = "step"     // the tasks of a step that may be missing at once
+)
+
+// WavePlan says when the VMs of a wave must begin to drain, and what limits the wave.
+type WavePlan struct {
+	Needs   time.Duration // least time until the last VM is done
+	Limit   Bottleneck    // what Needs results from
+	LimitOf string        // name of the pool or step
+
+	leads map[string]time.Duration // least time from the start of a VM's drain to the end of the wave, by VM with limited tasks
+	of    map[string][]*stepPlan   // by VM
+}
+
+// stepPlan is the state of a step that limits its missing tasks.
+type stepPlan struct {
+	shard.LimitedStep
+	draining int // its tasks on VMs that are being drained
+}
+
+// maxActive returns how many VMs of a pool may be drained or down at once.
+func maxActive(poolSize int) int { return max(minConcurrent, int(maxPoolShare*float64(poolSize))) }
+
+// rounds returns the time of n VMs or tasks, limit at a time.
+func rounds(n, limit int, each time.Duration) time.Duration {
+	switch {
+	case n <= 0:
+		return 0
+	case limit <= 0:
+		return unreachable
+	default:
+		return time.Duration((n+limit-1)/limit) * each
+	}
+}
+
+// plus adds durations without overflow.
+func plus(a, b time.Duration) time.Duration {
+	if a > unreachable-b {
+		return unreachable
+	}
+	return a + b
+}
+
+// PlanWave plans the VMs of a wave that are not done.
+func PlanWave(w Wave, vms []*VM, view View) (p WavePlan) {
+	p.leads, p.of = map[string]time.Duration{}, map[string][]*stepPlan{}
+	remaining, inPool, poolSize := map[string]*VM{}, map[string]int{}, map[string]int{}
+	for _, v := range vms {
+		m, listed := view.Machines[v.Name]
+		if !listed || v.Phase == PhaseDone || v.Phase == PhaseGone {
+			continue
+		}
+		p.require(maintenanceRound, BottleneckRound, "")
+		if v.Phase == PhaseOrdered {
+			continue
+		}
+		remaining[v.Name] = v
+		if m.Pool != view.Spare {
+			inPool[m.Pool]++
+		}
+	}
+	p.require(rounds(len(remaining), w.MaxDown, maintenanceRound), BottleneckMaxDown, "")
+	for _, m := range view.Machines {
+		poolSize[m.Pool]++
+	}
+	for pool, n := range inPool {
+		p.require(rounds(n, maxActive(poolSize[pool]), maintenanceRound), BottleneckPool, pool)
+	}
+	for _, s := range view.Limited {
+		p.addStep(s, remaining)
+	}
+	return p
+}
+
+// require raises the least time for the wave. Of equal limits the first name counts.
+func (p *WavePlan) require(needs time.Duration, limit Bottleneck, of string) {
+	if needs > p.Needs || needs == p.Needs && limit == p.Limit && of < p.LimitOf {
+		p.Needs, p.Limit, p.LimitOf = needs, limit, of
+	}
+}
+
+// addStep adds the tasks of a step on VMs that the wave has yet to drain.
+func (p *WavePlan) addStep(s shard.LimitedStep, remaining map[string]*VM) {
+	step := &stepPlan{LimitedStep: s}
+	n := 0
+	for _, vm := range s.VMs {
+		v := remaining[vm]
+		if v == nil {
+			continue
+		}
+		n++
+		if v.Phase == PhaseDraining {
+			step.draining++
+		}
+		p.of[vm] = append(p.of[vm], step)
+	}
+	if n == 0 {
+		return
+	}
+	lead := plus(rounds(n, s.Places, s.Restart), maintenanceRound)
+	p.require(lead, BottleneckStep, s.Step)
+	for _, vm := range s.VMs {
+		if remaining[vm] != nil {
+			p.leads[vm] = max(p.leads[vm], lead)
+		}
+	}
+}
+
+// limited reports whether tasks on a VM wait for places of their steps.
+func (p *WavePlan) limited(vm string) bool { return len(p.of[vm]) > 0 }
+
+// mustBegin reports whether a VM has to be drained from now on for the wave to end in time.
+func (p *WavePlan) mustBegin(vm string, left time.Duration) bool {
+	lead, ok := p.leads[vm]
+	return ok && lead >= left/planMargin
+}
+
+// hasPlace reports whether draining a VM uses a place of a step that VMs being drained leave unused.
+func (p *WavePlan) hasPlace(vm string) bool {
+	for _, s := range p.of[vm] {
+		if s.draining < s.Places {
+			return true
+		}
+	}
+	return false
+}
+
+// begin counts a VM as being drained.
+func (p *WavePlan) begin(vm string) {
+	for _, s := range p.of[vm] {
+		s.draining++
+	}
+}
+
+// atRisk reports whether a wave can't end in time.
+func (p *WavePlan) atRisk(w Wave, elapsed time.Duration) bool {
+	return plus(elapsed, p.Needs) > w.Within
+}
+
+// countDown returns how many VMs of a wave are down for their maintenance, or may be.
+func countDown(vms []*VM, view View) (down int) {
+	for _, v := range vms {
+		if v.Phase == PhaseOrdered || v.Phase == PhaseWaiting && orderedByFormer(view, v.Name) {
+			down++
+		}
+	}
+	return down
+}
+
+// orderedByFormer reports whether a former holder may have ordered a VM's maintenance just now.
+func orderedByFormer(view View, vm string) bool {
+	return view.Machines[vm].State == platform.MachineMaintenance || view.RecentlyOrdered[vm]
+}
--- a/pkg/node/accounts.go
+++ b/pkg/node/accounts.go
@@ -52,7 +52,7 @@
 	all := map[string][]api.AccountInPool{}
 	for _, pool := range cat.ActivePools() {
 		wg.Go(func() {
-			l, ok := n.loadOf(ctx, pool, &quota.Grant{Full: true}) // of term 0 and without shares, so it changes nothing
+			l, ok := n.loadOf(ctx, pool, &quota.Grant{Full: true}, nil) // of term 0 and without shares, so it changes nothing
 			if !ok {
 				return
 			}
--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -34,11 +35,27 @@
 		return &schema.CallReply{Outcome: schema.CallOutcomeNotFound}
 	}
 	_, local, _ := n.ownership.Owner(q.Pool)
-	o, ok := local.(*shard.Owner)
-	if !ok {
+	switch o := local.(type) {
+	case *shard.Owner:
+		return n.answerLocal(ctx, o, q)
+	case *fleetops.Runner:
+		return n.answerFleetOps(o, q)
+	default:
 		return &schema.CallReply{Outcome: schema.CallOutcomeNotOwner}
 	}
-	return n.answerLocal(ctx, o, q)
+}
+
+// answerFleetOps answers a call to the holder of the fleet operations, which this entry is.
+func (n *Node) answerFleetOps(r *fleetops.Runner, q *schema.Call) *schema.CallReply {
+	if q.Kind != schema.CallKindWaves {
+		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+	}
+	raw, err := msgpack.Marshal(r.WaveStatus())
+	if err != nil {
+		n.log.Error().Str("event", "waves_encode_failed").Err(err).Send()
+		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+	}
+	return &schema.CallReply{Outcome: schema.CallOutcomeOk, Waves: raw}
 }
 
 // requesterOf returns the client account or operator on whose behalf a call is made.
@@ -66,6 +83,9 @@
 		return &schema.CallReply{Outcome: out, Waiting: waiting}
 	case schema.CallKindLoad:
 		full := n.applyGrant(o, q.Grant)
+		if len(q.WaveVMs) > 0 {
+			o.SetWaveVMs(q.WaveVMs)
+		}
 		l, ok := o.Load(full)
 		raw, err := msgpack.Marshal(l)
 		if !ok || err != nil {
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
@@ -216,8 +217,11 @@
 
 // sendToOwner sends a call to one owner and cancels it when the shard gets another.
 func (n *Node) sendToOwner(ctx context.Context, q *schema.Call, row shard.OwnerRow, local ownership.LocalOwner) *schema.CallReply {
-	if o, ok := local.(*shard.Owner); ok {
+	switch o := local.(type) {
+	case *shard.Owner:
 		return n.answerLocal(ctx, o, q)
+	case *fleetops.Runner:
+		return n.answerFleetOps(o, q)
 	}
 	conn := n.members.Caller(row.Entry, row.Address)
 	if row.Entry == "" || conn == nil {
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -32,6 +33,8 @@
 	atLimit         *prometheus.CounterVec
 	predecessorWait *prometheus.HistogramVec
 	evacuatedZones  prometheus.Gauge
+	waveVMs         *prometheus.GaugeVec
+	wavesAtRisk     prometheus.Gauge
 
 	mu               sync.Mutex
 	labelledAccounts map[string]bool // accounts with a label of their own
@@ -73,9 +76,15 @@
 		evacuatedZones: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gannetwell_zones_out", Help: "Availability zones that the operator has taken out of use.",
 		}),
+		waveVMs: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "gannetwell_wave_vms", Help: "VMs of open maintenance waves by phase, at the holder of the fleet operations.",
+		}, []string{"phase"}),
+		wavesAtRisk: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "gannetwell_waves_at_risk", Help: "Open maintenance waves that can't end in time, at the holder of the fleet operations.",
+		}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, m.waveVMs, m.wavesAtRisk, collectors.NewGoCollector())
 	return m
 }
 
@@ -125,6 +134,25 @@
 // RowMalformed counts a row that cannot be decoded.
 func (m *metrics) RowMalformed(table string) { m.malformedRows.WithLabelValues(table).Inc() }
 
+// Waves sets the progress of the open maintenance waves.
+func (m *metrics) Waves(all []fleetops.WaveStatus) {
+	var sum fleetops.WaveStatus
+	atRisk := 0
+	for i := range all {
+		sum.Waiting += all[i].Waiting
+		sum.Draining += all[i].Draining
+		sum.Down += all[i].Down
+		sum.Done += all[i].Done
+		if all[i].AtRisk {
+			atRisk++
+		}
+	}
+	m.wavesAtRisk.Set(float64(atRisk))
+	for phase, n := range map[string]int{"waiting": sum.Waiting, "draining": sum.Draining, "down": sum.Down, "done": sum.Done} {
+		m.waveVMs.WithLabelValues(phase).Set(float64(n))
+	}
+}
+
 // accountLabel returns the label of an account, otherAccounts once maxAccountLabels are in use.
 func (m *metrics) accountLabel(account string) string {
 	m.mu.Lock()
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -25,6 +25,9 @@
 	e.GET(api.PathZones, func(c echo.Context) error {
 		return c.JSON(http.StatusOK, api.Zones{Zones: n.zoneStatus(c.Request().Context())})
 	})
+	e.GET(api.PathWaves, func(c echo.Context) error {
+		return c.JSON(http.StatusOK, n.waveStatus(c.Request().Context()))
+	})
 	return e
 }
 
@@ -53,7 +56,7 @@
 	loads := map[string]shard.Load{}
 	for _, pool := range pools {
 		wg.Go(func() {
-			l, ok := n.loadOf(ctx, pool, nil)
+			l, ok := n.loadOf(ctx, pool, nil, nil)
 			if !ok {
 				return
 			}
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -74,7 +74,7 @@
 	// that arrive after one of this holder.
 	r, err := fleetops.Open(ctx, fleetops.Config{
 		Self: n.identity(), Log: n.log, Clock: n.clock,
-		Rows: n.rows, Machines: n.platform, Drain: n.drainVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves, ZoneEvacuated: n.evacuations.contains,
+		Rows: n.rows, Machines: n.platform, Drain: n.drainVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves, OnWaves: n.metrics.Waves, ZoneEvacuated: n.evacuations.contains,
 		OrderGap: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, MaintenanceTime: seconds(n.settings.Timing.MaintenanceS),
 		BeforeTakeover: events.BeforeTakeover, OnGivenUp: events.OnGivenUp,
 	}, seen, cat)
@@ -102,11 +102,12 @@
 	return waves
 }
 
-// drainVM asks the owner of a pool's shard to drain a VM; it reports whether the VM is drained.
-func (n *Node) drainVM(ctx context.Context, pool, vm string) (drained bool) {
+// drainVM asks the owner of a pool's shard to drain a VM; it reports whether the VM is drained. VMs
+// of a lower rank go first.
+func (n *Node) drainVM(ctx context.Context, pool, vm string, rank int) (drained bool) {
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
-	reply := n.callOwner(ctx, &schema.Call{Kind: schema.CallKindEmpty, Pool: pool, VM: vm})
+	reply := n.callOwner(ctx, &schema.Call{Kind: schema.CallKindEmpty, Pool: pool, VM: vm, Rank: rank})
 	return reply.Outcome == schema.CallOutcomeOk
 }
 
@@ -126,11 +127,11 @@
 }
 
 // loadOf asks the owner of a pool's shard for its load, and passes it the shares of the accounts'
-// limits in g unless it is nil.
-func (n *Node) loadOf(ctx context.Context, pool string, g *quota.Grant) (l shard.Load, ok bool) {
+// limits in g unless it is nil, and the VMs that open waves will drain.
+func (n *Node) loadOf(ctx context.Context, pool string, g *quota.Grant, waveVMs []string) (l shard.Load, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
-	q := &schema.Call{Kind: schema.CallKindLoad, Pool: pool}
+	q := &schema.Call{Kind: schema.CallKindLoad, Pool: pool, WaveVMs: waveVMs}
 	if g != nil {
 		raw, err := msgpack.Marshal(g)
 		if err != nil {
--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -19,6 +19,8 @@
 	Free     platform.Resources
 	Penalty  float64 // subtracted from the score; 0 for a healthy worker
 
+	Leaving bool // its VM will be drained soon, so that long-running tasks would move again
+
 	SuspectedTasks int // tasks here that are suspected of crashing their worker
 
 	longRunning int                   // number of long-running tasks here
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -17,6 +17,9 @@
 	spreadWeight = 1.5
 	// packWeight keeps long-running tasks of different steps on few workers, so that others can leave the pool.
 	packWeight = 1.0
+	// leavingWeight outweighs the free resources, but not spreadWeight, so that tasks of one step do
+	// not gather on a VM.
+	leavingWeight = 1.25
 )
 
 // Margin on the remaining work of a job when it is compared with the deadline, so that resources
@@ -204,7 +207,10 @@
 	}
 	if s.Spec.LongRunning {
 		score -= spreadWeight * float64(h.perStep[s])
-		if h.longRunning > 0 {
+		switch {
+		case h.Leaving:
+			score -= leavingWeight
+		case h.longRunning > 0:
 			score += packWeight
 		}
 	}
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -80,6 +80,7 @@
 const CallKindState CallKind = "state"
 const CallKindSubmit CallKind = "submit"
 const CallKindWaiting CallKind = "waiting"
+const CallKindWaves CallKind = "waves"
 
 type CallOutcome string
 
@@ -131,6 +132,9 @@
 
 	// Waiting is the number of the queue's jobs that have not started.
 	Waiting int `json:"waiting" msgpack:"waiting"`
+
+	// Waves is the encoded progress of the open waves, if the call asked for it.
+	Waves []byte `json:"waves" msgpack:"waves"`
 }
 
 // CallerListener accepts callers' requests.
--- a/pkg/shard/checks.go
+++ b/pkg/shard/checks.go
@@ -44,6 +44,8 @@
 			o.evacuate(s, &spareRoom{owner: o, now: now}, limitsIgnored, "its worker is draining")
 		}
 	}
+	o.expireWaveVMs(now)
+	o.restarts.update(now, o.serves)
 	o.moveLimitedTasks(now)
 	o.resolveFormerWorkers()
 	o.checkVMList(now)
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -137,6 +137,7 @@
 			w.noRoom++
 		default:
 			o.stop(s, r, why)
+			o.restarts.noteStop(r.Task, room.now)
 			w.stopping++
 		}
 	}
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -50,6 +50,10 @@
 	// Tight names the VMs that take longest to empty because few tasks of their steps may be
 	// missing at a time: those with most such tasks first, at most maxSlowVMs.
 	Tight []string
+	// Limited lists the steps of tasks on VMs of open waves that limit missing tasks, and Draining
+	// the VMs of those waves that are being drained.
+	Limited  []LimitedStep
+	Draining []string
 	// ZonesOut counts the workers in zones that are out of use, by zone. Workers and Capacity
 	// exclude them; Used includes their tasks.
 	ZonesOut map[string]ZoneLoad
@@ -104,6 +108,7 @@
 		}
 	}
 	l.Tight = slowestVMs(limited)
+	l.Limited, l.Draining = o.limitedSteps(), o.drainingVMs(now)
 	slices.SortFunc(l.Light, func(a, b string) int { return cmp.Or(cmp.Compare(used[a], used[b]), cmp.Compare(a, b)) })
 	l.Floor = o.minWorkers()
 	l.AtLimit = o.rate.Limiting()
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -109,6 +109,8 @@
 	deferredStarts   map[*jobs.Job][]deferredStart // starts to be sent once the provisional loss of their worker is stored
 	unreportedLoss   bool                          // a former owner's worker was lost before it reported to this owner
 	rate             startrate.Limiter             // limits starts while the CPU or network link of this owner is saturated
+	restarts         restarts                      // of long-running tasks that were moved
+	waveVMs          waveVMs                       // VMs that open waves will drain
 	arrivals         arrivals                      // recently accepted jobs, to predict demand
 	hasWaitingTasks  bool                          // startable tasks were found by the last placement pass
 
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -204,6 +204,11 @@
 	case "empty":
 		rank, _ := strconv.Atoi(arg("rank", "0"))
 		return fmt.Sprintf("%v\n", e.owners[entry].DrainVM(arg("vm", ""), rank))
+	case "wave":
+		e.owners[entry].SetWaveVMs(strings.Split(arg("vms", ""), "/"))
+		return ""
+	case "limited":
+		return e.limited(entry)
 	case "limit":
 		cpu, _ := strconv.Atoi(arg("cpu", "0"))
 		e.limit(arg("account", ""), cpu)
@@ -238,6 +243,20 @@
 	return fmt.Sprintf("%s %s\n", out, state)
 }
 
+// limited returns what an owner reports of steps with limited tasks on VMs of open waves.
+func (e *testCluster) limited(entry string) string {
+	l, ok := e.owners[entry].Load(false)
+	if !ok {
+		return "not known\n"
+	}
+	var out strings.Builder
+	for _, s := range l.Limited {
+		fmt.Fprintf(&out, "%s: %d of %d missing, tasks on %s\n", s.Step, s.Missing, s.Places, strings.Join(s.VMs, " "))
+	}
+	fmt.Fprintf(&out, "draining: %s\n", strings.Join(l.Draining, " "))
+	return out.String()
+}
+
 // accounts returns what an owner reports of client accounts.
 func (e *testCluster) accounts(entry string) string {
 	l, ok := e.owners[entry].Load(true)
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -52,6 +52,7 @@
 	pausedUntil     time.Duration                  // accepts no new tasks until then
 	cordonedUntil   time.Duration                  // its VM is being emptied until then
 	drain           drain                          // the last request to empty its VM
+	inWave          bool                           // an open wave will empty its VM
 	zoneEvacuated   func(zone string) bool         // reports whether a zone is out of use
 
 	notEmptyLoggedAt time.Duration // when the log last said why its VM is not empty
@@ -203,7 +204,7 @@
 func (s *session) newHost() *placement.Host {
 	h := &placement.Host{
 		Boot: s.ref.Boot, Labels: s.info.Labels, Rack: rackOf(s.info.Labels),
-		Capacity: s.info.Capacity, Free: s.info.Capacity.Sub(s.foreignCharge()),
+		Capacity: s.info.Capacity, Free: s.info.Capacity.Sub(s.foreignCharge()), Leaving: s.inWave,
 	}
 	for _, a := range s.attempts {
 		h.Free = h.Free.Sub(placement.Charge(a.Task.Step.Spec))
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -19,7 +19,7 @@
 	worker, _ := platform.ParseBootID(ref.Boot)
 	s := &session{
 		ref: ref, worker: worker, vm: vm, attempts: map[string]*workerAttempt{}, foreign: map[foreignKey]*foreignAttempt{}, token: max(o.firstToken(), o.endedBootTokens[worker]),
-		wake: make(chan struct{}, 1), cancel: cancel, earlierLeasesUntil: o.formerLeasesEnd(o.now()), zoneEvacuated: o.cfg.ZoneEvacuated,
+		wake: make(chan struct{}, 1), cancel: cancel, earlierLeasesUntil: o.formerLeasesEnd(o.now()), zoneEvacuated: o.cfg.ZoneEvacuated, inWave: o.waveVMs.names[vm],
 	}
 	o.sessions[ref.Boot] = s
 	o.currentSessions[worker] = s
--- a/service/api/convert.go
+++ b/service/api/convert.go
@@ -14,6 +14,7 @@
 	PathJobs     = "/v1/jobs"     // served by package node
 	PathAccounts = "/v1/accounts" // served by package node
 	PathZones    = "/v1/zones"    // served by package node
+	PathWaves    = "/v1/waves"    // served by package node
 	PathEdits    = "/v1/edits"
 	PathStatus   = "/v1/status"
 	PathAudit    = "/v1/audit"
--- a/service/api/types.go
+++ b/service/api/types.go
@@ -339,6 +339,54 @@
 	VMListAgeMs int `json:"vm_list_age_ms"`
 }
 
+// WaveStatus is the progress of an open maintenance wave.
+type WaveStatus struct {
+	// AtRisk reports whether the wave can't end in time.
+	AtRisk bool `json:"at_risk"`
+
+	// Done is the number of VMs that are up again after their maintenance, or no
+	// longer exist.
+	Done int `json:"done"`
+
+	// Down is the number of VMs that are down for their maintenance, or may be.
+	Down int `json:"down"`
+
+	// Draining is the number of VMs that are being drained.
+	Draining int `json:"draining"`
+
+	// ElapsedS is the time since the request, in seconds; after a change of the
+	// holder an estimate.
+	ElapsedS float64 `json:"elapsed_s"`
+
+	// Limit is what that time results from: round, max_down, pool or step.
+	Limit string `json:"limit"`
+
+	// LimitOf is the name of the pool or step.
+	LimitOf string `json:"limit_of"`
+
+	// NeedsS is the least time until the last VM is done, in seconds; -1 if a limit
+	// lets no VM be drained.
+	NeedsS float64 `json:"needs_s"`
+
+	// Waiting is the number of VMs that are not drained yet.
+	Waiting int `json:"waiting"`
+
+	// Wave is the ID of the wave.
+	Wave int `json:"wave"`
+
+	// WithinS is the time allowed, in seconds.
+	WithinS float64 `json:"within_s"`
+}
+
+// Waves is the response to GET /v1/waves.
+type Waves struct {
+	// Complete reports whether the holder of the fleet operations has answered.
+	Complete bool `json:"complete"`
+
+	// Waves are the open waves, the next deadline first.
+	Waves []WaveStatus `json:"waves"`
+}
+
 // ZoneStatus is the state of an availability zone that the operator has taken out
 // of use.
 type ZoneStatus struct {
--- a/service/client/jobs.go
+++ b/service/client/jobs.go
@@ -19,6 +19,12 @@
 	return zones, err
 }
 
+// Waves returns the open maintenance waves of the job service.
+func (c *Client) Waves(ctx context.Context) (waves api.Waves, err error) {
+	err = c.call(ctx, api.PathWaves, nil, nil, &waves)
+	return waves, err
+}
+
 // Job returns the state of a job and the owner of its shard.
 func (c *Client) Job(ctx context.Context, queue, id string) (job api.JobStatus, err error) {
 	err = c.call(ctx, api.PathJobs+"/"+url.PathEscape(queue)+"/"+url.PathEscape(id), nil, nil, &job)
