Announcements keep the VMs of a wave until their progress is stored

What a holder maintained while the table service was away was done again by the next one: its announcement was dropped with the next that was written, and its progress could not be stored. It is now kept until the progress is stored, within half of the row, and names the worker at the time. A VM of the wave that has another worker now is drained last, and at once if it is idle; the order is repeated, which the VM service answers with success if the maintenance was done.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -23,10 +23,12 @@
 )
 
 // maxAnnouncementBytes keeps the announcement row below the size limit of the table service.
-// announcedOrderBytes is the encoded size of one order besides the VM's name.
+// announcedOrderBytes is the encoded size of one order besides its names.
+// maxUnsavedBytes bounds the part for orders that only tell the next holder what may be done.
 const (
 	maxAnnouncementBytes = 60_000
-	announcedOrderBytes  = 24
+	announcedOrderBytes  = 28
+	maxUnsavedBytes      = maxAnnouncementBytes / 2
 )
 
 // announcement lists the VMs for which a holder may have sent orders recently or is about to, each
@@ -43,6 +45,7 @@
 	VM    string        `msgpack:"v"`
 	Until time.Duration `msgpack:"u"`           // latest time at which they may be sent, on the table service's clock
 	Wave  int           `msgpack:"w,omitempty"` // ID of the maintenance wave, 0 for a move
+	Boot  string        `msgpack:"b,omitempty"` // worker of the VM when the order was announced; empty as stored by earlier versions
 }
 
 var announcementKey = platform.RowKey{Table: tableMaintenance, Partition: Partition, Key: "orders"}
@@ -86,7 +89,7 @@
 	var longest time.Duration
 	for _, o := range a.Orders {
 		r.formerOrders[o.VM] = o.Until
-		r.formerWaves[o.VM] = o.Wave
+		r.formerWaves[o.VM], r.boots[o.VM] = o.Wave, o.Boot
 		longest = max(longest, o.Until+orderTransit+r.cfg.OrderGap-r.clock.earliest(now))
 	}
 	r.log.Info().Str("event", "maintenance_waits").Int("vms", len(a.Orders)).Int64("former_term", a.Term).
@@ -177,8 +180,8 @@
 }
 
 // mergedAnnouncement returns, by VM, the latest send time of the announced orders that the next
-// holder may have to wait for, of this and former holders, and of orders for the given VMs as far
-// as the row has room.
+// holder may have to wait for, of this and former holders, of orders for the given VMs, and of waves
+// whose progress is not stored, as far as the row has room.
 func (r *Runner) mergedAnnouncement(vms []string) map[string]time.Duration {
 	now := r.now()
 	next := map[string]time.Duration{}
@@ -192,17 +195,57 @@
 	until := r.clock.latest(now) + orderWindow
 	remaining := maxAnnouncementBytes
 	for vm := range next {
-		remaining -= len(vm) + announcedOrderBytes
+		remaining -= r.announcedBytes(vm)
 	}
 	for _, vm := range vms {
-		if remaining -= len(vm) + announcedOrderBytes; remaining < 0 {
+		if remaining -= r.announcedBytes(vm); remaining < 0 {
 			break // announced in a later step
 		}
 		next[vm] = until
 	}
+	r.keepUnsaved(next, min(remaining, maxUnsavedBytes))
 	return next
 }
 
+// announcedBytes returns about how much of the row the orders for a VM take.
+func (r *Runner) announcedBytes(vm string) int {
+	return len(vm) + len(r.boots[vm]) + announcedOrderBytes
+}
+
+// keepUnsaved adds the former announcements for VMs of open waves whose progress is not stored, as
+// far as remaining bytes allow: the next holder then doesn't maintain again what was done.
+func (r *Runner) keepUnsaved(next map[string]time.Duration, remaining int) {
+	unsaved := r.unsavedVMs()
+	for _, known := range []map[string]time.Duration{r.announced, r.formerOrders} {
+		for _, vm := range slices.Sorted(maps.Keys(known)) {
+			_, announced := next[vm]
+			if _, ok := unsaved[vm]; !ok || announced {
+				continue
+			}
+			if remaining -= r.announcedBytes(vm); remaining < 0 {
+				return
+			}
+			next[vm] = known[vm]
+		}
+	}
+}
+
+// unsavedVMs returns the VMs of open waves that may have been maintained though the stored progress
+// does not say so, with the ID of the wave.
+func (r *Runner) unsavedVMs() map[string]int {
+	unsaved := map[string]int{}
+	for _, w := range r.openWaves() {
+		for _, v := range w.vms {
+			done := v.Phase == PhaseDone || v.Phase == PhaseGone
+			byFormer := v.Phase != PhaseOrdered && !done && r.formerWaves[v.Name] == w.ID
+			if v.Phase == PhaseOrdered || byFormer || done && w.changed {
+				unsaved[v.Name] = w.ID
+			}
+		}
+	}
+	return unsaved
+}
+
 // activeWaves returns the ID of the wave for which a VM is being drained or maintained, by VM.
 func (r *Runner) activeWaves() map[string]int {
 	waves := map[string]int{}
@@ -219,13 +262,14 @@
 // announcementTxn returns the transaction that writes an announcement, without preconditions.
 func (r *Runner) announcementTxn(orders map[string]time.Duration) (txn platform.RowTxn, err error) {
 	a := announcement{Term: r.claim.Term}
-	waves := r.activeWaves()
+	waves := r.unsavedVMs()
+	maps.Copy(waves, r.activeWaves())
 	for _, vm := range slices.Sorted(maps.Keys(orders)) {
 		wave, inWave := waves[vm]
 		if !inWave && r.moves[vm] == nil {
 			wave = r.formerWaves[vm]
 		}
-		a.Orders = append(a.Orders, announcedOrder{VM: vm, Until: orders[vm], Wave: wave})
+		a.Orders = append(a.Orders, announcedOrder{VM: vm, Until: orders[vm], Wave: wave, Boot: r.boots[vm]})
 	}
 	raw, err := msgpack.Marshal(a)
 	if err != nil {
@@ -253,6 +297,7 @@
 			orders[vm] = until
 		}
 	}
+	r.keepUnsaved(orders, maxUnsavedBytes)
 	txn, err := r.announcementTxn(orders)
 	if err != nil {
 		return err
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -129,7 +129,7 @@
 		unanswered := v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineUp && m.Worker == v.Worker
 		if v.Phase == PhaseDraining || unanswered { // resend an unanswered order, which may be lost
 			due = append(due, vmOrder{
-				vm: v.Name, pool: m.Pool, rank: rank,
+				vm: v.Name, pool: m.Pool, boot: m.Worker, rank: rank,
 				admit: func() bool {
 					if !unanswered {
 						free--
@@ -181,7 +181,8 @@
 		RecentlyOrdered: map[string]bool{}, OrderedByFormer: map[string]bool{}, InOtherWave: map[string]bool{},
 	}
 	for vm := range r.formerOrders {
-		view.RecentlyOrdered[vm], view.OrderedByFormer[vm] = !r.mayOrderFor(vm), true
+		view.RecentlyOrdered[vm] = !r.mayOrderFor(vm)
+		view.OrderedByFormer[vm] = view.RecentlyOrdered[vm] || r.boots[vm] == "" || r.boots[vm] != machines[vm].Worker
 	}
 	for vm, wave := range r.activeWaves() {
 		view.InOtherWave[vm] = wave != w.ID
--- a/pkg/fleetops/orders.go
+++ b/pkg/fleetops/orders.go
@@ -53,6 +53,7 @@
 type vmOrder struct {
 	vm   string
 	pool string // current pool of the VM
+	boot string // current worker of the VM
 	rank int    // order in which VMs get free places of their tasks' steps, lowest first
 	// admit reports whether the order may be sent now that the VM is drained; nil for always.
 	admit func() bool
@@ -121,6 +122,7 @@
 	for _, o := range orders {
 		if r.mayOrderFor(o.vm) {
 			vms = append(vms, o.vm)
+			r.boots[o.vm] = o.boot
 		}
 	}
 	r.announce(ctx, vms)
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -68,6 +68,7 @@
 	formerOrdersKnown bool                           // the former holders' announcement was read
 	noOrdersBefore    time.Duration                  // set if that announcement was malformed
 	formerOrders      map[string]time.Duration       // by VM: until when former holders may have sent orders, on the table service's clock
+	boots             map[string]string              // by VM: its worker when its last order was announced
 	formerWaves       map[string]int                 // by VM: the wave of those orders, 0 for a move
 	lastLoads         map[string]shard.Load          // by pool
 	limited           map[string][]shard.LimitedStep // as last reported, by pool
@@ -108,7 +109,7 @@
 		quotas: quota.NewAllocator(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		limited: map[string][]shard.LimitedStep{},
 		policy:  DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
-		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
+		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, boots: map[string]string{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
 	}
 	r.loadFormerOrders(ctx)
 	runCtx, cancel := context.WithCancel(context.Background())
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -100,7 +100,7 @@
 	Light           map[string]bool             // VMs with little work
 	SlowToDrain     map[string]bool             // VMs that take longest to drain, from shard.Load.Tight
 	RecentlyOrdered map[string]bool             // VMs whose orders must wait, since a former holder may have sent one recently
-	OrderedByFormer map[string]bool             // VMs that a former holder may have ordered, so that they may be done already
+	OrderedByFormer map[string]bool             // VMs that a former holder may have ordered and that may be done already
 	Limited         []shard.LimitedStep         // steps that limit missing tasks, of all pools
 	Draining        []string                    // VMs that the pools' owners drain, in the order in which they get free places
 	InOtherWave     map[string]bool             // VMs that another wave drains or maintains
@@ -169,6 +169,9 @@
 		if !ok || m.State != platform.MachineUp || view.RecentlyOrdered[v.Name] || view.InOtherWave[v.Name] {
 			continue
 		}
+		if view.OrderedByFormer[v.Name] && disruption(m, view.Spare, view.Light) == disruptionHigh && !plan.last(v, vms, view, w.Within-view.Elapsed) {
+			continue
+		}
 		early := plan.mustBegin(v.Name, w.Within-view.Elapsed) || view.SlowToDrain[v.Name] && counts.slowDrains[m.Pool] == 0
 		if !isUrgent && !early && disruption(m, view.Spare, view.Light) == disruptionHigh {
 			continue
--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -1,6 +1,7 @@
 package fleetops
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -77,3 +78,50 @@
 		})
 	}
 }
+
+// A former holder maintained a VM but could not store that: its announcement outlasts later ones, so
+// that the next holder leaves the VM, which has another boot now, for last.
+func TestFormerMaintenanceLast(t *testing.T) {
+	for _, planned := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{"a": 3}}
+			for _, vm := range []string{"v1", "v2", "v3", "v4", "v5", "v6"} { // the first of a pool are busy
+				pool := "a"
+				if vm > "v3" {
+					pool = "off"
+				}
+				s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Pool: pool, State: platform.MachineUp, Worker: vm})
+			}
+			setV1 := func(state platform.MachineState, worker string) {
+				s.vms.mu.Lock()
+				defer s.vms.mu.Unlock()
+				v1 := &s.vms.list[slices.IndexFunc(s.vms.list, func(m platform.Machine) bool { return m.VM == "v1" })]
+				v1.State, v1.Worker = state, worker
+			}
+			s.waves = []Wave{{ID: 1, VMs: []string{"v1", "v2", "v3"}, Within: 25 * time.Second, MaxDown: 1}}
+			since := time.Now()
+			first := s.open(c, "first", since)
+			time.Sleep(300 * time.Millisecond)
+			c.Assert(s.vms.firstOrders("first")["v1"].IsZero(), qt.IsFalse)
+			setV1(platform.MachineMaintenance, "v1")
+			time.Sleep(6 * time.Second)
+			s.setNeed("b", 1)
+			time.Sleep(time.Second)
+			if planned {
+				first.Release(context.Background(), "")
+			} else {
+				first.Close()
+			}
+			setV1(platform.MachineUp, "v1+")
+			second := s.open(c, "second", since)
+			defer second.Close()
+			time.Sleep(12 * time.Second)
+			at := s.vms.firstOrders("second")
+			for _, vm := range []string{"v2", "v3"} {
+				c.Assert(at[vm].IsZero(), qt.IsFalse, qt.Commentf("%s was not ordered", vm))
+				c.Check(at["v1"].After(at[vm]), qt.IsTrue, qt.Commentf("v1 was ordered before %s, planned %v", vm, planned))
+			}
+		})
+	}
+}
--- a/pkg/fleetops/waveplan.go
+++ b/pkg/fleetops/waveplan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -140,6 +141,17 @@
 	return ok && lead >= left/planMargin
 }
 
+// last reports whether a VM that may be done already has to be drained nevertheless: no other VM
+// waits, or the wave would be late.
+func (p *WavePlan) last(v *VM, vms []*VM, view View, left time.Duration) bool {
+	if left <= planMargin*max(p.leads[v.Name], maintenanceRound) {
+		return true
+	}
+	return !slices.ContainsFunc(vms, func(other *VM) bool {
+		return other.Phase == PhaseWaiting && !view.OrderedByFormer[other.Name] && view.Machines[other.Name].State == platform.MachineUp
+	})
+}
+
 // hasPlace reports whether draining a VM uses a place of a step that VMs being drained leave unused.
 func (p *WavePlan) hasPlace(vm string) bool {
 	for _, s := range p.of[vm] {
