A new boot does not prove that an unanswered maintenance order was carried out

The VM may have crashed meanwhile, and the wave was then reported as completed without its maintenance. The order is repeated, after the VMs that were not ordered yet; the VM list's word that the VM is down for maintenance proves that it was carried out.

--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -104,6 +104,11 @@
 		case v.Phase == PhaseDone || v.Phase == PhaseGone:
 		case !ok:
 			r.setPhase(w, v, PhaseGone, "the VM is no longer listed")
+		case v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineMaintenance:
+			v.acceptedAt = r.now() // the order was carried out though it was not answered
+		case v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineUp && m.Worker != v.Worker:
+			v.maybeDone = true
+			r.setPhase(w, v, PhaseWaiting, "the order was not answered, and the VM may have crashed")
 		case v.Phase == PhaseOrdered && v.returned(m, r.now(), r.cfg.MaintenanceTime):
 			r.setPhase(w, v, PhaseDone, "the VM is up again")
 		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && w.ID != 0 && r.formerWaves[v.Name] == w.ID:
@@ -184,6 +189,11 @@
 		view.RecentlyOrdered[vm] = !r.mayOrderFor(vm)
 		view.OrderedByFormer[vm] = view.RecentlyOrdered[vm] || r.boots[vm] == "" || r.boots[vm] != machines[vm].Worker
 	}
+	for _, v := range w.vms {
+		if v.maybeDone {
+			view.OrderedByFormer[v.Name] = true
+		}
+	}
 	for vm, wave := range r.activeWaves() {
 		view.InOtherWave[vm] = wave != w.ID
 	}
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -50,6 +50,7 @@
 	Worker string // ID of the worker before maintenance, set once ordered
 
 	acceptedAt time.Duration // when the VM service accepted the order, 0 before
+	maybeDone  bool          // an order without an answer may have been carried out
 }
 
 // returned reports whether the VM is up again after its maintenance. A spare VM runs no worker and
@@ -100,7 +101,7 @@
 	Light           map[string]bool             // VMs with little work
 	SlowToDrain     map[string]bool             // VMs that take longest to drain, from shard.Load.Tight
 	RecentlyOrdered map[string]bool             // VMs whose orders must wait, since a former holder may have sent one recently
-	OrderedByFormer map[string]bool             // VMs that a former holder may have ordered and that may be done already
+	OrderedByFormer map[string]bool             // VMs that a former holder may have ordered, or this one without an answer, and that may be done already
 	Limited         []shard.LimitedStep         // steps that limit missing tasks, of all pools
 	Draining        []string                    // VMs that the pools' owners drain, in the order in which they get free places
 	InOtherWave     map[string]bool             // VMs that another wave drains or maintains
--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,3 +126,58 @@
 		})
 	}
 }
+
+// lostAnswers loses the answer to the first maintenance order.
+type lostAnswers struct {
+	platform.Machines
+	orders atomic.Int32
+}
+
+func (l *lostAnswers) MaintainMachine(ctx context.Context, vm string, wave int, h platform.Holder) error {
+	err := l.Machines.MaintainMachine(ctx, vm, wave, h)
+	if l.orders.Add(1) == 1 {
+		return platform.ErrUnknown{Op: "maintain machine", Cause: "the answer was lost"}
+	}
+	return err
+}
+
+// A new boot does not prove that an unanswered order was carried out: the VM may have crashed, and
+// the order is repeated. The VM list's word that the VM is down for its maintenance proves it.
+func TestCrashAfterUnansweredOrder(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{}}
+			s.vms.list = []platform.Machine{{VM: "v1", Pool: "off", State: platform.MachineUp, Worker: "v1"}}
+			s.waves = []Wave{{ID: 1, VMs: []string{"v1"}, Within: 20 * time.Second, MaxDown: 1}}
+			service := &lostAnswers{}
+			s.rowsOf = func(_ string, rows platform.Rows) platform.Rows { return rows }
+			s.vmsOf = func(_ string, vms platform.Machines) platform.Machines {
+				service.Machines = vms
+				return service
+			}
+			r := s.open(c, "e", time.Now())
+			defer r.Close()
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(service.orders.Load(), qt.Equals, int32(1))
+			set := func(state platform.MachineState, worker string) {
+				s.vms.mu.Lock()
+				defer s.vms.mu.Unlock()
+				s.vms.list[0].State, s.vms.list[0].Worker = state, worker
+			}
+			if listed {
+				set(platform.MachineMaintenance, "v1")
+				time.Sleep(2 * time.Second)
+			}
+			set(platform.MachineUp, "v1+")
+			time.Sleep(5 * time.Second)
+			want := int32(2)
+			if listed {
+				want = 1
+			}
+			c.Check(service.orders.Load(), qt.Equals, want, qt.Commentf("listed %v", listed))
+			st := r.WaveStatus()
+			c.Check(st, qt.HasLen, 0, qt.Commentf("the wave is open"))
+		})
+	}
+}
