--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -181,3 +181,44 @@
 		})
 	}
 }
+
+// A wave over VMs that do not exist or are named twice maintains the others once; one that may take
+// no VM down is told to be at risk at once and orders nothing.
+func TestBadWaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{}}
+		for _, vm := range []string{"v1", "v2"} {
+			s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Pool: "off", State: platform.MachineUp, Worker: vm})
+		}
+		s.waves = []Wave{
+			{ID: 1, VMs: []string{"v1", "none", "v1"}, Within: time.Minute, MaxDown: 2},
+			{ID: 2, VMs: []string{"v2"}, Within: time.Hour, MaxDown: 0},
+		}
+		r := s.open(c, "e", time.Now())
+		defer r.Close()
+		time.Sleep(10 * time.Second)
+		s.vms.mu.Lock()
+		c.Check(s.vms.orders, qt.HasLen, 1)
+		s.vms.mu.Unlock()
+		c.Check(s.vms.firstOrders("e")["v1"].IsZero(), qt.IsFalse)
+		st := r.WaveStatus()
+		c.Assert(st, qt.HasLen, 1)
+		c.Check(st[0].ID, qt.Equals, 2)
+		c.Check(st[0].AtRisk && st[0].Blocked(), qt.IsTrue)
+		c.Check(st[0].Limit, qt.Equals, BottleneckMaxDown)
+	})
+}
+
+// An operator is told of a wave's risk when it becomes known, and again when it changes.
+func TestRiskChanged(t *testing.T) {
+	c := qt.New(t)
+	calm := WaveStatus{Limit: BottleneckPool, LimitOf: "a"}
+	late := WaveStatus{AtRisk: true, Limit: BottleneckStep, LimitOf: "j1.0.0"}
+	other := WaveStatus{AtRisk: true, Limit: BottleneckStep, LimitOf: "j2.0.0"}
+	c.Check(riskChanged(WaveStatus{}, calm), qt.IsFalse)
+	c.Check(riskChanged(calm, late), qt.IsTrue)
+	c.Check(riskChanged(late, late), qt.IsFalse)
+	c.Check(riskChanged(late, other), qt.IsTrue)
+	c.Check(riskChanged(late, calm), qt.IsTrue)
+}
