--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -127,15 +127,25 @@
 	}
 }
 
-// lostAnswers loses the answer to the first maintenance order.
+// lostAnswers counts maintenance orders and loses the answers to the first ones.
 type lostAnswers struct {
 	platform.Machines
+	lost   int32 // answers to lose
 	orders atomic.Int32
 }
 
+// watch has a fleet use the service.
+func (l *lostAnswers) watch(s *testFleet) {
+	s.rowsOf = func(_ string, rows platform.Rows) platform.Rows { return rows }
+	s.vmsOf = func(_ string, vms platform.Machines) platform.Machines {
+		l.Machines = vms
+		return l
+	}
+}
+
 func (l *lostAnswers) MaintainMachine(ctx context.Context, vm string, wave int, h platform.Holder) error {
 	err := l.Machines.MaintainMachine(ctx, vm, wave, h)
-	if l.orders.Add(1) == 1 {
+	if l.orders.Add(1) <= l.lost {
 		return platform.ErrUnknown{Op: "maintain machine", Cause: "the answer was lost"}
 	}
 	return err
@@ -150,12 +160,8 @@
 			s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{}}
 			s.vms.list = []platform.Machine{{VM: "v1", Pool: "off", State: platform.MachineUp, Worker: "v1"}}
 			s.waves = []Wave{{ID: 1, VMs: []string{"v1"}, Within: 20 * time.Second, MaxDown: 1}}
-			service := &lostAnswers{}
-			s.rowsOf = func(_ string, rows platform.Rows) platform.Rows { return rows }
-			s.vmsOf = func(_ string, vms platform.Machines) platform.Machines {
-				service.Machines = vms
-				return service
-			}
+			service := &lostAnswers{lost: 1}
+			service.watch(s)
 			r := s.open(c, "e", time.Now())
 			defer r.Close()
 			time.Sleep(100 * time.Millisecond)
@@ -195,12 +201,12 @@
 			{ID: 1, VMs: []string{"v1", "none", "v1"}, Within: time.Minute, MaxDown: 2},
 			{ID: 2, VMs: []string{"v2"}, Within: time.Hour, MaxDown: 0},
 		}
+		service := &lostAnswers{}
+		service.watch(s)
 		r := s.open(c, "e", time.Now())
 		defer r.Close()
 		time.Sleep(10 * time.Second)
-		s.vms.mu.Lock()
-		c.Check(s.vms.orders, qt.HasLen, 1)
-		s.vms.mu.Unlock()
+		c.Check(service.orders.Load(), qt.Equals, int32(1))
 		c.Check(s.vms.firstOrders("e")["v1"].IsZero(), qt.IsFalse)
 		st := r.WaveStatus()
 		c.Assert(st, qt.HasLen, 1)
