--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -1,7 +1,9 @@
 package fleetops
 
 import (
+	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,3 +79,152 @@
 		})
 	}
 }
+
+// A former holder maintained a VM but could not store that: its announcement outlasts later ones, so
+// that the next holder leaves the VM, which has another boot now, for last.
+func TestFormerMaintenanceLast(t *testing.T) {
+	for _, planned := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{"a": 3}}
+			for _, vm := range []string{"v1", "v2", "v3", "v4", "v5", "v6"} { // the first of a pool are busy
+				pool := "a"
+				if vm > "v3" {
+					pool = "off"
+				}
+				s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Pool: pool, State: platform.MachineUp, Worker: vm})
+			}
+			setV1 := func(state platform.MachineState, worker string) {
+				s.vms.mu.Lock()
+				defer s.vms.mu.Unlock()
+				v1 := &s.vms.list[slices.IndexFunc(s.vms.list, func(m platform.Machine) bool { return m.VM == "v1" })]
+				v1.State, v1.Worker = state, worker
+			}
+			s.waves = []Wave{{ID: 1, VMs: []string{"v1", "v2", "v3"}, Within: 25 * time.Second, MaxDown: 1}}
+			since := time.Now()
+			first := s.open(c, "first", since)
+			time.Sleep(300 * time.Millisecond)
+			c.Assert(s.vms.firstOrders("first")["v1"].IsZero(), qt.IsFalse)
+			setV1(platform.MachineMaintenance, "v1")
+			time.Sleep(6 * time.Second)
+			s.setNeed("b", 1)
+			time.Sleep(time.Second)
+			if planned {
+				first.Release(context.Background(), "")
+			} else {
+				first.Close()
+			}
+			setV1(platform.MachineUp, "v1+")
+			second := s.open(c, "second", since)
+			defer second.Close()
+			time.Sleep(12 * time.Second)
+			at := s.vms.firstOrders("second")
+			for _, vm := range []string{"v2", "v3"} {
+				c.Assert(at[vm].IsZero(), qt.IsFalse, qt.Commentf("%s was not ordered", vm))
+				c.Check(at["v1"].After(at[vm]), qt.IsTrue, qt.Commentf("v1 was ordered before %s, planned %v", vm, planned))
+			}
+		})
+	}
+}
+
+// lostAnswers counts maintenance orders and loses the answers to the first ones.
+type lostAnswers struct {
+	platform.Machines
+	lost   int32 // answers to lose
+	orders atomic.Int32
+}
+
+// watch has a fleet use the service.
+func (l *lostAnswers) watch(s *testFleet) {
+	s.rowsOf = func(_ string, rows platform.Rows) platform.Rows { return rows }
+	s.vmsOf = func(_ string, vms platform.Machines) platform.Machines {
+		l.Machines = vms
+		return l
+	}
+}
+
+func (l *lostAnswers) MaintainMachine(ctx context.Context, vm string, wave int, h platform.Holder) error {
+	err := l.Machines.MaintainMachine(ctx, vm, wave, h)
+	if l.orders.Add(1) <= l.lost {
+		return platform.ErrUnknown{Op: "maintain machine", Cause: "the answer was lost"}
+	}
+	return err
+}
+
+// A new boot does not prove that an unanswered order was carried out: the VM may have crashed, and
+// the order is repeated. The VM list's word that the VM is down for its maintenance proves it.
+func TestCrashAfterUnansweredOrder(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{}}
+			s.vms.list = []platform.Machine{{VM: "v1", Pool: "off", State: platform.MachineUp, Worker: "v1"}}
+			s.waves = []Wave{{ID: 1, VMs: []string{"v1"}, Within: 20 * time.Second, MaxDown: 1}}
+			service := &lostAnswers{lost: 1}
+			service.watch(s)
+			r := s.open(c, "e", time.Now())
+			defer r.Close()
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(service.orders.Load(), qt.Equals, int32(1))
+			set := func(state platform.MachineState, worker string) {
+				s.vms.mu.Lock()
+				defer s.vms.mu.Unlock()
+				s.vms.list[0].State, s.vms.list[0].Worker = state, worker
+			}
+			if listed {
+				set(platform.MachineMaintenance, "v1")
+				time.Sleep(2 * time.Second)
+			}
+			set(platform.MachineUp, "v1+")
+			time.Sleep(5 * time.Second)
+			want := int32(2)
+			if listed {
+				want = 1
+			}
+			c.Check(service.orders.Load(), qt.Equals, want, qt.Commentf("listed %v", listed))
+			st := r.WaveStatus()
+			c.Check(st, qt.HasLen, 0, qt.Commentf("the wave is open"))
+		})
+	}
+}
+
+// A wave over VMs that do not exist or are named twice maintains the others once; one that may take
+// no VM down is told to be at risk at once and orders nothing.
+func TestBadWaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{}}
+		for _, vm := range []string{"v1", "v2"} {
+			s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Pool: "off", State: platform.MachineUp, Worker: vm})
+		}
+		s.waves = []Wave{
+			{ID: 1, VMs: []string{"v1", "none", "v1"}, Within: time.Minute, MaxDown: 2},
+			{ID: 2, VMs: []string{"v2"}, Within: time.Hour, MaxDown: 0},
+		}
+		service := &lostAnswers{}
+		service.watch(s)
+		r := s.open(c, "e", time.Now())
+		defer r.Close()
+		time.Sleep(10 * time.Second)
+		c.Check(service.orders.Load(), qt.Equals, int32(1))
+		c.Check(s.vms.firstOrders("e")["v1"].IsZero(), qt.IsFalse)
+		st := r.WaveStatus()
+		c.Assert(st, qt.HasLen, 1)
+		c.Check(st[0].ID, qt.Equals, 2)
+		c.Check(st[0].AtRisk && st[0].Blocked(), qt.IsTrue)
+		c.Check(st[0].Limit, qt.Equals, BottleneckMaxDown)
+	})
+}
+
+// An operator is told of a wave's risk when it becomes known, and again when it changes.
+func TestRiskChanged(t *testing.T) {
+	c := qt.New(t)
+	calm := WaveStatus{Limit: BottleneckPool, LimitOf: "a"}
+	late := WaveStatus{AtRisk: true, Limit: BottleneckStep, LimitOf: "j1.0.0"}
+	other := WaveStatus{AtRisk: true, Limit: BottleneckStep, LimitOf: "j2.0.0"}
+	c.Check(riskChanged(WaveStatus{}, calm), qt.IsFalse)
+	c.Check(riskChanged(calm, late), qt.IsTrue)
+	c.Check(riskChanged(late, late), qt.IsFalse)
+	c.Check(riskChanged(late, other), qt.IsTrue)
+	c.Check(riskChanged(late, calm), qt.IsTrue)
+}
--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -20,6 +20,8 @@
 	Penalty  float64 // subtracted from the score; 0 for a healthy worker
 	Cold     bool    // it runs tasks slowly for now
 
+	Leaving bool // its VM will be drained soon, so that long-running tasks would move again
+
 	SuspectedTasks int // tasks here that are suspected of crashing their worker
 
 	longRunning int                   // number of long-running tasks here
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -19,6 +19,9 @@
 	packWeight = 1.0
 	// coldWeight has warm workers chosen first, but for tasks whose data is in the rack of a cold one.
 	coldWeight = 3.0
+	// leavingWeight outweighs the free resources, but not spreadWeight, so that tasks of one step do
+	// not gather on a VM.
+	leavingWeight = 1.25
 )
 
 // Margin on the remaining work of a job when it is compared with the deadline, so that resources
@@ -209,7 +212,10 @@
 	}
 	if s.Spec.LongRunning {
 		score -= spreadWeight * float64(h.perStep[s])
-		if h.longRunning > 0 {
+		switch {
+		case h.Leaving:
+			score -= leavingWeight
+		case h.longRunning > 0:
 			score += packWeight
 		}
 	}
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -55,11 +55,18 @@
 	// Queue is the job's queue.
 	Queue string `json:"queue" msgpack:"queue"`
 
+	// Rank orders the VMs being drained; those of a lower rank go first.
+	Rank int `json:"rank" msgpack:"rank"`
+
 	// Record is the encoded job record of a submission.
 	Record []byte `json:"record" msgpack:"record"`
 
 	// VM is the VM to drain.
 	VM string `json:"vm" msgpack:"vm"`
+
+	// WaveVMs are the VMs of the pool that open waves will still drain, sent with
+	// calls for the load.
+	WaveVMs []string `json:"wave_vms" msgpack:"wave_vms"`
 }
 
 type CallKind string
@@ -73,6 +80,7 @@
 const CallKindState CallKind = "state"
 const CallKindSubmit CallKind = "submit"
 const CallKindWaiting CallKind = "waiting"
+const CallKindWaves CallKind = "waves"
 
 type CallOutcome string
 
@@ -127,6 +135,9 @@
 
 	// Waiting is the number of the queue's jobs that have not started.
 	Waiting int `json:"waiting" msgpack:"waiting"`
+
+	// Waves is the encoded progress of the open waves, if the call asked for it.
+	Waves []byte `json:"waves" msgpack:"waves"`
 }
 
 // CallerListener accepts callers' requests.
