Share VMs out by urgency of work when they are too few; VMs with short tasks may move

A pool that came first kept its VMs for late work, since targets counted late work like any other and only nearly idle VMs could leave. The load now divides the demand into work within the guaranteed rates, work over them and late work, and lists the VMs whose short tasks end soonest. Share meets each kind before the next, at an equal level; while a pool is below its share, others give up VMs with short tasks. Not measured yet.

--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -94,7 +94,9 @@
 		if s.Spare {
 			slices.Sort(s.Movable)
 		} else {
-			s.Movable = r.movableVMs(s, machines, reserved, leaving[s.Name])
+			most := r.policy.maxDraining(s.Supply) - leaving[s.Name]
+			s.Movable = r.movableVMs(s, s.Load.Light, machines, reserved, most)
+			s.Ending = r.movableVMs(s, endingSoon(s.Load.Ending), machines, reserved, most-len(s.Movable))
 		}
 		s.SurplusSteps = r.updateSurplus(s)
 	}
@@ -168,14 +170,24 @@
 	}
 }
 
-// movableVMs returns the VMs that may leave a pool now, those without tasks first.
-func (r *Runner) movableVMs(s *PoolState, machines map[string]platform.Machine, reserved map[string]Phase, leaving int) (movable []string) {
-	for _, vm := range s.Load.Light {
+// endingSoon returns the VMs whose tasks are expected to end well before a drain times out.
+func endingSoon(vms []shard.EndingVM) (names []string) {
+	for _, v := range vms {
+		if time.Duration(v.LeftMs)*time.Millisecond <= maxDrainWait {
+			names = append(names, v.VM)
+		}
+	}
+	return names
+}
+
+// movableVMs returns those of the given VMs that may leave a pool now, at most most of them.
+func (r *Runner) movableVMs(s *PoolState, vms []string, machines map[string]platform.Machine, reserved map[string]Phase, most int) (movable []string) {
+	for _, vm := range vms {
 		m, ok := machines[vm]
 		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || reserved[vm] != "" || !r.mayOrderFor(vm) || r.cfg.ZoneEvacuated(m.Zone) {
 			continue
 		}
-		if leaving+len(movable) >= r.policy.maxDraining(s.Supply) {
+		if len(movable) >= most {
 			break
 		}
 		movable = append(movable, vm)
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -4,16 +4,22 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 const (
 	// drainTimeout is how long a VM may take to drain before its move is abandoned.
 	drainTimeout = 3 * time.Second
+	// maxDrainWait is how long the tasks of a VM may be expected to run on for it to be drained for a move.
+	maxDrainWait = drainTimeout * 2 / 3
 	// moveTimeout is how long after its order a VM may take to come up in its new pool.
 	moveTimeout = 8 * time.Second
 	// loadReportLag is how long after a VM came up its new pool's load may be reported without it.
 	loadReportLag = 600 * time.Millisecond
+	// shareLogInterval is the minimum time between two log lines on VMs that are too few.
+	shareLogInterval = time.Second
 )
 
 // move is the execution state of a planned move.
@@ -26,12 +32,33 @@
 
 // planMoves adds the moves that bring the pools closer to their target sizes.
 func (r *Runner) planMoves(machines map[string]platform.Machine) {
-	for _, m := range r.policy.PlanMoves(r.poolStates(machines, r.lastLoads)) {
+	pools := r.poolStates(machines, r.lastLoads)
+	level := r.policy.SetShares(pools)
+	r.logShares(pools, level)
+	for _, m := range r.policy.PlanMoves(pools) {
 		r.moves[m.VM] = &move{Move: m, plannedAt: r.now()}
 		r.log.Info().Str("event", "move_planned").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Str("why", m.Reason).Send()
 	}
 }
 
+// logShares logs, once per shareLogInterval while VMs are too few, what each pool needs, gets and has,
+// and once when they suffice again.
+func (r *Runner) logShares(pools []*PoolState, level ShareLevel) {
+	now := r.now()
+	if level == LevelNone && r.loggedLevel == LevelNone || now-r.sharesLoggedAt < shareLogInterval {
+		return
+	}
+	r.loggedLevel, r.sharesLoggedAt = level, now
+	each := zerolog.Arr()
+	for _, s := range pools {
+		if !s.Spare {
+			each.Dict(zerolog.Dict().Str("pool", s.Name).Int("target", s.Need.Target).Int("share", s.Share).Int("vms", s.Supply).
+				Int("guaranteed", s.Need.Guaranteed).Int("excess", s.Need.Excess).Int("all", s.Need.All))
+		}
+	}
+	r.log.Info().Str("event", "vms_short").Str("level", string(level)).Array("pools", each).Send()
+}
+
 // moveOrders returns the orders to send for planned moves.
 func (r *Runner) moveOrders(mayOrder bool) (due []vmOrder) {
 	if !mayOrder {
--- a/pkg/fleetops/plan_test.go
+++ b/pkg/fleetops/plan_test.go
@@ -59,16 +59,33 @@
 		if v["idle"] != "" {
 			s.Movable = strings.Split(v["idle"], ",")
 		}
+		if v["ending"] != "" {
+			s.Ending = strings.Split(v["ending"], ",")
+		}
 		_, atLimit := v["atlimit"]
 		s.Load = shard.Load{
 			AtLimit: atLimit, Capacity: platform.Resources{CPU: 1000 * s.Supply},
 			Workers: s.Supply, Floor: number(v["floor"]), VMCapacity: platform.Resources{CPU: 1000, MemoryMB: 1000},
 			Used:    platform.Resources{CPU: number(v["used"]), MemoryMB: number(v["memory"])},
 			Waiting: platform.Resources{CPU: number(v["waiting"])}, Arriving: platform.Resources{CPU: number(v["arriving"])},
+			ArrivingExcess: platform.Resources{CPU: number(v["arriving-excess"])},
+		}
+		if v["late"] != "" || v["excess"] != "" {
+			late, excess := platform.Resources{CPU: number(v["late"])}, platform.Resources{CPU: number(v["excess"])}
+			s.Load.Held = shard.Demand{Guaranteed: s.Load.Used.Add(s.Load.Waiting).Sub(late).Sub(excess), Excess: excess, Late: late}
 		}
 		pools = append(pools, s)
 	}
 	var out strings.Builder
+	if level := DefaultSizing.SetShares(pools); level != LevelNone {
+		fmt.Fprintf(&out, "short of VMs for %s:", level)
+		for _, s := range pools {
+			if !s.Spare {
+				fmt.Fprintf(&out, " %s %d of %d", s.Name, s.Share, s.Need.Target)
+			}
+		}
+		out.WriteString("\n")
+	}
 	for _, m := range DefaultSizing.PlanMoves(pools) {
 		fmt.Fprintf(&out, "%s: %s -> %s\n", m.VM, m.From, m.To)
 	}
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -74,6 +74,9 @@
 	moves             map[string]*move         // by VM
 	announced         map[string]time.Duration // by VM: until when orders may be sent, as persisted, on the table service's clock
 
+	loggedLevel    ShareLevel    // as last logged
+	sharesLoggedAt time.Duration // when that was
+
 	announcedVersion int64 // version of the announcement row as last read or written, 0 for none
 
 	mu          sync.Mutex
@@ -100,6 +103,7 @@
 		quotas: quota.NewAllocator(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
 		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
+		loggedLevel: LevelNone,
 	}
 	r.loadFormerOrders(ctx)
 	runCtx, cancel := context.WithCancel(context.Background())
--- a/pkg/fleetops/sizing.go
+++ b/pkg/fleetops/sizing.go
@@ -22,12 +22,15 @@
 	DrainingShare float64
 	// SwitchOffShare is the fraction of a pool's surplus that moves to the spare pool in one step.
 	SwitchOffShare float64
+	// MoveGain is the fraction of a pool's share by which it must be above or below the share before a VM
+	// with running tasks moves, so that VMs don't swing to and fro.
+	MoveGain float64
 }
 
 // DefaultSizing prefers jobs that finish in time to few running VMs. The fractions let large pools
 // follow a change of demand as fast as small ones.
 var DefaultSizing = SizingPolicy{
-	Headroom: 0.15, Reserve: 1, KeepSteps: 6, MaxDraining: 6, DrainingShare: 0.3, SwitchOffShare: 0.3,
+	Headroom: 0.15, Reserve: 1, KeepSteps: 6, MaxDraining: 6, DrainingShare: 0.3, SwitchOffShare: 0.3, MoveGain: 0.1,
 }
 
 // fullUtilization is the fraction of used CPU from which a pool counts as fully used. Below it, an
@@ -46,9 +49,17 @@
 	Load         shard.Load // zero for the spare pool
 	Supply       int        // VMs in the pool or on their way to it
 	Movable      []string   // VMs that may leave now, best first
+	Ending       []string   // further VMs that may leave once their short tasks have ended, soonest first
 	SurplusSteps int        // consecutive steps with surplus VMs
+
+	Need  Need // set by SetShares
+	Share int  // VMs that the pool should have, at most Need.Target; set by SetShares
 }
 
+// worthMove returns the number of VMs above or below a pool's share from which VMs with running tasks
+// move.
+func (p SizingPolicy) worthMove(s *PoolState) int { return max(1, int(p.MoveGain*float64(s.Share))) }
+
 // Move moves a VM to another pool.
 type Move struct {
 	VM     string
@@ -82,26 +93,48 @@
 	return max(part(used.CPU, waiting.CPU, perVM.CPU), part(used.MemoryMB, waiting.MemoryMB, perVM.MemoryMB), part(used.GPU, waiting.GPU, perVM.GPU))
 }
 
-// PlanMoves returns the moves that bring pools closer to their target sizes. Pools with the
-// largest deficit come first; they get VMs from the spare pool, then from pools with a surplus. If
-// no pool has a deficit, a lasting surplus moves to the spare pool.
+// SetShares sets the needs and shares of pools, and returns the first kind of need that does not fit
+// into their VMs and the movable spare ones.
+func (p SizingPolicy) SetShares(pools []*PoolState) ShareLevel {
+	vms := 0
+	needs := make([]Need, len(pools))
+	for i, s := range pools {
+		if s.Spare {
+			vms += len(s.Movable)
+			continue
+		}
+		vms += s.Supply
+		needs[i] = p.need(s.Load)
+	}
+	shares, level := Share(needs, vms)
+	for i, s := range pools {
+		s.Need, s.Share = needs[i], shares[i]
+	}
+	return level
+}
+
+// PlanMoves returns the moves that bring pools closer to the shares set by SetShares. Pools with the
+// largest deficit come first; they get VMs from the spare pool, then from pools with a surplus, idle
+// VMs before those with short tasks. If no pool is below its target size, a lasting surplus moves to
+// the spare pool.
 func (p SizingPolicy) PlanMoves(pools []*PoolState) (moves []Move) {
-	pl := movePlan{surplus: map[string]int{}}
+	pl := movePlan{policy: p, surplus: map[string]int{}}
 	var short []*PoolState
-	spare := ""
+	spare, belowTarget := "", false
 	for _, s := range pools {
 		if s.Spare {
 			spare = s.Name
 			pl.surplus[s.Name] = len(s.Movable)
 			continue
 		}
-		pl.surplus[s.Name] = s.Supply - p.TargetSize(s.Load)
+		pl.surplus[s.Name] = s.Supply - s.Share
 		if pl.surplus[s.Name] < 0 {
 			short = append(short, s)
 		}
+		belowTarget = belowTarget || s.Supply < s.Need.Target
 	}
 	pl.fillDeficits(short, pools)
-	if spare == "" || len(short) > 0 {
+	if spare == "" || belowTarget {
 		return pl.moves
 	}
 	for _, s := range pools {
@@ -117,8 +150,9 @@
 
 // movePlan accumulates moves.
 type movePlan struct {
+	policy  SizingPolicy
 	moves   []Move
-	surplus map[string]int // by pool: VMs above the target size after the planned moves
+	surplus map[string]int // by pool: VMs above the share after the planned moves
 }
 
 // fillDeficits plans moves to the pools that are short of VMs, largest deficit first.
@@ -126,17 +160,35 @@
 	slices.SortStableFunc(short, func(a, b *PoolState) int { return cmp.Compare(pl.surplus[a.Name], pl.surplus[b.Name]) })
 	donors := slices.Clone(pools)
 	for _, s := range short {
+		worthBusy := -pl.surplus[s.Name] >= pl.policy.worthMove(s)
 		slices.SortStableFunc(donors, func(a, b *PoolState) int {
 			return cmp.Or(cmp.Compare(spareRank(a), spareRank(b)), cmp.Compare(pl.surplus[b.Name], pl.surplus[a.Name]))
 		})
 		for _, d := range donors {
-			for pl.surplus[s.Name] < 0 && d != s && pl.addMove(d, s.Name, "the pool is below its target size") {
+			for pl.surplus[s.Name] < 0 && d != s && pl.addMove(d, s.Name, "the pool is below its share") {
+				pl.surplus[s.Name]++
+			}
+		}
+		for _, d := range donors {
+			for worthBusy && pl.surplus[s.Name] < 0 && d != s && pl.addBusyMove(d, s.Name) {
 				pl.surplus[s.Name]++
 			}
 		}
 	}
 }
 
+// addBusyMove plans the move of the VM whose short tasks end soonest, if the pool has enough VMs above
+// its share.
+func (pl *movePlan) addBusyMove(from *PoolState, to string) bool {
+	if len(from.Ending) == 0 || pl.surplus[from.Name] < pl.policy.worthMove(from) {
+		return false
+	}
+	pl.moves = append(pl.moves, Move{VM: from.Ending[0], From: from.Name, To: to, Reason: "its tasks end soon and the pool is below its share"})
+	from.Ending = from.Ending[1:]
+	pl.surplus[from.Name]--
+	return true
+}
+
 // addMove plans the move of a pool's best movable VM, if the pool has a surplus.
 func (pl *movePlan) addMove(from *PoolState, to, reason string) bool {
 	if pl.surplus[from.Name] <= 0 || len(from.Movable) == 0 {
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -77,6 +77,9 @@
 	return 0
 }
 
+// Late reports whether the job will probably miss its deadline even if the tasks start now.
+func (c *Candidate) Late(now time.Duration) bool { return c.latenessRank(now) > 0 }
+
 // latenessRank puts jobs that will probably be late after those that can be done in time, and those
 // that will be done after their expiry last.
 func (c *Candidate) latenessRank(now time.Duration) int {
--- a/pkg/shard/arrivals.go
+++ b/pkg/shard/arrivals.go
@@ -22,28 +22,36 @@
 	at       time.Duration
 	cpu      float64
 	memoryMB float64
+	excess   bool // the job exceeds the guaranteed rate of its account
 }
 
 // add records the work of one job.
-func (a *arrivals) add(at time.Duration, cpu, memoryMB float64) {
-	a.recent = append(a.recent, arrival{at: at, cpu: cpu, memoryMB: memoryMB})
-}
+func (a *arrivals) add(j arrival) { a.recent = append(a.recent, j) }
 
 // demand returns the resources that arriving jobs will hold on average if they keep arriving
-// as in the last window.
-func (a *arrivals) demand(now time.Duration) (r platform.Resources) {
+// as in the last window, and the part of them for jobs over the guaranteed rates of accounts.
+func (a *arrivals) demand(now time.Duration) (all, excess platform.Resources) {
 	drop := 0
 	for drop < len(a.recent) && now-a.recent[drop].at > arrivalWindow {
 		drop++
 	}
 	a.recent = a.recent[drop:]
-	var cpu, memoryMB float64
+	var sum, over arrival
 	for _, j := range a.recent {
-		cpu += j.cpu
-		memoryMB += j.memoryMB
+		sum.cpu += j.cpu
+		sum.memoryMB += j.memoryMB
+		if j.excess {
+			over.cpu += j.cpu
+			over.memoryMB += j.memoryMB
+		}
 	}
-	window := min(arrivalWindow, max(now-a.since, arrivalWindow/4)).Seconds()
-	return platform.Resources{CPU: int(cpu / window), MemoryMB: int(memoryMB / window)}
+	window := min(arrivalWindow, max(now-a.since, arrivalWindow/4))
+	return sum.rate(window), over.rate(window)
+}
+
+// rate returns the resources that the work holds on average when it arrives once in a window.
+func (j arrival) rate(window time.Duration) platform.Resources {
+	return platform.Resources{CPU: int(j.cpu / window.Seconds()), MemoryMB: int(j.memoryMB / window.Seconds())}
 }
 
 // noteArrival records an accepted job. Scheduled jobs and long-running or filler tasks do not
@@ -62,5 +70,5 @@
 		cpu += s * float64(st.Needs.CPU)
 		memoryMB += s * float64(st.Needs.MemoryMB)
 	}
-	o.arrivals.add(now, cpu, memoryMB)
+	o.arrivals.add(arrival{at: now, cpu: cpu, memoryMB: memoryMB, excess: j.Excess})
 }
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -345,9 +345,12 @@
 
 // limit sets an account's CPU limit, in thousandths of a core. The observer's limit is set
 // separately, since shares may be lower.
-func (e *testCluster) limit(account string, cpu int) {
+func (e *testCluster) limit(account string, cpu int) { e.setAccount(account, cpu, 1000) }
+
+// setAccount sets the limit and the weight of a client account.
+func (e *testCluster) setAccount(account string, cpu int, weight float64) {
 	e.limits = slices.DeleteFunc(slices.Clone(e.limits), func(a catalog.Account) bool { return a.Name == account })
-	e.limits = append(e.limits, catalog.Account{Name: account, Weight: 1000, Limit: platform.Resources{CPU: cpu}})
+	e.limits = append(e.limits, catalog.Account{Name: account, Weight: weight, Limit: platform.Resources{CPU: cpu}})
 	for _, o := range e.allOwners() {
 		o.SetCatalog(e.catalog())
 	}
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -39,6 +39,10 @@
 	Waiting  platform.Resources // needed by tasks that could start now if there were room
 	Tasks    int                // that wait to start
 	Arriving platform.Resources // resources that jobs will hold on average at the recent arrival rate
+	// Held divides Used and Waiting by how urgent they are; zero in answers of earlier versions.
+	Held Demand
+	// ArrivingExcess is the part of Arriving that exceeds the guaranteed rates of accounts.
+	ArrivingExcess platform.Resources
 	// VMCapacity is the largest capacity of a worker, taken as that of an undisturbed VM.
 	VMCapacity platform.Resources
 	// Floor is the least number of workers that the long-running tasks need.
@@ -47,6 +51,9 @@
 	AtLimit bool
 	// Light names the VMs without long-running tasks and with little work, the least busy first.
 	Light []string
+	// Ending lists the VMs without long-running tasks that are not in Light, those that will be empty
+	// soonest first, at most maxEndingVMs.
+	Ending []EndingVM
 	// Tight names the VMs that take longest to empty because few tasks of their steps may be
 	// missing at a time: those with most such tasks first, at most maxSlowVMs.
 	Tight []string
@@ -73,6 +80,7 @@
 
 func (o *Owner) load(now time.Duration) (l Load) {
 	used, limited := map[string]int{}, map[string]int{}
+	kinds := o.newDemandKinds(now)
 	for _, s := range o.sessions {
 		if !s.serviceable(now) {
 			continue
@@ -88,32 +96,40 @@
 			l.Workers++
 			l.Capacity = l.Capacity.Add(s.info.Capacity)
 		}
-		longRunning, cpu := false, 0
+		longRunning, cpu, left := false, 0, time.Duration(0)
 		for _, a := range s.attempts {
 			charge := placement.Charge(a.Task.Step.Spec)
 			l.Used = l.Used.Add(charge)
+			l.Held.add(kinds.of(a.Task.Step), charge)
 			cpu += charge.CPU
 			longRunning = longRunning || a.Task.Step.Spec.LongRunning
+			left = max(left, o.remainingTime(a, now))
 			if a.Task.Step.Spec.LongRunning && a.Task.Step.Spec.HasMaxUnavailable {
 				limited[s.vm]++
 			}
 		}
-		if !longRunning && s.trial == nil && float64(cpu) <= maxLightShare*float64(s.info.Capacity.CPU) {
+		switch {
+		case longRunning || s.trial != nil:
+		case float64(cpu) <= maxLightShare*float64(s.info.Capacity.CPU):
 			used[s.vm] = cpu
 			l.Light = append(l.Light, s.vm)
+		case !s.outOfUse():
+			l.Ending = append(l.Ending, EndingVM{VM: s.vm, LeftMs: milliseconds(left)})
 		}
 	}
 	l.Tight = slowestVMs(limited)
+	l.Ending = soonestEnding(l.Ending)
 	slices.SortFunc(l.Light, func(a, b string) int { return cmp.Or(cmp.Compare(used[a], used[b]), cmp.Compare(a, b)) })
 	l.Floor = o.minWorkers()
 	l.AtLimit = o.rate.Limiting()
-	l.Arriving = o.arrivals.demand(now)
+	l.Arriving, l.ArrivingExcess = o.arrivals.demand(now)
 	demand := o.newDemand()
 	o.eachStartable(true, func(s *jobs.StepRun, startable []*jobs.Task) {
 		l.Tasks += len(startable)
 		n := demand.startable(s, len(startable))
-		charge := placement.Charge(s.Spec)
-		l.Waiting = l.Waiting.Add(platform.Resources{CPU: n * charge.CPU, MemoryMB: n * charge.MemoryMB, GPU: n * charge.GPU})
+		waiting := multiply(placement.Charge(s.Spec), n)
+		l.Waiting = l.Waiting.Add(waiting)
+		l.Held.add(kinds.of(s), waiting)
 	})
 	return l
 }
@@ -169,6 +185,7 @@
 		}
 	}
 	o.log.Info().Str("event", "shard_load").Int("workers", l.Workers).Int("cpu", l.Capacity.CPU).Int("cpu_used", l.Used.CPU).
-		Int("cpu_waiting", l.Waiting.CPU).Int("cpu_arriving", l.Arriving.CPU).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
+		Int("cpu_waiting", l.Waiting.CPU).Int("cpu_arriving", l.Arriving.CPU).
+		Int("cpu_excess", l.Held.Excess.CPU).Int("cpu_late", l.Held.Late.CPU).Int("cpu_arriving_excess", l.ArrivingExcess.CPU).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
 		Int("tasks_waiting", l.Tasks).Int("jobs", len(o.registry.Active())).Int("jobs_running", running).Bool("at_limit", l.AtLimit).Send()
 }
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -153,6 +153,8 @@
 	case "load":
 		l, ok := e.owners[entry].Load(false)
 		return fmt.Sprintf("%v: %d workers, room %d, of one %d, used %d, waiting %d\n", ok, l.Workers, l.Capacity.CPU, l.VMCapacity.CPU, l.Used.CPU, l.Waiting.CPU)
+	case "demand":
+		return e.demand(entry)
 	case "corrupt":
 		e.rows.Corrupt(platform.RowKey{Table: arg("table", ""), Partition: pool, Key: arg("key", "row")}, []byte("\xc1 not ours"))
 		return ""
@@ -205,7 +207,8 @@
 		return fmt.Sprintf("%v\n", e.owners[entry].DrainVM(arg("vm", "")))
 	case "limit":
 		cpu, _ := strconv.Atoi(arg("cpu", "0"))
-		e.limit(arg("account", ""), cpu)
+		weight, _ := strconv.ParseFloat(arg("weight", "1000"), 64)
+		e.setAccount(arg("account", ""), cpu, weight)
 		return ""
 	case "allowed":
 		cpu, _ := strconv.Atoi(arg("cpu", "0"))
@@ -237,6 +240,21 @@
 	return fmt.Sprintf("%s %s\n", out, state)
 }
 
+// demand returns how an owner's load is made up and which VMs will be empty soonest.
+func (e *testCluster) demand(entry string) string {
+	l, ok := e.owners[entry].Load(false)
+	if !ok {
+		return "not known\n"
+	}
+	var out strings.Builder
+	fmt.Fprintf(&out, "guaranteed %d, excess %d, late %d, arriving %d, of them excess %d\n", l.Held.Guaranteed.CPU, l.Held.Excess.CPU, l.Held.Late.CPU, l.Arriving.CPU, l.ArrivingExcess.CPU)
+	fmt.Fprintf(&out, "light: %s\n", strings.Join(l.Light, " "))
+	for _, v := range l.Ending {
+		fmt.Fprintf(&out, "%s: %d ms left\n", v.VM, v.LeftMs)
+	}
+	return out.String()
+}
+
 // accounts returns what an owner reports of client accounts.
 func (e *testCluster) accounts(entry string) string {
 	l, ok := e.owners[entry].Load(true)
