--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -18,8 +16,6 @@
 	moveTimeout = 8 * time.Second
 	// loadReportLag is how long after a VM came up its new pool's load may be reported without it.
 	loadReportLag = 600 * time.Millisecond
-	// shareLogInterval is the minimum time between two log lines on VMs that are too few.
-	shareLogInterval = time.Second
 )
 
 // move is the execution state of a planned move.
@@ -34,31 +30,13 @@
 func (r *Runner) planMoves(machines map[string]platform.Machine) {
 	pools := r.poolStates(machines, r.lastLoads)
 	level := r.policy.SetShares(pools)
-	r.logShares(pools, level)
+	r.reportShares(pools, level)
 	for _, m := range r.policy.PlanMoves(pools) {
 		r.moves[m.VM] = &move{Move: m, plannedAt: r.now()}
 		r.log.Info().Str("event", "move_planned").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Str("why", m.Reason).Send()
 	}
 }
 
-// logShares logs, once per shareLogInterval while VMs are too few, what each pool needs, gets and has,
-// and once when they suffice again.
-func (r *Runner) logShares(pools []*PoolState, level ShareLevel) {
-	now := r.now()
-	if level == LevelNone && r.loggedLevel == LevelNone || now-r.sharesLoggedAt < shareLogInterval {
-		return
-	}
-	r.loggedLevel, r.sharesLoggedAt = level, now
-	each := zerolog.Arr()
-	for _, s := range pools {
-		if !s.Spare {
-			each.Dict(zerolog.Dict().Str("pool", s.Name).Int("target", s.Need.Target).Int("share", s.Share).Int("vms", s.Supply).
-				Int("guaranteed", s.Need.Guaranteed).Int("excess", s.Need.Excess).Int("all", s.Need.All))
-		}
-	}
-	r.log.Info().Str("event", "vms_short").Str("level", string(level)).Array("pools", each).Send()
-}
-
 // moveOrders returns the orders to send for planned moves.
 func (r *Runner) moveOrders(mayOrder bool) (due []vmOrder) {
 	if !mayOrder {
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -48,8 +48,9 @@
 	OrderGap        time.Duration // minimum time between orders of two holders for a VM, required by the VM service
 	MaintenanceTime time.Duration // how long the maintenance of a VM takes
 
-	BeforeTakeover func()      // called before the takeover's transaction is sent
-	OnGivenUp      func(error) // called once, with nil, when another entry is found to have taken over
+	BeforeTakeover func()       // called before the takeover's transaction is sent
+	OnShares       func(Shares) // called in each step that may move VMs, and with none when this entry stops; nil for nothing
+	OnGivenUp      func(error)  // called once, with nil, when another entry is found to have taken over
 }
 
 // Runner runs the fleet operations while this entry is the holder.
@@ -74,7 +75,7 @@
 	moves             map[string]*move         // by VM
 	announced         map[string]time.Duration // by VM: until when orders may be sent, as persisted, on the table service's clock
 
-	loggedLevel    ShareLevel    // as last logged
+	loggedShares   Shares        // as last logged
 	sharesLoggedAt time.Duration // when that was
 
 	announcedVersion int64 // version of the announcement row as last read or written, 0 for none
@@ -97,13 +98,16 @@
 	if cfg.ZoneEvacuated == nil {
 		cfg.ZoneEvacuated = func(string) bool { return false }
 	}
+	if cfg.OnShares == nil {
+		cfg.OnShares = func(Shares) {}
+	}
 	now := cfg.Clock.Now()
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
 		quotas: quota.NewAllocator(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		policy: DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, trends: map[string]trend{},
 		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
-		loggedLevel: LevelNone,
+		loggedShares: Shares{Level: LevelNone},
 	}
 	r.loadFormerOrders(ctx)
 	runCtx, cancel := context.WithCancel(context.Background())
@@ -153,6 +157,7 @@
 
 func (r *Runner) run(ctx context.Context) {
 	defer close(r.done)
+	defer r.cfg.OnShares(Shares{Level: LevelNone})
 	for {
 		r.step(ctx)
 		select {
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -32,6 +33,8 @@
 	atLimit         *prometheus.CounterVec
 	predecessorWait *prometheus.HistogramVec
 	evacuatedZones  prometheus.Gauge
+	poolsShort      prometheus.Gauge
+	shareLevel      *prometheus.GaugeVec
 
 	mu               sync.Mutex
 	labelledAccounts map[string]bool // accounts with a label of their own
@@ -73,9 +76,15 @@
 		evacuatedZones: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gannetwell_zones_out", Help: "Availability zones that the operator has taken out of use.",
 		}),
+		poolsShort: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "gannetwell_pools_short", Help: "Pools with fewer VMs than their target size; 0 at an entry that does not own the fleet operations.",
+		}),
+		shareLevel: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "gannetwell_vms_short", Help: "1 for the first kind of need that does not fit into the VMs of all pools.",
+		}, []string{"level"}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
 	return m
 }
 
@@ -125,6 +134,15 @@
 // RowMalformed counts a row that cannot be decoded.
 func (m *metrics) RowMalformed(table string) { m.malformedRows.WithLabelValues(table).Inc() }
 
+// VMShares sets the gauges of pools that are short of VMs.
+func (m *metrics) VMShares(s fleetops.Shares) {
+	m.poolsShort.Set(float64(s.CountBelowTarget()))
+	m.shareLevel.Reset()
+	if s.Level != fleetops.LevelNone {
+		m.shareLevel.WithLabelValues(string(s.Level)).Set(1)
+	}
+}
+
 // accountLabel returns the label of an account, otherAccounts once maxAccountLabels are in use.
 func (m *metrics) accountLabel(account string) string {
 	m.mu.Lock()
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -76,7 +76,7 @@
 		Self: n.identity(), Log: n.log, Clock: n.clock,
 		Rows: n.rows, Machines: n.platform, Drain: n.drainVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves, ZoneEvacuated: n.evacuations.contains,
 		OrderGap: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, MaintenanceTime: seconds(n.settings.Timing.MaintenanceS),
-		BeforeTakeover: events.BeforeTakeover, OnGivenUp: events.OnGivenUp,
+		OnShares: n.metrics.VMShares, BeforeTakeover: events.BeforeTakeover, OnGivenUp: events.OnGivenUp,
 	}, seen, cat)
 	if err != nil {
 		return nil, err // no typed nil in the interface
