Expected growth of a pool's demand counts toward the kinds of demand that are there now

The forecast was counted as late work, so a turn that began shared VMs with another's late jobs at an equal level.

--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -112,7 +112,9 @@
 		if s.Load.VMCapacity.CPU == 0 {
 			s.Load.VMCapacity = largestCapacity(name, machines)
 		}
-		s.Load.Waiting.CPU += r.updateTrend(name, l.Used.CPU+l.Waiting.CPU)
+		growth := r.updateTrend(name, l.Used.CPU+l.Waiting.CPU)
+		s.Load.Waiting.CPU += growth
+		s.Load.Held = grown(l.Held, growth)
 		pools[name] = s
 	}
 	if spare := r.sparePool(); spare != "" {
@@ -121,6 +123,19 @@
 	return pools
 }
 
+// grown returns a pool's demand after it has grown by some CPU, made up as before.
+func grown(d shard.Demand, cpu int) shard.Demand {
+	total := d.Guaranteed.CPU + d.Excess.CPU + d.Late.CPU
+	if total == 0 {
+		return d
+	}
+	factor := 1 + float64(cpu)/float64(total)
+	for _, part := range []*int{&d.Guaranteed.CPU, &d.Excess.CPU, &d.Late.CPU} {
+		*part = int(float64(*part) * factor)
+	}
+	return d
+}
+
 // largestCapacity returns the capacity of the pool's largest VM, or else of the largest VM in the
 // fleet. It stands in for that of a pool without usable workers, which would never get a VM
 // otherwise.
--- a/pkg/fleetops/share_test.go
+++ b/pkg/fleetops/share_test.go
@@ -118,3 +118,12 @@
 	l.Held = shard.Demand{Guaranteed: platform.Resources{CPU: 1000}, Excess: platform.Resources{CPU: 2000}, Late: platform.Resources{CPU: 7000}}
 	c.Check(DefaultSizing.need(l), qt.Equals, Need{Floor: 2, Guaranteed: 2, Excess: 3, All: 10, Target: 13})
 }
+
+// Expected growth counts toward the kinds of demand that are there now.
+func TestGrown(t *testing.T) {
+	c := qt.New(t)
+	cores := func(n int) platform.Resources { return platform.Resources{CPU: n} }
+	d := shard.Demand{Guaranteed: cores(6000), Excess: cores(0), Late: cores(2000)}
+	c.Check(grown(d, 4000), qt.Equals, shard.Demand{Guaranteed: cores(9000), Late: cores(3000)})
+	c.Check(grown(shard.Demand{}, 4000), qt.Equals, shard.Demand{})
+}
--- a/pkg/fleetops/sizing.go
+++ b/pkg/fleetops/sizing.go
@@ -30,7 +30,7 @@
 // DefaultSizing prefers jobs that finish in time to few running VMs. The fractions let large pools
 // follow a change of demand as fast as small ones.
 var DefaultSizing = SizingPolicy{
-	Headroom: 0.15, Reserve: 1, KeepSteps: 6, MaxDraining: 6, DrainingShare: 0.5, SwitchOffShare: 0.3, MoveGain: 0.1,
+	Headroom: 0.15, Reserve: 1, KeepSteps: 6, MaxDraining: 6, DrainingShare: 0.3, SwitchOffShare: 0.3, MoveGain: 0.1,
 }
 
 // fullUtilization is the fraction of used CPU from which a pool counts as fully used. Below it, an
