--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -94,7 +94,9 @@
 		if s.Spare {
 			slices.Sort(s.Movable)
 		} else {
-			s.Movable = r.movableVMs(s, machines, reserved, leaving[s.Name])
+			most := r.policy.maxDraining(s.Supply) - leaving[s.Name]
+			s.Movable = r.movableVMs(s, s.Load.Light, machines, reserved, most)
+			s.Ending = r.movableVMs(s, endingSoon(s.Load.Ending), machines, reserved, most-len(s.Movable))
 		}
 		s.SurplusSteps = r.updateSurplus(s)
 	}
@@ -110,7 +112,9 @@
 		if s.Load.VMCapacity.CPU == 0 {
 			s.Load.VMCapacity = largestCapacity(name, machines)
 		}
-		s.Load.Waiting.CPU += r.updateTrend(name, l.Used.CPU+l.Waiting.CPU)
+		growth := r.updateTrend(name, l.Used.CPU+l.Waiting.CPU)
+		s.Load.Waiting.CPU += growth
+		s.Load.Held = grown(l.Held, growth)
 		pools[name] = s
 	}
 	if spare := r.sparePool(); spare != "" {
@@ -119,6 +123,19 @@
 	return pools
 }
 
+// grown returns a pool's demand after it has grown by some CPU, made up as before.
+func grown(d shard.Demand, cpu int) shard.Demand {
+	total := d.Guaranteed.CPU + d.Excess.CPU + d.Late.CPU
+	if total == 0 {
+		return d
+	}
+	factor := 1 + float64(cpu)/float64(total)
+	for _, part := range []*int{&d.Guaranteed.CPU, &d.Excess.CPU, &d.Late.CPU} {
+		*part = int(float64(*part) * factor)
+	}
+	return d
+}
+
 // largestCapacity returns the capacity of the pool's largest VM, or else of the largest VM in the
 // fleet. It stands in for that of a pool without usable workers, which would never get a VM
 // otherwise.
@@ -168,14 +185,24 @@
 	}
 }
 
-// movableVMs returns the VMs that may leave a pool now, those without tasks first.
-func (r *Runner) movableVMs(s *PoolState, machines map[string]platform.Machine, reserved map[string]Phase, leaving int) (movable []string) {
-	for _, vm := range s.Load.Light {
+// endingSoon returns the VMs whose tasks are expected to end well before a drain times out.
+func endingSoon(vms []shard.EndingVM) (names []string) {
+	for _, v := range vms {
+		if time.Duration(v.LeftMs)*time.Millisecond <= maxDrainWait {
+			names = append(names, v.VM)
+		}
+	}
+	return names
+}
+
+// movableVMs returns those of the given VMs that may leave a pool now, at most most of them.
+func (r *Runner) movableVMs(s *PoolState, vms []string, machines map[string]platform.Machine, reserved map[string]Phase, most int) (movable []string) {
+	for _, vm := range vms {
 		m, ok := machines[vm]
 		if !ok || m.Pool != s.Name || m.State != platform.MachineUp || r.moves[vm] != nil || reserved[vm] != "" || !r.mayOrderFor(vm) || r.cfg.ZoneEvacuated(m.Zone) {
 			continue
 		}
-		if leaving+len(movable) >= r.policy.maxDraining(s.Supply) {
+		if len(movable) >= most {
 			break
 		}
 		movable = append(movable, vm)
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -10,6 +10,8 @@
 const (
 	// drainTimeout is how long a VM may take to drain before its move is abandoned.
 	drainTimeout = 3 * time.Second
+	// maxDrainWait is how long the tasks of a VM may be expected to run on for it to be drained for a move.
+	maxDrainWait = drainTimeout * 2 / 3
 	// moveTimeout is how long after its order a VM may take to come up in its new pool.
 	moveTimeout = 8 * time.Second
 	// loadReportLag is how long after a VM came up its new pool's load may be reported without it.
@@ -28,6 +30,8 @@
 // planMoves adds the moves that bring the pools closer to their target sizes.
 func (r *Runner) planMoves(machines map[string]platform.Machine) {
 	pools := r.poolStates(machines, r.lastLoads)
+	level := r.policy.SetShares(pools)
+	r.reportShares(pools, level)
 	planned := r.policy.PlanMoves(pools)
 	planned = append(planned, r.planEvacuated(pools, planned, machines)...)
 	for _, m := range planned {
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -50,8 +50,9 @@
 	OrderGap        time.Duration // minimum time between orders of two holders for a VM, required by the VM service
 	MaintenanceTime time.Duration // how long the maintenance of a VM takes
 
-	BeforeTakeover func()      // called before the takeover's transaction is sent
-	OnGivenUp      func(error) // called once, with nil, when another entry is found to have taken over
+	BeforeTakeover func()       // called before the takeover's transaction is sent
+	OnShares       func(Shares) // called in each step that may move VMs, and with none when this entry stops; nil for nothing
+	OnGivenUp      func(error)  // called once, with nil, when another entry is found to have taken over
 }
 
 // Runner runs the fleet operations while this entry is the holder.
@@ -80,6 +81,9 @@
 	moves             map[string]*move               // by VM
 	announced         map[string]time.Duration       // by VM: until when orders may be sent, as persisted, on the table service's clock
 
+	loggedShares   Shares        // as last logged
+	sharesLoggedAt time.Duration // when that was
+
 	announcedVersion int64 // version of the announcement row as last read or written, 0 for none
 
 	mu          sync.Mutex
@@ -104,6 +108,9 @@
 	if cfg.OnWaves == nil {
 		cfg.OnWaves = func([]WaveStatus) {}
 	}
+	if cfg.OnShares == nil {
+		cfg.OnShares = func(Shares) {}
+	}
 	now := cfg.Clock.Now()
 	r = &Runner{
 		cfg: cfg, claim: c, log: cfg.Log.With().Str("pool", Partition).Int64("term", c.Term).Logger(),
@@ -111,6 +118,7 @@
 		limited: map[string][]shard.LimitedStep{},
 		policy:  DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, evacuatedSurplus: map[string]int{}, trends: map[string]trend{},
 		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, boots: map[string]string{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
+		loggedShares: Shares{Level: LevelNone},
 	}
 	r.loadFormerOrders(ctx)
 	runCtx, cancel := context.WithCancel(context.Background())
@@ -161,6 +169,7 @@
 
 func (r *Runner) run(ctx context.Context) {
 	defer close(r.done)
+	defer r.cfg.OnShares(Shares{Level: LevelNone})
 	for {
 		r.step(ctx)
 		select {
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -36,6 +36,8 @@
 	coldWorkers     prometheus.Gauge
 	waveVMs         *prometheus.GaugeVec
 	wavesAtRisk     prometheus.Gauge
+	poolsShort      prometheus.Gauge
+	shareLevel      *prometheus.GaugeVec
 
 	mu               sync.Mutex
 	labelledAccounts map[string]bool // accounts with a label of their own
@@ -86,9 +88,15 @@
 		wavesAtRisk: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gannetwell_waves_at_risk", Help: "Open maintenance waves that can't end in time, at the holder of the fleet operations.",
 		}),
+		poolsShort: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "gannetwell_pools_short", Help: "Pools with fewer VMs than their target size; 0 at an entry that does not own the fleet operations.",
+		}),
+		shareLevel: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "gannetwell_vms_short", Help: "1 for the first kind of need that does not fit into the VMs of all pools.",
+		}, []string{"level"}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
 	return m
 }
 
@@ -157,6 +165,15 @@
 	}
 }
 
+// VMShares sets the gauges of pools that are short of VMs.
+func (m *metrics) VMShares(s fleetops.Shares) {
+	m.poolsShort.Set(float64(s.CountBelowTarget()))
+	m.shareLevel.Reset()
+	if s.Level != fleetops.LevelNone {
+		m.shareLevel.WithLabelValues(string(s.Level)).Set(1)
+	}
+}
+
 // accountLabel returns the label of an account, otherAccounts once maxAccountLabels are in use.
 func (m *metrics) accountLabel(account string) string {
 	m.mu.Lock()
--- a/pkg/shard/arrivals.go
+++ b/pkg/shard/arrivals.go
@@ -34,6 +34,7 @@
 	at       time.Duration
 	cpu      float64
 	memoryMB float64
+	excess   bool // the job exceeds the guaranteed rate of its account
 }
 
 // add records an accepted job.
@@ -67,33 +68,50 @@
 }
 
 // demand returns the resources that arriving jobs will hold on average if they keep arriving
-// as in the last window, and refused ones arrive within refusedRetryTime.
-func (a *arrivals) demand(now time.Duration) (r platform.Resources) {
+// as in the last window, and refused ones arrive within refusedRetryTime, and the part of them for
+// jobs over the guaranteed rates of accounts.
+func (a *arrivals) demand(now time.Duration) (all, excess platform.Resources) {
 	drop := 0
 	for drop < len(a.recent) && now-a.recent[drop].at > arrivalWindow {
 		drop++
 	}
 	a.recent = a.recent[drop:]
-	var cpu, memoryMB float64
+	var sum, over arrival
 	for _, j := range a.recent {
-		cpu += j.cpu
-		memoryMB += j.memoryMB
+		sum.addWork(j)
+		if j.excess {
+			over.addWork(j)
+		}
 	}
-	window := min(arrivalWindow, max(now-a.since, arrivalWindow/4)).Seconds()
-	r = platform.Resources{CPU: int(cpu / window), MemoryMB: int(memoryMB / window)}
-	return r.Add(a.refusedDemand(now))
+	window := min(arrivalWindow, max(now-a.since, arrivalWindow/4))
+	refused, refusedOver := a.refusedWork(now)
+	all = sum.rate(window).Add(refused.rate(refusedRetryTime))
+	excess = over.rate(window).Add(refusedOver.rate(refusedRetryTime))
+	return all, excess
 }
 
-// refusedDemand returns the part of demand that refused submissions make up.
-func (a *arrivals) refusedDemand(now time.Duration) platform.Resources {
+// refusedWork returns the work of refused submissions, and of those over the guaranteed rates of
+// accounts.
+func (a *arrivals) refusedWork(now time.Duration) (all, excess arrival) {
 	a.forgetRefused(now)
-	var cpu, memoryMB float64
 	for _, j := range a.refused {
-		cpu += j.cpu
-		memoryMB += j.memoryMB
+		all.addWork(j)
+		if j.excess {
+			excess.addWork(j)
+		}
 	}
-	window := refusedRetryTime.Seconds()
-	return platform.Resources{CPU: int(cpu / window), MemoryMB: int(memoryMB / window)}
+	return all, excess
+}
+
+// addWork adds the work of another job.
+func (j *arrival) addWork(other arrival) {
+	j.cpu += other.cpu
+	j.memoryMB += other.memoryMB
+}
+
+// rate returns the resources that the work holds on average when it arrives once in a window.
+func (j arrival) rate(window time.Duration) platform.Resources {
+	return platform.Resources{CPU: int(j.cpu / window.Seconds()), MemoryMB: int(j.memoryMB / window.Seconds())}
 }
 
 // noteArrival records an accepted job.
@@ -112,7 +130,7 @@
 // expectedWork returns the work of a job that arrives now. Scheduled jobs and long-running or filler
 // tasks do not count, since they don't arrive at a steady rate.
 func (o *Owner) expectedWork(r *jobs.Record, now time.Duration) arrival {
-	j := arrival{at: now}
+	j := arrival{at: now, excess: r.Excess}
 	if r.Spec.Times > 0 {
 		return j
 	}
