The next holder knows when a wave was requested

Without a VM done it took the request as new, and otherwise as half over, so that it planned with time that the wave didn't have. The stored progress names the time, on the table service's clock.

--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -15,7 +15,9 @@
 type wave struct {
 	Wave
 	vms       []*VM
-	startedAt time.Duration // when this entry first saw the request, or an estimate if a former holder started the wave
+	startedAt time.Duration // when a holder first saw the request; an estimate if one of an earlier version did
+	// clockOffset is that of the table service's clock from the entry's, when the progress was read.
+	clockOffset time.Duration
 
 	loaded        bool          // the progress of former holders was read
 	changed       bool          // the progress differs from what is stored
--- a/pkg/fleetops/progress.go
+++ b/pkg/fleetops/progress.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
-	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
 // tableMaintenance is the table of the waves' progress and the announcement of orders.
@@ -22,6 +22,9 @@
 	// detect that it changed.
 	DoneBits   []byte `msgpack:"b,omitempty"`
 	VMListHash uint64 `msgpack:"l,omitempty"`
+	// StartedAt is when a holder first saw the request, on the table service's clock; 0 as stored by
+	// earlier versions.
+	StartedAt time.Duration `msgpack:"s,omitempty"`
 }
 
 // done returns a function that reports whether a VM is done or gone, by its name and its index in
@@ -56,13 +59,15 @@
 	}
 	readCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	row, err := shard.ReadRow(readCtx, r.cfg.Rows, progressKey(w.ID))
+	key := progressKey(w.ID)
+	page, err := r.cfg.Rows.ListRows(readCtx, key.Table, key.Partition, key.Key)
 	if err != nil {
 		return err
 	}
+	w.clockOffset = page.Now - r.now()
 	var p waveProgress
-	if row.Version > 0 {
-		if err := msgpack.Unmarshal(row.Value, &p); err != nil {
+	if len(page.Rows) > 0 && page.Rows[0].Key == key.Key {
+		if err := msgpack.Unmarshal(page.Rows[0].Value, &p); err != nil {
 			return errors.Wrap(err, "decode progress of wave")
 		}
 	}
@@ -72,7 +77,10 @@
 			v.Phase, started = PhaseDone, true
 		}
 	}
-	if started {
+	switch {
+	case p.StartedAt > 0 && p.VMListHash == w.vmListHash():
+		w.startedAt = min(w.startedAt, p.StartedAt-w.clockOffset)
+	case started:
 		w.startedAt -= w.Within / 2 // started earlier at an unknown time: makes the wave urgent
 	}
 	w.loaded, w.changed = true, true
@@ -82,6 +90,7 @@
 // progress returns the progress to persist, and whether the wave is finished.
 func (w *wave) progress() (p waveProgress, finished bool) {
 	finished = true
+	p.StartedAt = w.startedAt + w.clockOffset
 	p.DoneBits, p.VMListHash = make([]byte, (len(w.vms)+7)/8), w.vmListHash()
 	for at, v := range w.vms {
 		if v.Phase == PhaseDone || v.Phase == PhaseGone {
--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -228,3 +228,24 @@
 	c.Check(riskChanged(late, other), qt.IsTrue)
 	c.Check(riskChanged(late, calm), qt.IsTrue)
 }
+
+// The next holder knows when a wave was requested, though no VM is done.
+func TestWaveStartOutlivesHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{}}
+		s.vms.list = []platform.Machine{{VM: "v1", Pool: "off", State: platform.MachineUp, Worker: "v1"}}
+		s.waves = []Wave{{ID: 1, VMs: []string{"v1"}, Within: time.Hour, MaxDown: 0}}
+		requested := time.Now()
+		first := s.open(c, "first", requested)
+		time.Sleep(9 * time.Second)
+		first.Close()
+		second := s.open(c, "second", requested.Add(-time.Minute))
+		defer second.Close()
+		time.Sleep(time.Second)
+		st := second.WaveStatus()
+		c.Assert(st, qt.HasLen, 1)
+		passed := time.Since(requested)
+		c.Check(st[0].Elapsed > passed-time.Second && st[0].Elapsed <= passed, qt.IsTrue, qt.Commentf("%s of %s", st[0].Elapsed, passed))
+	})
+}
