--- a/pkg/jobs/registry.go
+++ b/pkg/jobs/registry.go
@@ -284,10 +284,6 @@
 	reg.All(func(j *Job) { j.allReported = true })
 }
 
-// FailJobOf fails the job of a task that crashes its workers. It reports whether the job was active
-// before.
-func (reg *Registry) FailJobOf(t *Task) bool { return reg.setFinal(t.Step.Job, StateFailed) }
-
 // Fail fails a job that cannot continue. It reports whether the job was active before.
 func (reg *Registry) Fail(j *Job) bool { return reg.setFinal(j, StateFailed) }
 
--- a/pkg/shard/suspects.go
+++ b/pkg/shard/suspects.go
@@ -104,7 +104,7 @@
 // failIfPoison fails the job of a task that is known to crash its workers.
 func (o *Owner) failIfPoison(t *jobs.Task) {
 	j := t.Step.Job
-	if t.Restriction() != quarantine.Poison || !o.registry.FailJobOf(t) {
+	if t.Restriction() != quarantine.Poison || !o.registry.Fail(t.Step.Job) {
 		return
 	}
 	boots := zerolog.Arr()
