Findings of two readers: ownership checks, wave limits, a data race, room of rows

From reading the whole change by two who had not seen it; each by reasoning on the code, tests as named. - Limited tasks at drained VMs are stopped only while ownership is confirmed: a task stopped during an outage could not be started again. - An owner that answers is not taken for restarted because its member row was not read yet (owner_status, fails before). - VMs whose unanswered maintenance order may still be carried out, and all VMs in maintenance, count toward the wave's limit; a VM that goes into maintenance by such an order is taken up as ordered. - Phases of VMs are read under the lock while orders are announced (race). - The row written at a release keeps its size limit and does not lengthen the next holder's wait. - Refused submissions keep whether they exceed their account's rate. - The preference for VMs outside of waves no longer outweighs the spread of a step's tasks, nor does coldness for long-running tasks.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -24,7 +24,8 @@
 
 // maxAnnouncementBytes keeps the announcement row below the size limit of the table service.
 // announcedOrderBytes is the encoded size of one order besides its names.
-// maxUnsavedBytes bounds the part for orders that only tell the next holder what may be done.
+// maxUnsavedBytes bounds the part for VMs that may have been maintained although the stored progress
+// does not say so.
 const (
 	maxAnnouncementBytes = 60_000
 	announcedOrderBytes  = 28
@@ -234,11 +235,14 @@
 // does not say so, with the ID of the wave.
 func (r *Runner) unsavedVMs() map[string]int {
 	unsaved := map[string]int{}
-	for _, w := range r.openWaves() {
+	open := r.openWaves()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range open {
 		for _, v := range w.vms {
 			done := v.Phase == PhaseDone || v.Phase == PhaseGone
 			byFormer := v.Phase != PhaseOrdered && !done && r.formerWaves[v.Name] == w.ID
-			if v.Phase == PhaseOrdered || byFormer || done && w.changed {
+			if v.Phase == PhaseOrdered || byFormer || v.maybeDone && !done || done && w.changed {
 				unsaved[v.Name] = w.ID
 			}
 		}
@@ -249,7 +253,10 @@
 // activeWaves returns the ID of the wave for which a VM is being drained or maintained, by VM.
 func (r *Runner) activeWaves() map[string]int {
 	waves := map[string]int{}
-	for _, w := range r.openWaves() {
+	open := r.openWaves()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range open {
 		for _, v := range w.vms {
 			if v.Phase == PhaseDraining || v.Phase == PhaseOrdered {
 				waves[v.Name] = w.ID
@@ -297,7 +304,16 @@
 			orders[vm] = until
 		}
 	}
-	r.keepUnsaved(orders, maxUnsavedBytes)
+	used := 0
+	for vm := range orders {
+		used += r.announcedBytes(vm)
+	}
+	r.keepUnsaved(orders, min(maxAnnouncementBytes-used, maxUnsavedBytes))
+	for vm, until := range orders {
+		if sent := r.lastOrderOf(vm); sent > 0 {
+			orders[vm] = max(min(until, r.clock.latest(sent)), r.formerOrders[vm])
+		}
+	}
 	txn, err := r.announcementTxn(orders)
 	if err != nil {
 		return err
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -109,13 +109,13 @@
 		case v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineMaintenance:
 			v.acceptedAt = r.now() // the order was carried out though it was not answered
 		case v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineUp && m.Worker != v.Worker:
-			v.maybeDone = true
+			v.maybeDone, v.orderedUntil = true, r.now()+orderTransit+maxListLag
 			r.setPhase(w, v, PhaseWaiting, "the order was not answered, and the VM may have crashed")
 		case v.Phase == PhaseOrdered && v.returned(m, r.now(), r.cfg.MaintenanceTime):
 			r.setPhase(w, v, PhaseDone, "the VM is up again")
-		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && w.ID != 0 && r.formerWaves[v.Name] == w.ID:
+		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && w.ID != 0 && (v.maybeDone || r.formerWaves[v.Name] == w.ID):
 			v.Worker, v.acceptedAt = m.Worker, r.now()
-			r.setPhase(w, v, PhaseOrdered, "a former holder ordered the maintenance")
+			r.setPhase(w, v, PhaseOrdered, "an earlier order is carried out")
 		}
 	}
 }
@@ -185,15 +185,16 @@
 func (r *Runner) newView(w *wave, machines map[string]platform.Machine) View {
 	view := View{
 		Machines: machines, Spare: r.sparePool(), Elapsed: r.now() - w.startedAt,
-		RecentlyOrdered: map[string]bool{}, OrderedByFormer: map[string]bool{}, InOtherWave: map[string]bool{},
+		RecentlyOrdered: map[string]bool{}, MaybeDone: map[string]bool{}, InOtherWave: map[string]bool{},
 	}
 	for vm := range r.formerOrders {
 		view.RecentlyOrdered[vm] = !r.mayOrderFor(vm)
-		view.OrderedByFormer[vm] = view.RecentlyOrdered[vm] || r.boots[vm] == "" || r.boots[vm] != machines[vm].Worker
+		view.MaybeDone[vm] = view.RecentlyOrdered[vm] || r.boots[vm] == "" || r.boots[vm] != machines[vm].Worker
 	}
 	for _, v := range w.vms {
 		if v.maybeDone {
-			view.OrderedByFormer[v.Name] = true
+			view.MaybeDone[v.Name] = true
+			view.RecentlyOrdered[v.Name] = view.RecentlyOrdered[v.Name] || r.now() < v.orderedUntil
 		}
 	}
 	for vm, wave := range r.activeWaves() {
--- a/pkg/fleetops/plan_test.go
+++ b/pkg/fleetops/plan_test.go
@@ -138,7 +138,7 @@
 		}
 	}
 	var out strings.Builder
-	for _, v := range SelectVMs(w, vms, View{Machines: machines, Spare: "spare", Light: light, RecentlyOrdered: recent, SlowToDrain: tight, OrderedByFormer: former, Elapsed: elapsed}) {
+	for _, v := range SelectVMs(w, vms, View{Machines: machines, Spare: "spare", Light: light, RecentlyOrdered: recent, SlowToDrain: tight, MaybeDone: former, Elapsed: elapsed}) {
 		fmt.Fprintf(&out, "%s\n", v.Name)
 	}
 	return out.String()
--- a/pkg/fleetops/sizing.go
+++ b/pkg/fleetops/sizing.go
@@ -22,8 +22,8 @@
 	DrainingShare float64
 	// SwitchOffShare is the fraction of a pool's surplus that moves to the spare pool in one step.
 	SwitchOffShare float64
-	// MoveGain is the fraction of a pool's share by which it must be above or below the share before a VM
-	// with running tasks moves, so that VMs don't swing to and fro.
+	// MoveGain is the fraction of a pool's share that the pool must be above or below it before VMs with
+	// running tasks move, so that VMs are not moved back soon.
 	MoveGain float64
 }
 
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -51,6 +51,8 @@
 
 	acceptedAt time.Duration // when the VM service accepted the order, 0 before
 	maybeDone  bool          // an order without an answer may have been carried out
+	// orderedUntil is until when that order may still be carried out.
+	orderedUntil time.Duration
 }
 
 // returned reports whether the VM is up again after its maintenance. A spare VM runs no worker and
@@ -101,7 +103,7 @@
 	Light           map[string]bool             // VMs with little work
 	SlowToDrain     map[string]bool             // VMs that take longest to drain, from shard.Load.Tight
 	RecentlyOrdered map[string]bool             // VMs whose orders must wait, since a former holder may have sent one recently
-	OrderedByFormer map[string]bool             // VMs that a former holder may have ordered, or this one without an answer, and that may be done already
+	MaybeDone       map[string]bool             // VMs that may be done already, by an order of a former holder or an unanswered one of this holder
 	Limited         []shard.LimitedStep         // steps that limit missing tasks, of all pools
 	Draining        []string                    // VMs that the pools' owners drain, in the order in which they get free places
 	InOtherWave     map[string]bool             // VMs that another wave drains or maintains
@@ -126,7 +128,7 @@
 		m := view.Machines[v.Name]
 		switch v.Phase {
 		case PhaseDraining, PhaseOrdered:
-			if v.Phase == PhaseOrdered || !p.limited(v.Name) {
+			if v.Phase == PhaseOrdered || !p.hasLimitedTasks(v.Name) {
 				counts.active++
 				counts.activeInPool[m.Pool]++
 			}
@@ -135,7 +137,7 @@
 			}
 		case PhaseWaiting:
 			counts.waiting[m.Pool]++
-			if orderedByFormer(view, v.Name) {
+			if maybeDown(view, v.Name) {
 				counts.active++
 				counts.activeInPool[m.Pool]++
 			}
@@ -170,14 +172,14 @@
 		if !ok || m.State != platform.MachineUp || view.RecentlyOrdered[v.Name] || view.InOtherWave[v.Name] {
 			continue
 		}
-		if view.OrderedByFormer[v.Name] && disruption(m, view.Spare, view.Light) == disruptionHigh && !plan.last(v, vms, view, w.Within-view.Elapsed) {
+		if view.MaybeDone[v.Name] && disruption(m, view.Spare, view.Light) == disruptionHigh && !plan.mustRepeat(v, w.Within-view.Elapsed) {
 			continue
 		}
 		early := plan.mustBegin(v.Name, w.Within-view.Elapsed) || view.SlowToDrain[v.Name] && counts.slowDrains[m.Pool] == 0
 		if !isUrgent && !early && disruption(m, view.Spare, view.Light) == disruptionHigh {
 			continue
 		}
-		if !plan.limited(v.Name) {
+		if !plan.hasLimitedTasks(v.Name) {
 			if counts.active >= w.MaxDown || m.Pool != view.Spare && counts.activeInPool[m.Pool] >= maxActive(counts.poolSize[m.Pool]) {
 				continue
 			}
@@ -206,7 +208,7 @@
 	slices.SortStableFunc(waiting, func(a, b *VM) int {
 		return cmp.Or(
 			cmp.Compare(disruption(machines[a.Name], view.Spare, view.Light), disruption(machines[b.Name], view.Spare, view.Light)),
-			compareBools(view.OrderedByFormer[a.Name], view.OrderedByFormer[b.Name]),
+			compareBools(view.MaybeDone[a.Name], view.MaybeDone[b.Name]),
 			compareBools(!drained[a.Name], !drained[b.Name]), // a former holder began them
 			cmp.Compare(p.leads[b.Name], p.leads[a.Name]),
 			compareBools(!view.SlowToDrain[a.Name], !view.SlowToDrain[b.Name]),
--- a/pkg/fleetops/waveplan.go
+++ b/pkg/fleetops/waveplan.go
@@ -2,15 +2,14 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
-// planMargin is the multiple of the least time for VMs that is kept in reserve, for VMs, racks and
-// owners that are lost meanwhile.
+// planMargin is the multiple of the least time that a VM needs at which it must begin to drain; the
+// rest is for VMs, racks and owners that are lost meanwhile.
 const planMargin = 2
 
 // unreachable is the time for a wave that a limit of 0 blocks.
@@ -34,8 +33,9 @@
 	Limit   Bottleneck    // what Needs results from
 	LimitOf string        // name of the pool or step
 
-	leads map[string]time.Duration // least time from the start of a VM's drain to the end of the wave, by VM with limited tasks
-	of    map[string][]*stepPlan   // by VM
+	leads      map[string]time.Duration // least time from the start of a VM's drain to the end of the wave, by VM with limited tasks
+	stepsOn    map[string][]*stepPlan   // limited steps with tasks on a VM, by VM
+	othersWait bool                     // VMs wait that can't be done already
 }
 
 // stepPlan is the state of a step that limits its missing tasks.
@@ -69,18 +69,21 @@
 
 // PlanWave plans the VMs of a wave that are not done.
 func PlanWave(w Wave, vms []*VM, view View) (p WavePlan) {
-	p.leads, p.of = map[string]time.Duration{}, map[string][]*stepPlan{}
+	p.leads, p.stepsOn = map[string]time.Duration{}, map[string][]*stepPlan{}
 	remaining, inPool, poolSize := map[string]*VM{}, map[string]int{}, map[string]int{}
 	for _, v := range vms {
 		m, listed := view.Machines[v.Name]
 		if !listed || v.Phase == PhaseDone || v.Phase == PhaseGone {
 			continue
 		}
-		p.require(maintenanceRound, BottleneckRound, "")
 		if v.Phase == PhaseOrdered {
 			continue
 		}
+		p.require(maintenanceRound, BottleneckRound, "")
 		remaining[v.Name] = v
+		if v.Phase == PhaseWaiting && !view.MaybeDone[v.Name] && m.State == platform.MachineUp {
+			p.othersWait = true
+		}
 		if m.Pool != view.Spare {
 			inPool[m.Pool]++
 		}
@@ -118,7 +121,7 @@
 		if v.Phase == PhaseDraining {
 			step.draining++
 		}
-		p.of[vm] = append(p.of[vm], step)
+		p.stepsOn[vm] = append(p.stepsOn[vm], step)
 	}
 	if n == 0 {
 		return
@@ -132,8 +135,8 @@
 	}
 }
 
-// limited reports whether tasks on a VM wait for places of their steps.
-func (p *WavePlan) limited(vm string) bool { return len(p.of[vm]) > 0 }
+// hasLimitedTasks reports whether a VM runs tasks of steps that limit missing tasks.
+func (p *WavePlan) hasLimitedTasks(vm string) bool { return len(p.stepsOn[vm]) > 0 }
 
 // mustBegin reports whether a VM has to be drained from now on for the wave to end in time.
 func (p *WavePlan) mustBegin(vm string, left time.Duration) bool {
@@ -141,20 +144,15 @@
 	return ok && lead >= left/planMargin
 }
 
-// last reports whether a VM that may be done already has to be drained nevertheless: no other VM
-// waits, or the wave would be late.
-func (p *WavePlan) last(v *VM, vms []*VM, view View, left time.Duration) bool {
-	if left <= planMargin*max(p.leads[v.Name], maintenanceRound) {
-		return true
-	}
-	return !slices.ContainsFunc(vms, func(other *VM) bool {
-		return other.Phase == PhaseWaiting && !view.OrderedByFormer[other.Name] && view.Machines[other.Name].State == platform.MachineUp
-	})
+// mustRepeat reports whether a VM that may be done already has to be drained nevertheless: no other
+// VM waits, or the wave would be late.
+func (p *WavePlan) mustRepeat(v *VM, left time.Duration) bool {
+	return left/planMargin <= max(p.leads[v.Name], maintenanceRound) || !p.othersWait
 }
 
 // hasPlace reports whether draining a VM uses a place of a step that VMs being drained leave unused.
 func (p *WavePlan) hasPlace(vm string) bool {
-	for _, s := range p.of[vm] {
+	for _, s := range p.stepsOn[vm] {
 		if s.draining < s.Places {
 			return true
 		}
@@ -164,7 +162,7 @@
 
 // begin counts a VM as being drained.
 func (p *WavePlan) begin(vm string) {
-	for _, s := range p.of[vm] {
+	for _, s := range p.stepsOn[vm] {
 		s.draining++
 	}
 }
@@ -177,14 +175,15 @@
 // countDown returns how many VMs of a wave are down for their maintenance, or may be.
 func countDown(vms []*VM, view View) (down int) {
 	for _, v := range vms {
-		if v.Phase == PhaseOrdered || v.Phase == PhaseWaiting && orderedByFormer(view, v.Name) {
+		maintained := view.Machines[v.Name].State == platform.MachineMaintenance
+		if v.Phase == PhaseOrdered || maintained || v.Phase == PhaseWaiting && view.RecentlyOrdered[v.Name] {
 			down++
 		}
 	}
 	return down
 }
 
-// orderedByFormer reports whether a former holder may have ordered a VM's maintenance just now.
-func orderedByFormer(view View, vm string) bool {
+// maybeDown reports whether a VM is in maintenance or may be, by a recent order.
+func maybeDown(view View, vm string) bool {
 	return view.Machines[vm].State == platform.MachineMaintenance || view.RecentlyOrdered[vm]
 }
--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -87,15 +87,15 @@
 		return true
 	}
 	delete(n.malformedWorkers, r.Key)
-	if old, ok := all[r.Key]; ok && onlyCoolsDown(old, w) {
+	if old, ok := all[r.Key]; ok && onlyTimePassed(old, w) {
 		return false
 	}
 	all[r.Key] = w
 	return true
 }
 
-// onlyCoolsDown reports whether a later row of a cold worker differs only in the time that has passed.
-func onlyCoolsDown(old, w platform.Worker) bool {
+// onlyTimePassed reports whether a later row of a cold worker differs only in the time that has passed.
+func onlyTimePassed(old, w platform.Worker) bool {
 	if min(old.ColdLeft, w.ColdLeft) == 0 || old.ClockMs == platform.ClockUnknown || w.ClockMs == platform.ClockUnknown {
 		return false
 	}
--- a/pkg/ownership/liveness.go
+++ b/pkg/ownership/liveness.go
@@ -109,7 +109,10 @@
 // hasRestarted reports whether the entry's process is another than that of the owner in a row. While
 // the table service is away, a new process can't register, but its answers show its start time.
 func (p *memberState) hasRestarted(o shard.OwnerRow) bool {
-	return p.Start != o.Start || p.processStart != 0 && p.processStart != o.Start
+	if p.processStart != 0 {
+		return p.processStart != o.Start // the member row may be older than the process
+	}
+	return p.Start != o.Start
 }
 
 // registered reports whether the process that answers is the one that is registered. Another one
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -17,11 +17,12 @@
 	spreadWeight = 1.5
 	// packWeight keeps long-running tasks of different steps on few workers, so that others can leave the pool.
 	packWeight = 1.0
-	// coldWeight has warm workers chosen first, but for tasks whose data is in the rack of a cold one.
+	// coldWeight has warm workers chosen first for finite tasks, but not for those whose data is in the
+	// rack of a cold worker.
 	coldWeight = 3.0
-	// leavingWeight outweighs the free resources, but not spreadWeight, so that tasks of one step do
-	// not gather on a VM.
-	leavingWeight = 1.25
+	// leavingWeight is less than spreadWeight-packWeight, so that tasks of one step do not gather on a
+	// VM that stays.
+	leavingWeight = 0.4
 )
 
 // Margin on the remaining work of a job when it is compared with the deadline, so that resources
@@ -207,7 +208,7 @@
 func (h *Host) score(s *jobs.StepRun) float64 {
 	// Fill hosts one by one, so that others stay empty and can leave the pool.
 	score := -float64(h.Free.CPU)/float64(max(h.Capacity.CPU, 1)) - h.Penalty
-	if h.Cold {
+	if h.Cold && !s.Spec.LongRunning {
 		score -= coldWeight
 	}
 	if s.Spec.DataRack != "" && s.Spec.DataRack == h.Rack {
@@ -215,12 +216,12 @@
 	}
 	if s.Spec.LongRunning {
 		score -= spreadWeight * float64(h.perStep[s])
-		switch {
-		case h.Leaving:
-			score -= leavingWeight
-		case h.longRunning > 0:
+		if h.longRunning > 0 {
 			score += packWeight
 		}
+		if h.Leaving {
+			score -= leavingWeight
+		}
 	}
 	return score
 }
--- a/pkg/shard/arrivals.go
+++ b/pkg/shard/arrivals.go
@@ -12,10 +12,10 @@
 const arrivalWindow = 800 * time.Millisecond
 
 const (
-	// refusedRetryTime is the time in which the callers of refused submissions retry.
+	// refusedRetryTime is the assumed interval between a caller's retries.
 	refusedRetryTime = time.Second
-	// refusedDemandTime is how long after its last refusal a submission counts: the time in which its
-	// caller retries and some delay.
+	// refusedDemandTime is how long a refused submission counts as demand after its last refusal: one
+	// retry interval and some delay.
 	refusedDemandTime = refusedRetryTime + 500*time.Millisecond
 	// maxRefusedJobs bounds the refused submissions that are remembered.
 	maxRefusedJobs = 4096
@@ -45,7 +45,9 @@
 
 // addRefused records a refused submission; added reports whether it is the first of its job.
 func (a *arrivals) addRefused(id string, j arrival) (added bool) {
-	if _, known := a.refused[id]; !known {
+	if first, known := a.refused[id]; known {
+		j.excess = first.excess
+	} else {
 		if a.forgetRefused(j.at); len(a.refused) >= maxRefusedJobs {
 			return false
 		}
@@ -58,6 +60,12 @@
 	return added
 }
 
+// remembersRefused reports whether a submission of the job was refused recently.
+func (a *arrivals) remembersRefused(id string) bool {
+	_, known := a.refused[id]
+	return known
+}
+
 // forgetRefused forgets the submissions that have not been repeated in time.
 func (a *arrivals) forgetRefused(now time.Duration) {
 	for id, j := range a.refused {
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -49,6 +49,9 @@
 		return o.awaitSubmission(ctx, s)
 	}
 	if o.commitsFailing {
+		if !o.arrivals.remembersRefused(id) {
+			r.Excess = o.exceedsGuarantee(r.Account)
+		}
 		o.noteRefused(id, &r)
 		o.mu.Unlock()
 		return schema.CallOutcomeRefused
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -136,8 +136,9 @@
 		case !room.reserve(step):
 			w.noRoom++
 		default:
-			o.stop(s, r, why)
-			o.restarts.noteStop(r.Task, room.now)
+			if o.stop(s, r, why) {
+				o.restarts.noteStop(r.Task, room.now)
+			}
 			w.stopping++
 		}
 	}
--- a/pkg/shard/freeplace.go
+++ b/pkg/shard/freeplace.go
@@ -16,6 +16,9 @@
 // and at drained VMs. A free place goes to the VM of the lowest rank, then to the one drained
 // longest; a VM that can't use it doesn't hold it back from the others.
 func (o *Owner) moveLimitedTasks(now time.Duration) {
+	if o.closed || o.releasing || !o.ownershipConfirmed(now) {
+		return // a stopped task could not be started again
+	}
 	room := &spareRoom{owner: o, now: now}
 	for _, s := range o.sessionsByBoot() {
 		if !s.draining && s.leaving(now, o.cfg.StoreUptime()) {
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -200,14 +200,15 @@
 }
 
 // stop orders an attempt to stop. An attempt without a confirmed start is stopped once its
-// start is confirmed.
-func (o *Owner) stop(s *session, r *workerAttempt, why string) {
+// start is confirmed. It reports whether the stop was ordered now.
+func (o *Owner) stop(s *session, r *workerAttempt, why string) (ordered bool) {
 	if r.startConfirmedAt == 0 || r.Phase == jobs.PhaseStopped {
-		return
+		return false
 	}
 	r.Phase = jobs.PhaseStopped
 	o.log.Info().Str("event", "stop_ordered").Str("task", r.Task.Name()).Int64("attempt", r.Number).Str("boot", s.ref.Boot).Str("why", why).Send()
 	o.dispatchStop(s, r)
+	return true
 }
 
 // dispatchStop queues the stop of an attempt and records when.
--- a/pkg/shard/waves.go
+++ b/pkg/shard/waves.go
@@ -145,7 +145,11 @@
 
 // update observes the restarts that are over; serves reports whether a task serves.
 func (r *restarts) update(now time.Duration, serves func(*jobs.Task) bool) {
-	for t, at := range r.stopped {
+	byStop := func(a, b *jobs.Task) int {
+		return cmp.Or(cmp.Compare(r.stopped[a], r.stopped[b]), cmp.Compare(a.Name(), b.Name()))
+	}
+	for _, t := range slices.SortedFunc(maps.Keys(r.stopped), byStop) {
+		at := r.stopped[t]
 		switch {
 		case t.Step.Job.State.Final(), now-at > maxRestartTime:
 			delete(r.stopped, t)
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -80,6 +80,7 @@
 	}
 	coldChanged := w.ColdLeft != s.info.ColdLeft || w.ColdLeft > 0 && w.ClockMs != s.info.ClockMs
 	s.listed, s.info, s.vm, s.unlistedAt = true, w, w.VM, 0
+	s.inWave = o.waveVMs.names[w.VM]
 	if coldChanged {
 		o.noteCold(s, o.now())
 	}
@@ -125,6 +126,9 @@
 	if len(s.attempts) > 0 {
 		o.log.Warn().Str("event", "leases_lapsed").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Send()
 	}
+	if !s.listed {
+		o.applyDeferredEnds(s) // its session ends below
+	}
 	o.handleLoss(s, LossLeasesExpired)
 	clear(s.foreign)
 	s.hostCache = nil
