Tests: workers of the stand-in save checkpoints

No script or drawn scenario of the shard had a checkpoint: the simulated worker brought none, neither in a report nor with an end. Tasks of a step with the flag saves:INTERVAL now save one after each interval of work and at a stop, and a start continues from the one that it brings. The observer checks that a start brings a checkpoint of its own task, that it loses no work that came with an acknowledged end, and that the members of a gang bring the same one. Scripts ask with 'resumed' how much work each start's checkpoint had saved, and let an attempt vanish from its worker's reports with 'vanish'.

--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -66,11 +66,11 @@
 // noopObserver is a [fake.WorkersObserver] that ignores all events.
 type noopObserver struct{}
 
-func (noopObserver) Started(string, string, int64)                   {}
+func (noopObserver) Started(string, string, int64, string)           {}
 func (noopObserver) Ended(string, string, int64, platform.EndReason) {}
 func (noopObserver) Overcommitted(string, string)                    {}
 func (noopObserver) Crashed(string, string)                          {}
-func (noopObserver) Acked(string, string, platform.EndReason)        {}
+func (noopObserver) Acked(string, platform.AttemptEnd)               {}
 
 // source decodes rows that the test writes as JSON.
 func source() Source {
--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -19,6 +20,8 @@
 	stallAfter time.Duration // run time at which progress stops, 0 for never
 	coldUntil  time.Time     // it runs at coldSpeed until then
 	coldSpeed  float64
+	saveEvery  time.Duration // work between two checkpoints, 0 for none
+	restored   time.Duration // work that the checkpoint of its start had saved
 }
 
 // worked returns how long the work that the attempt has done takes at normal speed.
@@ -31,6 +34,35 @@
 	return now.Sub(a.started) - lost
 }
 
+// checkpoint returns the last checkpoint that an attempt of a task has saved, empty for none. A stop
+// saves another one.
+func (a *attempt) checkpoint(task string, stopped bool) string {
+	if a.saveEvery == 0 {
+		return ""
+	}
+	saved := a.worked()
+	if a.stallAfter > 0 {
+		saved = min(saved, a.stallAfter)
+	}
+	if !stopped {
+		saved = saved / a.saveEvery * a.saveEvery
+	}
+	if a.restored+saved == 0 {
+		return ""
+	}
+	return FormatCheckpoint(task, a.restored+saved)
+}
+
+// FormatCheckpoint returns the checkpoint of a task after an amount of work.
+func FormatCheckpoint(task string, work time.Duration) string { return task + "@" + work.String() }
+
+// ParseCheckpoint returns the task that saved a checkpoint and how much work it had done.
+func ParseCheckpoint(checkpoint string) (task string, work time.Duration) {
+	task, text, _ := strings.Cut(checkpoint, "@")
+	work, _ = time.ParseDuration(text) // 0 without a checkpoint
+	return task, work
+}
+
 // runTime returns how long the attempt takes from its start.
 func (a *attempt) runTime(work time.Duration) time.Duration {
 	slow := a.coldUntil.Sub(a.started)
@@ -68,17 +100,20 @@
 	}
 	a := &attempt{
 		number: o.Attempt, needs: work.Needs, started: time.Now(), duration: work.Duration,
-		coldUntil: b.coldUntil, coldSpeed: b.coldSpeed,
+		coldUntil: b.coldUntil, coldSpeed: b.coldSpeed, saveEvery: work.SaveEvery,
+	}
+	if a.saveEvery > 0 {
+		_, a.restored = ParseCheckpoint(o.Checkpoint)
 	}
 	if w.stalls(b, o.Task) {
 		a.stallAfter = work.Duration / 4
 	}
 	if duration != forever {
-		duration = a.runTime(duration)
+		duration = a.runTime(max(0, duration-a.restored))
 	}
 	a.timer = time.AfterFunc(duration, func() { w.finish(b, o.Task, a, reason) })
 	b.running[o.Task] = a
-	w.observer.Started(b.info.Boot, o.Task, o.Attempt)
+	w.observer.Started(b.info.Boot, o.Task, o.Attempt, o.Checkpoint)
 	switch {
 	case work.Crashes && work.CrashAfter == 0:
 		w.crashBoot(b, o.Task)
@@ -113,7 +148,9 @@
 	b.free = b.free.Add(a.needs)
 	b.highestAttempt[task] = max(b.highestAttempt[task], a.number)
 	b.lastSeq++
-	b.ended = append(b.ended, platform.AttemptEnd{Seq: b.lastSeq, Task: task, Attempt: a.number, Reason: reason})
+	b.ended = append(b.ended, platform.AttemptEnd{
+		Seq: b.lastSeq, Task: task, Attempt: a.number, Reason: reason, Checkpoint: a.checkpoint(task, reason == platform.EndStopped),
+	})
 	w.observer.Ended(b.info.Boot, task, a.number, reason)
 	close(b.changed)
 	b.changed = make(chan struct{})
@@ -128,7 +165,7 @@
 	if a.stallAfter > 0 {
 		ran = min(ran, a.stallAfter)
 	}
-	return int(100 * ran / a.duration)
+	return int(100 * (a.restored + ran) / a.duration)
 }
 
 // stalls reports whether a task stalls on a boot.
@@ -168,7 +205,7 @@
 func (w *Workers) acknowledge(b *boot, upTo int64) {
 	for _, e := range b.ended {
 		if e.Seq <= upTo {
-			w.observer.Acked(b.info.Boot, e.Task, e.Reason)
+			w.observer.Acked(b.info.Boot, e)
 		}
 	}
 	b.ackedSeq = max(b.ackedSeq, upTo)
@@ -180,7 +217,7 @@
 	r := platform.WorkerReport{ClockMs: b.clock(), BootedAtMs: b.bootedAtMs, Ended: slices.Clone(b.ended)}
 	for _, task := range slices.Sorted(maps.Keys(b.running)) {
 		a := b.running[task]
-		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent()})
+		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent(), Checkpoint: a.checkpoint(task, false)})
 	}
 	w.omitEnds(b, &r)
 	return r
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -20,6 +20,7 @@
 	Crashes  bool          // crashes the worker
 	// CrashAfter is the time from the start to the crash; if 0, the start order gets no answer.
 	CrashAfter time.Duration
+	SaveEvery  time.Duration // work between two checkpoints, 0 for none
 }
 
 // EndCrashed is the reason given to the observer for attempts that ended with their boot. It is
@@ -28,12 +29,12 @@
 
 // WorkersObserver is notified of what happens on the workers.
 type WorkersObserver interface {
-	// Started is called when an attempt starts.
-	Started(boot, task string, attempt int64)
+	// Started is called when an attempt starts, from a checkpoint unless that is empty.
+	Started(boot, task string, attempt int64, checkpoint string)
 	// Ended is called when an attempt ends, before the end is reported.
 	Ended(boot, task string, attempt int64, reason platform.EndReason)
 	// Acked is called when a renewal acknowledges an end.
-	Acked(boot, task string, reason platform.EndReason)
+	Acked(boot string, end platform.AttemptEnd)
 	// Overcommitted is called for a start that exceeds the capacity of a boot that accepts it anyway.
 	Overcommitted(boot, task string)
 	// Crashed is called for a task that has crashed its boot.
@@ -258,6 +259,22 @@
 	}
 }
 
+// Forget ends an attempt at a boot without an end, so that no report lists it any more.
+func (w *Workers) Forget(name, task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.lookup(name)
+	if b == nil || b.running[task] == nil {
+		return
+	}
+	a := b.running[task]
+	a.timer.Stop()
+	delete(b.running, task)
+	b.free = b.free.Add(a.needs)
+	b.highestAttempt[task] = max(b.highestAttempt[task], a.number)
+	w.observer.Ended(b.info.Boot, task, a.number, EndCrashed)
+}
+
 // crashBoot ends a boot because of one of its tasks; pending calls to it end at once.
 func (w *Workers) crashBoot(b *boot, task string) {
 	if b.dead {
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -148,8 +148,9 @@
 // work parses what a task does from the job's text, "COUNTxCPU/DURATION" for each step.
 func (e *testCluster) work(task, text string) fake.Work {
 	step, _ := strconv.Atoi(strings.Split(task, ".")[2])
-	st, duration := parseStep(strings.Fields(text)[step])
-	w := fake.Work{Needs: st.Needs, Duration: duration}
+	field := strings.Fields(text)[step]
+	st, duration := parseStep(field)
+	w := fake.Work{Needs: st.Needs, Duration: duration, SaveEvery: saveInterval(field)}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.failing[task] > 0 {
@@ -187,11 +188,26 @@
 			st.HasMaxUnavailable = true
 		case "copies":
 			st.Speculative = true
+		case "saves":
+			st.Checkpointing = true
 		}
 	}
 	return st, duration
 }
 
+// saveInterval returns how much work the tasks of a step do between two checkpoints, as given by the
+// flag "saves:INTERVAL", 0 for tasks without checkpoints.
+func saveInterval(step string) time.Duration {
+	_, flags, _ := strings.Cut(step, "+")
+	for _, f := range strings.Split(flags, ",") {
+		if text, ok := strings.CutPrefix(f, "saves:"); ok {
+			every, _ := time.ParseDuration(text)
+			return every
+		}
+	}
+	return 0
+}
+
 func (e *testCluster) catalog() *catalog.Catalog {
 	return catalog.New(catalog.Catalog{
 		Version: 1,
--- a/pkg/shard/observer_test.go
+++ b/pkg/shard/observer_test.go
@@ -39,6 +39,7 @@
 	workersLostWith map[string]int       // workers lost while a task was there
 	violations      []string
 	starts          int
+	checkpoints     *checkpointObserver
 }
 
 func newObserver(e *testCluster) *observer {
@@ -46,6 +47,7 @@
 		cluster: e, running: map[string][]string{}, ended: map[string]bool{}, done: map[string]bool{}, failed: map[string]int{}, failures: map[string]int{},
 		refused: map[string]bool{}, steps: map[string]string{}, cancelled: map[string]time.Time{}, copies: map[string]bool{},
 		accounts: map[string]string{}, allowed: map[string]int{}, crashedBy: map[string]int{}, workersLostWith: map[string]int{},
+		checkpoints: newCheckpointObserver(),
 	}
 }
 
@@ -54,7 +56,7 @@
 }
 
 // Started implements fake.WorkersObserver.
-func (w *observer) Started(boot, task string, attempt int64) {
+func (w *observer) Started(boot, task string, attempt int64, checkpoint string) {
 	w.cluster.mu.Lock()
 	defer w.cluster.mu.Unlock()
 	w.starts++
@@ -82,6 +84,7 @@
 		w.violated("%s started at %s %s after its zone %s was taken out of use", task, boot, since, zone)
 	}
 	w.checkOrder(task, job)
+	w.checkCheckpoint(task, attempt, checkpoint)
 	w.running[task] = append(w.running[task], boot)
 	w.checkLimit(task, w.accounts[job])
 }
@@ -168,15 +171,16 @@
 }
 
 // Acked implements fake.WorkersObserver.
-func (w *observer) Acked(boot, task string, reason platform.EndReason) {
+func (w *observer) Acked(boot string, end platform.AttemptEnd) {
 	w.cluster.mu.Lock()
 	defer w.cluster.mu.Unlock()
-	w.cluster.logWorkerEvent("acknowledged_"+string(reason), boot, task, 0)
-	switch reason {
+	w.cluster.logWorkerEvent("acknowledged_"+string(end.Reason), boot, end.Task, 0)
+	w.checkpoints.acknowledged(end)
+	switch end.Reason {
 	case platform.EndDone:
-		w.done[task] = true
+		w.done[end.Task] = true
 	case platform.EndFailed:
-		w.failed[task]++
+		w.failed[end.Task]++
 	}
 }
 
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -88,6 +88,9 @@
 		})
 		e.publish()
 		return ""
+	case "vanish":
+		e.workers.Forget(arg("boot", ""), arg("task", ""))
+		return ""
 	case "crash":
 		e.workers.Crash(arg("boot", ""))
 		return ""
@@ -241,6 +244,8 @@
 		return e.accounts(entry)
 	case "check":
 		return e.observer.report()
+	case "resumed":
+		return e.observer.resumed(arg("task", ""))
 	case "promises":
 		return e.observer.invariants()
 	case "log":
