An older checkpoint no longer replaces a newer one

Callers saw: a checkpointing task went back to work that it had done before, when the end of an attempt counted as lost arrived late, or when the copy with more work was lost first. Cause: Registry.EndAttempt and RemoveAttempt took whichever checkpoint came last. Change: a checkpoint keeps the number of its attempt and the percentage last reported; both are stored with it, in a field that earlier versions pass over. A later attempt's checkpoint counts as further, since it started from the one known then. Copies start beside each other: there the percentage decides, where both are known. Two ways: the number alone can't tell copies apart; the percentage alone fails for long-running tasks (it says whether they serve), for ends of attempts that the owner does not know, and for an attempt found after a takeover whose percentage trails that of the checkpoint it started from. What neither can tell: a late end of an earlier attempt that did more work than the later one has done so far; the later one is kept.

--- /dev/null
+++ b/pkg/jobs/checkpoint.go
@@ -0,0 +1,51 @@
+package jobs
+
+// CheckpointOrigin is what orders the checkpoints of a task, whose texts are opaque.
+type CheckpointOrigin struct {
+	Attempt int64 `msgpack:"a"`           // number of the attempt that saved it, 0 if unknown
+	Percent int   `msgpack:"p,omitempty"` // of the task that was done at least, 0 if unknown
+}
+
+// supersedes reports whether a checkpoint holds at least the work of another one of its step. A later
+// attempt holds more, since it started from the checkpoint known then. Copies start beside each other,
+// so their percentages decide as far as known.
+func (c CheckpointOrigin) supersedes(other CheckpointOrigin, copies bool) bool {
+	if c.Attempt == other.Attempt {
+		return c.Percent == 0 || c.Percent >= other.Percent
+	}
+	if copies && c.Percent > 0 && other.Percent > 0 && c.Percent != other.Percent {
+		return c.Percent > other.Percent
+	}
+	return c.Attempt > other.Attempt
+}
+
+// KeepCheckpoint keeps the latest checkpoint that an attempt has reported, unless the task has one with
+// more work. It reports whether the task's checkpoint has changed.
+func (t *Task) KeepCheckpoint(a *Attempt) (changed bool) {
+	return t.keepCheckpoint(a.Checkpoint, a.origin())
+}
+
+// keepCheckpoint keeps a checkpoint, empty for none, unless the task has one with more work. It reports
+// whether the task's checkpoint has changed.
+func (t *Task) keepCheckpoint(text string, origin CheckpointOrigin) (changed bool) {
+	if text == "" || t.Checkpoint != "" && !origin.supersedes(t.checkpointOrigin, t.Step.Spec.Speculative) {
+		return false
+	}
+	changed = text != t.Checkpoint
+	t.Checkpoint, t.checkpointOrigin = text, origin
+	return changed
+}
+
+// origin returns the origin of the checkpoints that the attempt saves. It has done at least the work
+// that it started with. The percentage of a long-running task says nothing about its work.
+func (a *Attempt) origin() CheckpointOrigin {
+	if a.Task.Step.Spec.LongRunning {
+		return CheckpointOrigin{Attempt: a.Number}
+	}
+	return CheckpointOrigin{Attempt: a.Number, Percent: max(a.Percent, a.resumedPercent)}
+}
+
+// resume makes an attempt start from a checkpoint.
+func (a *Attempt) resume(text string, origin CheckpointOrigin) {
+	a.ResumeFrom, a.resumedPercent = text, origin.Percent
+}
--- a/pkg/jobs/encode.go
+++ b/pkg/jobs/encode.go
@@ -44,7 +44,7 @@
 	defer func() { err = errors.Wrap(err, "encode job progress") }()
 	for _, omit := range []func(*StepProgress){
 		func(*StepProgress) {},
-		func(sp *StepProgress) { sp.Checkpoints = nil },
+		func(sp *StepProgress) { sp.Checkpoints, sp.CheckpointOrigins = nil, nil },
 		func(sp *StepProgress) { sp.Losses = nil },
 	} {
 		p.Steps = slices.Clone(p.Steps)
@@ -143,6 +143,7 @@
 	}
 	distribute(sp.Failed, chunks, func(sp *StepProgress) *map[int][]int64 { return &sp.Failed })
 	distribute(sp.Checkpoints, chunks, func(sp *StepProgress) *map[int]string { return &sp.Checkpoints })
+	distribute(sp.CheckpointOrigins, chunks, func(sp *StepProgress) *map[int]CheckpointOrigin { return &sp.CheckpointOrigins })
 	distribute(sp.Losses, chunks, func(sp *StepProgress) *map[int]quarantine.Losses { return &sp.Losses })
 	return chunks
 }
--- a/pkg/jobs/job.go
+++ b/pkg/jobs/job.go
@@ -72,7 +72,7 @@
 	Index           int
 	Done            bool
 	Failed          []int64 // numbers of failed attempts
-	Checkpoint      string
+	Checkpoint      string  // to resume from, of the attempts that ended or were lost
 	Attempts        []*Attempt
 	Duration        time.Duration     // of the successful attempt
 	CopyRequested   bool              // a speculative copy is to be started
@@ -80,8 +80,9 @@
 	Replaced        int               // attempts replaced as stragglers by this owner
 	PossibleWorkers int               // workers that may run it but have not reported since the takeover
 
-	lastAttempt int64  // greatest attempt number so far
-	name        string // cached by Name
+	lastAttempt      int64            // greatest attempt number so far
+	checkpointOrigin CheckpointOrigin // of Checkpoint
+	name             string           // cached by Name
 }
 
 // Phase is the state of an attempt.
@@ -106,6 +107,9 @@
 	Percent    int           // of the task that is done
 	Load       int           // as last reported, see platform.RunningAttempt
 	Checkpoint string        // the latest one reported
+	ResumeFrom string        // checkpoint that it starts from, empty to start over
+
+	resumedPercent int // of the task that ResumeFrom has done, 0 if unknown
 }
 
 // Name returns the name that workers identify the task by.
--- a/pkg/jobs/progress.go
+++ b/pkg/jobs/progress.go
@@ -25,7 +25,9 @@
 	Done        []byte          `msgpack:"d,omitempty"` // bitmap by task index
 	Failed      map[int][]int64 `msgpack:"f,omitempty"` // numbers of failed attempts, by task index
 	Checkpoints map[int]string  `msgpack:"c,omitempty"` // by task index
-	GangFailed  []int64         `msgpack:"g,omitempty"` // attempt numbers of failed gang runs
+	// CheckpointOrigins are those of Checkpoints, by task index. Earlier versions do not write them.
+	CheckpointOrigins map[int]CheckpointOrigin `msgpack:"k,omitempty"`
+	GangFailed        []int64                  `msgpack:"g,omitempty"` // attempt numbers of failed gang runs
 
 	Losses map[int]quarantine.Losses `msgpack:"l,omitempty"` // by task index
 }
@@ -83,9 +85,9 @@
 		}
 		if t.Checkpoint != "" {
 			if sp.Checkpoints == nil {
-				sp.Checkpoints = map[int]string{}
+				sp.Checkpoints, sp.CheckpointOrigins = map[int]string{}, map[int]CheckpointOrigin{}
 			}
-			sp.Checkpoints[i] = t.Checkpoint
+			sp.Checkpoints[i], sp.CheckpointOrigins[i] = t.Checkpoint, t.checkpointOrigin
 			ok = true
 		}
 	}
@@ -130,7 +132,7 @@
 			t.Losses = losses.ConfirmProvisional() // recorded before starts on trial, whose outcome is not known here
 		}
 		if checkpoint, ok := sp.Checkpoints[i]; ok {
-			t.Checkpoint = checkpoint
+			t.Checkpoint, t.checkpointOrigin = checkpoint, sp.CheckpointOrigins[i]
 		}
 		if i/8 < len(sp.Done) && sp.Done[i/8]&(1<<(i%8)) != 0 {
 			j.finishTask(t)
--- a/pkg/jobs/registry.go
+++ b/pkg/jobs/registry.go
@@ -53,7 +53,7 @@
 // Remove deletes a job and releases the resources of its attempts.
 func (reg *Registry) Remove(id string) {
 	if j := reg.jobs[id]; j != nil {
-		j.eachAttempt(reg.RemoveAttempt)
+		j.eachAttempt(func(a *Attempt) { reg.RemoveAttempt(a) })
 		delete(reg.jobs, id)
 		reg.active = slices.DeleteFunc(reg.active, func(o *Job) bool { return o == j })
 	}
@@ -116,7 +116,9 @@
 // boot.
 func (reg *Registry) StartAttempt(t *Task, boot string, now time.Duration) *Attempt {
 	t.lastAttempt = max(t.lastAttempt+1, reg.term*attemptsPerTerm)
-	return reg.addAttempt(t, &Attempt{Task: t, Number: t.lastAttempt, Boot: boot, Phase: PhaseOrdered, OrderedAt: now, ProgressAt: now})
+	a := reg.addAttempt(t, &Attempt{Task: t, Number: t.lastAttempt, Boot: boot, Phase: PhaseOrdered, OrderedAt: now, ProgressAt: now})
+	a.resume(t.Checkpoint, t.checkpointOrigin)
+	return a
 }
 
 // StartGang records an attempt for every task of a gang step, all with the same number.
@@ -128,9 +130,9 @@
 	attempts := make([]*Attempt, 0, len(s.Tasks))
 	for i, t := range s.Tasks {
 		t.lastAttempt = number
-		attempts = append(attempts, reg.addAttempt(t, &Attempt{
-			Task: t, Number: number, Boot: boots[i], Phase: PhaseOrdered, OrderedAt: now, ProgressAt: now,
-		}))
+		a := reg.addAttempt(t, &Attempt{Task: t, Number: number, Boot: boots[i], Phase: PhaseOrdered, OrderedAt: now, ProgressAt: now})
+		a.resume(t.Checkpoint, t.checkpointOrigin)
+		attempts = append(attempts, a)
 	}
 	return attempts
 }
@@ -181,17 +183,15 @@
 }
 
 // RemoveAttempt records that an attempt no longer exists: it never started, ended or was lost with
-// its worker.
-func (reg *Registry) RemoveAttempt(a *Attempt) {
+// its worker. It reports whether its checkpoint is now the task's, so that it is to be persisted.
+func (reg *Registry) RemoveAttempt(a *Attempt) (checkpointKept bool) {
 	t := a.Task
 	at := slices.Index(t.Attempts, a)
 	if at >= 0 {
 		t.Attempts = slices.Delete(t.Attempts, at, at+1)
 		reg.releaseResources(t)
 	}
-	if a.Checkpoint != "" {
-		t.Checkpoint = a.Checkpoint
-	}
+	return t.KeepCheckpoint(a)
 }
 
 // releaseResources updates the counts and the account's allocation after an attempt was removed.
@@ -218,15 +218,16 @@
 // EndAttempt records that an attempt ended; a is nil if the registry does not know the attempt.
 // The same end may be reported again, also to a later owner.
 func (reg *Registry) EndAttempt(t *Task, a *Attempt, number int64, reason platform.EndReason, checkpoint string) (e Effect) {
+	origin := CheckpointOrigin{Attempt: number}
 	if a != nil {
-		reg.RemoveAttempt(a)
+		origin = a.origin()
+		e.MustPersist = reg.RemoveAttempt(a)
 	}
 	j := t.Step.Job
 	if t.Done || j.State.Final() {
-		return e
+		return Effect{}
 	}
-	if checkpoint != "" {
-		t.Checkpoint = checkpoint
+	if t.keepCheckpoint(checkpoint, origin) {
 		e.MustPersist = true
 	}
 	switch reason {
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -47,7 +47,7 @@
 			}
 			r.sentAt = now
 			order := platform.StartOrder{
-				Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.Task.Checkpoint,
+				Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.ResumeFrom,
 				Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.extendLease(now),
 			}
 			o.log.Info().Str("event", "start_ordered").Str("task", name).Int64("attempt", a.Number).
