The members of a gang start over from one checkpoint

Cause: each start brought the checkpoint of its own task, read when the order was sent. Change: an attempt's checkpoint is chosen when its start is planned; a gang takes that of the member with the most work.

--- a/pkg/jobs/checkpoint.go
+++ b/pkg/jobs/checkpoint.go
@@ -49,3 +49,14 @@
 func (a *Attempt) resume(text string, origin CheckpointOrigin) {
 	a.ResumeFrom, a.resumedPercent = text, origin.Percent
 }
+
+// furthestCheckpoint returns the checkpoint of a gang's members that holds the most work, empty if
+// none has one. All members start from the same one, which may be that of any member.
+func (s *StepRun) furthestCheckpoint() (text string, origin CheckpointOrigin) {
+	for _, t := range s.Tasks {
+		if t.Checkpoint != "" && (text == "" || t.checkpointOrigin.supersedes(origin, s.Spec.Speculative)) {
+			text, origin = t.Checkpoint, t.checkpointOrigin
+		}
+	}
+	return text, origin
+}
--- a/pkg/jobs/registry.go
+++ b/pkg/jobs/registry.go
@@ -121,17 +121,19 @@
 	return a
 }
 
-// StartGang records an attempt for every task of a gang step, all with the same number.
+// StartGang records an attempt for every task of a gang step, all with the same number and from the
+// same checkpoint.
 func (reg *Registry) StartGang(s *StepRun, boots []string, now time.Duration) []*Attempt {
 	number := reg.term * attemptsPerTerm
 	for _, t := range s.Tasks {
 		number = max(number, t.lastAttempt+1)
 	}
+	checkpoint, origin := s.furthestCheckpoint()
 	attempts := make([]*Attempt, 0, len(s.Tasks))
 	for i, t := range s.Tasks {
 		t.lastAttempt = number
 		a := reg.addAttempt(t, &Attempt{Task: t, Number: number, Boot: boots[i], Phase: PhaseOrdered, OrderedAt: now, ProgressAt: now})
-		a.resume(t.Checkpoint, t.checkpointOrigin)
+		a.resume(checkpoint, origin)
 		attempts = append(attempts, a)
 	}
 	return attempts
