Checkpoints of lost attempts are stored

Callers saw: a checkpointing task whose worker was lost started from the beginning, or from an older checkpoint, when the owner was replaced soon after. Cause: only the owner's memory had the checkpoint of the last report. The loss of the worker stored the job only where it was counted against the task, and then before the checkpoint was taken over. Evidence: scripts checkpoint_lost_then_takeover, checkpoint_lost_while_draining, checkpoint_vanished and checkpoint_silent_at_release: start from 0s where the last report had 2s to 3s. Change: two unanswered calls store the checkpoints that the worker's reports brought, with the losses counted then; a planned release does the same for workers that are silent. An attempt dropped for any other reason stores its own. Log: checkpoint_kept. Nothing is written if the checkpoint is stored already. After: each continues from the last report. Each of the places taken out makes one of the scripts fail.

--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -27,6 +27,11 @@
 		return
 	}
 	o.releasing = true
+	for _, s := range o.sessionsByBoot() {
+		if s.unansweredCalls > 0 {
+			o.keepCheckpoints(s)
+		}
+	}
 	o.mu.Unlock()
 	started := o.now()
 	quiet := o.awaitQuiesced(ctx)
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -175,7 +175,9 @@
 	if a := s.attempts[name]; a != nil {
 		o.dropProvisionalLoss(a.Attempt)
 		s.removeAttempt(name)
-		o.registry.RemoveAttempt(a.Attempt)
+		if o.registry.RemoveAttempt(a.Attempt) {
+			o.persistCheckpoint(s, a.Attempt)
+		}
 		if a.countedLostBoot != "" {
 			o.confirmLoss(a.Task, a.countedLostBoot)
 		}
@@ -183,6 +185,27 @@
 	}
 }
 
+// keepCheckpoints keeps the checkpoints that a silent worker has reported, in case this owner is lost
+// too before the worker answers again.
+func (o *Owner) keepCheckpoints(s *session) {
+	for _, r := range sortedByKey(s.attempts) {
+		if r.Task.KeepCheckpoint(r.Attempt) {
+			o.persistCheckpoint(s, r.Attempt)
+		}
+	}
+}
+
+// persistCheckpoint has the checkpoint of a lost attempt persisted, which no worker will report again.
+func (o *Owner) persistCheckpoint(s *session, a *jobs.Attempt) {
+	j := a.Task.Step.Job
+	if a.Task.Done || j.State.Final() {
+		return
+	}
+	o.log.Info().Str("event", "checkpoint_kept").Str("task", a.Task.Name()).Int64("attempt", a.Number).Str("boot", s.ref.Boot).
+		Int("percent", a.Percent).Int("bytes", len(a.Checkpoint)).Send()
+	o.persist(j, false)
+}
+
 // markMissing records that a report lacks an attempt, and reports whether the previous one did
 // too: a single report may be incomplete.
 func (r *workerAttempt) markMissing() bool {
--- a/pkg/shard/suspects.go
+++ b/pkg/shard/suspects.go
@@ -21,6 +21,7 @@
 // countLosses counts the loss of a worker against the tasks there.
 func (o *Owner) countLosses(s *session) {
 	now := o.now()
+	o.keepCheckpoints(s)
 	if s.lossCounted || s.leavesAsPlanned(now) {
 		return
 	}
