An overlong checkpoint costs itself alone

Callers saw: none of a job's tasks kept its checkpoint over a takeover if one of them had one that doesn't fit into a row, or all together exceed the rows of a job. Cause: Progress.Encode omitted all checkpoints of the job at once. Evidence: TestOverlongCheckpointCostsItselfAlone failed in all five cases. Change: the limit for a checkpoint is halved, from half a row, until the progress fits.

--- a/pkg/jobs/checkpoint_test.go
+++ b/pkg/jobs/checkpoint_test.go
@@ -115,3 +115,36 @@
 		qt.Assert(t, task.checkpointOrigin, qt.Equals, reg.Job(checkpointJob).Steps[0].Tasks[i].checkpointOrigin)
 	}
 }
+
+// TestOverlongCheckpointCostsItselfAlone guards against losing all checkpoints of a job because one of
+// them doesn't fit into a row, or because together they exceed the rows of the job.
+func TestOverlongCheckpointCostsItselfAlone(t *testing.T) {
+	for name, tc := range map[string]struct {
+		tasks, long int // number of tasks, and of those with a long checkpoint
+		bytes       int // length of each long checkpoint
+	}{
+		"longer than a row":        {tasks: 5, long: 1, bytes: rowLimit + 1},
+		"too many for the rows":    {tasks: 400, long: 200, bytes: 4000},
+		"too many for one row":     {tasks: 32, long: 31, bytes: 4000},
+		"fills a row by itself":    {tasks: 5, long: 1, bytes: rowLimit - 1},
+		"all but one are overlong": {tasks: 33, long: 32, bytes: 2 * rowLimit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reg := NewRegistry(1)
+			reg.Add(checkpointJob, Record{MaxAttempts: 3, Spec: Spec{Steps: []Step{{Count: tc.tasks, Checkpointing: true}}}}, 0)
+			for i, task := range reg.Job(checkpointJob).Steps[0].Tasks {
+				a := reg.StartAttempt(task, "w", 0)
+				a.Checkpoint = "short"
+				if i < tc.long {
+					a.Checkpoint = strings.Repeat("c", tc.bytes)
+				}
+				reg.RemoveAttempt(a)
+			}
+			again, rows := roundTrip(t, reg.Job(checkpointJob))
+			qt.Assert(t, len(rows) <= maxProgressRows, qt.IsTrue)
+			for _, task := range again.Steps[0].Tasks[tc.long:] {
+				qt.Assert(t, task.Checkpoint, qt.Equals, "short")
+			}
+		})
+	}
+}
--- a/pkg/jobs/encode.go
+++ b/pkg/jobs/encode.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -38,15 +39,20 @@
 }
 
 // Encode returns the progress as the values of its rows, each at most limit bytes long. Completed
-// tasks and failed attempts are always included. If there are too many rows, checkpoints are
-// omitted first, so that tasks restart from the beginning, and then worker losses.
+// tasks and failed attempts are always included. If there are too many rows, the longest checkpoints
+// are omitted first, so that their tasks restart from the beginning, then all, and then worker losses.
 func (p Progress) Encode(limit int) (rows [][]byte, err error) {
 	defer func() { err = errors.Wrap(err, "encode job progress") }()
-	for _, omit := range []func(*StepProgress){
-		func(*StepProgress) {},
-		func(sp *StepProgress) { sp.Checkpoints, sp.CheckpointOrigins = nil, nil },
+	omissions := []func(*StepProgress){func(*StepProgress) {}}
+	for longest := limit / 2; longest > 0; longest /= 2 {
+		omissions = append(omissions, func(sp *StepProgress) { sp.omitCheckpoints(longest) })
+	}
+	omissions = append(
+		omissions,
+		func(sp *StepProgress) { sp.omitCheckpoints(0) },
 		func(sp *StepProgress) { sp.Losses = nil },
-	} {
+	)
+	for _, omit := range omissions {
 		p.Steps = slices.Clone(p.Steps)
 		for i := range p.Steps {
 			omit(&p.Steps[i])
@@ -61,6 +67,18 @@
 	return nil, err
 }
 
+// omitCheckpoints removes the checkpoints of more than longest bytes; it leaves the former maps as they
+// are.
+func (sp *StepProgress) omitCheckpoints(longest int) {
+	sp.Checkpoints, sp.CheckpointOrigins = maps.Clone(sp.Checkpoints), maps.Clone(sp.CheckpointOrigins)
+	for i, checkpoint := range sp.Checkpoints {
+		if len(checkpoint) > longest {
+			delete(sp.Checkpoints, i)
+			delete(sp.CheckpointOrigins, i)
+		}
+	}
+}
+
 // CheckSize returns an error if the record, or the largest progress that the job can have, does
 // not fit into rows of limit bytes.
 func (r *Record) CheckSize(record []byte, limit int) error {
