Ends take effect when they are listed; only their acknowledgement waits for a gap

Callers saw: a task that is done started again after its worker had been cut off until its leases lapsed, if its end was listed behind a gap in the numbers; its job was completed later. Cause: such ends were set aside until the next report, and each decision about attempts had to look at them. A lapse did not. Evidence: end_behind_gap_then_lapse: 6 starts where 5 do; checkpoint_behind_gap_then_lapse: the task continues from nothing instead of the checkpoint that the end brought. Two ways: (a) apply what was set aside at a lapse too, a fourth place, with each further decision to be checked; (b) apply every end when it is listed, once, and let only the acknowledgement wait, since it is the acknowledgement that would make the worker drop the missing end. (b): the three places, the check for unanswered starts and that for vanished attempts are gone, since no decision sees an end that is listed and not applied. What still looks at ends behind a gap: the plan of polls, a VM being empty, and the tasks named in a release. TestCountable is unchanged but for the names of what it calls: the numbers that it wants applied are those that may be acknowledged, and TestEndsAreAppliedOnce holds what takes effect.

--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -153,7 +153,7 @@
 	}
 	for _, s := range o.sessions {
 		if s.ends.hasUnstored() {
-			b.acks[s] = s.ends.applied
+			b.acks[s] = s.ends.complete
 		}
 	}
 }
--- a/pkg/shard/ends_test.go
+++ b/pkg/shard/ends_test.go
@@ -26,13 +26,13 @@
 		"some were applied before":      {seen: 5, lists: [][]int64{{5, 6, 7}}, want: [][]int64{{5, 6, 7}}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e := endTracker{applied: tc.seen}
+			e := endTracker{complete: tc.seen}
 			for i, list := range tc.lists {
-				ready, _ := e.applicable(listed(list))
+				ready, _ := e.countable(listed(list))
 				got := numbers(ready)
 				qt.Check(t, got, qt.DeepEquals, tc.want[i])
 				for _, n := range got {
-					e.applied = max(e.applied, n)
+					e.complete = max(e.complete, n)
 				}
 			}
 		})
@@ -53,3 +53,40 @@
 	}
 	return ns
 }
+
+// TestEndsAreAppliedOnce checks which ends take effect with each of several reports: all listed ones at
+// once, also behind a gap, and none twice.
+func TestEndsAreAppliedOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lists [][]int64
+		want  [][]int64
+	}{
+		"in order":                   {lists: [][]int64{{1, 2}, {1, 2, 3}}, want: [][]int64{{1, 2}, {3}}},
+		"behind a gap":               {lists: [][]int64{{1, 3}, {1, 2, 3}}, want: [][]int64{{1, 3}, {2}}},
+		"missing twice":              {lists: [][]int64{{3}, {3, 4}, {3, 4}}, want: [][]int64{{3}, {4}, {}}},
+		"listed after being counted": {lists: [][]int64{{3}, {3}, {2, 3}}, want: [][]int64{{3}, {}, {}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := endTracker{}
+			for i, list := range tc.lists {
+				qt.Check(t, numbers(e.unapplied(listed(list))), qt.DeepEquals, tc.want[i])
+				ready, _ := e.countable(listed(list))
+				for _, x := range ready {
+					e.markComplete(max(e.complete, x.Seq), "")
+				}
+			}
+		})
+	}
+}
+
+// TestReleaseNamesEndsBehindGap guards against a release that leaves out a worker, or the task there, whose
+// end is applied but may be neither stored nor acknowledged: the next owner would start the task again.
+// A worker whose leases have lapsed does not keep its VM from being emptied.
+func TestReleaseNamesEndsBehindGap(t *testing.T) {
+	s := &session{ref: platform.WorkerRef{Boot: "w1"}, attemptsKnown: true}
+	s.ends.countable([]platform.AttemptEnd{{Seq: 3, Task: "t3"}})
+	qt.Check(t, s.idle(), qt.IsFalse)
+	qt.Check(t, s.finalRecordEntry(1).Tasks, qt.DeepEquals, []string{"t3"})
+	s.attemptsKnown = false
+	qt.Check(t, s.idle(), qt.IsTrue)
+}
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -100,7 +100,7 @@
 	s.notEmptyLoggedAt = now
 	o.log.Info().Str("event", "worker_not_empty").Str("boot", s.ref.Boot).Str("vm", s.vm).
 		Int("finishing", w.finishing).Int("stopping", w.stopping).Int("limited", w.limited).Int("no_room", w.noRoom).
-		Int("foreign", len(s.foreign)).Bool("in_doubt", s.outcomeUnknown).Int64("ends_not_kept", s.ends.applied-s.ends.stored).
+		Int("foreign", len(s.foreign)).Bool("in_doubt", s.outcomeUnknown).Int64("ends_not_kept", s.ends.complete-s.ends.stored).
 		Int("failures", s.unansweredCalls).Send()
 }
 
--- a/pkg/shard/poll.go
+++ b/pkg/shard/poll.go
@@ -167,7 +167,7 @@
 		// each would postpone the time from which its tasks may start elsewhere (leasesExpired).
 		order.LeaseUntil = s.extendLease(now)
 	}
-	if s.attemptsKnown && !s.awaited(now) && !s.outcomeUnknown && s.ends.applied == max(s.ends.acknowledged, order.AckedSeq) && s.unansweredCalls == 0 && order.LeaseUntil > 0 {
+	if s.attemptsKnown && !s.awaited(now) && !s.outcomeUnknown && s.ends.complete == max(s.ends.acknowledged, order.AckedSeq) && s.unansweredCalls == 0 && order.LeaseUntil > 0 {
 		order.Wait = pollWait
 		if s.hasSuspectedTask() {
 			order.Wait = suspectPollWait
--- a/pkg/shard/poll_test.go
+++ b/pkg/shard/poll_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 // TestPlanPoll checks when a worker is polled next in each state of its session.
@@ -26,7 +27,8 @@
 		"not synced":                  {s: session{}},
 		"one unanswered poll":         {s: busy(session{attemptsKnown: true, unansweredCalls: 1, retryNow: true})},
 		"two unanswered calls":        {s: busy(session{attemptsKnown: true, unansweredCalls: 2}), want: pollPlan{delay: pollRetryDelay, onWake: true}},
-		"ends not stored":             {s: busy(session{attemptsKnown: true, ends: endTracker{applied: 2, stored: 1}}), want: pollPlan{delay: ackDelay}},
+		"ends not stored":             {s: busy(session{attemptsKnown: true, ends: endTracker{complete: 2, stored: 1}}), want: pollPlan{delay: ackDelay}},
+		"an end is missing":           {s: session{attemptsKnown: true, ends: endTracker{behindGap: []platform.AttemptEnd{{Seq: 2}}}}},
 		"in doubt, starts in flight":  {s: busy(session{attemptsKnown: true, outcomeUnknown: true, startsInFlight: 1}), want: pollPlan{delay: orderPollDelay, onWake: true}},
 		"in doubt":                    {s: busy(session{attemptsKnown: true, outcomeUnknown: true})},
 		"at the owner's limit":        {s: busy(session{attemptsKnown: true, polledAt: now - 200*time.Millisecond}), atLimit: true, want: pollPlan{delay: minPollInterval - 200*time.Millisecond}},
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -25,9 +25,6 @@
 	for i := range r.Ended {
 		seen[r.Ended[i].Task] = true
 	}
-	for i := range s.ends.deferred {
-		seen[s.ends.deferred[i].Task] = true // its end is yet to be applied
-	}
 	for i := range r.Running {
 		seen[r.Running[i].Task] = true
 		o.applyRunning(s, &r.Running[i], now)
@@ -74,31 +71,25 @@
 	o.confirmAttempt(s, a, now)
 }
 
-// applyEnds applies the reported ends up to the first gap in their numbers.
+// applyEnds applies the ends of a report, also those behind a gap in their numbers. Only their
+// acknowledgement waits for the missing ones.
 func (o *Owner) applyEnds(s *session, listed []platform.AttemptEnd, now time.Duration) {
-	ready, missing := s.ends.applicable(listed)
+	unapplied := s.ends.unapplied(listed)
+	ready, missing := s.ends.countable(listed)
 	if missing > 0 {
-		o.log.Debug().Str("event", "end_missing").Str("boot", s.ref.Boot).Int64("end", missing).Int64("listed", s.ends.deferred[0].Seq).Send()
+		o.log.Debug().Str("event", "end_missing").Str("boot", s.ref.Boot).Int64("end", missing).Int64("listed", s.ends.behindGap[0].Seq).Send()
 	}
 	for i := range ready {
 		e := &ready[i]
 		switch {
-		case e.Seq > s.ends.applied:
-			s.ends.markApplied(e.Seq, e.Task)
-			o.applyEnd(s, e, now)
+		case e.Seq > s.ends.complete:
+			s.ends.markComplete(e.Seq, e.Task)
 		case e.Seq <= s.ends.stored:
 			o.noteStaleEnd(s, e)
 		}
 	}
-}
-
-// applyDeferredEnds applies the ends that a boot reported behind a gap, once it has ended: no report
-// can list the missing ones any more.
-func (o *Owner) applyDeferredEnds(s *session) {
-	deferred := s.ends.takeDeferred()
-	for i := range deferred {
-		s.ends.markApplied(deferred[i].Seq, deferred[i].Task)
-		o.applyEnd(s, &deferred[i], o.now())
+	for i := range unapplied {
+		o.applyEnd(s, &unapplied[i], now)
 	}
 }
 
@@ -154,10 +145,6 @@
 		if a.Phase != jobs.PhaseInDoubt || a.startConfirmedAt > 0 {
 			continue
 		}
-		if s.ends.awaitsApplication(name, a.Number) {
-			s.outcomeUnknown = true
-			continue
-		}
 		// One report is enough for an unanswered start, so that its task is not delayed. Two are
 		// needed if the start may have reached the next boot.
 		if a.countedLostBoot != "" && !a.markMissing() {
--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -32,14 +32,13 @@
 // for the new boot.
 func (o *Owner) handleRestart(s *session, ref platform.WorkerRef) {
 	o.log.Warn().Str("event", "worker_restarted").Str("boot", ref.Boot).Str("before", s.ref.Boot).
-		Int64("seen_end", s.ends.applied).Int("attempts", len(s.attempts)).Send()
+		Int64("seen_end", s.ends.complete).Int("attempts", len(s.attempts)).Send()
 	next := o.sessions[ref.Boot]
 	if next == nil {
 		next = o.addSession(ref, s.vm)
 	}
 	next.token = max(next.token, s.token+1) // invalidates orders still on their way
 	next.earlierLeasesUntil = o.otherBootLeasesEnd(o.now())
-	o.applyDeferredEnds(s)
 	o.countLosses(s)
 	o.transferAttempts(s, next)
 	o.transferFormer(s, next)
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -139,14 +139,18 @@
 
 // needsPoll reports whether there is a reason to poll the worker.
 func (s *session) needsPoll(now time.Duration) bool {
-	return !s.ended && (!s.attemptsKnown || s.awaited(now) || s.unansweredCalls > 0 || s.outcomeUnknown || len(s.attempts) > 0 || len(s.foreign) > 0 || s.ends.hasUnstored() || s.ends.ackDeferred)
+	return !s.ended && (!s.attemptsKnown || s.awaited(now) || s.unansweredCalls > 0 || s.outcomeUnknown || len(s.attempts) > 0 || len(s.foreign) > 0 || s.ends.hasUnstored() || s.awaitsMissingEnd() || s.ends.ackDeferred)
 }
 
 // idle reports whether nothing of this shard is or may be at the worker.
 func (s *session) idle() bool {
-	return len(s.attempts) == 0 && len(s.foreign) == 0 && s.startsInFlight == 0 && !s.outcomeUnknown && !s.ends.hasUnstored()
+	return len(s.attempts) == 0 && len(s.foreign) == 0 && s.startsInFlight == 0 && !s.outcomeUnknown && !s.ends.hasUnstored() && !s.awaitsMissingEnd()
 }
 
+// awaitsMissingEnd reports whether the worker is expected to report an end that its last report lacked,
+// as the numbers of other ends show. A worker whose leases have lapsed is not.
+func (s *session) awaitsMissingEnd() bool { return s.attemptsKnown && len(s.ends.behindGap) > 0 }
+
 // recordEntry returns the stored entry for a worker where tasks may start at any time.
 func (s *session) recordEntry() leasedWorker {
 	return leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address}
@@ -171,9 +175,7 @@
 	for key := range s.foreign {
 		w.Tasks = append(w.Tasks, key.task)
 	}
-	for _, e := range s.ends.unstored {
-		w.Tasks = append(w.Tasks, e.task)
-	}
+	w.Tasks = append(w.Tasks, s.ends.unacknowledgeable()...)
 	return w
 }
 
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -126,9 +126,6 @@
 	if len(s.attempts) > 0 {
 		o.log.Warn().Str("event", "leases_lapsed").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Send()
 	}
-	if !s.listed {
-		o.applyDeferredEnds(s) // its session ends below
-	}
 	o.handleLoss(s, LossLeasesExpired)
 	clear(s.foreign)
 	s.hostCache = nil
@@ -147,7 +144,6 @@
 		return
 	}
 	o.log.Info().Str("event", "worker_ended").Str("boot", s.ref.Boot).Str("vm", s.vm).Str("why", why).Int("attempts", len(s.attempts)).Send()
-	o.applyDeferredEnds(s)
 	o.handleLoss(s, LossEnded)
 	s.ended = true
 	o.resolveFormer(s)
