Drawn scenarios of tasks with checkpoints

TestCheckpoints draws short and long-running tasks, gangs and copies that save checkpoints while workers crash, restart, drain, are cut off or omit ends, owners are replaced once or twice within a second or hand over, and commits fail. Its check: no start brings a checkpoint earlier than one that came with an acknowledged end, or one of another task, and the members of a gang bring the same one.

--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -1,8 +1,10 @@
 package fake
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -50,17 +52,29 @@
 	if a.restored+saved == 0 {
 		return ""
 	}
-	return FormatCheckpoint(task, a.restored+saved)
+	return Checkpoint{Task: task, Attempt: a.number, Work: a.restored + saved}.String()
 }
 
-// FormatCheckpoint returns the checkpoint of a task after an amount of work.
-func FormatCheckpoint(task string, work time.Duration) string { return task + "@" + work.String() }
+// Checkpoint is what the text of a checkpoint holds; its zero value is no checkpoint.
+type Checkpoint struct {
+	Task    string // that saved it
+	Attempt int64  // that saved it
+	Work    time.Duration
+}
+
+// String returns the text of the checkpoint.
+func (c Checkpoint) String() string { return fmt.Sprintf("%s@%d@%s", c.Task, c.Attempt, c.Work) }
 
-// ParseCheckpoint returns the task that saved a checkpoint and how much work it had done.
-func ParseCheckpoint(checkpoint string) (task string, work time.Duration) {
-	task, text, _ := strings.Cut(checkpoint, "@")
-	work, _ = time.ParseDuration(text) // 0 without a checkpoint
-	return task, work
+// ParseCheckpoint returns what a checkpoint's text holds.
+func ParseCheckpoint(text string) (c Checkpoint) {
+	parts := strings.Split(text, "@")
+	if len(parts) != 3 {
+		return c
+	}
+	c.Task = parts[0]
+	c.Attempt, _ = strconv.ParseInt(parts[1], 10, 64)
+	c.Work, _ = time.ParseDuration(parts[2])
+	return c
 }
 
 // runTime returns how long the attempt takes from its start.
@@ -103,7 +117,7 @@
 		coldUntil: b.coldUntil, coldSpeed: b.coldSpeed, saveEvery: work.SaveEvery,
 	}
 	if a.saveEvery > 0 {
-		_, a.restored = ParseCheckpoint(o.Checkpoint)
+		a.restored = ParseCheckpoint(o.Checkpoint).Work
 	}
 	if w.stalls(b, o.Task) {
 		a.stallAfter = work.Duration / 4
--- a/pkg/shard/injected_bugs_test.go
+++ b/pkg/shard/injected_bugs_test.go
@@ -59,3 +59,20 @@
 	txn.Expect = nil
 	return u.Rows.CommitRows(ctx, txn)
 }
+
+// firstCheckpoints starts each task from the first checkpoint that any start of it brought.
+type firstCheckpoints struct {
+	platform.Workers
+	mu    *sync.Mutex
+	first map[string]string // by task
+}
+
+func (f firstCheckpoints) StartAttempt(ctx context.Context, w platform.WorkerRef, o platform.StartOrder) (int64, error) {
+	f.mu.Lock()
+	if f.first[o.Task] == "" {
+		f.first[o.Task] = o.Checkpoint
+	}
+	o.Checkpoint = f.first[o.Task]
+	f.mu.Unlock()
+	return f.Workers.StartAttempt(ctx, w, o)
+}
--- a/pkg/shard/scenario_test.go
+++ b/pkg/shard/scenario_test.go
@@ -156,8 +156,15 @@
 	if m.jobs == 0 || m.e.owners[m.currentOwner] == nil {
 		return
 	}
-	id := jobID(rapid.IntRange(1, m.jobs).Draw(m.t, "job"))
+	m.cancelJob(jobID(rapid.IntRange(1, m.jobs).Draw(m.t, "job")))
+}
+
+// cancelJob cancels a job at the current owner.
+func (m *scenario) cancelJob(id string) {
 	owner := m.e.owners[m.currentOwner]
+	if owner == nil {
+		return
+	}
 	state, _ := owner.State(id, shard.Requester{Operator: true})
 	if out := owner.Cancel(context.Background(), id, shard.Requester{Operator: true}); out == schema.CallOutcomeOk && !state.Final() {
 		m.e.locked(func() { m.e.observer.cancelled[id] = time.Now() })
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -81,10 +81,7 @@
 		return ""
 	case "drain":
 		e.locked(func() {
-			e.listed = slices.Clone(e.listed)
-			for i := range e.listed {
-				e.listed[i].Draining = e.listed[i].Draining || e.listed[i].Boot == arg("boot", "")
-			}
+			e.listed = withDraining(e.listed, arg("boot", ""))
 		})
 		e.publish()
 		return ""
@@ -256,6 +253,15 @@
 	}
 }
 
+// withDraining returns a list of workers in which one is draining.
+func withDraining(listed []platform.Worker, boot string) []platform.Worker {
+	listed = slices.Clone(listed)
+	for i := range listed {
+		listed[i].Draining = listed[i].Draining || listed[i].Boot == boot
+	}
+	return listed
+}
+
 // state returns an owner's answer about the state of a job.
 func (e *testCluster) state(entry, id string, by shard.Requester) string {
 	state, out := e.owners[entry].State(id, by)
