Scripts: what happens between the end of an attempt and its acknowledgement, for each kind of task

TestMoments plays ten scripts once for each of six kinds (short, saving checkpoints, long-running, gang, copies, steps): takeovers around the first report of an end, two within a second, an end that stays missing, handovers by plan, commits down while a worker is lost, an owner suspended between applying and storing, a lapse, a drain, unanswered starts. Its check beside the invariants: how many tasks start after they were done. TestScripts: gap_account_limit, gap_failed_attempts, gap_step_missing: decisions that look at attempts while an end is listed behind a gap.

--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -275,6 +275,21 @@
 	w.observer.Ended(b.info.Boot, task, a.number, EndCrashed)
 }
 
+// FailLongRunning ends the attempts at a boot that would run until stopped, as failed.
+func (w *Workers) FailLongRunning(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.lookup(name)
+	if b == nil {
+		return
+	}
+	for _, task := range slices.Sorted(maps.Keys(b.running)) {
+		if a := b.running[task]; a.duration == 0 {
+			w.finishLocked(b, task, a, platform.EndFailed)
+		}
+	}
+}
+
 // crashBoot ends a boot because of one of its tasks; pending calls to it end at once.
 func (w *Workers) crashBoot(b *boot, task string) {
 	if b.dead {
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -65,6 +65,7 @@
 	keepWorkerIDs      bool                     // workers report their start time and keep their ID across boots
 	zones              zones                    // availability zones of the workers
 	schedule           schedule                 // of the next job submitted
+	step               string                   // what STEP stands for in the steps of a script's jobs
 	standDown          func(ctx context.Context, former shard.OwnerRow, newer platform.Row) bool
 	log                sharedLog
 	out                io.Writer // destination of the log
--- a/pkg/shard/observer_test.go
+++ b/pkg/shard/observer_test.go
@@ -39,6 +39,7 @@
 	workersLostWith map[string]int       // workers lost while a task was there
 	violations      []string
 	starts          int
+	startsOfDone    int // starts of tasks that had ended as done, without copies
 	checkpoints     *checkpointObserver
 }
 
@@ -83,6 +84,9 @@
 	if zone, since, ok := w.cluster.zones.evacuatedSince(boot); ok && since > evacuateBound {
 		w.violated("%s started at %s %s after its zone %s was taken out of use", task, boot, since, zone)
 	}
+	if w.ended[task] && !w.copies[job] && !strings.Contains(w.steps[job], "/0s") {
+		w.startsOfDone++
+	}
 	w.checkOrder(task, job)
 	w.checkCheckpoint(task, attempt, checkpoint)
 	w.running[task] = append(w.running[task], boot)
@@ -193,6 +197,13 @@
 	return strings.Join(w.violations, "\n") + "\n"
 }
 
+// startsAfterDone returns how many starts followed the end of their task as done.
+func (w *observer) startsAfterDone() int {
+	w.cluster.mu.Lock()
+	defer w.cluster.mu.Unlock()
+	return w.startsOfDone
+}
+
 // invariants returns "kept", or the violations, whatever the number of starts.
 func (w *observer) invariants() string {
 	w.cluster.mu.Lock()
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 	"github.com/gannetwell/gannetwell/pkg/quota"
@@ -88,6 +90,9 @@
 	case "vanish":
 		e.workers.Forget(arg("boot", ""), arg("task", ""))
 		return ""
+	case "fail-long-running":
+		e.workers.FailLongRunning(arg("boot", ""))
+		return ""
 	case "crash":
 		e.workers.Crash(arg("boot", ""))
 		return ""
@@ -126,7 +131,7 @@
 		times, _ := strconv.Atoi(arg("times", "0"))
 		interval, _ := time.ParseDuration(arg("interval", "0s"))
 		e.schedule = schedule{times: times, interval: interval}
-		return e.submit(entry, arg("account", ""), arg("id", ""), strings.TrimSpace(d.Input))
+		return e.submit(entry, arg("account", ""), arg("id", ""), strings.ReplaceAll(strings.TrimSpace(d.Input), "STEP", e.step))
 	case "cancel":
 		return string(e.owners[entry].Cancel(context.Background(), arg("id", ""), shard.Requester{Account: arg("account", "")})) + "\n"
 	case "state":
@@ -243,6 +248,14 @@
 		return e.observer.report()
 	case "resumed":
 		return e.observer.resumed(arg("task", ""))
+	case "done-again":
+		most, _ := strconv.Atoi(arg("most", "0"))
+		if n := e.observer.startsAfterDone(); n > most {
+			return fmt.Sprintf("%d\n", n)
+		}
+		return fmt.Sprintf("at most %d\n", most)
+	case "unfinished":
+		return e.unfinished(entry)
 	case "promises":
 		return e.observer.invariants()
 	case "log":
@@ -253,6 +266,21 @@
 	}
 }
 
+// unfinished returns the jobs that have not ended, but for long-running ones that run.
+func (e *testCluster) unfinished(entry string) string {
+	var out strings.Builder
+	for _, id := range slices.Sorted(maps.Keys(e.observer.steps)) {
+		state, call := e.owners[entry].State(id, shard.Requester{Operator: true})
+		if state == jobs.StateRunning && strings.Contains(e.observer.steps[id], "/0s") {
+			continue
+		}
+		if !state.Final() {
+			fmt.Fprintf(&out, "%s: %s %s\n", id, call, state)
+		}
+	}
+	return out.String()
+}
+
 // withDraining returns a list of workers in which one is draining.
 func withDraining(listed []platform.Worker, boot string) []platform.Worker {
 	listed = slices.Clone(listed)
