--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -207,5 +207,7 @@
 	o.log.Info().Str("event", "shard_load").Int("workers", l.Workers).Int("cpu", l.Capacity.CPU).Int("cpu_used", l.Used.CPU).
 		Int("cpu_waiting", l.Waiting.CPU).Int("cpu_arriving", l.Arriving.CPU).Int("jobs_refused", len(o.arrivals.refused)).
 		Int("cpu_excess", l.Held.Excess.CPU).Int("cpu_late", l.Held.Late.CPU).Int("cpu_arriving_excess", l.ArrivingExcess.CPU).Int("memory_mb", l.Capacity.MemoryMB).Int("memory_used", l.Used.MemoryMB).
-		Int("tasks_waiting", l.Tasks).Int("jobs", len(o.registry.Active())).Int("jobs_running", running).Bool("at_limit", l.AtLimit).Send()
+		Int("tasks_waiting", l.Tasks).Int("jobs", len(o.registry.Active())).Int("jobs_running", running).Bool("at_limit", l.AtLimit).
+		Int64("passes", o.placement.passes-o.passesLogged.passes).Dur("passes_took", o.placement.took-o.passesLogged.took).Send()
+	o.passesLogged = o.placement
 }
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -107,6 +107,8 @@
 	durations        map[string]*durationStats // by queue
 	coldSpeed        coldSpeed
 	suspects         map[*jobs.Task]struct{}       // tasks with worker losses counted against them
+	placement        passCounts                    // since the takeover
+	passesLogged     passCounts                    // value of placement when the load was last logged
 	deferredStarts   map[*jobs.Job][]deferredStart // starts to be sent once the provisional loss of their worker is stored
 	unreportedLoss   bool                          // a former owner's worker was lost before it reported to this owner
 	rate             startrate.Limiter             // limits starts while the CPU or network link of this owner is saturated
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -39,10 +39,32 @@
 		}
 		started := o.now()
 		o.place()
+		o.notePass(o.now() - started)
 		_ = pause.For(ctx, min(maxPlacementPause, (placementTimeDivisor-1)*(o.now()-started))) // the loop checks ctx
 	}
 }
 
+// passCounts counts the passes of placement.
+type passCounts struct {
+	passes int64
+	took   time.Duration // of all together, by the owner's clock
+}
+
+// notePass counts a pass of placement.
+func (o *Owner) notePass(took time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.placement.passes++
+	o.placement.took += took
+}
+
+// Passes returns how many passes of placement the owner has made.
+func (o *Owner) Passes() int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.placement.passes
+}
+
 // place starts the tasks that fit; see pkg/placement for the order.
 func (o *Owner) place() {
 	o.mu.Lock()
