--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -91,6 +91,16 @@
 	return l.text.String()
 }
 
+// count returns the number of lines of an event about a task.
+func (l *sharedLog) count(event, task string) (n int) {
+	for line := range strings.Lines(l.String()) {
+		if strings.Contains(line, `"event":"`+event+`"`) && strings.Contains(line, `"task":"`+task+`"`) {
+			n++
+		}
+	}
+	return n
+}
+
 // fataler is the part of testing.TB that ends a test.
 type fataler interface {
 	Fatal(args ...any)
--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -258,6 +258,8 @@
 		return e.unfinished(entry)
 	case "promises":
 		return e.observer.invariants()
+	case "logged":
+		return fmt.Sprintf("%d\n", e.log.count(arg("event", ""), arg("task", "")))
 	case "log":
 		return e.log.String()
 	default:
