--- a/cmd/gannetbench/cmds/cmds.go
+++ b/cmd/gannetbench/cmds/cmds.go
@@ -29,6 +29,8 @@
 				{"report", "Make a page of saved runs", "Makes one HTML page with plots from runs that load --json printed.\n\nExample:\n  gannetbench load --scenario slow-server --json > slow.json\n  gannetbench report --out report.html slow.json", &reportCommand{stdout: stdout}},
 				{"late", "Tell what made jobs late", "Counts the jobs of a log by when they were first submitted and by what took most of the time of those that were late.\n\nExample:\n  gannetbench late --target 600ms --stretch 1.6 entries.log", &lateCommand{stdout: stdout}},
 				{"capacity", "Measure what each role costs by size", "Measures the costs that docs/CAPACITY.md works with and fits a line to each.\n\nExample:\n  gannetbench capacity --json", &capacityCommand{stdout: stdout}},
+				{"soak", "Disturb the job service as separate processes", "Runs entries of the job service and a stand-in of the platform as processes on loopback addresses, disturbs them, and checks what workers and callers saw. A failed seed keeps its logs and prints the command that plays it again; exits with 1.\n\nExample:\n  gannetbench soak --daemon bin/gannetwelld --seeds 10 --for 30s", &soakCommand{stdout: stdout}},
+				{"soak-platform", "Run the platform of a soak", "Serves the stand-in of the platform that soak starts, until the standard input ends. Reads commands from it, and writes what workers do as JSON lines.", &soakPlatformCommand{stdout: stdout}},
 			}
 			for _, c := range commands {
 				if _, err := p.AddCommand(c.name, c.short, c.long, c.command); err != nil {
--- /dev/null
+++ b/pkg/bench/soak/callers.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/pause"
+	"github.com/gannetwell/gannetwell/platform/standin"
+)
+
+// Times of callers.
+const (
+	callTimeout   = 4 * time.Second
+	retryDelay    = time.Second
+	submitTries   = 5
+	statePause    = 400 * time.Millisecond
+	betweenJobs   = 700 * time.Millisecond // at most
+	cancelShare   = 0.08                   // of the jobs
+	resubmitShare = 0.1                    // of the accepted jobs
+)
+
+// caller submits jobs one after the other, each at the entry that answered last, and follows them to their end.
+type caller struct {
+	*standin.Caller
+	name    int
+	rnd     *rand.Rand
+	entries []*entry
+	current int
+	check   *checker
+}
+
+// run submits jobs until submitting ends, and follows them until ctx ends.
+func (c *caller) run(ctx, submitting context.Context) {
+	defer c.Close()
+	followed := make(chan struct{}, 1<<10)
+	jobs := 0
+	for submitting.Err() == nil {
+		jobs++
+		id := fmt.Sprintf("%08x%08x", c.name, jobs)
+		steps := drawSteps(c.rnd)
+		cancels := c.rnd.Float64() < cancelShare
+		c.check.submitted(id, steps)
+		if c.submit(submitting, id, steps) {
+			f := &caller{Caller: standin.NewCaller(queue), rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 0)), entries: c.entries, current: c.current, check: c.check}
+			go func() {
+				defer f.Close()
+				f.follow(ctx, submitting, id, longRunning(steps) || cancels)
+				followed <- struct{}{}
+			}()
+		} else {
+			followed <- struct{}{}
+		}
+		_ = pause.For(submitting, time.Duration(c.rnd.Int64N(int64(betweenJobs)))) // the loop checks submitting
+	}
+	for range jobs {
+		<-followed
+	}
+}
+
+// submit submits a job until it is accepted, refused or given up; it reports whether it may have been taken.
+func (c *caller) submit(ctx context.Context, id string, steps []step) (taken bool) {
+	mayBeTaken := false
+	for range submitTries {
+		switch c.call(func(callCtx context.Context, address string) standin.Outcome {
+			return c.Submit(callCtx, address, id, job(steps))
+		}) {
+		case standin.OutcomeDone:
+			c.check.accepted(id)
+			if c.rnd.Float64() < resubmitShare {
+				c.call(func(callCtx context.Context, address string) standin.Outcome {
+					return c.Submit(callCtx, address, id, job(steps))
+				})
+			}
+			return true
+		case standin.OutcomeUnknown:
+			mayBeTaken = true
+		}
+		_ = pause.For(ctx, retryDelay) // the tries are counted
+	}
+	if !mayBeTaken {
+		c.check.refused(id)
+	}
+	return mayBeTaken
+}
+
+// call makes a call at the entry that answered last, and goes to another one if that fails.
+func (c *caller) call(do func(ctx context.Context, address string) standin.Outcome) standin.Outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	out := do(ctx, c.entries[c.current].callers())
+	if out == standin.OutcomeUnknown || out == standin.OutcomeRejected {
+		c.chooseEntry()
+	}
+	return out
+}
+
+// chooseEntry goes to an entry that calls itself ready, or to any if none does.
+func (c *caller) chooseEntry() {
+	for range c.entries {
+		c.current = c.rnd.IntN(len(c.entries))
+		ctx, cancel := context.WithTimeout(context.Background(), retryDelay)
+		ready := c.Ready(ctx, c.entries[c.current].readiness())
+		cancel()
+		if ready {
+			return
+		}
+	}
+}
+
+// follow asks for a job's state until it is final. A job to be cancelled is so when submitting ends, or before.
+func (c *caller) follow(ctx, submitting context.Context, id string, cancels bool) {
+	cancelAt := time.Now().Add(time.Duration(c.rnd.Int64N(int64(5 * time.Second))))
+	for ctx.Err() == nil {
+		if cancels && (submitting.Err() != nil || time.Now().After(cancelAt)) {
+			out := c.call(func(callCtx context.Context, address string) standin.Outcome { return c.Cancel(callCtx, address, id) })
+			if out == standin.OutcomeDone || out == standin.OutcomeNotFound {
+				c.check.cancelled(id)
+				cancels = false
+			}
+		}
+		state := ""
+		out := c.call(func(callCtx context.Context, address string) (out standin.Outcome) {
+			state, out = c.State(callCtx, address, id)
+			return out
+		})
+		switch out {
+		case standin.OutcomeDone:
+			c.check.told(id, state)
+		case standin.OutcomeNotFound:
+			c.check.notFound(id)
+		}
+		if state == "completed" || state == "failed" || state == "cancelled" {
+			return
+		}
+		_ = pause.For(ctx, statePause) // the loop checks ctx
+	}
+}
--- /dev/null
+++ b/pkg/bench/soak/disturb.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+)
+
+// Disturbance is a kind of fault that a soak brings about.
+type Disturbance string
+
+// Values of Disturbance.
+const (
+	KillEntry       Disturbance = "kill_entry"
+	StopEntry       Disturbance = "stop_entry"
+	PauseEntry      Disturbance = "pause_entry"
+	ReloadEntry     Disturbance = "reload_entry"
+	RollingRestart  Disturbance = "rolling_restart"
+	StoreLink       Disturbance = "store_link"  // of one entry
+	WorkerLink      Disturbance = "worker_link" // of one worker
+	CrashWorker     Disturbance = "crash_worker"
+	DrainWorker     Disturbance = "drain_worker"
+	StoreFault      Disturbance = "store_fault"
+	SlowStore       Disturbance = "slow_store"
+	ForgetHistory   Disturbance = "forget_history"
+	NewCatalog      Disturbance = "new_catalog"
+	IncompleteLists Disturbance = "incomplete_lists"
+)
+
+// event is a drawn disturbance.
+type event struct {
+	at     time.Duration // since the start
+	kind   Disturbance
+	target int
+	lasts  time.Duration
+	link   LinkState
+	fault  fake.Fault
+	share  float64 // of the calls with the fault
+}
+
+// Times of disturbances.
+const (
+	warmUp       = 2 * time.Second // without disturbances
+	meanGap      = 600 * time.Millisecond
+	maxLength    = 5 * time.Second
+	drainTime    = 2 * time.Second
+	rollingGap   = 300 * time.Millisecond
+	maxSeries    = 4
+	slowStoreMs  = 80
+	reportsSpan  = 4 // of incomplete lists: one item from every second to fifth report
+	seriesDivide = 3 // one disturbance in so many starts a series
+)
+
+// drawEvents draws the disturbances of a soak. Reports omit items or go unanswered, not both, since a single
+// report decides on a start that got no answer.
+func drawEvents(rnd *rand.Rand, o Options) (events []event) {
+	kinds := []Disturbance{
+		KillEntry, StopEntry, PauseEntry, PauseEntry, ReloadEntry, RollingRestart, StoreLink, StoreLink, CrashWorker,
+		DrainWorker, StoreFault, SlowStore, ForgetHistory, NewCatalog,
+	}
+	if rnd.IntN(2) == 0 {
+		kinds = append(kinds, IncompleteLists, IncompleteLists)
+	} else {
+		kinds = append(kinds, WorkerLink, WorkerLink, WorkerLink)
+	}
+	for at := warmUp; at < o.Length; {
+		e := event{kind: kinds[rnd.IntN(len(kinds))]}
+		repeat := 1
+		if rnd.IntN(seriesDivide) == 0 {
+			repeat = 1 + rnd.IntN(maxSeries)
+		}
+		for range repeat {
+			e.at, e.target, e.lasts = at, rnd.IntN(1<<16), time.Duration(rnd.Int64N(int64(maxLength)))
+			e.link = []LinkState{LinkSlow, LinkCutThere, LinkCutBack, LinkSilent, LinkReset}[rnd.IntN(5)]
+			e.fault = []fake.Fault{fake.FaultDown, fake.FaultLostBefore, fake.FaultLostAfter, fake.FaultLate}[rnd.IntN(4)]
+			e.share = []float64{0.05, 0.3, 1}[rnd.IntN(3)]
+			events = append(events, e)
+			at += time.Duration(rnd.Int64N(int64(2 * meanGap)))
+		}
+	}
+	return events
+}
+
+// disturb carries out one disturbance and ends it.
+func (s *soak) disturb(e event) error {
+	entry := s.entries[e.target%len(s.entries)]
+	vm := e.target % len(s.links)
+	switch e.kind {
+	case KillEntry:
+		entry.kill()
+		s.wait(e.lasts / 2)
+		return entry.start()
+	case StopEntry:
+		entry.stop(s.disturbed(entry))
+		s.wait(e.lasts / 4)
+		return entry.start()
+	case PauseEntry:
+		s.pauseEntry(entry, e.lasts)
+	case ReloadEntry:
+		entry.signal(syscall.SIGHUP)
+	case RollingRestart:
+		return s.restartAll()
+	case StoreLink:
+		s.holdLink(entry.store, e)
+	case WorkerLink:
+		s.holdLink(s.links[vm], e)
+	case CrashWorker:
+		s.command(Command{Do: DoCrash, VM: vm})
+		s.wait(e.lasts)
+		s.command(Command{Do: DoBoot, VM: vm})
+	case DrainWorker:
+		s.command(Command{Do: DoDrain, VM: vm, Ms: int(drainTime.Milliseconds())})
+		s.wait(drainTime + e.lasts)
+		s.command(Command{Do: DoBoot, VM: vm})
+	case StoreFault:
+		s.command(Command{Do: DoStore, Fault: e.fault, Share: e.share})
+		s.wait(e.lasts / 2)
+		s.command(Command{Do: DoStore})
+	case SlowStore:
+		s.command(Command{Do: DoSlowStore, Ms: slowStoreMs})
+		s.wait(e.lasts)
+		s.command(Command{Do: DoSlowStore})
+	case ForgetHistory:
+		s.command(Command{Do: DoForget})
+	case NewCatalog:
+		s.command(Command{Do: DoCatalog})
+	case IncompleteLists:
+		s.command(Command{Do: DoOmit, N: 2 + e.target%reportsSpan})
+		s.wait(e.lasts)
+		s.command(Command{Do: DoOmit})
+	}
+	return nil
+}
+
+// holdLink sets the state of a link for a time.
+func (s *soak) holdLink(p *proxy, e event) {
+	p.setState(e.link)
+	s.wait(e.lasts)
+	p.setState(LinkUp)
+}
+
+// pauseEntry suspends the process of an entry for a time.
+func (s *soak) pauseEntry(e *entry, length time.Duration) {
+	s.setDisturbed(e, 1)
+	defer s.setDisturbed(e, -1)
+	e.signal(syscall.SIGSTOP)
+	s.wait(length)
+	e.signal(syscall.SIGCONT)
+}
+
+// restartAll stops and starts all entries, one after the other.
+func (s *soak) restartAll() error {
+	for _, e := range s.entries {
+		e.stop(s.disturbed(e))
+		if err := e.start(); err != nil {
+			return err
+		}
+		s.wait(rollingGap)
+	}
+	return nil
+}
--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -234,6 +234,9 @@
 		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent(), Checkpoint: a.checkpoint(task, false)})
 	}
 	w.omitEnds(b, &r)
+	if w.forgetListed {
+		b.ended = nil
+	}
 	return r
 }
 
--- a/pkg/platform/fake/orders.go
+++ b/pkg/platform/fake/orders.go
@@ -106,18 +106,18 @@
 }
 
 // checkToken refuses an order with a lower fencing token than seen before.
-func (b *boot) checkToken(token int64) error {
-	if token < b.token {
+func (w *Workers) checkToken(b *boot, token int64) error {
+	if token < b.token && !w.unfenced {
 		return platform.ErrOrderRefused{Reason: platform.RefusedStaleToken, ClockMs: b.clock()}
 	}
-	b.token = token
+	b.token = max(b.token, token)
 	return nil
 }
 
 // StartAttempt implements platform.Workers.
 func (v *workersView) StartAttempt(ctx context.Context, ref platform.WorkerRef, o platform.StartOrder) (clock int64, err error) {
 	err = v.sendOrder(ctx, OrderStart, ref, o.Task, func(b *boot) error {
-		if err := b.checkToken(o.Token); err != nil {
+		if err := v.w.checkToken(b, o.Token); err != nil {
 			return err
 		}
 		clock = b.clock()
@@ -133,7 +133,7 @@
 // StopAttempt implements platform.Workers.
 func (v *workersView) StopAttempt(ctx context.Context, ref platform.WorkerRef, o platform.StopOrder) (clock int64, err error) {
 	err = v.sendOrder(ctx, OrderStop, ref, o.Task, func(b *boot) error {
-		if err := b.checkToken(o.Token); err != nil {
+		if err := v.w.checkToken(b, o.Token); err != nil {
 			return err
 		}
 		clock = b.clock()
@@ -151,7 +151,7 @@
 func (v *workersView) ThrottleAttempt(ctx context.Context, ref platform.WorkerRef, o platform.ThrottleOrder) (clock int64, err error) {
 	err = v.sendOrder(ctx, OrderThrottle, ref, o.Task, func(b *boot) error {
 		clock = b.clock()
-		return b.checkToken(o.Token)
+		return v.w.checkToken(b, o.Token)
 	})
 	return clock, err
 }
@@ -161,7 +161,7 @@
 	var changed chan struct{}
 	var answering *boot
 	renew := func(b *boot) error {
-		if err := b.checkToken(o.Token); err != nil {
+		if err := v.w.checkToken(b, o.Token); err != nil {
 			return err
 		}
 		v.w.extendLeases(b, o.LeaseUntil)
--- a/pkg/platform/fake/rows.go
+++ b/pkg/platform/fake/rows.go
@@ -19,6 +19,9 @@
 // FaultRefused refuses a commit as an invalid transaction.
 const FaultRefused Fault = "refused"
 
+// FaultPretended answers a commit as done and does nothing, which the platform promises not to do.
+const FaultPretended Fault = "pretended"
+
 // RowOp names an operation of the partitioned table service.
 type RowOp string
 
@@ -185,6 +188,9 @@
 		r.jitter.waitDone(ctx, string(RowCommit), r.entry)
 		return 0, platform.ErrUnknown{Op: string(RowCommit), Cause: ctx.Err().Error()}
 	}
+	if fault == FaultPretended && r.entry != Operator {
+		return r.pretend(txn)
+	}
 	version, err = r.commit(txn)
 	if fault == FaultLostAfter {
 		r.jitter.waitDone(ctx, string(RowCommit), r.entry)
@@ -217,6 +223,19 @@
 	return r.version, nil
 }
 
+// pretend answers a transaction without carrying it out. The rows with preconditions are written, so that the
+// next transaction does not show it.
+func (r *Rows) pretend(txn platform.RowTxn) (version int64, err error) {
+	kept := txn
+	kept.Put, kept.Remove = nil, nil
+	for _, p := range txn.Put {
+		if slices.ContainsFunc(txn.Expect, func(e platform.Row) bool { return e.RowKey == p.RowKey }) {
+			kept.Put = append(kept.Put, p)
+		}
+	}
+	return r.commit(kept)
+}
+
 func (r *Rows) conflict(txn platform.RowTxn) error {
 	var rows []platform.Row
 	for _, e := range txn.Expect {
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -64,6 +64,10 @@
 	omitEvery int
 	// allowOvercommit makes workers start attempts that exceed their capacity.
 	allowOvercommit bool
+	// unfenced makes workers accept any fencing token.
+	unfenced bool
+	// forgetListed makes workers forget ends that they have listed once.
+	forgetListed bool
 }
 
 // boot is one boot of a worker.
@@ -118,6 +122,21 @@
 	w.allowOvercommit = on
 }
 
+// SetUnfenced sets whether workers accept orders with any fencing token, which the platform promises not to do.
+func (w *Workers) SetUnfenced(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unfenced = on
+}
+
+// SetForgetListed sets whether workers forget ends that they have listed once, which the platform promises
+// not to do.
+func (w *Workers) SetForgetListed(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forgetListed = on
+}
+
 // SetBlackhole sets whether orders to ended boots time out, as after a power loss, instead of being refused.
 func (w *Workers) SetBlackhole(on bool) {
 	w.mu.Lock()
