--- /dev/null
+++ b/pkg/bench/soak/checker_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// TestChecker runs the scripts of testdata: what workers did and what callers were told, and which
+// promises that breaks.
+func TestChecker(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &checkerScript{t: t}
+			s.check = newChecker(func(format string, args ...any) { s.broken = append(s.broken, fmt.Sprintf(format, args...)) })
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(d) })
+		})
+	})
+}
+
+// checkerScript feeds a checker; each command prints what it broke.
+type checkerScript struct {
+	t      *testing.T
+	check  *checker
+	broken []string
+}
+
+func (s *checkerScript) run(d *datadriven.TestData) string {
+	s.broken = nil
+	var id, state, boot, task, reason, saved string
+	attempt := int64(1)
+	d.MaybeScanArgs(s.t, "id", &id)
+	d.MaybeScanArgs(s.t, "state", &state)
+	d.MaybeScanArgs(s.t, "boot", &boot)
+	d.MaybeScanArgs(s.t, "task", &task)
+	d.MaybeScanArgs(s.t, "reason", &reason)
+	d.MaybeScanArgs(s.t, "saved", &saved)
+	d.MaybeScanArgs(s.t, "attempt", &attempt)
+	e := Event{At: time.Now().UnixNano(), Boot: boot, Task: task, Attempt: attempt, Reason: platform.EndReason(reason), Checkpoint: saved}
+	switch d.Cmd {
+	case "submit":
+		s.check.submitted(id, parseSteps(strings.TrimSpace(d.Input)))
+	case "accepted":
+		s.check.accepted(id)
+	case "refused":
+		s.check.refused(id)
+	case "cancelled":
+		s.check.cancelled(id)
+	case "not-found":
+		s.check.notFound(id)
+	case "told":
+		s.check.told(id, state)
+	case "start":
+		e.Kind = EventStarted
+		s.check.observe(e)
+	case "end":
+		e.Kind = EventEnded
+		s.check.observe(e)
+	case "ack":
+		e.Kind = EventAcked
+		s.check.observe(e)
+	case "too-large":
+		e.Kind = EventTooLarge
+		s.check.observe(e)
+	case "wait":
+		length, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		time.Sleep(length)
+		synctest.Wait()
+	case "unfinished":
+		return strings.Join(s.check.unfinished(), " ") + "\n"
+	case "still-running":
+		return strings.Join(s.check.stillRunning(), " ") + "\n"
+	default:
+		s.t.Fatalf("unknown command %q", d.Cmd)
+	}
+	if len(s.broken) == 0 {
+		return ""
+	}
+	return strings.Join(s.broken, "\n") + "\n"
+}
--- /dev/null
+++ b/pkg/bench/soak/soak_test.go
@@ -0,0 +1,51 @@
+package soak_test
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/bench/soak"
+)
+
+// soakSeed is the seed of the short soak.
+var soakSeed = flag.Uint64("soak-seed", 1, "seed of the short soak")
+
+// programs builds the programs of a soak.
+func programs(t *testing.T) (daemon, bench string) {
+	dir := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", dir, "../../../cmd/gannetwelld", "../../../cmd/gannetbench").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return filepath.Join(dir, "gannetwelld"), filepath.Join(dir, "gannetbench")
+}
+
+// run plays one seed with a planted fault, if any.
+func run(t *testing.T, daemon, bench string, seed uint64, length time.Duration, planted soak.Planted) soak.Result {
+	dir := t.TempDir()
+	log, err := os.Create(filepath.Join(dir, "soak.log"))
+	qt.Assert(t, err, qt.IsNil)
+	defer log.Close()
+	r, err := soak.Run(context.Background(), soak.Options{
+		Seed: seed, Entries: 4, Workers: 8, Callers: 5, Length: length, Daemon: daemon, Bench: bench, Dir: dir, Planted: planted, Log: log,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	if text, err := os.ReadFile(log.Name()); err == nil && len(r.Broken) > 0 {
+		t.Logf("%s", text)
+	}
+	return r
+}
+
+// TestShortSoak disturbs a few processes for some seconds: no promise breaks, and work is done.
+func TestShortSoak(t *testing.T) {
+	daemon, bench := programs(t)
+	r := run(t, daemon, bench, *soakSeed, 12*time.Second, soak.PlantedNone)
+	t.Logf("%d disturbances, %d jobs, %d starts, %d checks, %s", r.Disturbances, r.Jobs, r.Starts, r.Checks, r.Took)
+	qt.Check(t, r.Broken, qt.HasLen, 0)
+	qt.Check(t, r.Starts > 0 && r.Disturbances > 0, qt.IsTrue)
+}
