--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -50,9 +50,11 @@
 }
 
 // ReleaseWith does what Release does, as part of txn. The row keeps the term, and names the next
-// entry if there is one.
+// entry if there is one. It gives up after releaseTimeout, since a planned stop waits for it.
 func (c Claim) ReleaseWith(ctx context.Context, rows platform.Rows, pool string, to Handover, txn platform.RowTxn) (err error) {
 	defer func() { err = errors.Wrapf(err, "release shard %s", pool) }()
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	raw, err := encode(OwnerRow{Term: c.Term, Next: to.Entry, FormerGrace: to.FormerGrace})
 	if err != nil {
 		return err
