--- a/pkg/bench/soak/callers.go
+++ b/pkg/bench/soak/callers.go
@@ -114,6 +114,7 @@
 	cancelAt := time.Now().Add(time.Duration(c.rnd.Int64N(int64(5 * time.Second))))
 	for ctx.Err() == nil {
 		if cancels && (submitting.Err() != nil || time.Now().After(cancelAt)) {
+			c.check.cancelling(id)
 			out := c.call(func(callCtx context.Context, address string) standin.Outcome { return c.Cancel(callCtx, address, id) })
 			if out == standin.OutcomeDone || out == standin.OutcomeNotFound {
 				c.check.cancelled(id)
--- a/pkg/bench/soak/checker_test.go
+++ b/pkg/bench/soak/checker_test.go
@@ -50,6 +50,8 @@
 		s.check.accepted(id)
 	case "refused":
 		s.check.refused(id)
+	case "cancelling":
+		s.check.cancelling(id)
 	case "cancelled":
 		s.check.cancelled(id)
 	case "not-found":
--- a/pkg/bench/soak/disturb.go
+++ b/pkg/bench/soak/disturb.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -40,6 +41,19 @@
 	share  float64 // of the calls with the fault
 }
 
+// String describes the event with what its kind uses.
+func (e event) String() string {
+	text := fmt.Sprintf("%s %d for %s", e.kind, e.target, e.lasts.Round(time.Millisecond))
+	switch e.kind {
+	case StoreLink, WorkerLink:
+		return text + " " + string(e.link)
+	case StoreFault:
+		return fmt.Sprintf("%s %s share %g", text, e.fault, e.share)
+	default:
+		return text
+	}
+}
+
 // Times of disturbances.
 const (
 	warmUp       = 2 * time.Second // without disturbances
