--- a/cmd/gannetbench/cmds/soak.go
+++ b/cmd/gannetbench/cmds/soak.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,7 +37,7 @@
 	if err != nil {
 		return errors.Wrap(err, "find this program")
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	failed := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
--- a/pkg/bench/soak/checker.go
+++ b/pkg/bench/soak/checker.go
@@ -42,7 +42,7 @@
 	cancelAsked bool      // a cancellation was sent, whether it was answered or not
 	cancelledAt time.Time // when one was confirmed
 	missing     bool      // it was not found, and that was reported
-	final       string // state that callers were told last, empty while it is not final
+	final       string    // state that callers were told last, empty while it is not final
 }
 
 // taskHistory is what workers did with a task.
