--- a/pkg/bench/soak/soak.go
+++ b/pkg/bench/soak/soak.go
@@ -305,10 +305,14 @@
 	return nil
 }
 
-// settle waits until all accepted jobs have ended and nothing of them runs.
+// settle waits until all accepted jobs have ended and nothing of them runs. It does not wait if a promise
+// is broken already.
 func (s *soak) settle() {
 	end := time.Now().Add(settleTime)
-	for time.Now().Before(end) && len(s.check.unfinished()) > 0 && s.ctx.Err() == nil {
+	for len(s.check.unfinished()) > 0 && time.Now().Before(end) && s.ctx.Err() == nil {
+		if s.brokenCount() > 0 {
+			return
+		}
 		s.wait(settlePoll)
 	}
 	for _, id := range s.check.unfinished() {
--- a/pkg/bench/soak/soak_test.go
+++ b/pkg/bench/soak/soak_test.go
@@ -49,3 +49,17 @@
 	qt.Check(t, r.Broken, qt.HasLen, 0)
 	qt.Check(t, r.Starts > 0 && r.Disturbances > 0, qt.IsTrue)
 }
+
+// TestSoakFindsPlantedFaults checks that a soak finds transactions that are answered and not carried out.
+func TestSoakFindsPlantedFaults(t *testing.T) {
+	daemon, bench := programs(t)
+	for seed := uint64(1); seed <= plantedSeeds; seed++ {
+		if r := run(t, daemon, bench, seed, 12*time.Second, soak.PlantedLostWrites); len(r.Broken) > 0 {
+			return
+		}
+	}
+	t.Errorf("nothing found on %d seeds", plantedSeeds)
+}
+
+// plantedSeeds is the number of seeds on which a planted fault has to be found.
+const plantedSeeds = 3
