--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -108,6 +108,13 @@
 // SetJitter adds jitter to each order; it must be called before the first order.
 func (w *Workers) SetJitter(j *Jitter) { w.jitter = j }
 
+// locked runs f with the mutex held.
+func (w *Workers) locked(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
 // SetFault sets the function that selects the fault of each order.
 func (w *Workers) SetFault(f func(op OrderOp, boot, entry string) Fault) {
 	w.mu.Lock()
@@ -116,41 +123,21 @@
 }
 
 // SetAllowOvercommit sets whether workers start attempts that exceed their capacity.
-func (w *Workers) SetAllowOvercommit(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.allowOvercommit = on
-}
+func (w *Workers) SetAllowOvercommit(on bool) { w.locked(func() { w.allowOvercommit = on }) }
 
 // SetUnfenced sets whether workers accept orders with any fencing token, which the platform promises not to do.
-func (w *Workers) SetUnfenced(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.unfenced = on
-}
+func (w *Workers) SetUnfenced(on bool) { w.locked(func() { w.unfenced = on }) }
 
 // SetForgetListed sets whether workers forget ends that they have listed once, which the platform promises
 // not to do.
-func (w *Workers) SetForgetListed(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.forgetListed = on
-}
+func (w *Workers) SetForgetListed(on bool) { w.locked(func() { w.forgetListed = on }) }
 
 // SetBlackhole sets whether orders to ended boots time out, as after a power loss, instead of being refused.
-func (w *Workers) SetBlackhole(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.blackhole = on
-}
+func (w *Workers) SetBlackhole(on bool) { w.locked(func() { w.blackhole = on }) }
 
 // SetOmitEvery makes every n-th report of a boot omit one ended or running attempt, 0 for none.
 // Each attempt is omitted at most once.
-func (w *Workers) SetOmitEvery(every int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.omitEvery = every
-}
+func (w *Workers) SetOmitEvery(every int) { w.locked(func() { w.omitEvery = every }) }
 
 // OmitEnd makes the next reports of a boot omit the end with a sequence number, as often as times.
 func (w *Workers) OmitEnd(name string, seq int64, times int) {
