--- a/pkg/shard/script_test.go
+++ b/pkg/shard/script_test.go
@@ -1,21 +1,17 @@
 package shard_test
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/platform"
-	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 	"github.com/gannetwell/gannetwell/pkg/quota"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -31,241 +27,20 @@
 	})
 }
 
+// run carries out one command of a script and returns what it prints.
 func (e *testCluster) run(d *datadriven.TestData) string {
-	arg := func(key, other string) string {
-		for _, a := range d.CmdArgs {
-			if a.Key == key && len(a.Vals) > 0 {
-				return a.Vals[0]
-			}
+	c := scriptCall{testCluster: e, d: d}
+	for _, commands := range []map[string]func(scriptCall){workerCommands, ownerCommands, faultCommands} {
+		if do := commands[d.Cmd]; do != nil {
+			do(c)
+			return ""
 		}
-		return other
 	}
-	entry := arg("entry", "a")
-	switch d.Cmd {
-	case "worker":
-		e.zones.put(arg("vm", arg("boot", "")), arg("zone", ""))
-		return e.addWorker(arg("boot", ""), arg("vm", arg("boot", "")), arg("address", arg("boot", "")), arg("cpu", "4000"), arg("drift", "0"))
-	case "publish": // the directory sends the whole list after any change
-		e.publish()
-		return ""
-	case "cold":
-		left, err := time.ParseDuration(arg("left", "0s"))
-		if err != nil {
-			e.t.Fatal(err)
-		}
-		speed, _ := strconv.ParseFloat(arg("speed", "1"), 64)
-		e.cold(arg("boot", ""), left, speed)
-		return ""
-	case "zone-out":
-		e.zones.evacuate(arg("zone", ""))
-		return ""
-	case "zone-back":
-		e.zones.restore(arg("zone", ""))
-		return ""
-	case "leave-out":
-		end, _ := strconv.ParseInt(arg("end", "0"), 10, 64)
-		times, _ := strconv.Atoi(arg("times", "1"))
-		e.workers.OmitEnd(arg("boot", ""), end, times)
-		return ""
-	case "list":
-		cpu, _ := strconv.Atoi(arg("cpu", "0"))
-		boot := arg("boot", "")
-		e.list(platform.Worker{Boot: boot, VM: boot, Pool: pool, Address: boot, Capacity: platform.Resources{CPU: cpu, MemoryMB: 1 << 20}})
-		return ""
-	case "takes-all":
-		e.workers.SetAllowOvercommit(true)
-		return ""
-	case "unlist":
-		e.locked(func() {
-			e.listed = slices.DeleteFunc(slices.Clone(e.listed), func(w platform.Worker) bool { return w.Boot == arg("boot", "") })
-		})
-		e.publish()
-		return ""
-	case "drain":
-		e.locked(func() {
-			e.listed = withDraining(e.listed, arg("boot", ""))
-		})
-		e.publish()
-		return ""
-	case "vanish":
-		e.workers.Forget(arg("boot", ""), arg("task", ""))
-		return ""
-	case "fail-long-running":
-		e.workers.FailLongRunning(arg("boot", ""))
-		return ""
-	case "crash":
-		e.workers.Crash(arg("boot", ""))
-		return ""
-	case "restart":
-		after, err := time.ParseDuration(arg("listed-after", "0s"))
-		if err != nil {
-			e.t.Fatal(err)
-		}
-		back, err := time.ParseDuration(arg("clock-back", "0s"))
-		if err != nil {
-			e.t.Fatal(err)
-		}
-		e.clockBehind = back
-		e.restart(arg("worker", ""), arg("silent", "") != "", after)
-		return ""
-	case "suspendable":
-		e.suspendable[entry] = newSuspendableHost(e.since, arg("clock", "") == "steady")
-		return ""
-	case "suspend":
-		e.suspendable[entry].suspend()
-		return ""
-	case "wake":
-		e.suspendable[entry].wake()
-		return ""
-	case "own":
-		return e.startOwner(entry)
-	case "kill":
-		e.owners[entry].Close()
-		e.setOwner(entry, nil)
-		return ""
-	case "release":
-		e.owners[entry].Release(context.Background(), "")
-		e.setOwner(entry, nil)
-		return ""
-	case "submit":
-		times, _ := strconv.Atoi(arg("times", "0"))
-		interval, _ := time.ParseDuration(arg("interval", "0s"))
-		e.schedule = schedule{times: times, interval: interval}
-		return e.submit(entry, arg("account", ""), arg("id", ""), strings.ReplaceAll(strings.TrimSpace(d.Input), "STEP", e.step))
-	case "cancel":
-		return string(e.owners[entry].Cancel(context.Background(), arg("id", ""), shard.Requester{Account: arg("account", "")})) + "\n"
-	case "state":
-		return e.state(entry, arg("id", ""), shard.Requester{Account: arg("account", ""), Operator: arg("operator", "") != ""})
-	case "waiting":
-		n, out := e.owners[entry].Waiting(queue)
-		return fmt.Sprintf("%s %d\n", out, n)
-	case "same-id":
-		e.keepWorkerIDs = true
-		return ""
-	case "back":
-		after, err := time.ParseDuration(d.CmdArgs[0].Key)
-		if err != nil {
-			e.t.Fatal(err)
-		}
-		e.crashRestartDelay = after
-		return ""
-	case "dark":
-		e.workers.SetBlackhole(true)
-		return ""
-	case "crashes":
-		after, err := time.ParseDuration(arg("after", "10ms"))
-		if err != nil {
-			e.t.Fatal(err)
-		}
-		e.locked(func() { e.crashing[arg("task", "")] = after })
-		return ""
-	case "room":
-		cpu, _ := strconv.Atoi(arg("cpu", "0"))
-		e.resize(arg("boot", ""), cpu)
-		return ""
-	case "load":
-		l, ok := e.owners[entry].Load(false)
-		return fmt.Sprintf("%v: %d workers, room %d, of one %d, used %d, waiting %d\n", ok, l.Workers, l.Capacity.CPU, l.VMCapacity.CPU, l.Used.CPU, l.Waiting.CPU)
-	case "arriving":
-		l, ok := e.owners[entry].Load(false)
-		return fmt.Sprintf("%v: %d\n", ok, l.Arriving.CPU)
-	case "demand":
-		return e.demand(entry)
-	case "corrupt":
-		e.rows.Corrupt(platform.RowKey{Table: arg("table", ""), Partition: pool, Key: arg("key", "row")}, []byte("\xc1 not ours"))
-		return ""
-	case "fail":
-		times, _ := strconv.Atoi(arg("times", "1"))
-		e.locked(func() { e.failing[arg("task", "")] = times })
-		return ""
-	case "fault":
-		key := arg("op", "*") + " " + arg("at", "*") + " " + arg("entry", "*")
-		if kind := arg("kind", ""); kind == "none" {
-			e.locked(func() { delete(e.faults, key) })
-		} else {
-			times, err := strconv.Atoi(arg("times", "0"))
-			if err != nil {
-				e.t.Fatal(err)
-			}
-			e.locked(func() { e.faults[key], e.faultsLeft[key] = fake.Fault(kind), times })
-		}
-		return ""
-	case "wait":
-		duration, err := time.ParseDuration(d.CmdArgs[0].Key)
-		if err != nil {
-			e.t.Fatal(err)
-		}
-		time.Sleep(duration)
-		synctest.Wait()
-		return ""
-	case "running":
-		var out strings.Builder
-		for _, w := range e.directory() {
-			if w.Draining && len(e.workers.Running(w.Boot)) == 0 {
-				continue
-			}
-			fmt.Fprintf(&out, "%s: %s\n", w.Boot, strings.Join(e.workers.Running(w.Boot), " "))
-		}
-		return out.String()
-	case "relist":
-		return e.relist(arg("boot", ""), arg("vm", ""), arg("address", ""))
-	case "machine":
-		e.machines = append(e.machines, platform.Machine{VM: arg("vm", ""), Worker: arg("boot", ""), Pool: arg("pool", pool), State: platform.MachineUp})
-		return ""
-	case "stall":
-		boot := arg("boot", "")
-		e.workers.SetStall(func(b, _ string) bool { return boot == "*" || b == boot })
-		return ""
-	case "allow":
-		e.allowed = append(e.allowed, arg("boot", ""))
-		return ""
-	case "empty":
-		rank, _ := strconv.Atoi(arg("rank", "0"))
-		return fmt.Sprintf("%v\n", e.owners[entry].DrainVM(arg("vm", ""), rank))
-	case "wave":
-		e.owners[entry].SetWaveVMs(strings.Split(arg("vms", ""), "/"))
-		return ""
-	case "limited":
-		return e.limited(entry)
-	case "limit":
-		cpu, _ := strconv.Atoi(arg("cpu", "0"))
-		weight, _ := strconv.ParseFloat(arg("weight", "1000"), 64)
-		e.setAccount(arg("account", ""), cpu, weight)
-		return ""
-	case "allowed":
-		cpu, _ := strconv.Atoi(arg("cpu", "0"))
-		e.locked(func() { e.observer.allowed[arg("account", "")] = cpu })
-		return ""
-	case "grant":
-		term, _ := strconv.ParseInt(arg("term", "1"), 10, 64)
-		seq, _ := strconv.ParseInt(arg("seq", "1"), 10, 64)
-		share, _ := strconv.ParseFloat(arg("share", "0"), 64)
-		e.grant(entry, term, seq, arg("account", ""), share)
-		return ""
-	case "accounts":
-		return e.accounts(entry)
-	case "check":
-		return e.observer.report()
-	case "resumed":
-		return e.observer.resumed(arg("task", ""))
-	case "done-again":
-		most, _ := strconv.Atoi(arg("most", "0"))
-		if n := e.observer.startsAfterDone(); n > most {
-			return fmt.Sprintf("%d\n", n)
-		}
-		return fmt.Sprintf("at most %d\n", most)
-	case "unfinished":
-		return e.unfinished(entry)
-	case "promises":
-		return e.observer.invariants()
-	case "logged":
-		return fmt.Sprintf("%d\n", e.log.count(arg("event", ""), arg("task", "")))
-	case "log":
-		return e.log.String()
-	default:
-		e.t.Fatalf("unknown command %q", d.Cmd)
-		return ""
+	if print := printingCommands[d.Cmd]; print != nil {
+		return print(c)
 	}
+	e.t.Fatalf("unknown command %q", d.Cmd)
+	return ""
 }
 
 // unfinished returns the jobs that have not ended, but for long-running ones that run.
@@ -283,6 +58,18 @@
 	return out.String()
 }
 
+// runningTasks returns the tasks that run at each worker, without those of draining ones that run none.
+func (e *testCluster) runningTasks() string {
+	var out strings.Builder
+	for _, w := range e.directory() {
+		if w.Draining && len(e.workers.Running(w.Boot)) == 0 {
+			continue
+		}
+		fmt.Fprintf(&out, "%s: %s\n", w.Boot, strings.Join(e.workers.Running(w.Boot), " "))
+	}
+	return out.String()
+}
+
 // withDraining returns a list of workers in which one is draining.
 func withDraining(listed []platform.Worker, boot string) []platform.Worker {
 	listed = slices.Clone(listed)
