--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -309,7 +309,7 @@
 	e.ownerStarts++
 	cfg := shard.Config{
 		Pool: pool, Self: shard.Identity{Entry: entry, Start: e.ownerStarts, Address: entry},
-		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: noMetrics{}, Retention: time.Hour, MaxLease: fake.MaxLease,
+		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: shard.NoMetrics{}, Retention: time.Hour, MaxLease: fake.MaxLease,
 		Log: zerolog.New(e.out).With().Str("entry", entry).Logger().Hook(e), Clock: clock,
 		StoreUptime: func() time.Duration { return time.Since(e.since) },
 		HasEnded:    e.hasEnded, StandDown: e.standDown, ZoneEvacuated: e.zones.reportTo(entry),
@@ -387,17 +387,3 @@
 func (e *testCluster) grant(entry string, term, seq int64, account string, share float64) {
 	e.owners[entry].ApplyGrant(quota.Grant{Term: term, Seq: seq, Shares: map[string]float64{account: share}})
 }
-
-type noMetrics struct{}
-
-func (noMetrics) Commit(time.Duration, error) {}
-func (noMetrics) Poll(error)                  {}
-func (noMetrics) Order(error)                 {}
-func (noMetrics) End(platform.EndReason)      {}
-func (noMetrics) StaleEnd()                   {}
-func (noMetrics) AttemptLost(shard.LossKind)  {}
-func (noMetrics) RowMalformed(string)         {}
-func (noMetrics) Job(string)                  {}
-func (noMetrics) AccountAtLimit(string)       {}
-
-func (noMetrics) PredecessorDone(shard.PredecessorEnd, time.Duration) {}
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -17,30 +17,6 @@
 // takeoverTimeout bounds a takeover, including the reads of the stored state.
 const takeoverTimeout = 15 * time.Second
 
-// Metrics receives the counters of an owner.
-type Metrics interface {
-	// Commit counts an attempt to commit a transaction that took d.
-	Commit(d time.Duration, err error)
-	// Poll counts a poll of a worker.
-	Poll(err error)
-	// Order counts an order to start, stop or throttle an attempt.
-	Order(err error)
-	// End counts the end of an attempt that a worker reports.
-	End(reason platform.EndReason)
-	// StaleEnd counts an end that a worker lists after it was acknowledged.
-	StaleEnd()
-	// PredecessorDone counts a completed wait until no former owner can act, and its duration.
-	PredecessorDone(end PredecessorEnd, waited time.Duration)
-	// AttemptLost counts an attempt that is gone although its worker reported no end of it.
-	AttemptLost(kind LossKind)
-	// RowMalformed counts a row that could not be decoded.
-	RowMalformed(table string)
-	// Job counts a state change of a job.
-	Job(event string)
-	// AccountAtLimit counts a second in which tasks of a client account waited because of its limit.
-	AccountAtLimit(account string)
-}
-
 // Config holds the settings and dependencies of an owner.
 type Config struct {
 	Pool      string
