--- a/pkg/jobs/checkpoint.go
+++ b/pkg/jobs/checkpoint.go
@@ -25,9 +25,12 @@
 	return t.keepCheckpoint(a.Checkpoint, a.origin())
 }
 
-// keepCheckpoint keeps a checkpoint, empty for none, unless the task has one with more work. It reports
-// whether the task's checkpoint has changed.
+// keepCheckpoint keeps a checkpoint, empty for none, unless the task has one with more work or starts no
+// more. It reports whether the task's checkpoint has changed.
 func (t *Task) keepCheckpoint(text string, origin CheckpointOrigin) (changed bool) {
+	if t.Done || t.Step.Job.State.Final() {
+		return false
+	}
 	if text == "" || t.Checkpoint != "" && !origin.supersedes(t.checkpointOrigin, t.Step.Spec.Speculative) {
 		return false
 	}
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -184,13 +184,9 @@
 
 // persistCheckpoint has the checkpoint of a lost attempt persisted, which no worker will report again.
 func (o *Owner) persistCheckpoint(s *session, a *jobs.Attempt) {
-	j := a.Task.Step.Job
-	if a.Task.Done || j.State.Final() {
-		return
-	}
 	o.log.Info().Str("event", "checkpoint_kept").Str("task", a.Task.Name()).Int64("attempt", a.Number).Str("boot", s.ref.Boot).
 		Int("percent", a.Percent).Int("bytes", len(a.Checkpoint)).Send()
-	o.persist(j, false)
+	o.persist(a.Task.Step.Job, false)
 }
 
 // markMissing records that a report lacks an attempt, and reports whether the previous one did
