--- a/pkg/bench/soak/soak.go
+++ b/pkg/bench/soak/soak.go
@@ -75,6 +75,7 @@
 	mu       sync.Mutex
 	paused   map[*entry]int // pauses in progress
 	broken   []string
+	closing  bool
 	since    time.Time
 	commandM sync.Mutex
 }
@@ -221,6 +222,12 @@
 			s.check.observe(e)
 		}
 	}
+	s.mu.Lock()
+	closing := s.closing
+	s.mu.Unlock()
+	if !closing {
+		s.report("the stand-in of the platform has ended by itself")
+	}
 }
 
 // command sends a command to the stand-in. Its failure ends the stand-in, which the checker shows.
@@ -330,6 +337,9 @@
 
 // close ends all processes and connections.
 func (s *soak) close() {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
 	for _, e := range s.entries {
 		e.signal(syscall.SIGCONT)
 		e.kill()
--- a/pkg/bench/soak/standin.go
+++ b/pkg/bench/soak/standin.go
@@ -83,7 +83,12 @@
 	rows := fake.NewRows(storeLatency, lateDelay)
 	b := &behavior{failed: map[string]int{}}
 	workers := fake.NewWorkers(orderLatency, lateDelay, taskStopTime, b.work, p.events)
-	rows.SetFault(func(fake.RowOp, string) fake.Fault { return p.drawFault(planted) })
+	rows.SetFault(func(_ fake.RowOp, caller string) fake.Fault {
+		if caller == fake.Operator {
+			return fake.FaultNone // the platform's own writes
+		}
+		return p.drawFault(planted)
+	})
 	workers.SetUnfenced(planted == PlantedNoFencing)
 	workers.SetForgetListed(planted == PlantedEarlyForget)
 	if p.Platform, err = standin.New(rows, workers, queue); err != nil {
