--- a/pkg/jobs/checkpoint_test.go
+++ b/pkg/jobs/checkpoint_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -148,3 +149,19 @@
 		})
 	}
 }
+
+// TestEarlierVersionPassesOverOrigins checks that versions that do not know origins read the progress, and
+// that a checkpoint which they stored gives way to any later one.
+func TestEarlierVersionPassesOverOrigins(t *testing.T) {
+	p := Progress{Steps: []StepProgress{{Checkpoints: map[int]string{0: "a"}, CheckpointOrigins: map[int]CheckpointOrigin{0: {Attempt: 5}}}}}
+	raw, err := p.marshal()
+	qt.Assert(t, err, qt.IsNil)
+	var old struct {
+		Steps []struct {
+			Checkpoints map[int]string `msgpack:"c,omitempty"`
+		} `msgpack:"p,omitempty"`
+	}
+	qt.Assert(t, msgpack.Unmarshal(raw, &old), qt.IsNil)
+	qt.Assert(t, old.Steps[0].Checkpoints, qt.DeepEquals, map[int]string{0: "a"})
+	qt.Assert(t, CheckpointOrigin{Attempt: 1}.supersedes(CheckpointOrigin{}, false), qt.IsTrue)
+}
