--- a/pkg/bench/soak/disturb.go
+++ b/pkg/bench/soak/disturb.go
@@ -61,6 +61,7 @@
 	maxLength    = 5 * time.Second
 	drainTime    = 2 * time.Second
 	rollingGap   = 300 * time.Millisecond
+	rollingLimit = 25 * time.Second // after which a rolling restart leaves the other entries as they are
 	maxSeries    = 4
 	slowStoreMs  = 80
 	reportsSpan  = 4 // of incomplete lists: one item from every second to fifth report
@@ -157,9 +158,13 @@
 	p.setState(LinkUp)
 }
 
-// restartAll stops and starts all entries, one after the other.
+// restartAll stops and starts the entries, one after the other, as many as the time allows.
 func (s *soak) restartAll() error {
+	begun := time.Now()
 	for _, e := range s.entries {
+		if time.Since(begun) > rollingLimit {
+			return nil
+		}
 		e.stop()
 		if err := e.start(); err != nil {
 			return err
