Soak: no lock is held while the checker is asked; workers and entries are added apart

Read as a newcomer: Run took the soak's lock and then the checker's, the checker reports with its own held; a promise broken in the last moment would have stopped both. TestChecker under the race detector had a race of its own.

--- a/pkg/bench/soak/checker.go
+++ b/pkg/bench/soak/checker.go
@@ -280,6 +280,13 @@
 	return a[:strings.LastIndexByte(a, '.')] == b[:strings.LastIndexByte(b, '.')]
 }
 
+// result returns what the checker has counted.
+func (c *checker) result() Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Result{Jobs: len(c.jobs), Starts: c.starts, Repeats: c.repeats, Checks: c.checks}
+}
+
 // unfinished returns the accepted jobs that callers have not been told the end of, sorted.
 func (c *checker) unfinished() (ids []string) {
 	c.mu.Lock()
--- a/pkg/bench/soak/checker_test.go
+++ b/pkg/bench/soak/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,7 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
 			s := &checkerScript{t: t}
-			s.check = newChecker(func(format string, args ...any) { s.broken = append(s.broken, fmt.Sprintf(format, args...)) })
+			s.check = newChecker(s.report)
 			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(d) })
 		})
 	})
@@ -26,13 +27,29 @@
 
 // checkerScript feeds a checker; each command prints what it broke.
 type checkerScript struct {
-	t      *testing.T
-	check  *checker
-	broken []string
+	t     *testing.T
+	check *checker
+
+	mu     sync.Mutex
+	broken []string // by the present command
+}
+
+// report records a broken promise.
+func (s *checkerScript) report(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = append(s.broken, fmt.Sprintf(format, args...))
+}
+
+// takeBroken returns the promises that were broken since the last call.
+func (s *checkerScript) takeBroken() (broken []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	broken, s.broken = s.broken, nil
+	return broken
 }
 
 func (s *checkerScript) run(d *datadriven.TestData) string {
-	s.broken = nil
 	var id, state, boot, task, reason, saved string
 	attempt := int64(1)
 	d.MaybeScanArgs(s.t, "id", &id)
@@ -84,8 +101,9 @@
 	default:
 		s.t.Fatalf("unknown command %q", d.Cmd)
 	}
-	if len(s.broken) == 0 {
+	broken := s.takeBroken()
+	if len(broken) == 0 {
 		return ""
 	}
-	return strings.Join(s.broken, "\n") + "\n"
+	return strings.Join(broken, "\n") + "\n"
 }
--- a/pkg/bench/soak/events.go
+++ b/pkg/bench/soak/events.go
@@ -19,7 +19,6 @@
 	EventAcked    EventKind = "acknowledged" // an end
 	EventTooLarge EventKind = "too_large"    // a start exceeded the worker's resources
 	EventReady    EventKind = "ready"        // the stand-in takes calls
-	EventApplied  EventKind = "applied"      // all commands up to now were carried out
 )
 
 // Event is a line that the process of the stand-in writes.
--- a/pkg/bench/soak/proxy.go
+++ b/pkg/bench/soak/proxy.go
@@ -34,13 +34,13 @@
 	conns map[net.Conn]bool // value: bytes of it were lost, so that it can't go on
 }
 
-// newProxy returns a proxy on a free loopback port; the target may be set later.
-func newProxy() (*proxy, error) {
+// newProxy returns a proxy of a server on a free loopback port.
+func newProxy(target string) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	p := &proxy{listener: l, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
 	go p.accept()
 	return p, nil
 }
--- a/pkg/bench/soak/proxy_test.go
+++ b/pkg/bench/soak/proxy_test.go
@@ -41,10 +41,9 @@
 		{state: LinkReset},
 	} {
 		t.Run("state="+string(tc.state), func(t *testing.T) {
-			p, err := newProxy()
+			p, err := newProxy(echoServer(t))
 			qt.Assert(t, err, qt.IsNil)
 			defer p.close()
-			p.target = echoServer(t)
 			before, err := net.Dial("tcp", p.address())
 			qt.Assert(t, err, qt.IsNil)
 			defer before.Close()
--- a/pkg/bench/soak/soak.go
+++ b/pkg/bench/soak/soak.go
@@ -68,9 +68,10 @@
 	links   []*proxy // of the workers
 	ctx     context.Context
 
-	platform *exec.Cmd
-	commands *json.Encoder
-	events   *bufio.Scanner
+	platform     *exec.Cmd
+	commands     *json.Encoder
+	events       *bufio.Scanner
+	storeAddress string // of the table service
 
 	commandMu sync.Mutex // guards commands
 
@@ -89,6 +90,9 @@
 	if err := s.startPlatform(); err != nil {
 		return r, err
 	}
+	if err := s.addWorkers(); err != nil {
+		return r, err
+	}
 	if err := s.startEntries(); err != nil {
 		return r, err
 	}
@@ -96,13 +100,12 @@
 	if err != nil {
 		return r, err
 	}
+	r = s.check.result() // before the lock: the checker reports with its own held
+	r.Disturbances, r.Took = events, time.Since(s.since)
+	r.ProcessMinutes = float64(len(s.entries)) * r.Took.Minutes()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r = Result{Broken: s.broken, Disturbances: events, Took: time.Since(s.since)}
-	s.check.mu.Lock()
-	defer s.check.mu.Unlock()
-	r.Jobs, r.Starts, r.Repeats, r.Checks = len(s.check.jobs), s.check.starts, s.check.repeats, s.check.checks
-	r.ProcessMinutes = float64(len(s.entries)) * r.Took.Minutes()
+	r.Broken = s.broken
 	return r, ctx.Err()
 }
 
@@ -134,7 +137,7 @@
 	return fmt.Sprintf("127.%d.%d.%d", firstRange+os.Getpid()%ranges, network, host)
 }
 
-// startPlatform starts the process of the stand-in and its workers, each behind a proxy.
+// startPlatform starts the process of the stand-in and waits until it is ready.
 func (s *soak) startPlatform() error {
 	s.platform = exec.Command(s.o.Bench, "soak-platform", "--seed", strconv.FormatUint(s.o.Seed, 10), "--planted", string(s.o.Planted))
 	in, err := s.platform.StdinPipe()
@@ -150,6 +153,15 @@
 		return errors.Wrap(err, "start the stand-in")
 	}
 	s.commands, s.events = json.NewEncoder(in), bufio.NewScanner(out)
+	if !s.events.Scan() {
+		return errors.New("the stand-in has ended")
+	}
+	var ready Event
+	if err := json.Unmarshal(s.events.Bytes(), &ready); err != nil {
+		return errors.Wrap(err, "decode event")
+	}
+	s.storeAddress = ready.Address
+	go s.readEvents()
 	return nil
 }
 
@@ -159,33 +171,28 @@
 	workerPort    = 8700
 )
 
-// startEntries starts the workers and the entries once the stand-in is ready.
-func (s *soak) startEntries() error {
-	var ready Event
-	if !s.events.Scan() {
-		return errors.New("the stand-in has ended")
-	}
-	if err := json.Unmarshal(s.events.Bytes(), &ready); err != nil {
-		return errors.Wrap(err, "decode event")
-	}
-	go s.readEvents()
+// addWorkers adds the workers, each behind a proxy.
+func (s *soak) addWorkers() error {
 	for i := range s.o.Workers {
-		p, err := newProxy()
+		p, err := newProxy(net.JoinHostPort(loopback(workerNetwork, i+1), strconv.Itoa(workerPort)))
 		if err != nil {
 			return err
 		}
-		p.target = net.JoinHostPort(loopback(workerNetwork, i+1), strconv.Itoa(workerPort))
 		s.links = append(s.links, p)
 		s.command(Command{Do: DoAddVM, Add: &standin.VM{
 			Name: fmt.Sprintf("vm%d", i), Listen: p.target, Public: p.address(), Zone: "zone-a", Capacity: workerCapacity,
 		}})
 	}
+	return nil
+}
+
+// startEntries starts the entries, each with a proxy before the table service.
+func (s *soak) startEntries() error {
 	for i := range s.o.Entries {
-		p, err := newProxy()
+		p, err := newProxy(s.storeAddress)
 		if err != nil {
 			return err
 		}
-		p.target = ready.Address
 		e := &entry{name: fmt.Sprintf("entry%d", i), address: loopback(entryNetwork, i+1), dir: s.o.Dir, daemon: s.o.Daemon, store: p, report: s.report}
 		s.entries = append(s.entries, e)
 		if err := e.writeSettings(); err != nil {
@@ -206,9 +213,7 @@
 			s.log("event not decoded: " + err.Error())
 			continue
 		}
-		if e.Kind != EventApplied {
-			s.check.observe(e)
-		}
+		s.check.observe(e)
 	}
 	s.mu.Lock()
 	closing := s.closing
--- a/pkg/bench/soak/standin.go
+++ b/pkg/bench/soak/standin.go
@@ -105,7 +105,6 @@
 		if err := p.carryOut(c); err != nil {
 			return err
 		}
-		p.events.write(Event{Kind: EventApplied})
 	}
 	return lines.Err()
 }
