Pools get VMs for long-running tasks that find no room

What callers saw: long-running tasks that waited for up to 14 s though their pool was reported as large enough, and maintenance waves that were told late.

Cause: the least size of a pool counted the widest step of long-running tasks, and the demand the sum of their resources. Neither sees that tasks must lie apart and that what each VM has left is too small for one more.

Change: an owner looks for room for the long-running tasks that wait and that have to leave their VM. The least size of its pool is the VMs with long-running tasks and those that these would take. worker_not_empty tells no_room from limited.

Tests: the four scripts and the unit test; floor_waiting and floor_leaving failed before (4 in place of 5, 2 in place of 6), limited_without_room too (limited 1, no room 0). With each part taken out one of them fails.

--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// HasLongRunning reports whether long-running tasks are on the host.
+func (h *Host) HasLongRunning() bool { return h.longRunning > 0 }
+
 // Charge returns what a task of the step takes of a host's free resources. Filler tasks only use
 // CPU that is idle.
 func Charge(st *jobs.Step) platform.Resources {
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -101,6 +102,25 @@
 	return n
 }
 
+// lastNotEmpty returns what the tasks at a worker wait for, as last logged of a worker that is not
+// empty.
+func (l *sharedLog) lastNotEmpty(boot string) string {
+	var last struct {
+		Event     string `json:"event"`
+		Boot      string `json:"boot"`
+		Finishing int    `json:"finishing"`
+		Limited   int    `json:"limited"`
+		NoRoom    int    `json:"no_room"`
+	}
+	found := "never\n"
+	for line := range strings.Lines(l.String()) {
+		if json.Unmarshal([]byte(line), &last) == nil && last.Event == "worker_not_empty" && last.Boot == boot {
+			found = fmt.Sprintf("finishing %d, limited %d, no room %d\n", last.Finishing, last.Limited, last.NoRoom)
+		}
+	}
+	return found
+}
+
 // fataler is the part of testing.TB that ends a test.
 type fataler interface {
 	Fatal(args ...any)
@@ -201,6 +221,10 @@
 			st.Speculative = true
 		case "saves":
 			st.Checkpointing = true
+		case "fills":
+			st.Filler = true
+		case "mem":
+			st.Needs.MemoryMB, _ = strconv.Atoi(value)
 		}
 	}
 	return st, duration
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -98,6 +98,8 @@
 		return
 	}
 	s.notEmptyLoggedAt = now
+	// DrainVM leaves limited tasks to moveLimitedTasks, which knows those without room.
+	w.limited, w.noRoom = max(0, w.limited-s.drain.noRoom), w.noRoom+min(s.drain.noRoom, w.limited)
 	o.log.Info().Str("event", "worker_not_empty").Str("boot", s.ref.Boot).Str("vm", s.vm).
 		Int("finishing", w.finishing).Int("stopping", w.stopping).Int("limited", w.limited).Int("no_room", w.noRoom).
 		Int("foreign", len(s.foreign)).Bool("in_doubt", s.outcomeUnknown).Int64("ends_not_kept", s.ends.complete-s.ends.stored).
--- a/pkg/shard/freeplace.go
+++ b/pkg/shard/freeplace.go
@@ -10,6 +10,8 @@
 type drain struct {
 	rank  int           // order among the VMs being drained, lowest first
 	since time.Duration // when the VM was first asked to drain
+	// noRoom is how many tasks whose step would let them move found no room elsewhere.
+	noRoom int
 }
 
 // moveLimitedTasks stops tasks whose steps limit missing ones, at workers that are about to leave
@@ -26,7 +28,7 @@
 		}
 	}
 	for _, s := range drainOrder(o.sessionsByBoot(), now) {
-		o.evacuate(s, room, limitsKept, "its VM is being drained")
+		s.drain.noRoom = o.evacuate(s, room, limitsKept, "its VM is being drained").noRoom
 	}
 }
 
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -45,7 +45,8 @@
 	ArrivingExcess platform.Resources
 	// VMCapacity is the largest capacity of a worker, taken as that of an undisturbed VM.
 	VMCapacity platform.Resources
-	// Floor is the least number of workers that the long-running tasks need.
+	// Floor is the least number of workers that the long-running tasks need, those included that wait
+	// for room or have to leave their worker.
 	Floor int
 	// AtLimit reports that the owner's CPU or network link is saturated, so that more workers don't help.
 	AtLimit bool
@@ -86,6 +87,7 @@
 func (o *Owner) load(now time.Duration) (l Load) {
 	used, limited, cold := map[string]int{}, map[string]int{}, map[string]bool{}
 	kinds := o.newDemandKinds(now)
+	inUse := 0 // workers with long-running tasks
 	for _, s := range o.sessions {
 		if !s.serviceable(now) {
 			continue
@@ -113,6 +115,9 @@
 				limited[s.vm]++
 			}
 		}
+		if longRunning && !s.outOfUse() {
+			inUse++
+		}
 		switch {
 		case longRunning || s.trial != nil:
 		case float64(cpu) <= maxLightShare*float64(s.info.Capacity.CPU):
@@ -128,17 +133,19 @@
 		return cmp.Or(cmp.Compare(used[a], used[b]), trueFirst(cold[a], cold[b]), cmp.Compare(a, b))
 	})
 	l.Limited, l.Draining = o.limitedSteps(), o.drainingVMs(now)
-	l.Floor = o.minWorkers()
 	l.AtLimit = o.rate.Limiting()
 	l.Arriving, l.ArrivingExcess = o.arrivals.demand(now)
 	demand := o.newDemand()
+	homeless := o.leavingTasks(now)
 	o.eachStartable(true, func(s *jobs.StepRun, startable []*jobs.Task) {
 		l.Tasks += len(startable)
 		n := demand.startable(s, len(startable))
+		homeless.add(s, n)
 		waiting := multiply(placement.Charge(s.Spec), n)
 		l.Waiting = l.Waiting.Add(waiting)
 		l.Held.add(kinds.of(s), waiting)
 	})
+	l.Floor = max(o.minWorkers(), inUse+o.workersFor(homeless, l.VMCapacity, now))
 	return l
 }
 
@@ -171,20 +178,6 @@
 	return vms[:min(len(vms), maxSlowVMs)]
 }
 
-// minWorkers returns how many workers the long-running tasks need, plus one to restart the
-// tasks of a lost worker.
-func (o *Owner) minWorkers() int {
-	widest := 1
-	for _, j := range o.registry.Active() {
-		for _, s := range j.Steps {
-			if s.Spec.LongRunning && s.Spec.MaxPerWorker > 0 {
-				widest = max(widest, (len(s.Tasks)+s.Spec.MaxPerWorker-1)/s.Spec.MaxPerWorker)
-			}
-		}
-	}
-	return widest + 1
-}
-
 // serviceable reports whether a worker counts toward the pool's capacity; brief obstacles to
 // new tasks are ignored.
 func (s *session) serviceable(now time.Duration) bool {
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -200,6 +200,10 @@
 		l, ok := c.owner().Load(false)
 		return fmt.Sprintf("%v: %d workers, room %d, of one %d, used %d, waiting %d\n", ok, l.Workers, l.Capacity.CPU, l.VMCapacity.CPU, l.Used.CPU, l.Waiting.CPU)
 	},
+	"floor": func(c scriptCall) string {
+		l, ok := c.owner().Load(false)
+		return fmt.Sprintf("%v: %d\n", ok, l.Floor)
+	},
 	"arriving": func(c scriptCall) string {
 		l, ok := c.owner().Load(false)
 		return fmt.Sprintf("%v: %d\n", ok, l.Arriving.CPU)
@@ -226,5 +230,6 @@
 	"logged": func(c scriptCall) string {
 		return fmt.Sprintf("%d\n", c.log.count(c.arg("event", ""), c.arg("task", "")))
 	},
-	"log": func(c scriptCall) string { return c.log.String() },
+	"not-empty": func(c scriptCall) string { return c.log.lastNotEmpty(c.boot()) },
+	"log":       func(c scriptCall) string { return c.log.String() },
 }
