The next holder learns from other entries which VMs of a wave were done

What callers saw: VMs that had been maintained were drained and maintained again, up to three times, their tasks moved off each time; waves were told late.

Cause: what a holder knows of a wave was in its memory and, only while the table service answers it, in the store. A holder that the service does not answer is replaced just then. The next one found an announcement and another worker on the VM, which a crash explains as well, and had to repeat the order.

Ways weighed: a worker's birth or another worker in the VM list do not tell a crash from maintenance; the VM service's answer to a repeated order does not either, and the order ends all that runs if nothing was done, so that it is safe only after a drain; the former holder may be gone. What proves it is the accepted order, so that is passed on: with its polls of the pools' loads the holder tells what the store may lack (bitmaps of accepted and done VMs), the entries of the pools' owners keep it, and a new holder asks them for 10 s. It is true whoever told it and whenever, so no order of messages matters. Until an adopted VM is back it counts as down. If all those entries are lost at once, all is as before.

Existing tests of the repeated order run without entries that keep anything.

--- a/pkg/fleetops/demand.go
+++ b/pkg/fleetops/demand.go
@@ -36,18 +36,21 @@
 	r.mu.Unlock()
 	pools := cat.ActivePools()
 	grants := r.quotas.Plan(pools, cat.LimitedAccounts())
+	progress := r.unstoredProgress()
+	ask := r.claim.Term > 1 && r.now()-r.tookOverAt < askProgressFor
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	loads := map[string]shard.Load{}
 	for _, pool := range pools {
 		wg.Go(func() {
-			l, ok := r.cfg.Load(ctx, pool, r.grantFor(pool, grants), r.waveVMs[pool])
+			reply, ok := r.cfg.Load(ctx, LoadQuery{Pool: pool, Grant: r.grantFor(pool, grants), WaveVMs: r.waveVMs[pool], Progress: progress, AskProgress: ask})
 			if !ok {
 				return
 			}
+			r.learned.Add(reply.Progress)
 			mu.Lock()
 			defer mu.Unlock()
-			loads[pool] = l
+			loads[pool] = reply.Load
 		})
 	}
 	wg.Wait()
--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -240,7 +240,7 @@
 	defer r.mu.Unlock()
 	for _, w := range open {
 		for _, v := range w.vms {
-			done := v.Phase == PhaseDone || v.Phase == PhaseGone
+			done := v.over()
 			byFormer := v.Phase != PhaseOrdered && !done && r.formerWaves[v.Name] == w.ID
 			if v.Phase == PhaseOrdered || byFormer || v.maybeDone && !done || done && w.changed {
 				unsaved[v.Name] = w.ID
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -14,7 +14,6 @@
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
-	"github.com/gannetwell/gannetwell/pkg/quota"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
@@ -98,6 +97,7 @@
 	evacuatedZone string         // zone that is evacuated
 	evacuatedIdle bool           // the evacuated VMs have no work
 	waves         []Wave
+	progress      *ProgressCache // kept by the entries of the pools' owners; nil for none
 	// rowsOf and vmsOf wrap the services as seen by an entry; nil for no faults.
 	rowsOf func(entry string, rows platform.Rows) platform.Rows
 	vmsOf  func(entry string, vms platform.Machines) platform.Machines
@@ -168,8 +168,15 @@
 	cat := catalog.New(catalog.Catalog{Pools: []catalog.Pool{{Name: "a"}, {Name: "b"}, {Name: "off", Spare: true}}})
 	return Open(context.Background(), Config{
 		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Clock: elapsed.New(elapsed.WithOrigin(since)), Rows: rows, Machines: vms,
-		Drain: func(context.Context, string, string, int) bool { return true }, Load: func(ctx context.Context, pool string, _ *quota.Grant, _ []string) (shard.Load, bool) {
-			return s.load(ctx, pool)
+		Drain: func(context.Context, string, string, int) bool { return true }, Load: func(ctx context.Context, q LoadQuery) (reply LoadReply, ok bool) {
+			if s.progress != nil {
+				s.progress.Add(q.Progress)
+			}
+			if s.progress != nil && q.AskProgress {
+				reply.Progress = s.progress.All()
+			}
+			reply.Load, ok = s.load(ctx, q.Pool)
+			return reply, ok
 		},
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
 		Waves:  s.requested, ZoneEvacuated: s.evacuated,
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -103,7 +103,7 @@
 	for _, v := range w.vms {
 		m, ok := machines[v.Name]
 		switch {
-		case v.Phase == PhaseDone || v.Phase == PhaseGone:
+		case v.over():
 		case !ok:
 			r.setPhase(w, v, PhaseGone, "the VM is no longer listed")
 		case v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineMaintenance:
--- a/pkg/fleetops/progress.go
+++ b/pkg/fleetops/progress.go
@@ -35,7 +35,7 @@
 		names[name] = true
 	}
 	return func(name string, at int) bool {
-		return names[name] || p.VMListHash == listHash && at/8 < len(p.DoneBits) && p.DoneBits[at/8]&(1<<(at%8)) != 0
+		return names[name] || p.VMListHash == listHash && hasBit(p.DoneBits, at)
 	}
 }
 
@@ -91,10 +91,10 @@
 func (w *wave) progress() (p waveProgress, finished bool) {
 	finished = true
 	p.StartedAt = w.startedAt + w.clockOffset
-	p.DoneBits, p.VMListHash = make([]byte, (len(w.vms)+7)/8), w.vmListHash()
+	p.DoneBits, p.VMListHash = newBits(len(w.vms)), w.vmListHash()
 	for at, v := range w.vms {
-		if v.Phase == PhaseDone || v.Phase == PhaseGone {
-			p.DoneBits[at/8] |= 1 << (at % 8)
+		if v.over() {
+			setBit(p.DoneBits, at)
 		} else {
 			finished = false
 		}
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -14,8 +14,13 @@
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
-// stepInterval is the time between two steps.
-const stepInterval = 250 * time.Millisecond
+const (
+	// stepInterval is the time between two steps.
+	stepInterval = 250 * time.Millisecond
+	// askProgressFor is how long after its takeover a holder asks others for the progress of waves. A
+	// former holder that does not know of its replacement yet may still tell more.
+	askProgressFor = 10 * time.Second
+)
 
 // Partition is the partition and shard name of the fleet operations. It is never a pool's name.
 // Stored names and log events call all fleet operations maintenance.
@@ -25,9 +30,25 @@
 // some seconds; VMs of a lower rank get free places first. It reports whether the VM is drained.
 type Drainer func(ctx context.Context, pool, vm string, rank int) (drained bool)
 
-// Loader requests the load of a pool's shard; ok is false if its owner does not answer. If grant is
-// not nil, it is sent with the request, as are the VMs that open waves will drain.
-type Loader func(ctx context.Context, pool string, grant *quota.Grant, waveVMs []string) (l shard.Load, ok bool)
+// LoadQuery requests the load of a pool's shard and tells its owner what it needs to know.
+type LoadQuery struct {
+	Pool    string
+	Grant   *quota.Grant // the shard's part of account quotas, nil for no change
+	WaveVMs []string     // VMs of the pool that open waves will drain
+	// Progress is kept by the owner's entry for the next holder.
+	Progress []WaveProgress
+	// AskProgress requests what the entry keeps.
+	AskProgress bool
+}
+
+// LoadReply answers a LoadQuery.
+type LoadReply struct {
+	Load     shard.Load
+	Progress []WaveProgress // if the query asked for it
+}
+
+// Loader sends a query to the owner of a pool's shard; ok is false if it does not answer.
+type Loader func(ctx context.Context, q LoadQuery) (reply LoadReply, ok bool)
 
 // Config holds the settings and dependencies of a Runner.
 type Config struct {
@@ -46,6 +67,9 @@
 	Report        func(wave int, completed bool) (platform.Row, error) // encodes the row that reports a wave to the operator
 
 	OnWaves func([]WaveStatus) // called with the progress of the open waves; nil for none
+	// OnLearned is called with the number of VMs of waves of which only other entries knew that they
+	// were done or ordered; nil for nothing.
+	OnLearned func(vms int)
 
 	OrderGap        time.Duration // minimum time between orders of two holders for a VM, required by the VM service
 	MaintenanceTime time.Duration // how long the maintenance of a VM takes
@@ -79,7 +103,9 @@
 	surplus           map[string]int                 // consecutive steps with surplus VMs, by pool
 	evacuatedSurplus  map[string]int                 // consecutive steps with movable VMs in evacuated zones, by pool
 	moves             map[string]*move               // by VM
-	announced         map[string]time.Duration       // by VM: until when orders may be sent, as persisted, on the table service's clock
+	tookOverAt        time.Duration
+	learned           ProgressCache            // what other entries have told of waves
+	announced         map[string]time.Duration // by VM: until when orders may be sent, as persisted, on the table service's clock
 
 	loggedShares   Shares        // as last logged
 	sharesLoggedAt time.Duration // when that was
@@ -108,6 +134,9 @@
 	if cfg.OnWaves == nil {
 		cfg.OnWaves = func([]WaveStatus) {}
 	}
+	if cfg.OnLearned == nil {
+		cfg.OnLearned = func(int) {}
+	}
 	if cfg.OnShares == nil {
 		cfg.OnShares = func(Shares) {}
 	}
@@ -118,7 +147,7 @@
 		limited: map[string][]shard.LimitedStep{},
 		policy:  DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, evacuatedSurplus: map[string]int{}, trends: map[string]trend{},
 		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, boots: map[string]string{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
-		loggedShares: Shares{Level: LevelNone},
+		loggedShares: Shares{Level: LevelNone}, tookOverAt: now,
 	}
 	r.loadFormerOrders(ctx)
 	runCtx, cancel := context.WithCancel(context.Background())
@@ -197,6 +226,7 @@
 	waves := r.loadedWaves(ctx)
 	r.noteLimitedSteps()
 	for _, w := range waves {
+		r.applyLearned(w, machines)
 		r.drainNext(w, machines, mayOrder)
 	}
 	r.noteWaveVMs(waves, machines)
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -55,6 +55,9 @@
 	orderedUntil time.Duration
 }
 
+// over reports whether nothing is left to do for the VM.
+func (v *VM) over() bool { return v.Phase == PhaseDone || v.Phase == PhaseGone }
+
 // returned reports whether the VM is up again after its maintenance. A spare VM runs no worker and
 // so shows no new worker ID; it counts as returned once the maintenance must be over.
 func (v *VM) returned(m platform.Machine, now, takes time.Duration) bool {
--- a/pkg/fleetops/waveplan.go
+++ b/pkg/fleetops/waveplan.go
@@ -73,7 +73,7 @@
 	remaining, inPool, poolSize := map[string]*VM{}, map[string]int{}, map[string]int{}
 	for _, v := range vms {
 		m, listed := view.Machines[v.Name]
-		if !listed || v.Phase == PhaseDone || v.Phase == PhaseGone {
+		if !listed || v.over() {
 			continue
 		}
 		if v.Phase == PhaseOrdered {
--- a/pkg/node/accounts.go
+++ b/pkg/node/accounts.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/quota"
 	"github.com/gannetwell/gannetwell/service/api"
 )
@@ -52,15 +53,15 @@
 	all := map[string][]api.AccountInPool{}
 	for _, pool := range cat.ActivePools() {
 		wg.Go(func() {
-			l, ok := n.loadOf(ctx, pool, &quota.Grant{Full: true}, nil) // of term 0 and without shares, so it changes nothing
+			reply, ok := n.loadOf(ctx, fleetops.LoadQuery{Pool: pool, Grant: &quota.Grant{Full: true}}) // of term 0 and without shares, so it changes nothing
 			if !ok {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			for _, u := range l.Accounts.Accounts {
+			for _, u := range reply.Load.Accounts.Accounts {
 				all[u.Account] = append(all[u.Account], api.AccountInPool{
-					Pool: pool, Bound: l.Accounts.Enforced, Running: u.Running, Wanted: u.Demand, Share: u.MaxShare,
+					Pool: pool, Bound: reply.Load.Accounts.Enforced, Running: u.Running, Wanted: u.Demand, Share: u.MaxShare,
 				})
 			}
 		})
--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -82,16 +82,7 @@
 		waiting, out := o.Waiting(q.Queue)
 		return &schema.CallReply{Outcome: out, Waiting: waiting}
 	case schema.CallKindLoad:
-		full := n.applyGrant(o, q.Grant)
-		if len(q.WaveVMs) > 0 {
-			o.SetWaveVMs(q.WaveVMs)
-		}
-		l, ok := o.Load(full)
-		raw, err := msgpack.Marshal(l)
-		if !ok || err != nil {
-			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
-		}
-		return &schema.CallReply{Outcome: schema.CallOutcomeOk, Load: raw}
+		return n.answerLoad(o, q)
 	case schema.CallKindEmpty:
 		if o.DrainVM(q.VM, q.Rank) {
 			return &schema.CallReply{Outcome: schema.CallOutcomeOk}
@@ -101,3 +92,41 @@
 		return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
 	}
 }
+
+// answerLoad answers a query for the load of a shard that this entry owns.
+func (n *Node) answerLoad(o *shard.Owner, q *schema.Call) *schema.CallReply {
+	full := n.applyGrant(o, q.Grant)
+	if len(q.WaveVMs) > 0 {
+		o.SetWaveVMs(q.WaveVMs)
+	}
+	n.waveProgress.Add(n.decodeProgress(q.WaveProgress))
+	reply := &schema.CallReply{Outcome: schema.CallOutcomeRefused}
+	l, ok := o.Load(full)
+	if !ok {
+		return reply
+	}
+	var err error
+	if reply.Load, err = msgpack.Marshal(l); err != nil {
+		n.log.Error().Str("event", "load_encode_failed").Str("pool", q.Pool).Err(err).Send()
+		return reply
+	}
+	if kept := n.waveProgress.All(); q.AskWaveProgress && len(kept) > 0 {
+		if reply.WaveProgress, err = msgpack.Marshal(kept); err != nil {
+			n.log.Error().Str("event", "wave_progress_encode_failed").Err(err).Send()
+		}
+	}
+	reply.Outcome = schema.CallOutcomeOk
+	return reply
+}
+
+// decodeProgress decodes the progress of waves from a message; what is malformed is left out.
+func (n *Node) decodeProgress(raw []byte) (ps []fleetops.WaveProgress) {
+	if len(raw) == 0 {
+		return nil
+	}
+	if err := msgpack.Unmarshal(raw, &ps); err != nil {
+		n.log.Error().Str("event", "wave_progress_malformed").Err(err).Send()
+		return nil
+	}
+	return ps
+}
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -36,6 +36,7 @@
 	coldWorkers     prometheus.Gauge
 	waveVMs         *prometheus.GaugeVec
 	wavesAtRisk     prometheus.Gauge
+	waveVMsLearned  prometheus.Counter
 	poolsShort      prometheus.Gauge
 	shareLevel      *prometheus.GaugeVec
 
@@ -88,6 +89,9 @@
 		wavesAtRisk: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gannetwell_waves_at_risk", Help: "Open maintenance waves that can't end in time, at the holder of the fleet operations.",
 		}),
+		waveVMsLearned: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gannetwell_wave_vms_learned_total", Help: "VMs of maintenance waves of which a holder of the fleet operations learned from other entries that they were done or ordered.",
+		}),
 		poolsShort: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "gannetwell_pools_short", Help: "Pools with fewer VMs than their target size; 0 at an entry that does not own the fleet operations.",
 		}),
@@ -96,7 +100,7 @@
 		}, []string{"level"}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
 	return m
 }
 
@@ -165,6 +169,9 @@
 	}
 }
 
+// WaveVMsLearned counts VMs of waves that were done or ordered by a former holder.
+func (m *metrics) WaveVMsLearned(vms int) { m.waveVMsLearned.Add(float64(vms)) }
+
 // VMShares sets the gauges of pools that are short of VMs.
 func (m *metrics) VMShares(s fleetops.Shares) {
 	m.poolsShort.Set(float64(s.CountBelowTarget()))
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -93,6 +93,8 @@
 	catalog     atomic.Pointer[storedCatalog]
 	evacuations evacuations
 
+	waveProgress fleetops.ProgressCache // of holders of the fleet operations, for the next one
+
 	mu             sync.Mutex
 	workers        map[string]platform.Worker // by boot
 	workersChanged bool                       // since they were last passed to the owners
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -199,6 +199,7 @@
 	if owner == "e0" {
 		other = nodes["e1"]
 	}
+	checkWaveProgress(c, other)
 	nodes[owner].Stop()
 	submit(other, 10)
 	q := other.Catalog().Queue(testQueue)
@@ -251,6 +252,23 @@
 	})
 }
 
+// checkWaveProgress checks that the entry of a pool's owner keeps what it is told of waves, and tells
+// it those who ask.
+func checkWaveProgress(c *qt.C, n *Node) {
+	told := []fleetops.WaveProgress{{Wave: 3, VMListHash: 1 << 63, Done: []byte{5}, Accepted: []byte{2}}}
+	ask := func(q fleetops.LoadQuery) (reply fleetops.LoadReply) {
+		q.Pool = testPool
+		eventually(c, "the owner answers", func() (ok bool) {
+			reply, ok = n.loadOf(context.Background(), q)
+			return ok
+		})
+		return reply
+	}
+	c.Check(ask(fleetops.LoadQuery{AskProgress: true}).Progress, qt.HasLen, 0)
+	c.Check(ask(fleetops.LoadQuery{Progress: told}).Progress, qt.HasLen, 0, qt.Commentf("nobody asked"))
+	c.Check(ask(fleetops.LoadQuery{AskProgress: true}).Progress, qt.DeepEquals, told)
+}
+
 // checkOperators checks the answers to operators' requests.
 func checkOperators(c *qt.C, n *Node) {
 	s := httptest.NewServer(n.operatorHandler())
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 	"github.com/gannetwell/gannetwell/service/api"
 )
@@ -56,13 +57,13 @@
 	loads := map[string]shard.Load{}
 	for _, pool := range pools {
 		wg.Go(func() {
-			l, ok := n.loadOf(ctx, pool, nil, nil)
+			reply, ok := n.loadOf(ctx, fleetops.LoadQuery{Pool: pool})
 			if !ok {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			loads[pool] = l
+			loads[pool] = reply.Load
 		})
 	}
 	wg.Wait()
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -74,7 +74,7 @@
 	// that arrive after one of this holder.
 	r, err := fleetops.Open(ctx, fleetops.Config{
 		Self: n.identity(), Log: n.log, Clock: n.clock,
-		Rows: n.rows, Machines: n.platform, Drain: n.drainVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves, OnWaves: n.metrics.Waves, ZoneEvacuated: n.evacuations.contains,
+		Rows: n.rows, Machines: n.platform, Drain: n.drainVM, Load: n.loadOf, Report: n.source.EncodeWave, Waves: n.allWaves, OnWaves: n.metrics.Waves, OnLearned: n.metrics.WaveVMsLearned, ZoneEvacuated: n.evacuations.contains,
 		OrderGap: time.Duration(n.settings.Timing.LeaseMs) * time.Millisecond, MaintenanceTime: seconds(n.settings.Timing.MaintenanceS),
 		OnShares: n.metrics.VMShares, BeforeTakeover: events.BeforeTakeover, OnGivenUp: events.OnGivenUp,
 	}, seen, cat)
@@ -126,27 +126,38 @@
 	return g.Full
 }
 
-// loadOf asks the owner of a pool's shard for its load, and passes it the shares of the accounts'
-// limits in g unless it is nil, and the VMs that open waves will drain.
-func (n *Node) loadOf(ctx context.Context, pool string, g *quota.Grant, waveVMs []string) (l shard.Load, ok bool) {
+// loadOf sends a query to the owner of a pool's shard; it is a [fleetops.Loader].
+func (n *Node) loadOf(ctx context.Context, q fleetops.LoadQuery) (reply fleetops.LoadReply, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
-	q := &schema.Call{Kind: schema.CallKindLoad, Pool: pool, WaveVMs: waveVMs}
-	if g != nil {
-		raw, err := msgpack.Marshal(g)
-		if err != nil {
-			n.log.Error().Str("event", "grant_encode_failed").Str("pool", pool).Err(err).Send()
-			return l, false
-		}
-		q.Grant = raw
+	call, err := encodeLoadQuery(q)
+	if err != nil {
+		n.log.Error().Str("event", "load_query_encode_failed").Str("pool", q.Pool).Err(err).Send()
+		return reply, false
+	}
+	answer := n.callOwner(ctx, call)
+	if answer.Outcome != schema.CallOutcomeOk {
+		return reply, false
+	}
+	if err := msgpack.Unmarshal(answer.Load, &reply.Load); err != nil {
+		n.log.Error().Str("event", "load_malformed").Str("pool", q.Pool).Err(err).Send()
+		return reply, false
 	}
-	reply := n.callOwner(ctx, q)
-	if reply.Outcome != schema.CallOutcomeOk {
-		return l, false
+	reply.Progress = n.decodeProgress(answer.WaveProgress)
+	return reply, true
+}
+
+func encodeLoadQuery(q fleetops.LoadQuery) (call *schema.Call, err error) {
+	call = &schema.Call{Kind: schema.CallKindLoad, Pool: q.Pool, WaveVMs: q.WaveVMs, AskWaveProgress: q.AskProgress}
+	if q.Grant != nil {
+		if call.Grant, err = msgpack.Marshal(q.Grant); err != nil {
+			return nil, errors.Wrap(err, "encode grant")
+		}
 	}
-	if err := msgpack.Unmarshal(reply.Load, &l); err != nil {
-		n.log.Error().Str("event", "load_malformed").Str("pool", pool).Err(err).Send()
-		return l, false
+	if len(q.Progress) > 0 {
+		if call.WaveProgress, err = msgpack.Marshal(q.Progress); err != nil {
+			return nil, errors.Wrap(err, "encode progress of waves")
+		}
 	}
-	return l, true
+	return call, nil
 }
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -22,6 +22,10 @@
 	// without one.
 	Account string `json:"account" msgpack:"account"`
 
+	// AskWaveProgress asks for the progress of waves that the entry keeps, with calls
+	// for the load.
+	AskWaveProgress bool `json:"ask_wave_progress" msgpack:"ask_wave_progress"`
+
 	// CatalogVersion is the version of the sender's configuration, 0 for none.
 	CatalogVersion int `json:"catalog_version" msgpack:"catalog_version"`
 
@@ -64,6 +68,11 @@
 	// VM is the VM to drain.
 	VM string `json:"vm" msgpack:"vm"`
 
+	// WaveProgress is the encoded progress of open waves that the table service does
+	// not hold yet, sent with calls for the load; the entry keeps it for the next
+	// holder of the fleet operations.
+	WaveProgress []byte `json:"wave_progress" msgpack:"wave_progress"`
+
 	// WaveVMs are the VMs of the pool that open waves will still drain, sent with
 	// calls for the load.
 	WaveVMs []string `json:"wave_vms" msgpack:"wave_vms"`
@@ -136,6 +145,10 @@
 	// Waiting is the number of the queue's jobs that have not started.
 	Waiting int `json:"waiting" msgpack:"waiting"`
 
+	// WaveProgress is the encoded progress of waves that the entry keeps, if the call
+	// asked for it.
+	WaveProgress []byte `json:"wave_progress" msgpack:"wave_progress"`
+
 	// Waves is the encoded progress of the open waves, if the call asked for it.
 	Waves []byte `json:"waves" msgpack:"waves"`
 }
