A moved task is polled often until it serves, and the next of its step moves at once

What callers saw: maintenance waves that ended late, though one step's limit on missing tasks left the time for them.

Cause: of a step with one place, the tasks move one after the other. The next one moves once the last is known to serve, which a poll tells; a poll waits for an end for a second, and the start of a task is none. What was known was acted upon by the next periodic check only.

Change: while a wave is open, a worker with a task that does not serve yet, of a step that limits missing ones, is polled each 200 ms, and free places are given when a poll tells that such a task serves.

--- a/pkg/shard/freeplace.go
+++ b/pkg/shard/freeplace.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/jobs"
 )
 
 // drain is the request to drain a session's VM.
@@ -32,6 +34,21 @@
 	}
 }
 
+// startingLimitedTasks returns the number of tasks at a worker that do not serve yet and whose step
+// limits missing ones, while open waves drain VMs: until they serve, others of their step can't move.
+func (o *Owner) startingLimitedTasks(s *session) (n int) {
+	if len(o.waveVMs.names) == 0 {
+		return 0
+	}
+	for _, a := range s.attempts {
+		spec := a.Task.Step.Spec
+		if spec.LongRunning && spec.HasMaxUnavailable && a.Phase == jobs.PhaseRunning && a.Percent < servingPercent {
+			n++
+		}
+	}
+	return n
+}
+
 // drainOrder returns the sessions whose VMs are being drained, in the order in which they get free
 // places.
 func drainOrder(sessions []*session, now time.Duration) (drained []*session) {
--- a/pkg/shard/poll.go
+++ b/pkg/shard/poll.go
@@ -13,6 +13,8 @@
 const (
 	// pollWait is how long a worker delays its answer until an attempt ends, less than leases last.
 	pollWait = time.Second
+	// startingPollWait is the same at a worker with a task that others wait for to serve.
+	startingPollWait = 200 * time.Millisecond
 	// pollRetryDelay is the pause before polls of a worker that does not answer; only its first
 	// failed poll is repeated at once.
 	pollRetryDelay = 250 * time.Millisecond
@@ -172,6 +174,9 @@
 		if s.hasSuspectedTask() {
 			order.Wait = suspectPollWait
 		}
+		if o.startingLimitedTasks(s) > 0 {
+			order.Wait = startingPollWait
+		}
 	}
 	return order
 }
@@ -186,7 +191,11 @@
 		o.retractBootLosses(s, report)
 	}
 	s.noteClock(report.ClockMs, o.now())
+	starting := o.startingLimitedTasks(s)
 	o.applyReport(s, report, sentAt)
+	if o.startingLimitedTasks(s) < starting {
+		o.moveLimitedTasks(o.now()) // the next task of the step may move
+	}
 }
 
 // pollFailed handles a poll without a report. The worker is unreachable from the first one, and its
