Moved tasks avoid VMs that a wave will drain, and owners know these before the first drain

What callers saw: long-running tasks that were moved off a VM for maintenance and soon moved again.

Cause: long-running tasks are packed onto VMs that run others, and that counts more than that a wave will drain such a VM. Besides, the owner of a pool learned which VMs that are only with the poll after the first drains of a wave.

Change: running others is no advantage of a VM that will be drained; the requested waves are passed to the owners before the first VM is chosen.

Tests: TestLeavingHostLast and TestWaveKnownBeforeDrain failed before, each guards one part.

--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -97,7 +98,8 @@
 	evacuatedZone string         // zone that is evacuated
 	evacuatedIdle bool           // the evacuated VMs have no work
 	waves         []Wave
-	progress      *ProgressCache // kept by the entries of the pools' owners; nil for none
+	progress      *ProgressCache     // kept by the entries of the pools' owners; nil for none
+	onQuery       func(query string) // called with what the owners of pools are asked; nil for nothing
 	// rowsOf and vmsOf wrap the services as seen by an entry; nil for no faults.
 	rowsOf func(entry string, rows platform.Rows) platform.Rows
 	vmsOf  func(entry string, vms platform.Machines) platform.Machines
@@ -143,6 +145,13 @@
 	return l, true
 }
 
+// notify passes on what the owners of pools are asked.
+func (s *testFleet) notify(query string) {
+	if s.onQuery != nil {
+		s.onQuery(query)
+	}
+}
+
 func (s *testFleet) setNeed(pool string, vms int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,13 +177,17 @@
 	cat := catalog.New(catalog.Catalog{Pools: []catalog.Pool{{Name: "a"}, {Name: "b"}, {Name: "off", Spare: true}}})
 	return Open(context.Background(), Config{
 		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Clock: elapsed.New(elapsed.WithOrigin(since)), Rows: rows, Machines: vms,
-		Drain: func(context.Context, string, string, int) bool { return true }, Load: func(ctx context.Context, q LoadQuery) (reply LoadReply, ok bool) {
+		Drain: func(_ context.Context, _, vm string, _ int) bool {
+			s.notify("drain " + vm)
+			return true
+		}, Load: func(ctx context.Context, q LoadQuery) (reply LoadReply, ok bool) {
 			if s.progress != nil {
 				s.progress.Add(q.Progress)
 			}
 			if s.progress != nil && q.AskProgress {
 				reply.Progress = s.progress.All()
 			}
+			s.notify("load " + strings.Join(q.WaveVMs, " "))
 			reply.Load, ok = s.load(ctx, q.Pool)
 			return reply, ok
 		},
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -219,8 +219,11 @@
 		r.pollLoads(ctx) // quotas are divided without the VM list
 		return
 	}
-	r.lastLoads = r.pollLoads(ctx)
+	// The owners of pools learn which VMs a wave will drain before the first one is, so that tasks don't
+	// move to the others.
 	r.acceptWaves()
+	r.noteWaveVMs(r.openWaves(), machines)
+	r.lastLoads = r.pollLoads(ctx)
 	mayOrder := r.mayOrder(ctx)
 	// Waves go first, so that a VM that just became idle is maintained rather than moved.
 	waves := r.loadedWaves(ctx)
--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -249,3 +251,28 @@
 		c.Check(st[0].Elapsed > passed-time.Second && st[0].Elapsed <= passed, qt.IsTrue, qt.Commentf("%s of %s", st[0].Elapsed, passed))
 	})
 }
+
+// The owner of a pool learns which of its VMs a wave will drain before it is asked to drain one.
+func TestWaveKnownBeforeDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{"b": 2}}
+		for _, vm := range []string{"v1", "v2"} {
+			s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Pool: "a", State: platform.MachineUp, Worker: vm})
+		}
+		s.waves = []Wave{{ID: 1, VMs: []string{"v1", "v2"}, Within: time.Second, MaxDown: 1}}
+		var mu sync.Mutex
+		var queries []string
+		s.onQuery = func(q string) {
+			mu.Lock()
+			defer mu.Unlock()
+			queries = append(queries, q)
+		}
+		r := s.open(c, "e", time.Now())
+		time.Sleep(time.Second)
+		r.Close()
+		drain := slices.IndexFunc(queries, func(q string) bool { return strings.HasPrefix(q, "drain") })
+		c.Assert(drain >= 0, qt.IsTrue, qt.Commentf("%v", queries))
+		c.Check(slices.Contains(queries[:drain], "load v1 v2"), qt.IsTrue, qt.Commentf("%v", queries))
+	})
+}
--- a/pkg/placement/place.go
+++ b/pkg/placement/place.go
@@ -15,7 +15,8 @@
 	dataRackWeight = 4.0
 	// spreadWeight keeps tasks of one long-running step on different workers.
 	spreadWeight = 1.5
-	// packWeight keeps long-running tasks of different steps on few workers, so that others can leave the pool.
+	// packWeight keeps long-running tasks of different steps on few workers, so that others can leave the
+	// pool. It does not count where they will have to move again.
 	packWeight = 1.0
 	// coldWeight has warm workers chosen first for finite tasks, but not for those whose data is in the
 	// rack of a cold worker.
@@ -216,11 +217,11 @@
 	}
 	if s.Spec.LongRunning {
 		score -= spreadWeight * float64(h.perStep[s])
-		if h.longRunning > 0 {
-			score += packWeight
-		}
-		if h.Leaving {
+		switch {
+		case h.Leaving:
 			score -= leavingWeight
+		case h.longRunning > 0:
+			score += packWeight
 		}
 	}
 	return score
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -104,3 +104,23 @@
 	}
 	return out
 }
+
+// A long-running task rather goes to an empty host than to one with others that they will have to leave,
+// but still rather there than to a host with a task of its step.
+func TestLeavingHostLast(t *testing.T) {
+	c := qt.New(t)
+	other := newJob(jobs.Step{Count: 1, LongRunning: true}).Steps[0]
+	j := newJob(jobs.Step{Count: 1, Needs: platform.Resources{CPU: 1000}, LongRunning: true})
+	cs := []Candidate{{Step: j.Steps[0], Tasks: j.Steps[0].Tasks}}
+	host := func(boot string, leaving bool, runs ...*jobs.StepRun) *Host {
+		h := &Host{Boot: boot, Leaving: leaving, Capacity: platform.Resources{CPU: 8000}, Free: platform.Resources{CPU: 8000}}
+		for _, s := range runs {
+			h.CountTask(s)
+		}
+		return h
+	}
+	choose := func(hosts ...*Host) string { return Plan(cs, hosts, 1)[0].Host.Boot }
+	c.Check(choose(host("packed", true, other), host("empty", false)), qt.Equals, "empty")
+	c.Check(choose(host("packed", false, other), host("empty", false)), qt.Equals, "packed")
+	c.Check(choose(host("packed", true, other), host("own", false, j.Steps[0])), qt.Equals, "packed")
+}
