An owner that takes over by plan moves limited tasks at once if no stop is outstanding

What callers saw: a wave stood still for 2.5 s after each planned change of a pool's owner, as in a rolling restart.

Cause: a new owner does not stop tasks of steps that limit missing ones for 2.5 s, since a stop of the former owner may still take effect. A releasing owner knows whether there is one, but did not tell.

Change: the owner row of a release says whether all ordered stops have ended, also those of owners that released within that time.

Tests: limited_after_release failed before; limited_stop_before_release guards the wait after an outstanding stop and after a second release within it, stop_before_takeover the wait after a crash. With each part taken out one of them fails.

--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -12,8 +12,8 @@
 	cordonDuration = 4 * time.Second
 	// servingPercent is the progress of a long-running task that serves.
 	servingPercent = 100
-	// evacuationDelay is how long a new owner stops no task of a step that limits missing ones:
-	// the predecessor may have ordered a stop that does not show in reports yet.
+	// evacuationDelay is how long a new owner stops no task of a step that limits missing ones, unless
+	// the release excludes it: the predecessor may have ordered a stop that does not show in reports yet.
 	evacuationDelay = 2500 * time.Millisecond
 )
 
@@ -155,10 +155,27 @@
 	case limitsDeferred:
 		return false
 	default:
-		return !o.formerWorkersPending && now-o.tookOverAt >= evacuationDelay && o.withinMaxUnavailable(t.Step, t)
+		return !o.formerWorkersPending && o.formerStopsEnded(now) && o.withinMaxUnavailable(t.Step, t)
 	}
 }
 
+// formerStopsEnded reports whether no stop that a former owner has ordered may still take effect.
+func (o *Owner) formerStopsEnded(now time.Duration) bool {
+	return o.claim.predecessor.StopsEnded || now-o.tookOverAt >= evacuationDelay
+}
+
+// stopsOutstanding reports whether attempts were ordered to stop and have not ended.
+func (o *Owner) stopsOutstanding() bool {
+	for _, s := range o.sessions {
+		for _, r := range s.attempts {
+			if r.Phase == jobs.PhaseStopped {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // futureHosts returns the workers that accept tasks as they will be once their finite tasks
 // have ended. In a full pool this is the only room for a long-running task, which is placed
 // before others.
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -45,6 +45,9 @@
 	Next    string `msgpack:"n"` // entry that should take over, set by a release
 	// FormerGrace is how long after the row was written a former owner may still act.
 	FormerGrace time.Duration `msgpack:"l,omitempty"`
+	// StopsEnded, set by a release, tells that no stop ordered by this owner or one before it may still
+	// take effect.
+	StopsEnded bool `msgpack:"o,omitempty"`
 }
 
 // commitRow is rewritten by each transaction of a shard.
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -42,6 +42,7 @@
 type Handover struct {
 	Entry       string        // entry that should take over, empty for any
 	FormerGrace time.Duration // how long owners before the releasing one may still act
+	StopsEnded  bool          // no stop that was ordered may still take effect
 }
 
 // Release writes an owner row without an owner, so that another entry can take over at once.
@@ -55,7 +56,7 @@
 	defer func() { err = errors.Wrapf(err, "release shard %s", pool) }()
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	raw, err := encode(OwnerRow{Term: c.Term, Next: to.Entry, FormerGrace: to.FormerGrace})
+	raw, err := encode(OwnerRow{Term: c.Term, Next: to.Entry, FormerGrace: to.FormerGrace, StopsEnded: to.StopsEnded})
 	if err != nil {
 		return err
 	}
