A gang starts over from the member that is known to have done most

What callers saw: a gang could lose most of its work when both members ended and the percentage of one was not known.

--- a/pkg/jobs/checkpoint.go
+++ b/pkg/jobs/checkpoint.go
@@ -6,7 +6,7 @@
 	Percent int   `msgpack:"p,omitempty"` // of the task that was done at least, 0 if unknown
 }
 
-// supersedes reports whether a checkpoint holds at least the work of another one of its step. A later
+// supersedes reports whether a checkpoint holds at least the work of an earlier one of its task. A later
 // attempt holds more, since it started from the checkpoint known then. Copies start beside each other,
 // so their percentages decide as far as known.
 func (c CheckpointOrigin) supersedes(other CheckpointOrigin, copies bool) bool {
@@ -19,6 +19,15 @@
 	return c.Attempt > other.Attempt
 }
 
+// exceeds reports whether a checkpoint is known to hold more work than that of another member of its gang.
+// Members of one run make progress of their own, so that an unknown percentage counts for nothing.
+func (c CheckpointOrigin) exceeds(other CheckpointOrigin, copies bool) bool {
+	if c.Attempt == other.Attempt {
+		return c.Percent > other.Percent
+	}
+	return c.supersedes(other, copies)
+}
+
 // KeepCheckpoint keeps the latest checkpoint that an attempt has reported, unless the task has one with
 // more work. It reports whether the task's checkpoint has changed.
 func (t *Task) KeepCheckpoint(a *Attempt) (changed bool) {
@@ -57,7 +66,7 @@
 // none has one. All members start from the same one, which may be that of any member.
 func (s *StepRun) furthestCheckpoint() (text string, origin CheckpointOrigin) {
 	for _, t := range s.Tasks {
-		if t.Checkpoint != "" && (text == "" || t.checkpointOrigin.supersedes(origin, s.Spec.Speculative)) {
+		if t.Checkpoint != "" && (text == "" || t.checkpointOrigin.exceeds(origin, s.Spec.Speculative)) {
 			text, origin = t.Checkpoint, t.checkpointOrigin
 		}
 	}
