A wave whose VMs are all done is not reported to be at risk

What operators saw: wave_at_risk and the gauge for waves that had ended long before, after each change of the holder.

Cause: a new holder reads the progress of a wave, and compared the time since the request with the time allowed though nothing is left to do.

TestDoneWaveNotAtRisk failed before.

--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -231,6 +231,17 @@
 	c.Check(riskChanged(late, calm), qt.IsTrue)
 }
 
+// A wave whose VMs are all done is not at risk, though a new holder first sees that after its deadline.
+func TestDoneWaveNotAtRisk(t *testing.T) {
+	c := qt.New(t)
+	w := Wave{ID: 1, VMs: []string{"v1", "v2"}, Within: time.Second, MaxDown: 1}
+	vms := []*VM{{Name: "v1", Phase: PhaseDone}, {Name: "v2", Phase: PhaseGone}}
+	view := View{Elapsed: time.Minute}
+	c.Check(waveStatus(w, vms, view).AtRisk, qt.IsFalse)
+	vms[0].Phase = PhaseOrdered
+	c.Check(waveStatus(w, vms, view).AtRisk, qt.IsTrue)
+}
+
 // The next holder knows when a wave was requested, though no VM is done.
 func TestWaveStartOutlivesHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/fleetops/wavestatus.go
+++ b/pkg/fleetops/wavestatus.go
@@ -30,7 +30,7 @@
 // waveStatus returns the progress of a wave.
 func waveStatus(w Wave, vms []*VM, view View) WaveStatus {
 	p := PlanWave(w, vms, view)
-	st := WaveStatus{ID: w.ID, Elapsed: view.Elapsed, Within: w.Within, Needs: p.Needs, Limit: p.Limit, LimitOf: p.LimitOf, AtRisk: p.atRisk(w, view.Elapsed)}
+	st := WaveStatus{ID: w.ID, Elapsed: view.Elapsed, Within: w.Within, Needs: p.Needs, Limit: p.Limit, LimitOf: p.LimitOf}
 	for _, v := range vms {
 		switch v.Phase {
 		case PhaseWaiting:
@@ -43,6 +43,7 @@
 			st.Done++
 		}
 	}
+	st.AtRisk = st.Done < len(vms) && p.atRisk(w, view.Elapsed)
 	return st
 }
 
