The log tells what the VMs of a wave wait for

wave_at_risk names a limit once; between that and the end of a wave nothing told what the VMs wait for that are not drained yet. The selection gives a reason for each such VM, and wave_vms_wait counts them when that changes, at most once a second.

No VM is chosen otherwise: the scripts of the selection pass unchanged.

--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -24,6 +24,8 @@
 	startReported bool          // the operator was told that the wave started
 	loggedStatus  WaveStatus    // as last logged
 	riskLoggedAt  time.Duration // when, 0 for never
+	loggedWaits   map[WaitReason]int
+	waitsLoggedAt time.Duration // when, 0 for never
 	completed     bool          // all VMs are done or gone and the operator was told
 }
 
@@ -91,11 +93,27 @@
 	if !mayOrder {
 		return
 	}
-	for _, v := range SelectVMs(w.Wave, w.vms, r.newView(w, machines)) {
+	next, waits := SelectVMs(w.Wave, w.vms, r.newView(w, machines))
+	for _, v := range next {
 		if r.moves[v.Name] == nil {
 			r.setPhase(w, v, PhaseDraining, "the wave's limits allow it")
 		}
 	}
+	r.logWaits(w, waits)
+}
+
+// logWaits logs what the VMs of a wave wait for, when that has changed.
+func (r *Runner) logWaits(w *wave, waits map[WaitReason]int) {
+	now := r.now()
+	if maps.Equal(waits, w.loggedWaits) || w.waitsLoggedAt > 0 && now-w.waitsLoggedAt < waveLogInterval {
+		return
+	}
+	w.loggedWaits, w.waitsLoggedAt = waits, now
+	ev := r.log.Info().Str("event", "wave_vms_wait").Int("wave", w.ID).Dur("elapsed", now-w.startedAt).Dur("within", w.Within)
+	for _, reason := range slices.Sorted(maps.Keys(waits)) {
+		ev.Int(string(reason), waits[reason])
+	}
+	ev.Send()
 }
 
 // updatePhases updates the phases of a wave's VMs from the VM list.
--- a/pkg/fleetops/plan_test.go
+++ b/pkg/fleetops/plan_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -27,7 +29,7 @@
 				d.ScanArgs(t, "max", &maxDown)
 				since := 0
 				d.MaybeScanArgs(t, "since", &since)
-				return planWave(d.Input, maxDown, time.Duration(since)*time.Second)
+				return planWave(d.Input, maxDown, time.Duration(since)*time.Second, d.HasArg("waits"))
 			default:
 				t.Fatalf("unknown command %q", d.Cmd)
 				return ""
@@ -116,9 +118,11 @@
 	return out.String()
 }
 
-func planWave(input string, maxDown int, elapsed time.Duration) string {
+// planWave returns the VMs that a wave drains next or, if waits is set, what the others wait for.
+func planWave(input string, maxDown int, elapsed time.Duration, showWaits bool) string {
 	w := Wave{MaxDown: maxDown, Within: 60 * time.Second}
-	light, recent, tight, former := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}
+	light, recent, tight, former, other := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}
+	var limited []shard.LimitedStep
 	var vms []*VM
 	machines := map[string]platform.Machine{}
 	for _, line := range strings.Split(input, "\n") {
@@ -128,6 +132,10 @@
 		_, recent[name] = v["recent"]
 		_, tight[name] = v["tight"]
 		_, former[name] = v["former"]
+		_, other[name] = v["other"]
+		if v["step"] != "" {
+			limited = append(limited, shard.LimitedStep{Step: v["step"], Places: number(v["places"]), VMs: []string{name}})
+		}
 		if _, down := v["down"]; down {
 			m := machines[name]
 			m.State = platform.MachineMaintenance
@@ -138,7 +146,14 @@
 		}
 	}
 	var out strings.Builder
-	for _, v := range SelectVMs(w, vms, View{Machines: machines, Spare: "spare", Light: light, RecentlyOrdered: recent, SlowToDrain: tight, MaybeDone: former, Elapsed: elapsed}) {
+	next, waits := SelectVMs(w, vms, View{Machines: machines, Spare: "spare", Light: light, RecentlyOrdered: recent, SlowToDrain: tight, MaybeDone: former, InOtherWave: other, Limited: limited, Elapsed: elapsed})
+	if showWaits {
+		for _, reason := range slices.Sorted(maps.Keys(waits)) {
+			fmt.Fprintf(&out, "%s: %d\n", reason, waits[reason])
+		}
+		return out.String()
+	}
+	for _, v := range next {
 		fmt.Fprintf(&out, "%s\n", v.Name)
 	}
 	return out.String()
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -161,43 +161,99 @@
 	}
 }
 
+// WaitReason is why a VM of a wave is not drained yet.
+type WaitReason string
+
+// Values of WaitReason.
+const (
+	WaitNone      WaitReason = ""
+	WaitNotUp     WaitReason = "not_up"     // it is down or moving
+	WaitOrderGap  WaitReason = "order_gap"  // a former holder may just have ordered it
+	WaitOtherWave WaitReason = "other_wave" // another wave drains or maintains it
+	WaitMaybeDone WaitReason = "maybe_done" // it may be done already, and others wait
+	WaitNotUrgent WaitReason = "not_urgent" // it is busy and the wave has time
+	WaitMaxDown   WaitReason = "max_down"   // as many VMs of the wave are drained or down as may be
+	WaitPool      WaitReason = "pool"       // the same of its pool
+	WaitPlaces    WaitReason = "places"     // VMs that are drained use the places of its tasks' steps
+)
+
+// selection is the choice of the VMs of a wave to drain next.
+type selection struct {
+	wave   Wave
+	view   View
+	plan   WavePlan
+	counts waveCounts
+	urgent bool
+}
+
 // SelectVMs returns the VMs of a wave to drain next, within the wave's limit and the share of each
-// pool. Spare VMs go first, then VMs with little work, and busy VMs only when the wave is urgent or
-// the plan says so. A VM whose tasks wait for places of their steps is drained only if it uses one
-// that would stay unused, and then takes no place of its pool or the wave. One VM per pool among
-// those that take longest to drain starts right away, since it may need the whole wave.
-func SelectVMs(w Wave, vms []*VM, view View) (next []*VM) {
-	plan := PlanWave(w, vms, view)
-	counts := countVMs(vms, view, &plan)
-	isUrgent := w.urgent(len(vms), view.Elapsed)
-	for _, v := range waitingInOrder(vms, view, &plan, counts) {
-		m, ok := view.Machines[v.Name]
-		if !ok || m.State != platform.MachineUp || view.RecentlyOrdered[v.Name] || view.InOtherWave[v.Name] {
-			continue
-		}
-		if view.MaybeDone[v.Name] && disruption(m, view.Spare, view.Light) == disruptionHigh && !plan.mustRepeat(v, w.Within-view.Elapsed) {
-			continue
-		}
-		early := plan.mustBegin(v.Name, w.Within-view.Elapsed) || view.SlowToDrain[v.Name] && counts.slowDrains[m.Pool] == 0
-		if !isUrgent && !early && disruption(m, view.Spare, view.Light) == disruptionHigh {
-			continue
-		}
-		if !plan.hasLimitedTasks(v.Name) {
-			if counts.active >= w.MaxDown || m.Pool != view.Spare && counts.activeInPool[m.Pool] >= maxActive(counts.poolSize[m.Pool]) {
-				continue
-			}
-			counts.active++
-			counts.activeInPool[m.Pool]++
-		} else if !plan.hasPlace(v.Name) {
+// pool, and what the others wait for. Spare VMs go first, then VMs with little work, and busy VMs only
+// when the wave is urgent or the plan says so. A VM whose tasks wait for places of their steps is
+// drained only if it uses one that would stay unused, and then takes no place of its pool or the wave.
+// One VM per pool among those that take longest to drain starts right away, since it may need the whole
+// wave.
+func SelectVMs(w Wave, vms []*VM, view View) (next []*VM, waits map[WaitReason]int) {
+	s := selection{wave: w, view: view, plan: PlanWave(w, vms, view), urgent: w.urgent(len(vms), view.Elapsed)}
+	s.counts = countVMs(vms, view, &s.plan)
+	waits = map[WaitReason]int{}
+	for _, v := range waitingInOrder(vms, view, &s.plan, s.counts) {
+		if reason := s.waitReason(v); reason != WaitNone {
+			waits[reason]++
 			continue
 		}
-		plan.begin(v.Name)
-		if view.SlowToDrain[v.Name] {
-			counts.slowDrains[m.Pool]++
-		}
+		s.begin(v)
 		next = append(next, v)
 	}
-	return next
+	return next, waits
+}
+
+// waitReason returns why a VM is not drained now.
+func (s *selection) waitReason(v *VM) WaitReason {
+	m, ok := s.view.Machines[v.Name]
+	left := s.wave.Within - s.view.Elapsed
+	busy := disruption(m, s.view.Spare, s.view.Light) == disruptionHigh
+	switch {
+	case !ok || m.State != platform.MachineUp:
+		return WaitNotUp
+	case s.view.RecentlyOrdered[v.Name]:
+		return WaitOrderGap
+	case s.view.InOtherWave[v.Name]:
+		return WaitOtherWave
+	case busy && s.view.MaybeDone[v.Name] && !s.plan.mustRepeat(v, left):
+		return WaitMaybeDone
+	case busy && !s.urgent && !s.plan.mustBegin(v.Name, left) && !s.firstSlowDrain(m):
+		return WaitNotUrgent
+	case s.plan.hasLimitedTasks(v.Name):
+		if s.plan.hasPlace(v.Name) {
+			return WaitNone
+		}
+		return WaitPlaces
+	case s.counts.active >= s.wave.MaxDown:
+		return WaitMaxDown
+	case m.Pool != s.view.Spare && s.counts.activeInPool[m.Pool] >= maxActive(s.counts.poolSize[m.Pool]):
+		return WaitPool
+	default:
+		return WaitNone
+	}
+}
+
+// firstSlowDrain reports whether a VM is among those of its pool that take longest to drain, and none of
+// these is being drained.
+func (s *selection) firstSlowDrain(m platform.Machine) bool {
+	return s.view.SlowToDrain[m.VM] && s.counts.slowDrains[m.Pool] == 0
+}
+
+// begin counts a VM as being drained.
+func (s *selection) begin(v *VM) {
+	m := s.view.Machines[v.Name]
+	if !s.plan.hasLimitedTasks(v.Name) {
+		s.counts.active++
+		s.counts.activeInPool[m.Pool]++
+	}
+	s.plan.begin(v.Name)
+	if s.view.SlowToDrain[v.Name] {
+		s.counts.slowDrains[m.Pool]++
+	}
 }
 
 // waitingInOrder returns the VMs that wait, in the order in which they are to be drained.
--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -1,6 +1,7 @@
 package fleetops
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"strings"
@@ -11,7 +12,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 )
@@ -287,3 +290,26 @@
 		c.Check(slices.Contains(queries[:drain], "load v1 v2"), qt.IsTrue, qt.Commentf("%v", queries))
 	})
 }
+
+// What the VMs of a wave wait for is logged when it changes, at most once a second.
+func TestWaitsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		r := &Runner{cfg: Config{Clock: elapsed.New()}, log: zerolog.New(&out)}
+		w := &wave{Wave: Wave{ID: 3}}
+		lines := func() int { return strings.Count(out.String(), "wave_vms_wait") }
+		time.Sleep(time.Second)
+		r.logWaits(w, map[WaitReason]int{WaitPool: 2, WaitPlaces: 1})
+		c.Check(out.String(), qt.Contains, `"places":1,"pool":2`)
+		time.Sleep(2 * time.Second)
+		r.logWaits(w, map[WaitReason]int{WaitPool: 2, WaitPlaces: 1})
+		c.Check(lines(), qt.Equals, 1)
+		r.logWaits(w, map[WaitReason]int{WaitPool: 1})
+		r.logWaits(w, map[WaitReason]int{WaitPool: 3})
+		c.Check(lines(), qt.Equals, 2)
+		time.Sleep(time.Second)
+		r.logWaits(w, map[WaitReason]int{WaitPool: 3})
+		c.Check(lines(), qt.Equals, 3)
+	})
+}
--- a/pkg/fleetops/waveplan_test.go
+++ b/pkg/fleetops/waveplan_test.go
@@ -72,7 +72,8 @@
 			v.Phase = PhaseDone
 		}
 	}
-	for _, v := range SelectVMs(m.wave, m.vms, m.view) {
+	next, _ := SelectVMs(m.wave, m.vms, m.view)
+	for _, v := range next {
 		v.Phase = PhaseDraining
 	}
 	for _, v := range m.vms {
@@ -209,7 +210,8 @@
 	m := newWaveModel(3, 3, 10*time.Second)
 	m.view.Elapsed, m.view.InOtherWave = 8*time.Second, map[string]bool{"v01": true}
 	var names []string
-	for _, v := range SelectVMs(m.wave, m.vms, m.view) {
+	next, _ := SelectVMs(m.wave, m.vms, m.view)
+	for _, v := range next {
 		names = append(names, v.Name)
 	}
 	qt.Check(t, names, qt.DeepEquals, []string{"v00", "v02"})
--- a/pkg/fleetops/wavestatus.go
+++ b/pkg/fleetops/wavestatus.go
@@ -6,8 +6,9 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
-// riskLogInterval is the least time between two log lines about the risk of a wave.
-const riskLogInterval = time.Second
+// waveLogInterval is the least time between two log lines about the risk of a wave, or about what its VMs
+// wait for.
+const waveLogInterval = time.Second
 
 // WaveStatus is the progress of an open wave. Entries exchange it encoded by field names.
 type WaveStatus struct {
@@ -72,7 +73,7 @@
 // logRisk logs when it becomes known that a wave can't end in time, and when that changes.
 func (r *Runner) logRisk(w *wave, st WaveStatus) {
 	now := r.now()
-	if !riskChanged(w.loggedStatus, st) || w.riskLoggedAt > 0 && now-w.riskLoggedAt < riskLogInterval {
+	if !riskChanged(w.loggedStatus, st) || w.riskLoggedAt > 0 && now-w.riskLoggedAt < waveLogInterval {
 		return
 	}
 	w.loggedStatus, w.riskLoggedAt = st, now
