Comments: reasons that the wording of the code had dropped

Put back where a maintainer who wants to change a value or a rule needs them: what goes wrong without it, and the limit it follows from. Only facts of the former comments that still hold; no code is changed.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -15,8 +15,8 @@
 
 const (
 	// orderWindow is how long after the start of its announcement an order may be sent. It must
-	// exceed the usual time of a table transaction, or orders are announced again and again. It
-	// adds to the time that the next holder waits.
+	// exceed the usual time of a table transaction, 0.3 s while the service is slow, or orders are
+	// announced again and again. It adds to the time that the next holder waits.
 	orderWindow = time.Second
 	// orderTransit is the maximum time that an order takes to reach the VM service.
 	orderTransit = 250 * time.Millisecond
--- a/pkg/fleetops/orders.go
+++ b/pkg/fleetops/orders.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// callTimeout limits a call to the VM service or the table service.
+	// callTimeout limits a call to the VM service or the table service, which answer in milliseconds and up
+	// to 60 times slower in trouble.
 	callTimeout = 1500 * time.Millisecond
 	// batchWindow is how long the order for a drained VM waits for others to share an announcement.
 	batchWindow = 15 * time.Millisecond
--- a/pkg/fleetops/sizing.go
+++ b/pkg/fleetops/sizing.go
@@ -27,14 +27,16 @@
 	MoveGain float64
 }
 
-// DefaultSizing prefers jobs that finish in time to few running VMs. The fractions let large pools
-// follow a change of demand as fast as small ones.
+// DefaultSizing prefers jobs that finish in time to few running VMs. A move costs about as much as a VM
+// does in a second, so that VMs leave a pool only after 1.5 s of surplus, which is KeepSteps. The fractions
+// let large pools follow a change of demand as fast as small ones.
 var DefaultSizing = SizingPolicy{
 	Headroom: 0.15, Reserve: 1, KeepSteps: 6, MaxDraining: 6, DrainingShare: 0.3, SwitchOffShare: 0.3, MoveGain: 0.1,
 }
 
 // fullUtilization is the fraction of used CPU from which a pool counts as fully used. Below it, an
-// owner at its own throughput limit could not use more VMs.
+// owner at its own throughput limit could not use more VMs. At or above it such a pool has to be able to
+// grow, or it shrinks for good as a wave takes VMs from it.
 const fullUtilization = 0.85
 
 // maxDraining returns how many VMs of a pool may be drained for moves at the same time.
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -25,7 +25,8 @@
 	// linkRetention is how long after a peer was last heard its link is kept although the VM list
 	// no longer names it, and how long the address of a peer that has ended is ignored.
 	linkRetention = 30 * time.Second
-	// pushFanOut is how many random peers a change is pushed to. Each of them pushes it on;
+	// pushFanOut is how many random peers a change is pushed to. Each of them pushes it on, which
+	// misses about one peer in 3,000 (e^-8) at a cost that does not grow with their number;
 	// periodic exchanges reach the peers that were missed.
 	pushFanOut = 8
 	// maxConcurrentExchanges bounds the peers that are asked at the same time.
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -22,7 +22,8 @@
 	// for a handover.
 	ownerWait = 120 * time.Millisecond
 	// callerWait is how long a caller's request waits for an owner that accepts it, long
-	// enough for the takeover from an owner that has failed.
+	// enough for the takeover from an owner that has failed, about 1.6 s. A caller that is refused
+	// comes back a second later, and its job is late.
 	callerWait = 2 * time.Second
 	// ownerRetryInterval is the time before an owner that could not accept a request is asked
 	// again, unless the shard gets a new owner earlier.
--- a/pkg/node/follow.go
+++ b/pkg/node/follow.go
@@ -26,14 +26,15 @@
 	idleLongPollWait = 4 * time.Second
 	// readTimeout bounds the read of one row.
 	readTimeout = 2 * time.Second
-	// bulkReadTimeout bounds the read of a large answer, such as a configuration, on a slow link.
+	// bulkReadTimeout bounds the read of a large answer, such as a configuration: 480 KB take 2 s on a
+	// link of 2 Mbit/s that carries nothing else.
 	bulkReadTimeout = 15 * time.Second
 	// peerCatalogDelay is how long to wait for a newer configuration from the table service before
 	// a peer is asked for it; both transfers at once would share the link.
 	peerCatalogDelay = 2500 * time.Millisecond
 	// fullPageRows is the number of rows in an answer from which more changes are assumed to wait;
-	// the service returns up to 500. The next poll then follows without a pause, so that a feed
-	// keeps up with thousands of changes a second.
+	// the service returns up to 500. The next poll then follows without a pause: with one, a feed
+	// reads 1,250 rows a second at most, and 3,000 workers write 2,000.
 	fullPageRows = 400
 	// feedRetryDelay is the base of the pause after a failed poll, which has random jitter.
 	feedRetryDelay = 250 * time.Millisecond
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -44,8 +44,8 @@
 	labelledAccounts map[string]bool // accounts with a label of their own
 }
 
-// maxAccountLabels bounds the accounts with a label of their own; it exceeds the number of accounts
-// that the service is designed for.
+// maxAccountLabels bounds the accounts with a label of their own; it exceeds the 320 accounts that the
+// service is designed for.
 const maxAccountLabels = 400
 
 // otherAccounts is the label of all further accounts.
--- a/pkg/ownership/ping.go
+++ b/pkg/ownership/ping.go
@@ -18,7 +18,7 @@
 	pingInterval = 400 * time.Millisecond
 	// idlePingFactor times the square of the number of entries is the interval between pings of an
 	// entry that owns no shard, so that the total rate of pings stays constant as the cluster
-	// grows.
+	// grows. Their answers matter only when something is wrong, and then they are pinged at once.
 	idlePingFactor = 2 * time.Millisecond
 	// maxIdlePingInterval bounds that interval.
 	maxIdlePingInterval = 20 * time.Second
--- a/pkg/ownership/rebalance.go
+++ b/pkg/ownership/rebalance.go
@@ -12,7 +12,8 @@
 )
 
 // Shards move away from entries with too many shards per processor: after a restart the entries
-// that register first may own most shards.
+// that register first may own most shards. An entry with a fifth of a core can't serve a pool of 400
+// workers, and would while entries with four times the processor own nothing.
 const (
 	// rebalanceFactor is the minimum ratio of an owner's shards per processor to those that the
 	// other entry would have with the shard. As it exceeds 2, no shard moves from an entry with two
--- a/pkg/quarantine/loss.go
+++ b/pkg/quarantine/loss.go
@@ -9,12 +9,14 @@
 	// maxCountedRun is how long an attempt may have run for the loss of its worker to count
 	// against its task. A crashing task takes its worker down soon after it starts.
 	maxCountedRun = 10 * time.Second
-	// earlyLossWindow is the run time below which a loss is early, and so weighs more.
+	// earlyLossWindow is the run time below which a loss is early, and so weighs more: crashing tasks take
+	// their worker down within 10 ms, while workers that are lost for other causes have attempts of any age.
 	earlyLossWindow = 200 * time.Millisecond
 	// clearMargin is added to the longest run of a lost attempt to get the run time that clears a task.
 	clearMargin = 200 * time.Millisecond
 	// trialThreshold is the number of early losses after which a task starts only in a trial;
-	// if the losses are not early, it takes one more.
+	// if the losses are not early, it takes one more. From the first loss on, each task that was at a worker
+	// lost for another cause would wait for a worker of its own.
 	trialThreshold = 2
 	// maxLosses is the number of workers known to have ended after which a task is poison even
 	// without a trial. With as many losses of any kind it is blocked.
--- a/pkg/shard/arrivals.go
+++ b/pkg/shard/arrivals.go
@@ -7,8 +7,8 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
-// arrivalWindow is the time over which arriving work is averaged. It is shorter than a VM takes to join
-// a pool.
+// arrivalWindow is the time over which arriving work is averaged. It is long enough for a few dozen jobs
+// under load, and shorter than the 2 s that a VM takes to join a pool.
 const arrivalWindow = 800 * time.Millisecond
 
 const (
--- a/pkg/shard/commit.go
+++ b/pkg/shard/commit.go
@@ -15,7 +15,8 @@
 	// batchDelay is how long recorded ends wait for others to share a transaction. Ends that are not
 	// acknowledged stay at their worker, so none is lost.
 	batchDelay = 40 * time.Millisecond
-	// commitTimeout bounds all tries of a transaction.
+	// commitTimeout bounds all tries of a transaction. The service answers in milliseconds, and up to 60
+	// times slower in trouble.
 	commitTimeout = 2 * time.Second
 	// commitRetryDelay is the pause after a failed try.
 	commitRetryDelay = 150 * time.Millisecond
--- a/pkg/shard/dispatch.go
+++ b/pkg/shard/dispatch.go
@@ -9,7 +9,9 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
-// maxOrdersPerWorker bounds the concurrent orders, and so the open connections, per worker.
+// maxOrdersPerWorker bounds the concurrent orders, and so the open connections, per worker. Orders are
+// answered within milliseconds; to open more connections to each of hundreds of workers takes a large part of
+// an owner's processor time.
 const maxOrdersPerWorker = 2
 
 // errStartWithdrawn reports a start that was not sent because it was no longer wanted.
@@ -103,7 +105,8 @@
 }
 
 // noteAnswerTime feeds the answer time of an order to the start rate limit. Orders that did
-// not reach their worker say nothing of this owner's speed and are skipped unless they timed out.
+// not reach their worker say nothing of this owner's speed and are skipped unless they timed out:
+// connections to a rack that is dark would hold the pool to the least rate.
 func (o *Owner) noteAnswerTime(took time.Duration, err error) {
 	switch {
 	case !platform.IsNotDone(err):
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -222,7 +222,8 @@
 	return h
 }
 
-// futureHost builds placement's view of the worker after its finite tasks have ended.
+// futureHost builds placement's view of the worker after its finite tasks have ended. In a pool in demand
+// finite tasks take at once what others leave.
 func (s *session) futureHost() *placement.Host {
 	h := s.newHost()
 	for _, r := range s.attempts {
--- a/pkg/shard/straggler.go
+++ b/pkg/shard/straggler.go
@@ -19,7 +19,8 @@
 	minSiblingPercent = 8
 	// minSiblings is how many others are needed for a comparison.
 	minSiblings = 2
-	// maxSiblings bounds the tasks that are compared, sampled evenly over the step.
+	// maxSiblings bounds the tasks that are compared, sampled evenly over the step. Among all of a step of
+	// 3,000 tasks there are nine million comparisons in each check.
 	maxSiblings = 64
 	// estimateFactor is applied to an estimate that is used in place of the comparison.
 	estimateFactor = 3
@@ -32,7 +33,8 @@
 	restartCost = time.Second
 	// remoteDataFactor allows for work outside the rack of its data.
 	remoteDataFactor = 3
-	// maxThresholdDoublings bounds the doublings of the thresholds for a task that was replaced before.
+	// maxThresholdDoublings bounds the doublings of the thresholds for a task that was replaced before: one
+	// that crawls wherever it runs would be started again and again, and held against each worker in turn.
 	maxThresholdDoublings = 6
 	// stallWeight is the weight of a straggler in its worker's failures.
 	stallWeight = 3
--- a/pkg/startrate/rate.go
+++ b/pkg/startrate/rate.go
@@ -8,12 +8,13 @@
 const (
 	// windowLength is the time over which answers are evaluated.
 	windowLength = 250 * time.Millisecond
-	// slowAnswer is the fastest answer in a window above which the owner counts as saturated.
+	// slowAnswer is the fastest answer in a window above which the owner counts as saturated. Workers answer
+	// within 4 ms, those in other zones included.
 	slowAnswer = 60 * time.Millisecond
 	// cutFactor is applied to the rate of answers to get the next limit when answers are slow.
 	cutFactor = 0.7
 	// growthFactor raises the limit if the fastest answer in a window is not slow, recoveryFactor
-	// if it is below fastAnswer.
+	// if it is below fastAnswer: from minRate the limit reaches that of a busy pool within 2 s.
 	growthFactor   = 1.25
 	recoveryFactor = 2
 	// fastAnswer is the fastest answer in a window below which the owner has capacity to spare.
