--- a/pkg/fleetops/waveprogress_test.go
+++ b/pkg/fleetops/waveprogress_test.go
@@ -42,6 +42,17 @@
 	return s, func() { setFault(fake.FaultDown) }, func() { setFault(fake.FaultNone) }
 }
 
+// openSecond opens the second holder of a fleet, the first one to see its waves.
+func openSecond(c *qt.C, s *testFleet) *Runner {
+	since, waves := time.Now(), s.waves
+	s.waves = nil
+	s.open(c, "first", since).Close()
+	s.mu.Lock()
+	s.waves = waves
+	s.mu.Unlock()
+	return s.open(c, "second", since)
+}
+
 // A VM that was done while the table service was away is not maintained again by the next holder, and
 // its wave ends. Without the entries that were told of it, it is.
 func TestDoneDuringOutage(t *testing.T) {
@@ -149,15 +160,7 @@
 		p := WaveProgress{Wave: 1, VMListHash: s.waves[0].vmListHash(), Done: newBits(2), Accepted: newBits(2)}
 		setBit(p.Accepted, 0)
 		s.progress.Add([]WaveProgress{p})
-		waves := s.waves
-		s.waves = nil
-		since := time.Now()
-		s.open(c, "first", since).Close()
-		s.mu.Lock()
-		s.waves = waves
-		s.mu.Unlock()
-		second := s.open(c, "second", since)
-		defer second.Close()
+		defer openSecond(c, s).Close()
 		time.Sleep(time.Second)
 		c.Check(s.vms.firstOrders("second"), qt.HasLen, 0)
 		time.Sleep(maxListLag)
@@ -196,15 +199,7 @@
 		p := WaveProgress{Wave: 1, VMListHash: other.vmListHash(), Done: newBits(1)}
 		setBit(p.Done, 0)
 		s.progress.Add([]WaveProgress{p})
-		since := time.Now()
-		waves := s.waves
-		s.waves = nil
-		s.open(c, "first", since).Close()
-		s.mu.Lock()
-		s.waves = waves
-		s.mu.Unlock()
-		second := s.open(c, "second", since)
-		defer second.Close()
+		defer openSecond(c, s).Close()
 		time.Sleep(time.Second)
 		c.Check(s.vms.firstOrders("second"), qt.HasLen, 1)
 	})
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -84,69 +84,98 @@
 	return l, true
 }
 
-func (o *Owner) load(now time.Duration) (l Load) {
-	used, limited, cold := map[string]int{}, map[string]int{}, map[string]bool{}
-	kinds := o.newDemandKinds(now)
-	inUse := 0 // workers with long-running tasks
+func (o *Owner) load(now time.Duration) Load {
+	b := loadBuilder{
+		owner: o, now: now, kinds: o.newDemandKinds(now),
+		limited: map[string]int{}, cpu: map[string]int{}, cold: map[string]bool{},
+	}
 	for _, s := range o.sessions {
-		if !s.serviceable(now) {
-			continue
-		}
-		// A VM may have shrunk; new ones have the full capacity.
-		if s.info.Capacity.CPU > l.VMCapacity.CPU {
-			l.VMCapacity = s.info.Capacity
-		}
-		if s.outOfUse() {
-			// Tasks there still count as demand, since they are restarted elsewhere.
-			l.noteEvacuatedZone(s)
-		} else {
-			l.Workers++
-			l.Capacity = l.Capacity.Add(s.info.Capacity)
+		if s.serviceable(now) {
+			b.addWorker(s)
 		}
-		longRunning, cpu, left := false, 0, time.Duration(0)
-		for _, a := range s.attempts {
-			charge := placement.Charge(a.Task.Step.Spec)
-			l.Used = l.Used.Add(charge)
-			l.Held.add(kinds.of(a.Task.Step), charge)
-			cpu += charge.CPU
-			longRunning = longRunning || a.Task.Step.Spec.LongRunning
-			left = max(left, o.remainingTime(a, now))
-			if a.Task.Step.Spec.LongRunning && a.Task.Step.Spec.HasMaxUnavailable {
-				limited[s.vm]++
-			}
-		}
-		if longRunning && !s.outOfUse() {
-			inUse++
-		}
-		switch {
-		case longRunning || s.trial != nil:
-		case float64(cpu) <= maxLightShare*float64(s.info.Capacity.CPU):
-			used[s.vm], cold[s.vm] = cpu, s.cold.contains(now)
-			l.Light = append(l.Light, s.vm)
-		case !s.outOfUse():
-			l.Ending = append(l.Ending, EndingVM{VM: s.vm, LeftMs: milliseconds(left)})
+	}
+	b.orderVMs()
+	b.Limited, b.Draining = o.limitedSteps(), o.drainingVMs(now)
+	b.AtLimit = o.rate.Limiting()
+	b.Arriving, b.ArrivingExcess = o.arrivals.demand(now)
+	homeless := o.leavingTasks(now)
+	b.addWaiting(&homeless)
+	b.Floor = max(o.minWorkers(), b.inUse+o.workersFor(homeless, b.VMCapacity, now))
+	return b.Load
+}
+
+// loadBuilder collects the load of a shard.
+type loadBuilder struct {
+	Load
+	owner *Owner
+	now   time.Duration
+	kinds *demandKinds
+
+	inUse   int             // workers with long-running tasks
+	limited map[string]int  // tasks whose steps limit missing ones, by VM
+	cpu     map[string]int  // in use on the VMs in Light
+	cold    map[string]bool // VMs in Light that are slow for now
+}
+
+// addWorker adds a worker and its tasks.
+func (b *loadBuilder) addWorker(s *session) {
+	// A VM may have shrunk; new ones have the full capacity.
+	if s.info.Capacity.CPU > b.VMCapacity.CPU {
+		b.VMCapacity = s.info.Capacity
+	}
+	if s.outOfUse() {
+		// Tasks there still count as demand, since they are restarted elsewhere.
+		b.noteEvacuatedZone(s)
+	} else {
+		b.Workers++
+		b.Capacity = b.Capacity.Add(s.info.Capacity)
+	}
+	longRunning, cpu, left := false, 0, time.Duration(0)
+	for _, a := range s.attempts {
+		spec := a.Task.Step.Spec
+		charge := placement.Charge(spec)
+		b.Used = b.Used.Add(charge)
+		b.Held.add(b.kinds.of(a.Task.Step), charge)
+		cpu += charge.CPU
+		longRunning = longRunning || spec.LongRunning
+		left = max(left, b.owner.remainingTime(a, b.now))
+		if spec.LongRunning && spec.HasMaxUnavailable {
+			b.limited[s.vm]++
 		}
 	}
-	l.Tight = slowestVMs(limited)
-	l.Ending = soonestEnding(l.Ending)
-	slices.SortFunc(l.Light, func(a, b string) int {
-		return cmp.Or(cmp.Compare(used[a], used[b]), trueFirst(cold[a], cold[b]), cmp.Compare(a, b))
+	if longRunning && !s.outOfUse() {
+		b.inUse++
+	}
+	switch {
+	case longRunning || s.trial != nil:
+	case float64(cpu) <= maxLightShare*float64(s.info.Capacity.CPU):
+		b.cpu[s.vm], b.cold[s.vm] = cpu, s.cold.contains(b.now)
+		b.Light = append(b.Light, s.vm)
+	case !s.outOfUse():
+		b.Ending = append(b.Ending, EndingVM{VM: s.vm, LeftMs: milliseconds(left)})
+	}
+}
+
+// orderVMs orders and bounds the lists of VMs.
+func (b *loadBuilder) orderVMs() {
+	b.Tight = slowestVMs(b.limited)
+	b.Ending = soonestEnding(b.Ending)
+	slices.SortFunc(b.Light, func(x, y string) int {
+		return cmp.Or(cmp.Compare(b.cpu[x], b.cpu[y]), trueFirst(b.cold[x], b.cold[y]), cmp.Compare(x, y))
 	})
-	l.Limited, l.Draining = o.limitedSteps(), o.drainingVMs(now)
-	l.AtLimit = o.rate.Limiting()
-	l.Arriving, l.ArrivingExcess = o.arrivals.demand(now)
-	demand := o.newDemand()
-	homeless := o.leavingTasks(now)
-	o.eachStartable(true, func(s *jobs.StepRun, startable []*jobs.Task) {
-		l.Tasks += len(startable)
+}
+
+// addWaiting adds the tasks that wait to start; the long-running ones among them need room.
+func (b *loadBuilder) addWaiting(homeless *homelessTasks) {
+	demand := b.owner.newDemand()
+	b.owner.eachStartable(true, func(s *jobs.StepRun, startable []*jobs.Task) {
+		b.Tasks += len(startable)
 		n := demand.startable(s, len(startable))
 		homeless.add(s, n)
 		waiting := multiply(placement.Charge(s.Spec), n)
-		l.Waiting = l.Waiting.Add(waiting)
-		l.Held.add(kinds.of(s), waiting)
+		b.Waiting = b.Waiting.Add(waiting)
+		b.Held.add(b.kinds.of(s), waiting)
 	})
-	l.Floor = max(o.minWorkers(), inUse+o.workersFor(homeless, l.VMCapacity, now))
-	return l
 }
 
 // trueFirst compares two flags; true comes first.
