Soak: calls that arrive late, and a stricter check of tasks that begin again

No course brought an order to a worker after newer ones, so that fences were never needed; and a task that began again after its end was counted, whether its worker could be asked or not.

A task that begins again counts as broken unless leases may have lapsed at the worker that lists its end: it crashed, drained or could not be reached for 2.5 s since, or lists lacked items meanwhile.

Tests: TestProxyHolds; the script of promises checks the same and more: a repeat it had allowed is allowed now only after a disturbance of that worker. TestSoakFindsPlantedFaults covers all three faults.

--- a/pkg/bench/soak/checker.go
+++ b/pkg/bench/soak/checker.go
@@ -18,6 +18,10 @@
 	// cancelDelay is how long after a confirmed cancellation a task may still start: 3 s, and the time by
 	// which an order may be carried out late.
 	cancelDelay = 3*time.Second + lateDelay
+	// shortestLapse is less than the time after which leases lapse at a worker that can't be reached.
+	shortestLapse = 2500 * time.Millisecond
+	// callSpan is how long a call to a worker may be under way.
+	callSpan = 3 * time.Second
 	// eventDelay is how late a worker's event may reach the checker.
 	eventDelay = time.Second
 )
@@ -29,7 +33,8 @@
 	mu      sync.Mutex
 	jobs    map[string]*jobHistory
 	tasks   map[string]*taskHistory
-	checks  int // promises checked
+	faults  map[string]*workerFaults // by VM, allVMs for all
+	checks  int                      // promises checked
 	starts  int
 	repeats int // starts of tasks that had ended as done at a worker, without copies
 }
@@ -49,13 +54,75 @@
 type taskHistory struct {
 	running   map[string]int64 // attempt by boot
 	doneAt    time.Time        // when it first ended as done
+	doneBoot  string           // where
 	doneAcked bool
 	failures  int // at workers
 	failAcked int // acknowledged
 }
 
+// allVMs stands for all VMs in [checker.disturbing].
+const allVMs = "*"
+
+// workerFaults are the disturbances of a worker that may have made it lose leases.
+type workerFaults struct {
+	active  map[int]time.Time // by disturbance in progress: from when on leases may lapse
+	begun   int               // disturbances so far
+	lapseAt time.Time         // when leases may have lapsed last, by those that are over
+}
+
 func newChecker(report func(format string, args ...any)) *checker {
-	return &checker{report: report, jobs: map[string]*jobHistory{}, tasks: map[string]*taskHistory{}}
+	return &checker{report: report, jobs: map[string]*jobHistory{}, tasks: map[string]*taskHistory{}, faults: map[string]*workerFaults{}}
+}
+
+// disturbing records that a worker is disturbed until end is called, and that leases there may lapse once
+// that has lasted for some time.
+func (c *checker) disturbing(vm string, lapseAfter time.Duration) (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := c.faults[vm]
+	if f == nil {
+		f = &workerFaults{active: map[int]time.Time{}}
+		c.faults[vm] = f
+	}
+	id := f.begun
+	f.begun++
+	f.active[id] = time.Now().Add(lapseAfter)
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if now := time.Now(); !now.Before(f.active[id]) {
+			f.lapseAt = now
+		}
+		delete(f.active, id)
+	}
+}
+
+// mayHaveLapsed reports whether leases at the worker of a boot may have lapsed since a time.
+func (c *checker) mayHaveLapsed(boot string, since time.Time) bool {
+	now := time.Now()
+	for _, vm := range []string{vmOf(boot), allVMs} {
+		f := c.faults[vm]
+		if f == nil {
+			continue
+		}
+		if f.lapseAt.After(since) {
+			return true
+		}
+		for _, from := range f.active {
+			if !now.Before(from) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// vmOf returns the VM of a boot, VM-N.
+func vmOf(boot string) string {
+	if at := strings.LastIndexByte(boot, '-'); at >= 0 {
+		return boot[:at]
+	}
+	return boot
 }
 
 // submitted records a job before its first submission.
@@ -206,7 +273,7 @@
 		delete(t.running, e.Boot)
 		switch {
 		case e.Reason == platform.EndDone && t.doneAt.IsZero():
-			t.doneAt = at
+			t.doneAt, t.doneBoot = at, e.Boot
 		case e.Reason == platform.EndFailed:
 			t.failures++
 		}
@@ -263,6 +330,9 @@
 		c.report("%s attempt %d began at %s after it was done and its end acknowledged", e.Task, e.Attempt, e.Boot)
 	case !t.doneAt.IsZero():
 		c.repeats++
+		if !c.mayHaveLapsed(t.doneBoot, t.doneAt.Add(-callSpan)) {
+			c.report("%s attempt %d began at %s though %s, which can be asked, lists it as done", e.Task, e.Attempt, e.Boot, t.doneBoot)
+		}
 	}
 }
 
--- a/pkg/bench/soak/checker_test.go
+++ b/pkg/bench/soak/checker_test.go
@@ -87,6 +87,14 @@
 	case "too-large":
 		e.Kind = EventTooLarge
 		s.check.observe(e)
+	case "disturb":
+		length, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		end := s.check.disturbing(boot, shortestLapse)
+		time.Sleep(length)
+		end()
 	case "wait":
 		length, err := time.ParseDuration(d.CmdArgs[0].Key)
 		if err != nil {
--- a/pkg/bench/soak/disturb.go
+++ b/pkg/bench/soak/disturb.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,6 +31,7 @@
 	ForgetHistory   Disturbance = "forget_history"
 	NewCatalog      Disturbance = "new_catalog"
 	IncompleteLists Disturbance = "incomplete_lists"
+	LateCalls       Disturbance = "late_calls" // to every second worker: those under way arrive after newer ones
 )
 
 // event is a drawn disturbance.
@@ -45,7 +49,7 @@
 func (e event) String() string {
 	text := fmt.Sprintf("%s %d for %s", e.kind, e.target, e.lasts.Round(time.Millisecond))
 	switch e.kind {
-	case StoreLink, WorkerLink:
+	case StoreLink, WorkerLink, LateCalls:
 		return text + " " + string(e.link)
 	case StoreFault:
 		return fmt.Sprintf("%s %s share %g", text, e.fault, e.share)
@@ -64,8 +68,9 @@
 	rollingLimit = 25 * time.Second // after which a rolling restart leaves the other entries as they are
 	maxSeries    = 4
 	slowStoreMs  = 80
-	reportsSpan  = 4 // of incomplete lists: one item from every second to fifth report
-	seriesDivide = 3 // one disturbance in so many starts a series
+	reportsSpan  = 4                       // of incomplete lists: one item from every second to fifth report
+	seriesDivide = 3                       // one disturbance in so many starts a series
+	meanLateGap  = 1500 * time.Millisecond // between two late_calls
 )
 
 // drawEvents draws the disturbances of a soak. Reports omit items or go unanswered, not both, since a single
@@ -75,10 +80,11 @@
 		KillEntry, StopEntry, PauseEntry, PauseEntry, ReloadEntry, RollingRestart, StoreLink, StoreLink, CrashWorker,
 		DrainWorker, StoreFault, SlowStore, ForgetHistory, NewCatalog,
 	}
-	if rnd.IntN(2) == 0 {
-		kinds = append(kinds, IncompleteLists, IncompleteLists)
-	} else {
+	unanswered := rnd.IntN(2) != 0
+	if unanswered {
 		kinds = append(kinds, WorkerLink, WorkerLink, WorkerLink)
+	} else {
+		kinds = append(kinds, IncompleteLists, IncompleteLists)
 	}
 	for at := warmUp; at < o.Length; {
 		e := event{kind: kinds[rnd.IntN(len(kinds))]}
@@ -95,6 +101,22 @@
 			at += time.Duration(rnd.Int64N(int64(2 * meanGap)))
 		}
 	}
+	if unanswered {
+		events = append(events, drawLateCalls(o)...)
+		slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	}
+	return events
+}
+
+// drawLateCalls draws the times and workers of late calls, apart from the other disturbances.
+func drawLateCalls(o Options) (events []event) {
+	const stream = 1 << 32 // of the seed, beyond those of callers
+	rnd := rand.New(rand.NewPCG(o.Seed, stream))
+	for at := warmUp; at < o.Length; at += time.Duration(rnd.Int64N(int64(2 * meanLateGap))) {
+		events = append(events, event{
+			at: at, kind: LateCalls, target: rnd.IntN(1 << 16), link: LinkHeld, lasts: time.Duration(rnd.Int64N(int64(maxLength))),
+		})
+	}
 	return events
 }
 
@@ -102,6 +124,7 @@
 func (s *soak) disturb(e event) error {
 	entry := s.entries[e.target%len(s.entries)]
 	vm := e.target % len(s.links)
+	defer s.markWorkers(e, vm)()
 	switch e.kind {
 	case KillEntry:
 		entry.kill()
@@ -123,6 +146,8 @@
 		s.holdLink(entry.store, e)
 	case WorkerLink:
 		s.holdLink(s.links[vm], e)
+	case LateCalls:
+		s.delayCalls(e)
 	case CrashWorker:
 		s.command(Command{Do: DoCrash, VM: vm})
 		s.wait(e.lasts)
@@ -151,6 +176,22 @@
 	return nil
 }
 
+// markWorkers tells the checker at which workers a disturbance may make leases lapse, and returns what
+// tells it the end. Late calls leave a worker reachable. While lists lack items, what a list lacks may be
+// taken for not there.
+func (s *soak) markWorkers(e event, vm int) (end func()) {
+	switch {
+	case e.kind == WorkerLink && e.link != LinkSlow:
+		return s.check.disturbing(vmName(vm), shortestLapse)
+	case e.kind == CrashWorker, e.kind == DrainWorker:
+		return s.check.disturbing(vmName(vm), 0)
+	case e.kind == IncompleteLists:
+		return s.check.disturbing(allVMs, 0)
+	default:
+		return func() {}
+	}
+}
+
 // holdLink sets the state of a link for a time.
 func (s *soak) holdLink(p *proxy, e event) {
 	p.setState(e.link)
@@ -158,6 +199,15 @@
 	p.setState(LinkUp)
 }
 
+// delayCalls holds what is under way to every second worker for a time.
+func (s *soak) delayCalls(e event) {
+	var all sync.WaitGroup
+	for vm := e.target % 2; vm < len(s.links); vm += 2 {
+		all.Go(func() { s.holdLink(s.links[vm], e) })
+	}
+	all.Wait()
+}
+
 // restartAll stops and starts the entries, one after the other, as many as the time allows.
 func (s *soak) restartAll() error {
 	begun := time.Now()
--- a/pkg/bench/soak/proxy.go
+++ b/pkg/bench/soak/proxy.go
@@ -19,11 +19,16 @@
 	LinkCutBack  LinkState = "cut_back"  // what the server sends is lost
 	LinkSilent   LinkState = "silent"    // both are lost, also on new connections
 	LinkReset    LinkState = "reset"     // connections are reset at once
+	LinkHeld     LinkState = "held"      // what is sent on open connections arrives once the link is up, new ones work
 )
 
 // slowDelay is how long a slow link holds bytes back.
 const slowDelay = 120 * time.Millisecond
 
+// lateReadTime is how long the server has to read what was held after its sender has given up: the reset
+// of the connection would discard it.
+const lateReadTime = 300 * time.Millisecond
+
 // proxy passes connections on to a server, as its state says.
 type proxy struct {
 	listener net.Listener
@@ -31,7 +36,8 @@
 
 	mu    sync.Mutex
 	state LinkState
-	conns map[net.Conn]bool // value: bytes of it were lost, so that it can't go on
+	conns map[net.Conn]bool          // value: bytes of it were lost, so that it can't go on
+	held  map[net.Conn]chan struct{} // closed when the connection is not held any more
 }
 
 // newProxy returns a proxy of a server on a free loopback port.
@@ -49,6 +55,7 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
+	p.setState(LinkUp)
 	p.closeConns(func(bool) bool { return true })
 }
 
@@ -57,6 +64,10 @@
 func (p *proxy) setState(s LinkState) {
 	p.mu.Lock()
 	p.state = s
+	p.releaseLocked()
+	if s == LinkHeld {
+		p.holdLocked()
+	}
 	p.mu.Unlock()
 	switch s {
 	case LinkReset:
@@ -66,6 +77,36 @@
 	}
 }
 
+// holdLocked holds what is sent on the open connections.
+func (p *proxy) holdLocked() {
+	released := make(chan struct{})
+	p.held = map[net.Conn]chan struct{}{}
+	for c := range p.conns {
+		p.held[c] = released
+	}
+}
+
+// releaseLocked lets pass what was held, also if the sender has closed its connection meanwhile.
+func (p *proxy) releaseLocked() {
+	for _, released := range p.held {
+		close(released)
+		break // one channel for all
+	}
+	p.held = nil
+}
+
+// awaitRelease waits while a connection is held; it reports whether it was.
+func (p *proxy) awaitRelease(c net.Conn) (held bool) {
+	p.mu.Lock()
+	released := p.held[c]
+	p.mu.Unlock()
+	if released == nil {
+		return false
+	}
+	<-released
+	return true
+}
+
 // closeConns resets the connections for which the function, given whether they have lost bytes, is true.
 func (p *proxy) closeConns(which func(lossy bool) bool) {
 	p.mu.Lock()
@@ -127,12 +168,17 @@
 }
 
 // copy passes bytes on until either connection ends; cut is the state in which this direction loses them.
+// Only what is sent to the server is held.
 func (p *proxy) copy(to, from net.Conn, cut LinkState) {
 	defer p.drop(to)
 	defer p.drop(from)
 	buf := make([]byte, 32<<10)
+	late := false // what was held has just been passed on
 	for {
 		n, err := from.Read(buf)
+		if err != nil && late {
+			time.Sleep(lateReadTime)
+		}
 		if err != nil {
 			return
 		}
@@ -142,6 +188,9 @@
 		case cut, LinkSilent:
 			continue
 		}
+		if cut == LinkCutThere {
+			late = p.awaitRelease(from)
+		}
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
--- a/pkg/bench/soak/proxy_test.go
+++ b/pkg/bench/soak/proxy_test.go
@@ -85,3 +85,53 @@
 	}
 	qt.Check(t, err == nil, qt.Equals, want, qt.Commentf("%v", err))
 }
+
+// TestProxyHolds checks that what was sent on an open connection arrives once the link is up again, after
+// what was sent later on a new one, and though its sender has given up.
+func TestProxyHolds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	received := make(chan byte, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buf := make([]byte, 1)
+				for {
+					if _, err := c.Read(buf); err != nil {
+						return
+					}
+					received <- buf[0]
+				}
+			}()
+		}
+	}()
+	p, err := newProxy(l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer p.close()
+	send := func(c net.Conn, b byte) {
+		_, err := c.Write([]byte{b})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.address())
+		qt.Assert(t, err, qt.IsNil)
+		return c
+	}
+	before := dial()
+	send(before, 1)
+	qt.Assert(t, <-received, qt.Equals, byte(1))
+	p.setState(LinkHeld)
+	send(before, 2)
+	qt.Assert(t, before.Close(), qt.IsNil)
+	later := dial()
+	defer later.Close()
+	send(later, 3)
+	qt.Assert(t, <-received, qt.Equals, byte(3))
+	p.setState(LinkUp)
+	qt.Assert(t, <-received, qt.Equals, byte(2))
+}
--- a/pkg/bench/soak/soak.go
+++ b/pkg/bench/soak/soak.go
@@ -171,6 +171,9 @@
 	workerPort    = 8700
 )
 
+// vmName returns the name of a worker's VM.
+func vmName(i int) string { return fmt.Sprintf("vm%d", i) }
+
 // addWorkers adds the workers, each behind a proxy.
 func (s *soak) addWorkers() error {
 	for i := range s.o.Workers {
@@ -180,7 +183,7 @@
 		}
 		s.links = append(s.links, p)
 		s.command(Command{Do: DoAddVM, Add: &standin.VM{
-			Name: fmt.Sprintf("vm%d", i), Listen: p.target, Public: p.address(), Zone: "zone-a", Capacity: workerCapacity,
+			Name: vmName(i), Listen: p.target, Public: p.address(), Zone: "zone-a", Capacity: workerCapacity,
 		}})
 	}
 	return nil
--- a/pkg/bench/soak/soak_test.go
+++ b/pkg/bench/soak/soak_test.go
@@ -50,15 +50,28 @@
 	qt.Check(t, r.Starts > 0 && r.Disturbances > 0, qt.IsTrue)
 }
 
-// TestSoakFindsPlantedFaults checks that a soak finds transactions that are answered and not carried out.
+// TestSoakFindsPlantedFaults checks that a soak finds transactions that are answered and not carried out,
+// workers that carry out orders of former owners, and workers that forget ends before they are
+// acknowledged.
 func TestSoakFindsPlantedFaults(t *testing.T) {
 	daemon, bench := programs(t)
-	for seed := uint64(1); seed <= plantedSeeds; seed++ {
-		if r := run(t, daemon, bench, seed, 12*time.Second, soak.PlantedLostWrites); len(r.Broken) > 0 {
-			return
-		}
+	for _, tc := range []struct {
+		planted soak.Planted
+		first   uint64 // seed
+	}{
+		{soak.PlantedLostWrites, 1},
+		{soak.PlantedNoFencing, 21},
+		{soak.PlantedEarlyForget, 21},
+	} {
+		t.Run(string(tc.planted), func(t *testing.T) {
+			for seed := tc.first; seed < tc.first+plantedSeeds; seed++ {
+				if r := run(t, daemon, bench, seed, 12*time.Second, tc.planted); len(r.Broken) > 0 {
+					return
+				}
+			}
+			t.Errorf("nothing found on %d seeds", plantedSeeds)
+		})
 	}
-	t.Errorf("nothing found on %d seeds", plantedSeeds)
 }
 
 // plantedSeeds is the number of seeds on which a planted fault has to be found.
