--- a/pkg/shard/floor.go
+++ b/pkg/shard/floor.go
@@ -8,9 +8,9 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
-// maxHomelessTasks bounds the tasks for which a load looks for room, since each is compared with all
+// maxUnplacedTasks bounds the tasks for which a load looks for room, since each is compared with all
 // workers. More tasks than that show in Load.Waiting.
-const maxHomelessTasks = 200
+const maxUnplacedTasks = 200
 
 // minWorkers returns how many workers the widest long-running step needs, plus one to restart the
 // tasks of a lost worker.
@@ -26,22 +26,22 @@
 	return widest + 1
 }
 
-// homelessTasks are long-running tasks that need room at a worker: an entry for each task, its step.
-type homelessTasks []*jobs.StepRun
+// unplacedTasks are long-running tasks that need room at a worker: an entry for each task, its step.
+type unplacedTasks []*jobs.StepRun
 
 // add adds n tasks of a step, unless it only fills what other tasks leave unused.
-func (h *homelessTasks) add(s *jobs.StepRun, n int) {
+func (h *unplacedTasks) add(s *jobs.StepRun, n int) {
 	if !s.Spec.LongRunning || s.Spec.Filler {
 		return
 	}
-	for range min(n, maxHomelessTasks-len(*h)) {
+	for range min(n, maxUnplacedTasks-len(*h)) {
 		*h = append(*h, s)
 	}
 }
 
 // leavingTasks returns the tasks that have to leave their workers. Of a step that limits missing tasks
 // only as many need room at once.
-func (o *Owner) leavingTasks(now time.Duration) (h homelessTasks) {
+func (o *Owner) leavingTasks(now time.Duration) (h unplacedTasks) {
 	perStep := map[*jobs.StepRun]int{}
 	for _, s := range o.sessionsByBoot() {
 		if s.ended || !s.draining && !s.drained(now) && !s.outOfUse() {
@@ -60,7 +60,7 @@
 
 // workersFor returns how many workers without long-running tasks the tasks would take, whether the
 // pool has them or not.
-func (o *Owner) workersFor(tasks homelessTasks, capacity platform.Resources, now time.Duration) (n int) {
+func (o *Owner) workersFor(tasks unplacedTasks, capacity platform.Resources, now time.Duration) (n int) {
 	if len(tasks) == 0 {
 		return 0
 	}
--- a/pkg/shard/load.go
+++ b/pkg/shard/load.go
@@ -98,9 +98,9 @@
 	b.Limited, b.Draining = o.limitedSteps(), o.drainingVMs(now)
 	b.AtLimit = o.rate.Limiting()
 	b.Arriving, b.ArrivingExcess = o.arrivals.demand(now)
-	homeless := o.leavingTasks(now)
-	b.addWaiting(&homeless)
-	b.Floor = max(o.minWorkers(), b.inUse+o.workersFor(homeless, b.VMCapacity, now))
+	unplaced := o.leavingTasks(now)
+	b.addWaiting(&unplaced)
+	b.Floor = max(o.minWorkers(), b.inUse+o.workersFor(unplaced, b.VMCapacity, now))
 	return b.Load
 }
 
@@ -166,12 +166,12 @@
 }
 
 // addWaiting adds the tasks that wait to start; the long-running ones among them need room.
-func (b *loadBuilder) addWaiting(homeless *homelessTasks) {
+func (b *loadBuilder) addWaiting(unplaced *unplacedTasks) {
 	demand := b.owner.newDemand()
 	b.owner.eachStartable(true, func(s *jobs.StepRun, startable []*jobs.Task) {
 		b.Tasks += len(startable)
 		n := demand.startable(s, len(startable))
-		homeless.add(s, n)
+		unplaced.add(s, n)
 		waiting := multiply(placement.Charge(s.Spec), n)
 		b.Waiting = b.Waiting.Add(waiting)
 		b.Held.add(b.kinds.of(s), waiting)
