Tasks of a worker that is about to end wait for other stops of their step

What callers saw: a long-running task was ended while as many others of its step were missing as may be (rule AVAIL).

--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -15,13 +15,16 @@
 	// evacuationDelay is how long a new owner stops no task of a step that limits missing ones, unless
 	// the release excludes it: the predecessor may have ordered a stop that does not show in reports yet.
 	evacuationDelay = 2500 * time.Millisecond
+	// limitedStopWait is how long tasks at a worker that is about to end wait for a stop at another one. A
+	// worker announces its end 2 s before, and a stop takes up to 0.9 s.
+	limitedStopWait = time.Second
 )
 
 // limitPolicy says which tasks of steps that limit missing ones are moved.
 type limitPolicy string
 
 const (
-	limitsIgnored  limitPolicy = "ignored"  // all: their worker is about to end
+	limitsIgnored  limitPolicy = "ignored"  // all, once other stops have ended: their worker is about to end
 	limitsKept     limitPolicy = "kept"     // as far as the steps' limits allow
 	limitsDeferred limitPolicy = "deferred" // none: moveLimitedTasks chooses among all drained VMs
 )
@@ -133,7 +136,7 @@
 			w.stopping++
 		case !step.Spec.LongRunning:
 			w.finishing++
-		case step.Spec.HasMaxUnavailable && !o.mayStopLimited(r.Task, limits, room.now):
+		case step.Spec.HasMaxUnavailable && !o.mayStopLimited(s, r.Task, limits, room.now):
 			w.limited++
 		case !room.reserve(step):
 			w.noRoom++
@@ -147,11 +150,11 @@
 	return w
 }
 
-// mayStopLimited reports whether a task whose step limits missing ones may be stopped now.
-func (o *Owner) mayStopLimited(t *jobs.Task, limits limitPolicy, now time.Duration) bool {
+// mayStopLimited reports whether a task whose step limits missing ones may be stopped now at a worker.
+func (o *Owner) mayStopLimited(s *session, t *jobs.Task, limits limitPolicy, now time.Duration) bool {
 	switch limits {
 	case limitsIgnored:
-		return true
+		return now-s.drainingSince >= limitedStopWait || !o.limitedStopOutstanding(t.Step)
 	case limitsDeferred:
 		return false
 	default:
@@ -159,6 +162,19 @@
 	}
 }
 
+// limitedStopOutstanding reports whether a task of the step was ordered to stop at a worker that stays, and
+// has not ended. Until it ends, no others may go missing by our doing, or it ends while too many are.
+func (o *Owner) limitedStopOutstanding(step *jobs.StepRun) bool {
+	for _, t := range step.Tasks {
+		for _, a := range t.Attempts {
+			if s := o.sessions[a.Boot]; s != nil && !s.draining && a.Phase == jobs.PhaseStopped {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // formerStopsEnded reports whether no stop that a former owner has ordered may still take effect.
 func (o *Owner) formerStopsEnded(now time.Duration) bool {
 	return o.claim.predecessor.StopsEnded || now-o.tookOverAt >= evacuationDelay
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -11,7 +11,7 @@
 // applyReport applies the report that answers a poll sent at sentAt.
 func (o *Owner) applyReport(s *session, r *platform.WorkerReport, sentAt time.Duration) {
 	if r.Draining && !s.draining {
-		s.draining = true
+		s.draining, s.drainingSince = true, o.now()
 		o.log.Info().Str("event", "worker_draining").Str("boot", s.ref.Boot).Dur("remaining", r.Remaining).Send()
 	}
 	now := o.now()
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -34,7 +34,8 @@
 	attemptsKnown  bool          // it has reported its attempts since our first token reached it
 	answeredPollAt time.Duration // when the last answered poll was sent
 	draining       bool
-	ended          bool // the boot has ended
+	drainingSince  time.Duration // when that became known
+	ended          bool          // the boot has ended
 	former         formerTasks
 
 	unlistedAt time.Duration // when it was first missing from the directory, 0 while listed
