Tasks of an ending worker wait for other stops until a second before its end

Change: the wait lasts until a second before the end that the worker announces, and a second if it does not say when that is.

--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -15,9 +15,11 @@
 	// evacuationDelay is how long a new owner stops no task of a step that limits missing ones, unless
 	// the release excludes it: the predecessor may have ordered a stop that does not show in reports yet.
 	evacuationDelay = 2500 * time.Millisecond
-	// limitedStopWait is how long tasks at a worker that is about to end wait for a stop at another one. A
-	// worker announces its end 2 s before, and a stop takes up to 0.9 s.
+	// limitedStopWait is how long tasks at a worker that is about to end wait for a stop at another one if it
+	// does not say when it ends. A worker announces its end 2 s before, and a stop takes up to 0.9 s.
 	limitedStopWait = time.Second
+	// drainStopTime is the last part of a worker's remaining time, kept for the stops there.
+	drainStopTime = time.Second
 )
 
 // limitPolicy says which tasks of steps that limit missing ones are moved.
@@ -154,7 +156,7 @@
 func (o *Owner) mayStopLimited(s *session, t *jobs.Task, limits limitPolicy, now time.Duration) bool {
 	switch limits {
 	case limitsIgnored:
-		return now-s.drainingSince >= limitedStopWait || !o.limitedStopOutstanding(t.Step)
+		return now >= s.drainDeadline || !o.limitedStopOutstanding(t.Step)
 	case limitsDeferred:
 		return false
 	default:
@@ -175,6 +177,15 @@
 	return false
 }
 
+// noteDraining records that a worker is about to end. remaining is until when it runs at least, 0 if it
+// does not say that.
+func (s *session) noteDraining(now, remaining time.Duration) {
+	if !s.draining {
+		s.draining, s.drainDeadline = true, now+limitedStopWait
+	}
+	s.drainDeadline = max(s.drainDeadline, now+remaining-drainStopTime)
+}
+
 // formerStopsEnded reports whether no stop that a former owner has ordered may still take effect.
 func (o *Owner) formerStopsEnded(now time.Duration) bool {
 	return o.claim.predecessor.StopsEnded || now-o.tookOverAt >= evacuationDelay
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -11,10 +11,12 @@
 // applyReport applies the report that answers a poll sent at sentAt.
 func (o *Owner) applyReport(s *session, r *platform.WorkerReport, sentAt time.Duration) {
 	if r.Draining && !s.draining {
-		s.draining, s.drainingSince = true, o.now()
 		o.log.Info().Str("event", "worker_draining").Str("boot", s.ref.Boot).Dur("remaining", r.Remaining).Send()
 	}
 	now := o.now()
+	if r.Draining {
+		s.noteDraining(now, r.Remaining)
+	}
 	o.applyEnds(s, r.Ended, now)
 	if s.ends.hasUnstored() {
 		// An end that changes no job is acknowledged only after a commit has run, which
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -34,7 +34,7 @@
 	attemptsKnown  bool          // it has reported its attempts since our first token reached it
 	answeredPollAt time.Duration // when the last answered poll was sent
 	draining       bool
-	drainingSince  time.Duration // when that became known
+	drainDeadline  time.Duration // until when its limited tasks may wait for other stops
 	ended          bool          // the boot has ended
 	former         formerTasks
 
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -86,7 +86,7 @@
 	}
 	s.hostCache = nil
 	if w.Draining && !s.draining {
-		s.draining, s.drainingSince = true, o.now()
+		s.noteDraining(o.now(), 0)
 		o.log.Info().Str("event", "worker_draining").Str("boot", w.Boot).Send()
 	}
 	return s
