A former holder's accepted order counts from when it was accepted, whoever holds the fleet operations

Cause: a spare VM shows no other worker after its maintenance, so it counts as down until MaintenanceTime + maxListLag after the accepted order. The next holder, told that the order was accepted, set that time to now: each planned change of the holder began the count anew. From the log: seven spare VMs ordered at 1.68 s, changes at 5, 7 and 9 s, counted as down until 12.86 s, seven of the eight places of max_down.

Change: holders pass on, with the accepted orders, by when these had been accepted at the latest, on the table service's clock; a new holder has that clock from the announcement that it reads at its takeover, so that clocks of entries do not matter. What earlier versions tell counts from now, as before. A time may lie before the start of the next holder's own clock, so that 'accepted' is a value of its own. What others tell waits until the announcement was read, which tells the clock and the workers before the orders. Weighed: the announcement's own latest time of sending. It is no bound for an order that was not answered and carried out later, and would have to be told apart.

Tests: TestAcceptedByChangingHolders fails when the time is not used (v2 is never ordered in eight changes) and when it is told 2 s too early (a VM counts as back before it is); TestLearnedBeforeAnnouncement fails without the wait; TestProgressCache without the earliest time and without dropping done VMs; TestUnstoredProgress without the time told. TestAcceptedByFormerHolder had a maintenance of 0 s, after which a VM must be back; it is 10 s there now and the check stays.

--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -98,6 +98,7 @@
 	evacuatedZone string         // zone that is evacuated
 	evacuatedIdle bool           // the evacuated VMs have no work
 	waves         []Wave
+	maintenance   time.Duration      // how long the maintenance of a VM takes
 	progress      *ProgressCache     // kept by the entries of the pools' owners; nil for none
 	onQuery       func(query string) // called with what the owners of pools are asked; nil for nothing
 	// rowsOf and vmsOf wrap the services as seen by an entry; nil for no faults.
@@ -193,7 +194,7 @@
 		},
 		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
 		Waves:  s.requested, ZoneEvacuated: s.evacuated,
-		OrderGap: orderGap, BeforeTakeover: func() {}, OnGivenUp: func(error) {},
+		OrderGap: orderGap, MaintenanceTime: s.maintenance, BeforeTakeover: func() {}, OnGivenUp: func(error) {},
 	}, shard.ObservedOwner{Version: seen.Version}, cat)
 }
 
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -124,15 +124,16 @@
 		case v.over():
 		case !ok:
 			r.setPhase(w, v, PhaseGone, "the VM is no longer listed")
-		case v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineMaintenance:
-			v.acceptedAt = r.now() // the order was carried out though it was not answered
-		case v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineUp && m.Worker != v.Worker:
+		case v.Phase == PhaseOrdered && !v.accepted && m.State == platform.MachineMaintenance:
+			v.accept(r.now()) // the order was carried out though it was not answered
+		case v.Phase == PhaseOrdered && !v.accepted && m.State == platform.MachineUp && m.Worker != v.Worker:
 			v.maybeDone, v.orderedUntil = true, r.now()+orderTransit+maxListLag
 			r.setPhase(w, v, PhaseWaiting, "the order was not answered, and the VM may have crashed")
 		case v.Phase == PhaseOrdered && v.returned(m, r.now(), r.cfg.MaintenanceTime):
 			r.setPhase(w, v, PhaseDone, "the VM is up again")
 		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && w.ID != 0 && (v.maybeDone || r.formerWaves[v.Name] == w.ID):
-			v.Worker, v.acceptedAt = m.Worker, r.now()
+			v.Worker = m.Worker
+			v.accept(r.now())
 			r.setPhase(w, v, PhaseOrdered, "an earlier order is carried out")
 		}
 	}
@@ -151,7 +152,7 @@
 	free := w.MaxDown - countDown(w.vms, r.newView(w, machines))
 	for _, v := range w.vms {
 		m := machines[v.Name]
-		unanswered := v.Phase == PhaseOrdered && v.acceptedAt == 0 && m.State == platform.MachineUp && m.Worker == v.Worker
+		unanswered := v.Phase == PhaseOrdered && !v.accepted && m.State == platform.MachineUp && m.Worker == v.Worker
 		if v.Phase == PhaseDraining || unanswered { // resend an unanswered order, which may be lost
 			due = append(due, vmOrder{
 				vm: v.Name, pool: m.Pool, boot: m.Worker, rank: rank,
@@ -180,7 +181,7 @@
 	case err != nil:
 		r.log.Warn().Str("event", "maintenance_unanswered").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
 	default:
-		v.acceptedAt = r.now()
+		v.accept(r.now())
 	}
 	if v.Phase == PhaseDraining {
 		v.Worker = m.Worker
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -229,7 +229,9 @@
 	waves := r.loadedWaves(ctx)
 	r.noteLimitedSteps()
 	for _, w := range waves {
-		r.applyLearned(w, machines)
+		if r.formerOrdersKnown { // before, neither the VMs' former workers nor the table service's clock are
+			r.applyLearned(w, machines)
+		}
 		r.drainNext(w, machines, mayOrder)
 	}
 	r.noteWaveVMs(waves, machines)
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -49,7 +49,8 @@
 	Phase  Phase
 	Worker string // ID of the worker before maintenance, set once ordered
 
-	acceptedAt time.Duration // when the VM service accepted the order, 0 before
+	accepted   bool          // the VM service accepted the order
+	acceptedAt time.Duration // when it had at the latest; negative if before the start of the entry's clock
 	maybeDone  bool          // an order without an answer may have been carried out
 	// orderedUntil is until when that order may still be carried out.
 	orderedUntil time.Duration
@@ -58,6 +59,9 @@
 // over reports whether nothing is left to do for the VM.
 func (v *VM) over() bool { return v.Phase == PhaseDone || v.Phase == PhaseGone }
 
+// accept records that the VM service had accepted the order for the VM by a time.
+func (v *VM) accept(by time.Duration) { v.accepted, v.acceptedAt = true, by }
+
 // returned reports whether the VM is up again after its maintenance. A spare VM runs no worker and
 // so shows no new worker ID; it counts as returned once the maintenance must be over.
 func (v *VM) returned(m platform.Machine, now, takes time.Duration) bool {
@@ -67,7 +71,7 @@
 	if m.Worker != v.Worker {
 		return true
 	}
-	return v.acceptedAt > 0 && now-v.acceptedAt > takes+maxListLag
+	return v.accepted && now-v.acceptedAt > takes+maxListLag
 }
 
 // urgent reports whether busy VMs have to be drained for the wave to end in time: half of its time
--- a/pkg/fleetops/waveprogress.go
+++ b/pkg/fleetops/waveprogress.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -17,6 +18,24 @@
 	VMListHash uint64 // of the request, to detect that it changed
 	Done       []byte // VMs that are maintained or no longer exist
 	Accepted   []byte // VMs whose maintenance the VM service has accepted
+	// AcceptedBy is when it had accepted them at the latest, on the table service's clock, by index in
+	// the request. Earlier versions do not tell it.
+	AcceptedBy map[int]time.Duration `msgpack:",omitempty"`
+}
+
+// add adds what another holder knows of the same request.
+func (p *WaveProgress) add(other WaveProgress) {
+	p.Done = unionOfBits(p.Done, other.Done)
+	p.Accepted = unionOfBits(p.Accepted, other.Accepted)
+	by := map[int]time.Duration{}
+	for _, known := range []map[int]time.Duration{p.AcceptedBy, other.AcceptedBy} {
+		for at, t := range known {
+			if before, ok := by[at]; !hasBit(p.Done, at) && (!ok || t < before) {
+				by[at] = t
+			}
+		}
+	}
+	p.AcceptedBy = by
 }
 
 // ProgressCache keeps the progress of waves that holders have told, for the next holder: the table
@@ -39,8 +58,7 @@
 		case c.waves[at].VMListHash != p.VMListHash:
 			c.waves[at] = p
 		default:
-			c.waves[at].Done = unionOfBits(c.waves[at].Done, p.Done)
-			c.waves[at].Accepted = unionOfBits(c.waves[at].Accepted, p.Accepted)
+			c.waves[at].add(p)
 		}
 	}
 	c.waves = c.waves[max(0, len(c.waves)-maxCachedWaves):]
@@ -60,28 +78,27 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range open {
-		p, accepted := w.known()
-		if w.loaded && (w.changed || accepted > 0) {
+		p := w.known(r.clock)
+		if w.loaded && (w.changed || len(p.AcceptedBy) > 0) {
 			all = append(all, p)
 		}
 	}
 	return all
 }
 
-// known returns what is known of a wave's VMs, and how many orders were accepted whose VMs are not
-// done.
-func (w *wave) known() (p WaveProgress, accepted int) {
-	p = WaveProgress{Wave: w.ID, VMListHash: w.vmListHash(), Done: newBits(len(w.vms)), Accepted: newBits(len(w.vms))}
+// known returns what is known of a wave's VMs.
+func (w *wave) known(clock tableClock) WaveProgress {
+	p := WaveProgress{Wave: w.ID, VMListHash: w.vmListHash(), Done: newBits(len(w.vms)), Accepted: newBits(len(w.vms)), AcceptedBy: map[int]time.Duration{}}
 	for at, v := range w.vms {
 		switch {
 		case v.over():
 			setBit(p.Done, at)
-		case v.Phase == PhaseOrdered && v.acceptedAt > 0:
+		case v.Phase == PhaseOrdered && v.accepted:
 			setBit(p.Accepted, at)
-			accepted++
+			p.AcceptedBy[at] = clock.latest(v.acceptedAt)
 		}
 	}
-	return p, accepted
+	return p
 }
 
 // applyLearned updates a wave by what former holders have told other entries.
@@ -98,7 +115,8 @@
 				r.setPhase(w, v, PhaseDone, "a former holder saw it done")
 				done++
 			case v.Phase != PhaseOrdered && hasBit(p.Accepted, at):
-				v.Worker, v.acceptedAt = r.workerBefore(w, machines[v.Name]), r.now()
+				v.Worker = r.workerBefore(w, machines[v.Name])
+				v.accept(r.acceptedBy(p, at))
 				r.setPhase(w, v, PhaseOrdered, "a former holder's order was accepted")
 				ordered++
 			}
@@ -110,6 +128,16 @@
 	}
 }
 
+// acceptedBy returns when a former holder's order had been accepted at the latest, on the entry's clock.
+func (r *Runner) acceptedBy(p WaveProgress, at int) time.Duration {
+	now := r.now()
+	by, known := p.AcceptedBy[at]
+	if !known {
+		return now
+	}
+	return now - max(0, r.clock.earliest(now)-by)
+}
+
 // workerBefore returns the worker that a VM had when a former holder announced its order for a wave.
 // If that is not known it is the present one: the VM then counts as down until its maintenance must
 // be over.
--- a/pkg/fleetops/waveprogress_test.go
+++ b/pkg/fleetops/waveprogress_test.go
@@ -1,12 +1,15 @@
 package fleetops
 
 import (
+	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
@@ -91,6 +94,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s, _, _ := newProgressFleet("v1", "v2")
+		s.maintenance = 10 * time.Second
 		since := time.Now()
 		first := s.open(c, "first", since)
 		time.Sleep(600 * time.Millisecond)
@@ -138,19 +142,96 @@
 	for i, p := range []Phase{PhaseDone, PhaseOrdered, PhaseOrdered, PhaseGone} {
 		w.vms = append(w.vms, &VM{Name: w.VMs[i], Phase: p})
 	}
-	w.vms[1].acceptedAt = time.Second
-	r := &Runner{waves: map[int]*wave{4: w}}
-	want := []WaveProgress{{Wave: 4, VMListHash: w.vmListHash(), Done: []byte{0b1001}, Accepted: []byte{0b0010}}}
+	w.vms[1].accept(time.Second)
+	r := &Runner{waves: map[int]*wave{4: w}, clock: tableClock{serverTime: time.Minute, sent: 2 * time.Second, received: 3 * time.Second}}
+	accepted := map[int]time.Duration{1: 59 * time.Second}
+	want := []WaveProgress{{Wave: 4, VMListHash: w.vmListHash(), Done: []byte{0b1001}, Accepted: []byte{0b0010}, AcceptedBy: accepted}}
 	c.Check(r.unstoredProgress(), qt.DeepEquals, want, qt.Commentf("an order was accepted"))
-	w.vms[1].acceptedAt = 0
+	w.vms[1].accepted = false
 	c.Check(r.unstoredProgress(), qt.HasLen, 0, qt.Commentf("all is stored"))
 	w.changed = true
-	want[0].Accepted = []byte{0}
+	want[0].Accepted, want[0].AcceptedBy = []byte{0}, map[int]time.Duration{}
 	c.Check(r.unstoredProgress(), qt.DeepEquals, want, qt.Commentf("not stored yet"))
 	w.loaded = false
 	c.Check(r.unstoredProgress(), qt.HasLen, 0, qt.Commentf("not read yet"))
 }
 
+// A spare VM that a former holder ordered counts as down for as long as its maintenance takes since the
+// order was accepted, however often the holder changes and whatever its own clock shows.
+func TestAcceptedByChangingHolders(t *testing.T) {
+	const takes = 4 * time.Second
+	for _, planned := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s, _, _ := newProgressFleet("v1", "v2")
+			s.maintenance = takes
+			holder := s.open(c, "e0", time.Now())
+			time.Sleep(600 * time.Millisecond)
+			ordered := s.vms.firstOrders("e0")["v1"]
+			c.Assert(ordered.IsZero(), qt.IsFalse)
+			var at time.Time
+			for i := 1; i <= 8 && at.IsZero(); i++ {
+				if planned {
+					holder.Release(context.Background(), "")
+				} else {
+					holder.Close()
+				}
+				entry := fmt.Sprint("e", i)
+				holder = s.open(c, entry, time.Now())
+				time.Sleep(time.Second)
+				at = s.vms.firstOrders(entry)["v2"]
+			}
+			holder.Close()
+			c.Assert(at.IsZero(), qt.IsFalse, qt.Commentf("v2 is never ordered, planned %v", planned))
+			c.Check(at.Sub(ordered) >= takes, qt.IsTrue, qt.Commentf("v2 ordered %v after v1, planned %v", at.Sub(ordered), planned))
+			c.Check(at.Sub(ordered) < takes+maxListLag+time.Second, qt.IsTrue, qt.Commentf("v2 ordered %v after v1, planned %v", at.Sub(ordered), planned))
+		})
+	}
+}
+
+// What others tell of a wave waits until the announcement was read: it tells which worker a VM had, and
+// the table service's clock.
+func TestLearnedBeforeAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, _, _ := newProgressFleet("v1", "v2")
+		s.maintenance = 10 * time.Second
+		since := time.Now()
+		first := s.open(c, "first", since)
+		time.Sleep(600 * time.Millisecond)
+		c.Assert(s.vms.firstOrders("first"), qt.HasLen, 1)
+		first.Close()
+		s.vms.set("v1", platform.MachineUp, "v1+")
+		silent := true
+		s.rowsOf = func(_ string, rows platform.Rows) platform.Rows {
+			return rowsWithout{Rows: rows, key: announcementKey, silent: &silent}
+		}
+		s.vmsOf = func(_ string, vms platform.Machines) platform.Machines { return vms }
+		second := s.open(c, "second", since)
+		defer second.Close()
+		time.Sleep(time.Second)
+		silent = false
+		time.Sleep(time.Second)
+		at := s.vms.firstOrders("second")
+		c.Check(at, qt.HasLen, 1, qt.Commentf("v1 counts as down"))
+		c.Check(at["v2"].IsZero(), qt.IsFalse)
+	})
+}
+
+// rowsWithout fails reads of one row while silent.
+type rowsWithout struct {
+	platform.Rows
+	key    platform.RowKey
+	silent *bool
+}
+
+func (r rowsWithout) ListRows(ctx context.Context, table, partition, from string) (platform.RowPage, error) {
+	if *r.silent && table == r.key.Table && from == r.key.Key {
+		return platform.RowPage{}, errors.New("no answer")
+	}
+	return r.Rows.ListRows(ctx, table, partition, from)
+}
+
 // A VM whose worker before the order is not known any more counts as down until its maintenance must
 // be over: what runs there may be the worker that is about to end.
 func TestAcceptedWorkerUnknown(t *testing.T) {
@@ -210,9 +291,12 @@
 func TestProgressCache(t *testing.T) {
 	c := qt.New(t)
 	var cache ProgressCache
-	cache.Add([]WaveProgress{{Wave: 1, VMListHash: 7, Done: []byte{1}, Accepted: []byte{4}}})
-	cache.Add([]WaveProgress{{Wave: 1, VMListHash: 7, Done: []byte{2, 1}, Accepted: []byte{8}}})
-	c.Check(cache.All(), qt.DeepEquals, []WaveProgress{{Wave: 1, VMListHash: 7, Done: []byte{3, 1}, Accepted: []byte{12}}})
+	cache.Add([]WaveProgress{{Wave: 1, VMListHash: 7, Done: []byte{1}, Accepted: []byte{6}, AcceptedBy: map[int]time.Duration{1: 5, 2: 6}}})
+	cache.Add([]WaveProgress{{Wave: 1, VMListHash: 7, Done: []byte{2, 1}, Accepted: []byte{12}, AcceptedBy: map[int]time.Duration{2: 4, 3: 7}}})
+	cache.Add([]WaveProgress{{Wave: 1, VMListHash: 7, Accepted: []byte{12}, AcceptedBy: map[int]time.Duration{2: 8}}})
+	c.Check(cache.All(), qt.DeepEquals, []WaveProgress{
+		{Wave: 1, VMListHash: 7, Done: []byte{3, 1}, Accepted: []byte{14}, AcceptedBy: map[int]time.Duration{2: 4, 3: 7}},
+	}, qt.Commentf("the earliest time known of each VM that is not done"))
 	cache.Add([]WaveProgress{{Wave: 1, VMListHash: 8, Done: []byte{1}}})
 	c.Check(cache.All(), qt.DeepEquals, []WaveProgress{{Wave: 1, VMListHash: 8, Done: []byte{1}}})
 	for i := range maxCachedWaves {
