Moves get free places of limited steps after all waves

Cause, from the log: the last VM waits from 3.5 s on for places of a step with one place. At 11.08 s the new holder plans moves of two other VMs of that step; all three are drained with rank 0 from the same moment on, so that the tie is broken by the boot's name. From 13.6 to 17.1 s the place goes to the moves, and the wave's VM is drained at 20.5 s.

Change: moves are ranked after all waves. A move still gets a place that no wave can use.

Test: TestMovesRankAfterWaves failed before (rank 0 for all).

--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -98,6 +98,7 @@
 	evacuatedZone string         // zone that is evacuated
 	evacuatedIdle bool           // the evacuated VMs have no work
 	waves         []Wave
+	ranks         map[string]int     // by VM: the rank with which it was last drained
 	maintenance   time.Duration      // how long the maintenance of a VM takes
 	progress      *ProgressCache     // kept by the entries of the pools' owners; nil for none
 	onQuery       func(query string) // called with what the owners of pools are asked; nil for nothing
@@ -153,6 +154,15 @@
 	}
 }
 
+func (s *testFleet) noteRank(vm string, rank int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ranks == nil {
+		s.ranks = map[string]int{}
+	}
+	s.ranks[vm] = rank
+}
+
 func (s *testFleet) setNeed(pool string, vms int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,8 +188,9 @@
 	cat := catalog.New(catalog.Catalog{Pools: []catalog.Pool{{Name: "a"}, {Name: "b"}, {Name: "off", Spare: true}}})
 	return Open(context.Background(), Config{
 		Self: shard.Identity{Entry: entry}, Log: zerolog.Nop(), Clock: elapsed.New(elapsed.WithOrigin(since)), Rows: rows, Machines: vms,
-		Drain: func(_ context.Context, _, vm string, _ int) bool {
+		Drain: func(_ context.Context, _, vm string, rank int) bool {
 			s.notify("drain " + vm)
+			s.noteRank(vm, rank)
 			return true
 		}, Load: func(ctx context.Context, q LoadQuery) (reply LoadReply, ok bool) {
 			if s.progress != nil {
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -40,14 +40,14 @@
 	}
 }
 
-// moveOrders returns the orders to send for planned moves.
-func (r *Runner) moveOrders(mayOrder bool) (due []vmOrder) {
+// moveOrders returns the orders to send for planned moves. Their VMs have the given rank.
+func (r *Runner) moveOrders(mayOrder bool, rank int) (due []vmOrder) {
 	if !mayOrder {
 		return nil
 	}
 	for vm, m := range r.moves {
 		if m.orderedAt == 0 {
-			due = append(due, vmOrder{vm: vm, pool: m.From, send: func(ctx context.Context) { r.sendMove(ctx, m) }})
+			due = append(due, vmOrder{vm: vm, pool: m.From, rank: rank, send: func(ctx context.Context) { r.sendMove(ctx, m) }})
 		}
 	}
 	return due
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -240,7 +240,7 @@
 	if mayOrder {
 		r.planMoves(machines)
 	}
-	orders := r.moveOrders(mayOrder)
+	orders := r.moveOrders(mayOrder, len(waves)) // waves have deadlines, moves have not
 	for rank, w := range waves {
 		orders = append(orders, r.waveOrders(w, machines, rank)...)
 	}
--- a/pkg/fleetops/wave_test.go
+++ b/pkg/fleetops/wave_test.go
@@ -42,6 +42,27 @@
 	})
 }
 
+// VMs that are moved among pools get free places of their tasks' steps only after those of all waves,
+// which have a deadline.
+func TestMovesRankAfterWaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &testFleet{rows: fake.NewRows(4*time.Millisecond, time.Second), need: map[string]int{"b": 3}}
+		for _, vm := range []string{"v1", "v2", "v3", "v4"} {
+			s.vms.list = append(s.vms.list, platform.Machine{VM: vm, Pool: "a", State: platform.MachineUp, Worker: vm})
+		}
+		for i, vm := range []string{"v1", "v2"} {
+			s.waves = append(s.waves, Wave{ID: i + 1, VMs: []string{vm}, Within: time.Minute, MaxDown: 1})
+		}
+		r := s.open(c, "e", time.Now())
+		defer r.Close()
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c.Check(s.ranks, qt.DeepEquals, map[string]int{"v1": 0, "v2": 1, "v3": 2, "v4": 2})
+	})
+}
+
 // A VM that is down by a former holder's order is not maintained again, even if that holder stored
 // no progress. A VM that is down for another reason is maintained once it is up.
 func TestMaintainedByFormerHolder(t *testing.T) {
