A release tells which stops are outstanding, so that only these hold up the next owner

Cause: a release told whether any stop at all was outstanding, and if one was, whichever step it concerned, the next owner stopped no limited task until every former stop must have shown.

Change: the release names the attempts of limited steps whose stops are outstanding. The next owner counts them as missing until they end or evacuationDelay is over; all others move at once. Tasks at a worker that is about to end wait for a former owner's stops as they do for its own.

--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -347,6 +347,19 @@
 	return fmt.Sprintf("term %d\n", o.Term())
 }
 
+// releasedStops returns what the last release told of outstanding stops.
+func (e *testCluster) releasedStops() string {
+	row, err := shard.ReadOwner(context.Background(), e.rows.As(fake.Operator), pool)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	owner, err := shard.DecodeOwner(row.Value)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	return fmt.Sprintf("all ended %v, outstanding %d\n", owner.StopsEnded, len(owner.Stops))
+}
+
 // Run implements zerolog.Hook; it adds the virtual time to each line.
 func (e *testCluster) Run(ev *zerolog.Event, _ zerolog.Level, _ string) {
 	ev.Dur("at", time.Since(e.since))
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -12,9 +12,12 @@
 	cordonDuration = 4 * time.Second
 	// servingPercent is the progress of a long-running task that serves.
 	servingPercent = 100
-	// evacuationDelay is how long a new owner stops no task of a step that limits missing ones, unless
-	// the release excludes it: the predecessor may have ordered a stop that does not show in reports yet.
+	// evacuationDelay is how long after a takeover a former owner's stop that does not show in reports yet
+	// may take effect. Unless a release tells which ones there are, a new owner stops no task of a step that
+	// limits missing ones for so long.
 	evacuationDelay = 2500 * time.Millisecond
+	// maxReleasedStops bounds the stops that a release tells, to keep the owner row small.
+	maxReleasedStops = 200
 	// limitedStopWait is how long tasks at a worker that is about to end wait for a stop at another one if it
 	// does not say when it ends. A worker announces its end 2 s before, and a stop takes up to 0.9 s.
 	limitedStopWait = time.Second
@@ -160,7 +163,7 @@
 	case limitsDeferred:
 		return false
 	default:
-		return !o.formerWorkersPending && o.formerStopsEnded(now) && o.withinMaxUnavailable(t.Step, t)
+		return !o.formerWorkersPending && o.formerStopsKnown(now) && o.withinMaxUnavailable(t.Step, t)
 	}
 }
 
@@ -169,7 +172,7 @@
 func (o *Owner) limitedStopOutstanding(step *jobs.StepRun) bool {
 	for _, t := range step.Tasks {
 		for _, a := range t.Attempts {
-			if s := o.sessions[a.Boot]; s != nil && !s.draining && a.Phase == jobs.PhaseStopped {
+			if s := o.sessions[a.Boot]; s != nil && !s.draining && o.stopping(a) {
 				return true
 			}
 		}
@@ -186,21 +189,40 @@
 	s.drainDeadline = max(s.drainDeadline, now+remaining-drainStopTime)
 }
 
-// formerStopsEnded reports whether no stop that a former owner has ordered may still take effect.
-func (o *Owner) formerStopsEnded(now time.Duration) bool {
-	return o.claim.predecessor.StopsEnded || now-o.tookOverAt >= evacuationDelay
+// formerStopsKnown reports whether this owner knows all stops of former owners that may still take effect.
+func (o *Owner) formerStopsKnown(now time.Duration) bool {
+	p := &o.claim.predecessor
+	return p.StopsEnded || len(p.Stops) > 0 || now-o.tookOverAt >= evacuationDelay
 }
 
-// stopsOutstanding reports whether attempts were ordered to stop and have not ended.
-func (o *Owner) stopsOutstanding() bool {
+// stopping reports whether an attempt was ordered to stop, by this owner or, as told by a release, by a
+// former one.
+func (o *Owner) stopping(a *jobs.Attempt) bool {
+	if a.Phase == jobs.PhaseStopped {
+		return true
+	}
+	stops := o.claim.predecessor.Stops
+	return len(stops) > 0 && stops[a.Task.Name()] == a.Number && o.now()-o.tookOverAt < evacuationDelay
+}
+
+// outstandingStops returns the stops of tasks whose steps limit missing ones that may still take effect:
+// ended tells that there are none, and stops names them. If they are not known it returns neither.
+func (o *Owner) outstandingStops(now time.Duration) (ended bool, stops map[string]int64) {
+	if !o.formerStopsKnown(now) {
+		return false, nil
+	}
+	stops = map[string]int64{}
 	for _, s := range o.sessions {
-		for _, r := range s.attempts {
-			if r.Phase == jobs.PhaseStopped {
-				return true
+		for name, r := range s.attempts {
+			if r.Task.Step.Spec.HasMaxUnavailable && o.stopping(r.Attempt) {
+				stops[name] = r.Number
 			}
 		}
 	}
-	return false
+	if len(stops) > maxReleasedStops {
+		return false, nil
+	}
+	return len(stops) == 0, stops
 }
 
 // futureHosts returns the workers that accept tasks as they will be once their finite tasks
@@ -228,11 +250,11 @@
 }
 
 // serves reports whether a long-running task is known to serve; one at a worker that does
-// not answer may have ended with it.
+// not answer may have ended with it, and one that was ordered to stop is about to.
 func (o *Owner) serves(t *jobs.Task) bool {
 	for _, a := range t.Attempts {
 		s := o.sessions[a.Boot]
-		if s != nil && s.unansweredCalls == 0 && a.Phase == jobs.PhaseRunning && a.Percent >= servingPercent {
+		if s != nil && s.unansweredCalls == 0 && a.Phase == jobs.PhaseRunning && a.Percent >= servingPercent && !o.stopping(a) {
 			return true
 		}
 	}
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -79,7 +79,8 @@
 // writeRelease releases the owner row and stores what the next owner needs. If the outcome
 // of an earlier transaction is unknown, it leaves the record of leased workers unchanged.
 func (o *Owner) writeRelease(ctx context.Context, next string) (err error) {
-	to := Handover{Entry: next, FormerGrace: max(0, o.soleOwnerAt-o.now()), StopsEnded: o.formerStopsEnded(o.now()) && !o.stopsOutstanding()}
+	to := Handover{Entry: next, FormerGrace: max(0, o.soleOwnerAt-o.now())}
+	to.StopsEnded, to.Stops = o.outstandingStops(o.now())
 	maybeLoss := o.unreportedLoss || len(o.dirty) > 0
 	txn, err := o.releaseTxn()
 	if err != nil {
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -45,9 +45,12 @@
 	Next    string `msgpack:"n"` // entry that should take over, set by a release
 	// FormerGrace is how long after the row was written a former owner may still act.
 	FormerGrace time.Duration `msgpack:"l,omitempty"`
-	// StopsEnded, set by a release, tells that no stop ordered by this owner or one before it may still
-	// take effect.
+	// StopsEnded, set by a release, tells that no stop of a task whose step limits missing ones may still
+	// take effect, whichever owner ordered it.
 	StopsEnded bool `msgpack:"o,omitempty"`
+	// Stops, set by a release in place of StopsEnded, are the attempts whose stops may still take effect,
+	// by task. Neither is set if they are not known.
+	Stops map[string]int64 `msgpack:"x,omitempty"`
 }
 
 // commitRow is rewritten by each transaction of a shard.
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -215,6 +215,7 @@
 		return fmt.Sprintf("%v\n", c.owner().DrainVM(c.arg("vm", ""), c.number("rank", "0")))
 	},
 	"limited":  func(c scriptCall) string { return c.limited(c.entry()) },
+	"released": func(c scriptCall) string { return c.releasedStops() },
 	"accounts": func(c scriptCall) string { return c.accounts(c.entry()) },
 	"check":    func(c scriptCall) string { return c.observer.report() },
 	"promises": func(c scriptCall) string { return c.observer.invariants() },
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -42,7 +42,8 @@
 type Handover struct {
 	Entry       string        // entry that should take over, empty for any
 	FormerGrace time.Duration // how long owners before the releasing one may still act
-	StopsEnded  bool          // no stop that was ordered may still take effect
+	StopsEnded  bool          // see OwnerRow.StopsEnded
+	Stops       map[string]int64
 }
 
 // Release writes an owner row without an owner, so that another entry can take over at once.
@@ -56,7 +57,7 @@
 	defer func() { err = errors.Wrapf(err, "release shard %s", pool) }()
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	raw, err := encode(OwnerRow{Term: c.Term, Next: to.Entry, FormerGrace: to.FormerGrace, StopsEnded: to.StopsEnded})
+	raw, err := encode(OwnerRow{Term: c.Term, Next: to.Entry, FormerGrace: to.FormerGrace, StopsEnded: to.StopsEnded, Stops: to.Stops})
 	if err != nil {
 		return err
 	}
