An entry with many shards counts three as busy, so that a small entry gets no busy pool

Change: VMs move to the pools that have demand, so that an entry with many shards has no more work than the fleet. Three of an entry's shards count as busy, each further one as an eighth. Entries of equal size are ordered as before. Handing shards on compares shards per processor as before.

Test: TestLargeEntryTakesAll failed before from four shards on.

Also: a flag of TestLearnedBeforeAnnouncement is atomic now; the race detector found it.

--- a/pkg/fleetops/waveprogress_test.go
+++ b/pkg/fleetops/waveprogress_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -202,7 +203,8 @@
 		c.Assert(s.vms.firstOrders("first"), qt.HasLen, 1)
 		first.Close()
 		s.vms.set("v1", platform.MachineUp, "v1+")
-		silent := true
+		var silent atomic.Bool
+		silent.Store(true)
 		s.rowsOf = func(_ string, rows platform.Rows) platform.Rows {
 			return rowsWithout{Rows: rows, key: announcementKey, silent: &silent}
 		}
@@ -210,7 +212,7 @@
 		second := s.open(c, "second", since)
 		defer second.Close()
 		time.Sleep(time.Second)
-		silent = false
+		silent.Store(false)
 		time.Sleep(time.Second)
 		at := s.vms.firstOrders("second")
 		c.Check(at, qt.HasLen, 1, qt.Commentf("v1 counts as down"))
@@ -222,11 +224,11 @@
 type rowsWithout struct {
 	platform.Rows
 	key    platform.RowKey
-	silent *bool
+	silent *atomic.Bool
 }
 
 func (r rowsWithout) ListRows(ctx context.Context, table, partition, from string) (platform.RowPage, error) {
-	if *r.silent && table == r.key.Table && from == r.key.Key {
+	if r.silent.Load() && table == r.key.Table && from == r.key.Key {
 		return platform.RowPage{}, errors.New("no answer")
 	}
 	return r.Rows.ListRows(ctx, table, partition, from)
--- a/pkg/ownership/rank.go
+++ b/pkg/ownership/rank.go
@@ -34,9 +34,22 @@
 	return slices.IndexFunc(order, func(m Member) bool { return m.Name == mgr.self.Entry })
 }
 
-// loadWithOneMore returns the load, in shards per processor, that an entry with n shards would have
-// with one more.
-func loadWithOneMore(m Member, n map[string]int) float64 { return float64(n[m.Name]+1) / m.CPUs }
+const (
+	// maxBusyShards is how many shards of an entry are expected to be busy at once: VMs move to the pools
+	// that have demand, so that an entry with many shards has no more work than the fleet.
+	maxBusyShards = 3
+	// idleShardLoad is the load of each further shard, in busy shards.
+	idleShardLoad = 0.125
+)
+
+// loadOf returns the expected load of an entry with n shards, in busy shards per processor.
+func loadOf(m Member, n int) float64 {
+	idle := max(0, n-maxBusyShards)
+	return (float64(n-idle) + idleShardLoad*float64(idle)) / m.CPUs
+}
+
+// loadWithOneMore returns the expected load of an entry with one more shard than it has.
+func loadWithOneMore(m Member, counts map[string]int) float64 { return loadOf(m, counts[m.Name]+1) }
 
 // successorOrder is 0 for the successor that the last owner named and 1 for all others.
 func successorOrder(m Member, row shard.OwnerRow) int {
--- a/pkg/ownership/rebalance.go
+++ b/pkg/ownership/rebalance.go
@@ -33,11 +33,11 @@
 		return "", false
 	}
 	best := slices.MinFunc(others, func(a, b Member) int { return compareLoad(pool, counts, a, b) })
-	mine := float64(counts[self.Name]) / self.CPUs
-	return best.Name, mine >= rebalanceFactor*loadWithOneMore(best, counts)
+	mine, its := float64(counts[self.Name])/self.CPUs, float64(counts[best.Name]+1)/best.CPUs
+	return best.Name, mine >= rebalanceFactor*its
 }
 
-// compareLoad orders entries by the shards per processor that they would have with one more shard.
+// compareLoad orders entries by the expected load that they would have with one more shard.
 // A hash of pool and entry breaks ties, so that equal entries get different shards.
 func compareLoad(pool string, counts map[string]int, a, b Member) int {
 	return cmp.Or(
--- a/pkg/ownership/rebalance_test.go
+++ b/pkg/ownership/rebalance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +43,26 @@
 	qt.Check(t, ok, qt.IsFalse)
 }
 
+// TestLargeEntryTakesAll guards against a pool that goes to an entry with a fifth of a core because the
+// only large one that is left owns several others: VMs move to the pool that has demand, so that the
+// small one could get the work of the whole fleet.
+func TestLargeEntryTakesAll(t *testing.T) {
+	c := qt.New(t)
+	candidates := []Member{{Name: "small", CPUs: 0.192}, {Name: "large", CPUs: 0.8}}
+	first := func(counts map[string]int) string {
+		return slices.MinFunc(candidates, func(a, b Member) int { return compareLoad("p", counts, a, b) }).Name
+	}
+	for n := range 12 {
+		c.Check(first(map[string]int{"large": n}), qt.Equals, "large", qt.Commentf("%d shards", n))
+	}
+	c.Check(first(map[string]int{"large": 12}), qt.Equals, "small", qt.Commentf("idle shards are some work too"))
+	candidates = append(candidates, Member{Name: "other", CPUs: 0.8})
+	c.Check(first(map[string]int{"large": 5, "other": 4}), qt.Equals, "other")
+	c.Check(first(map[string]int{"large": 4, "other": 5}), qt.Equals, "large")
+	candidates[0] = Member{Name: "medium", CPUs: 0.4}
+	c.Check(first(map[string]int{"large": 3, "other": 3}), qt.Equals, "medium")
+}
+
 // releaseRecorder records the successor it was released to.
 type releaseRecorder struct {
 	LocalOwner
