Test: a worker's report of its remaining time reaches the wait for other stops

The listed path of own-draining-over-limit without a test. Limited tasks at a worker that reports that it drains wait for a stop of their step elsewhere until a second before the end that it reports. draining_until_reported_end fails when the report's remaining time is not passed on (the tasks are stopped after a second) and when a report's draining is not noted at all (both run on a scratch copy). The stand-in's workers can announce an end.

--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -229,6 +229,9 @@
 // report returns a boot's report with its running and ended attempts.
 func (w *Workers) report(b *boot) platform.WorkerReport {
 	r := platform.WorkerReport{ClockMs: b.clock(), BootedAtMs: b.bootedAtMs, Ended: slices.Clone(b.ended)}
+	if !b.endsAt.IsZero() {
+		r.Draining, r.Remaining = true, max(0, time.Until(b.endsAt))
+	}
 	for _, task := range slices.Sorted(maps.Keys(b.running)) {
 		a := b.running[task]
 		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent(), Checkpoint: a.checkpoint(task, false)})
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -80,7 +80,8 @@
 	start          time.Time
 	drift          float64 // fraction by which its clock runs slow, 0.02 for 2%
 	coldUntil      time.Time
-	coldSpeed      float64 // of tasks started before coldUntil, as a fraction of the normal speed
+	coldSpeed      float64   // of tasks started before coldUntil, as a fraction of the normal speed
+	endsAt         time.Time // when it says that it will end, zero if it does not
 	dead           bool
 	token          int64
 	running        map[string]*attempt
@@ -281,6 +282,16 @@
 	w.observer.Ended(b.info.Boot, task, a.number, EndCrashed)
 }
 
+// AnnounceEnd makes a boot report that it drains and for how long it runs at least. It does not end by
+// itself.
+func (w *Workers) AnnounceEnd(name string, after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b := w.lookup(name); b != nil {
+		b.endsAt = time.Now().Add(after)
+	}
+}
+
 // FailLongRunning ends the attempts at a boot that would run until stopped, as failed.
 func (w *Workers) FailLongRunning(name string) {
 	w.mu.Lock()
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -103,6 +103,7 @@
 		c.locked(func() { c.listed = withDraining(c.listed, c.boot()) })
 		c.publish()
 	},
+	"announce-end": func(c scriptCall) { c.workers.AnnounceEnd(c.boot(), c.duration("after")) },
 	"restart": func(c scriptCall) {
 		c.clockBehind = c.duration("clock-back")
 		c.restart(c.arg("worker", ""), c.arg("silent", "") != "", c.duration("listed-after"))
