After an unplanned takeover limited tasks move once workers' answers exclude former stops

Cause: an owner that does not know its predecessor's stops waited 2.5 s after its takeover.

Change: a worker that has answered this owner refuses orders with former tokens, so that a former stop has been taken before that answer and ends within the platform's bound of a stop. The wait ends with that bound, and 250 ms for the report, after the last worker of former owners has answered or its leases have ended; at the latest after 2.5 s, as before. The bound is the setting stop_ms, which was read and not used.

TestCluster checks that the setting reaches the owner and that the time of accepted orders is passed on between entries.

--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -20,6 +20,7 @@
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/platform/fake"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -200,6 +201,8 @@
 		other = nodes["e1"]
 	}
 	checkWaveProgress(c, other)
+	cfg := other.shardConfig(testPool, ownership.Events{})
+	c.Check([]time.Duration{cfg.MaxLease, cfg.StopTime}, qt.DeepEquals, []time.Duration{10 * time.Second, 900 * time.Millisecond})
 	nodes[owner].Stop()
 	submit(other, 10)
 	q := other.Catalog().Queue(testQueue)
@@ -237,7 +240,7 @@
 	return schema.ServiceSettings{
 		Name: name, Zone: "z", Address: ip, Callers: fmt.Sprintf("%s:%d", ip, callers),
 		Readiness: fmt.Sprintf("%s:%d", ip, readiness), Ports: []int{peers, peers}, MemoryMb: 100, CpuShare: 1,
-		Timing: schema.TimingSettings{GraceS: 6, MaxLeaseMs: 10000, RetentionS: 100, LeaseMs: 100},
+		Timing: schema.TimingSettings{GraceS: 6, MaxLeaseMs: 10000, RetentionS: 100, LeaseMs: 100, StopMs: 900},
 	}
 }
 
@@ -255,7 +258,7 @@
 // checkWaveProgress checks that the entry of a pool's owner keeps what it is told of waves, and tells
 // it those who ask.
 func checkWaveProgress(c *qt.C, n *Node) {
-	told := []fleetops.WaveProgress{{Wave: 3, VMListHash: 1 << 63, Done: []byte{5}, Accepted: []byte{2}}}
+	told := []fleetops.WaveProgress{{Wave: 3, VMListHash: 1 << 63, Done: []byte{5}, Accepted: []byte{2}, AcceptedBy: map[int]time.Duration{1: 90 * time.Second}}}
 	ask := func(q fleetops.LoadQuery) (reply fleetops.LoadReply) {
 		q.Pool = testPool
 		eventually(c, "the owner answers", func() (ok bool) {
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -41,18 +41,26 @@
 			return nil, errors.Wrap(err, "read worker directory")
 		}
 	}
-	o, err := shard.Open(ctx, shard.Config{
-		Pool: pool, Self: n.identity(), Clock: n.clock, Retention: seconds(n.settings.Timing.RetentionS), MaxLease: time.Duration(n.settings.Timing.MaxLeaseMs) * time.Millisecond,
-		MaxRowBytes: n.settings.Store.RowBytes,
-		Rows:        n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
-		Metrics: n.metrics, Log: n.log, StoreUptime: n.rows.uptime, HasEnded: n.members.HasEnded, StandDown: n.standDown, ZoneEvacuated: n.evacuations.contains, BeforeTakeover: events.BeforeTakeover, OnGivenUp: events.OnGivenUp,
-	}, seen, cat, n.allWorkers())
+	o, err := shard.Open(ctx, n.shardConfig(pool, events), seen, cat, n.allWorkers())
 	if err != nil {
 		return nil, err // no typed nil in the interface
 	}
 	return o, nil
 }
 
+// shardConfig returns the settings and dependencies of the owner of a pool's shard.
+func (n *Node) shardConfig(pool string, events ownership.Events) shard.Config {
+	timing := n.settings.Timing
+	return shard.Config{
+		Pool: pool, Self: n.identity(), Clock: n.clock, Retention: seconds(timing.RetentionS),
+		MaxLease: time.Duration(timing.MaxLeaseMs) * time.Millisecond, StopTime: time.Duration(timing.StopMs) * time.Millisecond,
+		MaxRowBytes: n.settings.Store.RowBytes,
+		Rows:        n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
+		Metrics: n.metrics, Log: n.log, StoreUptime: n.rows.uptime, HasEnded: n.members.HasEnded, StandDown: n.standDown,
+		ZoneEvacuated: n.evacuations.contains, BeforeTakeover: events.BeforeTakeover, OnGivenUp: events.OnGivenUp,
+	}
+}
+
 // standDown tells a shard's predecessor, the owner before the present one, that it was replaced. It
 // reports whether that owner has stopped its work.
 func (n *Node) standDown(ctx context.Context, predecessor shard.OwnerRow, newer platform.Row) (closed bool) {
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -60,6 +60,7 @@
 	faultsLeft         map[string]int           // calls that a fault still affects, 0 or less for all
 	failing            map[string]int           // failures that a task has left, by task name
 	crashing           map[string]time.Duration // tasks that crash their worker, with the delay after their start
+	stopTime           time.Duration            // of the owners' settings
 	crashRestartDelay  time.Duration            // how long a crashed worker stays away
 	boots              int                      // number of boots started after a crash
 	clockBehind        time.Duration            // how far the clock is behind by which workers report their start
@@ -333,7 +334,7 @@
 	e.ownerStarts++
 	cfg := shard.Config{
 		Pool: pool, Self: shard.Identity{Entry: entry, Start: e.ownerStarts, Address: entry},
-		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: shard.NoMetrics{}, Retention: time.Hour, MaxLease: fake.MaxLease,
+		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: shard.NoMetrics{}, Retention: time.Hour, MaxLease: fake.MaxLease, StopTime: e.stopTime,
 		Log: zerolog.New(e.out).With().Str("entry", entry).Logger().Hook(e), Clock: clock,
 		StoreUptime: func() time.Duration { return time.Since(e.since) },
 		HasEnded:    e.hasEnded, StandDown: e.standDown, ZoneEvacuated: e.zones.reportTo(entry),
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -13,9 +13,11 @@
 	// servingPercent is the progress of a long-running task that serves.
 	servingPercent = 100
 	// evacuationDelay is how long after a takeover a former owner's stop that does not show in reports yet
-	// may take effect. Unless a release tells which ones there are, a new owner stops no task of a step that
-	// limits missing ones for so long.
+	// may take effect, unless workers' answers show that it is less. Unless a release tells which stops there
+	// are, a new owner stops no task of a step that limits missing ones for so long.
 	evacuationDelay = 2500 * time.Millisecond
+	// stopReportTime is how long the report of an ended task may take.
+	stopReportTime = 250 * time.Millisecond
 	// maxReleasedStops bounds the stops that a release tells, to keep the owner row small.
 	maxReleasedStops = 200
 	// limitedStopWait is how long tasks at a worker that is about to end wait for a stop at another one if it
@@ -192,7 +194,12 @@
 // formerStopsKnown reports whether this owner knows all stops of former owners that may still take effect.
 func (o *Owner) formerStopsKnown(now time.Duration) bool {
 	p := &o.claim.predecessor
-	return p.StopsEnded || len(p.Stops) > 0 || now-o.tookOverAt >= evacuationDelay
+	return p.StopsEnded || len(p.Stops) > 0 || o.formerStopsEnded(now)
+}
+
+// formerStopsEnded reports whether it is too late for any stop of a former owner to take effect.
+func (o *Owner) formerStopsEnded(now time.Duration) bool {
+	return now-o.tookOverAt >= evacuationDelay || o.formerStopsEndAt > 0 && now >= o.formerStopsEndAt
 }
 
 // stopping reports whether an attempt was ordered to stop, by this owner or, as told by a release, by a
@@ -202,7 +209,7 @@
 		return true
 	}
 	stops := o.claim.predecessor.Stops
-	return len(stops) > 0 && stops[a.Task.Name()] == a.Number && o.now()-o.tookOverAt < evacuationDelay
+	return len(stops) > 0 && stops[a.Task.Name()] == a.Number && !o.formerStopsEnded(o.now())
 }
 
 // outstandingStops returns the stops of tasks whose steps limit missing ones that may still take effect:
--- a/pkg/shard/inherited.go
+++ b/pkg/shard/inherited.go
@@ -78,6 +78,10 @@
 
 // finishTakeover does what has to wait until all workers of former owners are resolved.
 func (o *Owner) finishTakeover() {
+	if o.cfg.StopTime > 0 {
+		// Workers that have answered this owner refuse the orders of former ones.
+		o.formerStopsEndAt = o.now() + o.cfg.StopTime + stopReportTime
+	}
 	o.registry.MarkAllReported()
 	o.failRestoredPoison()
 }
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -24,8 +24,10 @@
 	Clock     *elapsed.Clock // of the entry; measures ownership and lease expiry
 	Retention time.Duration  // how long final jobs stay available to callers
 
-	MaxLease    time.Duration // longest lease that workers accept; they shorten longer ones
-	MaxRowBytes int           // longest row value, in bytes, 0 for platform.DefaultMaxRowBytes
+	MaxLease time.Duration // longest lease that workers accept; they shorten longer ones
+	// StopTime is the longest time that a task takes to end after it was told to stop, 0 if unknown.
+	StopTime    time.Duration
+	MaxRowBytes int // longest row value, in bytes, 0 for platform.DefaultMaxRowBytes
 
 	// HasEnded reports whether the process of the owner in a row is known to have ended;
 	// nil if that is never known.
@@ -101,6 +103,7 @@
 	formerTasksUnknown   bool          // any restored task may be at such a worker, not only listed ones
 	formerLeasesUntil    time.Duration // when all leases renewed by former owners have expired
 	tookOverAt           time.Duration // when this entry took over
+	formerStopsEndAt     time.Duration // by when all stops of former owners have ended, 0 if not known
 	soleOwnerAt          time.Duration // from when on no former owner can act; answers to earlier polls do not complete the takeover
 	machinesReadAt       time.Duration // when the VM list was last requested, 0 for never
 
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -85,6 +85,7 @@
 	"fail-long-running": func(c scriptCall) { c.workers.FailLongRunning(c.boot()) },
 	"crash":             func(c scriptCall) { c.workers.Crash(c.boot()) },
 	"same-id":           func(c scriptCall) { c.keepWorkerIDs = true },
+	"stop-time":         func(c scriptCall) { c.stopTime = c.length() },
 	"back":              func(c scriptCall) { c.crashRestartDelay = c.length() },
 	"dark":              func(c scriptCall) { c.workers.SetBlackhole(true) },
 	"room":              func(c scriptCall) { c.resize(c.boot(), c.number("cpu", "0")) },
