An entry that has just lost the table service for a moment is still a candidate

Each large entry claims the pool in turn, fails, and counts as cut off from the whole service (store_lost 16 times at one of them) until a call to another part answers. Its peers see that state at a ping each 0.4 to 2.2 s. When the part answers again, an entry of 0.19 of a core that had not tried yet ranks itself first, since it sees none of the large ones as candidates, and takes the pool at 36.4 s; it keeps it until 40.2 s.

Change: a loss that is seen for less than storeLossTimeout does not take an entry off the candidates. An entry that is really cut off stays one for a second longer, as an owner does.

Test: TestCandidatesBesideLostPart failed before.

--- a/pkg/ownership/liveness.go
+++ b/pkg/ownership/liveness.go
@@ -179,14 +179,17 @@
 
 // Candidates returns the entries that may take over a shard, this one included: alive, registered,
 // not stopping, and reaching the table service. Shortly after the service has recovered its reported
-// state is ignored; otherwise each entry would consider itself the only candidate.
+// state is ignored; otherwise each entry would consider itself the only candidate. So is a loss reported
+// for less than storeLossTimeout: when one part of the service does not answer, entries that call it
+// lose and regain the service all the time.
 func (m *Members) Candidates() []Member {
 	storeRecovering := m.local.StoreUptime() < storeRecoveryTime
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	all := []Member{m.self}
 	for _, p := range m.peers {
-		if m.alive(p) && p.registered() && !p.stopping && (p.storeLostSince == 0 || storeRecovering) {
+		storeLost := p.storeLostSince > 0 && m.now()-p.storeLostSince > storeLossTimeout
+		if m.alive(p) && p.registered() && !p.stopping && (!storeLost || storeRecovering) {
 			all = append(all, p.Member)
 		}
 	}
--- a/pkg/ownership/liveness_test.go
+++ b/pkg/ownership/liveness_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
@@ -70,6 +72,26 @@
 	})
 }
 
+// TestCandidatesBesideLostPart guards against small entries that take a shard over because larger ones
+// have just called a part of the table service that does not answer.
+func TestCandidatesBesideLostPart(t *testing.T) {
+	c := qt.New(t)
+	local := &fixedEntry{reachesStore: true, storeFor: time.Hour}
+	m := NewMembers(Member{Name: "me", Start: 1}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(time.Now().Add(-time.Minute))), local)
+	addPeer(m, []string{"flickers", "heard=100ms", "nostore=500ms"})
+	addPeer(m, []string{"cut-off", "heard=100ms", "nostore=1500ms"})
+	names := func() (names []string) {
+		for _, m := range m.Candidates() {
+			names = append(names, m.Name)
+		}
+		slices.Sort(names)
+		return names
+	}
+	c.Check(names(), qt.DeepEquals, []string{"flickers", "me"})
+	local.storeFor = time.Second // it has just recovered for all
+	c.Check(names(), qt.DeepEquals, []string{"cut-off", "flickers", "me"})
+}
+
 // addPeer adds a member from "NAME heard=AGE [refused] [refusals=N] [nostore=AGE] [start=N]
 // [answers=N] [released]"; answers is the start time in its last answer.
 func addPeer(m *Members, words []string) {
