Calls to workers wait less for answers while many starts get lost

Cause: 30 of 100 orders get no answer. A worker gets no other start before the outcome of a lost one is known, which takes 350 ms for the start, and 700 ms more for each lost poll that should tell it. A waiting poll that is lost is noticed after 1.7 s only, and the ends of tasks there with it.

Change: while at least 5 starts and a twentieth of them are lost, as shown by workers that answer, timeouts are 80 ms for orders, 150 ms for polls, and polls wait 250 ms, for 5 s, after which starts are counted again with usual timeouts. Not while a tenth of the last answers took more than 20 ms or the owner is at its limit, and it ends at once then: a saturated owner would lose starts by short timeouts. A worker's loss is counted after four calls in place of two in that time. Log line order_timeouts, counter gannetwell_order_timeouts_changed_total.

--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -31,6 +31,7 @@
 	keysRefused     *prometheus.CounterVec
 	malformedRows   *prometheus.CounterVec
 	atLimit         *prometheus.CounterVec
+	timeouts        *prometheus.CounterVec
 	predecessorWait *prometheus.HistogramVec
 	evacuatedZones  prometheus.Gauge
 	coldWorkers     prometheus.Gauge
@@ -61,6 +62,9 @@
 		leaseRenewals: counter("gannetwell_looks_total", "Renewals of leases at workers by outcome."),
 		orders:        counter("gannetwell_orders_total", "Starts and stops ordered at workers by outcome."),
 		attemptEnds:   counter("gannetwell_ends_total", "Ends of attempts by reason."),
+		timeouts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gannetwell_order_timeouts_changed_total", Help: "Changes between usual and short timeouts of calls to workers.",
+		}, []string{"to"}),
 		staleEnds: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gannetwell_ends_passed_over_total", Help: "Ends that workers listed though they were told to forget them.",
 		}),
@@ -100,7 +104,7 @@
 		}, []string{"level"}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
 	return m
 }
 
@@ -147,6 +151,15 @@
 	m.atLimit.WithLabelValues(m.accountLabel(account)).Inc()
 }
 
+// TimeoutsChanged counts a change between usual and short timeouts of calls to workers.
+func (m *metrics) TimeoutsChanged(short bool) {
+	to := "usual"
+	if short {
+		to = "short"
+	}
+	m.timeouts.WithLabelValues(to).Inc()
+}
+
 // RowMalformed counts a row that cannot be decoded.
 func (m *metrics) RowMalformed(table string) { m.malformedRows.WithLabelValues(table).Inc() }
 
--- a/pkg/shard/checks.go
+++ b/pkg/shard/checks.go
@@ -52,6 +52,7 @@
 	o.removeExpiredJobs(now)
 	o.checkStragglers(now)
 	o.updateRateLimit(now)
+	o.updateTimeouts(now)
 	o.logLoad(now)
 	if o.hasWaitingTasks || o.registry.HasOccurrences() {
 		o.requestPlacement()
@@ -68,6 +69,17 @@
 		Dur("fastest_answer", w.Fastest).Int("answered", w.Answered).Int("lost", w.Lost).Send()
 }
 
+// updateTimeouts chooses the timeouts of calls to workers.
+func (o *Owner) updateTimeouts(now time.Duration) {
+	seen := o.patience
+	if !o.patience.update(now, o.rate.Limiting()) {
+		return
+	}
+	o.cfg.Metrics.TimeoutsChanged(o.patience.short)
+	o.log.Warn().Str("event", "order_timeouts").Bool("short", o.patience.short).Dur("order", o.patience.timeouts().order).
+		Int("answered", seen.answered).Float64("late", seen.lateShare).Int("lost", seen.lost).Send()
+}
+
 // removeExpiredJobs removes final jobs after the retention time.
 func (o *Owner) removeExpiredJobs(now time.Duration) {
 	for len(o.finalJobs) > 0 && now-o.finalJobs[0].at > o.cfg.Retention {
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -103,6 +103,24 @@
 	return n
 }
 
+// countLines returns the number of lines that have all the given fields, as printed.
+func (l *sharedLog) countLines(fields map[string]string) (n int) {
+	for line := range strings.Lines(l.String()) {
+		var got map[string]any
+		if json.Unmarshal([]byte(line), &got) != nil {
+			continue
+		}
+		has := true
+		for key, want := range fields {
+			has = has && fmt.Sprint(got[key]) == want
+		}
+		if has {
+			n++
+		}
+	}
+	return n
+}
+
 // lastNotEmpty returns what the tasks at a worker wait for, as last logged of a worker that is not
 // empty.
 func (l *sharedLog) lastNotEmpty(boot string) string {
--- a/pkg/shard/dispatch.go
+++ b/pkg/shard/dispatch.go
@@ -72,7 +72,7 @@
 		s.startsInFlight++
 	}
 	sentAt := o.now()
-	wait := orderTimeout
+	wait := o.patience.timeouts().order
 	if d.prepareStart != nil {
 		// A start must not outlast the confirmation of ownership.
 		wait = min(wait, o.ownedAt+ConfirmationTTL-sentAt)
@@ -104,12 +104,15 @@
 	}
 }
 
-// noteAnswerTime feeds the answer time of an order to the start rate limit. Orders that did
-// not reach their worker say nothing of this owner's speed and are skipped unless they timed out:
+// noteAnswerTime feeds the answer time of an order to the start rate limit and the choice of timeouts.
+// Orders that did not reach their worker say nothing of this owner's speed and are skipped unless they timed out:
 // connections to a rack that is dark would hold the pool to the least rate.
 func (o *Owner) noteAnswerTime(took time.Duration, err error) {
 	switch {
 	case !platform.IsNotDone(err):
+		if !platform.IsUnknown(err) {
+			o.patience.noteAnswer(took)
+		}
 		o.rate.Observe(took, !platform.IsUnknown(err))
 	case took >= orderTimeout:
 		o.rate.Observe(took, false)
--- a/pkg/shard/metrics.go
+++ b/pkg/shard/metrics.go
@@ -28,6 +28,8 @@
 	Job(event string)
 	// AccountAtLimit counts a second in which tasks of a client account waited because of its limit.
 	AccountAtLimit(account string)
+	// TimeoutsChanged counts a change between usual and short timeouts of calls to workers.
+	TimeoutsChanged(short bool)
 }
 
 // NoMetrics discards all counters, for tests and experiments.
@@ -64,3 +66,6 @@
 
 // AccountAtLimit implements Metrics.
 func (NoMetrics) AccountAtLimit(string) {}
+
+// TimeoutsChanged implements Metrics.
+func (NoMetrics) TimeoutsChanged(bool) {}
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -12,9 +12,9 @@
 
 // Timeouts and pauses of orders.
 const (
-	// pollTimeout is how long a poll may go unanswered, beyond the time it waits at the worker.
+	// pollTimeout is how long a poll may usually go unanswered, beyond the time it waits at the worker.
 	pollTimeout = 700 * time.Millisecond
-	// orderTimeout is how long an order may go unanswered; then a poll resolves its outcome.
+	// orderTimeout is how long an order may usually go unanswered; then a poll resolves its outcome.
 	orderTimeout = 350 * time.Millisecond
 	// unhealthyPause is how long a worker that reported itself unhealthy gets no new tasks.
 	unhealthyPause = 800 * time.Millisecond
@@ -45,7 +45,7 @@
 			if o.unwanted(a) || a.Number <= a.Task.Step.BrokenRun {
 				return nil
 			}
-			r.sentAt = now
+			r.sentAt, r.timeout = now, o.patience.timeouts().order
 			order := platform.StartOrder{
 				Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.ResumeFrom,
 				Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.extendLease(now),
@@ -97,7 +97,7 @@
 		s.markOutcomeUnknown()
 		if current && r.startConfirmedAt == 0 {
 			r.Phase = jobs.PhaseInDoubt
-			r.connLost = now-r.sentAt < orderTimeout
+			r.connLost = now-r.sentAt < r.timeout
 		}
 	}
 	if r.Task.Step.Spec.Gang {
--- a/pkg/shard/poll.go
+++ b/pkg/shard/poll.go
@@ -11,7 +11,7 @@
 
 // Timing of polls.
 const (
-	// pollWait is how long a worker delays its answer until an attempt ends, less than leases last.
+	// pollWait is how long a worker usually delays its answer until an attempt ends, less than leases last.
 	pollWait = time.Second
 	// startingPollWait is the same at a worker with a task that others wait for to serve.
 	startingPollWait = 200 * time.Millisecond
@@ -143,7 +143,7 @@
 
 // sendPoll sends a poll and waits for the report; it releases the lock during the call.
 func (o *Owner) sendPoll(ctx context.Context, s *session, order platform.RenewOrder) (report platform.WorkerReport, err error) {
-	pollCtx, cancel := context.WithTimeout(ctx, order.Wait+pollTimeout)
+	pollCtx, cancel := context.WithTimeout(ctx, order.Wait+o.patience.timeouts().poll)
 	defer cancel()
 	if order.Wait > 0 {
 		s.cancelPoll = cancel
@@ -170,7 +170,7 @@
 		order.LeaseUntil = s.extendLease(now)
 	}
 	if s.attemptsKnown && !s.awaited(now) && !s.outcomeUnknown && s.ends.complete == max(s.ends.acknowledged, order.AckedSeq) && s.unansweredCalls == 0 && order.LeaseUntil > 0 {
-		order.Wait = pollWait
+		order.Wait = o.patience.timeouts().wait
 		if s.hasSuspectedTask() {
 			order.Wait = suspectPollWait
 		}
@@ -219,7 +219,7 @@
 	if s.unansweredCalls == 1 {
 		o.log.Warn().Str("event", "worker_lost").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Err(err).Send()
 	}
-	if s.unansweredCalls >= lossCountedAfter {
+	if s.unansweredCalls >= o.patience.timeouts().lossCountedAfter {
 		o.countLosses(s)
 	}
 	o.expireLeases(s)
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -233,6 +233,13 @@
 	"logged": func(c scriptCall) string {
 		return fmt.Sprintf("%d\n", c.log.count(c.arg("event", ""), c.arg("task", "")))
 	},
+	"lines": func(c scriptCall) string {
+		fields := map[string]string{}
+		for _, a := range c.d.CmdArgs {
+			fields[a.Key] = strings.Join(a.Vals, ",")
+		}
+		return fmt.Sprintf("%d\n", c.log.countLines(fields))
+	},
 	"not-empty": func(c scriptCall) string { return c.log.lastNotEmpty(c.boot()) },
 	"log":       func(c scriptCall) string { return c.log.String() },
 }
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -80,6 +80,7 @@
 type workerAttempt struct {
 	*jobs.Attempt
 	sentAt           time.Duration // when the start was last sent, 0 for never
+	timeout          time.Duration // how long that start could go unanswered
 	connLost         bool          // the start got no answer because the connection failed
 	startConfirmedAt time.Duration // when the worker confirmed that it has it, 0 if it did not yet
 	stopOrderedAt    time.Duration // when its stop was last ordered, 0 for never
--- a/pkg/shard/suspects.go
+++ b/pkg/shard/suspects.go
@@ -13,11 +13,6 @@
 	"github.com/gannetwell/gannetwell/pkg/quarantine"
 )
 
-// lossCountedAfter is the number of consecutive unanswered calls after which a worker's loss is
-// counted against its tasks. The loss is not certain then and is retracted if the boot answers
-// again, but it is recorded early, in case this owner is lost too.
-const lossCountedAfter = 2
-
 // countLosses counts the loss of a worker against the tasks there.
 func (o *Owner) countLosses(s *session) {
 	now := o.now()
