A small entry leaves a shard for some seconds to much larger candidates

Cause, from its log: the part of the table service of this pool is away from 31.0 to 36.3 s. Claims follow each other by 0.35 s a rank, so that all large entries have failed by 35.6 s and small ones that have not tried yet claim: one of rank 11 with 0.19 of a core at 36.2 s, whose call is the first to be answered.

Change: an entry claims a shard for which a candidate with 2.5 times its processor is before it only 5 s after the owner was found gone. Such candidates are alive and reach the table service, and try again each 0.3 s. Sites with entries of one size are as before.

Test: TestSmallEntryLeavesShardToLarger failed before; it also fails without the delay.

--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -21,6 +21,9 @@
 	startupClaimDelay = 250 * time.Millisecond
 	// claimStagger is the delay between the claims of consecutive candidates for a shard.
 	claimStagger = 350 * time.Millisecond
+	// largerEntryTime is how long a small entry leaves a shard to much larger candidates, which may have to
+	// try again: it could not serve a busy pool.
+	largerEntryTime = 5 * time.Second
 	// suspectTimeout is how long an owner is suspected before its shard is claimed.
 	suspectTimeout = 3 * time.Second
 	// storeStableTime is how long the table service must have answered before a suspected owner is
@@ -61,8 +64,8 @@
 		if !gone {
 			continue
 		}
-		rank := mgr.rankAndAssign(pool, s.row, candidates, counts)
-		if now-s.goneSince < time.Duration(rank)*claimStagger {
+		rank, largerFirst := mgr.rankAndAssign(pool, s.row, candidates, counts)
+		if now-s.goneSince < claimDelay(rank, largerFirst) {
 			continue
 		}
 		s.claiming = true // the event tells the start of the claim; a failure has its own
@@ -102,7 +105,8 @@
 		if status, _ := mgr.members.OwnerStatus(s.row, s.rowSeenAt); status != OwnerGone {
 			continue
 		}
-		first = mgr.rankAndAssign(pool, s.row, candidates, counts) == 0 || first
+		rank, _ := mgr.rankAndAssign(pool, s.row, candidates, counts)
+		first = first || rank == 0
 	}
 	return first
 }
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -280,3 +280,39 @@
 		cancel()
 	})
 }
+
+// TestSmallEntryLeavesShardToLarger guards against a small entry that takes a busy pool over because the
+// large ones before it, which are alive, have not managed to yet.
+func TestSmallEntryLeavesShardToLarger(t *testing.T) {
+	for _, tc := range []struct {
+		largerCPUs float64
+		delay      time.Duration
+	}{
+		{largerCPUs: 1, delay: claimStagger},
+		{largerCPUs: rebalanceFactor - 0.1, delay: claimStagger},
+		{largerCPUs: rebalanceFactor, delay: largerEntryTime},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			since := time.Now()
+			time.Sleep(time.Minute)
+			m := NewMembers(Member{Name: "me", CPUs: 1}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)), &unstableEntry{storeSince: since})
+			m.majoritySince = 1
+			m.peers["first"] = memberHeard("first", time.Hour)
+			m.peers["first"].CPUs = tc.largerCPUs
+			claims := claimCluster{claims: make(chan string, 10)}
+			mgr := claims.manager("me", m, since)
+			mgr.shards["p"].row.Next = "first"
+			mgr.shards["p"].row.Entry = "" // released
+			mgr.claimShards(context.Background())
+			time.Sleep(tc.delay - time.Millisecond)
+			mgr.claimShards(context.Background())
+			synctest.Wait()
+			c.Check(claims.claims, qt.HasLen, 0, qt.Commentf("%v", tc.largerCPUs))
+			time.Sleep(time.Millisecond)
+			mgr.claimShards(context.Background())
+			synctest.Wait()
+			c.Check(claims.claims, qt.HasLen, 1, qt.Commentf("%v", tc.largerCPUs))
+		})
+	}
+}
--- a/pkg/ownership/rank.go
+++ b/pkg/ownership/rank.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -18,9 +19,10 @@
 	return counts
 }
 
-// rankAndAssign returns this entry's position among the candidates for a shard, 0 for the first. It
-// adds the shard to the first one's count, so that one candidate is not first for all shards.
-func (mgr *Manager) rankAndAssign(pool string, row shard.OwnerRow, candidates []Member, counts map[string]int) int {
+// rankAndAssign returns this entry's position among the candidates for a shard, 0 for the first, and
+// whether a much larger entry is before it. It adds the shard to the first one's count, so that one
+// candidate is not first for all shards.
+func (mgr *Manager) rankAndAssign(pool string, row shard.OwnerRow, candidates []Member, counts map[string]int) (rank int, largerFirst bool) {
 	order := slices.Clone(candidates)
 	slices.SortFunc(order, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(successorOrder(a, row), successorOrder(b, row)), compareLoad(pool, counts, a, b))
@@ -29,9 +31,21 @@
 		counts[order[0].Name]++
 	}
 	if row.Entry == mgr.self.Entry && row.Start == mgr.self.Start {
-		return 0 // the row names this process, so no other entry claims the shard
+		return 0, false // the row names this process, so no other entry claims the shard
 	}
-	return slices.IndexFunc(order, func(m Member) bool { return m.Name == mgr.self.Entry })
+	rank = slices.IndexFunc(order, func(m Member) bool { return m.Name == mgr.self.Entry })
+	return rank, rank > 0 && slices.ContainsFunc(order[:rank], func(m Member) bool {
+		return m.CPUs >= rebalanceFactor*mgr.members.self.CPUs
+	})
+}
+
+// claimDelay returns how long after its owner was found gone an entry claims a shard.
+func claimDelay(rank int, largerFirst bool) time.Duration {
+	delay := time.Duration(rank) * claimStagger
+	if largerFirst {
+		delay = max(delay, largerEntryTime)
+	}
+	return delay
 }
 
 const (
