--- a/pkg/fleetops/waveprogress_test.go
+++ b/pkg/fleetops/waveprogress_test.go
@@ -46,6 +46,14 @@
 	return s, func() { setFault(fake.FaultDown) }, func() { setFault(fake.FaultNone) }
 }
 
+// openUntilOrder opens the first holder of a fleet and returns it once it has ordered one VM.
+func openUntilOrder(c *qt.C, s *testFleet, since time.Time) *Runner {
+	first := s.open(c, "first", since)
+	time.Sleep(600 * time.Millisecond)
+	c.Assert(s.vms.firstOrders("first"), qt.HasLen, 1)
+	return first
+}
+
 // openSecond opens the second holder of a fleet, the first one to see its waves.
 func openSecond(c *qt.C, s *testFleet) *Runner {
 	since, waves := time.Now(), s.waves
@@ -97,10 +105,7 @@
 		s, _, _ := newProgressFleet("v1", "v2")
 		s.maintenance = 10 * time.Second
 		since := time.Now()
-		first := s.open(c, "first", since)
-		time.Sleep(600 * time.Millisecond)
-		c.Assert(s.vms.firstOrders("first"), qt.HasLen, 1)
-		first.Close()
+		openUntilOrder(c, s, since).Close()
 		time.Sleep(5 * time.Second) // the former holder's announcement has run out
 		second := s.open(c, "second", since)
 		defer second.Close()
@@ -120,10 +125,7 @@
 		c := qt.New(t)
 		s, _, _ := newProgressFleet("v1", "v2")
 		since := time.Now()
-		first := s.open(c, "first", since)
-		time.Sleep(600 * time.Millisecond)
-		c.Assert(s.vms.firstOrders("first"), qt.HasLen, 1)
-		first.Close()
+		openUntilOrder(c, s, since).Close()
 		s.vms.set("v1", platform.MachineUp, "v1+")
 		time.Sleep(5 * time.Second)
 		second := s.open(c, "second", since)
@@ -198,10 +200,7 @@
 		s, _, _ := newProgressFleet("v1", "v2")
 		s.maintenance = 10 * time.Second
 		since := time.Now()
-		first := s.open(c, "first", since)
-		time.Sleep(600 * time.Millisecond)
-		c.Assert(s.vms.firstOrders("first"), qt.HasLen, 1)
-		first.Close()
+		openUntilOrder(c, s, since).Close()
 		s.vms.set("v1", platform.MachineUp, "v1+")
 		var silent atomic.Bool
 		silent.Store(true)
--- a/pkg/ownership/claim_test.go
+++ b/pkg/ownership/claim_test.go
@@ -281,6 +281,14 @@
 	})
 }
 
+// membersAlone returns the members as an entry with some processors sees them that knows no other yet. It
+// has reached the table service and most entries since a time.
+func membersAlone(cpus float64, since time.Time) *Members {
+	m := NewMembers(Member{Name: "me", CPUs: cpus}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)), &unstableEntry{storeSince: since})
+	m.majoritySince = 1
+	return m
+}
+
 // TestSmallEntryLeavesShardToLarger guards against a small entry that takes a busy pool over because the
 // large ones before it, which are alive, have not managed to yet.
 func TestSmallEntryLeavesShardToLarger(t *testing.T) {
@@ -296,8 +304,7 @@
 			c := qt.New(t)
 			since := time.Now()
 			time.Sleep(time.Minute)
-			m := NewMembers(Member{Name: "me", CPUs: 1}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)), &unstableEntry{storeSince: since})
-			m.majoritySince = 1
+			m := membersAlone(1, since)
 			m.peers["first"] = memberHeard("first", time.Hour)
 			m.peers["first"].CPUs = tc.largerCPUs
 			claims := claimCluster{claims: make(chan string, 10)}
--- a/pkg/ownership/rebalance_test.go
+++ b/pkg/ownership/rebalance_test.go
@@ -79,8 +79,7 @@
 		c := qt.New(t)
 		since := time.Now()
 		time.Sleep(time.Minute)
-		m := NewMembers(Member{Name: "me", CPUs: 0.2}, nil, zerolog.Nop(), elapsed.New(elapsed.WithOrigin(since)), &unstableEntry{storeSince: since})
-		m.majoritySince = 1
+		m := membersAlone(0.2, since)
 		for i := range 96 {
 			name := fmt.Sprintf("e%d", i)
 			m.peers[name] = memberHeard(name, time.Hour)
