--- a/pkg/ownership/rebalance.go
+++ b/pkg/ownership/rebalance.go
@@ -33,8 +33,8 @@
 		return "", false
 	}
 	best := slices.MinFunc(others, func(a, b Member) int { return compareLoad(pool, counts, a, b) })
-	mine, its := float64(counts[self.Name])/self.CPUs, float64(counts[best.Name]+1)/best.CPUs
-	return best.Name, mine >= rebalanceFactor*its
+	mine, theirs := float64(counts[self.Name])/self.CPUs, float64(counts[best.Name]+1)/best.CPUs
+	return best.Name, mine >= rebalanceFactor*theirs
 }
 
 // compareLoad orders entries by the expected load that they would have with one more shard.
--- a/pkg/shard/checks.go
+++ b/pkg/shard/checks.go
@@ -71,12 +71,12 @@
 
 // updateTimeouts chooses the timeouts of calls to workers.
 func (o *Owner) updateTimeouts(now time.Duration) {
-	seen := o.patience
-	if !o.patience.update(now, o.rate.Limiting()) {
+	seen := o.timeouts
+	if !o.timeouts.update(now, o.rate.Limiting()) {
 		return
 	}
-	o.cfg.Metrics.TimeoutsChanged(o.patience.short)
-	o.log.Warn().Str("event", "order_timeouts").Bool("short", o.patience.short).Dur("order", o.patience.timeouts().order).
+	o.cfg.Metrics.TimeoutsChanged(o.timeouts.short)
+	o.log.Warn().Str("event", "order_timeouts").Bool("short", o.timeouts.short).Dur("order", o.timeouts.current().order).
 		Int("answered", seen.answered).Float64("late", seen.lateShare).Int("lost", seen.lost).Send()
 }
 
--- a/pkg/shard/dispatch.go
+++ b/pkg/shard/dispatch.go
@@ -72,7 +72,7 @@
 		s.startsInFlight++
 	}
 	sentAt := o.now()
-	wait := o.patience.timeouts().order
+	wait := o.timeouts.current().order
 	if d.prepareStart != nil {
 		// A start must not outlast the confirmation of ownership.
 		wait = min(wait, o.ownedAt+ConfirmationTTL-sentAt)
@@ -111,7 +111,7 @@
 	switch {
 	case !platform.IsNotDone(err):
 		if !platform.IsUnknown(err) {
-			o.patience.noteAnswer(took)
+			o.timeouts.noteAnswer(took)
 		}
 		o.rate.Observe(took, !platform.IsUnknown(err))
 	case took >= orderTimeout:
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -45,7 +45,7 @@
 			if o.unwanted(a) || a.Number <= a.Task.Step.BrokenRun {
 				return nil
 			}
-			r.sentAt, r.timeout = now, o.patience.timeouts().order
+			r.sentAt, r.timeout = now, o.timeouts.current().order
 			order := platform.StartOrder{
 				Task: name, Attempt: a.Number, Spec: a.Task.Step.Job.Spec.Text, Checkpoint: a.ResumeFrom,
 				Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.extendLease(now),
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -102,7 +102,7 @@
 	formerWorkersPending bool          // the takeover is incomplete: a worker of a former owner has not reported yet
 	formerTasksUnknown   bool          // any restored task may be at such a worker, not only listed ones
 	formerLeasesUntil    time.Duration // when all leases renewed by former owners have expired
-	patience             patience      // chooses the timeouts of calls to workers
+	timeouts             timeoutPolicy // chooses the timeouts of calls to workers
 	tookOverAt           time.Duration // when this entry took over
 	formerStopsEndAt     time.Duration // by when all stops of former owners have ended, 0 if not known
 	soleOwnerAt          time.Duration // from when on no former owner can act; answers to earlier polls do not complete the takeover
--- a/pkg/shard/poll.go
+++ b/pkg/shard/poll.go
@@ -143,7 +143,7 @@
 
 // sendPoll sends a poll and waits for the report; it releases the lock during the call.
 func (o *Owner) sendPoll(ctx context.Context, s *session, order platform.RenewOrder) (report platform.WorkerReport, err error) {
-	pollCtx, cancel := context.WithTimeout(ctx, order.Wait+o.patience.timeouts().poll)
+	pollCtx, cancel := context.WithTimeout(ctx, order.Wait+o.timeouts.current().poll)
 	defer cancel()
 	if order.Wait > 0 {
 		s.cancelPoll = cancel
@@ -170,7 +170,7 @@
 		order.LeaseUntil = s.extendLease(now)
 	}
 	if s.attemptsKnown && !s.awaited(now) && !s.outcomeUnknown && s.ends.complete == max(s.ends.acknowledged, order.AckedSeq) && s.unansweredCalls == 0 && order.LeaseUntil > 0 {
-		order.Wait = o.patience.timeouts().wait
+		order.Wait = o.timeouts.current().wait
 		if s.hasSuspectedTask() {
 			order.Wait = suspectPollWait
 		}
@@ -219,7 +219,7 @@
 	if s.unansweredCalls == 1 {
 		o.log.Warn().Str("event", "worker_lost").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Err(err).Send()
 	}
-	if s.unansweredCalls >= o.patience.timeouts().lossCountedAfter {
+	if s.unansweredCalls >= o.timeouts.current().lossCountedAfter {
 		o.countLosses(s)
 	}
 	o.expireLeases(s)
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -155,7 +155,7 @@
 		}
 		o.log.Info().Str("event", "start_settled").Str("task", name).Int64("attempt", a.Number).
 			Str("boot", s.ref.Boot).Bool("running", false).Dur("age", o.now()-sentAt).Send()
-		o.patience.noteLost()
+		o.timeouts.noteLost()
 		o.dropAttempt(s, name)
 	}
 }
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -40,10 +40,10 @@
 
 // Handover is what an owner that releases its shard writes for the next one.
 type Handover struct {
-	Entry       string        // entry that should take over, empty for any
-	FormerGrace time.Duration // how long owners before the releasing one may still act
-	StopsEnded  bool          // see OwnerRow.StopsEnded
-	Stops       map[string]int64
+	Entry       string           // entry that should take over, empty for any
+	FormerGrace time.Duration    // how long owners before the releasing one may still act
+	StopsEnded  bool             // see OwnerRow.StopsEnded
+	Stops       map[string]int64 // see OwnerRow.Stops
 }
 
 // Release writes an owner row without an owner, so that another entry can take over at once.
--- a/pkg/shard/patience.go
+++ b/pkg/shard/timeouts.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// patienceWindow is the longest time over which starts are counted.
-	patienceWindow = 1500 * time.Millisecond
+	// startsWindow is the longest time over which starts are counted.
+	startsWindow = 1500 * time.Millisecond
 	// shortTimeoutsTime is how long timeouts are short before starts are counted again with usual ones,
 	// which late answers can meet.
 	shortTimeoutsTime = 5 * time.Second
@@ -37,10 +37,10 @@
 	lateSmoothing = 1.0 / 32
 )
 
-// patience chooses the timeouts of calls to workers. While many starts are lost though the others are
+// timeoutPolicy chooses the timeouts of calls to workers. While many starts are lost though the others are
 // answered fast, to wait for the lost ones costs more than to repeat some: a worker gets no other start
 // before the outcome is known.
-type patience struct {
+type timeoutPolicy struct {
 	short       bool
 	windowStart time.Duration // when the present window or the short timeouts began
 
@@ -50,8 +50,8 @@
 	lateShare float64 // of late answers, moving average
 }
 
-// timeouts returns the present timeouts.
-func (p *patience) timeouts() callTimeouts {
+// current returns the present timeouts.
+func (p *timeoutPolicy) current() callTimeouts {
 	if p.short {
 		return shortTimeouts
 	}
@@ -59,7 +59,7 @@
 }
 
 // noteAnswer records the answer to an order.
-func (p *patience) noteAnswer(took time.Duration) {
+func (p *timeoutPolicy) noteAnswer(took time.Duration) {
 	p.answered++
 	late := 0.0
 	if took > lateAnswer {
@@ -69,12 +69,12 @@
 }
 
 // noteLost records a start that a worker which answers has not carried out.
-func (p *patience) noteLost() { p.lost++ }
+func (p *timeoutPolicy) noteLost() { p.lost++ }
 
 // update chooses the timeouts, and reports whether they changed; saturated reports that the owner is at
 // its limit.
-func (p *patience) update(now time.Duration, saturated bool) (changed bool) {
-	length := patienceWindow
+func (p *timeoutPolicy) update(now time.Duration, saturated bool) (changed bool) {
+	length := startsWindow
 	if p.short {
 		length = shortTimeoutsTime
 	}
@@ -91,6 +91,6 @@
 }
 
 // losesMany reports whether many starts were lost in the window.
-func (p *patience) losesMany() bool {
+func (p *timeoutPolicy) losesMany() bool {
 	return p.lost >= minLostStarts && float64(p.lost) >= lostStartShare*float64(p.answered+p.lost)
 }
--- a/pkg/shard/patience_test.go
+++ b/pkg/shard/timeouts_test.go
@@ -9,7 +9,7 @@
 
 // Timeouts are short only while many starts are lost and the others are answered fast, as they would not be
 // if the owner, its link or the workers were slow.
-func TestPatience(t *testing.T) {
+func TestTimeoutPolicy(t *testing.T) {
 	for name, tc := range map[string]struct {
 		fast, slow, lost int // slow answers come last
 		saturated, short bool
@@ -27,7 +27,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			var p patience
+			var p timeoutPolicy
 			noteAnswers(&p, tc.fast, 4*time.Millisecond)
 			noteAnswers(&p, tc.slow, lateAnswer+1)
 			for range tc.lost {
@@ -39,31 +39,31 @@
 	}
 }
 
-func noteAnswers(p *patience, n int, took time.Duration) {
+func noteAnswers(p *timeoutPolicy, n int, took time.Duration) {
 	for range n {
 		p.noteAnswer(took)
 	}
 }
 
 // Short timeouts end at once when the owner gets slow.
-func TestPatienceOfSlowOwner(t *testing.T) {
+func TestTimeoutsOfSlowOwner(t *testing.T) {
 	for _, saturated := range []bool{false, true} {
 		c := qt.New(t)
-		p := patience{short: true, windowStart: time.Second}
+		p := timeoutPolicy{short: true, windowStart: time.Second}
 		noteAnswers(&p, 100, 4*time.Millisecond)
 		c.Check(p.update(2*time.Second, false), qt.IsFalse)
 		if !saturated {
 			noteAnswers(&p, 5, lateAnswer+1)
 		}
 		c.Check(p.update(2*time.Second+1, saturated), qt.IsTrue)
-		c.Check(p.timeouts(), qt.Equals, usualTimeouts)
+		c.Check(p.current(), qt.Equals, usualTimeouts)
 	}
 }
 
 // Short timeouts end by themselves, so that starts are counted again with usual ones.
-func TestPatienceReturns(t *testing.T) {
+func TestUsualTimeoutsReturn(t *testing.T) {
 	c := qt.New(t)
-	p := patience{windowStart: time.Second}
+	p := timeoutPolicy{windowStart: time.Second}
 	lose := func() {
 		for range minLostStarts {
 			p.noteLost()
@@ -74,16 +74,16 @@
 	c.Assert(p.update(now, false), qt.IsTrue)
 	lose()
 	c.Check(p.update(now+shortTimeoutsTime-1, false), qt.IsFalse)
-	c.Check(p.timeouts(), qt.Equals, shortTimeouts)
+	c.Check(p.current(), qt.Equals, shortTimeouts)
 	now += shortTimeoutsTime
 	c.Check(p.update(now, false), qt.IsTrue)
-	c.Check(p.timeouts(), qt.Equals, usualTimeouts)
+	c.Check(p.current(), qt.Equals, usualTimeouts)
 	c.Check(p.update(now+1, false), qt.IsFalse, qt.Commentf("what was lost before does not count"))
 	lose()
 	p.lost--
-	c.Check(p.update(now+patienceWindow, false), qt.IsFalse)
+	c.Check(p.update(now+startsWindow, false), qt.IsFalse)
 	p.noteLost()
-	c.Check(p.update(now+patienceWindow+1, false), qt.IsFalse, qt.Commentf("the others were lost in an earlier window"))
+	c.Check(p.update(now+startsWindow+1, false), qt.IsFalse, qt.Commentf("the others were lost in an earlier window"))
 	lose()
-	c.Check(p.update(now+patienceWindow+2, false), qt.IsTrue)
+	c.Check(p.update(now+startsWindow+2, false), qt.IsTrue)
 }
