--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -94,13 +94,8 @@
 }
 
 // count returns the number of lines of an event about a task.
-func (l *sharedLog) count(event, task string) (n int) {
-	for line := range strings.Lines(l.String()) {
-		if strings.Contains(line, `"event":"`+event+`"`) && strings.Contains(line, `"task":"`+task+`"`) {
-			n++
-		}
-	}
-	return n
+func (l *sharedLog) count(event, task string) int {
+	return l.countLines(map[string]string{"event": event, "task": task})
 }
 
 // countLines returns the number of lines that have all the given fields, as printed.
