Review, case 2: a task runs twice because a lease outlasts the successor's wait

Cause: extendLease in pkg/shard adds the time since the last reading of the worker's clock as if that clock ran at the owner's speed. Idle workers are not polled, so the reading may be minutes old, and a clock that runs 2% slow makes the lease longer by 2% of that time. A successor waits as for a lease of 4 s.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -84,7 +84,7 @@
 	}
 	tasks, st := newTaskBook(rec), newStore()
 	return &deployment{
-		rec: rec, tasks: tasks, store: st, dir: dir, fleet: &fleet{store: st, tasks: tasks, rec: rec},
+		rec: rec, tasks: tasks, store: st, dir: dir, fleet: &fleet{store: st, tasks: tasks, rec: rec, rate: 1},
 		client: &http.Client{Timeout: callTimeout},
 	}, nil
 }
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -9,8 +9,14 @@
 	"time"
 )
 
-// moveTime is how long a machine takes to move to another pool.
-const moveTime = 1500 * time.Millisecond
+const (
+	// moveTime is how long a machine takes to move to another pool.
+	moveTime = 1500 * time.Millisecond
+	// silenceTime is how long the directory still lists a worker that has crashed.
+	silenceTime = 3 * heartbeat
+	// anyAddress is a free port of the loopback interface.
+	anyAddress = "127.0.0.1:0"
+)
 
 // machine is a machine of the VM list.
 type machine struct {
@@ -24,6 +30,7 @@
 	store *store
 	tasks *taskBook
 	rec   *record
+	rate  float64 // of the workers' clocks
 
 	mu       sync.Mutex
 	machines []*machine
@@ -36,13 +43,13 @@
 	defer f.mu.Unlock()
 	m := &machine{name: fmt.Sprintf("m-%05x", len(f.machines)+1), zone: zone, rack: rack, pool: pool, room: room}
 	f.machines = append(f.machines, m)
-	return f.bootLocked(m)
+	return f.bootLocked(m, anyAddress)
 }
 
-func (f *fleet) bootLocked(m *machine) (err error) {
+func (f *fleet) bootLocked(m *machine, address string) (err error) {
 	f.lives++
 	id := fmt.Sprintf("i-%08x", 0x7f3a9100+f.lives)
-	if m.worker, err = boot(id, m.name, m.zone, m.rack, m.pool, m.room, f.tasks, f.store); err != nil {
+	if m.worker, err = boot(id, m.name, m.zone, m.rack, m.pool, address, f.rate, m.room, f.tasks, f.store); err != nil {
 		return err
 	}
 	m.state = "up"
@@ -123,7 +130,7 @@
 	time.AfterFunc(moveTime, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if err := f.bootLocked(m); err != nil {
+		if err := f.bootLocked(m, anyAddress); err != nil {
 			f.rec.write("platform", "%s does not return: %v", m.name, err)
 		}
 	})
@@ -139,3 +146,26 @@
 	}
 	return nil
 }
+
+// crashPool has all workers of a pool crash, and start again at their addresses after a time, each as a new life.
+func (f *fleet) crashPool(pool string, downTime time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		if m.pool != pool || m.state != "up" {
+			continue
+		}
+		lost := m.worker
+		m.state, m.worker = "down", nil
+		lost.end()
+		time.AfterFunc(silenceTime, func() { f.store.remove("servers", lost.id) })
+		time.AfterFunc(downTime, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if err := f.bootLocked(m, lost.address); err != nil {
+				f.rec.write("platform", "%s does not return: %v", m.name, err)
+			}
+		})
+	}
+	f.rec.write("platform", "all workers of %s crash, for %s", pool, downTime)
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	rules []rule
 }{
 	"1": {longOutage, []rule{ruleTwice}},
+	"2": {staleClock, []rule{ruleTwice}},
 }
 
 func main() {
--- a/review/standin/tasks.go
+++ b/review/standin/tasks.go
@@ -48,6 +48,7 @@
 	live   map[string][]liveRun
 	done   map[string]*doneRun // first run that ended as done, by task
 	late   []lateStart
+	failed map[string]int // runs that ended as failed, by job
 	starts int
 	ends   int
 }
@@ -59,7 +60,7 @@
 }
 
 func newTaskBook(rec *record) *taskBook {
-	return &taskBook{rec: rec, specs: map[string]taskWork{}, live: map[string][]liveRun{}, done: map[string]*doneRun{}}
+	return &taskBook{rec: rec, specs: map[string]taskWork{}, live: map[string][]liveRun{}, done: map[string]*doneRun{}, failed: map[string]int{}}
 }
 
 // define tells what the tasks of a job take, by the job's text.
@@ -106,6 +107,9 @@
 		}
 	}
 	b.live[task] = left
+	if how == "failed" {
+		b.failed[jobOf(task)]++
+	}
 	if how == "done" && b.done[task] == nil {
 		b.done[task] = &doneRun{worker: w, run: number}
 	}
@@ -133,6 +137,19 @@
 	}
 }
 
+// jobOf returns the ID of a task's job.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
+// failures returns how many runs of a job have ended as failed.
+func (b *taskBook) failures(job string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed[job]
+}
+
 // counts returns how many runs have started and ended so far.
 func (b *taskBook) counts() (starts, ends int) {
 	b.mu.Lock()
@@ -140,13 +157,23 @@
 	return b.starts, b.ends
 }
 
+// workerOf returns the worker where a task runs, nil if it does not run.
+func (b *taskBook) workerOf(task string) *worker {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if live := b.live[task]; len(live) > 0 {
+		return live[0].worker
+	}
+	return nil
+}
+
 // runsOf returns where tasks of a job run now.
 func (b *taskBook) runsOf(job string) (where []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for task, live := range b.live {
 		for _, l := range live {
-			if strings.HasPrefix(task, job+".") {
+			if jobOf(task) == job {
 				where = append(where, fmt.Sprintf("%s run %d at %s", task, l.run, l.worker))
 			}
 		}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -56,6 +57,8 @@
 	store                             *store
 	started                           time.Time
 	server                            *http.Server
+	rate                              float64     // of its clock, 1 for that of this program
+	cut                               atomic.Bool // it is cut off from all entries, and runs on
 	dead                              context.Context
 	die                               context.CancelFunc
 
@@ -73,14 +76,14 @@
 	callSeq int
 }
 
-// boot starts a life of a worker at a free port of the loopback interface.
-func boot(id, vm, zone, rack, pool string, room capacity, tasks *taskBook, st *store) (w *worker, err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// boot starts a life of a worker at an address of the loopback interface; port 0 stands for a free one.
+func boot(id, vm, zone, rack, pool, address string, rate float64, room capacity, tasks *taskBook, st *store) (w *worker, err error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	w = &worker{
-		id: id, vm: vm, zone: zone, rack: rack, pool: pool, address: l.Addr().String(), room: room, free: room, tasks: tasks, store: st,
+		id: id, vm: vm, zone: zone, rack: rack, pool: pool, address: l.Addr().String(), rate: rate, room: room, free: room, tasks: tasks, store: st,
 		started: time.Now(), running: map[string]*run{}, highest: map[string]int64{}, changed: make(chan struct{}),
 	}
 	w.dead, w.die = context.WithCancel(context.Background())
@@ -148,7 +151,19 @@
 	}
 }
 
-func (w *worker) clock() int64 { return time.Since(w.started).Milliseconds() }
+// clock returns the worker's own steady clock in milliseconds.
+func (w *worker) clock() int64 {
+	return int64(float64(time.Since(w.started).Milliseconds()) * w.rate)
+}
+
+// silent reports whether the worker is cut off, after the caller has given up. The call had no effect.
+func (w *worker) silent(r *http.Request) bool {
+	if !w.cut.Load() {
+		return false
+	}
+	<-r.Context().Done()
+	return true
+}
 
 // order is the body of a call.
 type order struct {
@@ -164,6 +179,9 @@
 // receive reads a call, and answers it unless it is for this life and its fence is current. The lock is
 // held when it returns true.
 func (w *worker) receive(rw http.ResponseWriter, r *http.Request, o *order) bool {
+	if w.silent(r) {
+		panic(http.ErrAbortHandler)
+	}
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
 		rw.Header().Set("Instance-Id", w.id)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -189,7 +207,7 @@
 
 // extendLease applies a deadline by the worker's clock.
 func (w *worker) extendLease(deadlineMs int64) {
-	until := w.started.Add(time.Duration(deadlineMs) * time.Millisecond)
+	until := w.started.Add(time.Duration(float64(deadlineMs) / w.rate * float64(time.Millisecond)))
 	if limit := time.Now().Add(maxLease); until.After(limit) {
 		until = limit
 	}
@@ -317,6 +335,9 @@
 			return
 		}
 	}
+	if w.silent(r) {
+		panic(http.ErrAbortHandler)
+	}
 	writeJSON(rw, http.StatusOK, w.account())
 }
 
