Review, case 3: jobs starve and fail because of crashes that they did not cause

Cause: pkg/quarantine counts each lost worker against all tasks that had started there shortly before. One early loss keeps a task away from every worker with another suspected task; four lost workers fail its job, whatever the reason.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 }{
 	"1": {longOutage, []rule{ruleTwice}},
 	"2": {staleClock, []rule{ruleTwice}},
+	"3": {flappingPool, []rule{ruleLost}},
 }
 
 func main() {
