--- a/review/standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -177,6 +178,7 @@
 	e.cmd = exec.Command(program, "serve")
 	e.cmd.Env = append(os.Environ(), "GANNETWELL_CONFIG="+path)
 	e.cmd.Stdout, e.cmd.Stderr = log, log
+	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // see init
 	return e.cmd.Start()
 }
 
--- a/review/standin/main.go
+++ b/review/_standin/main.go
@@ -5,9 +5,8 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"syscall"
-
-	"github.com/pkg/errors"
 )
 
 // Exit codes of a case.
@@ -31,6 +30,10 @@
 	"3": {flappingPool, []rule{ruleLost}},
 }
 
+// The entries are started by the main thread: they are killed when the thread that started them ends, however
+// this program ends.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER PROGRAM")
@@ -70,7 +73,8 @@
 	return exitHeld
 }
 
-// play starts a deployment, plays a case on it and ends all that it started, also at a signal.
+// play starts a deployment, plays a case on it and ends all that it started. At a signal the program exits, and
+// the entries end with it.
 func play(s scenario, rec *record, program string, trouble bool) error {
 	d, err := newDeployment(rec)
 	if err != nil {
@@ -78,13 +82,12 @@
 	}
 	defer d.close()
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	done := make(chan error, 1)
-	go func() { done <- s(d, program, trouble) }()
-	select {
-	case err := <-done:
-		return err
-	case sig := <-signals:
-		return errors.Errorf("ended by %s", sig)
-	}
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		rec.write("case", "ended by %s", <-signals)
+		rec.close()
+		_ = os.RemoveAll(d.dir)
+		os.Exit(exitNotRun)
+	}()
+	return s(d, program, trouble)
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -ldflags=-linkmode=external -o target/ ./cmd/...
-go build -o target/review-standin ./review/standin
+go build -o target/review-standin ./review/_standin
