A report that may lack ends proves nothing about the attempts it does not name

Cause: a worker lists 500 ends at once. Ends are acknowledged when they are stored, so in an outage they collect, and an attempt whose end comes after the 500th is in neither list of a report. Two such reports counted as proof that it was gone. Four more conclusions from absence had the same cause: unanswered starts, takeovers (by list, and by time at a worker that answers), and the tasks that a planned release names.

Change: the adapter says whether a report may lack ends (MoreEnds). Nothing follows from absence in such a report; the next whole list decides. A former owner's leases count as expired only at a worker that does not answer, and not before those that the new owner renewed there. The simulated workers list 500 ends, or as few as a test says, and the observer of the state machines counts a start between an end as done and its acknowledgement, as the rule does.

Why it works: running attempts are listed whole, so an attempt in neither list has ended, and its end comes with a later list once the first ones are acknowledged; a whole list that lacks it is the proof that was asked for before.

--- a/pkg/bench/soak/events.go
+++ b/pkg/bench/soak/events.go
@@ -60,7 +60,7 @@
 }
 
 // Acked implements fake.WorkersObserver.
-func (w *eventWriter) Acked(boot string, end platform.AttemptEnd) {
+func (w *eventWriter) Acked(boot string, end platform.AttemptEnd, _ bool) {
 	w.write(Event{Kind: EventAcked, Boot: boot, Task: end.Task, Attempt: end.Attempt, Reason: end.Reason, Checkpoint: end.Checkpoint})
 }
 
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -26,6 +26,7 @@
 	orders          *prometheus.CounterVec
 	attemptEnds     *prometheus.CounterVec
 	staleEnds       prometheus.Counter
+	endsCut         prometheus.Counter
 	losses          *prometheus.CounterVec
 	jobs            *prometheus.CounterVec
 	keysRefused     *prometheus.CounterVec
@@ -68,6 +69,9 @@
 		staleEnds: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gannetwell_ends_passed_over_total", Help: "Ends that workers listed though they were told to forget them.",
 		}),
+		endsCut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gannetwell_reports_cut_total", Help: "Workers' reports that list as many ends as they can, so that others may be missing.",
+		}),
 		losses:      counter("gannetwell_attempts_lost_total", "Attempts that were lost, by how."),
 		jobs:        counter("gannetwell_jobs_total", "Jobs by what became of them."),
 		keysRefused: counter("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer."),
@@ -104,7 +108,7 @@
 		}, []string{"level"}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.endsCut, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
 	return m
 }
 
@@ -135,6 +139,9 @@
 // StaleEnd counts an end that a worker lists again after it was acknowledged.
 func (m *metrics) StaleEnd() { m.staleEnds.Inc() }
 
+// EndsCut counts a report that may lack ends.
+func (m *metrics) EndsCut() { m.endsCut.Inc() }
+
 // AttemptLost counts an attempt that is gone although its worker reported no end of it.
 func (m *metrics) AttemptLost(kind shard.LossKind) { m.losses.WithLabelValues(string(kind)).Inc() }
 
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -71,7 +71,7 @@
 func (noopObserver) Ended(string, string, int64, platform.EndReason) {}
 func (noopObserver) Overcommitted(string, string)                    {}
 func (noopObserver) Crashed(string, string)                          {}
-func (noopObserver) Acked(string, platform.AttemptEnd)               {}
+func (noopObserver) Acked(string, platform.AttemptEnd, bool)         {}
 
 // source decodes rows that the test writes as JSON.
 func source() Source {
--- a/pkg/platform/fake/attempts.go
+++ b/pkg/platform/fake/attempts.go
@@ -213,13 +213,14 @@
 	for _, task := range slices.Sorted(maps.Keys(b.running)) {
 		w.finishLocked(b, task, b.running[task], platform.EndLeaseExpired)
 	}
+	b.lapsedSeq = b.lastSeq
 }
 
 // acknowledge drops the ends up to a sequence number from later reports.
 func (w *Workers) acknowledge(b *boot, upTo int64) {
 	for _, e := range b.ended {
 		if e.Seq <= upTo {
-			w.observer.Acked(b.info.Boot, e)
+			w.observer.Acked(b.info.Boot, e, e.Seq > b.lapsedSeq && w.endOmissions[b.info.Boot][e.Seq] <= 0)
 		}
 	}
 	b.ackedSeq = max(b.ackedSeq, upTo)
@@ -237,8 +238,11 @@
 		r.Running = append(r.Running, platform.RunningAttempt{Task: task, Attempt: a.number, Percent: a.percent(), Checkpoint: a.checkpoint(task, false)})
 	}
 	w.omitEnds(b, &r)
+	if r.MoreEnds = len(r.Ended) >= w.maxListedEnds; r.MoreEnds {
+		r.Ended = r.Ended[:w.maxListedEnds]
+	}
 	if w.forgetListed {
-		b.ended = nil
+		b.ended = slices.DeleteFunc(b.ended, func(e platform.AttemptEnd) bool { return slices.Contains(r.Ended, e) })
 	}
 	return r
 }
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -33,8 +33,9 @@
 	Started(boot, task string, attempt int64, checkpoint string)
 	// Ended is called when an attempt ends, before the end is reported.
 	Ended(boot, task string, attempt int64, reason platform.EndReason)
-	// Acked is called when a renewal acknowledges an end.
-	Acked(boot string, end platform.AttemptEnd)
+	// Acked is called when a renewal acknowledges an end. counts is false if the boot's leases have expired
+	// since that end, or if [Workers.OmitEnd] still keeps it from the reports.
+	Acked(boot string, end platform.AttemptEnd, counts bool)
 	// Overcommitted is called for a start that exceeds the capacity of a boot that accepts it anyway.
 	Overcommitted(boot, task string)
 	// Crashed is called for a task that has crashed its boot.
@@ -60,6 +61,8 @@
 	boots   map[string]*boot
 	// endOmissions counts, by boot and sequence number, the reports that must still omit the end.
 	endOmissions map[string]map[int64]int
+	// maxListedEnds is how many ends a report lists, the first ones.
+	maxListedEnds int
 	// omitEvery makes every n-th report of a boot omit one attempt, 0 for none.
 	omitEvery int
 	// allowOvercommit makes workers start attempts that exceed their capacity.
@@ -88,6 +91,7 @@
 	ended          []platform.AttemptEnd
 	lastSeq        int64 // sequence number of the last end
 	ackedSeq       int64
+	lapsedSeq      int64            // last end before the leases expired last
 	highestAttempt map[string]int64 // highest attempt that ended or was stopped here, by task
 	leaseUntil     int64            // in ms of the worker's clock
 	leaseTimer     *time.Timer
@@ -102,10 +106,13 @@
 	return &Workers{
 		latency: latency, lateDelay: lateDelay, stopTime: stopTime, work: work, observer: w,
 		fault: func(OrderOp, string, string) Fault { return FaultNone }, boots: map[string]*boot{},
-		onCrash: func(platform.Worker) {}, endOmissions: map[string]map[int64]int{},
+		onCrash: func(platform.Worker) {}, endOmissions: map[string]map[int64]int{}, maxListedEnds: MaxListedEnds,
 	}
 }
 
+// MaxListedEnds is how many ends a report lists unless [Workers.SetMaxListedEnds] says otherwise.
+const MaxListedEnds = 500
+
 // SetJitter adds jitter to each order; it must be called before the first order.
 func (w *Workers) SetJitter(j *Jitter) { w.jitter = j }
 
@@ -133,6 +140,9 @@
 // not to do.
 func (w *Workers) SetForgetListed(on bool) { w.locked(func() { w.forgetListed = on }) }
 
+// SetMaxListedEnds sets how many ends a report lists.
+func (w *Workers) SetMaxListedEnds(n int) { w.locked(func() { w.maxListedEnds = n }) }
+
 // SetBlackhole sets whether orders to ended boots time out, as after a power loss, instead of being refused.
 func (w *Workers) SetBlackhole(on bool) { w.locked(func() { w.blackhole = on }) }
 
--- a/pkg/platform/workers.go
+++ b/pkg/platform/workers.go
@@ -129,7 +129,8 @@
 	Remaining  time.Duration // until it shuts down, valid while it drains
 	Draining   bool
 	Running    []RunningAttempt
-	Ended      []AttemptEnd // those not yet acknowledged
+	Ended      []AttemptEnd // those not yet acknowledged, in part if MoreEnds is set
+	MoreEnds   bool         // Ended holds as many as a report can, so that there may be later ones
 }
 
 // RefusalReason is why a worker refused an order.
--- a/pkg/shard/inherited.go
+++ b/pkg/shard/inherited.go
@@ -61,7 +61,7 @@
 	o.recordUnreadable = o.recordUnreadable && now < o.formerLeasesUntil
 	o.formerWorkersPending, o.formerTasksUnknown = o.recordUnreadable, o.recordUnreadable
 	for _, s := range o.sessionsByBoot() {
-		if s.listedAll() || now >= s.former.leasesEnd {
+		if s.listedAll() || s.formerLeasesExpired(now) {
 			o.resolveFormer(s)
 		}
 		if s.former.pending {
@@ -76,6 +76,12 @@
 	o.requestPlacement()
 }
 
+// formerLeasesExpired reports whether a worker that does not answer has certainly ended whatever former
+// owners have left there. The leases of one that answers are renewed.
+func (s *session) formerLeasesExpired(now time.Duration) bool {
+	return now >= s.former.leasesEnd && s.unansweredCalls > 0 && s.leasesExpired(now)
+}
+
 // finishTakeover does what has to wait until all workers of former owners are resolved.
 func (o *Owner) finishTakeover() {
 	if o.cfg.StopTime > 0 {
--- a/pkg/shard/metrics.go
+++ b/pkg/shard/metrics.go
@@ -18,6 +18,8 @@
 	End(reason platform.EndReason)
 	// StaleEnd counts an end that a worker lists after it was acknowledged.
 	StaleEnd()
+	// EndsCut counts a report that may lack ends.
+	EndsCut()
 	// PredecessorDone counts a completed wait until no former owner can act, and its duration.
 	PredecessorDone(end PredecessorEnd, waited time.Duration)
 	// AttemptLost counts an attempt that is gone although its worker reported no end of it.
@@ -52,6 +54,9 @@
 // StaleEnd implements Metrics.
 func (NoMetrics) StaleEnd() {}
 
+// EndsCut implements Metrics.
+func (NoMetrics) EndsCut() {}
+
 // PredecessorDone implements Metrics.
 func (NoMetrics) PredecessorDone(PredecessorEnd, time.Duration) {}
 
--- a/pkg/shard/observer_test.go
+++ b/pkg/shard/observer_test.go
@@ -21,6 +21,12 @@
 // minWorkersLost is how many workers have to be lost with a task before its job may fail for it.
 const minWorkersLost = 2
 
+// attemptAt is an attempt of a task at a boot.
+type attemptAt struct {
+	boot, task string
+	attempt    int64
+}
+
 // observer checks the invariants against what workers do and what callers were told.
 type observer struct {
 	cluster         *testCluster
@@ -39,7 +45,9 @@
 	workersLostWith map[string]int       // workers lost while a task was there
 	violations      []string
 	starts          int
-	startsOfDone    int // starts of tasks that had ended as done, without copies
+	startsOf        map[string]int    // by task
+	startsUntilDone map[attemptAt]int // of the task, when an attempt ended as done
+	startsOfDone    int               // starts of tasks that had ended as done, without copies
 	checkpoints     *checkpointObserver
 }
 
@@ -48,7 +56,7 @@
 		cluster: e, running: map[string][]string{}, ended: map[string]bool{}, done: map[string]bool{}, failed: map[string]int{}, failures: map[string]int{},
 		refused: map[string]bool{}, steps: map[string]string{}, cancelled: map[string]time.Time{}, copies: map[string]bool{},
 		accounts: map[string]string{}, allowed: map[string]int{}, crashedBy: map[string]int{}, workersLostWith: map[string]int{},
-		checkpoints: newCheckpointObserver(),
+		checkpoints: newCheckpointObserver(), startsOf: map[string]int{}, startsUntilDone: map[attemptAt]int{},
 	}
 }
 
@@ -61,6 +69,7 @@
 	w.cluster.mu.Lock()
 	defer w.cluster.mu.Unlock()
 	w.starts++
+	w.startsOf[task]++
 	w.cluster.logWorkerEvent("began", boot, task, attempt)
 	job, _, _ := strings.Cut(task, ".")
 	if others := w.running[task]; len(others) > 0 && !w.copies[job] {
@@ -147,6 +156,7 @@
 	switch reason {
 	case platform.EndDone:
 		w.ended[task] = true
+		w.startsUntilDone[attemptAt{boot, task, attempt}] = w.startsOf[task]
 	case platform.EndFailed:
 		w.failures[task]++
 	case fake.EndCrashed:
@@ -175,9 +185,12 @@
 }
 
 // Acked implements fake.WorkersObserver.
-func (w *observer) Acked(boot string, end platform.AttemptEnd) {
+func (w *observer) Acked(boot string, end platform.AttemptEnd, counts bool) {
 	w.cluster.mu.Lock()
 	defer w.cluster.mu.Unlock()
+	if counts {
+		w.checkNotRepeated(boot, end)
+	}
 	w.cluster.logWorkerEvent("acknowledged_"+string(end.Reason), boot, end.Task, 0)
 	w.checkpoints.acknowledged(end)
 	switch end.Reason {
@@ -188,6 +201,15 @@
 	}
 }
 
+// checkNotRepeated checks that a task was not started after an end as done that is now acknowledged.
+func (w *observer) checkNotRepeated(boot string, end platform.AttemptEnd) {
+	job, _, _ := strings.Cut(end.Task, ".")
+	before, ok := w.startsUntilDone[attemptAt{boot, end.Task, end.Attempt}]
+	if again := w.startsOf[end.Task] - before; ok && again > 0 && !w.copies[job] {
+		w.violated("%s started %d times after attempt %d, acknowledged now, was done at %s", end.Task, again, end.Attempt, boot)
+	}
+}
+
 func (w *observer) report() string {
 	w.cluster.mu.Lock()
 	defer w.cluster.mu.Unlock()
--- a/pkg/shard/poll.go
+++ b/pkg/shard/poll.go
@@ -123,7 +123,9 @@
 	}
 	o.cfg.Metrics.Poll(nil)
 	s.ends.markAcknowledged(order.AckedSeq)
-	s.answeredPollAt = sentAt
+	if !report.MoreEnds {
+		s.listedAllAt = sentAt
+	}
 	o.pollAnswered(s, &report, sentAt)
 	if raisesToken && order.Token == s.token {
 		o.resolveUnknownStarts(s, sentAt)
--- a/pkg/shard/predecessor.go
+++ b/pkg/shard/predecessor.go
@@ -127,6 +127,6 @@
 // that former owners have started there. The worker must answer that poll at once.
 func (s *session) awaited(now time.Duration) bool { return s.former.pending && now >= s.former.safeAt }
 
-// listedAll reports whether a worker has listed its attempts in answer to a poll sent after
+// listedAll reports whether a worker has listed all its attempts and ends in answer to a poll sent after
 // the last moment at which a former owner could start any there.
-func (s *session) listedAll() bool { return s.attemptsKnown && s.answeredPollAt >= s.former.safeAt }
+func (s *session) listedAll() bool { return s.attemptsKnown && s.listedAllAt >= s.former.safeAt }
--- a/pkg/shard/report.go
+++ b/pkg/shard/report.go
@@ -23,38 +23,73 @@
 		// nothing else would request.
 		o.requestCommit()
 	}
-	seen := make(map[string]bool, len(r.Running)+len(r.Ended))
+	named := make(map[string]bool, len(r.Running)+len(r.Ended))
 	for i := range r.Ended {
-		seen[r.Ended[i].Task] = true
+		named[r.Ended[i].Task] = true
 	}
 	for i := range r.Running {
-		seen[r.Running[i].Task] = true
+		named[r.Running[i].Task] = true
 		o.applyRunning(s, &r.Running[i], now)
 	}
 	s.forgetUnlistedForeign(r, sentAt)
 	o.adjustThrottles(s, now)
-	o.dropVanished(s, seen, sentAt)
+	o.noteMoreEnds(s, r)
+	o.dropVanished(s, named, sentAt)
 }
 
-// dropVanished drops the attempts that two reports in a row have lacked; seen are the tasks
-// named in the report that answers a poll sent at sentAt.
-func (o *Owner) dropVanished(s *session, seen map[string]bool, sentAt time.Duration) {
-	var vanished []string
+// noteMoreEnds records whether a report may lack ends. While it may, an attempt that it does not name may
+// have ended as done.
+func (o *Owner) noteMoreEnds(s *session, r *platform.WorkerReport) {
+	if r.MoreEnds {
+		o.cfg.Metrics.EndsCut()
+	}
+	if r.MoreEnds != s.moreEnds {
+		o.log.Info().Str("event", "ends_cut").Str("boot", s.ref.Boot).Bool("cut", r.MoreEnds).Int("listed", len(r.Ended)).
+			Int("running", len(r.Running)).Int("attempts", len(s.attempts)).Int64("stored", s.ends.stored).Send()
+	}
+	s.moreEnds = r.MoreEnds
+}
+
+// dropVanished drops the attempts that are gone without an end; named are the tasks in the report that
+// answers a poll sent at sentAt.
+func (o *Owner) dropVanished(s *session, named map[string]bool, sentAt time.Duration) {
+	var gone []string
 	for name, a := range s.attempts {
-		if seen[name] {
-			a.missing = false
-		} else if a.startConfirmedAt > 0 && a.startConfirmedAt < sentAt && a.markMissing() {
-			vanished = append(vanished, name)
+		if a.gone(named[name], s.moreEnds, sentAt) {
+			gone = append(gone, name)
 		}
 	}
-	slices.Sort(vanished)
-	for _, name := range vanished {
+	slices.Sort(gone)
+	for _, name := range gone {
+		a := s.attempts[name]
+		if a.startConfirmedAt == 0 {
+			o.dropUnstarted(s, name, sentAt)
+			continue
+		}
 		o.cfg.Metrics.AttemptLost(LossVanished)
-		o.log.Warn().Str("event", "attempt_vanished").Str("task", name).Int64("attempt", s.attempts[name].Number).Str("boot", s.ref.Boot).Send()
+		o.log.Warn().Str("event", "attempt_vanished").Str("task", name).Int64("attempt", a.Number).Str("boot", s.ref.Boot).Send()
 		o.dropAttempt(s, name)
 	}
 }
 
+// gone reports whether an attempt is gone, after a report that answers a poll sent at sentAt and was
+// applied: two reports in a row lack it, or one if its start can't be carried out any more. Two are needed
+// all the same if the start may have reached the next boot. A report that may lack ends proves nothing.
+func (r *workerAttempt) gone(named, moreEnds bool, sentAt time.Duration) bool {
+	switch {
+	case moreEnds:
+		r.missing = false
+		return false
+	case r.startConfirmedAt == 0:
+		return r.excludedBoot == r.Boot && (r.countedLostBoot == "" || r.markMissing())
+	case named:
+		r.missing = false
+		return false
+	default:
+		return r.startConfirmedAt < sentAt && r.markMissing()
+	}
+}
+
 func (o *Owner) applyRunning(s *session, r *platform.RunningAttempt, now time.Duration) {
 	a := s.attempts[r.Task]
 	if a == nil || a.Number != r.Attempt {
@@ -140,26 +175,34 @@
 }
 
 // resolveUnknownStarts drops the attempts whose start got no answer and that the report lacks. The
-// poll carried a higher token, so those orders can't be carried out any more.
+// poll carried a higher token, so those orders can't be carried out any more. If the report may lack ends,
+// the attempts wait for one that lists all.
 func (o *Owner) resolveUnknownStarts(s *session, sentAt time.Duration) {
 	s.outcomeUnknown = false
 	for name, a := range sortedByKey(s.attempts) {
 		if a.Phase != jobs.PhaseInDoubt || a.startConfirmedAt > 0 {
 			continue
 		}
-		// One report is enough for an unanswered start, so that its task is not delayed. Two are
-		// needed if the start may have reached the next boot.
-		if a.countedLostBoot != "" && !a.markMissing() {
-			s.outcomeUnknown = true
-			continue
+		a.excludedBoot = a.Boot
+		switch {
+		case s.moreEnds: // a later report decides
+		case a.countedLostBoot != "": // the next report decides
+			a.missing, s.outcomeUnknown = true, true
+		default: // one report is enough, so that the task is not delayed
+			o.dropUnstarted(s, name, sentAt)
 		}
-		o.log.Info().Str("event", "start_settled").Str("task", name).Int64("attempt", a.Number).
-			Str("boot", s.ref.Boot).Bool("running", false).Dur("age", o.now()-sentAt).Send()
-		o.timeouts.noteLost()
-		o.dropAttempt(s, name)
 	}
 }
 
+// dropUnstarted drops an attempt whose start was not carried out, as the answer to a poll sent at sentAt
+// shows.
+func (o *Owner) dropUnstarted(s *session, name string, sentAt time.Duration) {
+	o.log.Info().Str("event", "start_settled").Str("task", name).Int64("attempt", s.attempts[name].Number).
+		Str("boot", s.ref.Boot).Bool("running", false).Dur("age", o.now()-sentAt).Send()
+	o.timeouts.noteLost()
+	o.dropAttempt(s, name)
+}
+
 // dropAttempt removes an attempt that is not or no longer at the worker.
 func (o *Owner) dropAttempt(s *session, name string) {
 	if a := s.attempts[name]; a != nil {
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -29,14 +30,15 @@
 	cold       coldPeriod    // the latest
 	coldLogged bool
 
-	listed         bool          // it is in the directory
-	recorded       bool          // the stored record names it, so that the next owner contacts it
-	attemptsKnown  bool          // it has reported its attempts since our first token reached it
-	answeredPollAt time.Duration // when the last answered poll was sent
-	draining       bool
-	drainDeadline  time.Duration // until when its limited tasks may wait for other stops
-	ended          bool          // the boot has ended
-	former         formerTasks
+	listed        bool          // it is in the directory
+	recorded      bool          // the stored record names it, so that the next owner contacts it
+	attemptsKnown bool          // it has reported its attempts since our first token reached it
+	listedAllAt   time.Duration // when the last poll was sent that a report without missing ends answered
+	moreEnds      bool          // its last report may lack ends
+	draining      bool
+	drainDeadline time.Duration // until when its limited tasks may wait for other stops
+	ended         bool          // the boot has ended
+	former        formerTasks
 
 	unlistedAt time.Duration // when it was first missing from the directory, 0 while listed
 
@@ -85,6 +87,7 @@
 	startConfirmedAt time.Duration // when the worker confirmed that it has it, 0 if it did not yet
 	stopOrderedAt    time.Duration // when its stop was last ordered, 0 for never
 	reportedAt       time.Duration // when the worker last reported it
+	excludedBoot     string        // boot at which a higher token keeps its unanswered start from being carried out
 	missing          bool          // the worker's last report lacked it
 	replaced         bool          // a replacement was ordered because it is too slow
 	countedLostBoot  string        // earlier boot whose loss was counted against the task, until this boot reports the attempt
@@ -159,18 +162,15 @@
 }
 
 // finalRecordEntry returns the stored entry that an owner writes when it releases the shard,
-// with the tasks that may be at the worker. For a worker that has not answered this owner it
-// repeats the tasks that the predecessor named, or names none if they are unknown.
+// with the tasks that may be at the worker. For a worker that has not listed all to this owner they
+// include those that the predecessor named; if that named none, neither does the entry.
 func (s *session) finalRecordEntry(term int64) leasedWorker {
 	w := s.recordEntry()
 	if s.former.pending && !s.former.listed {
 		return w
 	}
 	w.ReleaseTerm = term
-	if s.former.pending {
-		w.Tasks = s.former.names
-		return w
-	}
+	w.Tasks = slices.Clone(s.former.names)
 	for name := range s.attempts {
 		w.Tasks = append(w.Tasks, name)
 	}
@@ -178,6 +178,8 @@
 		w.Tasks = append(w.Tasks, key.task)
 	}
 	w.Tasks = append(w.Tasks, s.ends.unacknowledgeable()...)
+	slices.Sort(w.Tasks)
+	w.Tasks = slices.Compact(w.Tasks)
 	return w
 }
 
