Leases never outlast what the next owner waits for, however long a worker was idle

Cause: extendLease added the time since the last reading of the worker's clock as if that clock ran at our speed. Idle workers are not polled, so the reading was minutes old, and the lease longer than 4 s by 2% of that time. The next owner waits for leases of 4 s.

Change: leases go by the least that the clock can show. As that alone would make them too short after a long pause, a start at a worker whose reading is over 25 s old waits for a poll that reads the clock. If the worker does not answer, the start is withdrawn; nothing was sent.

Why it works: the deadline is at most 4 s after the worker's clock, so the lease ends within 4.082 s by ours; with the 1.56 s in which a former owner may act that is 5.64 s, and the next one waits 5.81 s (docs/design/clocks.md).

--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -27,6 +27,7 @@
 	attemptEnds     *prometheus.CounterVec
 	staleEnds       prometheus.Counter
 	endsCut         prometheus.Counter
+	clockReads      prometheus.Counter
 	losses          *prometheus.CounterVec
 	jobs            *prometheus.CounterVec
 	keysRefused     *prometheus.CounterVec
@@ -72,6 +73,9 @@
 		endsCut: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gannetwell_reports_cut_total", Help: "Workers' reports that list as many ends as they can, so that others may be missing.",
 		}),
+		clockReads: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gannetwell_clocks_read_total", Help: "Polls that read the clock of a worker that was idle for long, before a start.",
+		}),
 		losses:      counter("gannetwell_attempts_lost_total", "Attempts that were lost, by how."),
 		jobs:        counter("gannetwell_jobs_total", "Jobs by what became of them."),
 		keysRefused: counter("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer."),
@@ -108,7 +112,7 @@
 		}, []string{"level"}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.endsCut, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.endsCut, m.clockReads, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
 	return m
 }
 
@@ -142,6 +146,9 @@
 // EndsCut counts a report that may lack ends.
 func (m *metrics) EndsCut() { m.endsCut.Inc() }
 
+// ClockRead counts a poll that reads a worker's clock before a start.
+func (m *metrics) ClockRead() { m.clockReads.Inc() }
+
 // AttemptLost counts an attempt that is gone although its worker reported no end of it.
 func (m *metrics) AttemptLost(kind shard.LossKind) { m.losses.WithLabelValues(string(kind)).Inc() }
 
--- a/pkg/shard/lease.go
+++ b/pkg/shard/lease.go
@@ -17,6 +17,9 @@
 	maxClockDriftPerMille = 20
 	// leaseMargin covers the rounding of clocks to milliseconds and late timers.
 	leaseMargin = 150 * time.Millisecond
+	// maxClockAge is how old the reading of a worker's clock may be by which a start is leased. The lease
+	// is shorter by the drift that the clock may have had since, half a second at most.
+	maxClockAge = 25 * time.Second
 )
 
 // leasesExpired reports whether all leases at the worker have certainly expired.
@@ -27,17 +30,28 @@
 	if s.clockAt == 0 {
 		return true
 	}
-	passed := float64(now-s.clockAt-leaseMargin) * (1 - maxClockDrift)
-	return float64(s.clockMs)+passed/float64(time.Millisecond) > float64(s.leaseUntil)
+	return s.clockAtLeast(now-leaseMargin) > s.leaseUntil
+}
+
+// clockAtLeast returns what the worker's clock reads at least at a time, in milliseconds, if it is known.
+func (s *session) clockAtLeast(now time.Duration) int64 {
+	passed := float64(now-s.clockAt) * (1 - maxClockDrift)
+	return s.clockMs + time.Duration(passed).Milliseconds()
+}
+
+// clockOutdated reports whether the worker's clock has to be read before another start.
+func (s *session) clockOutdated(now time.Duration) bool {
+	return s.clockAt > 0 && now-s.clockAt > maxClockAge
 }
 
 // extendLease returns the deadline of a lease renewed now, by the worker's clock in
-// milliseconds, 0 while that clock is not known.
+// milliseconds, 0 while that clock is not known. However slow the clock is, the lease lasts no longer
+// than maxLocalDuration(leaseDuration) by ours, which a later owner relies on (formerLeasesEnd).
 func (s *session) extendLease(now time.Duration) int64 {
 	if s.clockAt == 0 {
 		return 0
 	}
-	until := s.clockMs + (now - s.clockAt + leaseDuration).Milliseconds()
+	until := s.clockAtLeast(now) + leaseDuration.Milliseconds()
 	s.leaseUntil = max(s.leaseUntil, until)
 	return until
 }
--- a/pkg/shard/metrics.go
+++ b/pkg/shard/metrics.go
@@ -20,6 +20,8 @@
 	StaleEnd()
 	// EndsCut counts a report that may lack ends.
 	EndsCut()
+	// ClockRead counts a poll that reads a worker's clock before a start.
+	ClockRead()
 	// PredecessorDone counts a completed wait until no former owner can act, and its duration.
 	PredecessorDone(end PredecessorEnd, waited time.Duration)
 	// AttemptLost counts an attempt that is gone although its worker reported no end of it.
@@ -57,6 +59,9 @@
 // EndsCut implements Metrics.
 func (NoMetrics) EndsCut() {}
 
+// ClockRead implements Metrics.
+func (NoMetrics) ClockRead() {}
+
 // PredecessorDone implements Metrics.
 func (NoMetrics) PredecessorDone(PredecessorEnd, time.Duration) {}
 
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -37,8 +37,16 @@
 	o.enqueueStart(s, name, r)
 }
 
-// enqueueStart queues the start of an attempt; the caller holds the lock.
+// enqueueStart queues the start of an attempt, or holds it until the worker's clock has been read; the caller
+// holds the lock.
 func (o *Owner) enqueueStart(s *session, name string, r *workerAttempt) {
+	if !o.holdStart(s, name, r) {
+		o.queueStart(s, name, r)
+	}
+}
+
+// queueStart queues the start of an attempt; the caller holds the lock.
+func (o *Owner) queueStart(s *session, name string, r *workerAttempt) {
 	a := r.Attempt
 	o.enqueueOrder(s, &queuedOrder{
 		prepareStart: func(now time.Duration) func(ctx context.Context) (int64, error) {
--- a/pkg/shard/poll.go
+++ b/pkg/shard/poll.go
@@ -171,7 +171,7 @@
 		// each would postpone the time from which its tasks may start elsewhere (leasesExpired).
 		order.LeaseUntil = s.extendLease(now)
 	}
-	if s.attemptsKnown && !s.awaited(now) && !s.outcomeUnknown && s.ends.complete == max(s.ends.acknowledged, order.AckedSeq) && s.unansweredCalls == 0 && order.LeaseUntil > 0 {
+	if s.attemptsKnown && !s.awaited(now) && !s.outcomeUnknown && len(s.heldStarts) == 0 && s.ends.complete == max(s.ends.acknowledged, order.AckedSeq) && s.unansweredCalls == 0 && order.LeaseUntil > 0 {
 		order.Wait = o.timeouts.current().wait
 		if s.hasSuspectedTask() {
 			order.Wait = suspectPollWait
@@ -193,6 +193,7 @@
 		o.retractBootLosses(s, report)
 	}
 	s.noteClock(report.ClockMs, o.now())
+	o.sendHeld(s)
 	starting := o.startingLimitedTasks(s)
 	o.applyReport(s, report, sentAt)
 	if o.startingLimitedTasks(s) < starting {
@@ -217,6 +218,7 @@
 		s.outcomeUnknown = true // a poll with a higher token keeps a later boot from accepting this acknowledgement
 	}
 	s.noteUnanswered(o.now())
+	o.withdrawHeld(s)
 	s.retryNow = s.unansweredCalls == 1
 	if s.unansweredCalls == 1 {
 		o.log.Warn().Str("event", "worker_lost").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Err(err).Send()
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -48,6 +48,7 @@
 	token           int64                          // fencing token of the orders, raised when the outcome of one is unknown
 	orders          []*queuedOrder                 // queued, in order
 	senders         int                            // goroutines that send them
+	heldStarts      []heldStart                    // starts that wait for a reading of its clock
 	startsInFlight  int                            // start orders without an answer yet
 	outcomeUnknown  bool                           // the worker may have accepted an unanswered start or acknowledgement; a poll with a higher token resolves it
 	unansweredCalls int                            // polls and orders in a row without an answer
