Soak: long outages with more ends than a worker lists, and repeats by the rule

Its workers listed all ends, no outage was long enough for 500 of them, other store faults that ended took an outage back, and the checker excused a repeat whenever a link of the worker had been disturbed.

The checker reports an end as done that is acknowledged after its task has begun anew, unless the leases at its worker have lapsed in between, which the simulated worker tells. cut_lists plants workers that list 5 ends.

--- a/pkg/bench/soak/callers.go
+++ b/pkg/bench/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/pause"
@@ -29,34 +30,51 @@
 	entries []*entry
 	current int
 	check   *checker
+
+	jobs     int // submitted so far
+	followed sync.WaitGroup
 }
 
 // run submits jobs until submitting ends, and follows them until ctx ends.
 func (c *caller) run(ctx, submitting context.Context) {
 	defer c.Close()
-	followed := make(chan struct{}, 1<<10)
-	jobs := 0
+	defer c.followed.Wait()
 	for submitting.Err() == nil {
-		jobs++
-		id := fmt.Sprintf("%08x%08x", c.name, jobs)
 		steps := drawSteps(c.rnd)
-		cancels := c.rnd.Float64() < cancelShare
-		c.check.submitted(id, steps)
-		if c.submit(submitting, id, steps) {
-			f := &caller{Caller: standin.NewCaller(queue), rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 0)), entries: c.entries, current: c.current, check: c.check}
-			go func() {
-				defer f.Close()
-				f.follow(ctx, submitting, id, longRunning(steps) || cancels)
-				followed <- struct{}{}
-			}()
-		} else {
-			followed <- struct{}{}
-		}
+		c.submitAndFollow(ctx, submitting, steps, c.rnd.Float64() < cancelShare)
 		_ = pause.For(submitting, time.Duration(c.rnd.Int64N(int64(betweenJobs)))) // the loop checks submitting
 	}
-	for range jobs {
-		<-followed
+}
+
+// runBursts submits as many jobs of many short tasks as each message says, until submitting ends.
+func (c *caller) runBursts(ctx, submitting context.Context, bursts <-chan int) {
+	defer c.Close()
+	defer c.followed.Wait()
+	for {
+		select {
+		case n := <-bursts:
+			for range n {
+				c.submitAndFollow(ctx, submitting, manyTasks(c.rnd), false)
+			}
+		case <-submitting.Done():
+			return
+		}
+	}
+}
+
+// submitAndFollow submits the next job, and follows it until ctx ends.
+func (c *caller) submitAndFollow(ctx, submitting context.Context, steps []step, cancels bool) {
+	c.jobs++
+	id := fmt.Sprintf("%08x%08x", c.name, c.jobs)
+	c.check.submitted(id, steps)
+	if !c.submit(submitting, id, steps) {
+		return
 	}
+	f := &caller{Caller: standin.NewCaller(queue), rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 0)), entries: c.entries, current: c.current, check: c.check}
+	c.followed.Go(func() {
+		defer f.Close()
+		f.follow(ctx, submitting, id, longRunning(steps) || cancels)
+	})
 }
 
 // submit submits a job until it is accepted, refused or given up; it reports whether it may have been taken.
--- a/pkg/bench/soak/checker.go
+++ b/pkg/bench/soak/checker.go
@@ -58,6 +58,14 @@
 	doneAcked bool
 	failures  int // at workers
 	failAcked int // acknowledged
+	starts    int
+	startsAt  map[attemptAt]int // of the task, when an attempt ended as done
+}
+
+// attemptAt is an attempt of a task at a boot.
+type attemptAt struct {
+	boot   string
+	number int64
 }
 
 // allVMs stands for all VMs in [checker.disturbing].
@@ -261,7 +269,7 @@
 	defer c.mu.Unlock()
 	t := c.tasks[e.Task]
 	if t == nil {
-		t = &taskHistory{running: map[string]int64{}}
+		t = &taskHistory{running: map[string]int64{}, startsAt: map[attemptAt]int{}}
 		c.tasks[e.Task] = t
 	}
 	at := time.Unix(0, e.At)
@@ -269,8 +277,12 @@
 	case EventStarted:
 		c.checkStart(e, t, at)
 		t.running[e.Boot] = e.Attempt
+		t.starts++
 	case EventEnded:
 		delete(t.running, e.Boot)
+		if e.Reason == platform.EndDone {
+			t.startsAt[attemptAt{e.Boot, e.Attempt}] = t.starts
+		}
 		switch {
 		case e.Reason == platform.EndDone && t.doneAt.IsZero():
 			t.doneAt, t.doneBoot = at, e.Boot
@@ -279,6 +291,7 @@
 		}
 	case EventAcked:
 		t.doneAcked = t.doneAcked || e.Reason == platform.EndDone
+		c.checkAcked(e, t)
 		if e.Reason == platform.EndFailed {
 			t.failAcked++
 		}
@@ -336,6 +349,25 @@
 	}
 }
 
+// checkAcked checks that a task was not started between an end as done that counts and its acknowledgement.
+func (c *checker) checkAcked(e Event, t *taskHistory) {
+	before, done := t.startsAt[attemptAt{e.Boot, e.Attempt}]
+	if !done || !e.Counts || c.mayHaveCopies(e.Task) {
+		return
+	}
+	c.checks++
+	if again := t.starts - before; again > 0 {
+		c.report("%s began %d times after attempt %d was done at %s, which is acknowledged now", e.Task, again, e.Attempt, e.Boot)
+	}
+}
+
+// mayHaveCopies reports whether several attempts of a task may run at a time.
+func (c *checker) mayHaveCopies(task string) bool {
+	id := parseTask(task)
+	j := c.jobs[id.job]
+	return j != nil && id.step < len(j.steps) && j.steps[id.step].copies
+}
+
 // checkOrder checks that the tasks of the step before are done.
 func (c *checker) checkOrder(task string, id taskID, j *jobHistory) {
 	for n := range j.steps[id.step-1].count {
--- a/pkg/bench/soak/checker_test.go
+++ b/pkg/bench/soak/checker_test.go
@@ -82,7 +82,7 @@
 		e.Kind = EventEnded
 		s.check.observe(e)
 	case "ack":
-		e.Kind = EventAcked
+		e.Kind, e.Counts = EventAcked, !d.HasArg("lapsed")
 		s.check.observe(e)
 	case "too-large":
 		e.Kind = EventTooLarge
--- a/pkg/bench/soak/disturb.go
+++ b/pkg/bench/soak/disturb.go
@@ -27,6 +27,7 @@
 	CrashWorker     Disturbance = "crash_worker"
 	DrainWorker     Disturbance = "drain_worker"
 	StoreFault      Disturbance = "store_fault"
+	StoreOutage     Disturbance = "store_outage" // long, after jobs of many short tasks
 	SlowStore       Disturbance = "slow_store"
 	ForgetHistory   Disturbance = "forget_history"
 	NewCatalog      Disturbance = "new_catalog"
@@ -71,6 +72,10 @@
 	reportsSpan  = 4                       // of incomplete lists: one item from every second to fifth report
 	seriesDivide = 3                       // one disturbance in so many starts a series
 	meanLateGap  = 1500 * time.Millisecond // between two late_calls
+	outageGap    = 8 * time.Second         // from the start of an outage to that of the next
+	minOutage    = 3 * time.Second
+	minBurst     = 3                      // jobs of many tasks before an outage, or one more
+	burstTime    = 300 * time.Millisecond // in which these are accepted and begin
 )
 
 // drawEvents draws the disturbances of a soak. Reports omit items or go unanswered, not both, since a single
@@ -103,7 +108,20 @@
 	}
 	if unanswered {
 		events = append(events, drawLateCalls(o)...)
-		slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	}
+	if o.Outages {
+		events = append(events, drawOutages(o)...)
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return events
+}
+
+// drawOutages draws long outages of the table service, apart from the other disturbances.
+func drawOutages(o Options) (events []event) {
+	const stream = 1<<32 + 1 // of the seed, beyond that of late calls
+	rnd := rand.New(rand.NewPCG(o.Seed, stream))
+	for at := warmUp; at < o.Length; at += outageGap {
+		events = append(events, event{at: at, kind: StoreOutage, target: rnd.IntN(1 << 16), lasts: minOutage + time.Duration(rnd.Int64N(int64(maxLength-minOutage)))})
 	}
 	return events
 }
@@ -160,6 +178,16 @@
 		s.command(Command{Do: DoStore, Fault: e.fault, Share: e.share})
 		s.wait(e.lasts / 2)
 		s.command(Command{Do: DoStore})
+	case StoreOutage:
+		select {
+		case s.bursts <- minBurst + e.target%2:
+			s.wait(burstTime)
+		case <-s.ctx.Done():
+			return nil
+		}
+		s.command(Command{Do: DoStoreDown, N: 1})
+		s.wait(e.lasts)
+		s.command(Command{Do: DoStoreDown})
 	case SlowStore:
 		s.command(Command{Do: DoSlowStore, Ms: slowStoreMs})
 		s.wait(e.lasts)
--- a/pkg/bench/soak/events.go
+++ b/pkg/bench/soak/events.go
@@ -31,6 +31,7 @@
 	Reason     platform.EndReason `json:"reason,omitempty"`
 	Checkpoint string             `json:"checkpoint,omitempty"`
 	Address    string             `json:"address,omitempty"` // of the table service, with EventReady
+	Counts     bool               `json:"counts,omitempty"`  // no lease at the boot has lapsed since the end, with EventAcked
 }
 
 // eventWriter writes events as JSON lines; it implements fake.WorkersObserver.
@@ -60,8 +61,8 @@
 }
 
 // Acked implements fake.WorkersObserver.
-func (w *eventWriter) Acked(boot string, end platform.AttemptEnd, _ bool) {
-	w.write(Event{Kind: EventAcked, Boot: boot, Task: end.Task, Attempt: end.Attempt, Reason: end.Reason, Checkpoint: end.Checkpoint})
+func (w *eventWriter) Acked(boot string, end platform.AttemptEnd, counts bool) {
+	w.write(Event{Kind: EventAcked, Boot: boot, Task: end.Task, Attempt: end.Attempt, Reason: end.Reason, Checkpoint: end.Checkpoint, Counts: counts})
 }
 
 // Overcommitted implements fake.WorkersObserver.
--- a/pkg/bench/soak/soak.go
+++ b/pkg/bench/soak/soak.go
@@ -32,6 +32,7 @@
 	Bench   string        // path of gannetbench, for the process of the stand-in
 	Dir     string        // where settings and logs are written
 	Planted Planted
+	Outages bool      // adds long outages of the table service, each right after jobs of many short tasks
 	Log     io.Writer // one line for each disturbance and each broken promise
 }
 
@@ -66,6 +67,7 @@
 	check   *checker
 	entries []*entry
 	links   []*proxy // of the workers
+	bursts  chan int // numbers of jobs of many tasks to submit
 	ctx     context.Context
 
 	platform     *exec.Cmd
@@ -84,7 +86,7 @@
 // Run runs a soak to its end or until ctx ends.
 func Run(ctx context.Context, o Options) (r Result, err error) {
 	defer func() { err = errors.Wrapf(err, "soak with seed %d", o.Seed) }()
-	s := &soak{o: o, ctx: ctx, since: time.Now()}
+	s := &soak{o: o, ctx: ctx, since: time.Now(), bursts: make(chan int)}
 	s.check = newChecker(s.report)
 	defer s.close()
 	if err := s.startPlatform(); err != nil {
@@ -248,6 +250,8 @@
 		c := &caller{Caller: standin.NewCaller(queue), name: i, rnd: rand.New(rand.NewPCG(s.o.Seed, uint64(i)+2)), entries: s.entries, current: i % len(s.entries), check: s.check}
 		callers.Go(func() { c.run(following, submitting) })
 	}
+	b := &caller{Caller: standin.NewCaller(queue), name: s.o.Callers, rnd: rand.New(rand.NewPCG(s.o.Seed, uint64(s.o.Callers)+2)), entries: s.entries, check: s.check}
+	callers.Go(func() { b.runBursts(following, submitting, s.bursts) })
 	events = s.bringAbout(drawn)
 	err = s.heal()
 	endSubmitting()
--- a/pkg/bench/soak/soak_test.go
+++ b/pkg/bench/soak/soak_test.go
@@ -51,8 +51,8 @@
 }
 
 // TestSoakFindsPlantedFaults checks that a soak finds transactions that are answered and not carried out,
-// workers that carry out orders of former owners, and workers that forget ends before they are
-// acknowledged.
+// workers that carry out orders of former owners, workers that forget ends before they are
+// acknowledged, and workers that list fewer ends than the owners take for a whole list.
 func TestSoakFindsPlantedFaults(t *testing.T) {
 	daemon, bench := programs(t)
 	for _, tc := range []struct {
@@ -62,6 +62,7 @@
 		{soak.PlantedLostWrites, 1},
 		{soak.PlantedNoFencing, 21},
 		{soak.PlantedEarlyForget, 21},
+		{soak.PlantedCutLists, 1},
 	} {
 		t.Run(string(tc.planted), func(t *testing.T) {
 			for seed := tc.first; seed < tc.first+plantedSeeds; seed++ {
--- a/pkg/bench/soak/standin.go
+++ b/pkg/bench/soak/standin.go
@@ -26,6 +26,7 @@
 	DoDrain     Do = "drain"
 	DoOmit      Do = "omit"       // an item from every N-th report
 	DoStore     Do = "store"      // set the faults of the table service
+	DoStoreDown Do = "store_down" // take it down if N is 1, whatever other faults are set
 	DoSlowStore Do = "slow_store" // set its latency
 	DoForget    Do = "forget"     // drop its history of changes
 	DoCatalog   Do = "catalog"    // write the configuration anew
@@ -51,6 +52,7 @@
 	PlantedNoFencing   Planted = "no_fencing"   // workers accept any fencing token
 	PlantedLostWrites  Planted = "lost_writes"  // some transactions are answered and not carried out
 	PlantedEarlyForget Planted = "early_forget" // workers forget ends that they have listed once
+	PlantedCutLists    Planted = "cut_lists"    // workers list fewer ends than promised
 )
 
 // queue is where the callers of a soak submit jobs.
@@ -63,6 +65,7 @@
 	lateDelay     = 2 * time.Second // of calls carried out late
 	taskStopTime  = 100 * time.Millisecond
 	lostWriteRate = 50 // one transaction in so many, with PlantedLostWrites
+	fewListedEnds = 5  // with PlantedCutLists
 )
 
 // standinProcess is the stand-in of the platform with the faults that commands set.
@@ -74,6 +77,7 @@
 	rnd   *rand.Rand
 	fault fake.Fault
 	share float64
+	down  bool
 }
 
 // RunStandin serves the platform until in ends. It writes events to out.
@@ -91,6 +95,9 @@
 	})
 	workers.SetUnfenced(planted == PlantedNoFencing)
 	workers.SetForgetListed(planted == PlantedEarlyForget)
+	if planted == PlantedCutLists {
+		workers.SetMaxListedEnds(fewListedEnds)
+	}
 	if p.Platform, err = standin.New(rows, workers, queue); err != nil {
 		return err
 	}
@@ -113,6 +120,9 @@
 func (p *standinProcess) drawFault(planted Planted) fake.Fault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.down {
+		return fake.FaultDown
+	}
 	if planted == PlantedLostWrites && p.rnd.IntN(lostWriteRate) == 0 {
 		return fake.FaultPretended
 	}
@@ -138,6 +148,10 @@
 		p.mu.Lock()
 		p.fault, p.share = c.Fault, c.Share
 		p.mu.Unlock()
+	case DoStoreDown:
+		p.mu.Lock()
+		p.down = c.N == 1
+		p.mu.Unlock()
 	case DoSlowStore:
 		p.Rows.SetLatency(storeLatency + time.Duration(c.Ms)*time.Millisecond)
 	case DoForget:
--- a/pkg/bench/soak/workload.go
+++ b/pkg/bench/soak/workload.go
@@ -71,6 +71,11 @@
 	}
 }
 
+// manyTasks draws a step of many short tasks.
+func manyTasks(rnd *rand.Rand) []step {
+	return []step{{count: 700, cpu: 20, duration: time.Duration(2+rnd.IntN(30)) * time.Millisecond}}
+}
+
 // maxAttempts is how often a task may fail before its job does.
 const maxAttempts = 3
 
