A list of ends that may lack some is followed to its end, also without tasks

A worker with more ends than a report lists, and no task of its owner, counted as idle once the listed ends were stored. It was not polled on, so the other ends were learned with the next start there, after their tasks had run again; and its VM counted as empty, so that maintenance would have lost them.

Cause: idle and needsPoll asked for ends behind a gap, not for those beyond the list. Change: awaitsEnds asks for both.

--- a/pkg/shard/ends_test.go
+++ b/pkg/shard/ends_test.go
@@ -90,3 +90,12 @@
 	s.attemptsKnown = false
 	qt.Check(t, s.idle(), qt.IsTrue)
 }
+
+// TestIdleAfterCutReport guards against emptying the VM of a worker that keeps ends beyond those it lists: they
+// would be lost, and their tasks run again.
+func TestIdleAfterCutReport(t *testing.T) {
+	s := &session{attemptsKnown: true, moreEnds: true}
+	qt.Check(t, s.idle(), qt.IsFalse)
+	s.attemptsKnown = false
+	qt.Check(t, s.idle(), qt.IsTrue)
+}
--- a/pkg/shard/poll_test.go
+++ b/pkg/shard/poll_test.go
@@ -29,6 +29,7 @@
 		"two unanswered calls":        {s: busy(session{attemptsKnown: true, unansweredCalls: 2}), want: pollPlan{delay: pollRetryDelay, onWake: true}},
 		"ends not stored":             {s: busy(session{attemptsKnown: true, ends: endTracker{complete: 2, stored: 1}}), want: pollPlan{delay: ackDelay}},
 		"an end is missing":           {s: session{attemptsKnown: true, ends: endTracker{behindGap: []platform.AttemptEnd{{Seq: 2}}}}},
+		"ends beyond the list":        {s: session{attemptsKnown: true, moreEnds: true}},
 		"in doubt, starts in flight":  {s: busy(session{attemptsKnown: true, outcomeUnknown: true, startsInFlight: 1}), want: pollPlan{delay: orderPollDelay, onWake: true}},
 		"in doubt":                    {s: busy(session{attemptsKnown: true, outcomeUnknown: true})},
 		"at the owner's limit":        {s: busy(session{attemptsKnown: true, polledAt: now - 200*time.Millisecond}), atLimit: true, want: pollPlan{delay: minPollInterval - 200*time.Millisecond}},
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -145,17 +145,19 @@
 
 // needsPoll reports whether there is a reason to poll the worker.
 func (s *session) needsPoll(now time.Duration) bool {
-	return !s.ended && (!s.attemptsKnown || s.awaited(now) || s.unansweredCalls > 0 || s.outcomeUnknown || len(s.attempts) > 0 || len(s.foreign) > 0 || s.ends.hasUnstored() || s.awaitsMissingEnd() || s.ends.ackDeferred)
+	return !s.ended && (!s.attemptsKnown || s.awaited(now) || s.unansweredCalls > 0 || s.outcomeUnknown || len(s.attempts) > 0 || len(s.foreign) > 0 || s.ends.hasUnstored() || s.awaitsEnds() || s.ends.ackDeferred)
 }
 
 // idle reports whether nothing of this shard is or may be at the worker.
 func (s *session) idle() bool {
-	return len(s.attempts) == 0 && len(s.foreign) == 0 && s.startsInFlight == 0 && !s.outcomeUnknown && !s.ends.hasUnstored() && !s.awaitsMissingEnd()
+	return len(s.attempts) == 0 && len(s.foreign) == 0 && s.startsInFlight == 0 && !s.outcomeUnknown && !s.ends.hasUnstored() && !s.awaitsEnds()
 }
 
-// awaitsMissingEnd reports whether the worker is expected to report an end that its last report lacked,
-// as the numbers of other ends show. A worker whose leases have lapsed is not.
-func (s *session) awaitsMissingEnd() bool { return s.attemptsKnown && len(s.ends.behindGap) > 0 }
+// awaitsEnds reports whether the worker may have ends that its last report lacked, as the numbers or the
+// count of the listed ones show. A worker whose leases have lapsed is not waited for.
+func (s *session) awaitsEnds() bool {
+	return s.attemptsKnown && (s.moreEnds || len(s.ends.behindGap) > 0)
+}
 
 // recordEntry returns the stored entry for a worker where tasks may start at any time.
 func (s *session) recordEntry() leasedWorker {
