--- a/pkg/shard/poll.go
+++ b/pkg/shard/poll.go
@@ -171,18 +171,32 @@
 		// each would postpone the time from which its tasks may start elsewhere (leasesExpired).
 		order.LeaseUntil = s.extendLease(now)
 	}
-	if s.attemptsKnown && !s.awaited(now) && !s.outcomeUnknown && len(s.heldStarts) == 0 && s.ends.complete == max(s.ends.acknowledged, order.AckedSeq) && s.unansweredCalls == 0 && order.LeaseUntil > 0 {
-		order.Wait = o.timeouts.current().wait
-		if s.hasSuspectedTask() {
-			order.Wait = suspectPollWait
-		}
-		if o.startingLimitedTasks(s) > 0 {
-			order.Wait = startingPollWait
-		}
+	if s.mayAnswerLater(&order, now) {
+		order.Wait = o.answerDelay(s)
 	}
 	return order
 }
 
+// mayAnswerLater reports whether nothing waits for the answer to a poll, so that the worker may delay it until
+// an attempt ends.
+func (s *session) mayAnswerLater(order *platform.RenewOrder, now time.Duration) bool {
+	awaited := !s.attemptsKnown || s.awaited(now) || s.outcomeUnknown || s.unansweredCalls > 0 || len(s.heldStarts) > 0
+	endsNoted := s.ends.complete == max(s.ends.acknowledged, order.AckedSeq)
+	return !awaited && endsNoted && order.LeaseUntil > 0
+}
+
+// answerDelay returns for how long a worker may delay the answer to a poll.
+func (o *Owner) answerDelay(s *session) time.Duration {
+	switch {
+	case o.startingLimitedTasks(s) > 0:
+		return startingPollWait
+	case s.hasSuspectedTask():
+		return suspectPollWait
+	default:
+		return o.timeouts.current().wait
+	}
+}
+
 // pollAnswered applies the report that answers a poll; the caller holds the lock.
 func (o *Owner) pollAnswered(s *session, report *platform.WorkerReport, sentAt time.Duration) {
 	if s.unansweredCalls > 0 {
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -124,7 +124,9 @@
 
 // usable reports whether new tasks may start at the worker, trials included.
 func (s *session) usable(now time.Duration) bool {
-	return s.listed && s.recorded && s.attemptsKnown && !s.draining && !s.ended && !s.outcomeUnknown && s.unansweredCalls == 0 && now >= s.pausedUntil && now >= s.cordonedUntil && !s.outOfUse()
+	known := s.listed && s.recorded && s.attemptsKnown
+	answers := !s.ended && !s.outcomeUnknown && s.unansweredCalls == 0
+	return known && answers && !s.draining && !s.outOfUse() && now >= s.pausedUntil && now >= s.cordonedUntil
 }
 
 // outOfUse reports whether the worker's zone is out of use, so that nothing starts there.
@@ -145,7 +147,10 @@
 
 // needsPoll reports whether there is a reason to poll the worker.
 func (s *session) needsPoll(now time.Duration) bool {
-	return !s.ended && (!s.attemptsKnown || s.awaited(now) || s.unansweredCalls > 0 || s.outcomeUnknown || len(s.attempts) > 0 || len(s.foreign) > 0 || s.ends.hasUnstored() || s.awaitsEnds() || s.ends.ackDeferred)
+	unclear := !s.attemptsKnown || s.awaited(now) || s.unansweredCalls > 0 || s.outcomeUnknown
+	runs := len(s.attempts) > 0 || len(s.foreign) > 0
+	ends := s.ends.hasUnstored() || s.awaitsEnds() || s.ends.ackDeferred
+	return !s.ended && (unclear || runs || ends)
 }
 
 // idle reports whether nothing of this shard is or may be at the worker.
