--- a/pkg/bench/soak/soak_test.go
+++ b/pkg/bench/soak/soak_test.go
@@ -25,14 +25,15 @@
 	return filepath.Join(dir, "gannetwelld"), filepath.Join(dir, "gannetbench")
 }
 
-// run plays one seed with a planted fault, if any.
+// run plays one seed with a planted fault, if any, and with long outages of the table service if that fault needs
+// them to show.
 func run(t *testing.T, daemon, bench string, seed uint64, length time.Duration, planted soak.Planted) soak.Result {
 	dir := t.TempDir()
 	log, err := os.Create(filepath.Join(dir, "soak.log"))
 	qt.Assert(t, err, qt.IsNil)
 	defer log.Close()
 	r, err := soak.Run(context.Background(), soak.Options{
-		Seed: seed, Entries: 4, Workers: 8, Callers: 5, Length: length, Daemon: daemon, Bench: bench, Dir: dir, Planted: planted, Log: log,
+		Seed: seed, Entries: 4, Workers: 8, Callers: 5, Length: length, Daemon: daemon, Bench: bench, Dir: dir, Planted: planted, Outages: planted == soak.PlantedCutLists, Log: log,
 	})
 	qt.Assert(t, err, qt.IsNil)
 	if text, err := os.ReadFile(log.Name()); err == nil && len(r.Broken) > 0 {
