--- a/pkg/shard/cut_reports_test.go
+++ b/pkg/shard/cut_reports_test.go
@@ -36,7 +36,7 @@
 	m.submitJob(jobID(m.jobs), texts[rapid.IntRange(0, len(texts)-1).Draw(m.t, "text")])
 }
 
-// TestCutReports checks the invariants while reports of workers lack the later ends.
+// TestCutReports guards against starting tasks again whose ends a worker keeps beyond those that it lists.
 func TestCutReports(t *testing.T) { prop.Check(t, cutReports(nil)) }
 
 // TestCutReportsDetectsFaults checks that it detects an owner that takes each list of ends for complete.
--- a/pkg/shard/idle_test.go
+++ b/pkg/shard/idle_test.go
@@ -50,7 +50,7 @@
 	m.submitJob(jobID(m.jobs), texts[rapid.IntRange(0, len(texts)-1).Draw(m.t, "text")])
 }
 
-// TestIdleWorkers checks the invariants at workers that were idle for minutes.
+// TestIdleWorkers guards against leases that outlast the wait of the next owner, at workers that were idle for minutes.
 func TestIdleWorkers(t *testing.T) { prop.Check(t, idleWorkers(nil)) }
 
 // TestIdleWorkersDetectsFaults checks that it detects leases by a clock that is carried on from an old reading.
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -33,7 +33,7 @@
 	listed        bool          // it is in the directory
 	recorded      bool          // the stored record names it, so that the next owner contacts it
 	attemptsKnown bool          // it has reported its attempts since our first token reached it
-	listedAllAt   time.Duration // when the last poll was sent that a report without missing ends answered
+	listedAllAt   time.Duration // when the last poll was sent whose report lists all ends
 	moreEnds      bool          // its last report may lack ends
 	draining      bool
 	drainDeadline time.Duration // until when its limited tasks may wait for other stops
@@ -88,7 +88,7 @@
 	startConfirmedAt time.Duration // when the worker confirmed that it has it, 0 if it did not yet
 	stopOrderedAt    time.Duration // when its stop was last ordered, 0 for never
 	reportedAt       time.Duration // when the worker last reported it
-	excludedBoot     string        // boot at which a higher token keeps its unanswered start from being carried out
+	excludedBoot     string        // boot that refuses its unanswered start from now on, since a higher token has reached it
 	missing          bool          // the worker's last report lacked it
 	replaced         bool          // a replacement was ordered because it is too slow
 	countedLostBoot  string        // earlier boot whose loss was counted against the task, until this boot reports the attempt
