Test: an unanswered start that may have reached the next boot takes two reports

Cause: wrote resolveUnknownStarts anew after its paths had been taken out one by one, and the branch for a start that may have reached the next boot was not tried again.

Result: pkg/shard passes, the new test also with the race detector. The other paths, taken out again on this code, each fail a test (nine more).

--- a/pkg/shard/gone_test.go
+++ b/pkg/shard/gone_test.go
@@ -52,3 +52,14 @@
 	}
 	qt.Check(t, got, qt.DeepEquals, []bool{false, false, false, true})
 }
+
+// TestUnknownStartAtNextBoot guards against dropping an unanswered start by a single report when it may have reached
+// the next boot: the worker gets no other start, and a second report decides.
+func TestUnknownStartAtNextBoot(t *testing.T) {
+	r := &workerAttempt{Attempt: &jobs.Attempt{Boot: "w2", Phase: jobs.PhaseInDoubt}, countedLostBoot: "w1"}
+	s := &session{attempts: map[string]*workerAttempt{"t": r}, outcomeUnknown: true}
+	new(Owner).resolveUnknownStarts(s, time.Second)
+	qt.Check(t, s.attempts, qt.HasLen, 1)
+	qt.Check(t, s.outcomeUnknown, qt.IsTrue)
+	qt.Check(t, r.gone(false, false, 2*time.Second), qt.IsTrue)
+}
