--- /dev/null
+++ b/review/_standin2/main.go
@@ -0,0 +1,56 @@
+// Command review2 plays the scripts of review/4 and later: it starts entries of the system as separate processes
+// beside stand-ins of the platform, minions and clients, and checks one rule.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+)
+
+// The exit codes of a script.
+const (
+	exitHeld    = 0
+	exitBroken  = 1
+	exitCantRun = 2
+)
+
+var errCantRun = errors.New("the case can't run")
+
+// cases are the scripts by name.
+var cases = map[string]func(w *world, trouble bool){"record": playRecord, "reroute": playReroute, "rooms": playRooms}
+
+func check(err error) {
+	if err != nil {
+		panic(fmt.Errorf("%w: %w", errCantRun, err))
+	}
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review2 CASE FOLDER")
+		os.Exit(exitCantRun)
+	}
+	os.Exit(play(cases[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
+}
+
+func play(c func(w *world, trouble bool), dir string, trouble bool) (code int) {
+	w := newWorld(dir)
+	defer w.close()
+	defer func() {
+		if p := recover(); p != nil {
+			w.logf("the case could not run: %v", p)
+			fmt.Println("could not run:", p)
+			code = exitCantRun
+		}
+	}()
+	w.logf("disruption: %v", trouble)
+	c(w, trouble)
+	if broken := w.ran.failures(); len(broken) > 0 {
+		fmt.Println("broken:", broken[0])
+		return exitBroken
+	}
+	w.logf("the rule held")
+	fmt.Println("the rule held")
+	return exitHeld
+}
