--- a/review/_standin2/entry.go
+++ b/review/_standin2/entry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -25,29 +26,31 @@
 	exited  chan struct{}
 }
 
-// Ports of an entry. Each has a loopback address of its own.
-const (
-	peerPort  = 7060
-	readyPort = 8622
-	frontPort = 8624
-)
-
 // entryAddress returns the loopback address of an entry. Two plays at a time have different ones.
 func entryAddress(n int) string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid/250%128, 1+pid%250, n)
 }
 
+// freePort returns a port that is free at an address.
+func freePort(ip string) int {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	check(err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
 // addEntry writes the settings of an entry, as deploy/settings.jsonc lays them out, and starts it.
 func (w *world) addEntry(name, zone string) *entry {
 	ip := entryAddress(len(w.entries) + 1)
+	peerPort := freePort(ip)
 	e := &entry{
-		world: w, name: name, zone: zone, front: fmt.Sprintf("%s:%d", ip, frontPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
+		world: w, name: name, zone: zone, front: fmt.Sprintf("%s:%d", ip, freePort(ip)), ready: fmt.Sprintf("%s:%d", ip, freePort(ip)),
 		config: filepath.Join(w.dir, name+".json"),
 	}
 	type object map[string]any
 	raw, err := json.MarshalIndent(object{
-		"name": name, "zone": zone, "address": ip, "callers": e.front, "readiness": e.ready, "ports": []int{peerPort, peerPort + 15},
+		"name": name, "zone": zone, "address": ip, "callers": e.front, "readiness": e.ready, "ports": []int{peerPort, peerPort},
 		"memory_mb": 284, "cpu_share": 0.4,
 		"store":    object{"address": w.storeAt, "row_bytes": 65536, "partition_writes_per_s": 150},
 		"machines": object{"address": w.fleetAt, "actions_per_s": 64},
