A worker gets tasks only while the stored record names its boot

Cause: whether the record of leased workers names a boot was kept twice, in the stored rows and as a flag of the session. putWorkers left a cordoned worker without tasks out of a part whenever any other worker of the part changed, and the flag stayed up. After the cordon the worker got tasks; the next owner inherited no session for it, so it held no task back and told the fleet operations that the VM was empty.

Change: no flag. A session asks the owner's account of the stored rows, which names a boot only if the rows do whatever becomes of the write under way: what a write leaves out no longer counts as soon as it is built, what it adds counts once it is carried out. So a start in between, a failed, a refused and a late write are covered alike, and a cordon may begin or end meanwhile. The log tells it (worker_not_recorded).

--- a/pkg/shard/checks.go
+++ b/pkg/shard/checks.go
@@ -36,7 +36,7 @@
 	for _, s := range o.sessionsByBoot() {
 		o.expireLeases(s)
 		o.retryStops(s, now)
-		if s.listed && !s.recorded && now >= s.cordonedUntil {
+		if s.listed && !s.recorded() && now >= s.cordonedUntil {
 			o.record.markChanged(s.worker)
 			o.requestCommit()
 		}
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -64,9 +64,8 @@
 			o.logNotEmpty(s, waits, now)
 			continue
 		}
-		if s.recorded {
+		if s.recorded() {
 			// The worker may leave now: the next owner need not contact it.
-			s.recorded = false
 			o.record.markChanged(s.worker)
 			o.requestCommit()
 		}
--- a/pkg/shard/machines.go
+++ b/pkg/shard/machines.go
@@ -44,7 +44,7 @@
 		byVM[m.VM] = m
 	}
 	for _, s := range o.sessionsByBoot() {
-		if !s.recorded || s.attemptsKnown || s.vm == "" {
+		if !s.recorded() || s.attemptsKnown || s.vm == "" {
 			continue
 		}
 		m, ok := byVM[s.vm]
--- a/pkg/shard/outcome.go
+++ b/pkg/shard/outcome.go
@@ -29,7 +29,6 @@
 	}
 	o.record.applyOutcome(b, true)
 	for _, s := range b.workers {
-		s.recorded = true
 		s.requestPoll()
 	}
 	if b.shares != nil {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -182,7 +182,6 @@
 			continue // both the current and an earlier record format name it
 		}
 		s := o.addSession(platform.WorkerRef{Boot: w.Boot, Address: w.Address}, w.VM)
-		s.recorded = true
 		o.inheritWorker(s, w)
 	}
 	o.formerWorkersPending = o.formerWorkersPending || stored.workersUnreadable
--- a/pkg/shard/record.go
+++ b/pkg/shard/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
@@ -19,15 +20,29 @@
 
 // workerRecord tracks which rows of the record of leased workers are stored or have to be written.
 type workerRecord struct {
-	changed      [recordParts]bool // to be written
-	stored       [recordParts]bool // a row exists
-	markerStored bool              // the row with partsMarker exists
-	dirty        bool              // any part is to be written
+	changed      [recordParts]bool            // to be written
+	stored       [recordParts]bool            // a row exists
+	boots        [recordParts]map[string]bool // boots that the row names, whether or not the write under way is carried out
+	markerStored bool                         // the row with partsMarker exists
+	dirty        bool                         // any part is to be written
 }
 
 // partOf returns the part of the record that a worker belongs to.
 func partOf(worker string) int { return int(xxhash.Sum64String(worker) % recordParts) }
 
+// names reports whether the stored record names a boot of a worker, so that the next owner contacts it.
+func (r *workerRecord) names(worker, boot string) bool { return r.boots[partOf(worker)][boot] }
+
+// add records that a stored row names a boot.
+func (r *workerRecord) add(w leasedWorker) {
+	worker, _ := platform.ParseBootID(w.Boot)
+	part := partOf(worker)
+	if r.boots[part] == nil {
+		r.boots[part] = map[string]bool{}
+	}
+	r.boots[part][w.Boot] = true
+}
+
 // markChanged has the part of a worker written with the next transaction.
 func (r *workerRecord) markChanged(worker string) {
 	r.changed[partOf(worker)] = true
@@ -90,30 +105,48 @@
 	b.leased = &[recordParts][]leasedWorker{}
 	for _, s := range o.sessionsByBoot() {
 		part := partOf(s.worker)
-		if !o.record.changed[part] || s.ended || s.cordonedUntil > o.now() && s.idle() {
+		if !o.record.changed[part] || s.ended {
 			continue // already recorded, or can't hold a lease
 		}
+		if s.cordonedUntil > o.now() && s.idle() {
+			if s.recorded() {
+				o.log.Info().Str("event", "worker_not_recorded").Str("boot", s.ref.Boot).Str("vm", s.vm).Dur("cordon_left", s.cordonedUntil-o.now()).Send()
+			}
+			continue
+		}
 		b.leased[part] = append(b.leased[part], s.recordEntry())
-		if !s.recorded {
+		if !s.recorded() {
 			b.workers = append(b.workers, s)
 		}
 	}
 	if b.parts, err = o.record.put(b, o.cfg.Pool, b.leased); err != nil {
 		return err
 	}
-	o.record.clearChanged(b.parts)
+	o.record.startWrite(b)
 	b.record = true
 	return o.putUnreportedLoss(b)
 }
 
-// clearChanged records that the changed parts are in a transaction under way.
-func (r *workerRecord) clearChanged(parts []int) {
-	for _, i := range parts {
+// startWrite records that the changed parts are in a transaction under way. A boot that is not in their new
+// content no longer counts as named, since the outcome may remain unknown.
+func (r *workerRecord) startWrite(b *batch) {
+	for _, i := range b.parts {
 		r.changed[i] = false
+		kept := bootsOf(b.leased[i])
+		maps.DeleteFunc(r.boots[i], func(boot string, _ bool) bool { return !kept[boot] })
 	}
 	r.dirty = false
 }
 
+// bootsOf returns the boots that the content of a part names.
+func bootsOf(set []leasedWorker) map[string]bool {
+	boots := make(map[string]bool, len(set))
+	for _, w := range set {
+		boots[w.Boot] = true
+	}
+	return boots
+}
+
 // applyOutcome records whether the transaction that wrote the parts was carried out.
 func (r *workerRecord) applyOutcome(b *batch, committed bool) {
 	if !b.record {
@@ -128,7 +161,7 @@
 	}
 	r.markerStored = true
 	for _, i := range b.parts {
-		r.stored[i] = len(b.leased[i]) > 0
+		r.stored[i], r.boots[i] = len(b.leased[i]) > 0, bootsOf(b.leased[i])
 	}
 }
 
@@ -154,5 +187,8 @@
 		return true, err
 	}
 	stored.workers = append(stored.workers, set...)
+	for _, w := range set {
+		stored.record.add(w)
+	}
 	return true, nil
 }
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -122,7 +122,7 @@
 func (o *Owner) putRemainingWorkers(b *batch) error {
 	var named, bare [recordParts][]leasedWorker
 	for _, s := range o.sessionsByBoot() {
-		if !s.recorded || s.attemptsKnown && !s.former.pending && s.idle() {
+		if !s.recorded() || s.attemptsKnown && !s.former.pending && s.idle() {
 			continue
 		}
 		part := partOf(s.worker)
--- a/pkg/shard/scenario_test.go
+++ b/pkg/shard/scenario_test.go
@@ -34,6 +34,7 @@
 	accepted          map[string]bool
 	jobs              int
 	boots             int
+	names             []string // of the first workers, in place of numbered ones
 	entries           int
 	crashingTasks     bool // some tasks crash their worker
 	restartsUnderLoad int  // worker restarts that happened while a job was active
@@ -181,6 +182,9 @@
 func (m *scenario) boot() {
 	m.boots++
 	name := fmt.Sprintf("w%d", m.boots)
+	if m.boots <= len(m.names) {
+		name = m.names[m.boots-1]
+	}
 	m.e.addWorker(name, name, name, "4000", []string{"0", "0.02"}[m.boots%2])
 }
 
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -31,7 +31,7 @@
 	coldLogged bool
 
 	listed        bool          // it is in the directory
-	recorded      bool          // the stored record names it, so that the next owner contacts it
+	record        *workerRecord // of the owner
 	attemptsKnown bool          // it has reported its attempts since our first token reached it
 	listedAllAt   time.Duration // when the last poll was sent whose report lists all ends
 	moreEnds      bool          // its last report may lack ends
@@ -124,11 +124,14 @@
 
 // usable reports whether new tasks may start at the worker, trials included.
 func (s *session) usable(now time.Duration) bool {
-	known := s.listed && s.recorded && s.attemptsKnown
+	known := s.listed && s.attemptsKnown && s.recorded()
 	answers := !s.ended && !s.outcomeUnknown && s.unansweredCalls == 0
 	return known && answers && !s.draining && !s.outOfUse() && now >= s.pausedUntil && now >= s.cordonedUntil
 }
 
+// recorded reports whether the stored record names the boot, so that the next owner contacts it.
+func (s *session) recorded() bool { return s.record.names(s.worker, s.ref.Boot) }
+
 // outOfUse reports whether the worker's zone is out of use, so that nothing starts there.
 func (s *session) outOfUse() bool { return s.zoneEvacuated(s.info.Zone) }
 
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -18,7 +18,7 @@
 	ctx, cancel := context.WithCancel(o.ctx)
 	worker, _ := platform.ParseBootID(ref.Boot)
 	s := &session{
-		ref: ref, worker: worker, vm: vm, attempts: map[string]*workerAttempt{}, foreign: map[foreignKey]*foreignAttempt{}, token: max(o.firstToken(), o.endedBootTokens[worker]),
+		ref: ref, worker: worker, vm: vm, record: &o.record, attempts: map[string]*workerAttempt{}, foreign: map[foreignKey]*foreignAttempt{}, token: max(o.firstToken(), o.endedBootTokens[worker]),
 		wake: make(chan struct{}, 1), cancel: cancel, earlierLeasesUntil: o.formerLeasesEnd(o.now()), zoneEvacuated: o.cfg.ZoneEvacuated, inWave: o.waveVMs.names[vm],
 	}
 	o.sessions[ref.Boot] = s
