A job stays one job, and findable, when its queue gets another pool

Without any late entry the same new ID, sent to all entries around the change, was accepted in both pools.

Cause: the queue's pool of today, as the entry that was asked knew it, picked the shard for every call about a job. Nothing told which pools had had the queue, and the old pool's owner went on accepting for entries that had not learned of the change.

Change: - A queue is its route (host and prefix), whatever its name and pool. The pools that may have accepted jobs of it stand in a row of its own, written before the first job is accepted there. Only the last one accepts new jobs. A shard that gets the queue by a newer configuration first has the owner of the present pool stop; that owner stores it in the chain of its shard's transactions, after all submissions that it has taken, so that no later or earlier owner of that pool can accept one unknowingly. Only then the row names the new pool, provided that it is unchanged. - What the former pools hold is frozen from then on. A new ID is sought there before it is accepted; an owner that knows that the queue has left answers for all of them, else the stored rows do. An ID that can't be looked up is neither 410 nor accepted. - An entry with an earlier configuration is told which pool has the queue, and follows. - State and cancellation go to all pools that had the queue; 410 only after its stored row was read. Waiting jobs are counted in all of them. - A job keeps its priority, objective and need of advice where its queue is configured for another pool or not at all. A pool that the configuration no longer names still gets an owner when somebody asks for a job there.

Accepted jobs stay in the pool that accepted them.

Weighed: a stored row for each ID in the transaction that accepts it (one more row, in another partition, for every job: twice the time of a transaction); asking all pools on a miss (every submission pays, and none refuses).

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -12,17 +12,28 @@
 	Prefix string // of the path, up to the job ID
 	Pool   string // pool whose workers run the tasks
 
-	Priority    int  // 0 is the highest
+	Terms
 	MaxAttempts int  // failed attempts of a task after which its job fails
-	UsesAdvice  bool // the advice service restricts which workers may run a step
 	Public      bool // callers need no key
+	Timeout     time.Duration
+
+	// CatalogVersion is the version of the configuration that the queue is part of.
+	CatalogVersion int64 `json:"-"`
+}
+
+// Terms are what a queue's configuration says about running jobs.
+type Terms struct {
+	Priority   int  `msgpack:"p,omitempty"` // 0 is the highest
+	UsesAdvice bool `msgpack:"a,omitempty"` // the advice service restricts which workers may run a step
 
 	// A job should finish within TargetLatency plus Stretch times its critical path.
-	Stretch       float64
-	TargetLatency time.Duration
-	Timeout       time.Duration
+	Stretch       float64       `msgpack:"s,omitempty"`
+	TargetLatency time.Duration `msgpack:"l,omitempty"`
 }
 
+// Route returns what identifies the queue to its callers, whatever its name and its pool are: host and prefix.
+func (q *Queue) Route() string { return q.Host + q.Prefix }
+
 // Pool is a set of worker VMs.
 type Pool struct {
 	Name            string
@@ -53,6 +64,7 @@
 
 	byHost    map[string][]*Queue // longest prefix first
 	byName    map[string]*Queue
+	byRoute   map[string]*Queue
 	byKey     map[KeyHash]*Account
 	byAccount map[string]*Account
 }
@@ -60,10 +72,11 @@
 // New returns a catalog indexed for lookups.
 func New(c Catalog) *Catalog {
 	c.byHost = map[string][]*Queue{}
-	c.byName = map[string]*Queue{}
+	c.byName, c.byRoute = map[string]*Queue{}, map[string]*Queue{}
 	for i := range c.Queues {
 		q := &c.Queues[i]
-		c.byName[q.Name] = q
+		q.CatalogVersion = c.Version
+		c.byName[q.Name], c.byRoute[q.Route()] = q, q
 		list := c.byHost[q.Host]
 		at := 0
 		for at < len(list) && len(list[at].Prefix) >= len(q.Prefix) {
@@ -94,6 +107,9 @@
 // Queue returns a queue by name, or nil.
 func (c *Catalog) Queue(name string) *Queue { return c.byName[name] }
 
+// QueueAt returns the queue of a route, or nil.
+func (c *Catalog) QueueAt(route string) *Queue { return c.byRoute[route] }
+
 // SparePool returns the name of the pool of switched-off VMs, empty if there is none.
 func (c *Catalog) SparePool() string {
 	for _, p := range c.Pools {
--- a/pkg/jobs/registry.go
+++ b/pkg/jobs/registry.go
@@ -80,11 +80,12 @@
 	return slices.ContainsFunc(reg.Active(), func(j *Job) bool { return j.Spec.Times > 0 })
 }
 
-// CountQueued returns the number of active jobs in a queue that have not started any task.
-func (reg *Registry) CountQueued(queue string) int {
+// CountQueued returns the number of active jobs of a queue that have not started any task. The name tells jobs of
+// which the route is not stored.
+func (reg *Registry) CountQueued(queue, route string) int {
 	n := 0
 	for _, j := range reg.Active() {
-		if j.Queue == queue && !j.Started {
+		if !j.Started && (j.Route == route && route != "" || j.Route == "" && j.Queue == queue) {
 			n++
 		}
 	}
--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -136,6 +137,10 @@
 	Account     string        `msgpack:"c,omitempty"` // client account that submitted it, empty for none
 	Excess      bool          `msgpack:"e,omitempty"` // submitted beyond the account's guaranteed rate
 	Spec        Spec          `msgpack:"s"`
+
+	Route          string         `msgpack:"r,omitempty"` // of the queue, which keeps it when its name or its pool changes
+	CatalogVersion int64          `msgpack:"v,omitempty"` // of the configuration by which the job was routed
+	Terms          *catalog.Terms `msgpack:"t,omitempty"` // of the queue when the job was accepted
 }
 
 // BelongsTo reports whether a client account may query and cancel the job. A job without an
--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -72,15 +72,18 @@
 			n.log.Error().Str("event", "submission_malformed").Str("request", q.Job).Err(err).Send()
 			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
 		}
-		return &schema.CallReply{Outcome: o.Submit(ctx, q.Job, record)}
+		record.CatalogVersion = max(record.CatalogVersion, int64(q.CatalogVersion))
+		return withQueue(&schema.CallReply{Outcome: o.Submit(ctx, q.Job, record)}, o, q.Route)
 	case schema.CallKindState:
 		state, out := o.State(q.Job, requesterOf(q))
-		return &schema.CallReply{Outcome: out, State: string(state)}
+		return withQueue(&schema.CallReply{Outcome: out, State: string(state)}, o, q.Route)
 	case schema.CallKindCancel:
-		return &schema.CallReply{Outcome: o.Cancel(ctx, q.Job, requesterOf(q))}
+		return withQueue(&schema.CallReply{Outcome: o.Cancel(ctx, q.Job, requesterOf(q))}, o, q.Route)
 	case schema.CallKindWaiting:
-		waiting, out := o.Waiting(q.Queue)
-		return &schema.CallReply{Outcome: out, Waiting: waiting}
+		waiting, out := o.Waiting(q.Queue, q.Route)
+		return withQueue(&schema.CallReply{Outcome: out, Waiting: waiting}, o, q.Route)
+	case schema.CallKindCloseQueue:
+		return &schema.CallReply{Outcome: o.CloseQueue(ctx, q.Route, int64(q.CatalogVersion), q.MoveTo)}
 	case schema.CallKindLoad:
 		return n.answerLoad(o, q)
 	case schema.CallKindEmpty:
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -35,6 +35,9 @@
 // Submit passes a job to the owner of its queue's shard.
 func (n *Node) Submit(ctx context.Context, q *catalog.Queue, account, id string, spec jobs.Spec) schema.CallOutcome {
 	record := jobs.Record{Queue: q.Name, Account: account, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: q.MaxAttempts, Spec: spec}
+	if record.Route = q.Route(); record.Route != "" {
+		record.CatalogVersion, record.Terms = q.CatalogVersion, &q.Terms
+	}
 	raw, err := record.Encode()
 	if err != nil {
 		n.log.Error().Str("event", "job_encode_failed").Str("job", id).Err(err).Send()
@@ -45,10 +48,10 @@
 			Int("bytes", len(raw)).Str("outcome", string(out)).Str("why", why).Send()
 		return out
 	}
-	call := &schema.Call{Kind: schema.CallKindSubmit, Pool: q.Pool, Queue: q.Name, Job: id, Record: raw}
-	reply := n.callOwnerForCaller(ctx, call)
-	n.log.Info().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", q.Pool).Str("account", account).
-		Int64("catalog", n.catalogVersion()).Str("outcome", string(reply.Outcome)).Send()
+	call := schema.Call{Kind: schema.CallKindSubmit, Pool: q.Pool, Queue: q.Name, Route: record.Route, CatalogVersion: int(q.CatalogVersion), Job: id, Record: raw}
+	reply, pool := n.submitFollowing(ctx, call)
+	n.log.Info().Str("event", "submission").Str("request", id).Str("queue", q.Name).Str("pool", pool).Str("account", account).
+		Int64("catalog", q.CatalogVersion).Str("outcome", string(reply.Outcome)).Send()
 	return reply.Outcome
 }
 
@@ -65,55 +68,50 @@
 
 // State returns the state of a job.
 func (n *Node) State(ctx context.Context, q *catalog.Queue, id string, by shard.Requester) (jobs.State, schema.CallOutcome) {
-	reply := n.callOwnerForCaller(ctx, callFor(schema.CallKindState, q, id, by))
-	if reply.Outcome == schema.CallOutcomeNotFound {
-		reply.Outcome = n.confirmAbsent(ctx, q, id, by)
-	}
-	if reply.Outcome != schema.CallOutcomeOk {
-		n.log.Info().Str("event", "state_not_told").Str("request", id).Str("queue", q.Name).Str("outcome", string(reply.Outcome)).Send()
-	}
-	return jobs.State(reply.State), reply.Outcome
+	state, out, _ := n.stateAndPool(ctx, q, id, by)
+	return state, out
 }
 
-// callFor returns a call about a job.
-func callFor(kind schema.CallKind, q *catalog.Queue, id string, by shard.Requester) *schema.Call {
-	return &schema.Call{Kind: kind, Pool: q.Pool, Queue: q.Name, Job: id, Account: by.Account, Operator: by.Operator}
+// stateAndPool returns the state of a job and the pool that has it.
+func (n *Node) stateAndPool(ctx context.Context, q *catalog.Queue, id string, by shard.Requester) (jobs.State, schema.CallOutcome, string) {
+	reply, pool := n.findJob(ctx, schema.CallKindState, q, id, by)
+	if reply.Outcome != schema.CallOutcomeOk {
+		n.log.Info().Str("event", "state_not_told").Str("request", id).Str("queue", q.Name).Str("pool", pool).Str("outcome", string(reply.Outcome)).Send()
+	}
+	return jobs.State(reply.State), reply.Outcome, pool
 }
 
 // confirmAbsent looks a job up in the table service before the caller is told that it does not
-// exist: the owner that was asked may have been replaced without knowing it. Refused asks the
+// exist: an owner that was asked may have been replaced without knowing it. Refused asks the
 // caller to retry.
-func (n *Node) confirmAbsent(ctx context.Context, q *catalog.Queue, id string, by shard.Requester) schema.CallOutcome {
+func (n *Node) confirmAbsent(ctx context.Context, pools []string, id string, by shard.Requester) schema.CallOutcome {
 	ctx, ended := n.cancelAtStop(ctx)
 	defer ended()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	found, err := shard.FindJob(ctx, n.rows, q.Pool, id, by)
-	switch {
-	case err != nil:
-		n.log.Warn().Str("event", "absence_not_confirmed").Str("request", id).Err(err).Send()
-		return schema.CallOutcomeRefused
-	case found:
-		return schema.CallOutcomeRefused
-	default:
-		return schema.CallOutcomeNotFound
+	for _, pool := range pools {
+		found, err := shard.FindJob(ctx, n.rows, pool, id, by)
+		if err != nil {
+			n.log.Warn().Str("event", "absence_not_confirmed").Str("request", id).Str("pool", pool).Err(err).Send()
+			return schema.CallOutcomeRefused
+		}
+		if found {
+			return schema.CallOutcomeRefused
+		}
 	}
+	return schema.CallOutcomeNotFound
 }
 
 // Cancel cancels a job.
 func (n *Node) Cancel(ctx context.Context, q *catalog.Queue, id string, by shard.Requester) schema.CallOutcome {
-	reply := n.callOwnerForCaller(ctx, callFor(schema.CallKindCancel, q, id, by))
-	if reply.Outcome == schema.CallOutcomeNotFound {
-		reply.Outcome = n.confirmAbsent(ctx, q, id, by)
-	}
-	n.log.Info().Str("event", "cancellation").Str("request", id).Str("queue", q.Name).Str("outcome", string(reply.Outcome)).Send()
+	reply, pool := n.findJob(ctx, schema.CallKindCancel, q, id, by)
+	n.log.Info().Str("event", "cancellation").Str("request", id).Str("queue", q.Name).Str("pool", pool).Str("outcome", string(reply.Outcome)).Send()
 	return reply.Outcome
 }
 
 // Waiting returns the number of queued jobs: those of a queue that have not started.
 func (n *Node) Waiting(ctx context.Context, q *catalog.Queue) (int, schema.CallOutcome) {
-	reply := n.callOwnerForCaller(ctx, &schema.Call{Kind: schema.CallKindWaiting, Pool: q.Pool, Queue: q.Name})
-	return reply.Waiting, reply.Outcome
+	return n.countWaiting(ctx, q)
 }
 
 // callOwner sends an internal call to the owner of its shard, which may be this entry.
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -27,6 +27,7 @@
 	attemptEnds     *prometheus.CounterVec
 	staleEnds       prometheus.Counter
 	endsCut         prometheus.Counter
+	queueMoves      *prometheus.CounterVec
 	clockReads      prometheus.Counter
 	losses          *prometheus.CounterVec
 	jobs            *prometheus.CounterVec
@@ -70,6 +71,9 @@
 		staleEnds: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gannetwell_ends_passed_over_total", Help: "Ends that workers listed though they were told to forget them.",
 		}),
+		queueMoves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gannetwell_queue_moves_total", Help: "Queues that came to a shard of this entry, or left it, by direction.",
+		}, []string{"direction"}),
 		endsCut: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gannetwell_reports_cut_total", Help: "Workers' reports that list as many ends as they can, so that others may be missing.",
 		}),
@@ -112,7 +116,7 @@
 		}, []string{"level"}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.endsCut, m.clockReads, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.endsCut, m.queueMoves, m.clockReads, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
 	return m
 }
 
@@ -146,6 +150,15 @@
 // EndsCut counts a report that may lack ends.
 func (m *metrics) EndsCut() { m.endsCut.Inc() }
 
+// QueueMoved counts a queue that came to the shard or left it.
+func (m *metrics) QueueMoved(here bool) {
+	direction := "left"
+	if here {
+		direction = "came"
+	}
+	m.queueMoves.WithLabelValues(direction).Inc()
+}
+
 // ClockRead counts a poll that reads a worker's clock before a start.
 func (m *metrics) ClockRead() { m.clockReads.Inc() }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -101,7 +101,8 @@
 	// malformedWorkers holds the version of each malformed directory row, by boot.
 	malformedWorkers map[string]int64
 	waves            map[int]fleetops.Wave // by ID
-	requestedCatalog int64                 // newest configuration version requested from a peer
+	queuePools       queuePools
+	requestedCatalog int64 // newest configuration version requested from a peer
 }
 
 // storedCatalog is a configuration with its encoding, which peers may ask for.
@@ -116,7 +117,7 @@
 	rows := &storeMonitor{Rows: services, log: log, clock: clock}
 	n := &Node{
 		settings: s, clock: clock, log: log, metrics: newMetrics(), source: src, platform: services, rows: rows,
-		stop: make(chan struct{}), workers: map[string]platform.Worker{}, malformedWorkers: map[string]int64{}, waves: map[int]fleetops.Wave{},
+		stop: make(chan struct{}), workers: map[string]platform.Worker{}, malformedWorkers: map[string]int64{}, waves: map[int]fleetops.Wave{}, queuePools: queuePools{byRoute: map[string]cachedPools{}},
 		evacuations: evacuations{rows: map[string]evacuation{}},
 	}
 	n.waitCtx, n.cancelWaits = context.WithCancel(context.Background())
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -103,9 +103,9 @@
 	if q == nil {
 		return c.JSON(http.StatusNotFound, api.Error{Message: "there is no such queue"})
 	}
-	state, out := n.State(c.Request().Context(), q, c.Param("id"), shard.Requester{Operator: true})
-	row, _, _ := n.ownership.Owner(q.Pool)
+	state, out, pool := n.stateAndPool(c.Request().Context(), q, c.Param("id"), shard.Requester{Operator: true})
+	row, _, _ := n.ownership.Owner(pool)
 	return c.JSON(http.StatusOK, api.JobStatus{
-		Queue: q.Name, ID: c.Param("id"), Outcome: string(out), State: string(state), Pool: q.Pool, Owner: row.Entry,
+		Queue: q.Name, ID: c.Param("id"), Outcome: string(out), State: string(state), Pool: pool, Owner: row.Entry,
 	})
 }
--- a/pkg/ownership/manager.go
+++ b/pkg/ownership/manager.go
@@ -144,6 +144,17 @@
 	mgr.Wake()
 }
 
+// Track has the shard of a pool that the configuration may lack get an owner, as long as this entry runs.
+func (mgr *Manager) Track(pool string) {
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	if mgr.shards[pool] == nil {
+		mgr.addShard(pool)
+		mgr.log.Info().Str("event", "shard_tracked").Str("pool", pool).Send()
+		mgr.Wake()
+	}
+}
+
 // addShard starts tracking a shard. The caller holds mu.
 func (mgr *Manager) addShard(pool string) {
 	if mgr.shards[pool] == nil {
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -42,6 +42,10 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind CallKind `json:"kind" msgpack:"kind"`
 
+	// MoveTo is the pool to which catalog_version sends the queue, empty except for
+	// close_queue.
+	MoveTo string `json:"move_to" msgpack:"move_to"`
+
 	// Operator reports whether an operator makes the request, who may see the jobs of
 	// all accounts.
 	Operator bool `json:"operator" msgpack:"operator"`
@@ -65,6 +69,10 @@
 	// Record is the encoded job record of a submission.
 	Record []byte `json:"record" msgpack:"record"`
 
+	// Route identifies the queue, whatever its name and its pool are, empty if it is
+	// not known.
+	Route string `json:"route" msgpack:"route"`
+
 	// VM is the VM to drain.
 	VM string `json:"vm" msgpack:"vm"`
 
@@ -82,6 +90,7 @@
 
 const CallKindCancel CallKind = "cancel"
 const CallKindCatalog CallKind = "catalog"
+const CallKindCloseQueue CallKind = "close_queue"
 const CallKindEmpty CallKind = "empty"
 const CallKindLoad CallKind = "load"
 const CallKindPing CallKind = "ping"
@@ -93,6 +102,7 @@
 
 type CallOutcome string
 
+const CallOutcomeMoved CallOutcome = "moved"
 const CallOutcomeNotFound CallOutcome = "not_found"
 const CallOutcomeNotOwner CallOutcome = "not_owner"
 const CallOutcomeOk CallOutcome = "ok"
@@ -127,6 +137,18 @@
 	// OwnersVersion is the highest version of an owner row that the sender has seen.
 	OwnersVersion int `json:"owners_version" msgpack:"owners_version"`
 
+	// QueueLeft reports whether the shard accepts no new jobs of the call's queue any
+	// more.
+	QueueLeft bool `json:"queue_left" msgpack:"queue_left"`
+
+	// QueuePools are the other pools that have or had the call's queue, the present
+	// one first.
+	QueuePools []string `json:"queue_pools" msgpack:"queue_pools"`
+
+	// QueueVersion is the version of the configuration by which the call's queue came
+	// to the shard or left it, 0 if the shard does not know the queue.
+	QueueVersion int `json:"queue_version" msgpack:"queue_version"`
+
 	// ReachesStore reports whether the table service answers the sender.
 	ReachesStore bool `json:"reaches_store" msgpack:"reaches_store"`
 
--- a/pkg/shard/batch.go
+++ b/pkg/shard/batch.go
@@ -41,6 +41,7 @@
 	record         bool                         // the record of leased workers is written
 	parts          []int                        // numbers of the parts of the record that are written
 	leased         *[recordParts][]leasedWorker // content of the record
+	queues         []queueRow                   // rows of queues as written
 	shares         *quota.Row                   // quota shares of accounts as written, nil if unchanged
 	acks           map[*session]int64           // number of the last end to acknowledge, by worker
 	drops          []expiredJob
@@ -73,7 +74,7 @@
 
 // itemCount returns the number of items that could be written independently of each other.
 func (b *batch) itemCount() int {
-	n := len(b.submissions) + len(b.jobs) + len(b.drops)
+	n := len(b.submissions) + len(b.jobs) + len(b.drops) + len(b.queues)
 	if b.record {
 		n++
 	}
@@ -108,6 +109,9 @@
 	if err := o.putShares(b); err != nil {
 		return nil, err
 	}
+	if err := o.putQueues(b); err != nil {
+		return nil, err
+	}
 	o.urgent = len(o.queued) > 0
 	if b.empty() {
 		// Ends that changed nothing are acknowledged without a transaction.
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -26,6 +26,9 @@
 // Submit stores a job and starts it; it may be repeated with the same ID. An ID that another account
 // has used is refused like any other submission, so as not to reveal that account's jobs.
 func (o *Owner) Submit(ctx context.Context, id string, r jobs.Record) Outcome {
+	if out, admitted := o.admit(ctx, id, &r); !admitted {
+		return out
+	}
 	o.mu.Lock()
 	if o.closed || o.releasing {
 		o.mu.Unlock()
@@ -48,6 +51,10 @@
 		o.mu.Unlock()
 		return o.awaitSubmission(ctx, s)
 	}
+	if r.Route != "" && !o.queues.accepts(r.Route) {
+		o.mu.Unlock()
+		return schema.CallOutcomeRefused // the queue has left since it was admitted
+	}
 	if o.commitsFailing {
 		if !o.arrivals.remembersRefused(id) {
 			r.Excess = o.exceedsGuarantee(r.Account)
@@ -175,14 +182,14 @@
 	return nil, schema.CallOutcomeNotFound
 }
 
-// Waiting returns the number of jobs of a queue that have not started.
-func (o *Owner) Waiting(queue string) (int, Outcome) {
+// Waiting returns the number of jobs of a queue, known by its name and its route, that have not started.
+func (o *Owner) Waiting(queue, route string) (int, Outcome) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
 		return 0, schema.CallOutcomeNotOwner
 	}
-	return o.registry.CountQueued(queue), schema.CallOutcomeOk
+	return o.registry.CountQueued(queue, route), schema.CallOutcomeOk
 }
 
 // answerWaiters answers the calls that wait for the final state of a job; the lock is held.
--- a/pkg/shard/metrics.go
+++ b/pkg/shard/metrics.go
@@ -32,6 +32,8 @@
 	Job(event string)
 	// AccountAtLimit counts a second in which tasks of a client account waited because of its limit.
 	AccountAtLimit(account string)
+	// QueueMoved counts a queue that came to the shard or left it.
+	QueueMoved(here bool)
 	// TimeoutsChanged counts a change between usual and short timeouts of calls to workers.
 	TimeoutsChanged(short bool)
 }
@@ -59,6 +61,9 @@
 // EndsCut implements Metrics.
 func (NoMetrics) EndsCut() {}
 
+// QueueMoved implements Metrics.
+func (NoMetrics) QueueMoved(bool) {}
+
 // ClockRead implements Metrics.
 func (NoMetrics) ClockRead() {}
 
--- a/pkg/shard/outcome.go
+++ b/pkg/shard/outcome.go
@@ -31,6 +31,7 @@
 	for _, s := range b.workers {
 		s.requestPoll()
 	}
+	o.queuesStored(b)
 	if b.shares != nil {
 		o.accounts.shares.MarkPersisted(*b.shares)
 	}
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -49,6 +49,13 @@
 	// ZoneEvacuated reports whether the operator has taken an availability zone out of use; nil for none.
 	ZoneEvacuated func(zone string) bool
 
+	// CloseQueue has another pool's shard accept no more new jobs of a queue, see Owner.CloseQueue. It returns an error
+	// unless that is stored.
+	CloseQueue func(ctx context.Context, pool, route string, version int64, to string) error
+	// FindJob looks for a job in the shards of pools that accept no more jobs of its queue. The outcome is ok,
+	// not_found, or any other if it can't be told.
+	FindJob func(ctx context.Context, former QueuePools, route, id string, by Requester) Outcome
+
 	BeforeTakeover func()      // called before the takeover's transaction is sent
 	OnGivenUp      func(error) // called once, with the cause, when the owner gives the shard up
 }
@@ -112,6 +119,7 @@
 	queued          []*submission                // pending submissions not in a transaction yet
 	dirty           map[*jobs.Job]struct{}       // jobs whose progress must be written
 	singleItemTxns  int                          // number of upcoming transactions limited to one item, to find the item that is refused
+	queues          queues                       // that the shard has or had
 	removals        []expiredJob                 // jobs whose rows must be removed
 	record          workerRecord                 // leased workers, as stored
 	urgent          bool                         // a caller waits for the next transaction
@@ -153,7 +161,7 @@
 	o = &Owner{
 		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, commitVersion: c.commitVersion,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
-		catalog: cat, registry: stored.registry, unreadableJobs: stored.unreadable, recordUnreadable: stored.workersUnreadable, unreportedLoss: stored.unreportedLoss, accounts: newAccounts(stored.shares), record: stored.record,
+		catalog: cat, registry: stored.registry, unreadableJobs: stored.unreadable, recordUnreadable: stored.workersUnreadable, unreportedLoss: stored.unreportedLoss, accounts: newAccounts(stored.shares), record: stored.record, queues: newQueues(stored.queues),
 		sessions: map[string]*session{}, currentSessions: map[string]*session{}, endedBootTokens: map[string]int64{},
 		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*durationStats{}, suspects: map[*jobs.Task]struct{}{}, deferredStarts: map[*jobs.Job][]deferredStart{},
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, refusedProgress: map[*jobs.Job]error{}, waiters: map[*jobs.Job][]chan Outcome{},
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -43,6 +43,7 @@
 	unreportedLoss    bool // a worker of a former owner was lost before it reported to a later one
 	workersUnreadable bool // the record of workers is malformed: any worker may hold a lease
 	shares            quota.Row
+	queues            []queueRow
 }
 
 // errMalformedRow reports a row that can't be decoded.
@@ -58,7 +59,8 @@
 
 // readStoredState reads the partition after the takeover, when no other entry can write to it. A
 // job with a malformed row is left out, and malformed is called for each such row. A malformed row
-// of quota shares is an error, since nothing could be started within the limits of accounts.
+// of quota shares is an error, since nothing could be started within the limits of accounts, and so is one of a
+// queue, whose jobs might be accepted twice.
 func readStoredState(ctx context.Context, rows platform.Rows, pool string, term int64, now time.Duration, malformed func(errMalformedRow)) (stored storedState, err error) {
 	defer func() { err = errors.Wrapf(err, "read shard %s", pool) }()
 	stored.registry, stored.unreadable = jobs.NewRegistry(term), map[string]bool{}
@@ -132,6 +134,10 @@
 		}
 		switch {
 		case ok:
+		case strings.HasPrefix(r.Key, queueKeyPrefix):
+			if err := stored.readQueue(r); err != nil {
+				return errMalformedRow{key: r.RowKey, cause: err}
+			}
 		case r.Key == unreportedLossKey:
 			stored.unreportedLoss = true
 		case r.Key == sharesKey:
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -196,7 +196,7 @@
 	},
 	"state": func(c scriptCall) string { return c.state(c.entry(), c.arg("id", ""), c.requester()) },
 	"waiting": func(c scriptCall) string {
-		n, out := c.owner().Waiting(queue)
+		n, out := c.owner().Waiting(queue, "")
 		return fmt.Sprintf("%s %d\n", out, n)
 	},
 	"load": func(c scriptCall) string {
