Soak and tests: the queue moves between two pools

The soak's configurations and the stand-in's never changed a service, so neither could meet a job whose queue gets another pool. Fleet operations that want VMs for the other pool get no answer there, so their drains are given up, which the soak had not either.

Further tests of single paths: a queue that leaves during a claim, during a search, behind queued submissions, by an earlier configuration, with its row refused; accounts; an owner that may have been replaced; a pool that the configuration no longer names; remembered pools.

--- a/cmd/gannetbench/cmds/soak.go
+++ b/cmd/gannetbench/cmds/soak.go
@@ -28,6 +28,7 @@
 	Dir     string        `long:"dir" value-name:"DIR" default:"runs" description:"Where settings and logs of failed seeds are kept"`
 	Planted string        `long:"planted" choice:"no_fencing" choice:"lost_writes" choice:"early_forget" choice:"cut_lists" description:"A fault of the stand-in that the checker has to find"`
 	Outages bool          `long:"outages" description:"Add long outages of the table service, each right after jobs of many short tasks"`
+	Moves   bool          `long:"moves" description:"Have half of the workers in a second pool, and configurations that send the queue there and back"`
 
 	stdout io.Writer
 }
@@ -73,7 +74,7 @@
 	defer log.Close()
 	r, err := soak.Run(ctx, soak.Options{
 		Seed: seed, Entries: c.Entries, Workers: c.Workers, Callers: c.Callers, Length: c.Length,
-		Daemon: c.Daemon, Bench: bench, Dir: dir, Planted: soak.Planted(c.Planted), Outages: c.Outages, Log: log,
+		Daemon: c.Daemon, Bench: bench, Dir: dir, Planted: soak.Planted(c.Planted), Outages: c.Outages, Moves: c.Moves, Log: log,
 	})
 	if err != nil {
 		return 0, err
--- a/pkg/bench/soak/callers.go
+++ b/pkg/bench/soak/callers.go
@@ -19,7 +19,7 @@
 	statePause    = 400 * time.Millisecond
 	betweenJobs   = 700 * time.Millisecond // at most
 	cancelShare   = 0.08                   // of the jobs
-	resubmitShare = 0.1                    // of the accepted jobs
+	resubmitShare = 0.1                    // of the accepted jobs, at once, and of the looks at a job's state
 )
 
 // caller submits jobs one after the other, each at the entry that answered last, and follows them to their end.
@@ -73,7 +73,7 @@
 	f := &caller{Caller: standin.NewCaller(queue), rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 0)), entries: c.entries, current: c.current, check: c.check}
 	c.followed.Go(func() {
 		defer f.Close()
-		f.follow(ctx, submitting, id, longRunning(steps) || cancels)
+		f.follow(ctx, submitting, id, steps, longRunning(steps) || cancels)
 	})
 }
 
@@ -127,8 +127,8 @@
 	}
 }
 
-// follow asks for a job's state until it is final. A job to be cancelled is so when submitting ends, or before.
-func (c *caller) follow(ctx, submitting context.Context, id string, cancels bool) {
+// follow asks for a job's state until it is final, and submits it again now and then. A job to be cancelled is so when submitting ends, or before.
+func (c *caller) follow(ctx, submitting context.Context, id string, steps []step, cancels bool) {
 	cancelAt := time.Now().Add(time.Duration(c.rnd.Int64N(int64(5 * time.Second))))
 	for ctx.Err() == nil {
 		if cancels && (submitting.Err() != nil || time.Now().After(cancelAt)) {
@@ -153,6 +153,11 @@
 		if state == "completed" || state == "failed" || state == "cancelled" {
 			return
 		}
+		if submitting.Err() == nil && !cancels && c.rnd.Float64() < resubmitShare {
+			c.call(func(callCtx context.Context, address string) standin.Outcome {
+				return c.Submit(callCtx, address, id, job(steps))
+			})
+		}
 		_ = pause.For(ctx, statePause) // the loop checks ctx
 	}
 }
--- a/pkg/bench/soak/disturb.go
+++ b/pkg/bench/soak/disturb.go
@@ -31,6 +31,7 @@
 	SlowStore       Disturbance = "slow_store"
 	ForgetHistory   Disturbance = "forget_history"
 	NewCatalog      Disturbance = "new_catalog"
+	MoveQueue       Disturbance = "move_queue" // to the other pool, under another name
 	IncompleteLists Disturbance = "incomplete_lists"
 	LateCalls       Disturbance = "late_calls" // to every second worker: those under way arrive after newer ones
 )
@@ -71,6 +72,7 @@
 	slowStoreMs  = 80
 	reportsSpan  = 4                       // of incomplete lists: one item from every second to fifth report
 	seriesDivide = 3                       // one disturbance in so many starts a series
+	meanMoveGap  = 2 * time.Second         // between two moves of the queue
 	meanLateGap  = 1500 * time.Millisecond // between two late_calls
 	outageGap    = 8 * time.Second         // from the start of an outage to that of the next
 	minOutage    = 3 * time.Second
@@ -109,6 +111,9 @@
 	if unanswered {
 		events = append(events, drawLateCalls(o)...)
 	}
+	if o.Moves {
+		events = append(events, drawMoves(o)...)
+	}
 	if o.Outages {
 		events = append(events, drawOutages(o)...)
 	}
@@ -126,6 +131,18 @@
 	return events
 }
 
+// drawMoves draws moves of the queue between the pools, apart from the other disturbances.
+func drawMoves(o Options) (events []event) {
+	const stream = 1<<32 + 2 // of the seed, beyond that of outages
+	rnd := rand.New(rand.NewPCG(o.Seed, stream))
+	target := 1 // the pools take turns
+	for at := warmUp; at < o.Length; at += time.Duration(rnd.Int64N(int64(2 * meanMoveGap))) {
+		events = append(events, event{at: at, kind: MoveQueue, target: target})
+		target = 1 - target
+	}
+	return events
+}
+
 // drawLateCalls draws the times and workers of late calls, apart from the other disturbances.
 func drawLateCalls(o Options) (events []event) {
 	const stream = 1 << 32 // of the seed, beyond those of callers
@@ -194,6 +211,8 @@
 		s.command(Command{Do: DoSlowStore})
 	case ForgetHistory:
 		s.command(Command{Do: DoForget})
+	case MoveQueue:
+		s.command(Command{Do: DoMoveQueue, Pool: []string{queue.Pool, otherPool}[e.target]})
 	case NewCatalog:
 		s.command(Command{Do: DoCatalog})
 	case IncompleteLists:
--- a/pkg/bench/soak/soak.go
+++ b/pkg/bench/soak/soak.go
@@ -32,6 +32,7 @@
 	Bench   string        // path of gannetbench, for the process of the stand-in
 	Dir     string        // where settings and logs are written
 	Planted Planted
+	Moves   bool      // has half of the workers in a second pool, and configurations that send the queue there and back
 	Outages bool      // adds long outages of the table service, each right after jobs of many short tasks
 	Log     io.Writer // one line for each disturbance and each broken promise
 }
@@ -184,8 +185,12 @@
 			return err
 		}
 		s.links = append(s.links, p)
+		pool := queue.Pool
+		if s.o.Moves && i%2 == 1 {
+			pool = otherPool
+		}
 		s.command(Command{Do: DoAddVM, Add: &standin.VM{
-			Name: vmName(i), Listen: p.target, Public: p.address(), Zone: "zone-a", Capacity: workerCapacity,
+			Name: vmName(i), Pool: pool, Listen: p.target, Public: p.address(), Zone: "zone-a", Capacity: workerCapacity,
 		}})
 	}
 	return nil
@@ -252,6 +257,9 @@
 	}
 	b := &caller{Caller: standin.NewCaller(queue), name: s.o.Callers, rnd: rand.New(rand.NewPCG(s.o.Seed, uint64(s.o.Callers)+2)), entries: s.entries, check: s.check}
 	callers.Go(func() { b.runBursts(following, submitting, s.bursts) })
+	if s.o.Moves {
+		s.command(Command{Do: DoCatalog}) // now that the second pool is there
+	}
 	events = s.bringAbout(drawn)
 	err = s.heal()
 	endSubmitting()
--- a/pkg/bench/soak/soak_test.go
+++ b/pkg/bench/soak/soak_test.go
@@ -51,6 +51,18 @@
 	qt.Check(t, r.Starts > 0 && r.Disturbances > 0, qt.IsTrue)
 }
 
+// TestSoakWithMoves does so while the queue moves between two pools.
+func TestSoakWithMoves(t *testing.T) {
+	daemon, bench := programs(t)
+	dir := t.TempDir()
+	r, err := soak.Run(context.Background(), soak.Options{
+		Seed: *soakSeed, Entries: 4, Workers: 8, Callers: 5, Length: 12 * time.Second, Daemon: daemon, Bench: bench, Dir: dir, Moves: true, Log: t.Output(),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, r.Broken, qt.HasLen, 0)
+	qt.Check(t, r.Starts > 0 && r.Disturbances > 0, qt.IsTrue)
+}
+
 // TestSoakFindsPlantedFaults checks that a soak finds transactions that are answered and not carried out,
 // workers that carry out orders of former owners, workers that forget ends before they are
 // acknowledged, and workers that list fewer ends than the owners take for a whole list.
--- a/pkg/bench/soak/standin.go
+++ b/pkg/bench/soak/standin.go
@@ -30,12 +30,14 @@
 	DoSlowStore Do = "slow_store" // set its latency
 	DoForget    Do = "forget"     // drop its history of changes
 	DoCatalog   Do = "catalog"    // write the configuration anew
+	DoMoveQueue Do = "move_queue" // write one that sends the queue to a pool
 )
 
 // Command is a line that the process of the stand-in reads.
 type Command struct {
 	Do    Do          `json:"do"`
 	VM    int         `json:"vm,omitempty"`
+	Pool  string      `json:"pool,omitempty"`
 	N     int         `json:"n,omitempty"`
 	Ms    int         `json:"ms,omitempty"`
 	Fault fake.Fault  `json:"fault,omitempty"`
@@ -58,6 +60,9 @@
 // queue is where the callers of a soak submit jobs.
 var queue = standin.Queue{Host: "jobs.example", Prefix: "/q/", Pool: "pool", MaxAttempts: maxAttempts}
 
+// otherPool is the second pool of a soak whose queue moves.
+const otherPool = "other-pool"
+
 // Times of the stand-in.
 const (
 	storeLatency  = 2 * time.Millisecond
@@ -158,6 +163,8 @@
 		p.Rows.TruncateHistory()
 	case DoCatalog:
 		return p.WriteCatalog()
+	case DoMoveQueue:
+		return p.MoveQueue(c.Pool)
 	default:
 		return errors.Errorf("unknown command %q", c.Do)
 	}
--- a/pkg/node/queues_test.go
+++ b/pkg/node/queues_test.go
@@ -43,11 +43,19 @@
 		qc.boots = append(qc.boots, w)
 		putJSON(c, qc.rows.As("operator"), "workers", w.Boot, w)
 	}
-	qc.configure(1, "first", "alpha")
+	qc.configure(1, "first", "alpha", "alpha", "beta")
+	qc.startEntries("e", firstAddress)
+	qc.awaitVersion(1)
+	return qc
+}
+
+// startEntries starts three entries in place of those that were stopped.
+func (qc *queueCluster) startEntries(prefix string, firstAddress int) {
 	var ended sync.WaitGroup
+	qc.nodes = nil
 	for i := range 3 {
-		name := fmt.Sprintf("e%d", i)
-		n := newTestNode(c, name, loopback(firstAddress+i), services{Rows: qc.rows.As(name), Workers: qc.workers.As(name), workers: qc.boots})
+		name := fmt.Sprintf("%s%d", prefix, i)
+		n := newTestNode(qc.C, name, loopback(firstAddress+i), services{Rows: qc.rows.As(name), Workers: qc.workers.As(name), workers: qc.boots})
 		qc.nodes = append(qc.nodes, n)
 		ended.Go(func() { _ = n.Run(Handlers{JobAPI: http.NotFoundHandler(), Readiness: http.NotFoundHandler()}) })
 	}
@@ -57,15 +65,17 @@
 		}
 		ended.Wait()
 	}
-	qc.awaitVersion(1)
-	return qc
 }
 
-// configure writes a configuration that sends the queue to a pool.
-func (qc *queueCluster) configure(version int64, name, pool string) {
+// configure writes a configuration that sends the queue to a pool, and has the given pools.
+func (qc *queueCluster) configure(version int64, name, pool string, pools ...string) {
+	var all []catalog.Pool
+	for _, p := range pools {
+		all = append(all, catalog.Pool{Name: p, RejectsOverload: true})
+	}
 	putJSON(qc.C, qc.rows.As("operator"), "operator", "catalog", catalog.Catalog{
 		Version: version, Queues: []catalog.Queue{{Name: name, Host: "jobs.example", Prefix: "/q/", Pool: pool, MaxAttempts: 3}},
-		Pools: []catalog.Pool{{Name: "alpha", RejectsOverload: true}, {Name: "beta", RejectsOverload: true}},
+		Pools: all,
 	})
 }
 
@@ -120,7 +130,7 @@
 	const first, afterwards, both = "00000000000000a1", "00000000000000a2", "00000000000000a3"
 	qc.submit(qc.nodes[0], stale, first, "1h")
 	qc.awaitRun(first, "alpha-w")
-	qc.configure(4, "second", "beta")
+	qc.configure(4, "second", "beta", "alpha", "beta")
 	qc.awaitVersion(4)
 	for _, n := range qc.nodes {
 		state, out := n.State(ctx, qc.queueAt(n), first, by)
@@ -160,7 +170,7 @@
 	pools := []string{"alpha", "beta"}
 	for round := range 6 {
 		id := fmt.Sprintf("%016x", 1+round)
-		qc.configure(int64(2+round), fmt.Sprintf("queue-%d", round), pools[(1+round)%2])
+		qc.configure(int64(2+round), fmt.Sprintf("queue-%d", round), pools[(1+round)%2], pools...)
 		var wg sync.WaitGroup
 		for i, n := range qc.nodes {
 			wg.Go(func() {
@@ -197,7 +207,7 @@
 	}
 	stale := qc.queueAt(n)
 	eventually(qc.C, "two jobs wait", func() bool { return waiting(n, stale) == 2 })
-	qc.configure(2, "second", "beta")
+	qc.configure(2, "second", "beta", "alpha", "beta")
 	qc.awaitVersion(2)
 	for _, n := range qc.nodes {
 		qc.Check(waiting(n, qc.queueAt(n)), qt.Equals, 2)
@@ -210,3 +220,73 @@
 		qc.Check(waiting(n, stale), qt.Equals, 5)
 	}
 }
+
+// TestPoolOutOfConfiguration guards against jobs that can't be found any more when the configuration no longer names
+// their pool and no entry remembers it.
+func TestPoolOutOfConfiguration(t *testing.T) {
+	qc := startQueueCluster(qt.New(t), 91)
+	const id = "00000000000000a1"
+	qc.submit(qc.nodes[0], qc.queueAt(qc.nodes[0]), id, "1h")
+	qc.awaitRun(id, "alpha-w")
+	qc.configure(2, "second", "beta", "beta")
+	qc.stop()
+	qc.startEntries("f", 94)
+	defer qc.stop()
+	qc.awaitVersion(2)
+	for _, n := range qc.nodes {
+		eventually(qc.C, "the job is found", func() bool {
+			state, out := n.State(context.Background(), qc.queueAt(n), id, shard.Requester{})
+			qc.Check(out, qt.Not(qt.Equals), schema.CallOutcomeNotFound)
+			return out == schema.CallOutcomeOk && state == jobs.StateRunning
+		})
+		qc.submit(n, qc.queueAt(n), id, "1h")
+	}
+	qc.Check(qc.runsOf(id), qt.DeepEquals, []string{"alpha-w"})
+}
+
+// TestFormerOwnerIsNotBelieved guards against accepting a job anew because an owner that may have been replaced does not
+// know it: only one that knows that the queue has left knows all jobs.
+func TestFormerOwnerIsNotBelieved(t *testing.T) {
+	qc := startQueueCluster(qt.New(t), 101)
+	defer qc.stop()
+	n := qc.nodes[0]
+	const id = "00000000000000a1"
+	eventually(qc.C, "the pool has an owner", func() bool {
+		reply := n.callOwner(context.Background(), &schema.Call{Kind: schema.CallKindState, Pool: "alpha", Job: id, Operator: true})
+		return reply.Outcome == schema.CallOutcomeNotFound
+	})
+	raw, err := (&jobs.Record{Queue: "first", Route: "jobs.example/q/"}).Encode()
+	qc.Assert(err, qt.IsNil)
+	_, err = qc.rows.As("operator").CommitRows(context.Background(), platform.RowTxn{Put: []platform.Row{{
+		RowKey: platform.RowKey{Table: "job", Partition: "alpha", Key: id}, Value: raw,
+	}}})
+	qc.Assert(err, qt.IsNil)
+	by := shard.Requester{Operator: true}
+	former := shard.QueuePools{{Pool: "alpha", Version: 1}}
+	qc.Check(n.findJobInFormer(context.Background(), former, "jobs.example/q/", id, by), qt.Equals, schema.CallOutcomeRefused)
+	qc.Check(n.findJobInFormer(context.Background(), former, "jobs.example/q/", "00000000000000a2", by), qt.Equals, schema.CallOutcomeNotFound)
+}
+
+// TestFormerPoolsAreRemembered guards against a read of the table service for each look at a job in a former pool.
+func TestFormerPoolsAreRemembered(t *testing.T) {
+	qc := startQueueCluster(qt.New(t), 111)
+	defer qc.stop()
+	ctx, route := context.Background(), "jobs.example/q/"
+	const id = "00000000000000a1"
+	first, other := qc.nodes[0], qc.nodes[1]
+	qc.submit(first, qc.queueAt(first), id, "1h")
+	qc.configure(2, "second", "beta", "alpha", "beta")
+	qc.awaitVersion(2)
+	look := func(n *Node) time.Duration {
+		eventually(qc.C, "the job is found", func() bool {
+			_, out := n.State(ctx, qc.queueAt(n), id, shard.Requester{})
+			return out == schema.CallOutcomeOk
+		})
+		return n.queuePools.get(route).readAt
+	}
+	readAt := look(first)
+	qc.Check(readAt > 0, qt.IsTrue, qt.Commentf("the new pool does not know of the former one"))
+	qc.Check(look(first), qt.Equals, readAt)
+	qc.submit(first, qc.queueAt(first), "00000000000000a2", "1h")
+	qc.Check(look(other), qt.Equals, time.Duration(0), qt.Commentf("the new pool tells of the former one"))
+}
--- a/pkg/shard/queues_test.go
+++ b/pkg/shard/queues_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/gannetwell/gannetwell/internal/prop"
@@ -52,6 +53,8 @@
 	skipClose  bool // closing a queue is reported without being carried out
 	skipSearch bool // jobs are never found in former pools
 
+	searching func() // called once when a job is sought in former pools
+
 	mu       sync.Mutex
 	owners   map[string][]*shard.Owner // by pool, the latest last; earlier ones may not know that they were replaced
 	accepted map[string]bool           // jobs
@@ -152,6 +155,10 @@
 	if m.skipSearch {
 		return schema.CallOutcomeNotFound
 	}
+	if f := m.searching; f != nil {
+		m.searching = nil
+		f()
+	}
 	for _, p := range former {
 		found, err := shard.FindJob(ctx, m.rows.As("finder"), p.Pool, id, by)
 		if err != nil {
@@ -353,13 +360,30 @@
 	}
 }
 
-// withoutQueues replaces what a shard's rows say about queues that have left: they say that these are there.
+// withoutQueues has the rows of a shard say of queues that have left that they are there.
 type withoutQueues struct{ platform.Rows }
 
 func (r withoutQueues) ListRows(ctx context.Context, table, partition, from string) (platform.RowPage, error) {
 	page, err := r.Rows.ListRows(ctx, table, partition, from)
-	page.Rows = slices.DeleteFunc(page.Rows, func(r platform.Row) bool {
-		return strings.HasPrefix(r.Key, "queue~") && strings.Contains(string(r.Value), "\xa1m")
-	})
+	page.Rows = slices.Clone(page.Rows)
+	for i := range page.Rows {
+		if row := &page.Rows[i]; strings.HasPrefix(row.Key, "queue~") {
+			row.Value = withoutDestination(row.Value)
+		}
+	}
 	return page, err
 }
+
+// withoutDestination returns the row of a queue without the pool that the queue has moved to.
+func withoutDestination(raw []byte) []byte {
+	var row map[string]any
+	if err := msgpack.Unmarshal(raw, &row); err != nil {
+		panic(err)
+	}
+	delete(row, "m")
+	raw, err := msgpack.Marshal(row)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
