--- a/pkg/shard/queues.go
+++ b/pkg/shard/queues.go
@@ -333,11 +333,11 @@
 	return j.Terms
 }
 
-// putQueues adds the changed rows of queues to a batch. That a queue has left is written only when all submissions
-// that were taken before are in this transaction or an earlier one.
+// putQueues adds the changed rows of queues to a batch, which takes submissions first. As long as one of these is left
+// for a later batch none of the rows fits, so that a queue leaves only after all submissions that were taken.
 func (o *Owner) putQueues(b *batch) error {
 	for _, s := range sortedByKey(o.queues.known) {
-		if !s.unstored || s.MovedTo != "" && len(o.queued) > 0 {
+		if !s.unstored {
 			continue
 		}
 		raw, err := encode(s.queueRow)
