Claims of queues in smaller parts, with one annotated error; a malformed row of a queue

No change of behaviour: writing the pools of a queue is a function of its own, and a claim's errors are annotated once. TestMalformedQueueRow: a shard whose row of a queue can't be read is not taken over, since it might accept jobs of a queue that has left.

--- a/pkg/shard/queue_claims_test.go
+++ b/pkg/shard/queue_claims_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -191,3 +192,16 @@
 		c.Check(m.storedJobs("alpha"), qt.Equals, 2)
 	})
 }
+
+// TestMalformedQueueRow guards against a shard that accepts jobs of a queue though it can't read whether that has left.
+func TestMalformedQueueRow(t *testing.T) {
+	withMovingQueue(t, func(c *qt.C, m *movingQueue) {
+		c.Assert(m.submitTo("alpha", "j1", "", 1), qt.Equals, schema.CallOutcomeOk)
+		time.Sleep(time.Second)
+		rows, err := m.rows.As(fake.Operator).ListRows(context.Background(), "workers", "alpha", "queue~")
+		c.Assert(err, qt.IsNil)
+		c.Assert(strings.HasPrefix(rows.Rows[0].Key, "queue~"), qt.IsTrue)
+		m.rows.Corrupt(rows.Rows[0].RowKey, []byte("\xc1 not ours"))
+		c.Check(m.open("alpha"), qt.IsFalse)
+	})
+}
--- a/pkg/shard/queues.go
+++ b/pkg/shard/queues.go
@@ -119,6 +119,19 @@
 	return ps, row.Version, msgpack.Unmarshal(row.Value, &ps)
 }
 
+// writeQueuePools writes the pools of a queue, provided that their row still has a version.
+func writeQueuePools(ctx context.Context, rows platform.Rows, route string, ps QueuePools, version int64) error {
+	raw, err := encode(ps)
+	if err != nil {
+		return err
+	}
+	key := queuePoolsKey(route)
+	_, err = rows.CommitRows(ctx, platform.RowTxn{
+		Expect: []platform.Row{{RowKey: key, Version: version}}, Put: []platform.Row{{RowKey: key, Value: raw}},
+	})
+	return err
+}
+
 // admit makes sure that the shard may accept a new job: it has the job's queue, and none of the queue's former
 // shards has the job. Otherwise out is the answer to the submission.
 func (o *Owner) admit(ctx context.Context, id string, r *jobs.Record) (out Outcome, admitted bool) {
@@ -223,35 +236,27 @@
 // claimQueue makes this the pool that has a queue, if the configuration of a version that sends it here is newer than
 // that by which it came to its present pool. It returns the pools of the queue.
 func (o *Owner) claimQueue(ctx context.Context, route string, version int64) (ps QueuePools, err error) {
+	defer func() { err = errors.Wrapf(err, "claim queue %s", route) }()
 	for range maxClaimTries {
-		ps, rowVersion, err := readQueuePools(ctx, o.cfg.Rows, route)
-		if err != nil {
+		var rowVersion int64
+		if ps, rowVersion, err = readQueuePools(ctx, o.cfg.Rows, route); err != nil {
 			return nil, err
 		}
-		last := ps.last()
-		if len(ps) > 0 && (version <= last.Version || last.Pool == o.cfg.Pool && !o.leftSince(route, last.Version)) {
+		last, elsewhere := ps.last(), len(ps) > 0 && ps.last().Pool != o.cfg.Pool
+		if len(ps) > 0 && (version <= last.Version || !elsewhere && !o.leftSince(route, last.Version)) {
 			return ps, nil
 		}
-		if len(ps) > 0 && last.Pool != o.cfg.Pool {
-			if err := o.cfg.CloseQueue(ctx, last.Pool, route, version, o.cfg.Pool); err != nil {
+		if elsewhere {
+			if err = o.cfg.CloseQueue(ctx, last.Pool, route, version, o.cfg.Pool); err != nil {
 				return nil, err
 			}
 		}
 		ps = ps.with(QueuePool{Pool: o.cfg.Pool, Version: version})
-		raw, err := encode(ps)
-		if err != nil {
-			return nil, err
-		}
-		_, err = o.cfg.Rows.CommitRows(ctx, platform.RowTxn{
-			Expect: []platform.Row{{RowKey: queuePoolsKey(route), Version: rowVersion}},
-			Put:    []platform.Row{{RowKey: queuePoolsKey(route), Value: raw}},
-		})
-		if errors.As(err, new(platform.ErrConflict)) {
-			continue
+		if err = writeQueuePools(ctx, o.cfg.Rows, route, ps, rowVersion); !errors.As(err, new(platform.ErrConflict)) {
+			return ps, err
 		}
-		return ps, err
 	}
-	return nil, errors.Errorf("others claim the queue %s", route)
+	return nil, err
 }
 
 // leftSince reports whether the queue has left this shard by a configuration of a version or a newer one.
