Queues that move: tests of the last paths, two needless ones gone

Tests: the owner of a former pool is replaced between its answer and the claim; an entry with an earlier configuration submits while its queue has left and was not claimed; a look at a job while its pool has no owner reads nothing. Gone, since no test fails without them: calls that wait for a queue to leave are not passed on to the state of one that came back (they get an unknown outcome and are repeated), and the refusal of a queue's row alone does not count as an outage (the row is written again anyway, TestRefusedCloseQueue).

--- a/pkg/node/queues_test.go
+++ b/pkg/node/queues_test.go
@@ -290,3 +290,26 @@
 	qc.submit(first, qc.queueAt(first), "00000000000000a2", "1h")
 	qc.Check(look(other), qt.Equals, time.Duration(0), qt.Commentf("the new pool tells of the former one"))
 }
+
+// TestLateEntryClaimsQueue guards against refusing what an entry with an earlier configuration submits while its queue
+// has left the former pool and was not claimed for the next one.
+func TestLateEntryClaimsQueue(t *testing.T) {
+	qc := startQueueCluster(qt.New(t), 121)
+	defer qc.stop()
+	n := qc.nodes[0]
+	stale := qc.queueAt(n)
+	qc.submit(n, stale, "00000000000000a1", "1h")
+	qc.Assert(n.closeQueue(context.Background(), "alpha", stale.Route(), 2, "beta"), qt.IsNil)
+	qc.submit(n, stale, "00000000000000a2", "1h")
+	qc.awaitRun("00000000000000a2", "beta-w")
+}
+
+// TestNoReadsWithoutOwner guards against reads of the table service for each look at a job while its pool has no owner.
+func TestNoReadsWithoutOwner(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(c, "e0", loopback(131), services{Rows: fake.NewRows(time.Millisecond, time.Second).As("e0")})
+	q := &catalog.Queue{Name: "first", Host: "jobs.example", Prefix: "/q/", Pool: "alpha"}
+	_, out := n.State(context.Background(), q, "00000000000000a1", shard.Requester{})
+	c.Check(out, qt.Equals, schema.CallOutcomeRefused)
+	c.Check(n.queuePools.get(q.Route()).readAt, qt.Equals, time.Duration(0))
+}
--- a/pkg/shard/queue_claims_test.go
+++ b/pkg/shard/queue_claims_test.go
@@ -73,6 +73,20 @@
 	})
 }
 
+// TestFormerOwnerReplacedDuringClaim guards against a queue that the next owner of its former pool accepts jobs of, since
+// the queue's row does not name its new pool yet.
+func TestFormerOwnerReplacedDuringClaim(t *testing.T) {
+	withMovingQueue(t, func(c *qt.C, m *movingQueue) {
+		c.Assert(m.submitTo("alpha", "j1", "", 1), qt.Equals, schema.CallOutcomeOk)
+		m.left = func() {
+			c.Check(m.open("alpha"), qt.IsTrue)
+			c.Check(m.submitTo("alpha", "j2", "", 1), qt.Equals, schema.CallOutcomeMoved)
+		}
+		c.Check(m.submitTo("beta", "j2", "", 2), qt.Equals, schema.CallOutcomeOk)
+		c.Check(m.storedJobs("alpha"), qt.Equals, 1)
+	})
+}
+
 // afterClaim calls a function once the pools of a queue are written, before the writer knows.
 type afterClaim struct {
 	platform.Rows
--- a/pkg/shard/queues.go
+++ b/pkg/shard/queues.go
@@ -224,9 +224,6 @@
 	} else {
 		s.MovedTo = last.Pool
 	}
-	if before := o.queues.known[route]; before != nil {
-		s.waiters = before.waiters
-	}
 	o.queues.known[route] = s
 	o.cfg.Metrics.QueueMoved(s.MovedTo == "")
 	o.log.Info().Str("event", "queue_claimed").Str("route", route).Int64("catalog", last.Version).Strs("former", s.Former.Names()).Str("moved_to", s.MovedTo).Send()
--- a/pkg/shard/queues_test.go
+++ b/pkg/shard/queues_test.go
@@ -54,6 +54,7 @@
 	skipSearch bool // jobs are never found in former pools
 
 	searching func() // called once when a job is sought in former pools
+	left      func() // called once when a queue has left, before the claimer knows
 
 	mu       sync.Mutex
 	owners   map[string][]*shard.Owner // by pool, the latest last; earlier ones may not know that they were replaced
@@ -139,6 +140,10 @@
 		return errors.New("no owner")
 	}
 	out := o.CloseQueue(ctx, route, version, to)
+	if f := m.left; f != nil {
+		m.left = nil
+		f()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.loseNext > 0 {
--- a/pkg/shard/refused.go
+++ b/pkg/shard/refused.go
@@ -34,7 +34,7 @@
 	for _, j := range b.jobs {
 		o.refusedProgress[j] = cause
 	}
-	if b.record || b.shares != nil || len(b.queues) > 0 {
+	if b.record || b.shares != nil {
 		// The rows are needed: no tasks start at workers that are not recorded.
 		o.setCommitsFailingLocked(true, cause)
 		o.requeue(b)
