The owner's entry reads the pools of a queue that has had no job, not each entry that is asked

Some counts are asked of every entry, on routes that have had no job yet, and each entry read the queue's row.

TestWaitingIsReadOnce.

--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -80,8 +80,7 @@
 	case schema.CallKindCancel:
 		return withQueue(&schema.CallReply{Outcome: o.Cancel(ctx, q.Job, requesterOf(q))}, o, q.Route)
 	case schema.CallKindWaiting:
-		waiting, out := o.Waiting(q.Queue, q.Route)
-		return withQueue(&schema.CallReply{Outcome: out, Waiting: waiting}, o, q.Route)
+		return n.answerWaiting(ctx, o, q)
 	case schema.CallKindCloseQueue:
 		return &schema.CallReply{Outcome: o.CloseQueue(ctx, q.Route, int64(q.CatalogVersion), q.MoveTo)}
 	case schema.CallKindLoad:
--- a/pkg/node/queues.go
+++ b/pkg/node/queues.go
@@ -153,19 +153,27 @@
 			return 0, reply.Outcome
 		}
 		waiting += reply.Waiting
-		others := reply.QueuePools
-		if i == 0 && reply.QueueVersion == 0 && call.Route != "" {
-			var err error
-			if others, err = n.recentQueuePools(ctx, call.Route); err != nil {
-				n.log.Warn().Str("event", "waiting_not_counted").Str("queue", q.Name).Err(err).Send()
-				return 0, schema.CallOutcomeRefused
-			}
-		}
-		pools = appendNew(pools, others)
+		pools = appendNew(pools, reply.QueuePools)
 	}
 	return waiting, schema.CallOutcomeOk
 }
 
+// answerWaiting counts a queue's waiting jobs in a shard that this entry owns, and names the queue's other pools. Where
+// the shard does not know the queue, the entry of its owner reads them, since all entries may ask at about the same time.
+func (n *Node) answerWaiting(ctx context.Context, o *shard.Owner, q *schema.Call) *schema.CallReply {
+	waiting, out := o.Waiting(q.Queue, q.Route)
+	reply := withQueue(&schema.CallReply{Outcome: out, Waiting: waiting}, o, q.Route)
+	if out != schema.CallOutcomeOk || reply.QueueVersion > 0 || q.Route == "" {
+		return reply
+	}
+	var err error
+	if reply.QueuePools, err = n.recentQueuePools(ctx, q.Route); err != nil {
+		n.log.Warn().Str("event", "waiting_not_counted").Str("queue", q.Queue).Err(err).Send()
+		reply.Outcome = schema.CallOutcomeRefused
+	}
+	return reply
+}
+
 // recentQueuePools returns the stored pools of a queue as of queuePoolsTTL ago or later.
 func (n *Node) recentQueuePools(ctx context.Context, route string) (pools []string, err error) {
 	if c := n.queuePools.get(route); c.readAt > 0 && n.clock.Now()-c.readAt < queuePoolsTTL {
--- a/pkg/node/queues_test.go
+++ b/pkg/node/queues_test.go
@@ -313,3 +313,23 @@
 	c.Check(out, qt.Equals, schema.CallOutcomeRefused)
 	c.Check(n.queuePools.get(q.Route()).readAt, qt.Equals, time.Duration(0))
 }
+
+// TestWaitingIsReadOnce guards against a read of the table service by each entry that is asked for the waiting jobs of a
+// queue that has had none.
+func TestWaitingIsReadOnce(t *testing.T) {
+	qc := startQueueCluster(qt.New(t), 141)
+	defer qc.stop()
+	readers := 0
+	for _, n := range qc.nodes {
+		eventually(qc.C, "the queue can be read", func() bool {
+			_, out := n.Waiting(context.Background(), qc.queueAt(n))
+			return out == schema.CallOutcomeOk
+		})
+	}
+	for _, n := range qc.nodes {
+		if n.queuePools.get("jobs.example/q/").readAt > 0 {
+			readers++
+		}
+	}
+	qc.Check(readers < len(qc.nodes), qt.IsTrue, qt.Commentf("%d entries have read", readers))
+}
