Tests: one way to cut a worker off from entries

The loop that has no order reach a worker stood in three places of the scenarios of pkg/shard, one of them new with TestCordons. testCluster.cutOff serves all.

--- a/pkg/shard/checkpoint_test.go
+++ b/pkg/shard/checkpoint_test.go
@@ -68,10 +68,16 @@
 	if len(listed) == 0 {
 		return
 	}
-	boot := listed[rapid.IntRange(0, len(listed)-1).Draw(m.t, "worker")].Boot
-	for _, op := range []fake.OrderOp{fake.OrderStart, fake.OrderStop, fake.OrderRenew} {
-		m.e.locked(func() { m.e.faults[string(op)+" "+boot+" *"] = fake.FaultLostBefore })
-	}
+	m.e.cutOff(listed[rapid.IntRange(0, len(listed)-1).Draw(m.t, "worker")].Boot, "*")
+}
+
+// cutOff has no order of an entry, or of any with "*", reach a boot.
+func (e *testCluster) cutOff(boot, entry string) {
+	e.locked(func() {
+		for _, op := range []fake.OrderOp{fake.OrderStart, fake.OrderStop, fake.OrderRenew} {
+			e.faults[string(op)+" "+boot+" "+entry] = fake.FaultLostBefore
+		}
+	})
 }
 
 // takeOverTwice replaces the owner, and its successor within a second.
--- a/pkg/shard/cordon_test.go
+++ b/pkg/shard/cordon_test.go
@@ -98,10 +98,7 @@
 	if len(busy) == 0 {
 		return
 	}
-	boot := busy[rapid.IntRange(0, len(busy)-1).Draw(m.t, "cut off")].Boot
-	for _, op := range []fake.OrderOp{fake.OrderStart, fake.OrderStop, fake.OrderRenew} {
-		m.e.locked(func() { m.e.faults[string(op)+" "+boot+" *"] = fake.FaultLostBefore })
-	}
+	m.e.cutOff(busy[rapid.IntRange(0, len(busy)-1).Draw(m.t, "cut off")].Boot, "*")
 	rapid.SampledFrom([]func(){m.takeOver, m.handOver, m.startConcurrentOwner}).Draw(m.t, "replaced by")()
 }
 
--- a/pkg/shard/scenario_test.go
+++ b/pkg/shard/scenario_test.go
@@ -293,10 +293,7 @@
 	if rapid.Bool().Draw(m.t, "followed") {
 		m.startNextOwner()
 		if listed := m.e.directory(); len(listed) > 0 && rapid.Bool().Draw(m.t, "unreached") {
-			boot := listed[rapid.IntRange(0, len(listed)-1).Draw(m.t, "worker")].Boot
-			for _, op := range []fake.OrderOp{fake.OrderStart, fake.OrderStop, fake.OrderRenew} {
-				m.e.locked(func() { m.e.faults[string(op)+" "+boot+" "+m.currentOwner] = fake.FaultLostBefore })
-			}
+			m.e.cutOff(listed[rapid.IntRange(0, len(listed)-1).Draw(m.t, "worker")].Boot, m.currentOwner)
 		}
 	}
 	m.pause(1, 10_000, "after")
