Logs tell by which clock a lease was granted, and when inherited ones end

Change: start_ordered, worker_restarted and leases_lapsed have lease_until, the latter two heard_ago, leases_lapsed also earlier_ended_ago; worker_inherited is new, a line for each recorded worker at a takeover.

--- a/pkg/shard/inherited.go
+++ b/pkg/shard/inherited.go
@@ -25,6 +25,8 @@
 	if w.ReleaseTerm > 0 && w.ReleaseTerm == o.claim.Term-1 {
 		s.former.listed, s.former.names = true, w.Tasks
 	}
+	o.log.Info().Str("event", "worker_inherited").Str("boot", w.Boot).Int64("release_term", w.ReleaseTerm).Int("tasks", len(w.Tasks)).
+		Dur("leases_end_in", s.former.leasesEnd-o.now()).Send()
 	o.formerWorkersPending = true
 	o.formerTasksUnknown = o.formerTasksUnknown || !s.former.listed
 	for _, name := range s.former.names {
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -59,7 +59,7 @@
 				Ticket: o.ticketOf(a.Task.Step, a.Boot), Token: s.token, LeaseUntil: s.extendLease(now),
 			}
 			o.log.Info().Str("event", "start_ordered").Str("task", name).Int64("attempt", a.Number).
-				Str("boot", a.Boot).Int64("token", s.token).Int("at_worker", len(s.attempts)).Dur("queued", now-a.OrderedAt).Send()
+				Str("boot", a.Boot).Int64("token", s.token).Int64("lease_until", order.LeaseUntil).Int("at_worker", len(s.attempts)).Dur("queued", now-a.OrderedAt).Send()
 			return func(ctx context.Context) (int64, error) { return o.cfg.Workers.StartAttempt(ctx, s.ref, order) }
 		},
 		onAnswer: func(err error) { o.startAnswered(s, name, r, err) },
--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -31,14 +31,16 @@
 // handleRestart ends the session of a boot whose worker has restarted under its ID, and opens one
 // for the new boot.
 func (o *Owner) handleRestart(s *session, ref platform.WorkerRef) {
+	now := o.now()
 	o.log.Warn().Str("event", "worker_restarted").Str("boot", ref.Boot).Str("before", s.ref.Boot).
-		Int64("seen_end", s.ends.complete).Int("attempts", len(s.attempts)).Send()
+		Int64("seen_end", s.ends.complete).Int("attempts", len(s.attempts)).
+		Int64("lease_until", s.leaseUntil).Dur("heard_ago", now-s.clockAt).Send()
 	next := o.sessions[ref.Boot]
 	if next == nil {
 		next = o.addSession(ref, s.vm)
 	}
 	next.token = max(next.token, s.token+1) // invalidates orders still on their way
-	next.earlierLeasesUntil = o.otherBootLeasesEnd(o.now())
+	next.earlierLeasesUntil = o.otherBootLeasesEnd(now)
 	o.countLosses(s)
 	o.transferAttempts(s, next)
 	o.transferFormer(s, next)
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -124,7 +124,8 @@
 		return
 	}
 	if len(s.attempts) > 0 {
-		o.log.Warn().Str("event", "leases_lapsed").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).Send()
+		o.log.Warn().Str("event", "leases_lapsed").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).
+			Int64("lease_until", s.leaseUntil).Dur("heard_ago", now-s.clockAt).Dur("earlier_ended_ago", now-s.earlierLeasesUntil).Send()
 	}
 	o.handleLoss(s, LossLeasesExpired)
 	clear(s.foreign)
