Owners allow for deadlines that the next boot of a worker has misread

What callers saw: a task of theirs ran twice at the same time (TWICE). Cause: a deadline is a time by the clock of one boot. Only the owner that noticed the restart allowed for it. Change: a session has the time until which misread deadlines may hold. It is set when a boot follows another one, or when a clock in an answer has fallen back, and counts anew from the boot's first answer, since it refuses orders for earlier boots from then on. The record of leased workers tells the next owner. Of a worker that is silent after an unplanned takeover, nobody knows whether it has restarted: the longest lease is awaited. So it is for a start without an answer at a silent worker; what had begun there for certain is freed as before. A worker that is back after its session had ended gets a higher token, as at a restart. Only boots with a start time are concerned: others have an ID of their own.

--- a/pkg/shard/ends_test.go
+++ b/pkg/shard/ends_test.go
@@ -86,7 +86,7 @@
 	s := &session{ref: platform.WorkerRef{Boot: "w1"}, attemptsKnown: true}
 	s.ends.countable([]platform.AttemptEnd{{Seq: 3, Task: "t3"}})
 	qt.Check(t, s.idle(), qt.IsFalse)
-	qt.Check(t, s.finalRecordEntry(1).Tasks, qt.DeepEquals, []string{"t3"})
+	qt.Check(t, s.finalRecordEntry(1, 0).Tasks, qt.DeepEquals, []string{"t3"})
 	s.attemptsKnown = false
 	qt.Check(t, s.idle(), qt.IsTrue)
 }
--- a/pkg/shard/inherited.go
+++ b/pkg/shard/inherited.go
@@ -22,9 +22,11 @@
 // may be there. A list is used only if the predecessor wrote it, since starts are not recorded.
 func (o *Owner) inheritWorker(s *session, w leasedWorker) {
 	s.former = formerTasks{pending: true, safeAt: o.soleOwnerAt, leasesEnd: o.formerLeasesUntil}
-	if w.ReleaseTerm > 0 && w.ReleaseTerm == o.claim.Term-1 {
+	released := w.ReleaseTerm > 0 && w.ReleaseTerm == o.claim.Term-1
+	if released {
 		s.former.listed, s.former.names = true, w.Tasks
 	}
+	o.inheritMisread(s, w, released)
 	o.log.Info().Str("event", "worker_inherited").Str("boot", w.Boot).Int64("release_term", w.ReleaseTerm).Int("tasks", len(w.Tasks)).
 		Dur("leases_end_in", s.former.leasesEnd-o.now()).Send()
 	o.formerWorkersPending = true
@@ -60,7 +62,7 @@
 	}
 	now := o.now()
 	// Without a readable record, any worker may run any task until the last lease has expired.
-	o.recordUnreadable = o.recordUnreadable && now < o.formerLeasesUntil
+	o.recordUnreadable = o.recordUnreadable && now < o.unrecordedLeasesEnd()
 	o.formerWorkersPending, o.formerTasksUnknown = o.recordUnreadable, o.recordUnreadable
 	for _, s := range o.sessionsByBoot() {
 		if s.listedAll() || s.formerLeasesExpired(now) {
--- a/pkg/shard/lease.go
+++ b/pkg/shard/lease.go
@@ -24,7 +24,7 @@
 
 // leasesExpired reports whether all leases at the worker have certainly expired.
 func (s *session) leasesExpired(now time.Duration) bool {
-	if now < s.earlierLeasesUntil {
+	if now < s.earlierLeasesUntil || now < s.misreadUntil {
 		return false
 	}
 	if s.clockAt == 0 {
@@ -52,7 +52,7 @@
 		return 0
 	}
 	until := s.clockAtLeast(now) + leaseDuration.Milliseconds()
-	s.leaseUntil = max(s.leaseUntil, until)
+	s.leaseUntil, s.deadlineSentAt = max(s.leaseUntil, until), now
 	return until
 }
 
--- a/pkg/shard/lost.go
+++ b/pkg/shard/lost.go
@@ -22,8 +22,18 @@
 // find the one that crashed the worker.
 func (o *Owner) handleLoss(s *session, kind LossKind) {
 	o.countLosses(s)
+	o.dropLost(s, kind, func(*workerAttempt) bool { return true })
+	o.failPoisonTasks(s, kind)
+	s.trial = nil
+}
+
+// dropLost drops those attempts at a lost worker that are lost.
+func (o *Owner) dropLost(s *session, kind LossKind, lost func(*workerAttempt) bool) {
 	now := o.now()
 	for name, r := range sortedByKey(s.attempts) {
+		if !lost(r) {
+			continue
+		}
 		if r.sent() {
 			o.cfg.Metrics.AttemptLost(kind)
 			o.log.Info().Str("event", "attempt_lost").Str("task", name).Int64("attempt", r.Number).Str("boot", s.ref.Boot).
@@ -31,8 +41,6 @@
 		}
 		o.dropAttempt(s, name)
 	}
-	o.failPoisonTasks(s, kind)
-	s.trial = nil
 }
 
 // sent reports whether the worker may have received the attempt.
--- /dev/null
+++ b/pkg/shard/misread.go
@@ -0,0 +1,106 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/gannetwell/gannetwell/pkg/platform"
+)
+
+// A deadline is a time by the clock of one boot. The next boot's clock starts anew, so a deadline that is meant for
+// the earlier boot is far ahead there, and the worker cuts it to the longest lease. It is misread, and holds for all
+// that runs at the worker. The owner that knows of the restart waits longer, and stores that, so that its successor
+// does too. Nobody may know of the restart, though: then a start that got no answer may run at the next boot, and so
+// may anything that the former owner of a silent worker has started.
+
+// misreadState says whether deadlines may have been misread at a boot.
+type misreadState string
+
+const (
+	misreadNone    misreadState = ""        // no earlier boot is known
+	misreadUnknown misreadState = "unknown" // the worker may have restarted since the former owner heard it
+	misreadLikely  misreadState = "likely"  // there was an earlier boot, whose orders may still arrive
+	misreadOver    misreadState = "over"    // there was one, and the worker refuses its orders now
+)
+
+// maxOrderTransit is how long an order to a worker may be under way before its sender gives it up.
+const maxOrderTransit = pollWait + pollTimeout
+
+// maxLeaseEnd returns when a lease that was granted at a time has expired, whatever its deadline.
+func (o *Owner) maxLeaseEnd(granted time.Duration) time.Duration {
+	return granted + maxLocalDuration(o.cfg.MaxLease)
+}
+
+// misreadLeasesEnd returns when leases have expired whose deadlines were sent up to a time and may have been misread.
+func (o *Owner) misreadLeasesEnd(sent time.Duration) time.Duration {
+	return o.maxLeaseEnd(sent + maxOrderTransit)
+}
+
+// noteMisread records that deadlines sent up to a time may have been misread at a boot.
+func (o *Owner) noteMisread(s *session, sent time.Duration) {
+	s.misread, s.misreadUntil = misreadLikely, max(s.misreadUntil, o.misreadLeasesEnd(sent))
+}
+
+// inheritMisread records what a former owner has stored about misread deadlines at a boot. Of a boot that answers,
+// it has stored whether there was an earlier one. A silent worker may have restarted unless it has released the shard.
+func (o *Owner) inheritMisread(s *session, w leasedWorker, released bool) {
+	switch {
+	case w.Misread:
+		o.noteMisread(s, o.soleOwnerAt)
+	case !released && s.mayRestart():
+		s.misread, s.misreadUntil = misreadUnknown, o.misreadLeasesEnd(o.soleOwnerAt)
+	}
+	s.former.leasesEnd = max(s.former.leasesEnd, s.misreadUntil)
+}
+
+// unrecordedLeasesEnd returns when the leases of former owners have expired at workers that no readable record names.
+func (o *Owner) unrecordedLeasesEnd() time.Duration {
+	for _, s := range o.sessions {
+		if s.mayRestart() {
+			return max(o.formerLeasesUntil, o.misreadLeasesEnd(o.soleOwnerAt))
+		}
+	}
+	return o.formerLeasesUntil
+}
+
+// notePredecessorEnd shortens the wait for a silent worker once no former owner can act any more.
+func (o *Owner) notePredecessorEnd(s *session) {
+	if s.misread == misreadUnknown {
+		s.misreadUntil = o.misreadLeasesEnd(o.soleOwnerAt)
+		s.former.leasesEnd = max(o.formerLeasesUntil, s.misreadUntil)
+	}
+}
+
+// settleMisread takes note that a boot has answered a poll. From then on it refuses the orders of former owners and
+// those for earlier boots, whose tokens are lower.
+func (o *Owner) settleMisread(s *session) {
+	switch s.misread {
+	case misreadUnknown:
+		s.misread, s.misreadUntil = misreadNone, 0
+	case misreadLikely:
+		s.misread, s.misreadUntil = misreadOver, o.maxLeaseEnd(o.now())
+	}
+}
+
+// mayRestart reports whether another boot of the worker may have the same ID. It has another start time then; a
+// worker without one has a new ID with each boot.
+func (s *session) mayRestart() bool {
+	_, started := platform.ParseBootID(s.ref.Boot)
+	return started != 0
+}
+
+// mayBeMisread reports whether an attempt may run at the next boot of a silent worker, of which nobody knows: its
+// start got no answer, so it may have been carried out there.
+func (s *session) mayBeMisread(r *workerAttempt) bool {
+	return s.mayRestart() && r.sentAt > 0 && r.startConfirmedAt == 0
+}
+
+// misreadStartsEnd returns when the leases have expired of attempts that may run at the next boot of a silent
+// worker, 0 if there are none.
+func (o *Owner) misreadStartsEnd(s *session) (end time.Duration) {
+	for _, r := range s.attempts {
+		if s.mayBeMisread(r) {
+			end = max(end, o.misreadLeasesEnd(max(r.sentAt, s.deadlineSentAt)))
+		}
+	}
+	return end
+}
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -86,7 +86,7 @@
 	accounts         accounts                  // quota shares and limits of client accounts
 	sessions         map[string]*session       // by boot; each tracks the attempts, leases and orders at one boot of a worker
 	currentSessions  map[string]*session       // latest boot of each worker, by worker ID
-	endedBootTokens  map[string]int64          // last token of workers whose boot has ended, by worker ID, if it was raised above firstToken
+	endedBoots       map[string]endedBoot      // last one of each worker, by worker ID
 	sortedSessions   []*session                // sessions by boot, nil when stale
 	advices          map[*jobs.StepRun]*advice // of the advice service, on steps whose queue requires it
 	durations        map[string]*durationStats // by queue
@@ -162,7 +162,7 @@
 		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, commitVersion: c.commitVersion,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
 		catalog: cat, registry: stored.registry, unreadableJobs: stored.unreadable, recordUnreadable: stored.workersUnreadable, unreportedLoss: stored.unreportedLoss, accounts: newAccounts(stored.shares), record: stored.record, queues: newQueues(stored.queues),
-		sessions: map[string]*session{}, currentSessions: map[string]*session{}, endedBootTokens: map[string]int64{},
+		sessions: map[string]*session{}, currentSessions: map[string]*session{}, endedBoots: map[string]endedBoot{},
 		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*durationStats{}, suspects: map[*jobs.Task]struct{}{}, deferredStarts: map[*jobs.Job][]deferredStart{},
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, refusedProgress: map[*jobs.Job]error{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
--- a/pkg/shard/predecessor.go
+++ b/pkg/shard/predecessor.go
@@ -80,6 +80,7 @@
 	for _, s := range o.sessionsByBoot() {
 		if s.former.pending {
 			s.former.safeAt = now
+			o.notePredecessorEnd(s)
 			s.interruptPoll()
 			s.requestPoll()
 		}
--- a/pkg/shard/record.go
+++ b/pkg/shard/record.go
@@ -114,7 +114,7 @@
 			}
 			continue
 		}
-		b.leased[part] = append(b.leased[part], s.recordEntry())
+		b.leased[part] = append(b.leased[part], s.recordEntry(o.now()))
 		if !s.recorded() {
 			b.workers = append(b.workers, s)
 		}
--- a/pkg/shard/record_entry_test.go
+++ b/pkg/shard/record_entry_test.go
@@ -19,9 +19,9 @@
 		former:   formerTasks{pending: true, listed: true, names: []string{"former", "adopted"}},
 	}
 	s.ends.markComplete(1, "unstored")
-	entry := s.finalRecordEntry(term)
+	entry := s.finalRecordEntry(term, 0)
 	qt.Check(t, entry.ReleaseTerm, qt.Equals, int64(term))
 	qt.Check(t, entry.Tasks, qt.DeepEquals, []string{"adopted", "foreign", "former", "own", "unstored"})
 	s.former.listed = false
-	qt.Check(t, s.finalRecordEntry(term).ReleaseTerm, qt.Equals, int64(0), qt.Commentf("any task may be there"))
+	qt.Check(t, s.finalRecordEntry(term, 0).ReleaseTerm, qt.Equals, int64(0), qt.Commentf("any task may be there"))
 }
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -120,14 +120,17 @@
 // putRemainingWorkers adds the narrowed record. If that is too long with the tasks, it adds
 // the workers without them, which means that any task may run there.
 func (o *Owner) putRemainingWorkers(b *batch) error {
+	now := o.now()
 	var named, bare [recordParts][]leasedWorker
 	for _, s := range o.sessionsByBoot() {
 		if !s.recorded() || s.attemptsKnown && !s.former.pending && s.idle() {
 			continue
 		}
 		part := partOf(s.worker)
-		named[part] = append(named[part], s.finalRecordEntry(o.claim.Term))
-		bare[part] = append(bare[part], s.recordEntry())
+		entry := s.finalRecordEntry(o.claim.Term, now)
+		entry.Misread = entry.Misread || now < o.misreadStartsEnd(s)
+		named[part] = append(named[part], entry)
+		bare[part] = append(bare[part], s.recordEntry(now))
 	}
 	o.record.markAllChanged()
 	if _, err := o.record.put(b, o.cfg.Pool, &named); err != nil {
--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -40,7 +40,7 @@
 		next = o.addSession(ref, s.vm)
 	}
 	next.token = max(next.token, s.token+1) // invalidates orders still on their way
-	next.earlierLeasesUntil = o.otherBootLeasesEnd(now)
+	o.noteMisread(next, max(now, o.soleOwnerAt))
 	o.countLosses(s)
 	o.transferAttempts(s, next)
 	o.transferFormer(s, next)
@@ -79,7 +79,7 @@
 		tasks.safeAt = max(tasks.safeAt, next.former.safeAt)
 		tasks.names = append(tasks.names, next.former.names...)
 	}
-	tasks.leasesEnd = next.earlierLeasesUntil
+	tasks.leasesEnd = max(next.earlierLeasesUntil, next.misreadUntil)
 	next.former, s.former = tasks, formerTasks{}
 }
 
@@ -112,12 +112,6 @@
 	return false
 }
 
-// otherBootLeasesEnd returns when leases computed from the clock of another boot have expired: they
-// may last as long as the longest lease that a worker accepts.
-func (o *Owner) otherBootLeasesEnd(now time.Duration) time.Duration {
-	return now + maxLocalDuration(o.cfg.MaxLease)
-}
-
 // clockWentBack reports whether the clock in the answer to an order sent at sentAt is behind what
 // this boot's clock must have been then. If so, another boot has answered, and ends must not be
 // acknowledged to it by the numbers of this one.
@@ -141,6 +135,7 @@
 	if s.clockWentBack(ms, sentAt) {
 		o.log.Warn().Str("event", "worker_clock_fell_back").Str("boot", s.ref.Boot).Int64("clock_ms", ms).Int64("before_ms", s.clockMs).
 			Dur("age", o.now()-s.clockAt).Send()
+		o.noteMisread(s, o.now())
 		s.markOutcomeUnknown()
 		return
 	}
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -67,6 +67,8 @@
 	Boot    string `msgpack:"b"`
 	VM      string `msgpack:"v"`
 	Address string `msgpack:"a"`
+	// Misread tells that orders with deadlines by the clock of an earlier boot may have reached this one.
+	Misread bool `msgpack:"m,omitempty"`
 	// ReleaseTerm is the term of the owner that wrote the row on its release of the shard. Tasks
 	// then lists all tasks that may run there, or have ended there without being recorded. If
 	// ReleaseTerm is not the term before the present one, any task of the shard may.
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -68,7 +68,10 @@
 	clockMs            int64         // the worker's clock in the last answer
 	clockAt            time.Duration // when that answer arrived
 	leaseUntil         int64         // latest lease deadline sent, by the worker's clock
-	earlierLeasesUntil time.Duration // when leases renewed by former owners, or by the clock of an earlier boot, have expired
+	deadlineSentAt     time.Duration // when that or an earlier deadline was last sent, 0 for never
+	earlierLeasesUntil time.Duration // when leases renewed by former owners have expired
+	misread            misreadState  // whether deadlines by the clock of another boot may have reached it
+	misreadUntil       time.Duration // when the leases that these renewed have expired
 
 	ends endTracker // ends that it has reported
 
@@ -168,15 +171,15 @@
 }
 
 // recordEntry returns the stored entry for a worker where tasks may start at any time.
-func (s *session) recordEntry() leasedWorker {
-	return leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address}
+func (s *session) recordEntry(now time.Duration) leasedWorker {
+	return leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address, Misread: s.misread != misreadNone && now < s.misreadUntil}
 }
 
 // finalRecordEntry returns the stored entry that an owner writes when it releases the shard,
 // with the tasks that may be at the worker. For a worker that has not listed all to this owner they
 // include those that the predecessor named; if that named none, neither does the entry.
-func (s *session) finalRecordEntry(term int64) leasedWorker {
-	w := s.recordEntry()
+func (s *session) finalRecordEntry(term int64, now time.Duration) leasedWorker {
+	w := s.recordEntry(now)
 	if s.former.pending && !s.former.listed {
 		return w
 	}
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -13,14 +13,26 @@
 // refuse unanswered orders that arrive late.
 func (o *Owner) firstToken() int64 { return o.claim.Term*tokensPerTerm + 1 }
 
+// endedBoot is a boot whose session has ended, with its last token.
+type endedBoot struct {
+	boot  string
+	token int64
+}
+
 // addSession creates the session of a boot and starts its poll loop.
 func (o *Owner) addSession(ref platform.WorkerRef, vm string) *session {
 	ctx, cancel := context.WithCancel(o.ctx)
 	worker, _ := platform.ParseBootID(ref.Boot)
 	s := &session{
-		ref: ref, worker: worker, vm: vm, record: &o.record, attempts: map[string]*workerAttempt{}, foreign: map[foreignKey]*foreignAttempt{}, token: max(o.firstToken(), o.endedBootTokens[worker]),
+		ref: ref, worker: worker, vm: vm, record: &o.record, attempts: map[string]*workerAttempt{}, foreign: map[foreignKey]*foreignAttempt{}, token: o.firstToken(),
 		wake: make(chan struct{}, 1), cancel: cancel, earlierLeasesUntil: o.formerLeasesEnd(o.now()), zoneEvacuated: o.cfg.ZoneEvacuated, inWave: o.waveVMs.names[vm],
 	}
+	if ended, ok := o.endedBoots[worker]; ok {
+		s.token = max(s.token, ended.token+1) // as at a restart: orders for that boot may still be on their way
+		if ended.boot != ref.Boot {
+			o.noteMisread(s, o.now())
+		}
+	}
 	o.sessions[ref.Boot] = s
 	o.currentSessions[worker] = s
 	o.sortedSessions = nil
@@ -117,16 +129,27 @@
 	return o.sessions[w.Boot], false
 }
 
-// expireLeases frees the tasks of a worker that does not answer once its leases have expired.
+// expireLeases frees the tasks of a worker that does not answer once its leases have expired. Those whose start got
+// no answer wait longer, since they may run at the next boot.
 func (o *Owner) expireLeases(s *session) {
 	now := o.now()
 	if s.unansweredCalls == 0 || !s.leasesExpired(now) {
 		return
 	}
-	if len(s.attempts) > 0 {
-		o.log.Warn().Str("event", "leases_lapsed").Str("boot", s.ref.Boot).Int("attempts", len(s.attempts)).
+	lost := func(*workerAttempt) bool { return true }
+	unanswered := now < o.misreadStartsEnd(s)
+	if unanswered {
+		lost = func(r *workerAttempt) bool { return !s.mayBeMisread(r) }
+	}
+	if n := len(sortedKeysWhere(s.attempts, lost)); n > 0 {
+		o.log.Warn().Str("event", "leases_lapsed").Str("boot", s.ref.Boot).Int("attempts", n).Int("unanswered", len(s.attempts)-n).
 			Int64("lease_until", s.leaseUntil).Dur("heard_ago", now-s.clockAt).Dur("earlier_ended_ago", now-s.earlierLeasesUntil).Send()
 	}
+	if unanswered {
+		o.countLosses(s)
+		o.dropLost(s, LossLeasesExpired, lost)
+		return
+	}
 	o.handleLoss(s, LossLeasesExpired)
 	clear(s.foreign)
 	s.hostCache = nil
@@ -153,11 +176,9 @@
 	if o.currentSessions[s.worker] == s {
 		delete(o.currentSessions, s.worker)
 	}
-	if s.token > o.firstToken() {
-		// The boot may still run, with only its directory entry expired. It would refuse the
-		// first token, and this owner would take that for a later owner's fencing.
-		o.endedBootTokens[s.worker] = s.token
-	}
+	// The boot may still run, with only its directory entry expired. It would refuse a lower token,
+	// and this owner would take that for a later owner's fencing.
+	o.endedBoots[s.worker] = endedBoot{boot: s.ref.Boot, token: s.token}
 	o.sortedSessions = nil
 	o.record.markChanged(s.worker)
 	o.resolveFormerWorkers()
