catalog.ServiceLevel, in place of Terms

A newcomer reads Terms as the terms of ownership, which stand in the same functions of pkg/node and pkg/shard.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -12,7 +12,7 @@
 	Prefix string // of the path, up to the job ID
 	Pool   string // pool whose workers run the tasks
 
-	Terms
+	ServiceLevel
 	MaxAttempts int  // failed attempts of a task after which its job fails
 	Public      bool // callers need no key
 	Timeout     time.Duration
@@ -21,8 +21,8 @@
 	CatalogVersion int64 `json:"-"`
 }
 
-// Terms are what a queue's configuration says about running jobs.
-type Terms struct {
+// ServiceLevel is what a queue promises its jobs: a priority, an objective, and whether advice is followed.
+type ServiceLevel struct {
 	Priority   int  `msgpack:"p,omitempty"` // 0 is the highest
 	UsesAdvice bool `msgpack:"a,omitempty"` // the advice service restricts which workers may run a step
 
--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -138,9 +138,9 @@
 	Excess      bool          `msgpack:"e,omitempty"` // submitted beyond the account's guaranteed rate
 	Spec        Spec          `msgpack:"s"`
 
-	Route          string         `msgpack:"r,omitempty"` // of the queue, which keeps it when its name or its pool changes
-	CatalogVersion int64          `msgpack:"v,omitempty"` // of the configuration by which the job was routed
-	Terms          *catalog.Terms `msgpack:"t,omitempty"` // of the queue when the job was accepted
+	Route          string                `msgpack:"r,omitempty"` // of the queue, which keeps it when its name or its pool changes
+	CatalogVersion int64                 `msgpack:"v,omitempty"` // of the configuration by which the job was routed
+	ServiceLevel   *catalog.ServiceLevel `msgpack:"t,omitempty"` // of the queue when the job was accepted
 }
 
 // BelongsTo reports whether a client account may query and cancel the job. A job without an
--- a/pkg/node/calls.go
+++ b/pkg/node/calls.go
@@ -36,7 +36,7 @@
 func (n *Node) Submit(ctx context.Context, q *catalog.Queue, account, id string, spec jobs.Spec) schema.CallOutcome {
 	record := jobs.Record{Queue: q.Name, Account: account, AcceptedAt: time.Duration(time.Now().UnixNano()), MaxAttempts: q.MaxAttempts, Spec: spec}
 	if record.Route = q.Route(); record.Route != "" {
-		record.CatalogVersion, record.Terms = q.CatalogVersion, &q.Terms
+		record.CatalogVersion, record.ServiceLevel = q.CatalogVersion, &q.ServiceLevel
 	}
 	raw, err := record.Encode()
 	if err != nil {
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -146,7 +146,7 @@
 		putJSON(c, rows.As("operator"), "workers", name, w)
 	}
 	putJSON(c, rows.As("operator"), "operator", "catalog", catalog.Catalog{
-		Version: 7, Queues: []catalog.Queue{{Name: testQueue, Pool: testPool, MaxAttempts: 3, Terms: catalog.Terms{Stretch: 2, TargetLatency: time.Second}}},
+		Version: 7, Queues: []catalog.Queue{{Name: testQueue, Pool: testPool, MaxAttempts: 3, ServiceLevel: catalog.ServiceLevel{Stretch: 2, TargetLatency: time.Second}}},
 		Pools: []catalog.Pool{{Name: testPool, RejectsOverload: true}},
 		Accounts: []catalog.Account{{
 			Name: testAccount, Keys: []catalog.KeyHash{catalog.HashKey("k")}, Weight: 1000, Limit: platform.Resources{CPU: 1000},
--- a/pkg/shard/advice.go
+++ b/pkg/shard/advice.go
@@ -39,7 +39,7 @@
 // applyAdvice restricts a candidate to the workers that the advice service allows, and
 // requests advice if those lack room for its tasks; the caller holds the lock.
 func (o *Owner) applyAdvice(c *placement.Candidate, hosts []*placement.Host, now time.Duration) {
-	q := o.termsOf(c.Step.Job)
+	q := o.serviceLevelOf(c.Step.Job)
 	if q == nil || !q.UsesAdvice {
 		return
 	}
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -260,7 +260,7 @@
 func (e *testCluster) catalog() *catalog.Catalog {
 	return catalog.New(catalog.Catalog{
 		Version: 1,
-		Queues:  []catalog.Queue{{Name: queue, Pool: pool, MaxAttempts: maxAttempts, Terms: catalog.Terms{Stretch: 2, TargetLatency: time.Second, UsesAdvice: len(e.allowed) > 0}}},
+		Queues:  []catalog.Queue{{Name: queue, Pool: pool, MaxAttempts: maxAttempts, ServiceLevel: catalog.ServiceLevel{Stretch: 2, TargetLatency: time.Second, UsesAdvice: len(e.allowed) > 0}}},
 		Pools:   []catalog.Pool{{Name: pool, RejectsOverload: true}},
 
 		Accounts: e.limits,
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -253,7 +253,7 @@
 func (o *Owner) candidate(s *jobs.StepRun, startable []*jobs.Task, remaining, now time.Duration) placement.Candidate {
 	j := s.Job
 	c := placement.Candidate{Step: s, Tasks: startable, RemainingPath: remaining, Deadline: j.AddedAt + remaining}
-	if q := o.termsOf(j); q != nil {
+	if q := o.serviceLevelOf(j); q != nil {
 		objective := q.TargetLatency + time.Duration(q.Stretch*float64(o.criticalPath(j)))
 		c.Priority = q.Priority
 		due := j.AddedAt
--- a/pkg/shard/queues.go
+++ b/pkg/shard/queues.go
@@ -322,17 +322,17 @@
 	return info
 }
 
-// termsOf returns the terms of a job: those of its queue while that is configured for this pool, else those by which the
-// job was accepted, nil if these are not stored.
-func (o *Owner) termsOf(j *jobs.Job) *catalog.Terms {
+// serviceLevelOf returns the service level of a job: that of its queue while that is configured for this pool, else
+// that at which the job was accepted, nil if this is not stored.
+func (o *Owner) serviceLevelOf(j *jobs.Job) *catalog.ServiceLevel {
 	q := o.catalog.QueueAt(j.Route)
 	if j.Route == "" {
 		q = o.catalog.Queue(j.Queue)
 	}
-	if q != nil && (q.Pool == o.cfg.Pool || j.Terms == nil) {
-		return &q.Terms
+	if q != nil && (q.Pool == o.cfg.Pool || j.ServiceLevel == nil) {
+		return &q.ServiceLevel
 	}
-	return j.Terms
+	return j.ServiceLevel
 }
 
 // putQueues adds the changed rows of queues to a batch, which takes submissions first. As long as one of these is left
