node: findJob in two passes over the pools of a queue

A newcomer had to follow one loop over a growing list, with a flag for its second half and an exit in the middle, to see when not_found is the outcome. Now it reads in order: the known pools are called, then the stored ones, then the rows decide. callPools is the loop that both passes share; what is called, in which order, and what is logged is the same.

--- a/pkg/node/queues.go
+++ b/pkg/node/queues.go
@@ -109,38 +109,51 @@
 // job. Only after none of the stored pools has it is the outcome not_found. It returns the pool that answered last.
 func (n *Node) findJob(ctx context.Context, kind schema.CallKind, q *catalog.Queue, id string, by shard.Requester) (reply *schema.CallReply, pool string) {
 	call := schema.Call{Kind: kind, Queue: q.Name, Route: q.Route(), Job: id, Account: by.Account, Operator: by.Operator}
-	pools := appendNew([]string{q.Pool}, n.queuePools.get(call.Route).pools)
+	s := jobSearch{call: call, pools: appendNew([]string{q.Pool}, n.queuePools.get(call.Route).pools)}
+	if reply = n.callPools(ctx, &s); reply != nil {
+		return reply, s.lastCalled()
+	}
+	if call.Route != "" {
+		stored, err := n.readQueuePools(ctx, call.Route)
+		if err != nil {
+			n.log.Warn().Str("event", "absence_not_confirmed").Str("request", id).Err(err).Send()
+			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}, s.lastCalled()
+		}
+		s.pools = appendNew(s.pools, stored)
+		if reply = n.callPools(ctx, &s); reply != nil {
+			return reply, s.lastCalled()
+		}
+	}
+	return &schema.CallReply{Outcome: n.confirmAbsent(ctx, s.pools, id, by)}, s.lastCalled()
+}
+
+// jobSearch is a search for the pool that has a job.
+type jobSearch struct {
+	call   schema.Call
+	pools  []string // that may have the job, in the order of the calls
+	called int      // number of pools that were called
+}
+
+// lastCalled returns the pool that was called last.
+func (s *jobSearch) lastCalled() string { return s.pools[s.called-1] }
+
+// callPools makes the call at the pools that were not called yet, and at those that their replies name, until one has
+// the job. If none has, it returns the last reply that leaves that open, nil if none does.
+func (n *Node) callPools(ctx context.Context, s *jobSearch) *schema.CallReply {
 	var unanswered *schema.CallReply
-	storedRead := false
-	for i := 0; i < len(pools); i++ {
-		pool = pools[i]
-		reply = n.callPool(ctx, pool, call)
+	for s.called < len(s.pools) {
+		reply := n.callPool(ctx, s.pools[s.called], s.call)
+		s.called++
 		switch reply.Outcome {
 		case schema.CallOutcomeNotFound:
-			pools = appendNew(pools, reply.QueuePools)
+			s.pools = appendNew(s.pools, reply.QueuePools)
 		case schema.CallOutcomeRefused, schema.CallOutcomeUnknown:
 			unanswered = reply
 		default:
-			return reply, pool
-		}
-		if i < len(pools)-1 {
-			continue
-		}
-		if unanswered != nil {
-			return unanswered, pool
-		}
-		if storedRead || call.Route == "" {
-			break
-		}
-		storedRead = true
-		stored, err := n.readQueuePools(ctx, call.Route)
-		if err != nil {
-			n.log.Warn().Str("event", "absence_not_confirmed").Str("request", id).Err(err).Send()
-			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}, pool
+			return reply
 		}
-		pools = appendNew(pools, stored)
 	}
-	return &schema.CallReply{Outcome: n.confirmAbsent(ctx, pools, id, by)}, pool
+	return unanswered
 }
 
 // countWaiting returns the number of queued jobs in all pools that have or had a queue.
