soak: callers are built by newCaller and newFollower

The same literal of a caller stood in three places, on lines of up to 180 columns, two of them with a bare 2 for the stream of the seed. The constants name that stream and the time within which a job is cancelled. Seeds draw what they drew: order and number of the draws are the same.

--- a/pkg/bench/soak/callers.go
+++ b/pkg/bench/soak/callers.go
@@ -19,9 +19,13 @@
 	statePause    = 400 * time.Millisecond
 	betweenJobs   = 700 * time.Millisecond // at most
 	cancelShare   = 0.08                   // of the jobs
+	cancelWithin  = 5 * time.Second        // from the start of following a job to be cancelled
 	resubmitShare = 0.1                    // of the accepted jobs, at once, and of the looks at a job's state
 )
 
+// firstCallerStream is the stream of a soak's seed from which its first caller draws.
+const firstCallerStream = 2
+
 // caller submits jobs one after the other, each at the entry that answered last, and follows them to their end.
 type caller struct {
 	*standin.Caller
@@ -35,6 +39,22 @@
 	followed sync.WaitGroup
 }
 
+// newCaller returns the caller of a number, which begins at the entry of an index.
+func (s *soak) newCaller(number, firstEntry int) *caller {
+	return &caller{
+		Caller: standin.NewCaller(queue), name: number, rnd: rand.New(rand.NewPCG(s.o.Seed, firstCallerStream+uint64(number))),
+		entries: s.entries, current: firstEntry, check: s.check,
+	}
+}
+
+// newFollower returns a caller that follows one job beside c, from the entry that c would call next.
+func (c *caller) newFollower() *caller {
+	return &caller{
+		Caller: standin.NewCaller(queue), rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 0)),
+		entries: c.entries, current: c.current, check: c.check,
+	}
+}
+
 // run submits jobs until submitting ends, and follows them until ctx ends.
 func (c *caller) run(ctx, submitting context.Context) {
 	defer c.Close()
@@ -70,7 +90,7 @@
 	if !c.submit(submitting, id, steps) {
 		return
 	}
-	f := &caller{Caller: standin.NewCaller(queue), rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 0)), entries: c.entries, current: c.current, check: c.check}
+	f := c.newFollower()
 	c.followed.Go(func() {
 		defer f.Close()
 		f.follow(ctx, submitting, id, steps, longRunning(steps) || cancels)
@@ -129,7 +149,7 @@
 
 // follow asks for a job's state until it is final, and submits it again now and then. A job to be cancelled is so when submitting ends, or before.
 func (c *caller) follow(ctx, submitting context.Context, id string, steps []step, cancels bool) {
-	cancelAt := time.Now().Add(time.Duration(c.rnd.Int64N(int64(5 * time.Second))))
+	cancelAt := time.Now().Add(time.Duration(c.rnd.Int64N(int64(cancelWithin))))
 	for ctx.Err() == nil {
 		if cancels && (submitting.Err() != nil || time.Now().After(cancelAt)) {
 			c.check.cancelling(id)
--- a/pkg/bench/soak/soak.go
+++ b/pkg/bench/soak/soak.go
@@ -252,10 +252,10 @@
 	defer endSubmitting()
 	var callers sync.WaitGroup
 	for i := range s.o.Callers {
-		c := &caller{Caller: standin.NewCaller(queue), name: i, rnd: rand.New(rand.NewPCG(s.o.Seed, uint64(i)+2)), entries: s.entries, current: i % len(s.entries), check: s.check}
+		c := s.newCaller(i, i%len(s.entries))
 		callers.Go(func() { c.run(following, submitting) })
 	}
-	b := &caller{Caller: standin.NewCaller(queue), name: s.o.Callers, rnd: rand.New(rand.NewPCG(s.o.Seed, uint64(s.o.Callers)+2)), entries: s.entries, check: s.check}
+	b := s.newCaller(s.o.Callers, 0)
 	callers.Go(func() { b.runBursts(following, submitting, s.bursts) })
 	if s.o.Moves {
 		s.command(Command{Do: DoCatalog}) // now that the second pool is there
