soak: names and units for the jobs of many tasks

manyTasks had 700, 20, 2 and 30 as bare numbers, of which a reader could tell no unit. The draw is the same.

--- a/pkg/bench/soak/workload.go
+++ b/pkg/bench/soak/workload.go
@@ -71,9 +71,19 @@
 	}
 }
 
+// The step of a job of many short tasks.
+const (
+	manyTasksCount = 700
+	manyTasksCPU   = 20 // thousandths of a core
+	manyTasksMinMs = 2
+	// manyTasksSpanMs is the number of durations, in whole milliseconds, from manyTasksMinMs on.
+	manyTasksSpanMs = 30
+)
+
 // manyTasks draws a step of many short tasks.
 func manyTasks(rnd *rand.Rand) []step {
-	return []step{{count: 700, cpu: 20, duration: time.Duration(2+rnd.IntN(30)) * time.Millisecond}}
+	duration := time.Duration(manyTasksMinMs+rnd.IntN(manyTasksSpanMs)) * time.Millisecond
+	return []step{{count: manyTasksCount, cpu: manyTasksCPU, duration: duration}}
 }
 
 // maxAttempts is how often a task may fail before its job does.
