soak: trySubmit, in place of three closures that submit a job once

The same closure over call stood in submit, twice, and in follow, where it hid what the two loops do: submit, and submit again now and then.

--- a/pkg/bench/soak/callers.go
+++ b/pkg/bench/soak/callers.go
@@ -101,15 +101,11 @@
 func (c *caller) submit(ctx context.Context, id string, steps []step) (taken bool) {
 	mayBeTaken := false
 	for range submitTries {
-		switch c.call(func(callCtx context.Context, address string) standin.Outcome {
-			return c.Submit(callCtx, address, id, job(steps))
-		}) {
+		switch c.trySubmit(id, steps) {
 		case standin.OutcomeDone:
 			c.check.accepted(id)
 			if c.rnd.Float64() < resubmitShare {
-				c.call(func(callCtx context.Context, address string) standin.Outcome {
-					return c.Submit(callCtx, address, id, job(steps))
-				})
+				c.trySubmit(id, steps)
 			}
 			return true
 		case standin.OutcomeUnknown:
@@ -123,6 +119,13 @@
 	return mayBeTaken
 }
 
+// trySubmit submits a job once.
+func (c *caller) trySubmit(id string, steps []step) standin.Outcome {
+	return c.call(func(ctx context.Context, address string) standin.Outcome {
+		return c.Submit(ctx, address, id, job(steps))
+	})
+}
+
 // call makes a call at the entry that answered last, and goes to another one if that fails.
 func (c *caller) call(do func(ctx context.Context, address string) standin.Outcome) standin.Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -174,9 +177,7 @@
 			return
 		}
 		if submitting.Err() == nil && !cancels && c.rnd.Float64() < resubmitShare {
-			c.call(func(callCtx context.Context, address string) standin.Outcome {
-				return c.Submit(callCtx, address, id, job(steps))
-			})
+			c.trySubmit(id, steps)
 		}
 		_ = pause.For(ctx, statePause) // the loop checks ctx
 	}
