soak: commandFor begins and ends a fault of the stand-in

disturb was a function of 66 lines in which command, wait, command stood six times, and the longest case sat in the middle of its table of kinds. Each kind is now a line or a call of what does it. Commands, their order and the waits are the same.

--- a/pkg/bench/soak/disturb.go
+++ b/pkg/bench/soak/disturb.go
@@ -184,31 +184,16 @@
 	case LateCalls:
 		s.delayCalls(e)
 	case CrashWorker:
-		s.command(Command{Do: DoCrash, VM: vm})
-		s.wait(e.lasts)
-		s.command(Command{Do: DoBoot, VM: vm})
+		s.commandFor(e.lasts, Command{Do: DoCrash, VM: vm}, Command{Do: DoBoot, VM: vm})
 	case DrainWorker:
-		s.command(Command{Do: DoDrain, VM: vm, Ms: int(drainTime.Milliseconds())})
-		s.wait(drainTime + e.lasts)
-		s.command(Command{Do: DoBoot, VM: vm})
+		drain := Command{Do: DoDrain, VM: vm, Ms: int(drainTime.Milliseconds())}
+		s.commandFor(drainTime+e.lasts, drain, Command{Do: DoBoot, VM: vm})
 	case StoreFault:
-		s.command(Command{Do: DoStore, Fault: e.fault, Share: e.share})
-		s.wait(e.lasts / 2)
-		s.command(Command{Do: DoStore})
+		s.commandFor(e.lasts/2, Command{Do: DoStore, Fault: e.fault, Share: e.share}, Command{Do: DoStore})
 	case StoreOutage:
-		select {
-		case s.bursts <- minBurst + e.target%2:
-			s.wait(burstTime)
-		case <-s.ctx.Done():
-			return nil
-		}
-		s.command(Command{Do: DoStoreDown, N: 1})
-		s.wait(e.lasts)
-		s.command(Command{Do: DoStoreDown})
+		s.failStoreAfterBurst(e)
 	case SlowStore:
-		s.command(Command{Do: DoSlowStore, Ms: slowStoreMs})
-		s.wait(e.lasts)
-		s.command(Command{Do: DoSlowStore})
+		s.commandFor(e.lasts, Command{Do: DoSlowStore, Ms: slowStoreMs}, Command{Do: DoSlowStore})
 	case ForgetHistory:
 		s.command(Command{Do: DoForget})
 	case MoveQueue:
@@ -216,13 +201,29 @@
 	case NewCatalog:
 		s.command(Command{Do: DoCatalog})
 	case IncompleteLists:
-		s.command(Command{Do: DoOmit, N: 2 + e.target%reportsSpan})
-		s.wait(e.lasts)
-		s.command(Command{Do: DoOmit})
+		s.commandFor(e.lasts, Command{Do: DoOmit, N: 2 + e.target%reportsSpan}, Command{Do: DoOmit})
 	}
 	return nil
 }
 
+// commandFor sends the stand-in the command that begins a fault, and after a time the one that ends it.
+func (s *soak) commandFor(d time.Duration, begin, end Command) {
+	s.command(begin)
+	s.wait(d)
+	s.command(end)
+}
+
+// failStoreAfterBurst submits jobs of many tasks and takes the table service away when they have begun.
+func (s *soak) failStoreAfterBurst(e event) {
+	select {
+	case s.bursts <- minBurst + e.target%2:
+		s.wait(burstTime)
+	case <-s.ctx.Done():
+		return
+	}
+	s.commandFor(e.lasts, Command{Do: DoStoreDown, N: 1}, Command{Do: DoStoreDown})
+}
+
 // markWorkers tells the checker at which workers a disturbance may make leases lapse, and returns what
 // tells it the end. Late calls leave a worker reachable. While lists lack items, what a list lacks may be
 // taken for not there.
