node: metrics are registered where they are made

newMetrics was 64 lines, and a metric had to be named a third time in one line of 355 columns, without which it was made and never shown. The client library's promauto registers what it makes, and five short methods of a factory leave name, help and label of each metric on a line.

Names, helps, labels and buckets are the same: a trial that listed the descriptions of the registry and the buckets before and after printed the same 63 lines.

--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
@@ -56,73 +57,58 @@
 const otherAccounts = "other accounts"
 
 func newMetrics() *metrics {
-	m := &metrics{
-		registry: prometheus.NewRegistry(),
-		commits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "gannetwell_commit_seconds", Help: "Time of transactions at the table service by outcome.",
-			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
-		}, []string{"outcome"}),
-		leaseRenewals: counter("gannetwell_looks_total", "Renewals of leases at workers by outcome."),
-		orders:        counter("gannetwell_orders_total", "Starts and stops ordered at workers by outcome."),
-		attemptEnds:   counter("gannetwell_ends_total", "Ends of attempts by reason."),
-		timeouts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "gannetwell_order_timeouts_changed_total", Help: "Changes between usual and short timeouts of calls to workers.",
-		}, []string{"to"}),
-		staleEnds: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "gannetwell_ends_passed_over_total", Help: "Ends that workers listed though they were told to forget them.",
-		}),
-		queueMoves: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "gannetwell_queue_moves_total", Help: "Queues that came to a shard of this entry, or left it, by direction.",
-		}, []string{"direction"}),
-		endsCut: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "gannetwell_reports_cut_total", Help: "Workers' reports that list as many ends as they can, so that others may be missing.",
-		}),
-		clockReads: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "gannetwell_clocks_read_total", Help: "Polls that read the clock of a worker that was idle for long, before a start.",
-		}),
-		losses:      counter("gannetwell_attempts_lost_total", "Attempts that were lost, by how."),
-		jobs:        counter("gannetwell_jobs_total", "Jobs by what became of them."),
-		keysRefused: counter("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer."),
-		malformedRows: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "gannetwell_rows_malformed_total", Help: "Rows that could not be read, by table.",
-		}, []string{"table"}),
-		atLimit: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "gannetwell_account_at_limit_total", Help: "Seconds in which a shard held tasks of a client account back for its limit.",
-		}, []string{"account"}),
-		predecessorWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "gannetwell_predecessor_wait_seconds", Help: "Time after a takeover in which the owner before could act still, by how that ended.",
-			Buckets: prometheus.ExponentialBuckets(0.005, 2, 10),
-		}, []string{"end"}),
-		evacuatedZones: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "gannetwell_zones_out", Help: "Availability zones that the operator has taken out of use.",
-		}),
-		coldWorkers: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "gannetwell_workers_cold", Help: "Workers that say that they are slow after a start; known to entries that own a shard.",
-		}),
-		waveVMs: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "gannetwell_wave_vms", Help: "VMs of open maintenance waves by phase, at the holder of the fleet operations.",
-		}, []string{"phase"}),
-		wavesAtRisk: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "gannetwell_waves_at_risk", Help: "Open maintenance waves that can't end in time, at the holder of the fleet operations.",
-		}),
-		waveVMsLearned: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "gannetwell_wave_vms_learned_total", Help: "VMs of maintenance waves of which a holder of the fleet operations learned from other entries that they were done or ordered.",
-		}),
-		poolsShort: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "gannetwell_pools_short", Help: "Pools with fewer VMs than their target size; 0 at an entry that does not own the fleet operations.",
-		}),
-		shareLevel: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "gannetwell_vms_short", Help: "1 for the first kind of need that does not fit into the VMs of all pools.",
-		}, []string{"level"}),
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	f := metricFactory{promauto.With(registry)}
+	return &metrics{
+		registry:         registry,
+		commits:          f.histogramVec("gannetwell_commit_seconds", "Time of transactions at the table service by outcome.", "outcome", prometheus.ExponentialBuckets(0.002, 2, 12)),
+		leaseRenewals:    f.counterVec("gannetwell_looks_total", "Renewals of leases at workers by outcome.", "outcome"),
+		orders:           f.counterVec("gannetwell_orders_total", "Starts and stops ordered at workers by outcome.", "outcome"),
+		attemptEnds:      f.counterVec("gannetwell_ends_total", "Ends of attempts by reason.", "outcome"),
+		timeouts:         f.counterVec("gannetwell_order_timeouts_changed_total", "Changes between usual and short timeouts of calls to workers.", "to"),
+		staleEnds:        f.counter("gannetwell_ends_passed_over_total", "Ends that workers listed though they were told to forget them."),
+		queueMoves:       f.counterVec("gannetwell_queue_moves_total", "Queues that came to a shard of this entry, or left it, by direction.", "direction"),
+		endsCut:          f.counter("gannetwell_reports_cut_total", "Workers' reports that list as many ends as they can, so that others may be missing."),
+		clockReads:       f.counter("gannetwell_clocks_read_total", "Polls that read the clock of a worker that was idle for long, before a start."),
+		losses:           f.counterVec("gannetwell_attempts_lost_total", "Attempts that were lost, by how.", "outcome"),
+		jobs:             f.counterVec("gannetwell_jobs_total", "Jobs by what became of them.", "outcome"),
+		keysRefused:      f.counterVec("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer.", "outcome"),
+		malformedRows:    f.counterVec("gannetwell_rows_malformed_total", "Rows that could not be read, by table.", "table"),
+		atLimit:          f.counterVec("gannetwell_account_at_limit_total", "Seconds in which a shard held tasks of a client account back for its limit.", "account"),
+		predecessorWait:  f.histogramVec("gannetwell_predecessor_wait_seconds", "Time after a takeover in which the owner before could act still, by how that ended.", "end", prometheus.ExponentialBuckets(0.005, 2, 10)),
+		evacuatedZones:   f.gauge("gannetwell_zones_out", "Availability zones that the operator has taken out of use."),
+		coldWorkers:      f.gauge("gannetwell_workers_cold", "Workers that say that they are slow after a start; known to entries that own a shard."),
+		waveVMs:          f.gaugeVec("gannetwell_wave_vms", "VMs of open maintenance waves by phase, at the holder of the fleet operations.", "phase"),
+		wavesAtRisk:      f.gauge("gannetwell_waves_at_risk", "Open maintenance waves that can't end in time, at the holder of the fleet operations."),
+		waveVMsLearned:   f.counter("gannetwell_wave_vms_learned_total", "VMs of maintenance waves of which a holder of the fleet operations learned from other entries that they were done or ordered."),
+		poolsShort:       f.gauge("gannetwell_pools_short", "Pools with fewer VMs than their target size; 0 at an entry that does not own the fleet operations."),
+		shareLevel:       f.gaugeVec("gannetwell_vms_short", "1 for the first kind of need that does not fit into the VMs of all pools.", "level"),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.endsCut, m.queueMoves, m.clockReads, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
-	return m
 }
 
-// counter returns a counter with the label outcome.
-func counter(name, help string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{"outcome"})
+// metricFactory creates metrics in a registry; those with Vec in their name have one label.
+type metricFactory struct{ promauto.Factory }
+
+func (f metricFactory) counter(name, help string) prometheus.Counter {
+	return f.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func (f metricFactory) counterVec(name, help, label string) *prometheus.CounterVec {
+	return f.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+}
+
+func (f metricFactory) gauge(name, help string) prometheus.Gauge {
+	return f.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
+
+func (f metricFactory) gaugeVec(name, help, label string) *prometheus.GaugeVec {
+	return f.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, []string{label})
+}
+
+func (f metricFactory) histogramVec(name, help, label string, buckets []float64) *prometheus.HistogramVec {
+	return f.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, []string{label})
 }
 
 // handler serves the metrics in the Prometheus text format.
