fleetops: a comment on each constant of the announcement

One comment above the block told of three constants, so that editors and go doc showed none at the constant that a reader looks up.

Ran: go vet, gofumpt, staticcheck; the tests of pkg/fleetops.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -22,14 +22,14 @@
 	orderTransit = 250 * time.Millisecond
 )
 
-// maxAnnouncementBytes keeps the announcement row below the size limit of the table service.
-// announcedOrderBytes is the encoded size of one order besides its names.
-// maxUnsavedBytes bounds the part for VMs that may have been maintained although the stored progress
-// does not say so.
 const (
+	// maxAnnouncementBytes keeps the announcement row below the size limit of the table service.
 	maxAnnouncementBytes = 60_000
-	announcedOrderBytes  = 28
-	maxUnsavedBytes      = maxAnnouncementBytes / 2
+	// announcedOrderBytes is the encoded size of one order besides its names.
+	announcedOrderBytes = 28
+	// maxUnsavedBytes bounds the part for VMs that may have been maintained although the stored progress
+	// does not say so.
+	maxUnsavedBytes = maxAnnouncementBytes / 2
 )
 
 // announcement lists the VMs for which a holder may have sent orders recently or is about to, each
