soak: follow reads as what a caller does, final states have names

The three final states stood as bare strings in the caller and twice in the checker. Calls, draws and checks are the same, in the same order.

--- a/pkg/bench/soak/callers.go
+++ b/pkg/bench/soak/callers.go
@@ -150,30 +150,15 @@
 	}
 }
 
-// follow asks for a job's state until it is final, and submits it again now and then. A job to be cancelled is so when submitting ends, or before.
+// follow asks for a job's state until it is final, and submits it again now and then. It asks to cancel
+// a job to be cancelled within cancelWithin, at the latest when submitting ends, until that is answered.
 func (c *caller) follow(ctx, submitting context.Context, id string, steps []step, cancels bool) {
 	cancelAt := time.Now().Add(time.Duration(c.rnd.Int64N(int64(cancelWithin))))
 	for ctx.Err() == nil {
 		if cancels && (submitting.Err() != nil || time.Now().After(cancelAt)) {
-			c.check.cancelling(id)
-			out := c.call(func(callCtx context.Context, address string) standin.Outcome { return c.Cancel(callCtx, address, id) })
-			if out == standin.OutcomeDone || out == standin.OutcomeNotFound {
-				c.check.cancelled(id)
-				cancels = false
-			}
-		}
-		state := ""
-		out := c.call(func(callCtx context.Context, address string) (out standin.Outcome) {
-			state, out = c.State(callCtx, address, id)
-			return out
-		})
-		switch out {
-		case standin.OutcomeDone:
-			c.check.told(id, state)
-		case standin.OutcomeNotFound:
-			c.check.notFound(id)
+			cancels = !c.tryCancel(id)
 		}
-		if state == "completed" || state == "failed" || state == "cancelled" {
+		if state := c.askState(id); isFinal(state) {
 			return
 		}
 		if submitting.Err() == nil && !cancels && c.rnd.Float64() < resubmitShare {
@@ -182,3 +167,29 @@
 		_ = pause.For(ctx, statePause) // the loop checks ctx
 	}
 }
+
+// tryCancel asks once to cancel a job; it reports whether that is confirmed, or the job not there.
+func (c *caller) tryCancel(id string) (over bool) {
+	c.check.cancelling(id)
+	out := c.call(func(ctx context.Context, address string) standin.Outcome { return c.Cancel(ctx, address, id) })
+	if out != standin.OutcomeDone && out != standin.OutcomeNotFound {
+		return false
+	}
+	c.check.cancelled(id)
+	return true
+}
+
+// askState asks once for a job's state, and tells the checker the answer.
+func (c *caller) askState(id string) (state string) {
+	out := c.call(func(ctx context.Context, address string) (out standin.Outcome) {
+		state, out = c.State(ctx, address, id)
+		return out
+	})
+	switch out {
+	case standin.OutcomeDone:
+		c.check.told(id, state)
+	case standin.OutcomeNotFound:
+		c.check.notFound(id)
+	}
+	return state
+}
--- a/pkg/bench/soak/checker.go
+++ b/pkg/bench/soak/checker.go
@@ -26,6 +26,18 @@
 	eventDelay = time.Second
 )
 
+// Final states of a job, as callers are told them.
+const (
+	stateCompleted = "completed"
+	stateFailed    = "failed"
+	stateCancelled = "cancelled"
+)
+
+// isFinal reports whether a job in a state has ended.
+func isFinal(state string) bool {
+	return state == stateCompleted || state == stateFailed || state == stateCancelled
+}
+
 // checker compares what workers did with what callers were told. It knows nothing of the entries.
 type checker struct {
 	report func(format string, args ...any) // of a broken promise
@@ -195,9 +207,7 @@
 	if j.final != "" && state != j.final {
 		c.report("job %s is %s after it was %s", id, state, j.final)
 	}
-	switch state {
-	case "completed", "failed", "cancelled":
-	default:
+	if !isFinal(state) {
 		return
 	}
 	if j.final == "" {
@@ -213,13 +223,13 @@
 	c.checks++
 	j := c.jobs[id]
 	switch state {
-	case "completed":
+	case stateCompleted:
 		c.checkCompleted(id, j, at)
-	case "failed":
+	case stateFailed:
 		if !c.hasFailed(id, j) {
 			c.report("job %s failed, and no task of it %d times", id, maxAttempts)
 		}
-	case "cancelled":
+	case stateCancelled:
 		if !j.cancelAsked {
 			c.report("job %s is cancelled, which nobody asked for", id)
 		}
