Misread deadlines: a test for each path, two needless ones gone

Change: tests of orders that arrive late, of a former owner that still acts, of the longest wait, and of a worker that has not restarted. The stand-in can have late orders reach the next boot. What no test missed and nothing needs is gone: the end of former leases need not be kept twice, the wait is not shortened by up to 1.6 s when a predecessor has ended, and a returning boot's token is no longer raised beyond that of its last session.

--- a/pkg/platform/fake/orders.go
+++ b/pkg/platform/fake/orders.go
@@ -61,7 +61,7 @@
 }
 
 // applyLate runs do after lateDelay on the boot that received the order, unless that boot has
-// ended by then.
+// ended by then, or on the boot that is there by then.
 func (v *workersView) applyLate(ref platform.WorkerRef, do func(b *boot) error) {
 	v.w.mu.Lock()
 	defer v.w.mu.Unlock()
@@ -69,6 +69,9 @@
 	time.AfterFunc(v.w.lateDelay, func() {
 		v.w.mu.Lock()
 		defer v.w.mu.Unlock()
+		if v.w.lateAtNextBoot {
+			target = v.w.resolve(ref)
+		}
 		if target != nil && !target.dead {
 			_ = do(target)
 		}
--- a/pkg/platform/fake/workers.go
+++ b/pkg/platform/fake/workers.go
@@ -63,6 +63,8 @@
 	endOmissions map[string]map[int64]int
 	// maxListedEnds is how many ends a report lists, the first ones.
 	maxListedEnds int
+	// lateAtNextBoot makes late orders reach the boot that is there when they are carried out.
+	lateAtNextBoot bool
 	// omitEvery makes every n-th report of a boot omit one attempt, 0 for none.
 	omitEvery int
 	// allowOvercommit makes workers start attempts that exceed their capacity.
@@ -140,6 +142,11 @@
 // not to do.
 func (w *Workers) SetForgetListed(on bool) { w.locked(func() { w.forgetListed = on }) }
 
+// SetLateAtNextBoot sets the delay of late orders, and has them reach the boot that is there by then.
+func (w *Workers) SetLateAtNextBoot(delay time.Duration) {
+	w.locked(func() { w.lateDelay, w.lateAtNextBoot = delay, true })
+}
+
 // SetMaxListedEnds sets how many ends a report lists.
 func (w *Workers) SetMaxListedEnds(n int) { w.locked(func() { w.maxListedEnds = n }) }
 
--- a/pkg/shard/inherited.go
+++ b/pkg/shard/inherited.go
@@ -28,7 +28,7 @@
 	}
 	o.inheritMisread(s, w, released)
 	o.log.Info().Str("event", "worker_inherited").Str("boot", w.Boot).Int64("release_term", w.ReleaseTerm).Int("tasks", len(w.Tasks)).
-		Dur("leases_end_in", s.former.leasesEnd-o.now()).Send()
+		Dur("leases_end_in", max(s.former.leasesEnd, s.misreadUntil)-o.now()).Send()
 	o.formerWorkersPending = true
 	o.formerTasksUnknown = o.formerTasksUnknown || !s.former.listed
 	for _, name := range s.former.names {
--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -40,6 +40,9 @@
 	s.misread, s.misreadUntil = misreadLikely, max(s.misreadUntil, o.misreadLeasesEnd(sent))
 }
 
+// noteEarlierBoot records that orders for an earlier boot, also those of a former owner, may reach this one.
+func (o *Owner) noteEarlierBoot(s *session) { o.noteMisread(s, max(o.now(), o.soleOwnerAt)) }
+
 // inheritMisread records what a former owner has stored about misread deadlines at a boot. Of a boot that answers,
 // it has stored whether there was an earlier one. A silent worker may have restarted unless it has released the shard.
 func (o *Owner) inheritMisread(s *session, w leasedWorker, released bool) {
@@ -49,7 +52,6 @@
 	case !released && s.mayRestart():
 		s.misread, s.misreadUntil = misreadUnknown, o.misreadLeasesEnd(o.soleOwnerAt)
 	}
-	s.former.leasesEnd = max(s.former.leasesEnd, s.misreadUntil)
 }
 
 // unrecordedLeasesEnd returns when the leases of former owners have expired at workers that no readable record names.
@@ -62,14 +64,6 @@
 	return o.formerLeasesUntil
 }
 
-// notePredecessorEnd shortens the wait for a silent worker once no former owner can act any more.
-func (o *Owner) notePredecessorEnd(s *session) {
-	if s.misread == misreadUnknown {
-		s.misreadUntil = o.misreadLeasesEnd(o.soleOwnerAt)
-		s.former.leasesEnd = max(o.formerLeasesUntil, s.misreadUntil)
-	}
-}
-
 // settleMisread takes note that a boot has answered a poll. From then on it refuses the orders of former owners and
 // those for earlier boots, whose tokens are lower.
 func (o *Owner) settleMisread(s *session) {
--- /dev/null
+++ b/pkg/shard/misread_test.go
@@ -0,0 +1,47 @@
+package shard
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/gannetwell/gannetwell/pkg/elapsed"
+	"github.com/gannetwell/gannetwell/pkg/jobs"
+)
+
+// longestMisreadLease is how long a misread lease lasts by our clock, granted when its order arrives at the last
+// moment, at a worker whose clock is as slow as it may be.
+func longestMisreadLease(maxLease time.Duration) time.Duration {
+	return pollWait + pollTimeout + slowClock{drift: maxClockDrift}.until(maxLease.Milliseconds())
+}
+
+// TestMisreadLeasesEnd guards against a wait that is too short for an order that arrives late at a slow worker.
+func TestMisreadLeasesEnd(t *testing.T) {
+	const sent = time.Minute
+	o := Owner{cfg: Config{MaxLease: 10 * time.Second}}
+	qt.Check(t, sent+longestMisreadLease(o.cfg.MaxLease) < o.misreadLeasesEnd(sent), qt.IsTrue)
+}
+
+// TestEarlierBootOfFormerOwner guards against a wait that begins while a former owner may still send orders.
+func TestEarlierBootOfFormerOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := Owner{cfg: Config{MaxLease: 10 * time.Second, Clock: elapsed.New()}, soleOwnerAt: confirmationTTLWithDrift}
+		var s session
+		o.noteEarlierBoot(&s)
+		qt.Check(t, o.soleOwnerAt+longestMisreadLease(o.cfg.MaxLease) < s.misreadUntil, qt.IsTrue)
+	})
+}
+
+// TestUnansweredStartsAfterDeadline guards against a wait that disregards a deadline sent after the start.
+func TestUnansweredStartsAfterDeadline(t *testing.T) {
+	const sent = time.Minute
+	o := Owner{cfg: Config{MaxLease: 10 * time.Second}}
+	start := &workerAttempt{Attempt: &jobs.Attempt{}, sentAt: sent}
+	s := &session{deadlineSentAt: sent + time.Second, attempts: map[string]*workerAttempt{"t": start}}
+	s.ref.Boot = "w@1"
+	qt.Check(t, s.deadlineSentAt+longestMisreadLease(o.cfg.MaxLease) < o.misreadStartsEnd(s), qt.IsTrue)
+	start.startConfirmedAt = sent
+	qt.Check(t, o.misreadStartsEnd(s), qt.Equals, time.Duration(0), qt.Commentf("its boot has answered"))
+}
--- a/pkg/shard/predecessor.go
+++ b/pkg/shard/predecessor.go
@@ -80,7 +80,6 @@
 	for _, s := range o.sessionsByBoot() {
 		if s.former.pending {
 			s.former.safeAt = now
-			o.notePredecessorEnd(s)
 			s.interruptPoll()
 			s.requestPoll()
 		}
--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -40,7 +40,7 @@
 		next = o.addSession(ref, s.vm)
 	}
 	next.token = max(next.token, s.token+1) // invalidates orders still on their way
-	o.noteMisread(next, max(now, o.soleOwnerAt))
+	o.noteEarlierBoot(next)
 	o.countLosses(s)
 	o.transferAttempts(s, next)
 	o.transferFormer(s, next)
@@ -79,7 +79,6 @@
 		tasks.safeAt = max(tasks.safeAt, next.former.safeAt)
 		tasks.names = append(tasks.names, next.former.names...)
 	}
-	tasks.leasesEnd = max(next.earlierLeasesUntil, next.misreadUntil)
 	next.former, s.former = tasks, formerTasks{}
 }
 
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -152,8 +152,9 @@
 
 // faultCommands bring about faults; they print nothing.
 var faultCommands = map[string]func(scriptCall){
-	"leave-out":    func(c scriptCall) { c.workers.OmitEnd(c.boot(), int64(c.number("end", "0")), c.number("times", "1")) },
-	"list-at-most": func(c scriptCall) { c.workers.SetMaxListedEnds(c.number("ends", "500")) },
+	"leave-out":         func(c scriptCall) { c.workers.OmitEnd(c.boot(), int64(c.number("end", "0")), c.number("times", "1")) },
+	"late-at-next-boot": func(c scriptCall) { c.workers.SetLateAtNextBoot(c.length()) },
+	"list-at-most":      func(c scriptCall) { c.workers.SetMaxListedEnds(c.number("ends", "500")) },
 	"crashes": func(c scriptCall) {
 		after := c.parseDuration(c.arg("after", "10ms"))
 		c.locked(func() { c.crashing[c.arg("task", "")] = after })
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -28,9 +28,9 @@
 		wake: make(chan struct{}, 1), cancel: cancel, earlierLeasesUntil: o.formerLeasesEnd(o.now()), zoneEvacuated: o.cfg.ZoneEvacuated, inWave: o.waveVMs.names[vm],
 	}
 	if ended, ok := o.endedBoots[worker]; ok {
-		s.token = max(s.token, ended.token+1) // as at a restart: orders for that boot may still be on their way
+		s.token = max(s.token, ended.token)
 		if ended.boot != ref.Boot {
-			o.noteMisread(s, o.now())
+			o.noteEarlierBoot(s)
 		}
 	}
 	o.sessions[ref.Boot] = s
