Rows: what a row announces no longer ends the process

A row of five bytes in the record of a shard's workers (an array that announces 2^32 elements) ended every process that took the shard over, one after the other: "fatal error: out of memory", a block of 343,597,383,680 bytes (run in 8 GB of address space). So did announced steps of a job, progress, queues, announcements of orders and messages of peers.

Cause: the msgpack decoder allocates all elements of an array that it is told of before it reads them (the limit that it has for this is never in force for arrays of structs), and it recurses once for each level of a value.

Package packed checks in one pass, without recursion, that a value holds what it announces and has at most 32 levels. All decoders of rows and messages that can allocate so go through it. The rows that it refuses take the paths of other malformed rows.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/shard"
 )
@@ -108,7 +109,7 @@
 	if row.Version == 0 {
 		return a, nil
 	}
-	if err := msgpack.Unmarshal(row.Value, &a); err != nil {
+	if err := packed.Unmarshal(row.Value, &a); err != nil {
 		return a, errMalformed{cause: err}
 	}
 	return a, nil
--- a/pkg/fleetops/progress.go
+++ b/pkg/fleetops/progress.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -67,7 +68,7 @@
 	w.clockOffset = page.Now - r.now()
 	var p waveProgress
 	if len(page.Rows) > 0 && page.Rows[0].Key == key.Key {
-		if err := msgpack.Unmarshal(page.Rows[0].Value, &p); err != nil {
+		if err := packed.Unmarshal(page.Rows[0].Value, &p); err != nil {
 			return errors.Wrap(err, "decode progress of wave")
 		}
 	}
--- a/pkg/jobs/encode.go
+++ b/pkg/jobs/encode.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/quarantine"
 )
 
@@ -199,7 +200,10 @@
 func DecodeProgress(raw []byte) (p Progress, err error) {
 	defer func() { err = errors.Wrap(err, "decode job progress") }()
 	if len(raw) == 0 || raw[0] != msgpcode.FixedArrayLow|2 {
-		return p, msgpack.Unmarshal(raw, &p)
+		return p, packed.Unmarshal(raw, &p)
+	}
+	if err := packed.Check(raw); err != nil {
+		return p, err
 	}
 	d := msgpack.NewDecoder(bytes.NewReader(raw))
 	if _, err := d.DecodeArrayLen(); err != nil {
--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -157,7 +158,7 @@
 
 // DecodeRecord decodes a record encoded by [Record.Encode].
 func DecodeRecord(raw []byte) (r Record, err error) {
-	err = msgpack.Unmarshal(raw, &r)
+	err = packed.Unmarshal(raw, &r)
 	return r, errors.Wrap(err, "decode job record")
 }
 
--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -126,7 +127,7 @@
 	if len(raw) == 0 {
 		return nil
 	}
-	if err := msgpack.Unmarshal(raw, &ps); err != nil {
+	if err := packed.Unmarshal(raw, &ps); err != nil {
 		n.log.Error().Str("event", "wave_progress_malformed").Err(err).Send()
 		return nil
 	}
--- a/pkg/node/waves.go
+++ b/pkg/node/waves.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/service/api"
 )
@@ -18,7 +17,7 @@
 		return waves
 	}
 	var all []fleetops.WaveStatus
-	if err := msgpack.Unmarshal(reply.Waves, &all); err != nil {
+	if err := packed.Unmarshal(reply.Waves, &all); err != nil {
 		n.log.Error().Str("event", "waves_malformed").Err(err).Send()
 		return waves
 	}
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -10,6 +10,7 @@
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/quota"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -126,7 +127,7 @@
 		return false
 	}
 	var g quota.Grant
-	if err := msgpack.Unmarshal(raw, &g); err != nil {
+	if err := packed.Unmarshal(raw, &g); err != nil {
 		n.log.Error().Str("event", "grant_malformed").Err(err).Send()
 		return false
 	}
@@ -147,7 +148,7 @@
 	if answer.Outcome != schema.CallOutcomeOk {
 		return reply, false
 	}
-	if err := msgpack.Unmarshal(answer.Load, &reply.Load); err != nil {
+	if err := packed.Unmarshal(answer.Load, &reply.Load); err != nil {
 		n.log.Error().Str("event", "load_malformed").Str("pool", q.Pool).Err(err).Send()
 		return reply, false
 	}
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -148,7 +149,7 @@
 		return
 	}
 	var row Member
-	if err := msgpack.Unmarshal(r.Value, &row); err != nil {
+	if err := packed.Unmarshal(r.Value, &row); err != nil {
 		m.log.Error().Str("event", "member_row_malformed").Str("entry", r.Key).Err(err).Send()
 		return
 	}
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/gannetwell/gannetwell/pkg/packed"
 )
 
 // MaxFrame is the largest payload of a frame in bytes.
@@ -62,7 +64,7 @@
 	if err != nil {
 		return n, err
 	}
-	return n, msgpack.Unmarshal(payload, v)
+	return n, packed.Unmarshal(payload, v)
 }
 
 // readPayload grows its buffer as data arrives, so that a false length allocates little.
--- a/pkg/shard/queues.go
+++ b/pkg/shard/queues.go
@@ -7,10 +7,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
@@ -116,7 +116,7 @@
 	if err != nil || row.Version == 0 {
 		return nil, 0, err
 	}
-	return ps, row.Version, msgpack.Unmarshal(row.Value, &ps)
+	return ps, row.Version, packed.Unmarshal(row.Value, &ps)
 }
 
 // writeQueuePools writes the pools of a queue, provided that their row still has a version.
@@ -373,7 +373,7 @@
 // readQueue decodes the row of a queue.
 func (stored *storedState) readQueue(r platform.Row) error {
 	var q queueRow
-	if err := msgpack.Unmarshal(r.Value, &q); err != nil {
+	if err := packed.Unmarshal(r.Value, &q); err != nil {
 		return err
 	}
 	stored.queues = append(stored.queues, q)
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/quota"
 )
@@ -127,7 +127,7 @@
 		return err
 	}
 	for _, r := range sets {
-		ok, err := stored.readPart(r)
+		ok, err := stored.readPart(checked(r))
 		if err != nil {
 			stored.workersUnreadable = true
 			malformed(errMalformedRow{key: r.RowKey, cause: err})
@@ -141,7 +141,7 @@
 		case r.Key == unreportedLossKey:
 			stored.unreportedLoss = true
 		case r.Key == sharesKey:
-			if err := msgpack.Unmarshal(r.Value, &stored.shares); err != nil {
+			if err := packed.Unmarshal(r.Value, &stored.shares); err != nil {
 				return errMalformedRow{key: r.RowKey, cause: err}
 			}
 		}
@@ -152,6 +152,14 @@
 	return nil
 }
 
+// checked returns a row without its value if that announces more than it holds, so that its decoder reports it.
+func checked(r platform.Row) platform.Row {
+	if packed.Check(r.Value) != nil {
+		r.Value = nil
+	}
+	return r
+}
+
 // maxJobAge bounds the age of a job as computed from two clocks that may differ.
 const maxJobAge = time.Minute
 
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
@@ -119,7 +120,7 @@
 
 // DecodeOwner decodes an owner row.
 func DecodeOwner(raw []byte) (o OwnerRow, err error) {
-	err = msgpack.Unmarshal(raw, &o)
+	err = packed.Unmarshal(raw, &o)
 	return o, errors.Wrap(err, "decode owner row")
 }
 
