Jobs: a stored job that can't be laid out costs only itself

A row of a job with no steps, fewer than no tasks, 2^63-1 tasks or a step that waits for one that does not exist ended each process that took its shard over: "integer divide by zero", "makeslice: len out of range", "index out of range". A message of another entry with such a job did the same to the owner.

Cause: what a submission is checked for was not checked when a job is read back, but for the sum of its tasks, which exceeds 64 bits unnoticed.

DecodeRecord now checks all that the layout of tasks and times relies on, for rows and messages alike. Such a job is refused as any other malformed row: counted, logged, its requests answered 503. Length and number of names are checked for submissions only.

Evidence: on the code before, six of the cases of TestOddJobs panic and three are taken (negative resources, negative times, a last time beyond 64 bits).

--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -62,8 +62,26 @@
 	switch {
 	case len(s.Text) > maxSpecBytes:
 		return errors.Errorf("the task text has %d bytes, at most %d are taken", len(s.Text), maxSpecBytes)
-	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
+	case len(s.Steps) > maxSteps:
 		return errors.Errorf("%d steps, 1 to %d are taken", len(s.Steps), maxSteps)
+	}
+	for i := range s.Steps {
+		if err := s.Steps[i].checkNames(); err != nil {
+			return errors.Wrapf(err, "step %d", i)
+		}
+	}
+	if err := s.checkLayout(); err != nil {
+		return err
+	}
+	return s.CheckTaskCount()
+}
+
+// checkLayout returns an error if the job can't be laid out as tasks. It holds for stored jobs as well, which any
+// writer may have written.
+func (s *Spec) checkLayout() error {
+	switch {
+	case len(s.Steps) == 0:
+		return errors.Errorf("0 steps, 1 to %d are taken", maxSteps)
 	case s.Times < 0 || s.Interval < 0:
 		return errors.New("times and their interval must not be negative")
 	case s.Times > 0 && (s.FirstDue > maxDueTime || s.Interval > (maxDueTime-max(0, s.FirstDue))/time.Duration(s.Times)):
@@ -74,7 +92,7 @@
 			return errors.Wrapf(err, "step %d", i)
 		}
 	}
-	return s.CheckTaskCount()
+	return nil
 }
 
 // CheckTaskCount returns an error if the job has too many tasks. It is also called for restored
@@ -109,12 +127,7 @@
 	if n := st.Needs; n.CPU < 0 || n.MemoryMB < 0 || n.GPU < 0 {
 		return errors.New("resources must not be negative")
 	}
-	for _, name := range []string{st.Label, st.DataRack, st.Image} {
-		if len(name) > maxNameBytes {
-			return errors.Errorf("a name has %d bytes, at most %d are taken", len(name), maxNameBytes)
-		}
-	}
-	var before [maxSteps]bool
+	before := map[int]bool{}
 	for _, a := range st.After {
 		if a < 0 || a >= at {
 			return errors.Errorf("waits for step %d, which is no earlier one", a)
@@ -127,6 +140,15 @@
 	return nil
 }
 
+func (st *Step) checkNames() error {
+	for _, name := range []string{st.Label, st.DataRack, st.Image} {
+		if len(name) > maxNameBytes {
+			return errors.Errorf("a name has %d bytes, at most %d are taken", len(name), maxNameBytes)
+		}
+	}
+	return nil
+}
+
 // Occurrences returns the number of times that the steps run, at least 1.
 func (s *Spec) Occurrences() int { return max(s.Times, 1) }
 
@@ -156,10 +178,16 @@
 	return raw, errors.Wrap(err, "encode job record")
 }
 
-// DecodeRecord decodes a record encoded by [Record.Encode].
+// DecodeRecord decodes a record encoded by [Record.Encode]; it returns an error for a job that can't be laid out.
 func DecodeRecord(raw []byte) (r Record, err error) {
-	err = packed.Unmarshal(raw, &r)
-	return r, errors.Wrap(err, "decode job record")
+	defer func() { err = errors.Wrap(err, "decode job record") }()
+	if err := packed.Unmarshal(raw, &r); err != nil {
+		return Record{}, err
+	}
+	if err := r.Spec.checkLayout(); err != nil {
+		return Record{}, err
+	}
+	return r, nil
 }
 
 // TaskID identifies a task.
