Resources: an entry with amounts beyond any machine is refused

Cause: amounts were only checked for being negative.

Sums of these over 4,096 tasks and any number of workers and jobs that fit in memory stay far below 64 bits.

--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -124,8 +124,8 @@
 	if st.Count < 1 || st.Count > maxTasks {
 		return errors.Errorf("%d tasks, 1 to %d are taken", st.Count, maxTasks)
 	}
-	if n := st.Needs; n.CPU < 0 || n.MemoryMB < 0 || n.GPU < 0 {
-		return errors.New("resources must not be negative")
+	if !st.Needs.InRange() {
+		return errors.Errorf("resources must not be negative or above %+v", platform.MaxResources)
 	}
 	before := map[int]bool{}
 	for _, a := range st.After {
--- a/pkg/platform/workers.go
+++ b/pkg/platform/workers.go
@@ -18,6 +18,14 @@
 	return r.CPU <= free.CPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
 }
 
+// MaxResources bounds what one worker may have or one task may request, so that sums over all of them fit.
+var MaxResources = Resources{CPU: 10_000_000, MemoryMB: 128 << 20, GPU: 10_000}
+
+// InRange reports whether no amount is negative or exceeds [MaxResources].
+func (r Resources) InRange() bool {
+	return min(r.CPU, r.MemoryMB, r.GPU) >= 0 && r.Fits(MaxResources)
+}
+
 // Add returns r + o.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{CPU: r.CPU + o.CPU, MemoryMB: r.MemoryMB + o.MemoryMB, GPU: r.GPU + o.GPU}
