--- a/pkg/platform/workers.go
+++ b/pkg/platform/workers.go
@@ -31,6 +31,11 @@
 	return Resources{CPU: r.CPU + o.CPU, MemoryMB: r.MemoryMB + o.MemoryMB, GPU: r.GPU + o.GPU}
 }
 
+// Min returns the amounts of r, each at most n.
+func (r Resources) Min(n int) Resources {
+	return Resources{CPU: min(r.CPU, n), MemoryMB: min(r.MemoryMB, n), GPU: min(r.GPU, n)}
+}
+
 // Sub returns r - o.
 func (r Resources) Sub(o Resources) Resources {
 	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, GPU: r.GPU - o.GPU}
