Entries: a row that does not describe the entry of its key is refused

A row of the table of entries that names another entry was taken under its own key: its removal or its next version made this entry forget the other one. One with a port out of range, or with no number of processors that is one, was registered as an entry that nobody reaches, and the latter was pinged anew at each row, since no number equals itself. Malformed rows were logged each time they were read and not counted.

decodeMember checks name, address and processors. A malformed row is counted and logged once per version, and an entry that is known stays as it is. Malformed rows of owners are counted as well.

--- a/pkg/node/local.go
+++ b/pkg/node/local.go
@@ -33,3 +33,6 @@
 
 // OwnerRowReported applies an owner row that a peer reports.
 func (l local) OwnerRowReported(pool string, r platform.Row) { l.ownership.ApplyOwner(pool, r) }
+
+// RowMalformed counts a row that cannot be used.
+func (l local) RowMalformed(table string) { l.metrics.RowMalformed(table) }
--- a/pkg/ownership/liveness_test.go
+++ b/pkg/ownership/liveness_test.go
@@ -31,6 +31,7 @@
 func (fixedEntry) EntryChanged()                                {}
 func (fixedEntry) CatalogNewer(*peer.Caller, int64)             {}
 func (fixedEntry) OwnerRowReported(pool string, r platform.Row) {}
+func (fixedEntry) RowMalformed(table string)                    {}
 
 // TestOwnerStatus runs testdata/owner_status: given what was heard of the other entries, the status
 // of an owner and whether its shard is claimed.
--- a/pkg/ownership/members.go
+++ b/pkg/ownership/members.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -65,7 +67,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*memberState // by name
-	owns  bool                    // this entry owns a shard
+	// malformed holds the version of each row that cannot be used, by name.
+	malformed map[string]int64
+	owns      bool // this entry owns a shard
 	// registeredAt is when this entry's own row was written, 0 if it was not.
 	registeredAt time.Duration
 	// majoritySince is since when most entries are alive, 0 if they are not.
@@ -89,11 +93,13 @@
 	CatalogNewer(c *peer.Caller, version int64)
 	// OwnerRowReported is called with an owner row that a peer reports.
 	OwnerRowReported(pool string, r platform.Row)
+	// RowMalformed counts a row that cannot be used.
+	RowMalformed(table string)
 }
 
 // NewMembers returns the tracker of the entry self; it knows no other entries yet.
 func NewMembers(self Member, rows platform.Rows, log zerolog.Logger, clock *elapsed.Clock, local Local) *Members {
-	return &Members{self: self, rows: rows, log: log, clock: clock, local: local, peers: map[string]*memberState{}}
+	return &Members{self: self, rows: rows, log: log, clock: clock, local: local, peers: map[string]*memberState{}, malformed: map[string]int64{}}
 }
 
 // Register writes this entry's own row.
@@ -146,13 +152,15 @@
 	old := m.peers[r.Key]
 	if r.Removed {
 		m.forget(old)
+		delete(m.malformed, r.Key)
 		return
 	}
-	var row Member
-	if err := packed.Unmarshal(r.Value, &row); err != nil {
-		m.log.Error().Str("event", "member_row_malformed").Str("entry", r.Key).Err(err).Send()
+	row, err := decodeMember(r)
+	if err != nil {
+		m.recordMalformed(r, err)
 		return
 	}
+	delete(m.malformed, r.Key)
 	if old != nil && old.Member == row {
 		return
 	}
@@ -165,6 +173,41 @@
 	go m.local.EntryChanged()
 }
 
+// recordMalformed counts and logs a row that cannot be used, once per version. The caller holds mu.
+func (m *Members) recordMalformed(r platform.Row, err error) {
+	if m.malformed[r.Key] == r.Version {
+		return
+	}
+	m.malformed[r.Key] = r.Version
+	m.local.RowMalformed(TableMember)
+	m.log.Error().Str("event", "member_row_malformed").Str("entry", r.Key).Int64("version", r.Version).Err(err).Send()
+}
+
+// maxCPUs bounds the processors that a row may say an entry has.
+const maxCPUs = 10_000
+
+// decodeMember decodes a row of [TableMember]; it returns an error for one that does not describe the entry of its key.
+func decodeMember(r platform.Row) (row Member, err error) {
+	defer func() { err = errors.Wrapf(err, "decode entry %s", r.Key) }()
+	if err := packed.Unmarshal(r.Value, &row); err != nil {
+		return row, err
+	}
+	host, port, err := net.SplitHostPort(row.Address)
+	if err != nil {
+		return row, err
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	switch {
+	case err != nil || n == 0 || host == "":
+		return row, errors.Errorf("the address %s can't be called", row.Address)
+	case row.Name != r.Key:
+		return row, errors.Errorf("the row is of %s", row.Name)
+	case !(row.CPUs >= 0 && row.CPUs <= maxCPUs): // also not a number
+		return row, errors.Errorf("%g processors are not possible", row.CPUs)
+	}
+	return row, nil
+}
+
 // forget stops tracking an entry; nil is ignored. The caller holds mu.
 func (m *Members) forget(p *memberState) {
 	if p == nil {
--- a/pkg/ownership/rows.go
+++ b/pkg/ownership/rows.go
@@ -14,6 +14,7 @@
 	if r.Version > 0 && !r.Removed {
 		var err error
 		if row, err = shard.DecodeOwner(r.Value); err != nil {
+			mgr.members.local.RowMalformed(shard.TableOwner)
 			row = shard.OwnerRow{} // treated as without owner; a claim still expects its version
 			mgr.log.Error().Str("event", "owner_row_malformed").Str("pool", pool).Int64("version", r.Version).Err(err).Send()
 		}
