Owners: a term or a wait that no owner writes makes its row malformed

An owner row with the highest term ended the term of the shard's owner, and the next one would have been negative: workers refuse each order with such a token. One with a former owner that acts for years made the next owner wait as long.

Cause: the numbers of a row that could be decoded were not looked at.

DecodeOwner bounds terms by 2^40, so that tokens and attempt numbers fit, and the wait by a minute. Such a row is malformed as others: the term comes from the commit row.

--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -21,6 +21,13 @@
 	tableWorkers  = "workers"  // record of boots that may hold a lease, in parts
 )
 
+// Bounds of an owner row, so that fencing tokens and attempt numbers of later terms fit, and that a takeover waits
+// no longer than any former owner could act.
+const (
+	maxTerm        = int64(1) << 40
+	maxFormerGrace = time.Minute
+)
+
 // singleKey is the key in tables that have one row in each partition.
 const singleKey = "row"
 
@@ -118,10 +125,19 @@
 // EncodeOwner encodes an owner row.
 func EncodeOwner(o OwnerRow) ([]byte, error) { return encode(o) }
 
-// DecodeOwner decodes an owner row.
+// DecodeOwner decodes an owner row; it returns an error for one that no owner writes.
 func DecodeOwner(raw []byte) (o OwnerRow, err error) {
-	err = packed.Unmarshal(raw, &o)
-	return o, errors.Wrap(err, "decode owner row")
+	defer func() { err = errors.Wrap(err, "decode owner row") }()
+	if err := packed.Unmarshal(raw, &o); err != nil {
+		return OwnerRow{}, err
+	}
+	switch {
+	case o.Term < 0 || o.Term > maxTerm:
+		return OwnerRow{}, errors.Errorf("a term of %d is not possible", o.Term)
+	case o.FormerGrace < 0 || o.FormerGrace > maxFormerGrace:
+		return OwnerRow{}, errors.Errorf("a former owner can't act for %v", o.FormerGrace)
+	}
+	return o, nil
 }
 
 // OwnerRowFromNews returns the owner row in a message of another entry.
