--- a/pkg/packed/packed.go
+++ b/pkg/packed/packed.go
@@ -42,9 +42,6 @@
 			return err
 		}
 		raw = rest
-		if values > len(raw) { // each takes a byte or more
-			return errTruncated
-		}
 		if values > 0 {
 			if depth == MaxDepth {
 				return errTooDeep
