--- a/pkg/ownership/odd_member_test.go
+++ b/pkg/ownership/odd_member_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/shard"
 )
 
 // countingEntry is a [Local] that counts malformed rows.
@@ -70,3 +71,19 @@
 		})
 	}
 }
+
+// TestOddOwnerCounted checks that a malformed row of an owner is counted, and that the next one is taken.
+func TestOddOwnerCounted(t *testing.T) {
+	c := qt.New(t)
+	malformed := 0
+	m := NewMembers(Member{Name: "e0"}, nil, zerolog.Nop(), elapsed.New(), countingEntry{malformed: &malformed})
+	mgr := NewManager(shard.Identity{Entry: "e0", Start: 1}, m, nil, zerolog.Nop(), elapsed.New())
+	mgr.ApplyOwner("p", platform.Row{Version: 1, Value: []byte{0xc1}})
+	c.Check(malformed, qt.Equals, 1)
+	raw, err := shard.EncodeOwner(shard.OwnerRow{Entry: "e1", Term: 2})
+	c.Assert(err, qt.IsNil)
+	mgr.ApplyOwner("p", platform.Row{Version: 2, Value: raw})
+	row, _, _ := mgr.Owner("p")
+	c.Check(row.Entry, qt.Equals, "e1")
+	c.Check(malformed, qt.Equals, 1)
+}
