--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -7,7 +7,6 @@
 
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
-	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/pkg/shard"
@@ -127,7 +126,8 @@
 	if len(raw) == 0 {
 		return nil
 	}
-	if err := packed.Unmarshal(raw, &ps); err != nil {
+	ps, err := decodePart[[]fleetops.WaveProgress](raw)
+	if err != nil {
 		n.log.Error().Str("event", "wave_progress_malformed").Err(err).Send()
 		return nil
 	}
--- a/pkg/node/waves.go
+++ b/pkg/node/waves.go
@@ -16,8 +16,8 @@
 	if reply.Outcome != schema.CallOutcomeOk {
 		return waves
 	}
-	var all []fleetops.WaveStatus
-	if err := packed.Unmarshal(reply.Waves, &all); err != nil {
+	all, err := decodePart[[]fleetops.WaveStatus](reply.Waves)
+	if err != nil {
 		n.log.Error().Str("event", "waves_malformed").Err(err).Send()
 		return waves
 	}
@@ -28,6 +28,12 @@
 	return waves
 }
 
+// decodePart decodes what a message of another entry holds in encoded form.
+func decodePart[T any](raw []byte) (v T, err error) {
+	err = packed.Unmarshal(raw, &v)
+	return v, err
+}
+
 func waveForOperator(st *fleetops.WaveStatus) api.WaveStatus {
 	needs := st.Needs.Seconds()
 	if st.Blocked() {
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -10,7 +10,6 @@
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
-	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/quota"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -126,8 +125,8 @@
 	if len(raw) == 0 {
 		return false
 	}
-	var g quota.Grant
-	if err := packed.Unmarshal(raw, &g); err != nil {
+	g, err := decodePart[quota.Grant](raw)
+	if err != nil {
 		n.log.Error().Str("event", "grant_malformed").Err(err).Send()
 		return false
 	}
@@ -148,7 +147,7 @@
 	if answer.Outcome != schema.CallOutcomeOk {
 		return reply, false
 	}
-	if err := packed.Unmarshal(answer.Load, &reply.Load); err != nil {
+	if reply.Load, err = decodePart[shard.Load](answer.Load); err != nil {
 		n.log.Error().Str("event", "load_malformed").Str("pool", q.Pool).Err(err).Send()
 		return reply, false
 	}
