Jobs: whether a stored job can be laid out is asked only where it is

A search for a job in the former pools of its queue refused a submission when the stored one has no steps (TestQueueReturns, which failed since jobs are checked when they are read back): it only needs the job's account. DecodeRunnable checks the layout, at takeovers and for submissions of other entries; DecodeRecord decodes as before.

--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -178,14 +178,19 @@
 	return raw, errors.Wrap(err, "encode job record")
 }
 
-// DecodeRecord decodes a record encoded by [Record.Encode]; it returns an error for a job that can't be laid out.
+// DecodeRecord decodes a record encoded by [Record.Encode].
 func DecodeRecord(raw []byte) (r Record, err error) {
 	defer func() { err = errors.Wrap(err, "decode job record") }()
-	if err := packed.Unmarshal(raw, &r); err != nil {
+	return r, packed.Unmarshal(raw, &r)
+}
+
+// DecodeRunnable decodes a record and returns an error also for a job that can't be laid out.
+func DecodeRunnable(raw []byte) (r Record, err error) {
+	if r, err = DecodeRecord(raw); err != nil {
 		return Record{}, err
 	}
 	if err := r.Spec.checkLayout(); err != nil {
-		return Record{}, err
+		return Record{}, errors.Wrap(err, "job record")
 	}
 	return r, nil
 }
--- a/pkg/node/answer.go
+++ b/pkg/node/answer.go
@@ -67,7 +67,7 @@
 func (n *Node) answerLocal(ctx context.Context, o *shard.Owner, q *schema.Call) *schema.CallReply {
 	switch q.Kind {
 	case schema.CallKindSubmit:
-		record, err := jobs.DecodeRecord(q.Record)
+		record, err := jobs.DecodeRunnable(q.Record)
 		if err != nil {
 			n.log.Error().Str("event", "submission_malformed").Str("request", q.Job).Err(err).Send()
 			return &schema.CallReply{Outcome: schema.CallOutcomeRefused}
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -74,7 +74,7 @@
 	}
 	byID := stored.readProgress(progress, malformed)
 	for _, r := range records {
-		record, err := jobs.DecodeRecord(r.Value)
+		record, err := jobs.DecodeRunnable(r.Value)
 		if err != nil {
 			stored.unreadable[r.Key] = true
 			malformed(errMalformedRow{key: r.RowKey, cause: err})
