--- a/pkg/shard/odd_jobs_test.go
+++ b/pkg/shard/odd_jobs_test.go
@@ -19,7 +19,7 @@
 	const pool = "p"
 	progress, err := encode(jobs.Progress{Steps: []jobs.StepProgress{{StepNumber: 0, Done: []byte{1}}}})
 	qt.Assert(t, err, qt.IsNil)
-	datadriven.RunTest(t, "testdata/odd_jobs", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata-rows/odd_jobs", func(t *testing.T, d *datadriven.TestData) string {
 		var odd jobs.Record
 		qt.Assert(t, json.Unmarshal([]byte(d.Input), &odd), qt.IsNil)
 		txn := platform.RowTxn{Put: []platform.Row{{RowKey: progressKeys(pool, "odd", 1)[0], Value: progress}}}
