Bound heads and connections of the service's listeners

What callers saw: an entry's memory rose by about 1 MB for each client that sent a head without end, to all three listeners, until the process was ended; a head inside the limit took up to 16 times its size while its body was awaited; connections were not bounded at all.

Cause: the listeners had the library's limit of 1 MB for each head and none for their sum, and the configuration's max-header-bytes was read by nobody.

pkg/httplimit counts for each connection what its client makes the process hold, against one budget of bytes for all listeners. If the budget or the number of connections is reached, the one that has waited longest for its client gives way; an ordinary request arrives whole and is never that one for long. A request that a handler acts on is not interrupted, and one that is alone may take more than the budget, so that a small one refuses no request inside the limits. Heads are held to the configuration in force (431), connections to 8 per MB of memory, at most half of the descriptors.

Settings: request_bytes (an eighth of the memory limit), connections, body_timeout_ms (600,000).

--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -32,6 +32,7 @@
 	losses          *prometheus.CounterVec
 	jobs            *prometheus.CounterVec
 	keysRefused     *prometheus.CounterVec
+	clientsRefused  *prometheus.CounterVec
 	malformedRows   *prometheus.CounterVec
 	atLimit         *prometheus.CounterVec
 	timeouts        *prometheus.CounterVec
@@ -83,6 +84,9 @@
 		losses:      counter("gannetwell_attempts_lost_total", "Attempts that were lost, by how."),
 		jobs:        counter("gannetwell_jobs_total", "Jobs by what became of them."),
 		keysRefused: counter("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer."),
+		clientsRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "gannetwell_clients_refused_total", Help: "Clients beyond a limit whose request was not read or whose connection was closed, by limit.",
+		}, []string{"why"}),
 		malformedRows: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "gannetwell_rows_malformed_total", Help: "Rows that could not be read, by table.",
 		}, []string{"table"}),
@@ -116,7 +120,7 @@
 		}, []string{"level"}),
 		labelledAccounts: map[string]bool{},
 	}
-	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.endsCut, m.queueMoves, m.clockReads, m.losses, m.jobs, m.keysRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
+	m.registry.MustRegister(m.commits, m.leaseRenewals, m.orders, m.attemptEnds, m.staleEnds, m.endsCut, m.queueMoves, m.clockReads, m.losses, m.jobs, m.keysRefused, m.clientsRefused, m.malformedRows, m.atLimit, m.timeouts, m.predecessorWait, m.evacuatedZones, m.coldWorkers, m.waveVMs, m.wavesAtRisk, m.waveVMsLearned, m.poolsShort, m.shareLevel, collectors.NewGoCollector())
 	return m
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
+	"github.com/gannetwell/gannetwell/pkg/httplimit"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
 	"github.com/gannetwell/gannetwell/pkg/peer"
 	"github.com/gannetwell/gannetwell/pkg/platform"
@@ -76,6 +77,9 @@
 	log      zerolog.Logger
 	metrics  *metrics
 
+	requestBytes *httplimit.Budget // of all requests under way
+	refusals     *refusals
+
 	source   Source
 	platform Services
 	rows     *storeMonitor // the table service of platform
@@ -120,6 +124,7 @@
 		stop: make(chan struct{}), workers: map[string]platform.Worker{}, malformedWorkers: map[string]int64{}, waves: map[int]fleetops.Wave{}, queuePools: queuePools{byRoute: map[string]cachedPools{}},
 		evacuations: evacuations{rows: map[string]evacuation{}},
 	}
+	n.requestBytes, n.refusals = newRequestBudget(s.MemoryMb, s.RequestBytes), newRefusals(log, n.metrics)
 	n.waitCtx, n.cancelWaits = context.WithCancel(context.Background())
 	n.self = ownership.Member{
 		Name: s.Name, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])), Zone: s.Zone,
@@ -187,15 +192,15 @@
 	if err != nil {
 		return err
 	}
-	jobAPI, err := listenHTTP(n.settings.Callers, n.closeConnUnlessReady(h.JobAPI))
+	jobAPI, err := n.listenHTTP(n.settings.Callers, n.closeConnUnlessReady(h.JobAPI), n.callerOptions()...)
 	if err != nil {
 		return err
 	}
-	readiness, err := listenHTTP(n.settings.Readiness, h.Readiness)
+	readiness, err := n.listenHTTP(n.settings.Readiness, h.Readiness, n.otherOptions()...)
 	if err != nil {
 		return err
 	}
-	operators, err := listenHTTP(net.JoinHostPort(n.settings.Address, metricsPort), n.operatorHandler())
+	operators, err := n.listenHTTP(net.JoinHostPort(n.settings.Address, metricsPort), n.operatorHandler(), n.otherOptions()...)
 	if err != nil {
 		return err
 	}
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -1,11 +1,15 @@
 package node
 
 import (
+	"cmp"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/gannetwell/gannetwell/pkg/httplimit"
 )
 
 const (
@@ -13,6 +17,14 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = time.Minute
+	// otherBodyTimeout bounds the read of a body by the listeners that need none.
+	otherBodyTimeout = 2 * time.Second
+	// requestMemoryPart is the part of the memory limit for requests under way, one in so many bytes.
+	requestMemoryPart = 8
+	// connsPerMB is the number of callers' connections per MB of the memory limit.
+	connsPerMB = 8
+	// otherConnsPart is the part of that number for each other listener, one in so many.
+	otherConnsPart = 4
 )
 
 // closeConnUnlessReady makes callers reconnect, to another node, when this one is not ready; an
@@ -28,21 +40,60 @@
 
 // httpActor is an HTTP server with its listener, run as an actor of a run.Group.
 type httpActor struct {
-	server      *http.Server
+	server      *httplimit.Server
 	ln          net.Listener
 	interrupted chan struct{} // closed by interrupt
 }
 
 // listenHTTP returns a server that listens already, so that an address in use fails at startup.
-func listenHTTP(address string, h http.Handler) (*httpActor, error) {
+func (n *Node) listenHTTP(address string, h http.Handler, options ...httplimit.Option) (*httpActor, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &httpActor{
-		ln: ln, interrupted: make(chan struct{}),
-		server: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-	}, nil
+	options = append([]httplimit.Option{
+		httplimit.HeadTime(headerTimeout), httplimit.IdleTime(idleTimeout), httplimit.OnRefusal(n.refusals.add),
+	}, options...)
+	return &httpActor{ln: ln, interrupted: make(chan struct{}), server: httplimit.NewServer(h, n.requestBytes, options...)}, nil
+}
+
+// callerOptions are the bounds of the callers' listener.
+func (n *Node) callerOptions() []httplimit.Option {
+	return []httplimit.Option{
+		httplimit.MaxHeadBytes(n.maxHeadBytes), httplimit.MaxConns(n.maxConns()),
+		httplimit.BodyTime(time.Duration(n.settings.BodyTimeoutMs) * time.Millisecond),
+	}
+}
+
+// otherOptions are the bounds of the other listeners.
+func (n *Node) otherOptions() []httplimit.Option {
+	return []httplimit.Option{httplimit.MaxConns(max(1, n.maxConns()/otherConnsPart)), httplimit.BodyTime(otherBodyTimeout)}
+}
+
+// maxHeadBytes returns the limit of the configuration in force.
+func (n *Node) maxHeadBytes() int {
+	if c := n.Catalog(); c != nil && c.Limits.MaxHeaderBytes > 0 {
+		return c.Limits.MaxHeaderBytes
+	}
+	return httplimit.DefaultMaxHeadBytes
+}
+
+// maxConns returns the bound on callers' connections.
+func (n *Node) maxConns() int {
+	if limit := n.settings.Connections; limit > 0 {
+		return limit
+	}
+	limit := n.settings.MemoryMb * connsPerMB
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil && files.Cur/2 < uint64(limit) {
+		limit = int(files.Cur / 2)
+	}
+	return max(1, limit)
+}
+
+// newRequestBudget returns the budget of all requests under way.
+func newRequestBudget(memoryMB, bytes int) *httplimit.Budget {
+	return httplimit.NewBudget(cmp.Or(bytes, memoryMB<<20/requestMemoryPart))
 }
 
 // serve returns when the server fails or is interrupted. It does not return on a graceful shutdown,
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -647,9 +647,18 @@
 	// workers; empty if there is none.
 	Advice string `json:"advice" msgpack:"advice"`
 
+	// BodyTimeoutMs is the time limit for reading a request's body, in milliseconds;
+	// the caller's deadline applies if it is shorter.
+	BodyTimeoutMs int `json:"body_timeout_ms" msgpack:"body_timeout_ms"`
+
 	// Callers is the host:port at which callers submit jobs.
 	Callers string `json:"callers" msgpack:"callers"`
 
+	// Connections is the number of connections that callers may have open; 0 for 8
+	// per MB of the memory limit, at most half of the descriptors that the process
+	// may open. Operators and the load balancer may each have a quarter as many.
+	Connections int `json:"connections" msgpack:"connections"`
+
 	// CPUShare is the share of a processor that the process gets, 1 for a whole one;
 	// entries with a larger share own more shards.
 	CpuShare float64 `json:"cpu_share" msgpack:"cpu_share"`
@@ -674,6 +683,10 @@
 	// accepts requests.
 	Readiness string `json:"readiness" msgpack:"readiness"`
 
+	// RequestBytes is the memory that all requests of clients under way may take
+	// together, in bytes; 0 for an eighth of the memory limit.
+	RequestBytes int `json:"request_bytes" msgpack:"request_bytes"`
+
 	// Store corresponds to the JSON schema field "store".
 	Store StoreSettings `json:"store" msgpack:"store"`
 
