Count the bodies of submissions against the budget while they are read

What callers saw: 300 clients that sent all of a body of 262,144 bytes but 100 bytes, or chunks without end, took an entry with 64 MB to 133 MB, and held it there as long as they stayed.

Cause: a submission was read whole, without a limit of time, before anything counted it.

--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -17,7 +17,7 @@
 )
 
 // notEvents are names on the page that are fields or outcomes of lines, or metrics.
-var notEvents = map[string]bool{"not_found": true, "not_owner": true, "cpu_waiting": true, "cpu_arriving": true, "process_cpu_seconds_total": true, "no_room": true, "at_limit": true, "fastest_answer": true, "on_trial": true, "heard_ago": true, "store_up": true, "jobs_refused": true, "max_down": true, "not_urgent": true, "maybe_done": true, "order_gap": true, "other_wave": true, "not_up": true}
+var notEvents = map[string]bool{"not_found": true, "not_owner": true, "cpu_waiting": true, "cpu_arriving": true, "process_cpu_seconds_total": true, "no_room": true, "at_limit": true, "fastest_answer": true, "on_trial": true, "heard_ago": true, "store_up": true, "jobs_refused": true, "max_down": true, "not_urgent": true, "maybe_done": true, "order_gap": true, "other_wave": true, "not_up": true, "body_time": true, "request_bytes": true}
 
 // TestOperationsPage sees that each log line and plain metric which the page builds on is written by the code.
 func TestOperationsPage(t *testing.T) {
--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,9 +12,11 @@
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
+// MaxSteps is the greatest number of steps of a job.
+const MaxSteps = 256
+
 // Limits of a submission. They bound the memory and the stored progress of a job.
 const (
-	maxSteps     = 256
 	maxTasks     = 4096 // in all steps of one occurrence
 	maxSpecBytes = 4000 // of Spec.Text
 	maxNameBytes = 200  // of a label, rack or image
@@ -55,14 +58,27 @@
 	HasMaxUnavailable bool               `msgpack:"z,omitempty"` // MaxUnavailable was given
 }
 
+// intBytes is the size of an integer, in bytes.
+const intBytes = 8
+
+// MemoryBytes returns about how much memory a submission takes with its encoded record, in bytes.
+func (s *Spec) MemoryBytes() int {
+	n := int(reflect.TypeFor[Spec]().Size()) + 2*len(s.Text)
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		n += int(reflect.TypeFor[Step]().Size()) + 2*(len(st.Label)+len(st.DataRack)+len(st.Image)) + 2*len(st.After)*intBytes
+	}
+	return n
+}
+
 // Check validates a submission.
 func (s *Spec) Check() (err error) {
 	defer func() { err = errors.Wrap(err, "job") }()
 	switch {
 	case len(s.Text) > maxSpecBytes:
 		return errors.Errorf("the task text has %d bytes, at most %d are taken", len(s.Text), maxSpecBytes)
-	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
-		return errors.Errorf("%d steps, 1 to %d are taken", len(s.Steps), maxSteps)
+	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
+		return errors.Errorf("%d steps, 1 to %d are taken", len(s.Steps), MaxSteps)
 	case s.Times < 0 || s.Interval < 0:
 		return errors.New("times and their interval must not be negative")
 	case s.Times > 0 && (s.FirstDue > maxDueTime || s.Interval > (maxDueTime-max(0, s.FirstDue))/time.Duration(s.Times)):
@@ -113,7 +129,7 @@
 			return errors.Errorf("a name has %d bytes, at most %d are taken", len(name), maxNameBytes)
 		}
 	}
-	var before [maxSteps]bool
+	var before [MaxSteps]bool
 	for _, a := range st.After {
 		if a < 0 || a >= at {
 			return errors.Errorf("waits for step %d, which is no earlier one", a)
