Wake connections that wait for bytes when they have to give way themselves

A connection that waits for room of its own noticed only after up to a second that it had to give way, and a refused body kept its reservation until its connection was closed, half a second later: by reading, an ordinary request could get 503 meanwhile. Both release at once now.

TestHeadLimitOfTheConfiguration is added: without the configuration's limit it fails.

--- a/cmd/gannetwelld/clients_test.go
+++ b/cmd/gannetwelld/clients_test.go
@@ -293,3 +293,20 @@
 		})
 	}
 }
+
+// TestHeadLimitOfTheConfiguration guards against a limit on heads that nothing applies: one of twice its length is
+// refused.
+func TestHeadLimitOfTheConfiguration(t *testing.T) {
+	c := qt.New(t)
+	const headBytes = 2 * 16384 // the limit of the stand-in's configuration, twice
+	d := startDaemon(t, buildDaemon(t), 101)
+	c.Assert(d.answers("ffffffffffffff01"), qt.IsTrue)
+	conn, err := net.Dial("tcp", d.at("callers"))
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /q/ HTTP/1.1\r\nHost: jobs.example\r\nConnection: close\r\nX: "+strings.Repeat("a", headBytes)+"\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	answer, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Check(strings.HasPrefix(string(answer), "HTTP/1.1 431 "), qt.IsTrue, qt.Commentf("%s", answer))
+}
--- a/pkg/httplimit/body.go
+++ b/pkg/httplimit/body.go
@@ -79,6 +79,12 @@
 
 // readAll reads to the end of a body, with a buffer that grows within the budget.
 func readAll(body io.Reader, c *conn, size, limit int) (raw []byte, err error) {
+	held := 0
+	defer func() {
+		if err != nil && c != nil {
+			c.server.budget.release(c, held)
+		}
+	}()
 	if size <= 1 {
 		size = firstBodyBytes
 	}
@@ -86,6 +92,7 @@
 		if raw, err = grow(raw, c, min(size, limit+1)); err != nil {
 			return nil, err
 		}
+		held = cap(raw)
 		for len(raw) < cap(raw) {
 			n, err := body.Read(raw[len(raw):cap(raw)])
 			raw = raw[:len(raw)+n]
--- a/pkg/httplimit/budget.go
+++ b/pkg/httplimit/budget.go
@@ -76,6 +76,7 @@
 		n -= other.held
 		if other.held > 0 && !other.givesWay {
 			other.interrupt()
+			b.wake() // it may wait here itself
 		}
 	}
 	return n <= 0
@@ -106,6 +107,11 @@
 	}
 	b.used -= n
 	c.held -= n
+	b.wake()
+}
+
+// wake has all connections that wait for bytes try again.
+func (b *Budget) wake() {
 	close(b.released)
 	b.released = make(chan struct{})
 }
--- a/pkg/httplimit/conn.go
+++ b/pkg/httplimit/conn.go
@@ -144,8 +144,8 @@
 	c.mu.Lock()
 	c.inHead, c.headBytes = true, 0
 	c.mu.Unlock()
-	c.server.budget.release(c, c.held)
 	c.server.budget.awaitClient(c)
+	c.server.budget.release(c, c.held)
 }
 
 // headRead ends the head of a request.
--- a/pkg/httplimit/server_test.go
+++ b/pkg/httplimit/server_test.go
@@ -221,16 +221,22 @@
 	}
 }
 
+// fill has clients send bodies short of their end until there is no room for another.
+func (f *fixture) fill(t *testing.T) (crowd []*client) {
+	const headsAtMost = 4 << 10 // bytes reserved for all heads
+	for i := range budgetBytes/maxBodyBytes - 1 {
+		crowd = append(crowd, f.client(t, post("/", maxBodyBytes)+text(maxBodyBytes-1)))
+		bodies := (i + 1) * (maxBodyBytes + 1)
+		waitFor(t, func() bool { used := f.budget.Used(); return used >= bodies && used < bodies+headsAtMost })
+	}
+	return crowd
+}
+
 // TestBudgetFreedByTheLongest guards against bodies that stay open and keep ordinary requests out.
 func TestBudgetFreedByTheLongest(t *testing.T) {
 	c := qt.New(t)
 	f := start(t)
-	var crowd []*client
-	for range 8 {
-		before := f.budget.Used()
-		crowd = append(crowd, f.client(t, post("/", maxBodyBytes)+text(maxBodyBytes-1)))
-		waitFor(t, func() bool { return f.budget.Used() > before || f.count(httplimit.RefusalBudget) > 0 })
-	}
+	crowd := f.fill(t)
 	client := f.client(t, post("/", maxBodyBytes)+text(maxBodyBytes))
 	status, _ := client.answer(t)
 	c.Check(status, qt.Equals, http.StatusOK)
@@ -278,6 +284,7 @@
 		idle = append(idle, f.client(t, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n"))
 		status, _ := idle[len(idle)-1].answer(t)
 		c.Check(status, qt.Equals, http.StatusNotFound)
+		waitFor(t, func() bool { return f.budget.Used() == 0 })
 	}
 	status, _ := idle[0].answer(t)
 	c.Check(status, qt.Equals, 0)
@@ -294,11 +301,7 @@
 	kept := f.client(t, post("/", 3)+"abc")
 	_, body := kept.answer(t)
 	c.Check(body, qt.Equals, "3")
-	for range 8 {
-		before := f.budget.Used()
-		f.client(t, post("/", maxBodyBytes)+text(maxBodyBytes-1))
-		waitFor(t, func() bool { return f.budget.Used() > before || f.count(httplimit.RefusalBudget) > 0 })
-	}
+	f.fill(t)
 	kept.send(post("/", maxBodyBytes) + text(maxBodyBytes))
 	status, _ := kept.answer(t)
 	c.Check(status, qt.Equals, http.StatusOK)
