--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -33,6 +33,7 @@
 	losses          *prometheus.CounterVec
 	jobs            *prometheus.CounterVec
 	keysRefused     *prometheus.CounterVec
+	clientsRefused  *prometheus.CounterVec
 	malformedRows   *prometheus.CounterVec
 	atLimit         *prometheus.CounterVec
 	timeouts        *prometheus.CounterVec
@@ -74,6 +75,7 @@
 		losses:           f.counterVec("gannetwell_attempts_lost_total", "Attempts that were lost, by how.", "outcome"),
 		jobs:             f.counterVec("gannetwell_jobs_total", "Jobs by what became of them.", "outcome"),
 		keysRefused:      f.counterVec("gannetwell_keys_refused_total", "Calls that were refused for their key, by answer.", "outcome"),
+		clientsRefused:   f.counterVec("gannetwell_clients_refused_total", "Clients beyond a limit whose request was not read or whose connection was closed, by limit.", "why"),
 		malformedRows:    f.counterVec("gannetwell_rows_malformed_total", "Rows that could not be read, by table.", "table"),
 		atLimit:          f.counterVec("gannetwell_account_at_limit_total", "Seconds in which a shard held tasks of a client account back for its limit.", "account"),
 		predecessorWait:  f.histogramVec("gannetwell_predecessor_wait_seconds", "Time after a takeover in which the owner before could act still, by how that ended.", "end", prometheus.ExponentialBuckets(0.005, 2, 10)),
