Peer: go on accepting when descriptors run out

Callers saw an entry end, with all that it owned, while many connections were open: its log ends with "accept link: accept tcp: accept4: too many open files". Whoever could reach any of its listeners could bring that about.

Cause: the links between entries took every error of accept for the end of the listener, and the end of one actor ends the process. The HTTP listeners go on, since net/http does.

connlimit.NewRetrying accepts again after errors that end by themselves, with a pause of 5 ms that doubles to 1 s, and logs accept_failed once in 10 s at most. Any other error ends the server as before.

Before: TestAcceptFails failed for all of EMFILE, ENFILE, ENOBUFS, ENOMEM and ECONNABORTED ("ended: accept link: ..."). TestListenerEnds passed and has to go on to: a listener that is broken for good still ends the server.

--- a/pkg/peer/callserver.go
+++ b/pkg/peer/callserver.go
@@ -26,7 +26,7 @@
 
 // NewCallServer returns a server that accepts links at ln.
 func NewCallServer(ln net.Listener, h CallHandler, log zerolog.Logger) *CallServer {
-	return &CallServer{links: newLinks(ln, 0), handler: h, log: log}
+	return &CallServer{links: newLinks(ln, 0, log), handler: h, log: log}
 }
 
 // Serve accepts links until ctx ends, then closes them all.
--- a/pkg/peer/links.go
+++ b/pkg/peer/links.go
@@ -6,6 +6,9 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/connlimit"
 )
 
 // links accepts connections and keeps track of the open ones.
@@ -18,8 +21,8 @@
 	wg    sync.WaitGroup
 }
 
-func newLinks(ln net.Listener, limit int) *links {
-	return &links{ln: ln, max: limit, conns: map[net.Conn]struct{}{}}
+func newLinks(ln net.Listener, limit int, log zerolog.Logger) *links {
+	return &links{ln: connlimit.NewRetrying(ln, log), max: limit, conns: map[net.Conn]struct{}{}}
 }
 
 // serve calls handle for each connection, which is closed when handle returns. When ctx ends or the
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -44,12 +44,13 @@
 // authenticates peers.
 func NewServer(ln net.Listener, secret string, h Handler, opts ...ServerOption) *Server {
 	s := &Server{
-		links: newLinks(ln, maxLinks), secret: secret, handler: h,
+		secret: secret, handler: h,
 		log: zerolog.Nop(), onBytes: func(int, int) {},
 	}
 	for _, o := range opts {
 		o(s)
 	}
+	s.links = newLinks(ln, maxLinks, s.log)
 	return s
 }
 
