Peer: bound silent links, and let peers in beside them

The other kind of links, which begin with a handshake, had a cap that closed the newest: 1,024 silent connections kept every peer out.

--- a/pkg/connlimit/doc.go
+++ b/pkg/connlimit/doc.go
@@ -1,4 +1,5 @@
 // Package connlimit keeps listeners within the limits of a process.
 //
-// [NewRetrying] goes on accepting after a temporary error.
+// [NewRetrying] goes on accepting after a temporary error. [New] also limits the connections that are open at a time: at
+// the limit it closes one that waits for a request.
 package connlimit
--- a/pkg/peer/links.go
+++ b/pkg/peer/links.go
@@ -11,27 +11,29 @@
 	"github.com/gannetwell/gannetwell/pkg/connlimit"
 )
 
+// maxLinks is the default number of open links of a server.
+const maxLinks = 1024
+
 // links accepts connections and keeps track of the open ones.
 type links struct {
-	ln  net.Listener
-	max int // number of open connections above which others are closed at once, 0 for no limit
+	ln *connlimit.Listener
 
 	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	conns map[*connlimit.Conn]struct{}
 	wg    sync.WaitGroup
 }
 
 func newLinks(ln net.Listener, limit int, log zerolog.Logger) *links {
-	return &links{ln: connlimit.NewRetrying(ln, log), max: limit, conns: map[net.Conn]struct{}{}}
+	return &links{ln: connlimit.New(ln, limit, log), conns: map[*connlimit.Conn]struct{}{}}
 }
 
 // serve calls handle for each connection, which is closed when handle returns. When ctx ends or the
 // listener fails, it closes all connections and returns, without waiting for handle.
-func (l *links) serve(ctx context.Context, handle func(conn net.Conn)) error {
+func (l *links) serve(ctx context.Context, handle func(conn *connlimit.Conn)) error {
 	stop := context.AfterFunc(ctx, l.closeAll)
 	defer stop()
 	for {
-		conn, err := l.ln.Accept()
+		accepted, err := l.ln.Accept()
 		if err != nil {
 			l.closeAll()
 			if ctx.Err() != nil {
@@ -39,6 +41,7 @@
 			}
 			return errors.Wrap(err, "accept link")
 		}
+		conn := accepted.(*connlimit.Conn)
 		if !l.track(ctx, conn) {
 			_ = conn.Close()
 			continue
@@ -54,17 +57,17 @@
 func (l *links) wait() { l.wg.Wait() }
 
 // track adds a connection; it reports whether the connection may stay open.
-func (l *links) track(ctx context.Context, conn net.Conn) bool {
+func (l *links) track(ctx context.Context, conn *connlimit.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if ctx.Err() != nil || l.max > 0 && len(l.conns) >= l.max {
+	if ctx.Err() != nil {
 		return false
 	}
 	l.conns[conn] = struct{}{}
 	return true
 }
 
-func (l *links) untrack(conn net.Conn) {
+func (l *links) untrack(conn *connlimit.Conn) {
 	l.mu.Lock()
 	delete(l.conns, conn)
 	l.mu.Unlock()
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/gannetwell/gannetwell/pkg/connlimit"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 )
 
@@ -14,7 +15,6 @@
 	handshakeTimeout = 2 * time.Second
 	idleTimeout      = 2 * time.Minute
 	writeTimeout     = 5 * time.Second
-	maxLinks         = 1024
 )
 
 // Handler answers a request of a peer.
@@ -57,16 +57,17 @@
 // Serve accepts links until ctx ends, then closes them all and waits for their goroutines.
 func (s *Server) Serve(ctx context.Context) error {
 	defer s.links.wait()
-	return s.links.serve(ctx, func(conn net.Conn) { s.serveLink(ctx, conn) })
+	return s.links.serve(ctx, func(conn *connlimit.Conn) { s.serveLink(ctx, conn) })
 }
 
-func (s *Server) serveLink(ctx context.Context, conn net.Conn) {
+func (s *Server) serveLink(ctx context.Context, conn *connlimit.Conn) {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	if err := acceptHandshake(conn, s.secret); err != nil {
 		s.log.Warn().Str("event", "peer_refused").Str("remote", conn.RemoteAddr().String()).Err(err).Send()
 		return
 	}
 	for ctx.Err() == nil {
+		conn.SetState(connlimit.StateIdle)
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		var q schema.PeerRequest
 		received, err := ReadFrame(conn, &q)
@@ -74,6 +75,7 @@
 			s.log.Debug().Str("event", "peer_link_ended").Str("remote", conn.RemoteAddr().String()).Err(err).Send()
 			return
 		}
+		conn.SetState(connlimit.StateBusy)
 		reply := s.handler(ctx, &q)
 		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		sent, err := WriteFrame(conn, reply)
