Peer: bound the sum of frames and calls of all links

Callers saw an entry that took hundreds of MB beside its limit of 128 MB, which the system ends: 24 connections to the address for links between entries, with one frame of 16 MB each that lacked a byte, were enough (480 MB resident).

Cause: the memory of one frame was bounded, that of all was not. The same held for replies that are never read, for 256 calls a link that wait for their answers, for large pings, and for frames in place of the handshake.

Now the frames that are being read take 16 MB on all links together, and those being written as much; above it, the link whose frame began first is closed, since a peer's frame takes milliseconds. Calls under way take 16 MB; above it a call is refused, which says truly that nothing has happened. Small pings have 4 MB of their own and are never refused: without room they are answered before the next call of their link is read, so that a crowd doesn't make entries believe that another is gone. A frame of the handshake has 1 KB at most. A reply is encoded once, not copied, and one at a time before it counts.

--- a/pkg/peer/callserver.go
+++ b/pkg/peer/callserver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/gannetwell/gannetwell/pkg/connlimit"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -19,6 +20,17 @@
 	firstCallTimeout = 10 * time.Second
 	// frameTimeout bounds the read of a frame that has begun.
 	frameTimeout = 10 * time.Second
+	// maxFrameBytes bounds the frames that are being read, and those that are being written, on all
+	// links, in bytes.
+	maxFrameBytes = MaxFrame + frameHeader
+	// maxCallBytes bounds the calls that are being answered on all links, in bytes.
+	maxCallBytes = MaxFrame + callOverhead
+	// callOverhead is what a call takes beside its frame, in bytes.
+	callOverhead = 1 << 10
+	// smallPing is the size of a small ping with callOverhead, in bytes.
+	smallPing = 2 * callOverhead
+	// maxPingBytes bounds the small pings that are being answered on all links, in bytes.
+	maxPingBytes = 4 << 20
 )
 
 // CallHandler answers a call of a peer.
@@ -30,6 +42,12 @@
 	maxLinks int
 	handler  CallHandler
 	log      zerolog.Logger
+
+	reading  *budget
+	writing  *budget
+	calls    *semaphore.Weighted // bytes
+	pings    *semaphore.Weighted // bytes of small ones
+	encodeMu sync.Mutex          // one reply at a time is encoded before its bytes are counted
 }
 
 // CallServerOption configures a [CallServer].
@@ -41,7 +59,10 @@
 
 // NewCallServer returns a server that accepts links at ln.
 func NewCallServer(ln net.Listener, h CallHandler, log zerolog.Logger, opts ...CallServerOption) *CallServer {
-	s := &CallServer{maxLinks: maxLinks, handler: h, log: log}
+	s := &CallServer{
+		maxLinks: maxLinks, handler: h, log: log,
+		reading: newBudget(maxFrameBytes), writing: newBudget(maxFrameBytes), calls: semaphore.NewWeighted(maxCallBytes), pings: semaphore.NewWeighted(maxPingBytes),
+	}
 	for _, o := range opts {
 		o(s)
 	}
@@ -51,35 +72,45 @@
 
 // Serve accepts links until ctx ends, then closes them all.
 func (s *CallServer) Serve(ctx context.Context) error {
-	return s.links.serve(ctx, func(conn *connlimit.Conn) { s.serveLink(ctx, conn) })
+	return s.links.serve(ctx, func(conn *connlimit.Conn) {
+		l := &servedLink{s: s, conn: conn, slots: make(chan struct{}, maxCalls)}
+		err := l.serve(ctx)
+		s.log.Debug().Str("event", "peer_link_ended").Stringer("remote", conn.RemoteAddr()).Err(err).Send()
+	})
+}
+
+// servedLink is a link of a peer whose calls are answered.
+type servedLink struct {
+	s       *CallServer
+	conn    *connlimit.Conn
+	slots   chan struct{} // one for each concurrent call
+	writeMu sync.Mutex
 }
 
-func (s *CallServer) serveLink(ctx context.Context, conn *connlimit.Conn) {
-	var writeMu sync.Mutex
-	slots := make(chan struct{}, maxCalls)
-	for wait := firstCallTimeout; ; wait = idleTimeout {
-		q := &schema.Call{}
-		_ = conn.SetReadDeadline(time.Now().Add(wait))
-		if _, err := ReadFrame(&frameReader{conn: conn}, q); err != nil {
-			s.log.Debug().Str("event", "peer_link_ended").Str("remote", conn.RemoteAddr().String()).Err(err).Send()
-			return
+// serve answers calls until the link fails.
+func (l *servedLink) serve(ctx context.Context) error {
+	wait := firstCallTimeout
+	for {
+		q, size, err := l.readCall(wait)
+		if err != nil {
+			return err
 		}
-		conn.SetState(connlimit.StateIdle)
-		slots <- struct{}{}
-		go func() {
-			defer func() { <-slots }()
-			reply := s.handler(ctx, q)
-			reply.ID = q.ID
-			writeMu.Lock()
-			defer writeMu.Unlock()
-			_ = conn.SetWriteDeadline(time.Now().Add(callWriteTimeout))
-			if _, err := WriteFrame(conn, reply); err != nil {
-				_ = conn.Close()
-			}
-		}()
+		wait = idleTimeout
+		l.conn.SetState(connlimit.StateIdle)
+		l.answer(ctx, q, int64(size+callOverhead))
 	}
 }
 
+// readCall reads a call that begins within a time.
+func (l *servedLink) readCall(within time.Duration) (q *schema.Call, size int, err error) {
+	f := l.s.reading.begin(l.conn)
+	defer f.end()
+	q = &schema.Call{}
+	_ = l.conn.SetReadDeadline(time.Now().Add(within))
+	size, err = readFrame(&frameReader{conn: l.conn}, q, MaxFrame, f.add)
+	return q, size, err
+}
+
 // frameReader reads a frame, which has to end within frameTimeout of its first byte.
 type frameReader struct {
 	conn  net.Conn
@@ -95,3 +126,53 @@
 	}
 	return n, err
 }
+
+// answer answers a call that takes so many bytes. Without room a small ping is answered before the
+// next call of the link is read, and other calls are refused.
+func (l *servedLink) answer(ctx context.Context, q *schema.Call, bytes int64) {
+	room := l.s.calls
+	ping := q.Kind == schema.CallKindPing && bytes <= smallPing
+	if ping {
+		room = l.s.pings
+	}
+	switch {
+	case room.TryAcquire(bytes):
+		l.slots <- struct{}{}
+		go func() {
+			defer func() { <-l.slots }()
+			defer room.Release(bytes)
+			l.write(q.ID, l.s.handler(ctx, q))
+		}()
+	case ping:
+		l.write(q.ID, l.s.handler(ctx, q))
+	default:
+		l.write(q.ID, &schema.CallReply{Outcome: schema.CallOutcomeRefused})
+	}
+}
+
+// write writes a reply.
+func (l *servedLink) write(id int, reply *schema.CallReply) {
+	reply.ID = id
+	l.writeMu.Lock()
+	defer l.writeMu.Unlock()
+	f := l.s.writing.begin(l.conn)
+	defer f.end()
+	frame, err := l.s.encode(reply, f)
+	if err == nil {
+		_ = l.conn.SetWriteDeadline(time.Now().Add(callWriteTimeout))
+		_, err = l.conn.Write(frame)
+	}
+	if err != nil {
+		_ = l.conn.Close()
+	}
+}
+
+// encode encodes a reply and counts its bytes.
+func (s *CallServer) encode(reply *schema.CallReply, f *frameUnderWay) (frame []byte, err error) {
+	s.encodeMu.Lock()
+	defer s.encodeMu.Unlock()
+	if frame, err = encodeFrame(reply); err != nil {
+		return nil, err
+	}
+	return frame, f.add(len(frame))
+}
--- a/pkg/peer/doc.go
+++ b/pkg/peer/doc.go
@@ -11,5 +11,7 @@
 //
 // [Caller] and [CallServer] serve packages ownership and node. They carry many calls at once over
 // one link, without a handshake, and match replies to calls by ID. A link on which no data arrives
-// is probed and replaced if the peer answers on a new one.
+// is probed and replaced if the peer answers on a new one. The server bounds the bytes of the frames
+// and of the calls under way on all links together: it closes the link whose frame began first, and
+// refuses calls.
 package peer
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -31,33 +32,56 @@
 // WriteFrame writes v as one frame; n is the number of bytes written.
 func WriteFrame(w io.Writer, v any) (n int, err error) {
 	defer func() { err = errors.Wrap(err, "write frame") }()
-	payload, err := msgpack.Marshal(v)
+	frame, err := encodeFrame(v)
 	if err != nil {
 		return 0, err
 	}
-	if len(payload) > MaxFrame {
-		return 0, ErrFrameTooLarge{Size: uint64(len(payload))}
+	return w.Write(frame)
+}
+
+// encodeFrame returns v as a frame.
+func encodeFrame(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	buf.Write(make([]byte, frameHeader))
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&buf)
+	if err := enc.Encode(v); err != nil {
+		return nil, err
 	}
-	buf := make([]byte, frameHeader, frameHeader+len(payload))
-	binary.BigEndian.PutUint32(buf, uint32(len(payload)))
-	return w.Write(append(buf, payload...))
+	frame := buf.Bytes()
+	size := len(frame) - frameHeader
+	if size > MaxFrame {
+		return nil, ErrFrameTooLarge{Size: uint64(size)}
+	}
+	binary.BigEndian.PutUint32(frame, uint32(size))
+	return frame, nil
 }
 
+// reserve is called before a part of a frame is read into memory; an error ends the read.
+type reserve func(bytes int) error
+
+// freely reserves nothing.
+func freely(int) error { return nil }
+
 // ReadFrame reads one frame into v; n is the number of bytes read.
 //
 // It returns io.EOF if the stream ends before a frame and io.ErrUnexpectedEOF if it ends inside
 // one.
-func ReadFrame(r io.Reader, v any) (n int, err error) {
+func ReadFrame(r io.Reader, v any) (n int, err error) { return readFrame(r, v, MaxFrame, freely) }
+
+// readFrame is ReadFrame with a limit on the payload in bytes.
+func readFrame(r io.Reader, v any, limit int, reserve reserve) (n int, err error) {
 	defer func() { err = errors.Wrap(err, "read frame") }()
 	var header [frameHeader]byte
 	if n, err = io.ReadFull(r, header[:]); err != nil {
 		return n, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size > MaxFrame {
+	if uint64(size) > uint64(limit) {
 		return n, ErrFrameTooLarge{Size: uint64(size)}
 	}
-	payload, err := readPayload(r, int(size))
+	payload, err := readPayload(r, int(size), reserve)
 	n += len(payload)
 	if err != nil {
 		return n, err
@@ -66,10 +90,12 @@
 }
 
 // readPayload grows its buffer as data arrives, so that a false length allocates little.
-func readPayload(r io.Reader, size int) (payload []byte, err error) {
-	payload = make([]byte, 0, min(size, readChunk))
+func readPayload(r io.Reader, size int, reserve reserve) (payload []byte, err error) {
 	for len(payload) < size {
 		step := min(size-len(payload), readChunk)
+		if err := reserve(step); err != nil {
+			return payload, err
+		}
 		start := len(payload)
 		payload = append(payload, make([]byte, step)...)
 		got, err := io.ReadFull(r, payload[start:])
--- a/pkg/peer/handshake.go
+++ b/pkg/peer/handshake.go
@@ -15,7 +15,10 @@
 
 const protocolVersion = 1 // both sides must have the same
 
-const nonceBytes = 16
+const (
+	nonceBytes = 16
+	maxHello   = 1 << 10 // bytes of a frame of the handshake
+)
 
 // The labels differ by side, so that a proof can't be reflected to its sender.
 const (
@@ -65,7 +68,7 @@
 func dialHandshake(rw io.ReadWriter, secret string) (err error) {
 	defer func() { err = errors.Wrap(err, "handshake") }()
 	var hello schema.PeerHello
-	if _, err := ReadFrame(rw, &hello); err != nil {
+	if _, err := readFrame(rw, &hello, maxHello, freely); err != nil {
 		return err
 	}
 	if err := checkHello(&hello); err != nil {
@@ -77,7 +80,7 @@
 		return err
 	}
 	var last schema.PeerHello
-	if _, err := ReadFrame(rw, &last); err != nil {
+	if _, err := readFrame(rw, &last, maxHello, freely); err != nil {
 		return err
 	}
 	return checkProof(secret, labelListener, hello.Nonce, nonce, last.Proof)
@@ -91,7 +94,7 @@
 		return err
 	}
 	var hello schema.PeerHello
-	if _, err := ReadFrame(rw, &hello); err != nil {
+	if _, err := readFrame(rw, &hello, maxHello, freely); err != nil {
 		return err
 	}
 	if err := checkHello(&hello); err != nil {
