Peer: bound the number and the depth of a frame's values

A single frame of 16 MB to the address for links between entries ended the process: values nested millions of levels deep overflow the stack, which Go can't recover from ("fatal error: stack overflow"). Another, a list of 8 million empty names, took 732 MB for 8 MB.

Cause: the decoder passes over unknown fields by recursion and allocates lists as they say.

Before a frame is decoded, its values are now counted: 1,048,576 at most, 32 levels deep. Calls and replies between entries have some thousands and three levels.

--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -86,6 +86,9 @@
 	if err != nil {
 		return n, err
 	}
+	if err := checkValues(payload); err != nil {
+		return n, err
+	}
 	return n, msgpack.Unmarshal(payload, v)
 }
 
