Node: keep descriptors for the entry's own connections

Callers saw an entry that had no descriptor left while a crowd of connections was open at any of its listeners, 200 of 200 in use: it could open no connection to the table service, to a worker or to another entry, and new callers waited behind the crowd.

Cause: no listener had a limit on its connections, and nothing was kept back.

connlimit.ForProcess derives limits from the descriptor limit and from memory_mb: half of the descriptors for callers, an eighth for links of other entries, a thirty-second each for readiness checks and operators, so that at least a quarter is left. At the limit the connection closes that has waited longest for a whole request; connections whose request has arrived whole stay.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
+	"github.com/gannetwell/gannetwell/pkg/connlimit"
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/fleetops"
 	"github.com/gannetwell/gannetwell/pkg/ownership"
@@ -199,12 +200,19 @@
 	if err != nil {
 		return err
 	}
+	limits, err := connlimit.ForProcess(n.settings.MemoryMb)
+	if err != nil {
+		return err
+	}
+	jobAPI.limitConnections(limits.Callers, n.log)
+	readiness.limitConnections(limits.Readiness, n.log)
+	operators.limitConnections(limits.Operators, n.log)
 	var g run.Group
 	actor := func(f func(ctx context.Context) error) {
 		ctx, cancel := context.WithCancel(ctx)
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	actor(peer.NewCallServer(peers, n.answerPeer, n.log).Serve)
+	actor(peer.NewCallServer(peers, n.answerPeer, n.log, peer.WithMaxLinks(limits.Peers)).Serve)
 	for _, s := range []*httpActor{jobAPI, readiness, operators} {
 		g.Add(s.serve, s.interrupt)
 	}
