--- a/pkg/peer/values_test.go
+++ b/pkg/peer/values_test.go
@@ -34,3 +34,13 @@
 	_, err := peer.ReadFrame(bytes.NewReader(append(frame, 0xc0)), &schema.Call{})
 	qt.Check(t, err, qt.IsNotNil)
 }
+
+// TestNestedFrame checks that a whole value is refused if it is nested deeply.
+func TestNestedFrame(t *testing.T) {
+	const levels = 1000
+	payload := append([]byte{0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, levels)...)
+	payload = append(payload, 0xc0)
+	frame := append(binary.BigEndian.AppendUint32(nil, uint32(len(payload))), payload...)
+	_, err := peer.ReadFrame(bytes.NewReader(frame), &schema.Call{})
+	qt.Check(t, err, qt.ErrorMatches, ".*nested too deeply")
+}
