Tests: count the log lines of a server without a race

TestAcceptFails and others failed under the race detector: the test's buffer for log lines was written by several links at once. A counter takes its place; what is checked is the same. After: go test -race ./pkg/peer passes.

--- a/pkg/peer/accept_test.go
+++ b/pkg/peer/accept_test.go
@@ -1,7 +1,6 @@
 package peer_test
 
 import (
-	"bytes"
 	"net"
 	"os"
 	"syscall"
@@ -32,7 +31,7 @@
 				}
 				s.checkServed()
 				s.stop()
-				lines := bytes.Count(s.log.Bytes(), []byte("\n"))
+				lines := s.log.n.Load()
 				qt.Check(t, lines > 0 && lines <= 100, qt.IsTrue, qt.Commentf("%d lines", lines))
 			})
 		})
--- a/pkg/peer/harness_test.go
+++ b/pkg/peer/harness_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,11 +84,20 @@
 	}
 }
 
+// lineCounter counts the lines that a server logs.
+type lineCounter struct{ n atomic.Int64 }
+
+// Write implements io.Writer.
+func (l *lineCounter) Write(p []byte) (n int, err error) {
+	l.n.Add(int64(bytes.Count(p, []byte("\n"))))
+	return len(p), nil
+}
+
 // crowdTest is a server of calls or of requests with links that don't behave.
 type crowdTest struct {
 	t      *testing.T
 	ln     *pipeListener
-	log    bytes.Buffer
+	log    lineCounter
 	served chan error
 	ended  context.CancelFunc
 	opened []net.Conn
