Merge links between entries and descriptors at their limit

The HTTP listeners keep one bound on their connections, that of httplimit, with the limits of connlimit; the latter keeps the links of other entries below theirs.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -192,15 +192,19 @@
 	if err != nil {
 		return err
 	}
-	jobAPI, err := n.listenHTTP(n.settings.Callers, n.closeConnUnlessReady(h.JobAPI), n.callerOptions()...)
+	limits, err := n.connectionLimits()
 	if err != nil {
 		return err
 	}
-	readiness, err := n.listenHTTP(n.settings.Readiness, h.Readiness, n.otherOptions()...)
+	jobAPI, err := n.listenHTTP(n.settings.Callers, n.closeConnUnlessReady(h.JobAPI), n.callerOptions(limits)...)
 	if err != nil {
 		return err
 	}
-	operators, err := n.listenHTTP(net.JoinHostPort(n.settings.Address, metricsPort), n.operatorHandler(), n.otherOptions()...)
+	readiness, err := n.listenHTTP(n.settings.Readiness, h.Readiness, otherOptions(limits.Readiness)...)
+	if err != nil {
+		return err
+	}
+	operators, err := n.listenHTTP(net.JoinHostPort(n.settings.Address, metricsPort), n.operatorHandler(), otherOptions(limits.Operators)...)
 	if err != nil {
 		return err
 	}
@@ -209,7 +213,7 @@
 		ctx, cancel := context.WithCancel(ctx)
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
-	actor(peer.NewCallServer(peers, n.answerPeer, n.log).Serve)
+	actor(peer.NewCallServer(peers, n.answerPeer, n.log, peer.WithMaxLinks(limits.Peers)).Serve)
 	for _, s := range []*httpActor{jobAPI, readiness, operators} {
 		g.Add(s.serve, s.interrupt)
 	}
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -4,11 +4,11 @@
 	"cmp"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/gannetwell/gannetwell/pkg/connlimit"
 	"github.com/gannetwell/gannetwell/pkg/httplimit"
 )
 
@@ -21,10 +21,6 @@
 	otherBodyTimeout = 2 * time.Second
 	// requestMemoryPart is the part of the memory limit for requests under way, one in so many bytes.
 	requestMemoryPart = 8
-	// connsPerMB is the number of callers' connections per MB of the memory limit.
-	connsPerMB = 8
-	// otherConnsPart is the part of that number for each other listener, one in so many.
-	otherConnsPart = 4
 )
 
 // closeConnUnlessReady makes callers reconnect, to another node, when this one is not ready; an
@@ -58,16 +54,23 @@
 }
 
 // callerOptions are the bounds of the callers' listener.
-func (n *Node) callerOptions() []httplimit.Option {
+func (n *Node) callerOptions(limits connlimit.Limits) []httplimit.Option {
 	return []httplimit.Option{
-		httplimit.MaxHeadBytes(n.maxHeadBytes), httplimit.MaxConns(n.maxConns()),
+		httplimit.MaxHeadBytes(n.maxHeadBytes), httplimit.MaxConns(limits.Callers),
 		httplimit.BodyTime(time.Duration(n.settings.BodyTimeoutMs) * time.Millisecond),
 	}
 }
 
 // otherOptions are the bounds of the other listeners.
-func (n *Node) otherOptions() []httplimit.Option {
-	return []httplimit.Option{httplimit.MaxConns(max(1, n.maxConns()/otherConnsPart)), httplimit.BodyTime(otherBodyTimeout)}
+func otherOptions(conns int) []httplimit.Option {
+	return []httplimit.Option{httplimit.MaxConns(conns), httplimit.BodyTime(otherBodyTimeout)}
+}
+
+// connectionLimits returns the bounds on open connections, of which the settings may name that of callers.
+func (n *Node) connectionLimits() (limits connlimit.Limits, err error) {
+	limits, err = connlimit.ForProcess(n.settings.MemoryMb)
+	limits.Callers = cmp.Or(n.settings.Connections, limits.Callers)
+	return limits, err
 }
 
 // maxHeadBytes returns the limit of the configuration in force.
@@ -78,19 +81,6 @@
 	return httplimit.DefaultMaxHeadBytes
 }
 
-// maxConns returns the bound on callers' connections.
-func (n *Node) maxConns() int {
-	if limit := n.settings.Connections; limit > 0 {
-		return limit
-	}
-	limit := n.settings.MemoryMb * connsPerMB
-	var files syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil && files.Cur/2 < uint64(limit) {
-		limit = int(files.Cur / 2)
-	}
-	return max(1, limit)
-}
-
 // newRequestBudget returns the budget of all requests under way.
 func newRequestBudget(memoryMB, bytes int) *httplimit.Budget {
 	return httplimit.NewBudget(cmp.Or(bytes, memoryMB<<20/requestMemoryPart))
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -656,7 +656,7 @@
 
 	// Connections is the number of connections that callers may have open; 0 for 8
 	// per MB of the memory limit, at most half of the descriptors that the process
-	// may open. Operators and the load balancer may each have a quarter as many.
+	// may open.
 	Connections int `json:"connections" msgpack:"connections"`
 
 	// CPUShare is the share of a processor that the process gets, 1 for a whole one;
