A release names workers with tasks that no transaction has recorded yet

What callers saw: a task of theirs may run twice at the same time (TWICE): the next owner starts it elsewhere after some 30 ms. Cause: a release left out each worker that the stored record does not name. A boot that has followed another one is in it only with the next transaction, while starts for the boot before may run there already. The worker of the boot before was left out too, since all parts are written anew. Evidence: found by an independent review; release_before_recorded and, for the report that a VM is empty, release_before_recorded_then_drained failed before. Change: a worker that is not recorded is left out only if nothing may be there. Result: both pass, and the other scripts.

--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -123,7 +123,8 @@
 	now := o.now()
 	var named, bare [recordParts][]leasedWorker
 	for _, s := range o.sessionsByBoot() {
-		if !s.recorded() || s.attemptsKnown && !s.former.pending && s.idle() {
+		known := s.attemptsKnown || !s.recorded() // nothing has started at a worker that is not recorded yet
+		if known && !s.former.pending && s.idle() {
 			continue
 		}
 		part := partOf(s.worker)
