The answer to a start is checked against a clock that was read after the start was sent

What callers saw: a task of theirs may run twice at the same time (TWICE). Cause: whether another boot has answered was not checked if a poll had read the clock since the order was sent. A start under way for 200 ms, overtaken by an answer of the boot before and taken by the next one, counted as begun at the boot before, and its task was freed after 4 s. Evidence: found by an independent review; TestStartOvertakenByOldAnswer failed before. Change: the clock is carried back to when the order was sent, at our speed, which it does not exceed. Result: it passes, with the other tests of restarts.

--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -115,10 +115,13 @@
 // this boot's clock must have been then. If so, another boot has answered, and ends must not be
 // acknowledged to it by the numbers of this one.
 func (s *session) clockWentBack(ms int64, sentAt time.Duration) bool {
-	if s.clockAt == 0 || sentAt < s.clockAt {
+	if s.clockAt == 0 {
 		return false
 	}
-	passed := float64(sentAt-s.clockAt) / float64(time.Millisecond) * (1 - maxClockDrift)
+	passed := float64(sentAt-s.clockAt) / float64(time.Millisecond)
+	if passed > 0 {
+		passed *= 1 - maxClockDrift
+	}
 	return float64(ms) < float64(s.clockMs)+passed-clockRoundingMs
 }
 
