Misread deadlines: what an earlier version does not store, and a record without listed workers

What callers saw: as before, a task of theirs may run twice at the same time (TWICE). Cause: two more paths of the same fault. An earlier version that releases the shard stores no word of misread deadlines, which was taken for none. And with an unreadable record the wait was the short one if no worker was listed at the takeover. Change: the record says yes or no, and nothing means that it is not known. Without a listed worker the longest lease is awaited. An answer no longer shortens a wait that runs already.

--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -47,21 +47,24 @@
 // it has stored whether there was an earlier one. A silent worker may have restarted unless it has released the shard.
 func (o *Owner) inheritMisread(s *session, w leasedWorker, released bool) {
 	switch {
-	case w.Misread:
+	case !s.mayRestart():
+	case w.Misread != storedMisreadNone:
 		o.noteMisread(s, o.soleOwnerAt)
-	case !released && s.mayRestart():
+	case !released:
 		s.misread, s.misreadUntil = misreadUnknown, o.misreadLeasesEnd(o.soleOwnerAt)
 	}
 }
 
 // unrecordedLeasesEnd returns when the leases of former owners have expired at workers that no readable record names.
 func (o *Owner) unrecordedLeasesEnd() time.Duration {
+	end := max(o.formerLeasesUntil, o.misreadLeasesEnd(o.soleOwnerAt))
 	for _, s := range o.sessions {
 		if s.mayRestart() {
-			return max(o.formerLeasesUntil, o.misreadLeasesEnd(o.soleOwnerAt))
+			return end
 		}
+		end = o.formerLeasesUntil
 	}
-	return o.formerLeasesUntil
+	return end
 }
 
 // settleMisread takes note that a boot has answered a poll. From then on it refuses the orders of former owners and
@@ -71,7 +74,7 @@
 	case misreadUnknown:
 		s.misread, s.misreadUntil = misreadNone, 0
 	case misreadLikely:
-		s.misread, s.misreadUntil = misreadOver, o.maxLeaseEnd(o.now())
+		s.misread, s.misreadUntil = misreadOver, max(s.misreadUntil, o.maxLeaseEnd(o.now()))
 	}
 }
 
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -129,7 +129,9 @@
 		}
 		part := partOf(s.worker)
 		entry := s.finalRecordEntry(o.claim.Term, now)
-		entry.Misread = entry.Misread || now < o.misreadStartsEnd(s)
+		if now < o.misreadStartsEnd(s) {
+			entry.Misread = storedMisreadLikely
+		}
 		named[part] = append(named[part], entry)
 		bare[part] = append(bare[part], s.recordEntry(now))
 	}
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -72,11 +72,10 @@
 
 // leasedWorker is a boot with a lease, which may still run tasks.
 type leasedWorker struct {
-	Boot    string `msgpack:"b"`
-	VM      string `msgpack:"v"`
-	Address string `msgpack:"a"`
-	// Misread tells that orders with deadlines by the clock of an earlier boot may have reached this one.
-	Misread bool `msgpack:"m,omitempty"`
+	Boot    string        `msgpack:"b"`
+	VM      string        `msgpack:"v"`
+	Address string        `msgpack:"a"`
+	Misread storedMisread `msgpack:"m,omitempty"`
 	// ReleaseTerm is the term of the owner that wrote the row on its release of the shard. Tasks
 	// then lists all tasks that may run there, or have ended there without being recorded. If
 	// ReleaseTerm is not the term before the present one, any task of the shard may.
@@ -84,6 +83,16 @@
 	Tasks       []string `msgpack:"t,omitempty"`
 }
 
+// storedMisread tells whether orders with deadlines by the clock of an earlier boot may have reached a boot. It is
+// empty if an earlier version has written the row, which does not tell.
+type storedMisread string
+
+// Values of storedMisread.
+const (
+	storedMisreadNone   storedMisread = "n"
+	storedMisreadLikely storedMisread = "y"
+)
+
 func ownerKey(pool string) platform.RowKey {
 	return platform.RowKey{Table: TableOwner, Partition: pool, Key: singleKey}
 }
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -172,7 +172,11 @@
 
 // recordEntry returns the stored entry for a worker where tasks may start at any time.
 func (s *session) recordEntry(now time.Duration) leasedWorker {
-	return leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address, Misread: s.misread != misreadNone && now < s.misreadUntil}
+	w := leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address, Misread: storedMisreadNone}
+	if s.misread != misreadNone && now < s.misreadUntil {
+		w.Misread = storedMisreadLikely
+	}
+	return w
 }
 
 // finalRecordEntry returns the stored entry that an owner writes when it releases the shard,
