--- a/pkg/shard/terms_test.go
+++ b/pkg/shard/service_level_test.go
@@ -9,9 +9,9 @@
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 )
 
-// TestTermsOf guards against jobs that get the highest priority, and need no advice any more, once their queue has
+// TestServiceLevelOf guards against jobs that get the highest priority, and need no advice any more, once their queue has
 // another name, another pool or no route.
-func TestTermsOf(t *testing.T) {
+func TestServiceLevelOf(t *testing.T) {
 	accepted := &catalog.ServiceLevel{Priority: 5, UsesAdvice: true}
 	now := catalog.ServiceLevel{Priority: 2}
 	for name, tc := range map[string]struct {
