--- a/pkg/shard/misread_test.go
+++ b/pkg/shard/misread_test.go
@@ -34,6 +34,17 @@
 	})
 }
 
+// TestAnswerKeepsWait guards against an answer, perhaps of the boot before, that ends the wait for starts under way.
+func TestAnswerKeepsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := Owner{cfg: Config{MaxLease: 10 * time.Second, Clock: elapsed.New()}}
+		var s session
+		o.noteMisread(&s, o.now())
+		o.settleMisread(&s)
+		qt.Check(t, o.now()+longestMisreadLease(o.cfg.MaxLease) < s.misreadUntil, qt.IsTrue)
+	})
+}
+
 // TestUnansweredStartsAfterDeadline guards against a wait that disregards a deadline sent after the start.
 func TestUnansweredStartsAfterDeadline(t *testing.T) {
 	const sent = time.Minute
