The record of leased workers is decoded by the checked decoder itself

A row was checked before by a function that emptied it if it announced more than it holds, so that another decoder would refuse it. readPart calls packed.Unmarshal like its neighbours. The scripts and the tests of odd rows and records pass.

--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -127,7 +127,7 @@
 		return err
 	}
 	for _, r := range sets {
-		ok, err := stored.readPart(checked(r))
+		ok, err := stored.readPart(r)
 		if err != nil {
 			stored.workersUnreadable = true
 			malformed(errMalformedRow{key: r.RowKey, cause: err})
@@ -152,14 +152,6 @@
 	return nil
 }
 
-// checked returns a row without its value if that announces more than it holds, so that its decoder reports it.
-func checked(r platform.Row) platform.Row {
-	if packed.Check(r.Value) != nil {
-		r.Value = nil
-	}
-	return r
-}
-
 // maxJobAge bounds the age of a job as computed from two clocks that may differ.
 const maxJobAge = time.Minute
 
--- a/pkg/shard/record.go
+++ b/pkg/shard/record.go
@@ -5,8 +5,8 @@
 	"maps"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gannetwell/gannetwell/pkg/packed"
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -175,7 +175,7 @@
 		return false, nil
 	default:
 		var marker string
-		if msgpack.Unmarshal(r.Value, &marker) == nil && marker == partsMarker {
+		if packed.Unmarshal(r.Value, &marker) == nil && marker == partsMarker {
 			stored.record.markerStored = true
 			return true, nil
 		}
@@ -183,7 +183,7 @@
 		// outdated, which costs one poll each.
 	}
 	var set []leasedWorker
-	if err := msgpack.Unmarshal(r.Value, &set); err != nil {
+	if err := packed.Unmarshal(r.Value, &set); err != nil {
 		return true, err
 	}
 	stored.workers = append(stored.workers, set...)
