Frames of peers are checked by packed, which counts their values too

pkg/peer passed over the values of a frame, their depth and lengths with a counter of its own, beside packed.Check, which does the same without the decoder. packed.CheckAtMost takes the bound on the number of values; the bounds are as they were (2^20 values, 32 levels; an array at the 33rd level that holds nothing is taken now). The tests of pkg/peer, pkg/packed, pkg/ownership and pkg/jobs pass, none is changed.

--- a/pkg/packed/packed.go
+++ b/pkg/packed/packed.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -13,7 +14,8 @@
 
 var (
 	errTruncated = errors.New("msgpack: more is announced than there are bytes")
-	errTooDeep   = errors.Errorf("msgpack: more than %d levels", MaxDepth)
+	errTooDeep   = errors.Errorf("msgpack: more than %d levels, nested too deeply", MaxDepth)
+	errTooMany   = errors.New("msgpack: too many values")
 	errCode      = errors.New("msgpack: unknown type")
 )
 
@@ -28,7 +30,10 @@
 // Check returns an error if raw does not begin with a whole value of at most [MaxDepth] levels.
 //
 // The decoder allocates as many elements as an array announces before it reads them, and recurses once a level.
-func Check(raw []byte) error {
+func Check(raw []byte) error { return CheckAtMost(raw, math.MaxInt) }
+
+// CheckAtMost does what [Check] does, and returns an error if there are more than n values, nested ones included.
+func CheckAtMost(raw []byte, n int) error {
 	var left [MaxDepth + 1]int // values that are still to come, by level
 	left[0] = 1
 	for depth := 0; depth >= 0; {
@@ -37,6 +42,9 @@
 			continue
 		}
 		left[depth]--
+		if n--; n < 0 {
+			return errTooMany
+		}
 		rest, values, err := next(raw)
 		if err != nil {
 			return err
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/gannetwell/gannetwell/pkg/packed"
 )
 
 // MaxFrame is the largest payload of a frame in bytes.
@@ -17,6 +19,8 @@
 	frameHeader = 4
 	// readChunk bounds the memory allocated before payload bytes arrive.
 	readChunk = 64 << 10
+	// maxValues bounds the values of a frame; an empty one takes more memory than bytes of a frame.
+	maxValues = 1 << 20
 )
 
 // ErrFrameTooLarge reports a frame larger than [MaxFrame]; Size is in bytes.
@@ -86,7 +90,7 @@
 	if err != nil {
 		return n, err
 	}
-	if err := checkValues(payload); err != nil {
+	if err := packed.CheckAtMost(payload, maxValues); err != nil {
 		return n, err
 	}
 	return n, msgpack.Unmarshal(payload, v)
