The end of former leases is kept once, by the session

formerTasks.leasesEnd was the time that a session has as earlierLeasesUntil, or an earlier one, and leasesExpired asks for that already. The field had no effect since a restart no longer sets it. The tests of pkg/shard pass without the race detector (56 s).

--- a/pkg/shard/inherited.go
+++ b/pkg/shard/inherited.go
@@ -13,22 +13,21 @@
 	listed  bool     // only the tasks in names can be there
 	names   []string // of tasks
 
-	safeAt    time.Duration // from when on no former owner starts anything there
-	leasesEnd time.Duration // when its leases from former owners have expired
+	safeAt time.Duration // from when on no former owner starts anything there
 }
 
 // inheritWorker tracks the tasks that former owners may have left at a recorded worker. A planned
 // release lists them, and only the listed tasks wait for a report of the worker. Otherwise any task
 // may be there. A list is used only if the predecessor wrote it, since starts are not recorded.
 func (o *Owner) inheritWorker(s *session, w leasedWorker) {
-	s.former = formerTasks{pending: true, safeAt: o.soleOwnerAt, leasesEnd: o.formerLeasesUntil}
+	s.former = formerTasks{pending: true, safeAt: o.soleOwnerAt}
 	released := w.ReleaseTerm > 0 && w.ReleaseTerm == o.claim.Term-1
 	if released {
 		s.former.listed, s.former.names = true, w.Tasks
 	}
 	o.inheritMisread(s, w, released)
 	o.log.Info().Str("event", "worker_inherited").Str("boot", w.Boot).Int64("release_term", w.ReleaseTerm).Int("tasks", len(w.Tasks)).
-		Dur("leases_end_in", max(s.former.leasesEnd, s.misreadUntil)-o.now()).Send()
+		Dur("leases_end_in", max(s.earlierLeasesUntil, s.misreadUntil)-o.now()).Send()
 	o.formerWorkersPending = true
 	o.formerTasksUnknown = o.formerTasksUnknown || !s.former.listed
 	for _, name := range s.former.names {
@@ -83,7 +82,7 @@
 // formerLeasesExpired reports whether a worker that does not answer has certainly ended whatever former
 // owners have left there. The leases of one that answers are renewed.
 func (s *session) formerLeasesExpired(now time.Duration) bool {
-	return now >= s.former.leasesEnd && s.unansweredCalls > 0 && s.leasesExpired(now)
+	return s.unansweredCalls > 0 && s.leasesExpired(now)
 }
 
 // finishTakeover does what has to wait until all workers of former owners are resolved.
