A former owner may act at the next boot of a worker that has answered its successor

What callers saw: a task ran twice for 5.2 s, and its VM counted as empty meanwhile, so that it could be moved or maintained with a task running.

Cause: a successor that had an answer of a silent or unknown worker no longer expected misread deadlines there. The former owner may act for a second and a half more, and the worker may restart in that time: its next boot has seen no token and takes a start whose deadline is by the clock of the boot before. Found by a review of the mend.

Fix: only the answer to a poll that was sent after the last moment at which a former owner could act ends the expectation.

--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -67,11 +67,15 @@
 	return end
 }
 
-// settleMisread takes note that a boot has answered a poll. From then on it refuses the orders of former owners and
-// those for earlier boots, whose tokens are lower.
-func (o *Owner) settleMisread(s *session) {
+// settleMisread takes note that a boot has answered a poll that was sent at a time. From then on it refuses the orders of
+// former owners and those for earlier boots, whose tokens are lower. Its next boot does not refuse those of a former owner,
+// so that one that may still act may start something there.
+func (o *Owner) settleMisread(s *session, sentAt time.Duration) {
 	switch s.misread {
 	case misreadUnknown:
+		if sentAt < o.soleOwnerAt {
+			return
+		}
 		s.misread, s.misreadUntil = misreadNone, 0
 	case misreadLikely:
 		s.misread, s.misreadUntil = misreadOver, max(s.misreadUntil, o.maxLeaseEnd(o.now()))
--- a/pkg/shard/misread_test.go
+++ b/pkg/shard/misread_test.go
@@ -40,7 +40,7 @@
 		o := Owner{cfg: Config{MaxLease: 10 * time.Second, Clock: elapsed.New()}}
 		var s session
 		o.noteMisread(&s, o.now())
-		o.settleMisread(&s)
+		o.settleMisread(&s, o.now())
 		qt.Check(t, o.now()+longestMisreadLease(o.cfg.MaxLease) < s.misreadUntil, qt.IsTrue)
 	})
 }
--- a/pkg/shard/poll.go
+++ b/pkg/shard/poll.go
@@ -122,7 +122,7 @@
 		return
 	}
 	o.cfg.Metrics.Poll(nil)
-	o.settleMisread(s)
+	o.settleMisread(s, sentAt)
 	s.ends.markAcknowledged(order.AckedSeq)
 	if !report.MoreEnds {
 		s.listedAllAt = sentAt
