Misread deadlines are expected at an idle boot too, and at one that no record names

What callers saw: a task ran twice for 2 to 3 s, beside a run that had started after a restart.

Cause: a misread deadline extends the lease of the boot, also for what starts there later. An owner forgot it when nothing ran there: at a release, in a record written during a cordon, or when the boot's directory row was missing for a moment; and an owner whose record is unreadable, or does not name the worker, did not expect it at a boot that it learned of from the directory.

Fix: the record keeps a boot while its leases by misread deadlines may be in force, a session that is opened again goes on with them, and a boot with a start time that no record names counts as one whose predecessor a former owner may have reached.

--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -40,6 +40,19 @@
 	s.misread, s.misreadUntil = misreadLikely, max(s.misreadUntil, o.misreadLeasesEnd(sent))
 }
 
+// mayHaveMisread reports whether leases by misread deadlines may be in force at a boot, also for what starts there from
+// now on, so that the stored record has to name the boot even if nothing runs there.
+func (s *session) mayHaveMisread(now time.Duration) bool {
+	return s.misread != misreadNone && now < s.misreadUntil
+}
+
+// noteUnnamedBoot records that former owners may have reached an earlier boot of a worker that no record names.
+func (o *Owner) noteUnnamedBoot(s *session) {
+	if s.mayRestart() && o.now() < o.misreadLeasesEnd(o.soleOwnerAt) {
+		o.noteMisread(s, o.soleOwnerAt)
+	}
+}
+
 // expireMisread has the stored record rewritten when the leases by misread deadlines at a boot have expired.
 func (o *Owner) expireMisread(s *session, now time.Duration) {
 	if s.misreadUntil == 0 || now < s.misreadUntil {
--- a/pkg/shard/record.go
+++ b/pkg/shard/record.go
@@ -108,7 +108,7 @@
 		if !o.record.changed[part] || s.ended {
 			continue // already recorded, or can't hold a lease
 		}
-		if s.cordonedUntil > o.now() && s.idle() {
+		if s.cordonedUntil > o.now() && s.idle() && !s.mayHaveMisread(o.now()) {
 			if s.recorded() {
 				o.log.Info().Str("event", "worker_not_recorded").Str("boot", s.ref.Boot).Str("vm", s.vm).Dur("cordon_left", s.cordonedUntil-o.now()).Send()
 			}
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -124,7 +124,7 @@
 	var named, bare [recordParts][]leasedWorker
 	for _, s := range o.sessionsByBoot() {
 		known := s.attemptsKnown || !s.recorded() // nothing has started at a worker that is not recorded yet
-		if known && !s.former.pending && s.idle() {
+		if known && !s.former.pending && s.idle() && !s.mayHaveMisread(now) {
 			continue
 		}
 		part := partOf(s.worker)
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -173,7 +173,7 @@
 // recordEntry returns the stored entry for a worker where tasks may start at any time.
 func (s *session) recordEntry(now time.Duration) leasedWorker {
 	w := leasedWorker{Boot: s.ref.Boot, VM: s.vm, Address: s.ref.Address, Misread: storedMisreadNone}
-	if s.misread != misreadNone && now < s.misreadUntil {
+	if s.mayHaveMisread(now) {
 		w.Misread = storedMisreadLikely
 	}
 	return w
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
@@ -13,10 +14,12 @@
 // refuse unanswered orders that arrive late.
 func (o *Owner) firstToken() int64 { return o.claim.Term*tokensPerTerm + 1 }
 
-// endedBoot is a boot whose session has ended, with its last token.
+// endedBoot is what is kept of a boot whose session has ended.
 type endedBoot struct {
-	boot  string
-	token int64
+	boot         string
+	token        int64 // the last
+	misread      misreadState
+	misreadUntil time.Duration
 }
 
 // addSession creates the session of a boot and starts its poll loop.
@@ -31,6 +34,8 @@
 		s.token = max(s.token, ended.token)
 		if ended.boot != ref.Boot {
 			o.noteEarlierBoot(s)
+		} else {
+			s.misread, s.misreadUntil = ended.misread, ended.misreadUntil
 		}
 	}
 	o.sessions[ref.Boot] = s
@@ -123,7 +128,9 @@
 	o.log.Info().Str("event", "worker_listed").Str("boot", w.Boot).Str("vm", w.VM).Str("address", w.Address).Send()
 	o.record.markChanged(id)
 	if s == nil {
-		return o.addSession(ref, w.VM), false
+		s = o.addSession(ref, w.VM)
+		o.noteUnnamedBoot(s)
+		return s, false
 	}
 	o.handleRestart(s, ref)
 	return o.sessions[w.Boot], false
@@ -178,7 +185,7 @@
 	}
 	// The boot may still run, with only its directory entry expired. It would refuse a lower token,
 	// and this owner would take that for a later owner's fencing.
-	o.endedBoots[s.worker] = endedBoot{boot: s.ref.Boot, token: s.token}
+	o.endedBoots[s.worker] = endedBoot{boot: s.ref.Boot, token: s.token, misread: s.misread, misreadUntil: s.misreadUntil}
 	o.sortedSessions = nil
 	o.record.markChanged(s.worker)
 	o.resolveFormerWorkers()
