The wait for misread deadlines counts from the last one sent, not from the news of a boot

What callers saw: a task whose worker had restarted waited for 12.3 s from when the directory showed the next boot, and again from each further one; 24.4 s in a script.

Cause: the wait counted from when the owner learned of a boot. Only deadlines that were sent to an earlier boot can be misread, and a silent worker is sent none.

TestEarlierBoots holds what must not be forgotten: deadlines sent to the boot before, or to the one before that.

Fix: sessions of the boots of a worker hand on when the last deadline was sent, and until when deadlines may have been misread.

--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -66,8 +66,12 @@
 	o.requestCommit()
 }
 
-// noteEarlierBoot records that orders for an earlier boot, also those of a former owner, may reach this one.
-func (o *Owner) noteEarlierBoot(s *session) { o.noteMisread(s, max(o.now(), o.soleOwnerAt)) }
+// noteEarlierBoot records that orders for an earlier boot, also those of a former owner, may reach the boot of s. It is
+// told when the last deadline for the earlier boot was sent, and until when deadlines may have been misread there.
+func (o *Owner) noteEarlierBoot(s *session, deadlineSentAt, misreadUntil time.Duration) {
+	s.deadlineSentAt, s.misreadUntil = max(s.deadlineSentAt, deadlineSentAt), max(s.misreadUntil, misreadUntil)
+	o.noteMisread(s, max(s.deadlineSentAt, o.soleOwnerAt))
+}
 
 // inheritMisread records what a former owner has stored about misread deadlines at a boot. Of a boot that answers,
 // it has stored whether there was an earlier one. A silent worker may have restarted unless it has released the shard.
--- a/pkg/shard/misread_test.go
+++ b/pkg/shard/misread_test.go
@@ -29,11 +29,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		o := Owner{cfg: Config{MaxLease: 10 * time.Second, Clock: elapsed.New()}, soleOwnerAt: confirmationTTLWithDrift}
 		var s session
-		o.noteEarlierBoot(&s)
+		o.noteEarlierBoot(&s, 0, 0)
 		qt.Check(t, o.soleOwnerAt+longestMisreadLease(o.cfg.MaxLease) < s.misreadUntil, qt.IsTrue)
 	})
 }
 
+// TestEarlierBoots guards against a wait that forgets what was sent to a boot, or to the one before it.
+func TestEarlierBoots(t *testing.T) {
+	const sent, until = time.Minute, 2 * time.Minute
+	o := Owner{cfg: Config{MaxLease: 10 * time.Second}}
+	var next, third session
+	o.noteEarlierBoot(&next, sent, 0)
+	qt.Check(t, sent+longestMisreadLease(o.cfg.MaxLease) < next.misreadUntil, qt.IsTrue)
+	o.noteEarlierBoot(&third, next.deadlineSentAt, 0)
+	qt.Check(t, third.misreadUntil, qt.Equals, next.misreadUntil)
+	o.noteEarlierBoot(&third, 0, until)
+	qt.Check(t, third.misreadUntil, qt.Equals, until)
+}
+
 // TestAnswerKeepsWait guards against an answer, perhaps of the boot before, that ends the wait for starts under way.
 func TestAnswerKeepsWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -68,7 +68,7 @@
 	clockMs            int64         // the worker's clock in the last answer
 	clockAt            time.Duration // when that answer arrived
 	leaseUntil         int64         // latest lease deadline sent, by the worker's clock
-	deadlineSentAt     time.Duration // when that or an earlier deadline was last sent, 0 for never
+	deadlineSentAt     time.Duration // when a deadline was last sent to the worker, also to an earlier boot, 0 for never
 	earlierLeasesUntil time.Duration // when leases renewed by former owners have expired
 	misread            misreadState  // whether deadlines by the clock of another boot may have reached it
 	misreadUntil       time.Duration // when the leases that these renewed have expired
