A release tells for how much longer leases by misread deadlines may be in force

Cause: each next owner of a silent worker awaited the longest lease anew, since the record said only that deadlines may have been misread.

Fix: the entry of a release has the time left.

--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -78,6 +78,8 @@
 func (o *Owner) inheritMisread(s *session, w leasedWorker, released bool) {
 	switch {
 	case !s.mayRestart():
+	case w.MisreadTerm > 0 && w.MisreadTerm == o.claim.Term-1:
+		o.inheritMisreadLeft(s, w)
 	case w.Misread != storedMisreadNone:
 		o.noteMisread(s, o.soleOwnerAt)
 	case !released:
@@ -85,6 +87,30 @@
 	}
 }
 
+// tellMisreadLeft has the entry of a boot in the record of a release tell for how much longer leases by misread deadlines
+// may be in force there.
+func (o *Owner) tellMisreadLeft(w *leasedWorker, s *session, now time.Duration) {
+	end := max(o.misreadStartsEnd(s), s.misreadUntil)
+	w.MisreadTerm, w.MisreadLeft = o.claim.Term, max(0, end-now)
+	if w.MisreadLeft > 0 {
+		w.Misread = storedMisreadLikely
+	}
+}
+
+// inheritMisreadLeft goes on with the wait of the owner that released the shard, so that a series of releases does not
+// start it anew each time.
+func (o *Owner) inheritMisreadLeft(s *session, w leasedWorker) {
+	if w.Misread == storedMisreadNone {
+		return
+	}
+	now := o.now()
+	longest := o.misreadLeasesEnd(max(now, o.soleOwnerAt))
+	s.misread, s.misreadUntil = misreadLikely, longest
+	if w.MisreadLeft >= 0 && w.MisreadLeft <= longest-now {
+		s.misreadUntil = now + maxLocalDuration(w.MisreadLeft)
+	}
+}
+
 // unrecordedLeasesEnd returns when the leases of former owners have expired at workers that no readable record names.
 func (o *Owner) unrecordedLeasesEnd() time.Duration {
 	end := max(o.formerLeasesUntil, o.misreadLeasesEnd(o.soleOwnerAt))
--- a/pkg/shard/misread_test.go
+++ b/pkg/shard/misread_test.go
@@ -69,3 +69,41 @@
 	start.startConfirmedAt = sent
 	qt.Check(t, o.misreadStartsEnd(s), qt.Equals, time.Duration(0), qt.Commentf("its boot has answered"))
 }
+
+// TestMisreadLeft checks that the wait of the owner that has released a shard goes on, but not a wait of another term or
+// one that no owner writes.
+func TestMisreadLeft(t *testing.T) {
+	const term = 4
+	for name, tc := range map[string]struct {
+		w     leasedWorker
+		state misreadState
+		wait  time.Duration // the longest if negative
+	}{
+		"released with time left":  {leasedWorker{Misread: storedMisreadLikely, MisreadTerm: term - 1, MisreadLeft: 3 * time.Second}, misreadLikely, maxLocalDuration(3 * time.Second)},
+		"released with none left":  {leasedWorker{Misread: storedMisreadNone, MisreadTerm: term - 1}, misreadNone, 0},
+		"released a term before":   {leasedWorker{Misread: storedMisreadLikely, MisreadTerm: term - 2, MisreadLeft: time.Second}, misreadLikely, -1},
+		"none left, a term before": {leasedWorker{Misread: storedMisreadNone, MisreadTerm: term - 2}, misreadUnknown, -1},
+		"less than none left":      {leasedWorker{Misread: storedMisreadLikely, MisreadTerm: term - 1, MisreadLeft: -time.Hour}, misreadLikely, -1},
+		"years left":               {leasedWorker{Misread: storedMisreadLikely, MisreadTerm: term - 1, MisreadLeft: 1 << 60}, misreadLikely, -1},
+		"an earlier version":       {leasedWorker{}, misreadLikely, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := Owner{cfg: Config{MaxLease: 10 * time.Second, Clock: elapsed.New()}, claim: Claim{Term: term}}
+				o.soleOwnerAt = o.now() + time.Second
+				s := session{}
+				s.ref.Boot = "w@1"
+				o.inheritMisread(&s, tc.w, false)
+				want := o.now() + tc.wait // virtual time stands still
+				if tc.wait < 0 {
+					want = o.misreadLeasesEnd(o.soleOwnerAt)
+				}
+				if tc.state == misreadNone {
+					want = 0
+				}
+				qt.Check(t, s.misread, qt.Equals, tc.state)
+				qt.Check(t, s.misreadUntil, qt.Equals, want)
+			})
+		})
+	}
+}
--- a/pkg/shard/release.go
+++ b/pkg/shard/release.go
@@ -129,9 +129,7 @@
 		}
 		part := partOf(s.worker)
 		entry := s.finalRecordEntry(o.claim.Term, now)
-		if now < o.misreadStartsEnd(s) {
-			entry.Misread = storedMisreadLikely
-		}
+		o.tellMisreadLeft(&entry, s, now)
 		named[part] = append(named[part], entry)
 		bare[part] = append(bare[part], s.recordEntry(now))
 	}
--- a/pkg/shard/rows.go
+++ b/pkg/shard/rows.go
@@ -81,6 +81,10 @@
 	// ReleaseTerm is not the term before the present one, any task of the shard may.
 	ReleaseTerm int64    `msgpack:"c,omitempty"`
 	Tasks       []string `msgpack:"t,omitempty"`
+	// MisreadTerm is the term of the owner that wrote the row on its release, whether or not it could list the tasks.
+	// MisreadLeft is then for how much longer leases by misread deadlines may be in force, by its clock.
+	MisreadTerm int64         `msgpack:"u,omitempty"`
+	MisreadLeft time.Duration `msgpack:"w,omitempty"`
 }
 
 // storedMisread tells whether orders with deadlines by the clock of an earlier boot may have reached a boot. It is
