A boot without a row keeps its session while misread deadlines may hold there

What callers saw: after a planned release, tasks at a worker that was idle at the release and went silent soon after it waited 12.3 s in place of 5.8 s.

Cause: the change before this one expected misread deadlines at every boot that the record does not name; a release names only workers where something may run.

Fix: the session of a boot that is not listed for a moment goes on while misread deadlines may hold there, so that the record names it, and other boots without an entry are expected to have them only while the record is unreadable.

--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -46,9 +46,10 @@
 	return s.misread != misreadNone && now < s.misreadUntil
 }
 
-// noteUnnamedBoot records that former owners may have reached an earlier boot of a worker that no record names.
+// noteUnnamedBoot records that former owners may have reached an earlier boot of a worker, which no readable record would
+// tell.
 func (o *Owner) noteUnnamedBoot(s *session) {
-	if s.mayRestart() && o.now() < o.misreadLeasesEnd(o.soleOwnerAt) {
+	if o.recordUnreadable && s.mayRestart() {
 		o.noteMisread(s, o.soleOwnerAt)
 	}
 }
@@ -64,6 +65,7 @@
 	}
 	o.record.markChanged(s.worker)
 	o.requestCommit()
+	o.endIfGone(s)
 }
 
 // noteEarlierBoot records that orders for an earlier boot, also those of a former owner, may reach the boot of s. It is
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -18,7 +18,6 @@
 type endedBoot struct {
 	boot           string
 	token          int64 // the last
-	misread        misreadState
 	misreadUntil   time.Duration
 	deadlineSentAt time.Duration
 }
@@ -35,8 +34,6 @@
 		s.token = max(s.token, ended.token)
 		if ended.boot != ref.Boot {
 			o.noteEarlierBoot(s, ended.deadlineSentAt, ended.misreadUntil)
-		} else {
-			s.misread, s.misreadUntil, s.deadlineSentAt = ended.misread, ended.misreadUntil, ended.deadlineSentAt
 		}
 	}
 	o.sessions[ref.Boot] = s
@@ -71,14 +68,10 @@
 			s.listed, s.unlistedAt = false, o.now()
 			o.log.Info().Str("event", "worker_unlisted").Str("boot", s.ref.Boot).Send()
 		}
-		if s.listed {
-			continue
-		}
-		if s.unansweredCalls > 0 {
+		if !s.listed && s.unansweredCalls > 0 {
 			o.expireLeases(s)
-		} else if s.attemptsKnown && s.idle() && !s.former.pending {
-			o.bootEnded(s, "not listed and idle")
 		}
+		o.endIfGone(s)
 	}
 	if o.record.dirty {
 		o.requestCommit()
@@ -86,6 +79,14 @@
 	o.requestPlacement()
 }
 
+// endIfGone ends the session of a boot that is not listed and where nothing is. One that may have misread deadlines is
+// kept, since its row may be back before their leases have expired.
+func (o *Owner) endIfGone(s *session) {
+	if !s.listed && s.unansweredCalls == 0 && s.attemptsKnown && s.idle() && !s.former.pending && !s.mayHaveMisread(o.now()) {
+		o.bootEnded(s, "not listed and idle")
+	}
+}
+
 // listWorker applies a boot's directory entry and returns its session, nil if the entry is
 // to be ignored.
 func (o *Owner) listWorker(w platform.Worker) *session {
@@ -186,9 +187,7 @@
 	}
 	// The boot may still run, with only its directory entry expired. It would refuse a lower token,
 	// and this owner would take that for a later owner's fencing.
-	o.endedBoots[s.worker] = endedBoot{
-		boot: s.ref.Boot, token: s.token, misread: s.misread, misreadUntil: s.misreadUntil, deadlineSentAt: s.deadlineSentAt,
-	}
+	o.endedBoots[s.worker] = endedBoot{boot: s.ref.Boot, token: s.token, misreadUntil: s.misreadUntil, deadlineSentAt: s.deadlineSentAt}
 	o.sortedSessions = nil
 	o.record.markChanged(s.worker)
 	o.resolveFormerWorkers()
