--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -42,9 +42,7 @@
 
 // mayHaveMisread reports whether leases by misread deadlines may be in force at a boot, also for what starts there from
 // now on, so that the stored record has to name the boot even if nothing runs there.
-func (s *session) mayHaveMisread(now time.Duration) bool {
-	return s.misread != misreadNone && now < s.misreadUntil
-}
+func (s *session) mayHaveMisread(now time.Duration) bool { return now < s.misreadUntil }
 
 // noteUnnamedBoot records that former owners may have reached an earlier boot of a worker, which no readable record would
 // tell.
@@ -54,24 +52,22 @@
 	}
 }
 
-// expireMisread has the stored record rewritten when the leases by misread deadlines at a boot have expired.
+// expireMisread has the stored record rewritten when the leases by misread deadlines at a boot have expired. The state
+// stays: a boot that has not answered yet may still take an order for an earlier one.
 func (o *Owner) expireMisread(s *session, now time.Duration) {
 	if s.misreadUntil == 0 || now < s.misreadUntil {
 		return
 	}
 	s.misreadUntil = 0
-	if s.misread != misreadLikely {
-		s.misread = misreadNone
-	}
 	o.record.markChanged(s.worker)
 	o.requestCommit()
 	o.endIfGone(s)
 }
 
-// noteEarlierBoot records that orders for an earlier boot, also those of a former owner, may reach the boot of s. It is
-// told when the last deadline for the earlier boot was sent, and until when deadlines may have been misread there.
-func (o *Owner) noteEarlierBoot(s *session, deadlineSentAt, misreadUntil time.Duration) {
-	s.deadlineSentAt, s.misreadUntil = max(s.deadlineSentAt, deadlineSentAt), max(s.misreadUntil, misreadUntil)
+// noteEarlierBoot records that orders for earlier boots, the last of which with a deadline was sent at a time, and those of
+// former owners may reach the boot of s.
+func (o *Owner) noteEarlierBoot(s *session, deadlineSentAt time.Duration) {
+	s.deadlineSentAt = max(s.deadlineSentAt, deadlineSentAt)
 	o.noteMisread(s, max(s.deadlineSentAt, o.soleOwnerAt))
 }
 
@@ -136,6 +132,10 @@
 		}
 		s.misread, s.misreadUntil = misreadNone, 0
 	case misreadLikely:
+		if s.misreadUntil == 0 {
+			o.record.markChanged(s.worker) // it tells no more of these deadlines
+			o.requestCommit()
+		}
 		s.misread, s.misreadUntil = misreadOver, max(s.misreadUntil, o.maxLeaseEnd(o.now()))
 	}
 }
--- a/pkg/shard/misread_test.go
+++ b/pkg/shard/misread_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/gannetwell/gannetwell/pkg/elapsed"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
+	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
 // longestMisreadLease is how long a misread lease lasts by our clock, granted when its order arrives at the last
@@ -29,22 +31,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		o := Owner{cfg: Config{MaxLease: 10 * time.Second, Clock: elapsed.New()}, soleOwnerAt: confirmationTTLWithDrift}
 		var s session
-		o.noteEarlierBoot(&s, 0, 0)
+		o.noteEarlierBoot(&s, 0)
 		qt.Check(t, o.soleOwnerAt+longestMisreadLease(o.cfg.MaxLease) < s.misreadUntil, qt.IsTrue)
 	})
 }
 
 // TestEarlierBoots guards against a wait that forgets what was sent to a boot, or to the one before it.
 func TestEarlierBoots(t *testing.T) {
-	const sent, until = time.Minute, 2 * time.Minute
+	const sent = time.Minute
 	o := Owner{cfg: Config{MaxLease: 10 * time.Second}}
 	var next, third session
-	o.noteEarlierBoot(&next, sent, 0)
+	o.noteEarlierBoot(&next, sent)
 	qt.Check(t, sent+longestMisreadLease(o.cfg.MaxLease) < next.misreadUntil, qt.IsTrue)
-	o.noteEarlierBoot(&third, next.deadlineSentAt, 0)
+	o.noteEarlierBoot(&third, next.deadlineSentAt)
 	qt.Check(t, third.misreadUntil, qt.Equals, next.misreadUntil)
-	o.noteEarlierBoot(&third, 0, until)
-	qt.Check(t, third.misreadUntil, qt.Equals, until)
 }
 
 // TestAnswerKeepsWait guards against an answer, perhaps of the boot before, that ends the wait for starts under way.
@@ -58,6 +58,37 @@
 	})
 }
 
+// TestFirstAnswerAfterLongSilence guards against a wait that does not count from the first answer of a boot which answers
+// after the leases of orders in time have expired: it may have taken a late one before.
+func TestFirstAnswerAfterLongSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := Owner{cfg: Config{MaxLease: 10 * time.Second, Clock: elapsed.New()}, commitWake: make(chan struct{}, 1)}
+		s := session{listed: true}
+		o.noteMisread(&s, o.now())
+		time.Sleep(s.misreadUntil - o.now())
+		o.expireMisread(&s, o.now())
+		qt.Check(t, s.mayHaveMisread(o.now()), qt.IsFalse)
+		o.record = workerRecord{} // written meanwhile
+		o.settleMisread(&s, o.now())
+		qt.Check(t, s.misreadUntil, qt.Equals, o.maxLeaseEnd(o.now()))
+		qt.Check(t, o.record.changed[partOf(s.worker)], qt.IsTrue)
+	})
+}
+
+// TestBootAfterEndedOne guards against a session that forgets the deadlines sent to a boot whose session has ended.
+func TestBootAfterEndedOne(t *testing.T) {
+	const sent = time.Minute
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // nothing is polled
+	o := &Owner{
+		cfg: Config{MaxLease: 10 * time.Second, Clock: elapsed.New(), ZoneEvacuated: func(string) bool { return false }}, ctx: ctx,
+		sessions: map[string]*session{}, currentSessions: map[string]*session{},
+		endedBoots: map[string]endedBoot{"w1": {boot: "w1@1", deadlineSentAt: sent}},
+	}
+	qt.Check(t, o.addSession(platform.WorkerRef{Boot: "w1@2"}, "").misreadUntil, qt.Equals, o.misreadLeasesEnd(sent))
+	o.wg.Wait()
+}
+
 // TestUnansweredStartsAfterDeadline guards against a wait that disregards a deadline sent after the start.
 func TestUnansweredStartsAfterDeadline(t *testing.T) {
 	const sent = time.Minute
--- a/pkg/shard/restart.go
+++ b/pkg/shard/restart.go
@@ -40,7 +40,7 @@
 		next = o.addSession(ref, s.vm)
 	}
 	next.token = max(next.token, s.token+1) // invalidates orders still on their way
-	o.noteEarlierBoot(next, s.deadlineSentAt, s.misreadUntil)
+	o.noteEarlierBoot(next, s.deadlineSentAt)
 	o.countLosses(s)
 	o.transferAttempts(s, next)
 	o.transferFormer(s, next)
--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -17,9 +17,8 @@
 // endedBoot is what is kept of a boot whose session has ended.
 type endedBoot struct {
 	boot           string
-	token          int64 // the last
-	misreadUntil   time.Duration
-	deadlineSentAt time.Duration
+	token          int64         // the last
+	deadlineSentAt time.Duration // the last, also to earlier boots
 }
 
 // addSession creates the session of a boot and starts its poll loop.
@@ -33,7 +32,7 @@
 	if ended, ok := o.endedBoots[worker]; ok {
 		s.token = max(s.token, ended.token)
 		if ended.boot != ref.Boot {
-			o.noteEarlierBoot(s, ended.deadlineSentAt, ended.misreadUntil)
+			o.noteEarlierBoot(s, ended.deadlineSentAt)
 		}
 	}
 	o.sessions[ref.Boot] = s
@@ -187,7 +186,7 @@
 	}
 	// The boot may still run, with only its directory entry expired. It would refuse a lower token,
 	// and this owner would take that for a later owner's fencing.
-	o.endedBoots[s.worker] = endedBoot{boot: s.ref.Boot, token: s.token, misreadUntil: s.misreadUntil, deadlineSentAt: s.deadlineSentAt}
+	o.endedBoots[s.worker] = endedBoot{boot: s.ref.Boot, token: s.token, deadlineSentAt: s.deadlineSentAt}
 	o.sortedSessions = nil
 	o.record.markChanged(s.worker)
 	o.resolveFormerWorkers()
