A row of the boot that a worker's report has replaced is late, whatever its start time

What callers saw: tasks ran twice for 9.5 s at a worker whose clock was set back before it restarted.

Cause: the owner had the report of the next boot, and the directory was sent again with the row of the earlier one, as with any change of another worker. Its start time is the later one, so the owner took it for the next boot, and what had been reported for lost. Found by a review.

Evidence: restart_clock_back_then_older_row fails without the change and passes with it.

Fix: a row of the boot whose session has ended last does not replace the present session.

--- a/pkg/shard/workers.go
+++ b/pkg/shard/workers.go
@@ -122,8 +122,8 @@
 	if s != nil && bootStart == 0 {
 		return s, false
 	}
-	if s != nil && !startedAfter(w.Boot, s.ref.Boot) {
-		return s, true
+	if s != nil && (o.endedBoots[id].boot == w.Boot || !startedAfter(w.Boot, s.ref.Boot)) {
+		return s, true // the worker's clock may have been set back between the two boots
 	}
 	ref := platform.WorkerRef{Boot: w.Boot, Address: w.Address}
 	o.log.Info().Str("event", "worker_listed").Str("boot", w.Boot).Str("vm", w.VM).Str("address", w.Address).Send()
