The wait at a boot that is listed late counts from the news, for orders up to 12 s late

What callers saw: none; a trial showed that starts which are carried out 8 s late at the next boot, right before the directory shows it, would have run twice since the wait counts from the last deadline sent.

Cause: a late order may reach a boot that nobody hears whenever the owner learns of it. Counted from each piece of news, the wait has no end while a worker restarts again and again.

Evidence: restart_listed_after_late_start fails without the change and passes with it; start_then_restarts_unheard passes.

Fix: the wait counts from the news, but for no order that is more than 12 s late.

--- a/pkg/shard/misread.go
+++ b/pkg/shard/misread.go
@@ -25,6 +25,9 @@
 // maxOrderTransit is how long an order to a worker may be under way before its sender gives it up.
 const maxOrderTransit = pollWait + pollTimeout
 
+// maxOrderDelay is how late an order may be carried out that is awaited at a boot of which the owner learns later.
+const maxOrderDelay = 12 * time.Second
+
 // maxLeaseEnd returns when a lease that was granted at a time has expired, whatever its deadline.
 func (o *Owner) maxLeaseEnd(granted time.Duration) time.Duration {
 	return granted + maxLocalDuration(o.cfg.MaxLease)
@@ -65,10 +68,11 @@
 }
 
 // noteEarlierBoot records that orders for earlier boots, the last of which with a deadline was sent at a time, and those of
-// former owners may reach the boot of s.
+// former owners may reach the boot of s. A late order may until that boot is heard, but no wait is for one later than
+// maxOrderDelay, since a worker may restart again and again.
 func (o *Owner) noteEarlierBoot(s *session, deadlineSentAt time.Duration) {
 	s.deadlineSentAt = max(s.deadlineSentAt, deadlineSentAt)
-	o.noteMisread(s, max(s.deadlineSentAt, o.soleOwnerAt))
+	o.noteMisread(s, max(min(o.now(), s.deadlineSentAt+maxOrderDelay), o.soleOwnerAt))
 }
 
 // inheritMisread records what a former owner has stored about misread deadlines at a boot. Of a boot that answers,
