--- a/internal/prop/prop.go
+++ b/internal/prop/prop.go
@@ -95,6 +95,13 @@
 	return findsFailure(func(rt *rapid.T) { runInBubble(t, func() { property(rt) }) })
 }
 
+// FindsFailureFrom is FindsFailure with the cases that a seed draws, for a fault that the usual cases show only late.
+func FindsFailureFrom(t *testing.T, seed uint64, property func(*rapid.T)) bool {
+	t.Helper()
+	defer setFlags(map[string]string{"rapid.seed": strconv.FormatUint(seed, 10)})()
+	return FindsFailure(t, property)
+}
+
 func findsFailure(property func(*rapid.T)) bool {
 	defer setFlags(map[string]string{"rapid.checks": maxSearchCases})()
 	return fails(property)
