A malformed row of a queue costs that queue one more claim, not the shard

Callers saw 503 for every job of a pool, for ever: each entry that took the shard over read the row of one queue in it, could not decode it and gave the takeover up.

Cause: readStoredState returned an error, since a shard that takes such a queue for its own might accept a job which another pool accepts too. A row that decodes but names another queue was taken instead, and stood for that queue.

Now the queue of such a row counts as not known, as one whose row was never written, and is claimed anew by the pools of the queue, which are stored apart. The one case in which these lag behind is a queue that has left for a pool which has not yet written so. Therefore the shard writes the pools once more, at their version: the write of that pool then fails and it has to ask for the queue again.

--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -161,7 +161,7 @@
 	o = &Owner{
 		cfg: cfg, log: cfg.Log.With().Str("pool", cfg.Pool).Int64("term", c.Term).Logger(), claim: c, commitVersion: c.commitVersion,
 		placeWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), urgentWake: make(chan struct{}, 1),
-		catalog: cat, registry: stored.registry, unreadableJobs: stored.unreadable, recordUnreadable: stored.workersUnreadable, unreportedLoss: stored.unreportedLoss, accounts: newAccounts(stored.shares), record: stored.record, queues: newQueues(stored.queues),
+		catalog: cat, registry: stored.registry, unreadableJobs: stored.unreadable, recordUnreadable: stored.workersUnreadable, unreportedLoss: stored.unreportedLoss, accounts: newAccounts(stored.shares), record: stored.record, queues: newQueues(stored.queues, stored.unreadableQueues),
 		sessions: map[string]*session{}, currentSessions: map[string]*session{}, endedBoots: map[string]endedBoot{},
 		advices: map[*jobs.StepRun]*advice{}, durations: map[string]*durationStats{}, suspects: map[*jobs.Task]struct{}{}, deferredStarts: map[*jobs.Job][]deferredStart{},
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, refusedProgress: map[*jobs.Job]error{}, waiters: map[*jobs.Job][]chan Outcome{},
--- a/pkg/shard/queues.go
+++ b/pkg/shard/queues.go
@@ -75,12 +75,13 @@
 
 // queues is the state of the queues that the shard has or had, by route; guarded by the owner's lock.
 type queues struct {
-	known    map[string]*queueState
-	claiming map[string]chan struct{} // closed when the claim under way is over
+	known      map[string]*queueState
+	claiming   map[string]chan struct{} // closed when the claim under way is over
+	unreadable map[string]bool          // keys of malformed rows; their queues are not known until they are claimed
 }
 
-func newQueues(stored []queueRow) queues {
-	q := queues{known: map[string]*queueState{}, claiming: map[string]chan struct{}{}}
+func newQueues(stored []queueRow, unreadable map[string]bool) queues {
+	q := queues{known: map[string]*queueState{}, claiming: map[string]chan struct{}{}, unreadable: unreadable}
 	for _, r := range stored {
 		q.known[r.Route] = &queueState{queueRow: r}
 	}
@@ -101,9 +102,11 @@
 }
 
 func queueRowKey(pool, route string) platform.RowKey {
-	return platform.RowKey{Table: tableWorkers, Partition: pool, Key: queueKeyPrefix + queuePartition(route)}
+	return platform.RowKey{Table: tableWorkers, Partition: pool, Key: queueKeyOf(route)}
 }
 
+func queueKeyOf(route string) string { return queueKeyPrefix + queuePartition(route) }
+
 // ReadQueuePools returns the pools whose shards may have accepted jobs of a queue.
 func ReadQueuePools(ctx context.Context, rows platform.Rows, route string) (ps QueuePools, err error) {
 	ps, _, err = readQueuePools(ctx, rows, route)
@@ -231,7 +234,9 @@
 }
 
 // claimQueue makes this the pool that has a queue, if the configuration of a version that sends it here is newer than
-// that by which it came to its present pool. It returns the pools of the queue.
+// that by which it came to its present pool. It returns the pools of the queue. If the shard could not read its row of
+// the queue, the queue may have left it for a pool that has not written that yet, so it writes the pools once more:
+// that pool then has to ask again.
 func (o *Owner) claimQueue(ctx context.Context, route string, version int64) (ps QueuePools, err error) {
 	defer func() { err = errors.Wrapf(err, "claim queue %s", route) }()
 	for range maxClaimTries {
@@ -240,9 +245,13 @@
 			return nil, err
 		}
 		last, elsewhere := ps.last(), len(ps) > 0 && ps.last().Pool != o.cfg.Pool
-		if len(ps) > 0 && (version <= last.Version || !elsewhere && !o.leftSince(route, last.Version)) {
+		stays := len(ps) > 0 && (version <= last.Version || !elsewhere && !o.leftSince(route, last.Version))
+		if stays && (elsewhere || !o.queueUnreadable(route)) {
 			return ps, nil
 		}
+		if stays {
+			version = last.Version
+		}
 		if elsewhere {
 			if err = o.cfg.CloseQueue(ctx, last.Pool, route, version, o.cfg.Pool); err != nil {
 				return nil, err
@@ -264,6 +273,13 @@
 	return s != nil && s.MovedTo != "" && s.Version >= version
 }
 
+// queueUnreadable reports whether the shard does not know a queue because its row is malformed.
+func (o *Owner) queueUnreadable(route string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queues.known[route] == nil && o.queues.unreadable[queueKeyOf(route)]
+}
+
 // CloseQueue has the shard accept no more new jobs of a queue, which a configuration of a version sends to another
 // pool. It returns ok once that is stored.
 func (o *Owner) CloseQueue(ctx context.Context, route string, version int64, to string) Outcome {
@@ -376,6 +392,9 @@
 	if err := packed.Unmarshal(r.Value, &q); err != nil {
 		return err
 	}
+	if queueKeyOf(q.Route) != r.Key {
+		return errors.Errorf("the row names another queue, %q", q.Route)
+	}
 	stored.queues = append(stored.queues, q)
 	return nil
 }
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -44,6 +44,7 @@
 	workersUnreadable bool // the record of workers is malformed: any worker may hold a lease
 	shares            quota.Row
 	queues            []queueRow
+	unreadableQueues  map[string]bool // keys of malformed rows of queues
 }
 
 // errMalformedRow reports a row that can't be decoded.
@@ -58,12 +59,11 @@
 }
 
 // readStoredState reads the partition after the takeover, when no other entry can write to it. A
-// job with a malformed row is left out, and malformed is called for each such row. A malformed row
-// of quota shares is an error, since nothing could be started within the limits of accounts, and so is one of a
-// queue, whose jobs might be accepted twice.
+// job or queue with a malformed row is left out, and malformed is called for each such row. A malformed row
+// of quota shares is an error, since nothing could be started within the limits of accounts.
 func readStoredState(ctx context.Context, rows platform.Rows, pool string, term int64, now time.Duration, malformed func(errMalformedRow)) (stored storedState, err error) {
 	defer func() { err = errors.Wrapf(err, "read shard %s", pool) }()
-	stored.registry, stored.unreadable = jobs.NewRegistry(term), map[string]bool{}
+	stored.registry, stored.unreadable, stored.unreadableQueues = jobs.NewRegistry(term), map[string]bool{}, map[string]bool{}
 	records, err := readAll(ctx, rows, tableJob, pool)
 	if err != nil {
 		return stored, err
@@ -136,7 +136,8 @@
 		case ok:
 		case strings.HasPrefix(r.Key, queueKeyPrefix):
 			if err := stored.readQueue(r); err != nil {
-				return errMalformedRow{key: r.RowKey, cause: err}
+				stored.unreadableQueues[r.Key] = true
+				malformed(errMalformedRow{key: r.RowKey, cause: err})
 			}
 		case r.Key == unreportedLossKey:
 			stored.unreportedLoss = true
