A malformed row of quota shares has the shard's accounts wait for a grant, not the shard for ever

Callers saw 503 for every job of a pool, for ever: each entry that took the shard over could not decode the shares of the limits of accounts and gave the takeover up. After a change of the holder of the fleet operations no share of any shard was raised either, since a new allocator raises none before all shards have reported.

Cause: without shares the limits of accounts would not have been enforced (an empty row means that none were ever granted), and without the term and number of the last grant a late one would have been taken.

Now the owner goes on with a row that enforces limits, has no shares, and rejects every grant made so far: its term is the present one of the fleet operations' owner row, read after the takeover, its number is beyond those of all grants that their holder has made to the shard. The allocator counts on from the number that is reported to it. Accounts without a limit are not affected, the others start nothing until the next grant. If the present term can't be read either, the takeover fails as before.

--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -52,7 +52,7 @@
 func (n *Node) shardConfig(pool string, events ownership.Events) shard.Config {
 	timing := n.settings.Timing
 	return shard.Config{
-		Pool: pool, Self: n.identity(), Clock: n.clock, Retention: seconds(timing.RetentionS),
+		Pool: pool, Allocator: fleetops.Partition, Self: n.identity(), Clock: n.clock, Retention: seconds(timing.RetentionS),
 		MaxLease: time.Duration(timing.MaxLeaseMs) * time.Millisecond, StopTime: time.Duration(timing.StopMs) * time.Millisecond,
 		MaxRowBytes: n.settings.Store.RowBytes,
 		Rows:        n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -58,6 +58,7 @@
 		return // of another allocator's term, or out of date
 	}
 	st.ackedSeq, st.enforced = r.Seq, r.Enforced
+	st.lastSeq = max(st.lastSeq, r.Seq) // higher if the shard has lost its row
 	if r.Full {
 		st.synced = true
 		clear(st.usage)
--- a/pkg/quota/allocator_test.go
+++ b/pkg/quota/allocator_test.go
@@ -36,3 +36,24 @@
 	converge(a, shards, map[string]float64{"p1": 0.9}, nil)
 	c.Check(shards["p1"].Share("a") >= 0.9, qt.IsTrue, qt.Commentf("share %f", shards["p1"].Share("a")))
 }
+
+// A shard whose row was lost allows nothing until the allocator knows, and gets a share again from the same one, also
+// when that happens twice.
+func TestLostRow(t *testing.T) {
+	c := qt.New(t)
+	a := NewAllocator(7)
+	shards := map[string]*ShardShares{"p0": NewShardShares(Row{}), "p1": NewShardShares(Row{})}
+	demand := map[string]float64{"p0": 0.6, "p1": 0.3}
+	converge(a, shards, demand, []string{"a"})
+	late := a.Plan([]string{"p0", "p1"}, []string{"a"})["p0"]
+	late.Term, late.Shares = 7, map[string]float64{"a": 0.6}
+	for takeover := range int64(2) {
+		shards["p0"] = NewShardShares(LostRow(7, takeover+1))
+		c.Check(shards["p0"].Enforced(), qt.IsTrue)
+		c.Check(shards["p0"].Apply(late), qt.IsFalse)
+		c.Check(shards["p0"].Share("a"), qt.Equals, 0.0)
+		converge(a, shards, demand, []string{"a"})
+		c.Check(shards["p0"].Share("a") >= 0.6, qt.IsTrue, qt.Commentf("share %f", shards["p0"].Share("a")))
+		late.Seq = shards["p0"].Report().Seq
+	}
+}
--- a/pkg/quota/doc.go
+++ b/pkg/quota/doc.go
@@ -14,7 +14,7 @@
 //   - a new allocator first has every shard persist its term, so that shards reject grants of
 //     former allocators, and raises no share before;
 //   - a new shard owner starts with the persisted shares and counts a task as running unless it
-//     knows that it is not.
+//     knows that it is not; if it can't read them, it starts with none ([LostRow]).
 //
 // Shares are fractions of the limit, so that a changed limit needs no coordination. Correctness
 // does not depend on clocks. The package does no I/O.
--- a/pkg/quota/model_test.go
+++ b/pkg/quota/model_test.go
@@ -21,6 +21,8 @@
 	reportsUnpersisted bool // a shard reports a lower share before it is persisted
 	acceptsStaleSeq    bool // a shard accepts out-of-date grants
 	ignoresStopping    bool // tasks being stopped do not count
+	lostTerm           bool // the row that replaces a lost one accepts grants of former allocators
+	lostSeq            bool // the row that replaces a lost one accepts out-of-date grants
 }
 
 // model is a set of shards and allocators of one account, with messages that are delayed, repeated
@@ -34,7 +36,9 @@
 	allocators []*Allocator
 	grants     []message[Grant]
 	reports    []message[Report]
-	running    map[string]int // tasks at workers, by pool
+	running    map[string]int  // tasks at workers, by pool
+	lost       map[string]bool // pools whose row can't be read
+	takeovers  int64
 
 	delivered   [2]int // grants and reports that deliverAll has delivered
 	unpersisted string // shard whose row deliverAll does not persist
@@ -58,7 +62,7 @@
 const taskSize = 0.1
 
 func newModel(t *rapid.T, f faults) *model {
-	m := &model{t: t, f: f, rows: map[string]Row{}, owners: map[string]*owner{}, running: map[string]int{}}
+	m := &model{t: t, f: f, rows: map[string]Row{}, owners: map[string]*owner{}, running: map[string]int{}, lost: map[string]bool{}}
 	for i := range rapid.IntRange(2, 4).Draw(t, "shards") {
 		pool := fmt.Sprintf("p%d", i)
 		m.pools = append(m.pools, pool)
@@ -81,13 +85,30 @@
 
 // takeOver has a new owner take over a shard. Running tasks are hidden from it until discovered.
 func (m *model) takeOver(pool string) {
-	o := &owner{shares: NewShardShares(m.rows[pool])}
+	m.takeovers++
+	row := m.rows[pool]
+	if m.lost[pool] {
+		row = m.replacement()
+	}
+	o := &owner{shares: NewShardShares(row)}
 	if !m.f.ignoresHidden {
 		o.hidden = m.running[pool]
 	}
 	m.owners[pool] = o
 }
 
+// replacement returns the row of a shard whose persisted one is lost.
+func (m *model) replacement() Row {
+	r := LostRow(int64(len(m.allocators)), m.takeovers)
+	if m.f.lostTerm {
+		r.Term = 0
+	}
+	if m.f.lostSeq {
+		r.Seq = 0
+	}
+	return r
+}
+
 func (m *model) newAllocator() {
 	a := NewAllocator(int64(len(m.allocators) + 1))
 	if m.f.skipsSync && len(m.allocators) > 0 {
@@ -154,6 +175,7 @@
 	r := o.shares.Pending()
 	r.Shares = maps.Clone(r.Shares)
 	m.rows[pool] = r
+	delete(m.lost, pool)
 	o.shares.MarkPersisted(r)
 }
 
@@ -267,6 +289,36 @@
 	}
 }
 
+// corruptRow has a new owner replace one whose row can't be read, and possibly moves work or replaces the allocator
+// before. Grants that are still under way reach the new owner.
+func (m *model) corruptRow() {
+	pool := m.pool()
+	sent := len(m.grants)
+	m.shiftWork(pool)
+	m.shiftWork(m.pool())
+	if rapid.Bool().Draw(m.t, "holder too") {
+		m.newAllocator()
+		for at := range m.pools {
+			m.poll(len(m.allocators)-1, at)
+		}
+		m.deliverAll()
+	}
+	m.lost[pool] = true
+	m.takeOver(pool)
+	if rapid.Bool().Draw(m.t, "found") {
+		m.discover(pool)
+	}
+	if rapid.Bool().Draw(m.t, "late grants") && len(m.grants) > sent {
+		at := rapid.IntRange(sent, len(m.grants)-1).Draw(m.t, "message")
+		m.deliver(true, at)
+	}
+	for _, p := range m.pools {
+		for range 10 {
+			m.start(p)
+		}
+	}
+}
+
 // recent draws the index of one of the last messages, which may have been delivered before.
 func recent[T any](t *rapid.T, all []message[T]) int {
 	const window = 60
@@ -300,6 +352,8 @@
 		m.newAllocator()
 	case k == 20 || k == 21:
 		m.shiftWork(m.pool())
+	case k == 22 && rapid.IntRange(0, 3).Draw(m.t, "row") == 0:
+		m.corruptRow()
 	case k == 22:
 		m.loseRow()
 	case k == 23:
@@ -335,6 +389,8 @@
 		"lower shares reported before persisted": {reportsUnpersisted: true},
 		"out-of-date grants accepted":            {acceptsStaleSeq: true},
 		"stopping tasks not counted":             {ignoresStopping: true},
+		"term of a lost row forgotten":           {lostTerm: true},
+		"grants before a lost row accepted":      {lostSeq: true},
 	} {
 		t.Run(name, func(t *testing.T) { qt.Assert(t, prop.FindsFailure(t, property(f)), qt.IsTrue) })
 	}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -16,6 +16,16 @@
 	Shares   map[string]float64 `msgpack:"a"`
 }
 
+// seqsPerTakeover is more grants than an allocator makes to a shard between two takeovers of it.
+const seqsPerTakeover = 1 << 22
+
+// LostRow returns the row with which a shard goes on after its own can't be read. It allows nothing, and rejects all
+// grants made before the allocator has had a report on it. The term is at least that of the last allocator whose grant
+// the shard can have persisted; takeover is a number that rises with each takeover of the shard.
+func LostRow(term, takeover int64) Row {
+	return Row{Term: term, Seq: takeover * seqsPerTakeover, Enforced: true}
+}
+
 // Usage is a shard's report on one account, in fractions of the account's limit.
 type Usage struct {
 	Account  string  `msgpack:"n"`
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -26,8 +26,10 @@
 )
 
 const (
-	pool  = "p"
-	queue = "q"
+	pool = "p"
+	// allocator is the shard whose owner grants quota shares.
+	allocator = "fleet"
+	queue     = "q"
 	// of the queue
 	maxAttempts = 3
 )
@@ -347,7 +349,7 @@
 	}
 	e.ownerStarts++
 	cfg := shard.Config{
-		Pool: pool, Self: shard.Identity{Entry: entry, Start: e.ownerStarts, Address: entry},
+		Pool: pool, Allocator: allocator, Self: shard.Identity{Entry: entry, Start: e.ownerStarts, Address: entry},
 		Rows: rows, Workers: workers, Machines: e, Adviser: e, Metrics: shard.NoMetrics{}, Retention: time.Hour, MaxLease: fake.MaxLease, StopTime: e.stopTime,
 		Log: zerolog.New(e.out).With().Str("entry", entry).Logger().Hook(e), Clock: clock,
 		StoreUptime: func() time.Duration { return time.Since(e.since) },
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -20,6 +20,7 @@
 // Config holds the settings and dependencies of an owner.
 type Config struct {
 	Pool      string
+	Allocator string // shard whose owner grants shares of the limits of accounts
 	Self      Identity
 	Clock     *elapsed.Clock // of the entry; measures ownership and lease expiry
 	Retention time.Duration  // how long final jobs stay available to callers
@@ -155,6 +156,9 @@
 		cfg.Metrics.RowMalformed(e.key.Table)
 		cfg.Log.Error().Str("event", "row_malformed").Str("pool", cfg.Pool).Str("table", e.key.Table).Str("key", e.key.Key).Err(e.cause).Send()
 	})
+	if err == nil && stored.sharesUnreadable {
+		err = stored.replaceShares(ctx, cfg.Rows, cfg.Allocator, c.Term)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -167,6 +171,7 @@
 		pending: map[string]*submission{}, dirty: map[*jobs.Job]struct{}{}, refusedProgress: map[*jobs.Job]error{}, waiters: map[*jobs.Job][]chan Outcome{},
 	}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
+	o.accounts.changed = stored.sharesUnreadable
 	o.tookOverAt, o.ownedAt, o.soleOwnerAt = tookOverAt, c.sentAt, tookOverAt+c.formerGrace
 	o.start(stored, workers, cfg.Clock.Now())
 	return o, nil
--- a/pkg/shard/owner_row_test.go
+++ b/pkg/shard/owner_row_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"context"
 	"math"
 	"testing"
 	"time"
@@ -8,6 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
+	"github.com/gannetwell/gannetwell/pkg/platform/fake"
+	"github.com/gannetwell/gannetwell/pkg/quota"
 )
 
 // TestOddOwnerRow guards against an owner row after which no term is higher, or whose former owner never ends.
@@ -36,3 +39,43 @@
 		})
 	}
 }
+
+// TestLastTerm guards against a term below that of the allocator whose grant a shard has persisted.
+func TestLastTerm(t *testing.T) {
+	const allocator = "fleet"
+	owner, err := EncodeOwner(OwnerRow{Entry: "e1", Term: 12})
+	qt.Assert(t, err, qt.IsNil)
+	commit, err := encode(commitRow{Entry: "e1", Term: 12})
+	qt.Assert(t, err, qt.IsNil)
+	malformed := []byte("\xc1 not ours")
+	for name, tc := range map[string]struct {
+		owner, commit []byte
+		want          int64
+		fails         bool
+	}{
+		"never owned":             {},
+		"owned":                   {owner: owner, commit: commit, want: 12},
+		"owner malformed":         {owner: malformed, commit: commit, want: 12},
+		"commit malformed":        {owner: owner, commit: malformed, want: 12},
+		"owner alone, malformed":  {owner: malformed, fails: true},
+		"both of them, malformed": {owner: malformed, commit: malformed, fails: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rows := fake.NewRows(time.Microsecond, time.Second).As("e")
+			txn := platform.RowTxn{}
+			for key, raw := range map[platform.RowKey][]byte{ownerKey(allocator): tc.owner, commitKey(allocator): tc.commit} {
+				if raw != nil {
+					txn.Put = append(txn.Put, platform.Row{RowKey: key, Value: raw})
+				}
+			}
+			_, err := rows.CommitRows(context.Background(), txn)
+			qt.Assert(t, err, qt.IsNil)
+			stored := storedState{}
+			err = stored.replaceShares(context.Background(), rows, allocator, 3)
+			qt.Assert(t, err != nil, qt.Equals, tc.fails)
+			if !tc.fails {
+				qt.Check(t, stored.shares, qt.DeepEquals, quota.LostRow(tc.want, 3))
+			}
+		})
+	}
+}
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -43,6 +43,7 @@
 	unreportedLoss    bool // a worker of a former owner was lost before it reported to a later one
 	workersUnreadable bool // the record of workers is malformed: any worker may hold a lease
 	shares            quota.Row
+	sharesUnreadable  bool // the row of quota shares is malformed
 	queues            []queueRow
 	unreadableQueues  map[string]bool // keys of malformed rows of queues
 }
@@ -59,8 +60,7 @@
 }
 
 // readStoredState reads the partition after the takeover, when no other entry can write to it. A
-// job or queue with a malformed row is left out, and malformed is called for each such row. A malformed row
-// of quota shares is an error, since nothing could be started within the limits of accounts.
+// job or queue with a malformed row is left out, and malformed is called for each such row.
 func readStoredState(ctx context.Context, rows platform.Rows, pool string, term int64, now time.Duration, malformed func(errMalformedRow)) (stored storedState, err error) {
 	defer func() { err = errors.Wrapf(err, "read shard %s", pool) }()
 	stored.registry, stored.unreadable, stored.unreadableQueues = jobs.NewRegistry(term), map[string]bool{}, map[string]bool{}
@@ -143,7 +143,8 @@
 			stored.unreportedLoss = true
 		case r.Key == sharesKey:
 			if err := packed.Unmarshal(r.Value, &stored.shares); err != nil {
-				return errMalformedRow{key: r.RowKey, cause: err}
+				stored.sharesUnreadable = true
+				malformed(errMalformedRow{key: r.RowKey, cause: err})
 			}
 		}
 	}
@@ -153,6 +154,29 @@
 	return nil
 }
 
+// replaceShares replaces quota shares that can't be read, so that no account exceeds its limit. Grants of the owners of
+// the allocator's shard before the present one are late.
+func (stored *storedState) replaceShares(ctx context.Context, rows platform.Rows, allocator string, term int64) (err error) {
+	defer func() { err = errors.Wrap(err, "replace quota shares") }()
+	last, err := readLastTerm(ctx, rows, allocator)
+	stored.shares = quota.LostRow(last, term)
+	return err
+}
+
+// readLastTerm returns the term of the last owner of a shard, 0 if it never had one.
+func readLastTerm(ctx context.Context, rows platform.Rows, pool string) (term int64, err error) {
+	owner, err := ReadRow(ctx, rows, ownerKey(pool))
+	if err != nil || owner.Version == 0 {
+		return 0, err
+	}
+	commit, err := ReadRow(ctx, rows, commitKey(pool))
+	if err != nil {
+		return 0, err
+	}
+	last, err := decodePredecessor(owner, commit)
+	return last.Term, err
+}
+
 // maxJobAge bounds the age of a job as computed from two clocks that may differ.
 const maxJobAge = time.Minute
 
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -141,6 +141,16 @@
 	"allowed": func(c scriptCall) {
 		c.locked(func() { c.observer.allowed[c.arg("account", "")] = c.number("cpu", "0") })
 	},
+	"holder": func(c scriptCall) {
+		raw, err := shard.EncodeOwner(shard.OwnerRow{Entry: "h", Term: int64(c.number("term", "1"))})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		txn := platform.RowTxn{Put: []platform.Row{{RowKey: platform.RowKey{Table: shard.TableOwner, Partition: allocator, Key: "row"}, Value: raw}}}
+		if _, err := c.rows.As(fake.Operator).CommitRows(context.Background(), txn); err != nil {
+			c.t.Fatal(err)
+		}
+	},
 	"grant": func(c scriptCall) {
 		c.grant(c.entry(), int64(c.number("term", "1")), int64(c.number("seq", "1")), c.arg("account", ""), c.float("share", "0"))
 	},
