No account gets a share above its limit

An account that ran more than its limit when the limit was first enforced at some shard got a share of what it ran, for instance 1.6 of the limit. As tasks ended it could start others up to that share, so that it stayed above its limit as long as it had work: planAccount lowers a share only when tasks wait for want of one.

Cause: the share that an account holds is at least what it runs, and grants repeated that. Now no grant is above the whole limit. What runs beyond it is counted by the reports, as before, so no other shard gets a share meanwhile.

Failed before: both cases of TestRunningAboveLimit, one for each place of the bound.

--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -206,9 +206,9 @@
 	for i, s := range shards {
 		switch {
 		case shares[i] < held[i]:
-			set(s, shares[i])
+			set(s, min(1, shares[i])) // more than the limit may be running
 		case fraction > 0 || notEnforced:
-			set(s, held[i]+fraction*(shares[i]-held[i]))
+			set(s, min(1, held[i]+fraction*(shares[i]-held[i])))
 		}
 	}
 }
--- a/pkg/quota/allocator_test.go
+++ b/pkg/quota/allocator_test.go
@@ -57,3 +57,34 @@
 		late.Seq = shards["p0"].Report().Seq
 	}
 }
+
+// An account that runs more than its limit gets no share above the limit, so that it starts nothing until less runs:
+// neither when the limit is first enforced nor when an allocator of an earlier version granted more.
+func TestRunningAboveLimit(t *testing.T) {
+	names := []string{"p0", "p1"}
+	for name, stored := range map[string]Row{"first enforced": {}, "granted before": {Enforced: true, Shares: map[string]float64{"a": 1.6}}} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			a := NewAllocator(1)
+			shards := map[string]*ShardShares{"p0": NewShardShares(stored), "p1": NewShardShares(Row{Enforced: stored.Enforced})}
+			running := map[string]float64{"p0": 1.3}
+			for range 10 {
+				grants := a.Plan(names, []string{"a"})
+				for _, name := range names {
+					s := shards[name]
+					if g, ok := grants[name]; ok {
+						s.Apply(g)
+						s.MarkPersisted(s.Pending())
+					}
+					r := s.Report()
+					r.Full = true
+					r.Accounts = []Usage{{Account: "a", Running: running[name], Demand: running[name] + 0.4, MinStart: 0.1, MaxShare: s.MaxShare("a")}}
+					a.HandleReport(name, r)
+				}
+			}
+			c.Check(shards["p0"].Enforced(), qt.IsTrue)
+			c.Check(shards["p0"].Share("a") <= 1, qt.IsTrue, qt.Commentf("share %f", shards["p0"].Share("a")))
+			c.Check(shards["p1"].Share("a") <= epsilon, qt.IsTrue, qt.Commentf("share %f", shards["p1"].Share("a")))
+		})
+	}
+}
