Quota shares that are no fractions of a limit are left out

By reading: a stored share of 1e300 lifted an account's limit, a negative one was counted as free by the allocator, which then granted more than the limit to others, and one that is no number had the result of a conversion that is not defined. A number of the last grant near 2^63 overflowed with the next one, and with a term out of range no later grant was taken.

Cause: whatever could be decoded was used. Now an account with such a share starts nothing until its next grant; a row with a term or number that no allocator has counts as malformed as a whole.

Failed before: nine cases of TestOddShares.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,5 +1,10 @@
 package quota
 
+import (
+	"maps"
+	"slices"
+)
+
 // Grant sets the shares of some accounts at one shard.
 type Grant struct {
 	Term   int64              `msgpack:"t"`           // ownership term of the allocator
@@ -26,6 +31,20 @@
 	return Row{Term: term, Seq: takeover * seqsPerTakeover, Enforced: true}
 }
 
+// SplitOff returns the row without shares that are no fractions, and the accounts that had them. Such an account starts
+// nothing until its next grant.
+func (r Row) SplitOff() (sound Row, odd []string) {
+	sound, sound.Shares = r, maps.Clone(r.Shares)
+	for account, share := range r.Shares {
+		if !(share >= -epsilon && share <= 1+epsilon) { // not a number, too
+			odd = append(odd, account)
+			delete(sound.Shares, account)
+		}
+	}
+	slices.Sort(odd)
+	return sound, odd
+}
+
 // Usage is a shard's report on one account, in fractions of the account's limit.
 type Usage struct {
 	Account  string  `msgpack:"n"`
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -142,8 +142,7 @@
 		case r.Key == unreportedLossKey:
 			stored.unreportedLoss = true
 		case r.Key == sharesKey:
-			if err := packed.Unmarshal(r.Value, &stored.shares); err != nil {
-				stored.sharesUnreadable = true
+			if err := stored.readShares(r); err != nil {
 				malformed(errMalformedRow{key: r.RowKey, cause: err})
 			}
 		}
@@ -154,6 +153,24 @@
 	return nil
 }
 
+// readShares decodes the row of quota shares, without those that are no fractions.
+func (stored *storedState) readShares(r platform.Row) error {
+	stored.sharesUnreadable = true
+	var row quota.Row
+	if err := packed.Unmarshal(r.Value, &row); err != nil {
+		return err
+	}
+	if maxSeq := quota.LostRow(0, maxTerm+1).Seq; row.Term < 0 || row.Term > maxTerm || row.Seq < 0 || row.Seq > maxSeq {
+		return errors.Errorf("a grant %d of term %d is not possible", row.Seq, row.Term)
+	}
+	stored.sharesUnreadable = false
+	var odd []string
+	if stored.shares, odd = row.SplitOff(); len(odd) > 0 {
+		return errors.Errorf("no shares of a limit are those of %q", odd)
+	}
+	return nil
+}
+
 // replaceShares replaces quota shares that can't be read, so that no account exceeds its limit. Grants of the owners of
 // the allocator's shard before the present one are late.
 func (stored *storedState) replaceShares(ctx context.Context, rows platform.Rows, allocator string, term int64) (err error) {
