An odd item costs the table of the gateway that item, not every replica

An item of another writer in the log had every entry stop following the table at the revision before; one among the rows, or under a key in the log that is no revision, kept each entry that started from becoming ready, unless a peer that had started before could be reached. An entry that started with a head too far ahead took its revision.

Cause: the log and the rows were read as a whole, one value that can't be decoded failed them all, and whatever was in the log was applied if its revision followed.

Now items that are no entry at the key of their revision are left out of the log and logged. A replica that can't apply the next entry reads the rows, which hold the same state, provided that the log has an entry at the head's revision. A row that can't be read is rebuilt from the log, or absent if the log does not name it. If the log has a gap too, the entry does not start, as before: a table without a VM or pool would miscount the availability budgets.

A malformed head is not rebuilt: edits and starts wait for its repair.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -110,7 +110,7 @@
 		serversOptions = append(serversOptions, membership.WithProbeDial(e.dial))
 	}
 	e.gateway = gateway.New(s.Name, s.Zone, s.Gateway, gatewayOptions...)
-	e.replica = replica.New(e.platform, replica.WithNotify(e.onTable))
+	e.replica = replica.New(e.platform, replica.WithNotify(e.onTable), replica.WithLogger(e.log))
 	self := schema.PeerState{
 		Name: s.Name, Incarnation: int(time.Now().UnixMilli()), Zone: s.Zone, Address: e.PeerAddress(),
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/platform"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -19,6 +20,7 @@
 type Replica struct {
 	store  platform.Table
 	notify func(*table.Snapshot, []schema.Entry)
+	logger zerolog.Logger
 
 	commit chan struct{} // semaphore: one commit at a time
 
@@ -37,6 +39,9 @@
 	return func(r *Replica) { r.notify = f }
 }
 
+// WithLogger logs items that can't be read to log.
+func WithLogger(log zerolog.Logger) Option { return func(r *Replica) { r.logger = log } }
+
 // New returns a replica at revision 0.
 func New(store platform.Table, opts ...Option) *Replica {
 	r := &Replica{
@@ -44,6 +49,7 @@
 		notify:  func(*table.Snapshot, []schema.Entry) {},
 		commit:  make(chan struct{}, 1),
 		changed: make(chan struct{}),
+		logger:  zerolog.Nop(),
 	}
 	r.snap.Store(table.Empty())
 	for _, o := range opts {
--- a/pkg/replica/store.go
+++ b/pkg/replica/store.go
@@ -108,58 +108,41 @@
 		}
 	}
 	for r.Revision() < revision {
-		entries, err := r.History(ctx, r.Revision()+1, scanLimit)
+		have := r.Revision()
+		entries, err := r.History(ctx, have+1, scanLimit)
 		if err != nil {
 			return err
 		}
-		if len(entries) == 0 {
-			return errors.Errorf("head is at revision %d, but the log ends at %d", revision, r.Revision())
-		}
 		if err := r.ApplyEntries(entries); err != nil {
+			r.logger.Error().Str("event", "log_not_applied").Int("revision", have).Err(err).Send()
+		}
+		if r.Revision() > have {
+			continue
+		}
+		if err := r.loadRows(ctx, revision); err != nil { // the next entry can't be read
 			return err
 		}
-	}
-	return nil
-}
-
-// History reads up to limit log entries from the store, beginning at revision from.
-func (r *Replica) History(ctx context.Context, from, limit int) (entries []schema.Entry, err error) {
-	items, err := r.store.Scan(ctx, logKey(from), prefixLog+prefixEnd, limit)
-	if err != nil {
-		return nil, errors.Wrap(err, "read log")
-	}
-	for _, it := range items {
-		var e schema.Entry
-		if err := json.Unmarshal(it.Value, &e); err != nil {
-			return nil, errors.Wrapf(err, "decode item %q", it.Key)
+		if r.Revision() < revision {
+			return errors.Errorf("head is at revision %d, but the log ends at %d", revision, r.Revision())
 		}
-		entries = append(entries, e)
 	}
-	return entries, nil
+	return nil
 }
 
 // loadRows reads all rows, then the log entries added meanwhile. The pages are not read at one
 // revision, so a row may be newer than baseRevision; applying the later entries, which hold
 // whole rows, brings all rows to the same revision.
 func (r *Replica) loadRows(ctx context.Context, baseRevision int) error {
-	var rows []table.StoredRow
-	from := prefixRow
-	for {
-		items, err := r.store.Scan(ctx, from, prefixRow+prefixEnd, scanLimit)
-		if err != nil {
-			return errors.Wrap(err, "read rows")
-		}
-		for _, it := range items {
-			row, err := ParseRow(it.Key, it.Value)
-			if err != nil {
-				return err
-			}
-			rows = append(rows, row)
-		}
-		if len(items) < scanLimit {
-			break
-		}
-		from = items[len(items)-1].Key + "\x00"
+	last, err := r.store.Get(ctx, logKey(baseRevision))
+	if err != nil {
+		return errors.Wrap(err, "read log")
+	}
+	if last.Version == 0 {
+		return errors.Errorf("head is at revision %d, which the log lacks", baseRevision)
+	}
+	rows, err := r.readRows(ctx, baseRevision)
+	if err != nil {
+		return err
 	}
 	snap, err := table.Load(baseRevision, rows)
 	if err != nil {
@@ -170,12 +153,16 @@
 		if err != nil {
 			return err
 		}
+		more = len(entries) == scanLimit
 		for i := range entries {
-			if snap, err = snap.Apply(&entries[i]); err != nil {
-				return err
+			next, err := snap.Apply(&entries[i])
+			if err != nil { // what follows is read later
+				r.logger.Error().Str("event", "log_not_applied").Int("revision", snap.Revision).Err(err).Send()
+				more = false
+				break
 			}
+			snap = next
 		}
-		more = len(entries) == scanLimit
 	}
 	r.InstallSnapshot(snap)
 	return nil
