An odd control lease is waited out, not for ever

With a stored lease that can't be decoded, or one whose end is years ahead, no entry ever held the lease again: no VM of the gateway was drained, rebooted or given back.

Cause: a lease that can't be decoded was an error at each try, and any end was believed. Now such a value is replaced once it has stood for the duration of a lease, after which the lease that it may have overwritten is over. Each new value is awaited anew. An end of up to two durations ahead is believed as before, since clocks differ.

Failed before: all cases of TestOddLease but the one of a clock that is behind.

--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -24,8 +24,14 @@
 	holder    string
 	duration  time.Duration
 	heldUntil time.Time // zero if this entry does not hold it
+
+	oddVersion int64     // of the last stored lease that no holder has written
+	oddSince   time.Time // when it was first read
 }
 
+// maxLeaseEnd is how many durations ahead a lease may end, as clocks differ.
+const maxLeaseEnd = 2
+
 // acquire acquires or renews the lease and reports whether this entry holds it. The lease is
 // renewed when a third of its duration is left.
 func (l *lease) acquire(ctx context.Context, now time.Time) (held bool, err error) {
@@ -38,8 +44,11 @@
 	}
 	var current leaseItem
 	if item.Version != 0 {
-		if err := json.Unmarshal(item.Value, &current); err != nil {
-			return false, errors.Wrap(err, "decode lease")
+		if err := l.decode(item.Value, &current, now); err != nil {
+			if !l.outlasts(item.Version, now) {
+				return false, errors.Wrap(err, "decode lease")
+			}
+			current = leaseItem{}
 		}
 	}
 	if current.Holder != l.holder && now.UnixMilli() < current.UntilMs {
@@ -49,6 +58,25 @@
 	return l.write(ctx, item.Version, now)
 }
 
+// decode decodes a stored lease; it returns an error for one that no holder writes.
+func (l *lease) decode(raw []byte, item *leaseItem, now time.Time) error {
+	if err := json.Unmarshal(raw, item); err != nil {
+		return err
+	}
+	if latest := now.Add(maxLeaseEnd * l.duration).UnixMilli(); item.UntilMs > latest {
+		return errors.Errorf("a lease until %d ends too late", item.UntilMs)
+	}
+	return nil
+}
+
+// outlasts reports whether the lease that an odd value has replaced, if any, is over.
+func (l *lease) outlasts(version int64, now time.Time) bool {
+	if l.oddVersion != version {
+		l.oddVersion, l.oddSince = version, now
+	}
+	return now.Sub(l.oddSince) >= l.duration
+}
+
 func (l *lease) write(ctx context.Context, version int64, now time.Time) (held bool, err error) {
 	until := now.Add(l.duration)
 	value, err := json.Marshal(leaseItem{Holder: l.holder, UntilMs: until.UnixMilli()})
