A VM list of the future is not taken

A list of the gateway's VM service whose time is far ahead was the last one that an entry took, since no other was newer: drained and ended VMs were no longer seen there until the process ended.

Cause: the time of a list was compared with that of the list before only. Now a list more than a minute ahead of the entry's clock is left out and logged; the next one counts.

Failed before: the cases of three hours and of 2^63-1 ms of TestListOfTheFuture.

--- a/pkg/membership/servers.go
+++ b/pkg/membership/servers.go
@@ -146,6 +146,9 @@
 // ReadZone reads the VM list of the entry's own zone, which serves most of its requests.
 func (s *Servers) ReadZone(ctx context.Context) { s.fetchList(ctx, s.zone) }
 
+// maxListAhead is by how much the clock of a VM list may be ahead of ours.
+const maxListAhead = time.Minute
+
 // fetchList reads the VM list of a zone, empty for all, and applies it unless a newer one is known.
 func (s *Servers) fetchList(ctx context.Context, zone string) (list platform.VMList, ok bool) {
 	list, err := s.lister.ListVMs(ctx, zone)
@@ -153,6 +156,10 @@
 		s.log.Debug().Str("event", "vm_list_failed").Str("zone", zone).Err(err).Send()
 		return list, false
 	}
+	if latest := time.Now().Add(maxListAhead).UnixMilli(); list.AsOfMs > latest {
+		s.log.Warn().Str("event", "vm_list_of_the_future").Str("zone", zone).Int64("as_of_ms", list.AsOfMs).Send()
+		return list, false
+	}
 	s.mu.Lock()
 	ok = list.AsOfMs >= s.list.AsOfMs
 	if ok && zone == "" {
