A VM that can't be read leaves the rest of the VM list usable for takeovers

One VM whose name, pool or worker was of another type made the whole VM list an error. A new owner then learned from it of no lost worker, and waited for the leases of each; the wait ends by itself, as leases do.

Cause: a VM that is left out counts as gone, and its tasks would start again. Now the list comes with an error that says that it is incomplete. A new owner uses what the list has, another worker on a VM or another pool of it, and nothing follows from what it has not. The fleet operations use only complete lists, as before: they count the VMs of pools, end waves and moves of VMs that are gone, and a VM without a known pool would be counted against no budget.

--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -39,6 +39,16 @@
 	return fmt.Sprintf("%s has an unknown outcome: %s", e.Op, e.Cause)
 }
 
+// ErrIncomplete reports a list that lacks entries which could not be read. What it has is returned with the error;
+// nothing follows from what it has not.
+type ErrIncomplete struct {
+	Op    string
+	Cause string
+}
+
+// Error returns the operation and the cause.
+func (e ErrIncomplete) Error() string { return fmt.Sprintf("%s is incomplete: %s", e.Op, e.Cause) }
+
 // IsConflict reports whether err is an [ErrRefused] for a failed transaction precondition.
 func IsConflict(err error) bool {
 	var refused ErrRefused
--- a/pkg/platform/machines.go
+++ b/pkg/platform/machines.go
@@ -34,7 +34,7 @@
 // Machines lists VMs, moves them between pools and starts their maintenance. Errors of
 // orders are an [ErrRefused] when the VM cannot do it now, an [ErrNotDone], or an [ErrUnknown].
 type Machines interface {
-	// ListMachines returns all VMs.
+	// ListMachines returns all VMs. If some can't be read, it returns the others and an [ErrIncomplete].
 	ListMachines(ctx context.Context) ([]Machine, error)
 	// MoveMachine moves a VM to another pool; its running tasks end at once.
 	MoveMachine(ctx context.Context, vm, pool string, h Holder) error
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -38,16 +38,18 @@
 type testCluster struct {
 	// mu guards state that owners and workers read during the test: faults, failing, listed,
 	// machines, adviceCalls and the observer.
-	mu          sync.Mutex
-	t           fataler
-	since       time.Time
-	rows        *fake.Rows
-	workers     *fake.Workers
-	observer    *observer
-	listed      []platform.Worker
-	machines    []platform.Machine
-	allowed     []string // boots that the advice service allows; if empty the queue needs no advice
-	ownerStarts int64    // owners started so far, which number the starts of entries
+	mu       sync.Mutex
+	t        fataler
+	since    time.Time
+	rows     *fake.Rows
+	workers  *fake.Workers
+	observer *observer
+	listed   []platform.Worker
+	machines []platform.Machine
+	// machinesIncomplete has the VM list lack a VM that could not be read.
+	machinesIncomplete bool
+	allowed            []string // boots that the advice service allows; if empty the queue needs no advice
+	ownerStarts        int64    // owners started so far, which number the starts of entries
 	// wrapRows and wrapWorkers inject bugs that the tests must detect.
 	wrapRows           func(platform.Rows) platform.Rows
 	wrapWorkers        func(platform.Workers) platform.Workers
@@ -274,6 +276,9 @@
 func (e *testCluster) ListMachines(context.Context) (list []platform.Machine, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.machinesIncomplete {
+		return e.machines, platform.ErrIncomplete{Op: "list machines", Cause: "a VM can't be read"}
+	}
 	if e.machines != nil {
 		return e.machines, nil
 	}
--- a/pkg/shard/machines.go
+++ b/pkg/shard/machines.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gannetwell/gannetwell/pkg/platform"
 )
 
@@ -29,16 +31,19 @@
 		list, err := o.cfg.Machines.ListMachines(ctx)
 		o.mu.Lock()
 		defer o.mu.Unlock()
+		incomplete := errors.As(err, new(platform.ErrIncomplete))
 		if err != nil {
-			o.log.Warn().Str("event", "machines_not_listed").Err(err).Send()
-			return
+			o.log.Warn().Str("event", "machines_not_listed").Bool("incomplete", incomplete).Err(err).Send()
+		}
+		if err == nil || incomplete {
+			o.endReplacedBoots(list, !incomplete)
 		}
-		o.endReplacedBoots(list)
 	})
 }
 
-// endReplacedBoots ends the sessions of boots that have ended according to the VM list; the lock is held.
-func (o *Owner) endReplacedBoots(list []platform.Machine) {
+// endReplacedBoots ends the sessions of boots that have ended according to the VM list; the lock is held. Of a list that is
+// not complete only what it has counts: a VM that it lacks may be there.
+func (o *Owner) endReplacedBoots(list []platform.Machine, complete bool) {
 	byVM := make(map[string]platform.Machine, len(list))
 	for _, m := range list {
 		byVM[m.VM] = m
@@ -49,8 +54,9 @@
 		}
 		m, ok := byVM[s.vm]
 		switch {
-		case !ok:
+		case !ok && complete:
 			o.bootEnded(s, "its VM no longer exists")
+		case !ok:
 		case m.Pool != o.cfg.Pool:
 			o.bootEnded(s, "its VM is in another pool")
 		case m.State == platform.MachineUp && m.Worker != "" && m.Worker != s.worker:
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -113,6 +113,7 @@
 		m := platform.Machine{VM: c.arg("vm", ""), Worker: c.boot(), Pool: c.arg("pool", pool), State: platform.MachineUp}
 		c.machines = append(c.machines, m)
 	},
+	"machines-incomplete": func(c scriptCall) { c.machinesIncomplete = true },
 	"stall": func(c scriptCall) {
 		boot := c.boot()
 		c.workers.SetStall(func(b, _ string) bool { return boot == "*" || b == boot })
