--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/jobs"
 	"github.com/gannetwell/gannetwell/pkg/pause"
 	"github.com/gannetwell/gannetwell/pkg/placement"
@@ -250,11 +251,24 @@
 	return tasks
 }
 
+// maxObjective bounds the latency objectives of jobs, so that multiples of them fit.
+const maxObjective = 365 * 24 * time.Hour
+
+// objectiveOf returns the latency objective of a job with a critical path.
+func objectiveOf(l *catalog.ServiceLevel, path time.Duration) time.Duration {
+	stretched := l.Stretch * float64(path)
+	if !(stretched < float64(maxObjective)) { // not a number, too
+		return maxObjective
+	}
+	target := max(0, min(maxObjective, l.TargetLatency))
+	return min(maxObjective, target+max(0, time.Duration(stretched)))
+}
+
 func (o *Owner) candidate(s *jobs.StepRun, startable []*jobs.Task, remaining, now time.Duration) placement.Candidate {
 	j := s.Job
 	c := placement.Candidate{Step: s, Tasks: startable, RemainingPath: remaining, Deadline: j.AddedAt + remaining}
 	if q := o.serviceLevelOf(j); q != nil {
-		objective := q.TargetLatency + time.Duration(q.Stretch*float64(o.criticalPath(j)))
+		objective := objectiveOf(q, o.criticalPath(j))
 		c.Priority = q.Priority
 		due := j.AddedAt
 		if at := s.Due(); at > 0 {
