A commit row with a term out of range does not stand in for an owner row

A takeover that finds a malformed owner row takes the term from the commit row. If that held 2^63-1 the next term overflowed, and fencing tokens and attempt numbers with it.

Now such a commit row counts as malformed, as an owner row does, and the takeover fails.

Failed before: three cases of TestOddCommitRow.

--- a/pkg/shard/owner_row_test.go
+++ b/pkg/shard/owner_row_test.go
@@ -40,6 +40,27 @@
 	}
 }
 
+// TestOddCommitRow guards against a term from a commit row, in place of a malformed owner row, after which none is higher.
+func TestOddCommitRow(t *testing.T) {
+	for name, tc := range map[string]struct {
+		term int64
+		want bool
+	}{
+		"sound": {12, true}, "highest possible": {maxTerm, true}, "none": {0, false}, "negative": {-1, false},
+		"tokens overflow": {maxTerm + 1, false}, "highest term": {math.MaxInt64, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			commit, err := encode(commitRow{Entry: "e1", Term: tc.term})
+			qt.Assert(t, err, qt.IsNil)
+			predecessor, err := decodePredecessor(platform.Row{Version: 1, Value: []byte{0x01}}, platform.Row{Version: 1, Value: commit})
+			qt.Check(t, err == nil, qt.Equals, tc.want)
+			if tc.want {
+				qt.Check(t, predecessor.Term, qt.Equals, tc.term)
+			}
+		})
+	}
+}
+
 // TestLastTerm guards against a term below that of the allocator whose grant a shard has persisted.
 func TestLastTerm(t *testing.T) {
 	const allocator = "fleet"
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -143,7 +143,7 @@
 		return predecessor, nil
 	}
 	var c commitRow
-	if commitErr := msgpack.Unmarshal(commit.Value, &c); commitErr != nil || c.Term == 0 {
+	if commitErr := msgpack.Unmarshal(commit.Value, &c); commitErr != nil || c.Term <= 0 || c.Term > maxTerm {
 		return OwnerRow{}, err
 	}
 	return OwnerRow{Entry: c.Entry, Start: c.Start, Term: c.Term}, nil
