Announced orders that are too far ahead count as malformed

By reading: an announcement of an order until a time near 2^63 ns overflowed where the order gap is added, so that the next holder kept no gap for that VM; one that is years ahead kept the VM from being moved or maintained as long.

Cause: announced times were believed. An order is announced a second ahead, so that one a minute or more ahead of the table service's clock makes the announcement malformed: the holder then waits once, for all VMs.

Failed before: the three cases ahead of TestOddAnnouncement.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -21,6 +21,8 @@
 	orderWindow = time.Second
 	// orderTransit is the maximum time that an order takes to reach the VM service.
 	orderTransit = 250 * time.Millisecond
+	// maxAnnouncedAhead is more than any announced order may be ahead of the table service's clock.
+	maxAnnouncedAhead = time.Minute
 )
 
 const (
@@ -67,7 +69,15 @@
 		row = page.Rows[0]
 	}
 	r.announcedVersion = row.Version
-	return decodeAnnouncement(row)
+	if a, err = decodeAnnouncement(row); err != nil {
+		return a, err
+	}
+	for _, o := range a.Orders {
+		if o.Until > page.Now+maxAnnouncedAhead {
+			return announcement{}, errMalformed{cause: errors.Errorf("orders for VM %s until %v are too late", o.VM, o.Until)}
+		}
+	}
+	return a, nil
 }
 
 // loadFormerOrders reads once for which VMs former holders may have sent orders, and reports
