An odd item in place of the next log entry does not end the edits of the table

Each edit expects that the log has nothing at its revision. An item of another writer at that key made every edit end as a conflict, at every entry, for ever.

Cause: a conflict was taken for an edit that others made. Now, after a conflict, an item at that key that is no log entry is replaced: the transaction expects its version, and the head as before, so two entries can't both do it. A sound entry there is left alone, since then the head may be behind; edits are refused, as before.

Failed before: two cases of TestOddNextEntry; its case of a sound entry fails when whatever stands there is replaced.

--- a/pkg/replica/commit.go
+++ b/pkg/replica/commit.go
@@ -96,7 +96,18 @@
 	if entry.Revision != revision+1 {
 		return nil, platform.ErrNotDone{Op: "commit", Cause: "the table moved on while the edit was checked"}
 	}
-	if err := r.store.Commit(ctx, entryTxn(entry, headVersion)); err != nil {
+	err = r.store.Commit(ctx, entryTxn(entry, headVersion, 0))
+	if platform.IsConflict(err) {
+		oddVersion, readErr := r.oddEntry(ctx, entry.Revision)
+		if readErr != nil {
+			return nil, readErr
+		}
+		if oddVersion == 0 {
+			return nil, err
+		}
+		err = r.store.Commit(ctx, entryTxn(entry, headVersion, oddVersion))
+	}
+	if err != nil {
 		return nil, err
 	}
 	return entry, r.ApplyEntries([]schema.Entry{*entry})
--- a/pkg/replica/log.go
+++ b/pkg/replica/log.go
@@ -51,6 +51,19 @@
 	return e, nil
 }
 
+// oddEntry returns the version of the item at the key of a revision if that is no log entry, otherwise 0.
+func (r *Replica) oddEntry(ctx context.Context, revision int) (version int64, err error) {
+	item, err := r.store.Get(ctx, logKey(revision))
+	if err != nil || item.Version == 0 {
+		return 0, err
+	}
+	if _, err := parseEntry(item); err != nil {
+		r.logMalformed(item.Key, err)
+		return item.Version, nil
+	}
+	return 0, nil
+}
+
 func (r *Replica) logMalformed(key string, err error) {
 	r.logger.Error().Str("event", "item_malformed").Str("key", key).Err(err).Send()
 }
--- a/pkg/replica/odd_items_test.go
+++ b/pkg/replica/odd_items_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
@@ -190,3 +193,49 @@
 		c.Check(entries[0].Revision, qt.Equals, want)
 	}
 }
+
+// TestOddNextEntry guards against a table that can't be edited any more, since an odd item stands where the next entry
+// belongs, and against an entry that is overwritten since the head is behind it.
+func TestOddNextEntry(t *testing.T) {
+	for name, tc := range map[string]struct {
+		value string
+		made  bool
+	}{
+		"odd":          {"[1]", true},
+		"sound":        {`{"revision":2,"edit_id":"other","changes":[{"kind":"zone","name":"c","after":{}}]}`, false},
+		"at other key": {`{"revision":3}`, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := fake.New().View("z")
+				replicas := []*replica.Replica{replica.New(store), replica.New(store)}
+				commitZone(c, replicas[0], "e1", "a")
+				_, err := replicas[1].CatchUp(context.Background())
+				c.Assert(err, qt.IsNil)
+				setItem(c, store, "log/0000000000000002", tc.value)
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				var wg sync.WaitGroup
+				for i, id := range []string{"e2", "e3"} {
+					wg.Go(func() {
+						_, err := replicas[i].Commit(ctx, &table.Edit{ID: id, Actor: "a", Changes: []table.Change{
+							{Key: table.Key{Kind: schema.KindZone, Name: id}, Value: table.MustValue(schema.Zone{Note: id})},
+						}})
+						c.Check(err == nil, qt.Equals, tc.made, qt.Commentf("%v", err))
+					})
+				}
+				wg.Wait()
+				for _, r := range replicas {
+					_, err := r.CatchUp(context.Background())
+					c.Assert(err, qt.IsNil)
+					c.Check(tableOf(c, r), qt.Equals, tableOf(c, replicas[0]))
+					c.Check(r.Revision() == 3, qt.Equals, tc.made)
+				}
+				item, err := store.Get(context.Background(), "log/0000000000000002")
+				c.Assert(err, qt.IsNil)
+				c.Check(string(item.Value) != tc.value, qt.Equals, tc.made)
+			})
+		})
+	}
+}
--- a/pkg/replica/store.go
+++ b/pkg/replica/store.go
@@ -168,11 +168,11 @@
 	return nil
 }
 
-// entryTxn returns the transaction that commits a log entry.
-func entryTxn(e *schema.Entry, headVersion int64) (txn platform.Txn) {
+// entryTxn returns the transaction that commits a log entry, in place of an odd item of a version, 0 for none.
+func entryTxn(e *schema.Entry, headVersion, oddVersion int64) (txn platform.Txn) {
 	txn.Conditions = []platform.Condition{
 		{Key: keyHead, Version: headVersion},
-		{Key: logKey(e.Revision)},
+		{Key: logKey(e.Revision), Version: oddVersion},
 		{Key: editKey(e.EditID)},
 	}
 	txn.Writes = []platform.Write{
