Odd rows of routes and pools do not end the gateway

A route with a negative number of requests in flight, or a VM in a pool whose service does not exist, ended each entry of the gateway that took the table, and again at each start. A route to a service that does not exist broke off the connections of its callers.

Cause: edits are checked for both, and what is read back was taken to be checked. Now such a route has no free place, such a VM gets no requests, and a route without a service has no servers, so that its requests are refused with 503.

--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -106,11 +106,10 @@
 	}
 	for _, name := range snap.VMs.Names() {
 		vm := snap.VMs[name].Value
-		pool, ok := snap.Pools[vm.Pool]
-		if !ok {
-			continue
+		svc := services[snap.Pools[vm.Pool].Value.Service]
+		if svc == nil {
+			continue // no request goes there
 		}
-		svc := services[pool.Value.Service]
 		server := g.servers[name]
 		svc.all = append(svc.all, server)
 		if server.Zone == g.zone {
@@ -125,6 +124,9 @@
 	}
 	for _, name := range snap.Routes.Names() {
 		row := snap.Routes[name].Value
+		if services[row.Service] == nil {
+			services[row.Service] = &service{name: row.Service, serviceState: g.serviceStateOf(row.Service)} // without servers
+		}
 		v.routes = append(v.routes, &route{
 			Route: row, name: name, service: services[row.Service], routeState: g.routeStateOf(name, row.MaxInFlight),
 		})
@@ -140,6 +142,7 @@
 
 // routeStateOf returns the state of a route; it is new if the in-flight limit n has changed.
 func (g *Gateway) routeStateOf(name string, n int) *routeState {
+	n = max(n, 0)
 	s, ok := g.routes[name]
 	if !ok || cap(s.slots) != n {
 		s = &routeState{slots: make(chan struct{}, n), hedgeDelay: retry.NewQuantile(hedgeQuantile)}
