An odd row in the table does not have the edits of other rows refused

A row of another writer that refers to what does not exist, or has the address of another VM, had every edit refused, those of the control loop included: it could drain, repair and give back no VM any more. A VM in a pool that does not exist could not be removed either, since VMs in service can't be.

Cause: an edit was refused for any problem of the resulting table. Now it is refused for those that the table did not have before. A VM in a pool that does not exist gets no requests, so that it may be removed.

--- a/pkg/table/edit.go
+++ b/pkg/table/edit.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/gannetwell/gannetwell/pkg/config"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -25,8 +26,9 @@
 }
 
 // Prepare checks an edit and returns the log entry and snapshot that result from it. It returns
-// [ErrConflict] if a row is not at the version seen, [ErrRejected] if a value or the resulting
-// table is invalid, and [ErrNoChange] if every row already has its value.
+// [ErrConflict] if a row is not at the version seen, [ErrRejected] if a value is invalid or the
+// resulting table has a problem that it did not have before, and [ErrNoChange] if every row already
+// has its value.
 func (s *Snapshot) Prepare(e *Edit, nowMs int) (entry *schema.Entry, next *Snapshot, err error) {
 	if problems := checkEdit(e); len(problems) > 0 {
 		return nil, nil, ErrRejected{Problems: problems}
@@ -56,13 +58,23 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	problems := append(next.Check(), checkTransition(s, next, entry, e.Operator)...)
+	problems := append(s.newProblems(next), checkTransition(s, next, entry, e.Operator)...)
 	if len(problems) > 0 {
 		return nil, nil, ErrRejected{Problems: problems}
 	}
 	return entry, next, nil
 }
 
+// newProblems returns the problems of the table after an edit that it did not have before.
+func (s *Snapshot) newProblems(next *Snapshot) []Problem {
+	problems := next.Check()
+	if len(problems) == 0 {
+		return nil
+	}
+	before := s.Check()
+	return slices.DeleteFunc(problems, func(p Problem) bool { return slices.Contains(before, p) })
+}
+
 // checkEdit returns the problems of the edit itself.
 func checkEdit(e *Edit) (problems []Problem) {
 	seen := map[Key]bool{}
--- a/pkg/table/transition.go
+++ b/pkg/table/transition.go
@@ -51,12 +51,13 @@
 func (c *transitionChecker) checkVM(name string, operator bool) {
 	old, existed := c.before.VMs[name]
 	row, exists := c.after.VMs[name]
+	_, serves := c.before.Pools[old.Value.Pool]
 	switch {
 	case operator && existed && exists:
 		c.checkOperatorEdit(name, old.Value, row.Value)
 	case operator && exists && row.Value.Phase != schema.PhaseActive:
 		c.add(name, "phase", "control writes this column")
-	case existed && !exists && old.Value.Pool != "" && old.Value.Phase == schema.PhaseActive:
+	case existed && !exists && serves && old.Value.Phase == schema.PhaseActive:
 		c.add(name, "", fmt.Sprintf("the VM serves pool %q: shrink the pool first", old.Value.Pool))
 	}
 	if existed && exists {
