A row of quota shares without a term counts as malformed

A row of another type that has none of our fields decoded as one by which no shares were ever granted, so that no limit was enforced until the next grant. A stored row always has the term of an allocator.

Failed before: no_fields of TestOddShares.

--- a/pkg/shard/odd_shares_test.go
+++ b/pkg/shard/odd_shares_test.go
@@ -23,7 +23,8 @@
 		row  quota.Row
 		want string // kept, left out or unreadable
 	}{
-		"none yet":            {quota.Row{}, "kept"},
+		"no shares yet":       {quota.Row{Term: 1}, "kept"},
+		"no fields":           {quota.Row{}, "unreadable"},
 		"whole limit":         {shares(1), "kept"},
 		"rounded up":          {shares(1 + 1e-12), "kept"},
 		"nothing":             {shares(0), "kept"},
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -160,7 +160,7 @@
 	if err := packed.Unmarshal(r.Value, &row); err != nil {
 		return err
 	}
-	if maxSeq := quota.LostRow(0, maxTerm+1).Seq; row.Term < 0 || row.Term > maxTerm || row.Seq < 0 || row.Seq > maxSeq {
+	if maxSeq := quota.LostRow(0, maxTerm+1).Seq; row.Term <= 0 || row.Term > maxTerm || row.Seq < 0 || row.Seq > maxSeq {
 		return errors.Errorf("a grant %d of term %d is not possible", row.Seq, row.Term)
 	}
 	stored.sharesUnreadable = false
