--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,5 +1,10 @@
 package quota
 
+import (
+	"maps"
+	"slices"
+)
+
 // Grant sets the shares of some accounts at one shard.
 type Grant struct {
 	Term   int64              `msgpack:"t"`           // ownership term of the allocator
@@ -16,6 +21,30 @@
 	Shares   map[string]float64 `msgpack:"a"`
 }
 
+// seqsPerTakeover is more grants than an allocator makes to a shard between two takeovers of it.
+const seqsPerTakeover = 1 << 22
+
+// LostRow returns the row with which a shard goes on after its own can't be read. It allows nothing, and rejects all
+// grants made before the allocator has had a report on it. The term is at least that of the last allocator whose grant
+// the shard can have persisted; takeover is a number that rises with each takeover of the shard.
+func LostRow(term, takeover int64) Row {
+	return Row{Term: term, Seq: takeover * seqsPerTakeover, Enforced: true}
+}
+
+// SplitOff returns the row without shares that are no fractions, and the accounts that had them. Such an account starts
+// nothing until its next grant.
+func (r Row) SplitOff() (sound Row, odd []string) {
+	sound, sound.Shares = r, maps.Clone(r.Shares)
+	for account, share := range r.Shares {
+		if !(share >= -epsilon && share <= 1+epsilon) { // not a number, too
+			odd = append(odd, account)
+			delete(sound.Shares, account)
+		}
+	}
+	slices.Sort(odd)
+	return sound, odd
+}
+
 // Usage is a shard's report on one account, in fractions of the account's limit.
 type Usage struct {
 	Account  string  `msgpack:"n"`
--- a/pkg/shard/read.go
+++ b/pkg/shard/read.go
@@ -43,7 +43,9 @@
 	unreportedLoss    bool // a worker of a former owner was lost before it reported to a later one
 	workersUnreadable bool // the record of workers is malformed: any worker may hold a lease
 	shares            quota.Row
+	sharesUnreadable  bool // the row of quota shares is malformed
 	queues            []queueRow
+	unreadableQueues  map[string]bool // keys of malformed rows of queues
 }
 
 // errMalformedRow reports a row that can't be decoded.
@@ -58,12 +60,10 @@
 }
 
 // readStoredState reads the partition after the takeover, when no other entry can write to it. A
-// job with a malformed row is left out, and malformed is called for each such row. A malformed row
-// of quota shares is an error, since nothing could be started within the limits of accounts, and so is one of a
-// queue, whose jobs might be accepted twice.
+// job or queue with a malformed row is left out, and malformed is called for each such row.
 func readStoredState(ctx context.Context, rows platform.Rows, pool string, term int64, now time.Duration, malformed func(errMalformedRow)) (stored storedState, err error) {
 	defer func() { err = errors.Wrapf(err, "read shard %s", pool) }()
-	stored.registry, stored.unreadable = jobs.NewRegistry(term), map[string]bool{}
+	stored.registry, stored.unreadable, stored.unreadableQueues = jobs.NewRegistry(term), map[string]bool{}, map[string]bool{}
 	records, err := readAll(ctx, rows, tableJob, pool)
 	if err != nil {
 		return stored, err
@@ -136,13 +136,14 @@
 		case ok:
 		case strings.HasPrefix(r.Key, queueKeyPrefix):
 			if err := stored.readQueue(r); err != nil {
-				return errMalformedRow{key: r.RowKey, cause: err}
+				stored.unreadableQueues[r.Key] = true
+				malformed(errMalformedRow{key: r.RowKey, cause: err})
 			}
 		case r.Key == unreportedLossKey:
 			stored.unreportedLoss = true
 		case r.Key == sharesKey:
-			if err := packed.Unmarshal(r.Value, &stored.shares); err != nil {
-				return errMalformedRow{key: r.RowKey, cause: err}
+			if err := stored.readShares(r); err != nil {
+				malformed(errMalformedRow{key: r.RowKey, cause: err})
 			}
 		}
 	}
@@ -152,6 +153,47 @@
 	return nil
 }
 
+// readShares decodes the row of quota shares, without those that are no fractions.
+func (stored *storedState) readShares(r platform.Row) error {
+	stored.sharesUnreadable = true
+	var row quota.Row
+	if err := packed.Unmarshal(r.Value, &row); err != nil {
+		return err
+	}
+	if maxSeq := quota.LostRow(0, maxTerm+1).Seq; row.Term <= 0 || row.Term > maxTerm || row.Seq < 0 || row.Seq > maxSeq {
+		return errors.Errorf("a grant %d of term %d is not possible", row.Seq, row.Term)
+	}
+	stored.sharesUnreadable = false
+	var odd []string
+	if stored.shares, odd = row.SplitOff(); len(odd) > 0 {
+		return errors.Errorf("no shares of a limit are those of %q", odd)
+	}
+	return nil
+}
+
+// replaceShares replaces quota shares that can't be read, so that no account exceeds its limit. Grants of the owners of
+// the allocator's shard before the present one are late.
+func (stored *storedState) replaceShares(ctx context.Context, rows platform.Rows, allocator string, term int64) (err error) {
+	defer func() { err = errors.Wrap(err, "replace quota shares") }()
+	last, err := readLastTerm(ctx, rows, allocator)
+	stored.shares = quota.LostRow(last, term)
+	return err
+}
+
+// readLastTerm returns the term of the last owner of a shard, 0 if it never had one.
+func readLastTerm(ctx context.Context, rows platform.Rows, pool string) (term int64, err error) {
+	owner, err := ReadRow(ctx, rows, ownerKey(pool))
+	if err != nil || owner.Version == 0 {
+		return 0, err
+	}
+	commit, err := ReadRow(ctx, rows, commitKey(pool))
+	if err != nil {
+		return 0, err
+	}
+	last, err := decodePredecessor(owner, commit)
+	return last.Term, err
+}
+
 // maxJobAge bounds the age of a job as computed from two clocks that may differ.
 const maxJobAge = time.Minute
 
--- a/pkg/shard/script_commands_test.go
+++ b/pkg/shard/script_commands_test.go
@@ -113,6 +113,7 @@
 		m := platform.Machine{VM: c.arg("vm", ""), Worker: c.boot(), Pool: c.arg("pool", pool), State: platform.MachineUp}
 		c.machines = append(c.machines, m)
 	},
+	"machines-incomplete": func(c scriptCall) { c.machinesIncomplete = true },
 	"stall": func(c scriptCall) {
 		boot := c.boot()
 		c.workers.SetStall(func(b, _ string) bool { return boot == "*" || b == boot })
@@ -141,6 +142,16 @@
 	"allowed": func(c scriptCall) {
 		c.locked(func() { c.observer.allowed[c.arg("account", "")] = c.number("cpu", "0") })
 	},
+	"holder": func(c scriptCall) {
+		raw, err := shard.EncodeOwner(shard.OwnerRow{Entry: "h", Term: int64(c.number("term", "1"))})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		txn := platform.RowTxn{Put: []platform.Row{{RowKey: platform.RowKey{Table: shard.TableOwner, Partition: allocator, Key: "row"}, Value: raw}}}
+		if _, err := c.rows.As(fake.Operator).CommitRows(context.Background(), txn); err != nil {
+			c.t.Fatal(err)
+		}
+	},
 	"grant": func(c scriptCall) {
 		c.grant(c.entry(), int64(c.number("term", "1")), int64(c.number("seq", "1")), c.arg("account", ""), c.float("share", "0"))
 	},
