--- a/pkg/peer/crowd_test.go
+++ b/pkg/peer/crowd_test.go
@@ -93,7 +93,7 @@
 // TestCrowdBeforeHandshake guards against a crowd that keeps peers of the membership out.
 func TestCrowdBeforeHandshake(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := startRequests(t, newPipeListener())
+		s := startRequests(t, newPipeListener(), answerRequest)
 		for range crowdLinks {
 			s.open()
 		}
--- a/pkg/peer/harness_test.go
+++ b/pkg/peer/harness_test.go
@@ -113,12 +113,12 @@
 	return s
 }
 
-// startRequests serves requests of authenticated peers.
-func startRequests(t *testing.T, ln *pipeListener) *crowdTest {
+// startRequests serves requests of authenticated peers with a handler.
+func startRequests(t *testing.T, ln *pipeListener, h peer.Handler) *crowdTest {
 	s := &crowdTest{t: t, ln: ln, served: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.ended = cancel
-	server := peer.NewServer(ln, secret, func(context.Context, *schema.PeerRequest) *schema.PeerReply { return &schema.PeerReply{} })
+	server := peer.NewServer(ln, secret, h)
 	go func() { s.served <- server.Serve(ctx) }()
 	return s
 }
@@ -195,3 +195,7 @@
 func answerOk(context.Context, *schema.Call) *schema.CallReply {
 	return &schema.CallReply{Outcome: schema.CallOutcomeOk}
 }
+
+func answerRequest(context.Context, *schema.PeerRequest) *schema.PeerReply {
+	return &schema.PeerReply{}
+}
--- a/pkg/peer/sums_test.go
+++ b/pkg/peer/sums_test.go
@@ -36,7 +36,7 @@
 func TestUnfinishedHello(t *testing.T) {
 	part := append(binary.BigEndian.AppendUint32(nil, peer.MaxFrame), make([]byte, largePart)...)
 	synctest.Test(t, func(t *testing.T) {
-		s := startRequests(t, newPipeListener())
+		s := startRequests(t, newPipeListener(), answerRequest)
 		for range largeLinks {
 			c := s.open()
 			_, err := peer.ReadFrame(c, &schema.PeerHello{})
