--- a/pkg/peer/callserver.go
+++ b/pkg/peer/callserver.go
@@ -168,7 +168,7 @@
 }
 
 // encode encodes a reply and counts its bytes.
-func (s *CallServer) encode(reply *schema.CallReply, f *frameUnderWay) (frame []byte, err error) {
+func (s *CallServer) encode(reply any, f *frameUnderWay) (frame []byte, err error) {
 	s.encodeMu.Lock()
 	defer s.encodeMu.Unlock()
 	if frame, err = encodeFrame(reply); err != nil {
