Entry of the request path: limits of connections by the descriptors

What callers saw: a crowd of connections at any listener of an entry of the request path took all its descriptors. Nobody was answered any more at any listener, and the entry had none left for backend servers, peers and the store.

Cause: the limits of the listeners were constants above the descriptors of the process, and connections beyond them waited to be accepted, behind a crowd that stays. Links of peers had a constant limit as well.

Mend: the listeners are limited by pkg/connlimit, inside TLS, with the limits that it derives from the descriptors: a third for callers, since each may need a connection to a backend server, max_connections at most. The connection that has waited longest for a request makes room. A body counts as waiting until it has arrived; a request passed on to a backend server keeps its connection.

--- a/pkg/connlimit/limits.go
+++ b/pkg/connlimit/limits.go
@@ -30,6 +30,9 @@
 	Peers     int
 }
 
+// AnyMemory is the memory limit of a process without one, in MB.
+const AnyMemory = maxDescriptor
+
 // ForProcess returns the limits of this process, whose memory limit is in MB. They leave it descriptors for connections of
 // its own.
 func ForProcess(memoryMB int) (l Limits, err error) {
--- a/pkg/connlimit/listener_test.go
+++ b/pkg/connlimit/listener_test.go
@@ -1,9 +1,13 @@
 package connlimit
 
 import (
+	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -145,6 +149,44 @@
 	qt.Check(t, err, qt.IsNil)
 }
 
+// TestSecureConnections checks that a request on a TLS connection stays beside a crowd.
+func TestSecureConnections(t *testing.T) {
+	waiting, release := make(chan struct{}, 1), make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		waiting <- struct{}{}
+		<-release
+	}))
+	limited := New(s.Listener, testConns, zerolog.Nop())
+	s.Listener = limited
+	limited.Attach(s.Config)
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	s.StartTLS()
+	defer s.Close()
+	answered := make(chan error, 1)
+	go func() {
+		resp, err := s.Client().Get(s.URL)
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		answered <- err
+	}()
+	<-waiting
+	var crowd []net.Conn
+	for range testCrowd {
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		crowd = append(crowd, conn)
+	}
+	for _, conn := range crowd[:testCrowd-testConns] { // closed at the limit
+		_ = conn.SetDeadline(time.Now().Add(testTime))
+		_, err := conn.Read(make([]byte, 1))
+		qt.Check(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
+	}
+	close(release)
+	qt.Check(t, <-answered, qt.IsNil)
+}
+
 // TestCloseWrite checks that a connection's sending direction can be closed.
 func TestCloseWrite(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -37,8 +37,10 @@
 	traffic  *controlTraffic
 	registry *prometheus.Registry
 
-	callers, operators, peerListener net.Listener
-	peerTLS                          *certs.Reloader
+	callers, operators *httpListener
+	peerListener       net.Listener
+	peerTLS            *certs.Reloader
+	maxLinks           int // of peers
 
 	gateway  *gateway.Gateway
 	replica  *replica.Replica
@@ -167,7 +169,7 @@
 	e.addServer(&g, callerServer, e.callers)
 	e.addServer(&g, operatorServer, e.operators)
 	peerServer := peer.NewServer(e.peerListener, e.settings.Peers.Secret, e.peers.Handle,
-		peer.WithLogger(e.log), peer.WithServerBytes(e.traffic.peers))
+		peer.WithLogger(e.log), peer.WithServerBytes(e.traffic.peers), peer.WithServerMaxLinks(e.maxLinks))
 	e.addActor(&g, ctx, peerServer.Serve)
 	e.addActor(&g, ctx, e.peers.Run)
 	e.addActor(&g, ctx, e.servers.Run)
@@ -191,7 +193,8 @@
 }
 
 // addServer adds an HTTP server.
-func (e *Entry) addServer(g *run.Group, s *http.Server, ln net.Listener) {
+func (e *Entry) addServer(g *run.Group, s *http.Server, ln *httpListener) {
+	ln.limit.Attach(s)
 	done := make(chan struct{})
 	g.Add(func() error {
 		if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -42,6 +42,7 @@
 	store *fake.Platform
 	seeds []string
 	tls   map[string]any // TLS settings of every listener, nil for none
+	conns int            // of callers, 0 for the default
 }
 
 // node is a running entry.
@@ -62,13 +63,17 @@
 		}
 		return m
 	}
+	gatewaySettings := map[string]any{"stop_notice_ms": 20, "probe_interval_ms": 50}
+	if c.conns > 0 {
+		gatewaySettings["max_connections"] = c.conns
+	}
 	doc, err := json.Marshal(map[string]any{
 		"name": name, "zone": "z",
 		"callers":   listener(nil),
 		"operators": listener(map[string]any{"accounts": []schema.Account{{Name: "maria", Role: schema.RoleEdit, TokenSha256: server.HashToken(token)}}}),
 		"peers":     listener(map[string]any{"secret": "0123456789abcdef", "seeds": append([]string{}, c.seeds...)}),
 		"platform":  map[string]any{"url": "http://unused"},
-		"gateway":   map[string]any{"stop_notice_ms": 20, "probe_interval_ms": 50},
+		"gateway":   gatewaySettings,
 		"control":   map[string]any{"step_interval_ms": 50, "sync_interval_ms": 20},
 	})
 	qt.Assert(c.t, err, qt.IsNil)
@@ -161,24 +166,27 @@
 	await(func() bool { return ready(third) })
 }
 
+// echoBody answers with what arrives, at once.
+func echoBody(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	_ = rc.EnableFullDuplex()
+	_ = rc.Flush()
+	buf := make([]byte, 64)
+	for {
+		n, err := r.Body.Read(buf)
+		_, _ = w.Write(buf[:n])
+		_ = rc.Flush()
+		if err != nil {
+			return
+		}
+	}
+}
+
 // TestPlannedStop stops an entry while a stream is open: the entry becomes not ready at once,
 // the stream continues to its end, and then Run returns without an error.
 func TestPlannedStop(t *testing.T) {
 	c := qt.New(t)
-	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		rc := http.NewResponseController(w)
-		_ = rc.EnableFullDuplex()
-		_ = rc.Flush()
-		buf := make([]byte, 64)
-		for {
-			n, err := r.Body.Read(buf)
-			_, _ = w.Write(buf[:n])
-			_ = rc.Flush()
-			if err != nil {
-				return
-			}
-		}
-	}))
+	backend := httptest.NewServer(http.HandlerFunc(echoBody))
 	defer backend.Close()
 	cl := &cluster{t: t, store: fake.New()}
 	n, other := cl.start("entry-1"), cl.start("entry-2")
--- a/pkg/entry/listen.go
+++ b/pkg/entry/listen.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"golang.org/x/net/netutil"
 
 	"github.com/gannetwell/gannetwell/pkg/certs"
+	"github.com/gannetwell/gannetwell/pkg/connlimit"
 	"github.com/gannetwell/gannetwell/pkg/explain"
 	"github.com/gannetwell/gannetwell/pkg/schema"
 	"github.com/gannetwell/gannetwell/service/server"
@@ -20,20 +20,29 @@
 // ReadyPath is the readiness check for load balancers on the callers' port.
 const ReadyPath = "/.gannetwell/ready"
 
-const (
-	operatorHeaderTimeout  = 5 * time.Second
-	maxOperatorConnections = 256
-)
+const operatorHeaderTimeout = 5 * time.Second
+
+// httpListener is a listener, with TLS if it is set up so, and the limit of its connections.
+type httpListener struct {
+	net.Listener
+	limit *connlimit.Listener
+}
 
 // listen binds the three listeners.
 func (e *Entry) listen() (err error) {
-	if e.callers, err = listenHTTP(e.settings.Callers.Address, e.settings.Callers.TLS, e.settings.Gateway.MaxConnections); err != nil {
+	limits, err := connlimit.ForProcess(connlimit.AnyMemory)
+	if err != nil {
+		return err
+	}
+	callers := min(e.settings.Gateway.MaxConnections, limits.Callers*2/3) // each may need a connection to a backend server
+	if e.callers, err = e.listenHTTP(e.settings.Callers.Address, e.settings.Callers.TLS, callers); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	if e.operators, err = listenHTTP(e.settings.Operators.Address, e.settings.Operators.TLS, maxOperatorConnections); err != nil {
+	if e.operators, err = e.listenHTTP(e.settings.Operators.Address, e.settings.Operators.TLS, limits.Operators); err != nil {
 		e.closeListeners()
 		return errors.Wrap(err, "listen for operators")
 	}
+	e.maxLinks = limits.Peers
 	if err = e.listenPeers(); err != nil {
 		e.closeListeners()
 		return errors.Wrap(err, "listen for peers")
@@ -42,15 +51,15 @@
 }
 
 func (e *Entry) closeListeners() {
-	for _, ln := range []net.Listener{e.callers, e.operators, e.peerListener} {
+	for _, ln := range []*httpListener{e.callers, e.operators} {
 		if ln != nil {
 			_ = ln.Close()
 		}
 	}
 }
 
-// listenHTTP binds an address. Connections above the limit wait in the accept queue.
-func listenHTTP(address string, files *schema.TLS, connections int) (ln net.Listener, err error) {
+// listenHTTP binds an address; at the limit, connections that wait for a request make room for new ones.
+func (e *Entry) listenHTTP(address string, files *schema.TLS, connections int) (ln *httpListener, err error) {
 	var cfg *tls.Config
 	if files != nil {
 		r, err := certs.New(*files)
@@ -59,15 +68,15 @@
 		}
 		cfg = r.Server()
 	}
-	ln, err = net.Listen("tcp", address)
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	ln = netutil.LimitListener(ln, connections)
+	limit := connlimit.New(inner, connections, e.log)
 	if cfg == nil {
-		return ln, nil
+		return &httpListener{limit, limit}, nil
 	}
-	return tls.NewListener(ln, cfg), nil
+	return &httpListener{tls.NewListener(limit, cfg), limit}, nil
 }
 
 func (e *Entry) listenPeers() (err error) {
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gannetwell/gannetwell/pkg/connlimit"
 	"github.com/gannetwell/gannetwell/pkg/gateway/once"
 	"github.com/gannetwell/gannetwell/pkg/gateway/retry"
 	"github.com/gannetwell/gannetwell/pkg/schema"
@@ -219,6 +220,7 @@
 	select {
 	case slots <- struct{}{}:
 		defer func() { <-slots }()
+		connlimit.Busy(x.r.Context())
 	default:
 		return notRun(http.StatusServiceUnavailable, ReasonBusy, "the route's requests in flight are at their limit").withRetryAfter(defaultRetryAfter)
 	}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -22,11 +22,12 @@
 
 // Server accepts links of peers and answers their requests.
 type Server struct {
-	links   *links
-	secret  string
-	handler Handler
-	log     zerolog.Logger
-	onBytes func(sent, received int)
+	links    *links
+	maxLinks int
+	secret   string
+	handler  Handler
+	log      zerolog.Logger
+	onBytes  func(sent, received int)
 }
 
 // ServerOption configures a [Server].
@@ -40,17 +41,21 @@
 	return func(s *Server) { s.onBytes = f }
 }
 
+// WithServerMaxLinks sets the number of links that are open at a time; at the limit, one without a
+// request is closed.
+func WithServerMaxLinks(n int) ServerOption { return func(s *Server) { s.maxLinks = n } }
+
 // NewServer returns a server that accepts links at ln, which may be a TLS listener; secret
 // authenticates peers.
 func NewServer(ln net.Listener, secret string, h Handler, opts ...ServerOption) *Server {
 	s := &Server{
-		secret: secret, handler: h,
+		maxLinks: maxLinks, secret: secret, handler: h,
 		log: zerolog.Nop(), onBytes: func(int, int) {},
 	}
 	for _, o := range opts {
 		o(s)
 	}
-	s.links = newLinks(ln, maxLinks, s.log)
+	s.links = newLinks(ln, s.maxLinks, s.log)
 	return s
 }
 
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -320,7 +320,8 @@
 	// max_in_flight applies.
 	Limits bool `json:"limits" msgpack:"limits"`
 
-	// MaxConnections caps the callers' connections; further ones wait to be accepted.
+	// MaxConnections caps the callers' connections, as a third of the descriptors
+	// does; at the limit one that waits for a request makes room for a new one.
 	MaxConnections int `json:"max_connections" msgpack:"max_connections"`
 
 	// MaxHeaderBytes caps a request's header in bytes.
