Operators' listener of the request path: a bound for heads

What callers saw: connections at the operators' listener, without an account, made an entry hold a megabyte each.

Cause: the listener had the HTTP library's limit of 1 MB for a head; a request is authenticated only when its head is read.

Evidence: TestLargeHeads (128 heads of 900 KB) fails before: 134 MB more at the operators' listener, 64 allowed. It passes now; without the bound it is the code before.

Mend: heads have at most 32 KB there, as those of callers have by default.

--- a/pkg/entry/crowd_test.go
+++ b/pkg/entry/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -41,6 +42,15 @@
 	// tryTime is how long a client waits for one answer.
 	tryTime = 2 * time.Second
 
+	// headDescriptors is the descriptor limit beside a crowd that sends large heads.
+	headDescriptors = 4096
+	// headConns is the number of its connections.
+	headConns = 128
+	// headBytes is the size of each head, which does not end.
+	headBytes = 900 << 10
+	// headsMB bounds the memory that the crowd takes.
+	headsMB = 64
+
 	crowdSecret = "0123456789abcdef"
 )
 
@@ -100,6 +110,16 @@
 	return len(open)
 }
 
+// residentMB returns the resident memory in MB.
+func (p *process) residentMB() int {
+	status, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.pid), "status"))
+	qt.Assert(p.t, err, qt.IsNil)
+	_, rest, _ := strings.Cut(string(status), "VmRSS:")
+	kb, err := strconv.Atoi(strings.Fields(rest)[0])
+	qt.Assert(p.t, err, qt.IsNil)
+	return kb >> 10
+}
+
 // checkServed checks that a new client of each listener gets an answer.
 func (p *process) checkServed(when string) {
 	p.t.Helper()
@@ -180,6 +200,28 @@
 	}
 }
 
+// TestLargeHeads guards against the sum of large heads at the listeners for HTTP.
+func TestLargeHeads(t *testing.T) {
+	var head bytes.Buffer
+	head.WriteString("GET / HTTP/1.1\r\nHost: gannetwell\r\n")
+	for i := 0; head.Len() < headBytes; i++ {
+		fmt.Fprintf(&head, "X-%d: %s\r\n", i, strings.Repeat("a", 1000))
+	}
+	p := startProcess(t, headDescriptors)
+	for name, address := range map[string]string{"callers": p.callers, "operators": p.operators} {
+		t.Run(name, func(t *testing.T) {
+			before := p.residentMB()
+			openCrowd(t, address, headConns, head.Bytes())
+			most := 0
+			for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(crowdTime / 50) {
+				most = max(most, p.residentMB())
+			}
+			qt.Check(t, most-before <= headsMB, qt.IsTrue, qt.Commentf("%d MB more", most-before))
+			p.checkServed("beside the crowd")
+		})
+	}
+}
+
 // TestStreamBesideCrowd checks that a stream whose body goes on stays open beside a crowd of connections, of which few
 // stay, and that new callers are served.
 func TestStreamBesideCrowd(t *testing.T) {
--- a/pkg/entry/listen.go
+++ b/pkg/entry/listen.go
@@ -20,7 +20,10 @@
 // ReadyPath is the readiness check for load balancers on the callers' port.
 const ReadyPath = "/.gannetwell/ready"
 
-const operatorHeaderTimeout = 5 * time.Second
+const (
+	operatorHeaderTimeout  = 5 * time.Second
+	maxOperatorHeaderBytes = 32 << 10
+)
 
 // httpListener is a listener, with TLS if it is set up so, and the limit of its connections.
 type httpListener struct {
@@ -144,5 +147,8 @@
 		server.WithReady(e.gateway.Ready),
 		server.WithMetrics(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})),
 		server.WithLogger(e.log))
-	return &http.Server{Handler: h, ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: time.Minute, ErrorLog: debugLogger(e.log)}
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: operatorHeaderTimeout, MaxHeaderBytes: maxOperatorHeaderBytes,
+		IdleTimeout: time.Minute, ErrorLog: debugLogger(e.log),
+	}
 }
