One type counts what a log line reports now and then

The limits of connections and the refusals of clients each had a counter of their own for this, with the same behaviour. Both use pkg/logtally now, with the intervals that they had; no test has changed. TestTally fails without the interval and without the reset.

--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/logtally"
 )
 
 // State is what a connection does.
@@ -23,7 +25,7 @@
 	net.Listener
 	max    int
 	log    zerolog.Logger
-	closed occurrences
+	closed *logtally.Tally
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -33,7 +35,9 @@
 // it closes the connection that has waited longest for a request, or the new one if none waits. Connections without any
 // request so far are closed first if they are half of all.
 func New(ln net.Listener, limit int, log zerolog.Logger) *Listener {
-	return &Listener{Listener: NewRetrying(ln, log), max: limit, log: log, conns: map[*Conn]struct{}{}}
+	return &Listener{
+		Listener: NewRetrying(ln, log), max: limit, log: log, closed: logtally.New(logInterval), conns: map[*Conn]struct{}{},
+	}
 }
 
 // Accept implements net.Listener; connections are of type *[Conn].
@@ -49,7 +53,7 @@
 			return added, nil
 		}
 		_ = surplus.Conn.Close()
-		if n := l.closed.add(); n > 0 {
+		if n := l.closed.Add(); n > 0 {
 			l.log.Warn().Str("event", "connections_limited").Stringer("address", l.Addr()).Int("limit", l.max).Int("count", n).Send()
 		}
 		if surplus != added {
--- a/pkg/connlimit/retry.go
+++ b/pkg/connlimit/retry.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/logtally"
 )
 
 const (
@@ -28,7 +30,7 @@
 type retrying struct {
 	net.Listener
 	log      zerolog.Logger
-	failures occurrences
+	failures *logtally.Tally
 
 	once   sync.Once
 	closed chan struct{}
@@ -36,7 +38,7 @@
 
 // NewRetrying returns a listener that goes on accepting after temporary errors, such as a lack of descriptors.
 func NewRetrying(ln net.Listener, log zerolog.Logger) net.Listener {
-	return &retrying{Listener: ln, log: log, closed: make(chan struct{})}
+	return &retrying{Listener: ln, log: log, failures: logtally.New(logInterval), closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -46,7 +48,7 @@
 		if !isTemporary(err) {
 			return conn, err
 		}
-		if n := l.failures.add(); n > 0 {
+		if n := l.failures.Add(); n > 0 {
 			l.log.Warn().Str("event", "accept_failed").Stringer("address", l.Addr()).Int("count", n).Err(err).Send()
 		}
 		select {
@@ -67,21 +69,3 @@
 	var reason syscall.Errno
 	return errors.As(err, &reason) && slices.Contains(temporary, reason)
 }
-
-// occurrences counts what a log line reports once per logInterval.
-type occurrences struct {
-	mu       sync.Mutex
-	n        int // since the last line
-	reported time.Time
-}
-
-// add counts one and returns the number since the last line if another line is due, else 0.
-func (o *occurrences) add() (n int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.n++
-	if now := time.Now(); now.Sub(o.reported) >= logInterval {
-		n, o.n, o.reported = o.n, 0, now
-	}
-	return n
-}
