Answers of workers to orders: a bound of their own

What callers saw: a worker that answers orders without end made its entry hold 8 MB or more for each of them.

Cause: all answers had the bound of the largest, pages of rows with 8 MB. Many orders are under way to a worker at a time, and their answers are a clock and a reason.

--- a/pkg/httpc/client.go
+++ b/pkg/httpc/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -14,7 +15,7 @@
 )
 
 const (
-	maxBodyBytes = 8 << 20 // of a response
+	maxBodyBytes = 8 << 20 // of a response, unless the request names less
 	// readBufferBytes holds the usual response of a worker in one read.
 	readBufferBytes = 2 << 10
 )
@@ -36,6 +37,8 @@
 	// IdleTimeout is the longest time without a byte of the response, in addition to LongPoll
 	// for the first one; 0 leaves only the deadline of the context.
 	IdleTimeout time.Duration
+	// MaxBody is the largest body of a response in bytes, 0 for 8 MB.
+	MaxBody int
 }
 
 // Response is the response of a host.
@@ -157,10 +160,10 @@
 }
 
 // decode reads a response; keep reports whether the connection can be reused.
-func decode(r *bufio.Reader, resp *Response) (keep bool, err error) {
+func decode(r *bufio.Reader, resp *Response, maxBody int) (keep bool, err error) {
 	got := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(got)
-	if err := got.ReadLimitBody(r, maxBodyBytes); err != nil {
+	if err := got.ReadLimitBody(r, cmp.Or(maxBody, maxBodyBytes)); err != nil {
 		return false, err
 	}
 	resp.Status = got.StatusCode()
--- a/pkg/httpc/conn.go
+++ b/pkg/httpc/conn.go
@@ -50,7 +50,7 @@
 	in := readers.Get().(*bufio.Reader)
 	defer readers.Put(in)
 	in.Reset(cn)
-	if keep, err = decode(in, resp); err != nil {
+	if keep, err = decode(in, resp, r.MaxBody); err != nil {
 		if cn.readErr != nil {
 			err = cn.readErr // the decoder does not wrap the read error
 		}
