Limits of connections: find the one that has waited longest without a walk

What callers saw: nothing yet, since only links between entries had this limit. With that of callers, a crowd that opens connections again and again makes each accept look at all of them, under a lock that each request takes.

Cause: the connections were in a map, and the one to close was found by a walk over it.

Mend: those that wait are in two lists, by state, the one that has waited longest first.

TestClosedCountsNoMore is new: it fails if a closed connection still counts when its server sets a state, or closes it again.

--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -1,9 +1,9 @@
 package connlimit
 
 import (
+	"container/list"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -27,8 +27,9 @@
 	log    zerolog.Logger
 	closed *logtally.Tally
 
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	mu      sync.Mutex
+	open    int
+	waiting map[State]*list.List // of *Conn, the one that has waited longest first
 }
 
 // New returns a listener with at most limit open connections, which goes on accepting after temporary errors. At the limit
@@ -36,7 +37,8 @@
 // request so far are closed first if they are half of all.
 func New(ln net.Listener, limit int, log zerolog.Logger) *Listener {
 	return &Listener{
-		Listener: NewRetrying(ln, log), max: limit, log: log, closed: logtally.New(logInterval), conns: map[*Conn]struct{}{},
+		Listener: NewRetrying(ln, log), max: limit, log: log, closed: logtally.New(logInterval),
+		waiting: map[State]*list.List{StateNew: list.New(), StateIdle: list.New()},
 	}
 }
 
@@ -47,7 +49,7 @@
 		if err != nil {
 			return nil, err
 		}
-		added := &Conn{Conn: conn, l: l, state: StateNew, since: time.Now()}
+		added := &Conn{Conn: conn, l: l}
 		surplus := l.add(added)
 		if surplus == nil {
 			return added, nil
@@ -66,42 +68,52 @@
 func (l *Listener) add(c *Conn) (surplus *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.max {
+	if l.open >= l.max {
 		surplus = l.surplus()
 		if surplus == nil {
 			return c
 		}
-		delete(l.conns, surplus)
+		l.remove(surplus)
 	}
-	l.conns[c] = struct{}{}
+	l.open++
+	c.open = true
+	l.move(c, StateNew)
 	return surplus
 }
 
 // surplus returns the connection to close at the limit, nil if all are busy.
 func (l *Listener) surplus() *Conn {
-	var oldestNew, oldestIdle *Conn
-	fresh := 0
-	for c := range l.conns {
-		switch c.state {
-		case StateNew:
-			fresh++
-			oldestNew = older(oldestNew, c)
-		case StateIdle:
-			oldestIdle = older(oldestIdle, c)
-		}
+	fresh, idle := l.waiting[StateNew], l.waiting[StateIdle]
+	e := idle.Front()
+	if e == nil || fresh.Len() >= l.max/2 && fresh.Len() > 0 {
+		e = fresh.Front()
+	}
+	if e == nil {
+		return nil
+	}
+	return e.Value.(*Conn)
+}
+
+// move changes the state of a connection.
+func (l *Listener) move(c *Conn, s State) {
+	if c.element != nil {
+		l.waiting[c.state].Remove(c.element)
+		c.element = nil
 	}
-	if oldestIdle == nil || fresh >= l.max/2 && oldestNew != nil {
-		return oldestNew
+	c.state = s
+	if waiting := l.waiting[s]; waiting != nil {
+		c.element = waiting.PushBack(c)
 	}
-	return oldestIdle
 }
 
-// older returns the connection that has been in its state for longer.
-func older(a, b *Conn) *Conn {
-	if a == nil || b.since.Before(a.since) {
-		return b
+// remove takes a connection off those that are open.
+func (l *Listener) remove(c *Conn) {
+	if !c.open {
+		return
 	}
-	return a
+	l.move(c, StateBusy)
+	l.open--
+	c.open = false
 }
 
 // Conn is a connection of a [Listener].
@@ -110,21 +122,24 @@
 	l *Listener
 
 	// Guarded by the listener's lock.
-	state State
-	since time.Time // of the state
+	state   State
+	element *list.Element // among those that wait, nil if it does not
+	open    bool
 }
 
 // SetState tells the listener what the connection does.
 func (c *Conn) SetState(s State) {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	c.state, c.since = s, time.Now()
+	if c.open {
+		c.l.move(c, s)
+	}
 }
 
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.l.mu.Lock()
-	delete(c.l.conns, c)
+	c.l.remove(c)
 	c.l.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/pkg/connlimit/listener_test.go
+++ b/pkg/connlimit/listener_test.go
@@ -187,6 +187,23 @@
 	qt.Check(t, <-answered, qt.IsNil)
 }
 
+// TestClosedCountsNoMore checks that what a closed connection does later changes nothing.
+func TestClosedCountsNoMore(t *testing.T) {
+	const limit = 2
+	ln := New(endless{}, limit, zerolog.Nop())
+	first, err := ln.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	for range limit { // closes the first one
+		_, err := ln.Accept()
+		qt.Assert(t, err, qt.IsNil)
+	}
+	first.(*Conn).SetState(StateIdle)
+	qt.Check(t, first.Close(), qt.IsNil)
+	qt.Check(t, ln.open, qt.Equals, limit)
+	qt.Check(t, ln.waiting[StateNew].Len(), qt.Equals, limit)
+	qt.Check(t, ln.waiting[StateIdle].Len(), qt.Equals, 0)
+}
+
 // TestCloseWrite checks that a connection's sending direction can be closed.
 func TestCloseWrite(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
