Replies of other entries: a time limit from their first byte

What callers saw: a peer that sends a reply one byte at a time held its link, and up to 16 MB of the entry that had called it, without an end; the calls on the link ran into their own time limits.

Cause: a caller's link read its replies without a deadline.

Mend: a reply has to end within the time that calls have, from its first byte; a link on which nothing arrives is kept as before.

--- a/pkg/peer/calllink.go
+++ b/pkg/peer/calllink.go
@@ -53,7 +53,8 @@
 func (l *callLink) readReplies() {
 	for {
 		reply := &schema.CallReply{}
-		if _, err := ReadFrame(l.conn, reply); err != nil {
+		_ = l.conn.SetReadDeadline(time.Time{})
+		if _, err := ReadFrame(&frameReader{conn: l.conn}, reply); err != nil {
 			l.fail(err)
 			return
 		}
