--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -1,11 +1,13 @@
 package connlimit
 
 import (
+	"container/list"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/gannetwell/gannetwell/pkg/logtally"
 )
 
 // State is what a connection does.
@@ -23,17 +25,21 @@
 	net.Listener
 	max    int
 	log    zerolog.Logger
-	closed occurrences
+	closed *logtally.Tally
 
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	mu      sync.Mutex
+	open    int
+	waiting map[State]*list.List // of *Conn, the one that has waited longest first
 }
 
 // New returns a listener with at most limit open connections, which goes on accepting after temporary errors. At the limit
 // it closes the connection that has waited longest for a request, or the new one if none waits. Connections without any
 // request so far are closed first if they are half of all.
 func New(ln net.Listener, limit int, log zerolog.Logger) *Listener {
-	return &Listener{Listener: NewRetrying(ln, log), max: limit, log: log, conns: map[*Conn]struct{}{}}
+	return &Listener{
+		Listener: NewRetrying(ln, log), max: limit, log: log, closed: logtally.New(logInterval),
+		waiting: map[State]*list.List{StateNew: list.New(), StateIdle: list.New()},
+	}
 }
 
 // Accept implements net.Listener; connections are of type *[Conn].
@@ -43,13 +49,13 @@
 		if err != nil {
 			return nil, err
 		}
-		added := &Conn{Conn: conn, l: l, state: StateNew, since: time.Now()}
+		added := &Conn{Conn: conn, l: l}
 		surplus := l.add(added)
 		if surplus == nil {
 			return added, nil
 		}
 		_ = surplus.Conn.Close()
-		if n := l.closed.add(); n > 0 {
+		if n := l.closed.Add(); n > 0 {
 			l.log.Warn().Str("event", "connections_limited").Stringer("address", l.Addr()).Int("limit", l.max).Int("count", n).Send()
 		}
 		if surplus != added {
@@ -62,42 +68,52 @@
 func (l *Listener) add(c *Conn) (surplus *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.max {
+	if l.open >= l.max {
 		surplus = l.surplus()
 		if surplus == nil {
 			return c
 		}
-		delete(l.conns, surplus)
+		l.remove(surplus)
 	}
-	l.conns[c] = struct{}{}
+	l.open++
+	c.open = true
+	l.move(c, StateNew)
 	return surplus
 }
 
 // surplus returns the connection to close at the limit, nil if all are busy.
 func (l *Listener) surplus() *Conn {
-	var oldestNew, oldestIdle *Conn
-	fresh := 0
-	for c := range l.conns {
-		switch c.state {
-		case StateNew:
-			fresh++
-			oldestNew = older(oldestNew, c)
-		case StateIdle:
-			oldestIdle = older(oldestIdle, c)
-		}
+	fresh, idle := l.waiting[StateNew], l.waiting[StateIdle]
+	e := idle.Front()
+	if e == nil || fresh.Len() >= l.max/2 && fresh.Len() > 0 {
+		e = fresh.Front()
+	}
+	if e == nil {
+		return nil
 	}
-	if oldestIdle == nil || fresh >= l.max/2 && oldestNew != nil {
-		return oldestNew
+	return e.Value.(*Conn)
+}
+
+// move changes the state of a connection.
+func (l *Listener) move(c *Conn, s State) {
+	if c.element != nil {
+		l.waiting[c.state].Remove(c.element)
+		c.element = nil
+	}
+	c.state = s
+	if waiting := l.waiting[s]; waiting != nil {
+		c.element = waiting.PushBack(c)
 	}
-	return oldestIdle
 }
 
-// older returns the connection that has been in its state for longer.
-func older(a, b *Conn) *Conn {
-	if a == nil || b.since.Before(a.since) {
-		return b
+// remove takes a connection off those that are open.
+func (l *Listener) remove(c *Conn) {
+	if !c.open {
+		return
 	}
-	return a
+	l.move(c, StateBusy)
+	l.open--
+	c.open = false
 }
 
 // Conn is a connection of a [Listener].
@@ -106,21 +122,24 @@
 	l *Listener
 
 	// Guarded by the listener's lock.
-	state State
-	since time.Time // of the state
+	state   State
+	element *list.Element // among those that wait, nil if it does not
+	open    bool
 }
 
 // SetState tells the listener what the connection does.
 func (c *Conn) SetState(s State) {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	c.state, c.since = s, time.Now()
+	if c.open {
+		c.l.move(c, s)
+	}
 }
 
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.l.mu.Lock()
-	delete(c.l.conns, c)
+	c.l.remove(c)
 	c.l.mu.Unlock()
 	return c.Conn.Close()
 }
