The configuration's time limits of heads and idle connections are applied

Callers saw heads cut off after 10 s and idle connections closed after a minute, whatever header-timeout-ms and idle-timeout-ms of the configuration said: both were decoded and used by nothing.

The callers' listener asks for both as a head or an idle time begins, as it does for max-header-bytes, so a change holds without a restart. The HTTP library sets these deadlines; the connection replaces their values, in the order in which the library sets them. The former values are the defaults, and hold for the other listeners.

A shorter idle time ends more often as a request arrives. So a connection of which a deadline has passed with nothing read looks once more for bytes that have arrived, and is not closed on them.

Without the idle time, the order, the last look, the head's time after it or its condition, one of TestTimesOfTheConfiguration, TestTimesChange, TestIdleTimeIsNotTheHeads, TestArrivesWithTheDeadline and TestHeadTimeIsNotExtended fails.

--- a/pkg/httplimit/conn.go
+++ b/pkg/httplimit/conn.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	headCost = 16
 	// readAheadBytes is what the HTTP library may read beyond a head.
 	readAheadBytes = 4096
+	// lastLookTime is how long bytes are awaited that arrived as the time of a connection ended.
+	lastLookTime = time.Millisecond
 	// lingerTime is how long a connection stays open after such an answer, so that its client gets it.
 	lingerTime = 500 * time.Millisecond
 	// lingerBytes is what may be read meanwhile, in bytes.
@@ -46,7 +49,8 @@
 
 	mu        sync.Mutex
 	inHead    bool
-	headBytes int // read so far of the head
+	idle      bool // kept after a request, until the library sets the time of idleness
+	headBytes int  // read so far of the head
 	closeOnce sync.Once
 }
 
@@ -58,6 +62,9 @@
 	if !c.inHead {
 		return n, err
 	}
+	if c.headBytes == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.lookAgain(p)
+	}
 	if c.headBytes == 0 && n > 0 {
 		c.server.budget.awaitClient(c)
 	}
@@ -74,6 +81,17 @@
 	return n, nil
 }
 
+// lookAgain reads what has arrived although the time of the connection has ended; closed now, it would leave
+// its client without knowing whether the request ran.
+func (c *conn) lookAgain(p []byte) (n int, err error) {
+	_ = c.setReadDeadline(time.Now().Add(lastLookTime))
+	n, err = c.Conn.Read(p)
+	if n > 0 {
+		_ = c.setReadDeadline(time.Now().Add(c.server.headTime()))
+	}
+	return n, err
+}
+
 // headPart returns how many of the bytes that were read belong to the head; a body may follow.
 func headPart(p []byte) int {
 	const end = "\r\n\r\n"
@@ -107,8 +125,29 @@
 	return nil
 }
 
-// SetReadDeadline sets the deadline of reads, unless the connection has to give way.
+// SetReadDeadline sets the deadline of reads, unless the connection has to give way. The library's times of
+// a head and of idleness are replaced by those of the server.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	return c.setReadDeadline(c.headDeadline(t))
+}
+
+// headDeadline returns the deadline in the place of t. While a head is awaited, the library sets that of a kept
+// connection's idleness first, and that of the head when its first bytes have arrived.
+func (c *conn) headDeadline(t time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.inHead:
+		return t
+	case c.idle:
+		c.idle = false
+		return time.Now().Add(c.server.idleTime())
+	default:
+		return time.Now().Add(c.server.headTime())
+	}
+}
+
+func (c *conn) setReadDeadline(t time.Time) error {
 	b := c.server.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -139,10 +178,10 @@
 	return c.Conn.Close()
 }
 
-// awaitHead begins the head of the next request.
-func (c *conn) awaitHead() {
+// awaitHead begins the head of the next request; idle is whether the connection was kept after one.
+func (c *conn) awaitHead(idle bool) {
 	c.mu.Lock()
-	c.inHead, c.headBytes = true, 0
+	c.inHead, c.idle, c.headBytes = true, idle, 0
 	c.mu.Unlock()
 	c.server.budget.awaitClient(c)
 	c.server.budget.release(c, c.held)
--- a/pkg/httplimit/server.go
+++ b/pkg/httplimit/server.go
@@ -30,6 +30,8 @@
 	budget       *Budget
 	maxConns     int
 	maxHeadBytes func() int
+	headTime     func() time.Duration
+	idleTime     func() time.Duration
 	bodyTime     time.Duration
 	writeTime    time.Duration
 	onRefusal    func(Refusal)
@@ -46,11 +48,11 @@
 // MaxHeadBytes bounds a request's head; the function is asked while a head arrives.
 func MaxHeadBytes(f func() int) Option { return func(s *Server) { s.maxHeadBytes = f } }
 
-// HeadTime bounds the time in which a head arrives.
-func HeadTime(d time.Duration) Option { return func(s *Server) { s.ReadHeaderTimeout = d } }
+// HeadTime bounds the time in which a head arrives; the function is asked when it begins.
+func HeadTime(f func() time.Duration) Option { return func(s *Server) { s.headTime = f } }
 
-// IdleTime bounds the time between two requests of a connection.
-func IdleTime(d time.Duration) Option { return func(s *Server) { s.IdleTimeout = d } }
+// IdleTime bounds the time between two requests of a connection; the function is asked when it begins.
+func IdleTime(f func() time.Duration) Option { return func(s *Server) { s.idleTime = f } }
 
 // BodyTime bounds the time in which a body arrives.
 func BodyTime(d time.Duration) Option { return func(s *Server) { s.bodyTime = d } }
@@ -76,8 +78,9 @@
 	s := &Server{
 		budget: b, maxConns: DefaultMaxConns, bodyTime: DefaultBodyTime, writeTime: DefaultWriteTime,
 		maxHeadBytes: func() int { return DefaultMaxHeadBytes }, onRefusal: func(Refusal) {},
+		headTime: func() time.Duration { return DefaultHeadTime }, idleTime: func() time.Duration { return DefaultIdleTime },
 	}
-	s.ReadHeaderTimeout, s.IdleTimeout = DefaultHeadTime, DefaultIdleTime
+	s.ReadHeaderTimeout, s.IdleTimeout = DefaultHeadTime, DefaultIdleTime // replaced by conn.SetReadDeadline
 	for _, o := range options {
 		o(s)
 	}
@@ -122,7 +125,7 @@
 		_ = longest.Close()
 	}
 	s.conns.Add(1)
-	c.awaitHead()
+	c.awaitHead(false)
 	return true
 }
 
@@ -151,6 +154,6 @@
 	case http.StateActive:
 		c.headRead()
 	case http.StateIdle:
-		c.awaitHead()
+		c.awaitHead(true)
 	}
 }
--- a/pkg/httplimit/server_test.go
+++ b/pkg/httplimit/server_test.go
@@ -24,12 +24,16 @@
 	waitTime     = 5 * time.Second // for what has to happen
 )
 
+// shortly is a time that a client has to miss.
+func shortly() time.Duration { return 50 * time.Millisecond }
+
 // fixture is a server on a loopback address, with a handler that reads bodies.
 type fixture struct {
 	address string
 	budget  *httplimit.Budget
-	acting  chan struct{} // a value for each request for /hold that the handler acts on
+	acting  chan struct{} // a value for each request for /hold or /act that the handler acts on
 	proceed chan struct{} // closed to let these go on
+	late    chan func()   // called when a read has met its deadline, before the server knows
 
 	mu       sync.Mutex
 	refusals map[httplimit.Refusal]int
@@ -41,11 +45,11 @@
 
 func startWith(t *testing.T, budget int, options ...httplimit.Option) *fixture {
 	f := &fixture{
-		budget: httplimit.NewBudget(budget), acting: make(chan struct{}, 10), proceed: make(chan struct{}), refusals: map[httplimit.Refusal]int{},
+		budget: httplimit.NewBudget(budget), acting: make(chan struct{}, 10), proceed: make(chan struct{}), late: make(chan func(), 1), refusals: map[httplimit.Refusal]int{},
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	f.address = ln.Addr().String()
+	f.address, ln = ln.Addr().String(), lateListener{ln, f}
 	options = append([]httplimit.Option{httplimit.MaxHeadBytes(func() int { return maxHeadBytes }), httplimit.OnRefusal(f.refused)}, options...)
 	s := httplimit.NewServer(http.HandlerFunc(f.handle), f.budget, options...)
 	go func() { _ = s.Serve(ln) }() // returns when the server is closed
@@ -74,6 +78,11 @@
 		_, _ = io.Copy(w, io.LimitReader(zeros{}, 64<<20)) // ends when the client reads no more
 		f.acting <- struct{}{}
 		return
+	case "/act":
+		f.acting <- struct{}{}
+		<-f.proceed
+		_, _ = fmt.Fprint(w, r.Context().Err())
+		return
 	}
 	raw, err := httplimit.ReadBody(w, r, maxBodyBytes)
 	var refused httplimit.ErrRefused
@@ -201,8 +210,8 @@
 		"long body":   {nil, post("/", maxBodyBytes+1), http.StatusServiceUnavailable, "body", httplimit.RefusalBody},
 		"long chunks": {nil, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n" + text(maxBodyBytes+1), http.StatusServiceUnavailable, "body", httplimit.RefusalBody},
 		"late body":   {[]httplimit.Option{httplimit.BodyTime(50 * time.Millisecond)}, post("/", 100) + "a", http.StatusServiceUnavailable, "body_time", httplimit.RefusalBodyTime},
-		"late head":   {[]httplimit.Option{httplimit.HeadTime(50 * time.Millisecond)}, "GET / HT", http.StatusBadRequest, "400 Bad Request", ""},
-		"idle":        {[]httplimit.Option{httplimit.IdleTime(50 * time.Millisecond), httplimit.HeadTime(50 * time.Millisecond)}, "", 0, "", ""},
+		"late head":   {[]httplimit.Option{httplimit.HeadTime(shortly)}, "GET / HT", http.StatusBadRequest, "400 Bad Request", ""},
+		"idle":        {[]httplimit.Option{httplimit.IdleTime(shortly), httplimit.HeadTime(shortly)}, "", 0, "", ""},
 		"unread body": {nil, post("/none", 100) + "a", http.StatusNotFound, "none", ""},
 		"only client": {[]httplimit.Option{httplimit.MaxConns(1)}, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusNotFound, "none", ""},
 		"empty lines": {nil, strings.Repeat("\r\n", 100), http.StatusBadRequest, "400 Bad Request", ""},
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -8,15 +8,12 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/connlimit"
 	"github.com/gannetwell/gannetwell/pkg/httplimit"
 )
 
 const (
-	// headerTimeout bounds the read of a request's headers.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection is kept.
-	idleTimeout = time.Minute
 	// otherBodyTimeout bounds the read of a body by the listeners that need none.
 	otherBodyTimeout = 2 * time.Second
 	// requestMemoryPart is the part of the memory limit for requests under way, one in so many bytes.
@@ -47,16 +44,17 @@
 	if err != nil {
 		return nil, err
 	}
-	options = append([]httplimit.Option{
-		httplimit.HeadTime(headerTimeout), httplimit.IdleTime(idleTimeout), httplimit.OnRefusal(n.refusals.add),
-	}, options...)
+	options = append(options, httplimit.OnRefusal(n.refusals.add))
 	return &httpActor{ln: ln, interrupted: make(chan struct{}), server: httplimit.NewServer(h, n.requestBytes, options...)}, nil
 }
 
 // callerOptions are the bounds of the callers' listener.
 func (n *Node) callerOptions(limits connlimit.Limits) []httplimit.Option {
 	return []httplimit.Option{
-		httplimit.MaxHeadBytes(n.maxHeadBytes), httplimit.MaxConns(limits.Callers),
+		httplimit.MaxHeadBytes(func() int { return cmp.Or(n.limits().MaxHeaderBytes, httplimit.DefaultMaxHeadBytes) }),
+		httplimit.HeadTime(func() time.Duration { return cmp.Or(n.limits().HeaderTimeout, httplimit.DefaultHeadTime) }),
+		httplimit.IdleTime(func() time.Duration { return cmp.Or(n.limits().IdleTimeout, httplimit.DefaultIdleTime) }),
+		httplimit.MaxConns(limits.Callers),
 		httplimit.BodyTime(time.Duration(n.settings.BodyTimeoutMs) * time.Millisecond),
 	}
 }
@@ -73,12 +71,13 @@
 	return limits, err
 }
 
-// maxHeadBytes returns the limit of the configuration in force.
-func (n *Node) maxHeadBytes() int {
-	if c := n.Catalog(); c != nil && c.Limits.MaxHeaderBytes > 0 {
-		return c.Limits.MaxHeaderBytes
+// limits returns the limits of the configuration in force, 0 for those that it does not have.
+func (n *Node) limits() (l catalog.Limits) {
+	if c := n.Catalog(); c != nil {
+		l = c.Limits
 	}
-	return httplimit.DefaultMaxHeadBytes
+	l.MaxHeaderBytes, l.HeaderTimeout, l.IdleTimeout = max(0, l.MaxHeaderBytes), max(0, l.HeaderTimeout), max(0, l.IdleTimeout)
+	return l
 }
 
 // newRequestBudget returns the budget of all requests under way.
