Bytes of a connection that was closed for another are released once

Callers saw nothing yet: a body that was read as its connection was closed for another one was released twice, by the close and by the reader, and the budget was larger by its size until its handler had ended. In a crowd that is many bodies at a time.

A release is bounded by what the connection holds, which is nothing once it is closed. What an idle connection holds is read under the budget's lock, which a connection closed at that moment needs; by reading only, no test shows it.

TestClosedConnectionReleases and TestRefusedBodyReleases passed before; they fail when a close, or a refused body, releases nothing.

--- a/pkg/httplimit/budget.go
+++ b/pkg/httplimit/budget.go
@@ -94,15 +94,22 @@
 	return nil
 }
 
-// release takes n bytes from those of a connection.
+// release takes n bytes from those of a connection; one that is closed has none.
 func (b *Budget) release(c *conn, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.releaseLocked(c, n)
 }
 
+// releaseAll takes all bytes from those of a connection.
+func (b *Budget) releaseAll(c *conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.releaseLocked(c, c.held)
+}
+
 func (b *Budget) releaseLocked(c *conn, n int) {
-	if n == 0 {
+	if n = min(n, c.held); n == 0 {
 		return
 	}
 	b.used -= n
--- a/pkg/httplimit/conn.go
+++ b/pkg/httplimit/conn.go
@@ -184,7 +184,7 @@
 	c.inHead, c.idle, c.headBytes = true, idle, 0
 	c.mu.Unlock()
 	c.server.budget.awaitClient(c)
-	c.server.budget.release(c, c.held)
+	c.server.budget.releaseAll(c)
 }
 
 // headRead ends the head of a request.
--- a/pkg/httplimit/server_test.go
+++ b/pkg/httplimit/server_test.go
@@ -31,7 +31,7 @@
 type fixture struct {
 	address string
 	budget  *httplimit.Budget
-	acting  chan struct{} // a value for each request for /hold or /act that the handler acts on
+	acting  chan struct{} // a value for each request for /hold, /act or /refused that the handler acts on or refuses
 	proceed chan struct{} // closed to let these go on
 	late    chan func()   // called when a read has met its deadline, before the server knows
 
@@ -88,6 +88,10 @@
 	var refused httplimit.ErrRefused
 	switch {
 	case errors.As(err, &refused):
+		if r.URL.Path == "/refused" {
+			f.acting <- struct{}{}
+			<-f.proceed
+		}
 		http.Error(w, string(refused.Why), http.StatusServiceUnavailable)
 		return
 	case err != nil:
