--- a/pkg/httplimit/budget.go
+++ b/pkg/httplimit/budget.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// releaseTimeout bounds the wait for a connection that has to give way.
-const releaseTimeout = time.Second
+// defaultReleaseTimeout bounds the wait for a connection that has to give way.
+const defaultReleaseTimeout = time.Second
 
 // Budget is a number of bytes that the requests under way may take together, of one server or several.
 type Budget struct {
@@ -16,11 +16,13 @@
 	used     int
 	waiting  *list.List    // of *conn that wait for their clients, the longest first
 	released chan struct{} // closed when bytes are released
+
+	releaseTimeout time.Duration // of the wait for a connection that has to give way
 }
 
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(limit int) *Budget {
-	return &Budget{limit: limit, waiting: list.New(), released: make(chan struct{})}
+	return &Budget{limit: limit, waiting: list.New(), released: make(chan struct{}), releaseTimeout: defaultReleaseTimeout}
 }
 
 // Used returns the number of bytes in use.
@@ -33,7 +35,7 @@
 // reserve adds n bytes to those of a connection. If they don't fit, connections that wait for their
 // clients longer than this one give way. A connection that is alone may have any number.
 func (b *Budget) reserve(c *conn, n int) bool {
-	timeout := time.NewTimer(releaseTimeout)
+	timeout := time.NewTimer(b.releaseTimeout)
 	defer timeout.Stop()
 	for {
 		released, ok := b.tryReserve(c, n)
--- a/pkg/httplimit/server_test.go
+++ b/pkg/httplimit/server_test.go
@@ -31,12 +31,13 @@
 type fixture struct {
 	address string
 	budget  *httplimit.Budget
-	acting  chan struct{} // a value for each request for /hold, /act or /refused that the handler acts on or refuses
+	acting  chan struct{} // a value for each request for /hold and the like that the handler comes to
 	proceed chan struct{} // closed to let these go on
 	late    chan func()   // called when a read has met its deadline, before the server knows
 
-	mu       sync.Mutex
-	refusals map[httplimit.Refusal]int
+	mu         sync.Mutex
+	halfClosed int // connections closed for writing only, so far
+	refusals   map[httplimit.Refusal]int
 }
 
 func start(t *testing.T, options ...httplimit.Option) *fixture {
@@ -78,6 +79,10 @@
 		_, _ = io.Copy(w, io.LimitReader(zeros{}, 64<<20)) // ends when the client reads no more
 		f.acting <- struct{}{}
 		return
+	case "/stall":
+		f.acting <- struct{}{}
+		<-f.proceed // without a look at the body
+		return
 	case "/act":
 		f.acting <- struct{}{}
 		<-f.proceed
--- a/pkg/httplimit/times_test.go
+++ b/pkg/httplimit/times_test.go
@@ -16,7 +16,7 @@
 	"github.com/gannetwell/gannetwell/pkg/httplimit"
 )
 
-// lateListener accepts connections of which a read may end late.
+// lateListener accepts connections of which a read may end late, and counts those closed for writing.
 type lateListener struct {
 	net.Listener
 	f *fixture
@@ -41,6 +41,16 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+func (c *lateConn) CloseWrite() error {
+	err := c.TCPConn.CloseWrite()
+	if err == nil {
+		c.f.mu.Lock()
+		defer c.f.mu.Unlock()
+		c.f.halfClosed++
+	}
+	return err
+}
+
 func (c *lateConn) Read(p []byte) (n int, err error) {
 	n, err = c.TCPConn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && !c.aborted.Load() {
