The setting connections leaves half of the descriptors

Callers would have seen an entry without descriptors for the table service, workers and other entries: the setting replaced the number of callers' connections whatever the process may open. At most half of the descriptors are given now, as without the setting, with a log line when that is less than the setting.

Evidence: TestConnectionsWithinDescriptors failed before with connections; it fails without the bound, the line, or the default of 0. TestLimits checks the sum with that bound.

--- a/pkg/connlimit/limits.go
+++ b/pkg/connlimit/limits.go
@@ -24,10 +24,11 @@
 
 // Limits are the numbers of connections that the listeners of a process keep open.
 type Limits struct {
-	Callers   int
-	Readiness int
-	Operators int
-	Peers     int
+	Callers    int
+	MaxCallers int // that leaves descriptors, whatever the memory is
+	Readiness  int
+	Operators  int
+	Peers      int
 }
 
 // ForProcess returns the limits of this process, whose memory limit is in MB. They leave it descriptors for connections of
@@ -44,9 +45,10 @@
 // limitsFor returns the limits of a process with so many descriptors.
 func limitsFor(descriptors, memoryMB int) Limits {
 	return Limits{
-		Callers:   max(minConns, min(descriptors/callersShare, callersPerMB*memoryMB)),
-		Peers:     max(minConns, min(descriptors/peersShare, peersPerMB*memoryMB)),
-		Readiness: max(minConns, min(descriptors/readinessShare, maxChecks)),
-		Operators: max(minConns, min(descriptors/operatorsShare, maxChecks)),
+		Callers:    max(minConns, min(descriptors/callersShare, callersPerMB*memoryMB)),
+		MaxCallers: max(minConns, descriptors/callersShare),
+		Peers:      max(minConns, min(descriptors/peersShare, peersPerMB*memoryMB)),
+		Readiness:  max(minConns, min(descriptors/readinessShare, maxChecks)),
+		Operators:  max(minConns, min(descriptors/operatorsShare, maxChecks)),
 	}
 }
--- a/pkg/connlimit/listener_test.go
+++ b/pkg/connlimit/listener_test.go
@@ -169,7 +169,8 @@
 	for _, descriptors := range []int{200, 1024, 4100, maxDescriptor} {
 		for _, memoryMB := range []int{32, 128, 284, 4096} {
 			l := limitsFor(descriptors, memoryMB)
-			all := l.Callers + l.Peers + l.Readiness + l.Operators
+			qt.Check(t, l.Callers <= l.MaxCallers, qt.IsTrue, qt.Commentf("%+v", l))
+			all := l.MaxCallers + l.Peers + l.Readiness + l.Operators
 			qt.Check(t, all <= descriptors*3/4, qt.IsTrue, qt.Commentf("%+v of %d", l, descriptors))
 			qt.Check(t, (l.Callers+l.Peers)*connKB <= memoryMB<<10/4, qt.IsTrue, qt.Commentf("%+v of %d MB", l, memoryMB))
 		}
--- a/pkg/node/serve.go
+++ b/pkg/node/serve.go
@@ -64,11 +64,19 @@
 	return []httplimit.Option{httplimit.MaxConns(conns), httplimit.BodyTime(otherBodyTimeout)}
 }
 
-// connectionLimits returns the bounds on open connections, of which the settings may name that of callers.
+// connectionLimits returns the bounds on open connections. The settings may name that of callers, of which the
+// descriptors allow a part.
 func (n *Node) connectionLimits() (limits connlimit.Limits, err error) {
 	limits, err = connlimit.ForProcess(n.settings.MemoryMb)
-	limits.Callers = cmp.Or(n.settings.Connections, limits.Callers)
-	return limits, err
+	if err != nil || n.settings.Connections == 0 {
+		return limits, err
+	}
+	limits.Callers = min(n.settings.Connections, limits.MaxCallers)
+	if limits.Callers < n.settings.Connections {
+		n.log.Warn().Str("event", "connections_lowered").Str("address", n.settings.Callers).Int("setting", n.settings.Connections).
+			Int("limit", limits.Callers).Str("why", "the limit of descriptors").Send()
+	}
+	return limits, nil
 }
 
 // limits returns the limits of the configuration in force, 0 for those that it does not have.
--- a/pkg/node/serve_test.go
+++ b/pkg/node/serve_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/gannetwell/gannetwell/pkg/catalog"
 	"github.com/gannetwell/gannetwell/pkg/httplimit"
@@ -81,3 +86,27 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(closesWithin(c, answered(kept), httplimit.DefaultHeadTime/2), qt.IsTrue)
 }
+
+// TestConnectionsWithinDescriptors guards against a setting by which callers may take all descriptors of the process.
+func TestConnectionsWithinDescriptors(t *testing.T) {
+	var r syscall.Rlimit
+	qt.Assert(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r), qt.IsNil)
+	for name, test := range map[string]struct {
+		connections int
+		within      func(callers int) bool
+	}{
+		"few":     {3, func(n int) bool { return n == 3 }},
+		"many":    {math.MaxInt32, func(n int) bool { return n > 3 && uint64(n) <= r.Cur/2 }},
+		"default": {0, func(n int) bool { return n > 3 && uint64(n) <= r.Cur/2 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newTestNode(qt.New(t), "e", loopback(91), services{})
+			var log bytes.Buffer
+			n.log, n.settings.Connections = zerolog.New(&log), test.connections
+			limits, err := n.connectionLimits()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, test.within(limits.Callers), qt.IsTrue, qt.Commentf("%d", limits.Callers))
+			qt.Check(t, strings.Contains(log.String(), "connections_lowered"), qt.Equals, limits.Callers < test.connections)
+		})
+	}
+}
--- a/pkg/schema/types.go
+++ b/pkg/schema/types.go
@@ -654,9 +654,9 @@
 	// Callers is the host:port at which callers submit jobs.
 	Callers string `json:"callers" msgpack:"callers"`
 
-	// Connections is the number of connections that callers may have open; 0 for 8
-	// per MB of the memory limit, at most half of the descriptors that the process
-	// may open.
+	// Connections is the number of connections that callers may have open, at most
+	// half of the descriptors that the process may open; 0 for 8 per MB of the memory
+	// limit.
 	Connections int `json:"connections" msgpack:"connections"`
 
 	// CPUShare is the share of a processor that the process gets, 1 for a whole one;
