Jobs are refused when a quarter of the memory is in use

What is read and decoded was bounded, what is made of it was not: tasks that wait for a worker are kept for ever.

An owner asks for memory before it accepts a new job. What is in use is the live heap as of the last collection; jobs accepted since, with their tasks, are added until a collection has surely seen them. A refusal starts a collection, one a second at most, so that a job is not refused for memory that is free.

A shard that is taken over is loaded whole, as before.

--- a/pkg/jobs/spec.go
+++ b/pkg/jobs/spec.go
@@ -72,6 +72,19 @@
 	return n
 }
 
+// LaidOutBytes returns about how much memory a job takes with its tasks, in bytes; one on a schedule, while many of its
+// occurrences are due.
+func (s *Spec) LaidOutBytes() int {
+	const placesBytes = 64 // of a task, or a step, in lists
+	tasks, occurrences := s.tasks(), 1
+	if s.Times > 0 {
+		occurrences = max(1, min(s.Times, maxExpandedTasks/max(1, tasks)))
+	}
+	taskBytes := placesBytes + int(reflect.TypeFor[Task]().Size())
+	stepBytes := placesBytes + int(reflect.TypeFor[StepRun]().Size())
+	return s.MemoryBytes() + occurrences*(tasks*taskBytes+len(s.Steps)*stepBytes)
+}
+
 // Check validates a submission.
 func (s *Spec) Check() (err error) {
 	defer func() { err = errors.Wrap(err, "job") }()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -79,6 +80,7 @@
 
 	requestBytes *httplimit.Budget // of all requests under way
 	refusals     *refusals
+	jobMemory    *jobMemory
 
 	source   Source
 	platform Services
@@ -125,6 +127,7 @@
 		evacuations: evacuations{rows: map[string]evacuation{}},
 	}
 	n.requestBytes, n.refusals = newRequestBudget(s.MemoryMb, s.RequestBytes), newRefusals(log, n.metrics)
+	n.jobMemory = &jobMemory{limit: s.MemoryMb << 20 / jobMemoryPart, heap: liveHeap, collect: runtime.GC}
 	n.waitCtx, n.cancelWaits = context.WithCancel(context.Background())
 	n.self = ownership.Member{
 		Name: s.Name, Address: net.JoinHostPort(s.Address, strconv.Itoa(s.Ports[0])), Zone: s.Zone,
--- a/pkg/node/work.go
+++ b/pkg/node/work.go
@@ -57,7 +57,8 @@
 		MaxRowBytes: n.settings.Store.RowBytes,
 		Rows:        n.rows, Workers: n.platform, Machines: n.platform, Adviser: n.platform,
 		Metrics: n.metrics, Log: n.log, StoreUptime: n.rows.uptime, HasEnded: n.members.HasEnded, StandDown: n.standDown,
-		ZoneEvacuated: n.evacuations.contains, CloseQueue: n.closeQueue, FindJob: n.findJobInFormer, BeforeTakeover: events.BeforeTakeover, OnGivenUp: events.OnGivenUp,
+		ZoneEvacuated: n.evacuations.contains, CloseQueue: n.closeQueue, FindJob: n.findJobInFormer, ReserveMemory: n.reserveJobMemory,
+		BeforeTakeover: events.BeforeTakeover, OnGivenUp: events.OnGivenUp,
 	}
 }
 
--- a/pkg/shard/calls.go
+++ b/pkg/shard/calls.go
@@ -63,6 +63,14 @@
 		o.mu.Unlock()
 		return schema.CallOutcomeRefused
 	}
+	if o.cfg.ReserveMemory != nil {
+		release, ok := o.cfg.ReserveMemory(r.Spec.LaidOutBytes())
+		if !ok {
+			o.mu.Unlock()
+			return schema.CallOutcomeRefused
+		}
+		defer release()
+	}
 	r.Excess = o.exceedsGuarantee(r.Account)
 	raw, err := r.Encode()
 	if err != nil {
--- a/pkg/shard/calls_test.go
+++ b/pkg/shard/calls_test.go
@@ -35,6 +35,35 @@
 	})
 }
 
+// TestNoMemoryForAJob checks that a job is refused that there is no memory for, and one that was accepted before is not.
+func TestNoMemoryForAJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := newSlowCluster(t)
+		defer e.close()
+		limit, reserved := 1<<20, 0
+		e.reserveMemory = func(n int) (release func(), ok bool) {
+			if n > limit {
+				return nil, false
+			}
+			reserved += n
+			return func() { reserved -= n }, true
+		}
+		c.Assert(e.startOwner("a"), qt.Equals, "term 1\n")
+		outcome := make(chan string, 1)
+		go func() { outcome <- e.submit("a", "", "j1", "1x1000/200ms") }()
+		time.Sleep(100 * time.Millisecond)
+		c.Check(reserved > 0, qt.IsTrue)
+		c.Check(<-outcome, qt.Equals, "ok\n")
+		c.Check(reserved, qt.Equals, 0)
+		limit = 0
+		c.Check(e.submit("a", "", "j2", "1x1000/200ms"), qt.Equals, "refused\n")
+		c.Check(e.submit("a", "", "j1", "1x1000/200ms"), qt.Equals, "ok\n")
+		limit = 1 << 20
+		c.Check(e.submit("a", "", "j2", "1x1000/200ms"), qt.Equals, "ok\n")
+	})
+}
+
 // TestQueueInSlowService checks that no submission is left without an outcome while each transaction
 // takes half a second.
 func TestQueueInSlowService(t *testing.T) {
--- a/pkg/shard/cluster_test.go
+++ b/pkg/shard/cluster_test.go
@@ -49,7 +49,8 @@
 	// wrapRows and wrapWorkers inject bugs that the tests must detect.
 	wrapRows           func(platform.Rows) platform.Rows
 	wrapWorkers        func(platform.Workers) platform.Workers
-	adviceCalls        int // calls of Advise
+	reserveMemory      func(bytes int) (release func(), ok bool) // nil for no bound
+	adviceCalls        int                                       // calls of Advise
 	limits             []catalog.Account
 	monotonicClockOnly bool                        // suspendable entries have the monotonic clock only
 	suspendable        map[string]*suspendableHost // machines of the entries that may be suspended, by entry
@@ -352,7 +353,7 @@
 		Log: zerolog.New(e.out).With().Str("entry", entry).Logger().Hook(e), Clock: clock,
 		StoreUptime: func() time.Duration { return time.Since(e.since) },
 		HasEnded:    e.hasEnded, StandDown: e.standDown, ZoneEvacuated: e.zones.reportTo(entry),
-		OnGivenUp: func(error) {}, BeforeTakeover: func() {},
+		OnGivenUp: func(error) {}, BeforeTakeover: func() {}, ReserveMemory: e.reserveMemory,
 	}
 	o, err := shard.Open(context.Background(), cfg, shard.ObservedOwner{Version: row.Version}, e.catalog(), e.directory())
 	if err != nil {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -56,6 +56,10 @@
 	// not_found, or any other if it can't be told.
 	FindJob func(ctx context.Context, former QueuePools, route, id string, by Requester) Outcome
 
+	// ReserveMemory reports whether there is memory for a new job of so many bytes; release is called when it is laid out
+	// or refused. Nil for no bound.
+	ReserveMemory func(bytes int) (release func(), ok bool)
+
 	BeforeTakeover func()      // called before the takeover's transaction is sent
 	OnGivenUp      func(error) // called once, with the cause, when the owner gives the shard up
 }
