--- a/cmd/gannetwelld/clients_test.go
+++ b/cmd/gannetwelld/clients_test.go
@@ -52,6 +52,7 @@
 	Chunked     bool   `json:"chunked"` // each piece is a chunk
 	ShortBytes  int    `json:"short_bytes"`
 	End         string `json:"end"`
+	Returns     bool   `json:"returns"` // sent several times to one daemon, too
 }
 
 // text returns what each client sends.
@@ -220,15 +221,18 @@
 	return program
 }
 
-// TestClientsBeyondTheLimits guards against crowds of clients that make a daemon exceed its memory, end, or
-// answer ordinary clients no more.
-func TestClientsBeyondTheLimits(t *testing.T) {
+func readCrowds(t *testing.T) (crowds []crowd) {
 	raw, err := os.ReadFile(filepath.Join("testdata", "crowds.json"))
 	qt.Assert(t, err, qt.IsNil)
-	var crowds []crowd
 	qt.Assert(t, json.Unmarshal(raw, &crowds), qt.IsNil)
+	return crowds
+}
+
+// TestClientsBeyondTheLimits guards against crowds of clients that make a daemon exceed its memory, end, or
+// answer ordinary clients no more.
+func TestClientsBeyondTheLimits(t *testing.T) {
 	program := buildDaemon(t)
-	for i, cr := range crowds {
+	for i, cr := range readCrowds(t) {
 		t.Run(cr.Name, func(t *testing.T) {
 			c := qt.New(t)
 			d := startDaemon(t, program, i+1)
@@ -255,6 +259,38 @@
 	}
 }
 
+// TestCrowdsThatReturn guards against memory that a crowd leaves behind when it has left, so that crowds add up.
+func TestCrowdsThatReturn(t *testing.T) {
+	const (
+		times      = 3
+		afterCrowd = 3 * time.Second
+		firstHost  = 110
+	)
+	program := buildDaemon(t)
+	for i, cr := range readCrowds(t) {
+		if !cr.Returns {
+			continue
+		}
+		t.Run(cr.Name, func(t *testing.T) {
+			c := qt.New(t)
+			d := startDaemon(t, program, firstHost+i)
+			c.Assert(d.answers("ffffffffffffff01"), qt.IsTrue)
+			for range times {
+				for _, conn := range cr.send(d.at(cr.Listener)) {
+					_ = conn.Close()
+				}
+				time.Sleep(afterCrowd)
+				c.Assert(d.lives(), qt.IsTrue)
+				now, peak := d.memoryKB(t, "VmRSS"), d.memoryKB(t, "VmHWM")
+				t.Logf("resident %d KB, at most %d KB", now, peak)
+				c.Check(now < memoryMB<<10, qt.IsTrue, qt.Commentf("%d KB", now))
+				c.Check(peak < memoryMB<<10, qt.IsTrue, qt.Commentf("%d KB", peak))
+			}
+			c.Check(d.answers("ffffffffffffff02"), qt.IsTrue)
+		})
+	}
+}
+
 // TestSlowClientsWithinTheLimits guards against limits that a single request inside the pages' limits meets: a
 // head and a body of the greatest length, whole and in pieces with pauses, are read and judged.
 func TestSlowClientsWithinTheLimits(t *testing.T) {
