--- a/pkg/replica/odd_items_test.go
+++ b/pkg/replica/odd_items_test.go
@@ -190,7 +190,7 @@
 	for _, tc := range []struct {
 		from, limit int
 		want        []int
-	}{{1, 1, []int{1}}, {2, 1, nil}, {2, 2, nil}, {1, 4, []int{1, 4}}, {2, 3, []int{4}}, {4, 1, []int{4}}, {5, 3, nil}} {
+	}{{1, 1, []int{1}}, {2, 1, nil}, {2, 2, nil}, {1, 3, []int{1}}, {1, 4, []int{1, 4}}, {2, 3, []int{4}}, {4, 1, []int{4}}, {5, 3, nil}} {
 		entries, err := r.History(context.Background(), tc.from, tc.limit)
 		c.Assert(err, qt.IsNil)
 		var got []int
