Tests: the memory that a test counts is read without a race

TestNoMemoryForAJob counted reservations in a plain variable that the owner's goroutine changes; the race detector failed it. The checks are the same.

--- a/pkg/shard/calls_test.go
+++ b/pkg/shard/calls_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,25 +42,26 @@
 		c := qt.New(t)
 		e := newSlowCluster(t)
 		defer e.close()
-		limit, reserved := 1<<20, 0
+		var limit, reserved atomic.Int64
+		limit.Store(1 << 20)
 		e.reserveMemory = func(n int) (release func(), ok bool) {
-			if n > limit {
+			if int64(n) > limit.Load() {
 				return nil, false
 			}
-			reserved += n
-			return func() { reserved -= n }, true
+			reserved.Add(int64(n))
+			return func() { reserved.Add(-int64(n)) }, true
 		}
 		c.Assert(e.startOwner("a"), qt.Equals, "term 1\n")
 		outcome := make(chan string, 1)
 		go func() { outcome <- e.submit("a", "", "j1", "1x1000/200ms") }()
 		time.Sleep(100 * time.Millisecond)
-		c.Check(reserved > 0, qt.IsTrue)
+		c.Check(reserved.Load() > 0, qt.IsTrue)
 		c.Check(<-outcome, qt.Equals, "ok\n")
-		c.Check(reserved, qt.Equals, 0)
-		limit = 0
+		c.Check(reserved.Load(), qt.Equals, int64(0))
+		limit.Store(0)
 		c.Check(e.submit("a", "", "j2", "1x1000/200ms"), qt.Equals, "refused\n")
 		c.Check(e.submit("a", "", "j1", "1x1000/200ms"), qt.Equals, "ok\n")
-		limit = 1 << 20
+		limit.Store(1 << 20)
 		c.Check(e.submit("a", "", "j2", "1x1000/200ms"), qt.Equals, "ok\n")
 	})
 }
