--- a/pkg/node/jobmemory.go
+++ b/pkg/node/jobmemory.go
@@ -38,7 +38,7 @@
 func (m *jobMemory) reserve(n int) (release func(), ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	live := m.see()
+	live := m.refresh()
 	if m.limit > 0 && live+m.pending+m.collected+m.recent+n > m.limit {
 		// What was in use may be free now, and without new work the next collection may be minutes away.
 		if time.Since(m.asked) > collectInterval {
@@ -51,14 +51,14 @@
 	return func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.see()
+		m.refresh()
 		m.pending -= n
 		m.recent += n
 	}, true
 }
 
-// see returns the bytes in use, without jobs that are too recent.
-func (m *jobMemory) see() (live int) {
+// refresh takes note of a collection and returns the bytes in use, without jobs that are too recent.
+func (m *jobMemory) refresh() (live int) {
 	live, cycle := m.heap()
 	switch cycle {
 	case m.cycle:
