--- a/review/_standin3/minion.go
+++ b/review/_standin3/minion.go
@@ -25,6 +25,12 @@
 	stopping bool
 	over     bool
 	entry    string
+	work     time.Duration // how long it works in all, 0 if it lasts
+	target   int           // target_ms of a task that serves
+	worked   time.Duration // of a task that fills, so far
+	tails    []float64     // of a task that serves, in the last half second, in ms
+	over4    time.Time     // since when it is over its target
+	told     bool
 	saves    bool
 	saved    string
 }
@@ -276,7 +282,12 @@
 		}
 	case "pace":
 		if r := n.running[b.Task]; r != nil && r.id == b.Run {
-			r.percent = b.Percent
+			n.w.rec.add("minion %s: pace %s run %d to %d", n.id, b.Task, b.Run, b.Percent)
+			time.AfterFunc(paceMs*time.Millisecond, func() {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				r.percent = b.Percent
+			})
 		}
 	case "run-start":
 		if b.Deadline <= n.clock() {
@@ -313,7 +324,7 @@
 		if n.draining && time.Since(n.drains) > (drainMs+1500)*time.Millisecond {
 			n.w.broken("DRAIN", "%s starts on %s, which drains for %s", b.Task, n.id, time.Since(n.drains))
 		}
-		r := &run{task: b.Task, id: b.Run, started: time.Now(), need: need, percent: 100, entry: from, saves: st.Checkpointing, saved: b.Checkpoint}
+		r := &run{task: b.Task, id: b.Run, started: time.Now(), need: need, percent: 100, entry: from, saves: st.Checkpointing, saved: b.Checkpoint, fills: st.Fills, target: st.TargetMs}
 		n.running[b.Task] = r
 		n.w.started(n, r, b)
 	}
@@ -352,9 +363,9 @@
 	for _, r := range n.running {
 		percent := 0
 		if !r.atWork.IsZero() {
-			percent = n.w.percent(n, r)
+			percent = n.w.percent(r)
 		}
-		running = append(running, []any{r.task, r.id, r.checkpoint(), percent, 100})
+		running = append(running, []any{r.task, r.id, r.checkpoint(), percent, r.load()})
 	}
 	for _, e := range n.ended[:min(500, len(n.ended))] {
 		ended = append(ended, []any{e.n, e.task, e.run, e.how, e.save})
--- a/review/_standin3/stress.go
+++ b/review/_standin3/stress.go
@@ -64,7 +64,11 @@
 		long := &job{queue: q % 3, steps: []step{{Count: 3 + q%3, CPU: 500, Mem: 100, LongRunning: true, AntiAffinity: 1 + q/4, MayMiss: 1}}}
 		w.submit(long, 5)
 	}
-	calm := make(chan struct{})
+	calm, over := make(chan struct{}), make(chan struct{})
+	defer close(over)
+	if os.Getenv("IDLE") != "" {
+		go w.watchAll(over)
+	}
 	if trouble {
 		go func() {
 			defer close(calm)
@@ -313,6 +317,27 @@
 			n.sheds = 0
 			n.mu.Unlock()
 		})
+	case "cdown":
+		a := []action{refuse, silent, loseBefore}[rand.IntN(3)]
+		w.rec.add("cloud: down (%d)", a)
+		w.cloud.setFault(func(string, string) (action, time.Duration) { return a, 0 })
+		time.Sleep(time.Duration(1000+rand.IntN(4000)) * time.Millisecond)
+		w.cloud.setFault(nil)
+	case "clost":
+		w.rec.add("cloud: answers are lost")
+		w.cloud.setFault(func(_, path string) (action, time.Duration) {
+			if strings.HasPrefix(path, "POST") && rand.IntN(2) == 0 {
+				return []action{loseAfter, muted}[rand.IntN(2)], 0
+			}
+			return pass, 0
+		})
+		time.Sleep(5 * time.Second)
+		w.cloud.setFault(nil)
+	case "cslow":
+		w.rec.add("cloud: slow")
+		w.cloud.setFault(func(string, string) (action, time.Duration) { return pass, 240 * time.Millisecond })
+		time.Sleep(5 * time.Second)
+		w.cloud.setFault(nil)
 	case "drop":
 		w.mu.Lock()
 		w.queues[2].dropped = true
@@ -355,12 +380,19 @@
 		if n > 7 {
 			return
 		}
-		names := []string{}
-		for range 3 {
-			if m := w.someMachine(""); !has(names, m.name) {
+		names, used := []string{}, []string{}
+		for k := 1; k < n; k++ {
+			v, _ := w.cloud.wave(k)
+			used = append(used, v.Machines...)
+		}
+		for range 12 {
+			if m := w.someMachine(""); len(names) < 4 && !has(names, m.name) && !has(used, m.name) {
 				names = append(names, m.name)
 			}
 		}
+		if len(names) == 0 {
+			return
+		}
 		w.writeWave(waveRow{Wave: n, Machines: names, WithinS: 26, MaxCount: 1 + rand.IntN(2)})
 		go w.cloud.awaitWaves(time.Now().Add(60*time.Second), n)
 	}
--- a/review/_standin3/world.go
+++ b/review/_standin3/world.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -54,6 +57,7 @@
 
 	behave     behaviour
 	body       []byte
+	deadlineMs int   // of its calls, 0 for 3 s
 	accepted   int64 // ms, 0 if not yet
 	rejected   bool  // every attempt so far was rejected
 	cancelSent int64
@@ -150,17 +154,19 @@
 	return j.steps[s], true
 }
 
-func (w *world) percent(n *minion, r *run) int {
-	w.mu.Lock()
-	f := w.percents
-	w.mu.Unlock()
-	if f != nil {
-		return f(n, r)
+// percent is the progress of a run, or 100 for one that lasts and is at work.
+func (w *world) percent(r *run) int {
+	worked := time.Since(r.atWork)
+	if r.fills {
+		worked = r.worked
 	}
-	if time.Since(r.atWork) > 0 {
-		return r.percent
+	if worked < 0 {
+		return 0
 	}
-	return 0
+	if r.work == 0 {
+		return 100
+	}
+	return min(99, int(100*worked/r.work))
 }
 
 // started checks a start and begins its work; the minion's lock is held.
@@ -243,7 +249,10 @@
 	if rand.Float64() < j.behave.Fail {
 		how, ms = "failed", ms/2
 	}
-	r.atWork = time.Now()
+	r.atWork, r.work = time.Now(), time.Duration(j.behave.Ms)*time.Millisecond
+	if st.Fills {
+		return // its work is done by share
+	}
 	time.AfterFunc(time.Duration(ms)*time.Millisecond, func() { n.finish(r, how) })
 }
 
@@ -285,7 +294,7 @@
 		how, ms, fails = "failed", ms/2, rand.IntN(len(g.members))
 	}
 	for i, m := range g.members {
-		m.atWork = time.Now()
+		m.atWork, m.work = time.Now(), time.Duration(j.behave.Ms)*time.Millisecond
 		h := how
 		if fails >= 0 && i != fails {
 			h = "broken"
@@ -423,6 +432,9 @@
 	defer w.mu.Unlock()
 	for _, j := range w.jobs {
 		for task, runs := range j.runs {
+			if j.rejected {
+				w.broken("REFUSED", "%s ran, and each attempt to hand its job in was rejected", task)
+			}
 			_, _, s, _ := taskID(task)
 			for _, a := range runs {
 				failed := 0
@@ -638,13 +650,20 @@
 
 // call sends one client's call and returns the status, 0 without an answer, and the body.
 func (w *world) call(e *entry, method string, q queue, id string, body []byte) (int, []byte) {
-	req, err := http.NewRequest(method, "http://"+e.ip+":8624"+q.prefix+id, bytes.NewReader(body))
+	return w.callWithin(e, method, q, id, body, 3000)
+}
+
+// callWithin sends one call of a client that waits for so long.
+func (w *world) callWithin(e *entry, method string, q queue, id string, body []byte, deadlineMs int) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(deadlineMs)*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.ip+":8624"+q.prefix+id, bytes.NewReader(body))
 	if err != nil {
 		w.cannot("request: %v", err)
 	}
 	req.Host = q.host
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Deadline-Ms", "3000")
+	req.Header.Set("Deadline-Ms", strconv.Itoa(deadlineMs))
 	resp, err := w.clients.Do(req)
 	if err != nil {
 		w.rec.add("client: %s %s at %s: no answer (%v)", method, id, e.name, err)
@@ -680,7 +699,7 @@
 	rejected := true
 	for range tries {
 		e := w.entries[rand.IntN(len(w.entries))]
-		status, _ := w.call(e, "POST", q, j.id, b)
+		status, _ := w.callWithin(e, "POST", q, j.id, b, cmp.Or(j.deadlineMs, 3000))
 		if status/100 == 2 {
 			w.mu.Lock()
 			j.accepted = w.rec.ms()
