--- a/review/_standin3/minion.go
+++ b/review/_standin3/minion.go
@@ -78,6 +78,7 @@
 	lapsedN  int64 // ends up to this one came before the lease lapsed last
 	changed  chan struct{}
 	deaf     bool                                    // leaves every call without an answer, and does nothing
+	onStop   func()                                  // called before the next stop order is read
 	late     func(path string) (time.Duration, bool) // carries a call out later and doesn't answer
 	sheds    float64                                 // the share of the calls that it rejects with 503
 	drains   time.Time                               // since when it drains
@@ -187,6 +188,12 @@
 		return
 	}
 	n.mu.Lock()
+	if f := n.onStop; f != nil && op == "run-stop" {
+		n.onStop = nil
+		n.mu.Unlock()
+		f()
+		n.mu.Lock()
+	}
 	deaf, late := n.deaf, n.late
 	n.mu.Unlock()
 	if deaf {
--- a/review/_standin3/world.go
+++ b/review/_standin3/world.go
@@ -115,9 +115,7 @@
 	entries   []*entry
 	breaks    []string
 	isClosed  bool
-	failed    string
 	clients   *http.Client
-	percents  func(n *minion, r *run) int
 }
 
 func newWorld(rec *record, bin, dir string) *world {
@@ -468,14 +466,18 @@
 		if q.dropped {
 			continue
 		}
-		routes = append(routes, object{"name": q.name, "host": q.host, "path-prefix": q.prefix, "route-kind": "mutating", "timeout-ms": 3000,
-			"target-latency-ms": q.targetMs, "priority": q.priority, "service": q.pool, "max-attempts": q.maxAttempts, "stretch": 2})
+		routes = append(routes, object{
+			"name": q.name, "host": q.host, "path-prefix": q.prefix, "route-kind": "mutating", "timeout-ms": 3000,
+			"target-latency-ms": q.targetMs, "priority": q.priority, "service": q.pool, "max-attempts": q.maxAttempts, "stretch": 2,
+		})
 	}
 	for _, p := range w.pools {
 		services = append(services, object{"name": p, "health-path": "/health", "max-conns": 64, "protocol": "h1", "tls": false, "rejects-overload": !w.unguarded, "spare": p == w.spare})
 	}
-	c := object{"version": w.version, "routes": routes, "services": services,
-		"limits": object{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
+	c := object{
+		"version": w.version, "routes": routes, "services": services,
+		"limits": object{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	}
 	w.mu.Unlock()
 	w.store.put("op", "config", c)
 	w.rec.add("operator: writes config version %d", w.version)
@@ -554,8 +556,10 @@
 		"memory_mb": 284, "cpu_share": 1.0, "log_level": "info",
 		"store":    object{"address": e.store, "row_bytes": 65536, "partition_writes_per_s": 150},
 		"machines": object{"address": e.cloud, "actions_per_s": 64}, "advice": "",
-		"timing": object{"grace_s": 6, "max_lease_ms": 10000, "retention_s": 120, "drain_ms": 2000, "stop_ms": 400, "notice_ms": 4500, "lease_ms": 3000,
-			"move_s": 1.5, "maintenance_s": 2, "early_ms": 250, "harm_ms": 4000, "data_rack_factor": 2},
+		"timing": object{
+			"grace_s": 6, "max_lease_ms": 10000, "retention_s": 120, "drain_ms": 2000, "stop_ms": 400, "notice_ms": 4500, "lease_ms": 3000,
+			"move_s": 1.5, "maintenance_s": 2, "early_ms": 250, "harm_ms": 4000, "data_rack_factor": 2,
+		},
 	}, "", "  ")
 	if err := os.WriteFile(filepath.Join(w.dir, e.name+".json"), raw, 0o600); err != nil {
 		w.cannot("write settings: %v", err)
