--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -5,8 +5,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sort"
+	"syscall"
 )
 
 var cases = map[string]func(w *world, trouble bool){}
@@ -67,11 +69,25 @@
 			code = 2
 		}
 	}()
+	go w.endOnSignal(rec, dir, *keep == "")
 	rec.add("case %s, trouble %v", *name, trouble)
 	f(w, trouble)
 	return w.verdict(*name)
 }
 
+// endOnSignal ends the entries and removes the temporary folder when the case is broken off.
+func (w *world) endOnSignal(rec *record, dir string, temporary bool) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	rec.add("the case is broken off: %s", <-c)
+	w.close()
+	if temporary {
+		_ = os.RemoveAll(dir)
+	}
+	rec.close()
+	os.Exit(2)
+}
+
 // verdict reports the rules broken, all or those that the case is about.
 func (w *world) verdict(name string) int {
 	w.mu.Lock()
