Fleet operations: the maintenance of a VM completes no other wave

Cause: "in maintenance" names no wave. updatePhases concluded one from a former holder's announcement or from an order of its own without an answer, though an order for another wave may have been the cause; the announcement named one wave for each VM.

Why it works: orders that may be under way are kept and announced by VM and wave. A wave is concluded only if no other wave, no move and nobody's order can be the cause; otherwise the order is sent again and its answer decides.

--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,14 +42,6 @@
 	Orders []announcedOrder `msgpack:"o"`
 }
 
-// announcedOrder announces orders for one VM.
-type announcedOrder struct {
-	VM    string        `msgpack:"v"`
-	Until time.Duration `msgpack:"u"`           // latest time at which they may be sent, on the table service's clock
-	Wave  int           `msgpack:"w,omitempty"` // ID of the maintenance wave, 0 for a move
-	Boot  string        `msgpack:"b,omitempty"` // worker of the VM when the order was announced; empty as stored by earlier versions
-}
-
 var announcementKey = platform.RowKey{Table: tableMaintenance, Partition: Partition, Key: "orders"}
 
 // readAnnouncement reads the announcement and updates the estimate of the table service's clock.
@@ -100,8 +90,7 @@
 	r.formerOrdersKnown = true
 	var longest time.Duration
 	for _, o := range a.Orders {
-		r.formerOrders[o.VM] = o.Until
-		r.formerWaves[o.VM], r.boots[o.VM] = o.Wave, o.Boot
+		r.formerOrders.add(o)
 		longest = max(longest, o.Until+orderTransit+r.cfg.OrderGap-r.clock.earliest(now))
 	}
 	r.log.Info().Str("event", "maintenance_waits").Int("vms", len(a.Orders)).Int64("former_term", a.Term).
@@ -131,18 +120,24 @@
 	return r.clock.earliest(now) < until+orderTransit+r.cfg.OrderGap
 }
 
-// announce persists that orders for the VMs may be sent within orderWindow.
-func (r *Runner) announce(ctx context.Context, vms []string) {
-	if len(vms) == 0 {
+// matters reports whether the next holder needs to know of an order: it has to wait for the order
+// gap, or the VM list may show what the order did.
+func (r *Runner) matters(until, now time.Duration) bool {
+	return r.withinOrderGap(until, now) || r.mayShow(until, now)
+}
+
+// announce persists that orders may be sent within orderWindow.
+func (r *Runner) announce(ctx context.Context, orders []vmOrder) {
+	if len(orders) == 0 {
 		return
 	}
 	if !r.clock.fresh(r.now()) {
 		if _, err := r.readAnnouncement(ctx); err != nil && !errors.As(err, new(errMalformed)) {
-			r.log.Warn().Str("event", "orders_not_announced").Int("vms", len(vms)).Err(err).Send()
+			r.log.Warn().Str("event", "orders_not_announced").Int("vms", len(orders)).Err(err).Send()
 			return
 		}
 	}
-	next := r.mergedAnnouncement(vms)
+	next := r.mergedAnnouncement(orders)
 	txn, err := r.announcementTxn(next)
 	if err != nil {
 		r.log.Error().Str("event", "orders_not_announced").Err(err).Send()
@@ -162,7 +157,7 @@
 	default:
 		// The commit may have succeeded or not. Either version of the row contains the orders
 		// announced before, with the same or a later time.
-		r.log.Warn().Str("event", "orders_not_announced").Int("vms", len(vms)).Err(err).Send()
+		r.log.Warn().Str("event", "orders_not_announced").Int("vms", len(orders)).Err(err).Send()
 	}
 }
 
@@ -182,79 +177,80 @@
 				r.log.Error().Str("event", "announcement_malformed").Err(err).Send()
 			}
 			r.announcedVersion = row.Version
-			r.announced = map[string]time.Duration{}
-			for _, o := range a.Orders {
-				r.announced[o.VM] = o.Until
-			}
+			r.announced = newOrderBook(a.Orders)
 			r.log.Info().Str("event", "orders_announced_before").Int("vms", len(a.Orders)).Int64("term", a.Term).Send()
 		}
 	}
 }
 
-// mergedAnnouncement returns, by VM, the latest send time of the announced orders that the next
-// holder may have to wait for, of this and former holders, of orders for the given VMs, and of waves
-// whose progress is not stored, as far as the row has room.
-func (r *Runner) mergedAnnouncement(vms []string) map[string]time.Duration {
+// mergedAnnouncement returns the announced orders, of this and former holders, that matter to the next
+// holder, the given orders, and those of waves whose progress is not stored, as far as the row has room.
+func (r *Runner) mergedAnnouncement(orders []vmOrder) orderBook {
 	now := r.now()
-	next := map[string]time.Duration{}
-	for _, known := range []map[string]time.Duration{r.formerOrders, r.announced} {
-		for vm, until := range known {
-			if r.withinOrderGap(until, now) {
-				next[vm] = max(next[vm], until)
+	next := orderBook{}
+	for _, known := range []orderBook{r.formerOrders, r.announced} {
+		for _, o := range known.sorted() {
+			if r.matters(o.Until, now) {
+				next.add(o)
 			}
 		}
 	}
 	until := r.clock.latest(now) + orderWindow
 	remaining := maxAnnouncementBytes
-	for vm := range next {
-		remaining -= r.announcedBytes(vm)
+	for _, o := range next.sorted() {
+		remaining -= o.size()
 	}
-	for _, vm := range vms {
-		if remaining -= r.announcedBytes(vm); remaining < 0 {
+	for _, order := range orders {
+		o := announcedOrder{VM: order.vm, Until: until, Wave: order.wave, Boot: order.boot}
+		if remaining -= o.size(); remaining < 0 {
 			break // announced in a later step
 		}
-		next[vm] = until
+		next.add(o)
 	}
 	r.keepUnsaved(next, min(remaining, maxUnsavedBytes))
 	return next
 }
 
-// announcedBytes returns about how much of the row the orders for a VM take.
-func (r *Runner) announcedBytes(vm string) int {
-	return len(vm) + len(r.boots[vm]) + announcedOrderBytes
-}
+// size returns about how many bytes of the row an order takes.
+func (o *announcedOrder) size() int { return len(o.VM) + len(o.Boot) + announcedOrderBytes }
 
-// keepUnsaved adds the former announcements for VMs of open waves whose progress is not stored, as
-// far as remaining bytes allow: the next holder then doesn't maintain again what was done.
-func (r *Runner) keepUnsaved(next map[string]time.Duration, remaining int) {
-	unsaved := r.unsavedVMs()
-	for _, known := range []map[string]time.Duration{r.announced, r.formerOrders} {
-		for _, vm := range slices.Sorted(maps.Keys(known)) {
-			_, announced := next[vm]
-			if _, ok := unsaved[vm]; !ok || announced {
+// keepUnsaved adds the announced orders of open waves whose progress is not stored, as far as remaining
+// bytes allow: the next holder then doesn't maintain again what was done.
+func (r *Runner) keepUnsaved(next orderBook, remaining int) {
+	unsaved := r.unsavedOrders()
+	for _, known := range []orderBook{r.announced, r.formerOrders} {
+		for _, o := range known.sorted() {
+			_, announced := next.find(o.VM, o.Wave)
+			if announced || !unsaved[orderKey{o.VM, o.Wave}] {
 				continue
 			}
-			if remaining -= r.announcedBytes(vm); remaining < 0 {
+			if remaining -= o.size(); remaining < 0 {
 				return
 			}
-			next[vm] = known[vm]
+			next.add(o)
 		}
 	}
 }
 
-// unsavedVMs returns the VMs of open waves that may have been maintained though the stored progress
-// does not say so, with the ID of the wave.
-func (r *Runner) unsavedVMs() map[string]int {
-	unsaved := map[string]int{}
+// orderKey names what orders are for.
+type orderKey struct {
+	vm   string
+	wave int // 0 for a move
+}
+
+// unsavedOrders returns the VMs and open waves whose orders may have been carried out though the stored
+// progress does not say so.
+func (r *Runner) unsavedOrders() map[orderKey]bool {
+	unsaved := map[orderKey]bool{}
 	open := r.openWaves()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range open {
 		for _, v := range w.vms {
-			done := v.over()
-			byFormer := v.Phase != PhaseOrdered && !done && r.formerWaves[v.Name] == w.ID
-			if v.Phase == PhaseOrdered || byFormer || v.maybeDone && !done || done && w.changed {
-				unsaved[v.Name] = w.ID
+			_, byFormer := r.formerOrders.find(v.Name, w.ID)
+			unanswered := r.sent[v.Name][w.ID].answer == OrderUnanswered
+			if v.over() && w.changed || !v.over() && (v.Phase == PhaseOrdered || byFormer || unanswered) {
+				unsaved[orderKey{v.Name, w.ID}] = true
 			}
 		}
 	}
@@ -278,18 +274,8 @@
 }
 
 // announcementTxn returns the transaction that writes an announcement, without preconditions.
-func (r *Runner) announcementTxn(orders map[string]time.Duration) (txn platform.RowTxn, err error) {
-	a := announcement{Term: r.claim.Term}
-	waves := r.unsavedVMs()
-	maps.Copy(waves, r.activeWaves())
-	for _, vm := range slices.Sorted(maps.Keys(orders)) {
-		wave, inWave := waves[vm]
-		if !inWave && r.moves[vm] == nil {
-			wave = r.formerWaves[vm]
-		}
-		a.Orders = append(a.Orders, announcedOrder{VM: vm, Until: orders[vm], Wave: wave, Boot: r.boots[vm]})
-	}
-	raw, err := msgpack.Marshal(a)
+func (r *Runner) announcementTxn(orders orderBook) (txn platform.RowTxn, err error) {
+	raw, err := msgpack.Marshal(announcement{Term: r.claim.Term, Orders: orders.sorted()})
 	if err != nil {
 		return txn, errors.Wrap(err, "encode announcement of orders")
 	}
@@ -304,30 +290,26 @@
 		// The former holder's orders are unknown: keep its announcement for the next holder.
 		return r.claim.Release(ctx, r.cfg.Rows, Partition, shard.Handover{Entry: next})
 	}
-	orders := map[string]time.Duration{}
-	for vm, until := range r.mergedAnnouncement(nil) {
-		if sent := r.lastOrderOf(vm); sent > 0 {
-			until = min(until, r.clock.latest(sent))
-		} else {
-			until = r.formerOrders[vm]
-		}
-		if until = max(until, r.formerOrders[vm]); r.withinOrderGap(until, now) {
-			orders[vm] = until
-		}
-	}
-	used := 0
-	for vm := range orders {
-		used += r.announcedBytes(vm)
-	}
-	r.keepUnsaved(orders, min(maxAnnouncementBytes-used, maxUnsavedBytes))
-	for vm, until := range orders {
-		if sent := r.lastOrderOf(vm); sent > 0 {
-			orders[vm] = max(min(until, r.clock.latest(sent)), r.formerOrders[vm])
-		}
-	}
-	txn, err := r.announcementTxn(orders)
+	txn, err := r.announcementTxn(r.sentAnnouncement(now))
 	if err != nil {
 		return err
 	}
 	return r.claim.ReleaseWith(ctx, r.cfg.Rows, Partition, shard.Handover{Entry: next}, txn)
 }
+
+// sentAnnouncement returns the part of the announcement that was sent, each order with the time when it was.
+func (r *Runner) sentAnnouncement(now time.Duration) orderBook {
+	unsaved, sent := r.unsavedOrders(), orderBook{}
+	for _, o := range r.mergedAnnouncement(nil).sorted() {
+		former, known := r.formerOrders.find(o.VM, o.Wave)
+		if last, ok := r.lastOrder(o.VM, o.Wave); ok {
+			o.Until = max(min(o.Until, r.clock.latest(last.sentAt)), former.Until)
+		} else if o = former; !known {
+			continue
+		}
+		if r.matters(o.Until, now) || unsaved[orderKey{o.VM, o.Wave}] {
+			sent.add(o)
+		}
+	}
+	return sent
+}
--- a/pkg/fleetops/handover_test.go
+++ b/pkg/fleetops/handover_test.go
@@ -97,11 +97,14 @@
 	unusablePool  string         // pool without usable workers, whose tasks wait
 	evacuatedZone string         // zone that is evacuated
 	evacuatedIdle bool           // the evacuated VMs have no work
+	light         bool           // no VM has much work
 	waves         []Wave
 	ranks         map[string]int     // by VM: the rank with which it was last drained
 	maintenance   time.Duration      // how long the maintenance of a VM takes
 	progress      *ProgressCache     // kept by the entries of the pools' owners; nil for none
 	onQuery       func(query string) // called with what the owners of pools are asked; nil for nothing
+	// report is called with the progress reported to the operator; nil for nothing.
+	report func(wave int, completed bool)
 	// rowsOf and vmsOf wrap the services as seen by an entry; nil for no faults.
 	rowsOf func(entry string, rows platform.Rows) platform.Rows
 	vmsOf  func(entry string, vms platform.Machines) platform.Machines
@@ -140,7 +143,7 @@
 			}
 			continue
 		}
-		if l.Workers++; l.Workers > s.need[pool] {
+		if l.Workers++; l.Workers > s.need[pool] || s.light {
 			l.Light = append(l.Light, m.VM)
 		}
 	}
@@ -203,8 +206,13 @@
 			reply.Load, ok = s.load(ctx, q.Pool)
 			return reply, ok
 		},
-		Report: func(int, bool) (platform.Row, error) { return platform.Row{}, nil },
-		Waves:  s.requested, ZoneEvacuated: s.evacuated,
+		Report: func(wave int, completed bool) (platform.Row, error) {
+			if s.report != nil {
+				s.report(wave, completed)
+			}
+			return platform.Row{}, nil
+		},
+		Waves: s.requested, ZoneEvacuated: s.evacuated,
 		OrderGap: orderGap, MaintenanceTime: s.maintenance, BeforeTakeover: func() {}, OnGivenUp: func(error) {},
 	}, shard.ObservedOwner{Version: seen.Version}, cat)
 }
--- a/pkg/fleetops/late_test.go
+++ b/pkg/fleetops/late_test.go
@@ -24,13 +24,13 @@
 			}
 			return fake.FaultNone
 		})
-		first.announce(context.Background(), []string{"v1"})
+		first.announce(context.Background(), []vmOrder{{vm: "v1"}})
 		s.rows.SetFault(func(fake.RowOp, string) fake.Fault { return fake.FaultNone })
-		first.announce(context.Background(), []string{"v2"})
+		first.announce(context.Background(), []vmOrder{{vm: "v2"}})
 		time.Sleep(10 * time.Millisecond)
-		c.Assert(first.maySend("v2"), qt.IsTrue)
+		c.Assert(first.maySend(vmOrder{vm: "v2"}), qt.IsTrue)
 		time.Sleep(2 * time.Second) // the late commit takes effect
-		first.recordOrder("v2")
+		first.beginOrder(vmOrder{vm: "v2"})
 		first.Close()
 		second := s.open(c, "second", since)
 		c.Check(second.mayOrderFor("v2"), qt.IsFalse)
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -125,16 +125,19 @@
 		case !ok:
 			r.setPhase(w, v, PhaseGone, "the VM is no longer listed")
 		case v.Phase == PhaseOrdered && !v.accepted && m.State == platform.MachineMaintenance:
-			v.accept(r.now()) // the order was carried out though it was not answered
+			if r.maintainedFor(v.Name, w.ID) {
+				v.accept(r.now()) // the order was carried out though it was not answered
+			}
 		case v.Phase == PhaseOrdered && !v.accepted && m.State == platform.MachineUp && m.Worker != v.Worker:
-			v.maybeDone, v.orderedUntil = true, r.now()+orderTransit+maxListLag
 			r.setPhase(w, v, PhaseWaiting, "the order was not answered, and the VM may have crashed")
 		case v.Phase == PhaseOrdered && v.returned(m, r.now(), r.cfg.MaintenanceTime):
 			r.setPhase(w, v, PhaseDone, "the VM is up again")
-		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && w.ID != 0 && (v.maybeDone || r.formerWaves[v.Name] == w.ID):
+		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && r.maintainedFor(v.Name, w.ID):
 			v.Worker = m.Worker
 			v.accept(r.now())
 			r.setPhase(w, v, PhaseOrdered, "an earlier order is carried out")
+		case v.Phase == PhaseDraining && m.State == platform.MachineMaintenance:
+			r.setPhase(w, v, PhaseWaiting, "the VM is in maintenance, and it is not certain for which wave")
 		}
 	}
 }
@@ -155,7 +158,7 @@
 		unanswered := v.Phase == PhaseOrdered && !v.accepted && m.State == platform.MachineUp && m.Worker == v.Worker
 		if v.Phase == PhaseDraining || unanswered { // resend an unanswered order, which may be lost
 			due = append(due, vmOrder{
-				vm: v.Name, pool: m.Pool, boot: m.Worker, rank: rank,
+				vm: v.Name, wave: w.ID, pool: m.Pool, boot: m.Worker, rank: rank,
 				admit: func() bool {
 					if !unanswered {
 						free--
@@ -172,15 +175,16 @@
 // sendMaintenance orders the maintenance of a VM.
 func (r *Runner) sendMaintenance(ctx context.Context, w *wave, v *VM, m platform.Machine) {
 	err := r.cfg.Machines.MaintainMachine(ctx, v.Name, w.ID, r.holder())
+	answer := r.endOrder(v.Name, w.ID, err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case platform.IsRefused(err), platform.IsNotDone(err):
+	switch answer {
+	case OrderRefused:
 		r.log.Warn().Str("event", "maintenance_refused").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
 		return
-	case err != nil:
+	case OrderUnanswered:
 		r.log.Warn().Str("event", "maintenance_unanswered").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
-	default:
+	case OrderAccepted:
 		v.accept(r.now())
 	}
 	if v.Phase == PhaseDraining {
@@ -208,13 +212,12 @@
 	}
 	for vm := range r.formerOrders {
 		view.RecentlyOrdered[vm] = !r.mayOrderFor(vm)
-		view.MaybeDone[vm] = view.RecentlyOrdered[vm] || r.boots[vm] == "" || r.boots[vm] != machines[vm].Worker
+	}
+	for _, vm := range r.inDoubt() {
+		view.RecentlyOrdered[vm] = true
 	}
 	for _, v := range w.vms {
-		if v.maybeDone {
-			view.MaybeDone[v.Name] = true
-			view.RecentlyOrdered[v.Name] = view.RecentlyOrdered[v.Name] || r.now() < v.orderedUntil
-		}
+		view.MaybeDone[v.Name] = r.mayBeDone(v.Name, machines[v.Name].Worker, w.ID)
 	}
 	for vm, wave := range r.activeWaves() {
 		view.InOtherWave[vm] = wave != w.ID
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -86,7 +86,7 @@
 func (r *Runner) sendMove(ctx context.Context, m *move) {
 	err := r.cfg.Machines.MoveMachine(ctx, m.VM, m.To, r.holder())
 	r.log.Info().Str("event", "move_ordered").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Err(err).Send()
-	if platform.IsRefused(err) || platform.IsNotDone(err) {
+	if r.endOrder(m.VM, 0, err) == OrderRefused {
 		return
 	}
 	m.orderedAt = r.now()
--- a/pkg/fleetops/odd_announcement_test.go
+++ b/pkg/fleetops/odd_announcement_test.go
@@ -39,7 +39,7 @@
 			c.Assert(err, qt.IsNil)
 			r := &Runner{
 				cfg: Config{Rows: rows, Clock: elapsed.New(), OrderGap: gap}, log: zerolog.Nop(),
-				formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, boots: map[string]string{},
+				formerOrders: orderBook{},
 			}
 			c.Assert(r.loadFormerOrders(context.Background()), qt.IsTrue)
 			c.Check(r.noOrdersBefore > 0, qt.Equals, tc.odd)
--- a/pkg/fleetops/orders.go
+++ b/pkg/fleetops/orders.go
@@ -53,6 +53,7 @@
 // vmOrder is an order to send once its VM is drained.
 type vmOrder struct {
 	vm   string
+	wave int    // 0 for a move
 	pool string // current pool of the VM
 	boot string // current worker of the VM
 	rank int    // order in which VMs get free places of their tasks' steps, lowest first
@@ -81,10 +82,10 @@
 		batch = slices.DeleteFunc(batch, func(o vmOrder) bool { return o.admit != nil && !o.admit() })
 		r.announceBatch(ctx, batch)
 		for _, o := range batch {
-			if !r.maySend(o.vm) {
+			if !r.maySend(o) {
 				continue
 			}
-			r.recordOrder(o.vm)
+			r.beginOrder(o)
 			sending.Go(func() {
 				callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 				defer cancel()
@@ -119,39 +120,50 @@
 }
 
 func (r *Runner) announceBatch(ctx context.Context, orders []vmOrder) {
-	var vms []string
-	for _, o := range orders {
-		if r.mayOrderFor(o.vm) {
-			vms = append(vms, o.vm)
-			r.boots[o.vm] = o.boot
-		}
-	}
-	r.announce(ctx, vms)
+	r.announce(ctx, slices.DeleteFunc(slices.Clone(orders), func(o vmOrder) bool { return !r.mayOrderFor(o.vm) }))
 }
 
 // maySend reports whether an order may be sent now: it is far enough from former holders' orders
 // and announced to the next holder.
-func (r *Runner) maySend(vm string) bool {
-	return r.mayOrderFor(vm) && r.clock.latest(r.now()) < r.announced[vm]
+func (r *Runner) maySend(o vmOrder) bool {
+	announced, ok := r.announced.find(o.vm, o.wave)
+	return ok && r.mayOrderFor(o.vm) && r.clock.latest(r.now()) < announced.Until
 }
 
 // mayOrderFor reports whether an order for a VM is far enough from former holders' orders.
 func (r *Runner) mayOrderFor(vm string) bool {
 	now := r.now()
-	until, ok := r.formerOrders[vm]
+	until, ok := r.formerOrders.until(vm)
 	return now >= r.noOrdersBefore && (!ok || !r.withinOrderGap(until, now))
 }
 
-// recordOrder records that an order for a VM is about to be sent.
-func (r *Runner) recordOrder(vm string) {
+// beginOrder records that an order is about to be sent.
+func (r *Runner) beginOrder(o vmOrder) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent.begin(o.vm, o.wave, r.now())
+}
+
+// endOrder records the outcome of an order for a VM and wave, and returns what it says.
+func (r *Runner) endOrder(vm string, wave int, err error) (answer OrderAnswer) {
+	switch {
+	case err == nil:
+		answer = OrderAccepted
+	case platform.IsRefused(err), platform.IsNotDone(err):
+		answer = OrderRefused
+	default:
+		answer = OrderUnanswered
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastOrder[vm] = r.now()
+	r.sent.end(vm, wave, r.now(), answer)
+	return answer
 }
 
-// lastOrderOf returns when the last order for a VM was sent, or 0.
-func (r *Runner) lastOrderOf(vm string) time.Duration {
+// lastOrder returns the last order that this holder sent for a VM and wave.
+func (r *Runner) lastOrder(vm string, wave int) (o sentOrder, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lastOrder[vm]
+	o, ok = r.sent[vm][wave]
+	return o, ok
 }
--- a/pkg/fleetops/runner.go
+++ b/pkg/fleetops/runner.go
@@ -92,9 +92,7 @@
 	clock             tableClock
 	formerOrdersKnown bool                           // the former holders' announcement was read
 	noOrdersBefore    time.Duration                  // set if that announcement was malformed
-	formerOrders      map[string]time.Duration       // by VM: until when former holders may have sent orders, on the table service's clock
-	boots             map[string]string              // by VM: its worker when its last order was announced
-	formerWaves       map[string]int                 // by VM: the wave of those orders, 0 for a move
+	formerOrders      orderBook                      // what former holders may have sent
 	lastLoads         map[string]shard.Load          // by pool
 	limited           map[string][]shard.LimitedStep // as last reported, by pool
 	waveVMs           map[string][]string            // VMs that open waves will drain, by pool
@@ -104,8 +102,8 @@
 	evacuatedSurplus  map[string]int                 // consecutive steps with movable VMs in evacuated zones, by pool
 	moves             map[string]*move               // by VM
 	tookOverAt        time.Duration
-	learned           ProgressCache            // what other entries have told of waves
-	announced         map[string]time.Duration // by VM: until when orders may be sent, as persisted, on the table service's clock
+	learned           ProgressCache // what other entries have told of waves
+	announced         orderBook     // as persisted: what may be sent, and what of former holders the next one has to know
 
 	loggedShares   Shares        // as last logged
 	sharesLoggedAt time.Duration // when that was
@@ -116,9 +114,9 @@
 	confirmedAt time.Duration // when this entry was last known to be the holder
 	gaveUp      bool
 	catalog     *catalog.Catalog
-	waves       map[int]*wave            // by ID
-	waveStatus  []WaveStatus             // of the open waves
-	lastOrder   map[string]time.Duration // when this holder last sent an order, by VM
+	waves       map[int]*wave // by ID
+	waveStatus  []WaveStatus  // of the open waves
+	sent        sentOrders
 }
 
 // Open takes over the fleet operations if their owner row still has the version seen, and starts
@@ -146,7 +144,7 @@
 		quotas: quota.NewAllocator(c.Term), done: make(chan struct{}), confirmedAt: now, catalog: cat, waves: map[int]*wave{},
 		limited: map[string][]shard.LimitedStep{},
 		policy:  DefaultSizing, moves: map[string]*move{}, surplus: map[string]int{}, evacuatedSurplus: map[string]int{}, trends: map[string]trend{},
-		formerOrdersKnown: c.Term == 1, formerOrders: map[string]time.Duration{}, formerWaves: map[string]int{}, boots: map[string]string{}, lastOrder: map[string]time.Duration{}, announced: map[string]time.Duration{},
+		formerOrdersKnown: c.Term == 1, formerOrders: orderBook{}, sent: sentOrders{}, announced: orderBook{},
 		loggedShares: Shares{Level: LevelNone}, tookOverAt: now,
 	}
 	r.loadFormerOrders(ctx)
@@ -222,6 +220,7 @@
 	// The owners of pools learn which VMs a wave will drain before the first one is, so that tasks don't
 	// move to the others.
 	r.acceptWaves()
+	r.forgetSent()
 	r.noteWaveVMs(r.openWaves(), machines)
 	r.lastLoads = r.pollLoads(ctx)
 	mayOrder := r.mayOrder(ctx)
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -51,9 +51,6 @@
 
 	accepted   bool          // the VM service accepted the order
 	acceptedAt time.Duration // when it had at the latest; negative if before the start of the entry's clock
-	maybeDone  bool          // an order without an answer may have been carried out
-	// orderedUntil is until when that order may still be carried out.
-	orderedUntil time.Duration
 }
 
 // over reports whether nothing is left to do for the VM.
--- a/pkg/fleetops/waveprogress.go
+++ b/pkg/fleetops/waveprogress.go
@@ -142,8 +142,8 @@
 // If that is not known it is the present one: the VM then counts as down until its maintenance must
 // be over.
 func (r *Runner) workerBefore(w *wave, m platform.Machine) string {
-	if boot := r.boots[m.VM]; boot != "" && r.formerWaves[m.VM] == w.ID {
-		return boot
+	if o, ok := r.formerOrders.find(m.VM, w.ID); ok && o.Boot != "" {
+		return o.Boot
 	}
 	return m.Worker
 }
