Shard: a stop that a step's limit decided is decided anew before it is sent

Why it works: whatever sends it, the decision is made at that moment: still wanted, within the limit with tasks at workers that are about to end counted as missing, and room elsewhere. Otherwise the stop is taken back, once it can't be carried out any more: a poll with a higher token settles it, as with starts.

--- a/pkg/shard/dispatch.go
+++ b/pkg/shard/dispatch.go
@@ -14,19 +14,21 @@
 // an owner's processor time.
 const maxOrdersPerWorker = 2
 
-// errStartWithdrawn reports a start that was not sent because it was no longer wanted.
-var errStartWithdrawn = errors.New("start withdrawn before it was sent")
+// errOrderWithdrawn reports an order that was not sent because it was no longer wanted.
+var errOrderWithdrawn = errors.New("order withdrawn before it was sent")
 
 // queuedOrder is an order to a worker that is queued or in progress.
 type queuedOrder struct {
 	// send carries the order out; called without the lock.
 	send func(ctx context.Context) (clockMs int64, err error)
-	// onAnswer handles the answer, or errStartWithdrawn; the caller holds the lock.
+	// onAnswer handles the answer, or errOrderWithdrawn; the caller holds the lock.
 	onAnswer func(err error)
 	// prepareStart is set for the start of an attempt. It returns send with the token and lease
 	// current when the order is sent, or nil if the attempt is no longer wanted; the caller
 	// holds the lock.
 	prepareStart func(now time.Duration) (send func(ctx context.Context) (clockMs int64, err error))
+	// prepareStop is the same for the stop of an attempt.
+	prepareStop func(now time.Duration) (send func(ctx context.Context) (clockMs int64, err error))
 }
 
 // enqueueOrder queues an order and starts a sender if needed; the caller holds the lock.
@@ -49,11 +51,14 @@
 		s.orders[0] = nil
 		s.orders = s.orders[1:]
 		now := o.now()
-		if d.prepareStart != nil && o.mayStart(s, now) {
+		switch {
+		case d.prepareStart != nil && o.mayStart(s, now):
 			d.send = d.prepareStart(now)
+		case d.prepareStop != nil:
+			d.send = d.prepareStop(now)
 		}
 		if d.send == nil {
-			d.onAnswer(errStartWithdrawn)
+			d.onAnswer(errOrderWithdrawn)
 			continue
 		}
 		o.sendOrder(s, d)
--- a/pkg/shard/evacuate.go
+++ b/pkg/shard/evacuate.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gannetwell/gannetwell/pkg/jobs"
@@ -148,6 +149,7 @@
 			w.noRoom++
 		default:
 			if o.stop(s, r, why) {
+				r.stopLimited = step.Spec.HasMaxUnavailable && limits == limitsKept
 				o.restarts.noteStop(r.Task, room.now)
 			}
 			w.stopping++
@@ -164,7 +166,7 @@
 	case limitsDeferred:
 		return false
 	default:
-		return !o.formerWorkersPending && o.formerStopsKnown(now) && o.withinMaxUnavailable(t.Step, t)
+		return !o.formerWorkersPending && o.formerStopsKnown(now) && o.withinMaxUnavailable(t.Step, t, now)
 	}
 }
 
@@ -244,17 +246,26 @@
 }
 
 // withinMaxUnavailable reports whether a task may be stopped: fewer other tasks of its step are
-// missing, for whatever cause, than the step allows.
-func (o *Owner) withinMaxUnavailable(step *jobs.StepRun, t *jobs.Task) bool {
+// missing, for whatever cause, or about to be, than the step allows.
+func (o *Owner) withinMaxUnavailable(step *jobs.StepRun, t *jobs.Task, now time.Duration) bool {
 	missing := 0
 	for _, other := range step.Tasks {
-		if other != t && !o.serves(other) {
+		if other != t && (!o.serves(other) || o.endsSoon(other, now)) {
 			missing++
 		}
 	}
 	return missing < step.Spec.MaxUnavailable
 }
 
+// endsSoon reports whether a task is at a worker that is about to end, and has to be stopped there before the
+// outcome of a stop that is sent now is certain.
+func (o *Owner) endsSoon(t *jobs.Task, now time.Duration) bool {
+	return slices.ContainsFunc(t.Attempts, func(a *jobs.Attempt) bool {
+		s := o.sessions[a.Boot]
+		return s != nil && s.draining && now+stopTimeout >= s.drainDeadline
+	})
+}
+
 // serves reports whether a long-running task is known to serve; one at a worker that does
 // not answer may have ended with it, and one that was ordered to stop is about to.
 func (o *Owner) serves(t *jobs.Task) bool {
--- a/pkg/shard/foreign.go
+++ b/pkg/shard/foreign.go
@@ -71,7 +71,7 @@
 // stopForeign orders a foreign attempt to stop.
 func (o *Owner) stopForeign(s *session, key foreignKey, fa *foreignAttempt, now time.Duration) {
 	fa.stopOrderedAt = now
-	o.enqueueStop(s, key.task, key.number)
+	o.enqueueForeignStop(s, key.task, key.number)
 }
 
 // forgetForeign removes a foreign attempt that has ended.
--- a/pkg/shard/orders.go
+++ b/pkg/shard/orders.go
@@ -70,7 +70,7 @@
 func (o *Owner) startAnswered(s *session, name string, r *workerAttempt, err error) {
 	now := o.now()
 	current := s.attempts[name] == r
-	if errors.Is(err, errStartWithdrawn) {
+	if errors.Is(err, errOrderWithdrawn) {
 		o.startWithdrawn(s, name, r)
 		return
 	}
@@ -211,6 +211,7 @@
 // start is confirmed. It reports whether the stop was ordered now.
 func (o *Owner) stop(s *session, r *workerAttempt, why string) (ordered bool) {
 	if r.startConfirmedAt == 0 || r.Phase == jobs.PhaseStopped {
+		r.stopLimited = false // there is a reason now that holds whatever else of its step is missing
 		return false
 	}
 	r.Phase = jobs.PhaseStopped
@@ -218,31 +219,3 @@
 	o.dispatchStop(s, r)
 	return true
 }
-
-// dispatchStop queues the stop of an attempt and records when.
-func (o *Owner) dispatchStop(s *session, r *workerAttempt) {
-	r.stopOrderedAt = o.now()
-	o.enqueueStop(s, r.Task.Name(), r.Number)
-}
-
-// enqueueStop queues the stop of an attempt; the attempt may be a foreign one.
-func (o *Owner) enqueueStop(s *session, task string, attempt int64) {
-	order := platform.StopOrder{Task: task, Attempt: attempt, Token: s.token}
-	o.enqueueOrder(s, &queuedOrder{
-		send: func(ctx context.Context) (int64, error) { return o.cfg.Workers.StopAttempt(ctx, s.ref, order) },
-		onAnswer: func(err error) {
-			if err != nil {
-				o.log.Warn().Str("event", "stop_failed").Str("task", task).Str("boot", s.ref.Boot).Err(err).Send()
-			}
-			s.requestPoll()
-		},
-	})
-}
-
-// retryStops repeats stop orders whose attempts have not ended.
-func (o *Owner) retryStops(s *session, now time.Duration) {
-	overdue := func(r *workerAttempt) bool { return r.Phase == jobs.PhaseStopped && now-r.stopOrderedAt > stopTimeout }
-	for _, name := range sortedKeysWhere(s.attempts, overdue) {
-		o.dispatchStop(s, s.attempts[name])
-	}
-}
--- a/pkg/shard/session.go
+++ b/pkg/shard/session.go
@@ -90,6 +90,10 @@
 	connLost         bool          // the start got no answer because the connection failed
 	startConfirmedAt time.Duration // when the worker confirmed that it has it, 0 if it did not yet
 	stopOrderedAt    time.Duration // when its stop was last ordered, 0 for never
+	stopLimited      bool          // that stop was allowed by its step's limit on missing tasks
+	stopSent         bool          // that stop may have been carried out
+	stopAccepted     bool          // that stop was answered
+	stopsInFlight    int           // calls that order it
 	reportedAt       time.Duration // when the worker last reported it
 	excludedBoot     string        // boot that refuses its unanswered start from now on, since a higher token has reached it
 	missing          bool          // the worker's last report lacked it
--- a/pkg/shard/waves.go
+++ b/pkg/shard/waves.go
@@ -143,6 +143,9 @@
 	r.stopped[t] = now
 }
 
+// forget drops a task whose stop was taken back.
+func (r *restarts) forget(t *jobs.Task) { delete(r.stopped, t) }
+
 // update observes the restarts that are over; serves reports whether a task serves.
 func (r *restarts) update(now time.Duration, serves func(*jobs.Task) bool) {
 	byStop := func(a, b *jobs.Task) int {
