Fleet operations: a boot from before an order does not show that a VM is back

What callers could see: a VM begins its maintenance while max-count VMs of its wave are down.

Cause: a VM that was ordered counted as back when the VM list showed another worker. A late list shows the worker of a crash or move shortly before the order.

TestBootBeforeOrder fails without it.

Why it works: until the list has shown the VM down, it counts as back only once its maintenance must be over. Lists that show it down delay nothing.

--- a/pkg/fleetops/cause_test.go
+++ b/pkg/fleetops/cause_test.go
@@ -133,3 +133,24 @@
 		}
 	})
 }
+
+// TestBootBeforeOrder guards against too many VMs down at once: a VM that was ordered is taken for back since a late list
+// shows the boot that it had when it was ordered.
+func TestBootBeforeOrder(t *testing.T) {
+	c := qt.New(t)
+	up := func(worker string) platform.Machine { return platform.Machine{State: platform.MachineUp, Worker: worker} }
+	v := &VM{Phase: PhaseOrdered, Worker: "b1", unseen: true}
+	v.accept(time.Second)
+	c.Check(v.returned(up("b2"), 2*time.Second, 2*time.Second), qt.IsFalse)
+	c.Check(v.returned(up("b3"), 3100*time.Millisecond, 2*time.Second), qt.IsTrue)
+	v.unseen = false // the list has shown it down
+	c.Check(v.returned(up("b2"), 2*time.Second, 2*time.Second), qt.IsTrue)
+
+	r := newCauseRunner()
+	v = &VM{Name: "v", Phase: PhaseOrdered, Worker: "b1", unseen: true}
+	v.accept(r.now())
+	w := &wave{Wave: Wave{ID: 1}, vms: []*VM{v}}
+	r.updatePhases(w, map[string]platform.Machine{"v": {VM: "v", State: platform.MachineMaintenance}})
+	r.updatePhases(w, map[string]platform.Machine{"v": up("b2")})
+	c.Check(v.Phase, qt.Equals, PhaseDone)
+}
--- a/pkg/fleetops/maintain.go
+++ b/pkg/fleetops/maintain.go
@@ -183,6 +183,8 @@
 			}
 		case v.Phase == PhaseOrdered && !v.accepted && m.State == platform.MachineUp && m.Worker != v.Worker:
 			r.setPhase(w, v, PhaseWaiting, "the order was not answered, and the VM may have crashed")
+		case v.Phase == PhaseOrdered && m.State == platform.MachineMaintenance:
+			v.unseen = false
 		case v.Phase == PhaseOrdered && v.returned(m, r.now(), r.cfg.MaintenanceTime):
 			r.setPhase(w, v, PhaseDone, "the VM is up again")
 		case v.Phase != PhaseOrdered && m.State == platform.MachineMaintenance && r.maintainedFor(v.Name, w.ID):
@@ -246,6 +248,7 @@
 		r.log.Warn().Str("event", "maintenance_unanswered").Int("wave", w.ID).Str("vm", v.Name).Err(err).Send()
 	case OrderAccepted:
 		v.accept(r.now())
+		v.unseen = true
 	}
 	if v.Phase == PhaseDraining {
 		v.Worker = m.Worker
--- a/pkg/fleetops/wave.go
+++ b/pkg/fleetops/wave.go
@@ -57,6 +57,7 @@
 
 	accepted   bool          // the VM service accepted the order
 	acceptedAt time.Duration // when it had at the latest; negative if before the start of the entry's clock
+	unseen     bool          // this holder's order was accepted, and the VM list has not shown the VM down since
 }
 
 // over reports whether nothing is left to do for the VM.
@@ -66,13 +67,14 @@
 func (v *VM) accept(by time.Duration) { v.accepted, v.acceptedAt = true, by }
 
 // returned reports whether the VM is up again after its maintenance. A spare VM runs no worker and
-// so shows no new worker ID; it counts as returned once the maintenance must be over.
+// so shows no new worker ID; it counts as returned once the maintenance must be over. Another worker that the
+// list shows earlier than that, and before it has shown the VM down, was there before the order.
 func (v *VM) returned(m platform.Machine, now, takes time.Duration) bool {
 	if m.State != platform.MachineUp {
 		return false
 	}
 	if m.Worker != v.Worker {
-		return true
+		return !v.unseen || now-v.acceptedAt > max(takes, maxListLag)
 	}
 	return v.accepted && now-v.acceptedAt > takes+maxListLag
 }
