--- a/pkg/shard/observer_test.go
+++ b/pkg/shard/observer_test.go
@@ -49,6 +49,7 @@
 	startsUntilDone map[attemptAt]int // of the task, when an attempt ended as done
 	startsOfDone    int               // starts of tasks that had ended as done, without copies
 	checkpoints     *checkpointObserver
+	limitedStops    *limitedStops // checks the limits on missing tasks; nil for no check
 }
 
 func newObserver(e *testCluster) *observer {
@@ -70,6 +71,7 @@
 	defer w.cluster.mu.Unlock()
 	w.starts++
 	w.startsOf[task]++
+	w.limitedStops.started(task)
 	w.cluster.logWorkerEvent("began", boot, task, attempt)
 	job, _, _ := strings.Cut(task, ".")
 	if others := w.running[task]; len(others) > 0 && !w.copies[job] {
@@ -159,6 +161,8 @@
 		w.startsUntilDone[attemptAt{boot, task, attempt}] = w.startsOf[task]
 	case platform.EndFailed:
 		w.failures[task]++
+	case platform.EndStopped:
+		w.limitedStops.ended(w, boot, task)
 	case fake.EndCrashed:
 		w.workersLostWith[task]++
 	}
