--- a/pkg/fleetops/cause.go
+++ b/pkg/fleetops/cause.go
@@ -27,7 +27,7 @@
 		return false // former holders may have sent any order
 	}
 	causes := r.causes(vm, now)
-	return wave != 0 && len(causes) > 0 && !slices.ContainsFunc(causes, func(cause int) bool { return cause != wave })
+	return wave != noWave && len(causes) > 0 && !slices.ContainsFunc(causes, func(cause int) bool { return cause != wave })
 }
 
 // causes returns the waves of the orders that may have put a VM into maintenance.
@@ -44,10 +44,10 @@
 			waves = append(waves, wave)
 		}
 	}
-	if r.waves[0] != nil {
+	if r.waves[noWave] != nil {
 		return waves // an order for wave 0 is kept as a move
 	}
-	return slices.DeleteFunc(waves, func(wave int) bool { return wave == 0 })
+	return slices.DeleteFunc(waves, func(wave int) bool { return wave == noWave })
 }
 
 // inDoubt returns the VMs with orders of this holder that got no answer and may be carried out yet, or
--- a/pkg/fleetops/cause_test.go
+++ b/pkg/fleetops/cause_test.go
@@ -138,7 +138,9 @@
 // shows the boot that it had when it was ordered.
 func TestBootBeforeOrder(t *testing.T) {
 	c := qt.New(t)
-	up := func(worker string) platform.Machine { return platform.Machine{State: platform.MachineUp, Worker: worker} }
+	up := func(worker string) platform.Machine {
+		return platform.Machine{State: platform.MachineUp, Worker: worker}
+	}
 	v := &VM{Phase: PhaseOrdered, Worker: "b1", unseen: true}
 	v.accept(time.Second)
 	c.Check(v.returned(up("b2"), 2*time.Second, 2*time.Second), qt.IsFalse)
--- a/pkg/fleetops/handover.go
+++ b/pkg/fleetops/handover.go
@@ -235,7 +235,7 @@
 // orderKey names what orders are for.
 type orderKey struct {
 	vm   string
-	wave int // 0 for a move
+	wave int // noWave for a move
 }
 
 // unsavedOrders returns the VMs and open waves whose orders may have been carried out though the stored
--- a/pkg/fleetops/moves.go
+++ b/pkg/fleetops/moves.go
@@ -47,7 +47,7 @@
 	}
 	for vm, m := range r.moves {
 		if m.orderedAt == 0 {
-			due = append(due, vmOrder{vm: vm, pool: m.From, rank: rank, send: func(ctx context.Context) { r.sendMove(ctx, m) }})
+			due = append(due, vmOrder{vm: vm, wave: noWave, pool: m.From, rank: rank, send: func(ctx context.Context) { r.sendMove(ctx, m) }})
 		}
 	}
 	return due
@@ -86,7 +86,7 @@
 func (r *Runner) sendMove(ctx context.Context, m *move) {
 	err := r.cfg.Machines.MoveMachine(ctx, m.VM, m.To, r.holder())
 	r.log.Info().Str("event", "move_ordered").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).Err(err).Send()
-	if r.endOrder(m.VM, 0, err) == OrderRefused {
+	if r.endOrder(m.VM, noWave, err) == OrderRefused {
 		return
 	}
 	m.orderedAt = r.now()
--- a/pkg/fleetops/orderbook.go
+++ b/pkg/fleetops/orderbook.go
@@ -6,11 +6,14 @@
 	"time"
 )
 
+// noWave stands for a wave's ID in the order for a move.
+const noWave = 0
+
 // announcedOrder is an order for one VM that may be sent, or may have been.
 type announcedOrder struct {
 	VM    string        `msgpack:"v"`
 	Until time.Duration `msgpack:"u"`           // latest time at which it may be sent, on the table service's clock
-	Wave  int           `msgpack:"w,omitempty"` // ID of the maintenance wave, 0 for a move
+	Wave  int           `msgpack:"w,omitempty"` // ID of the maintenance wave, noWave for a move
 	Boot  string        `msgpack:"b,omitempty"` // worker of the VM when the order was announced; empty as stored by earlier versions
 }
 
--- a/pkg/fleetops/orders.go
+++ b/pkg/fleetops/orders.go
@@ -53,7 +53,7 @@
 // vmOrder is an order to send once its VM is drained.
 type vmOrder struct {
 	vm   string
-	wave int    // 0 for a move
+	wave int    // noWave for a move
 	pool string // current pool of the VM
 	boot string // current worker of the VM
 	rank int    // order in which VMs get free places of their tasks' steps, lowest first
