--- a/pkg/fleetops/drawnwaves_test.go
+++ b/pkg/fleetops/drawnwaves_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,8 +37,9 @@
 	}
 	m := newMaintainer(s, 2*time.Second)
 	m.listLag = time.Duration(rapid.IntRange(0, 1400).Draw(t, "list lag")) * time.Millisecond
-	kind := faultNone
-	m.fault = func(platform.Holder, string, int) fault { return kind }
+	var kind atomic.Value // the fault of orders
+	kind.Store(faultNone)
+	m.fault = func(platform.Holder, string, int) fault { return kind.Load().(fault) }
 	since := time.Now()
 	open := func() *Runner {
 		r, err := s.tryOpen("e", since)
@@ -67,7 +69,7 @@
 	events := []func(){
 		write, write, write,
 		func() {
-			kind = rapid.SampledFrom([]fault{faultNone, faultRefused, faultLost, faultSilent}).Draw(t, "fault")
+			kind.Store(rapid.SampledFrom([]fault{faultNone, faultRefused, faultLost, faultSilent}).Draw(t, "fault"))
 		},
 		func() {
 			m.crash(rapid.SampledFrom(vms).Draw(t, "crash"), time.Duration(rapid.IntRange(300, 3000).Draw(t, "down"))*time.Millisecond)
@@ -80,7 +82,7 @@
 		time.Sleep(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
 		events[rapid.IntRange(0, len(events)-1).Draw(t, "event")]()
 	}
-	kind = faultNone
+	kind.Store(faultNone)
 	time.Sleep(100 * time.Second)
 	r.Close()
 	if len(m.broken) > 0 {
