--- a/pkg/bench/demo/operator.go
+++ b/pkg/bench/demo/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,14 +27,13 @@
 type operator struct {
 	checker   *checker.Checker
 	entries   *cluster.Entries
-	editCount int
+	editCount atomic.Int64
 }
 
 // edit submits an edit and reports its acceptance to the checker. It retries under the
 // same ID when nothing was written or the outcome is unknown.
 func (o *operator) edit(ctx context.Context, reason string, changes []api.RowChange) (err error) {
-	o.editCount++
-	q := api.EditRequest{ID: fmt.Sprintf("demo-%d-%d", time.Now().UnixNano(), o.editCount), Reason: reason, Changes: changes}
+	q := api.EditRequest{ID: fmt.Sprintf("demo-%d-%d", time.Now().UnixNano(), o.editCount.Add(1)), Reason: reason, Changes: changes}
 	for range maxEditAttempts {
 		var result api.EditResult
 		result, err = o.entries.AnyClient().Edit(ctx, q)
