--- a/pkg/fleetops/cause.go
+++ b/pkg/fleetops/cause.go
@@ -58,7 +58,7 @@
 	defer r.mu.Unlock()
 	for vm, orders := range r.sent {
 		for _, o := range orders {
-			if o.answer == OrderUnanswered && now < o.endedAt+orderTransit+maxListLag {
+			if o.answer == OrderUnanswered && o.mayAppear(now) {
 				vms = append(vms, vm)
 			}
 		}
@@ -70,7 +70,7 @@
 // without showing in the VM list.
 func (r *Runner) isInDoubt(vm string, wave int) bool {
 	o, ok := r.lastOrder(vm, wave)
-	return ok && o.answer != OrderRefused && r.now() < o.endedAt+orderTransit+maxListLag
+	return ok && o.answer != OrderRefused && o.mayAppear(r.now())
 }
 
 // downOutside returns how many VMs that a wave's request no longer names are down for the wave, or may be.
--- a/pkg/fleetops/orderbook.go
+++ b/pkg/fleetops/orderbook.go
@@ -90,6 +90,9 @@
 	previous OrderAnswer   // to those before it, empty for none
 }
 
+// mayAppear reports whether the order may be carried out yet, or have been without showing in the VM list.
+func (o sentOrder) mayAppear(now time.Duration) bool { return now < o.endedAt+orderTransit+maxListLag }
+
 // sentOrders holds the orders that this holder sent, by VM and wave.
 type sentOrders map[string]map[int]sentOrder
 
